--- /dev/null
+++ b/packages/bench/src/local-cluster.ts
@@ -0,0 +1,215 @@
+import {spawn, type ChildProcess} from 'node:child_process';
+import {once} from 'node:events';
+import {
+	mkdirSync, mkdtempSync, openSync, rmSync, writeFileSync,
+} from 'node:fs';
+import {createServer} from 'node:net';
+import {createRequire} from 'node:module';
+import {tmpdir} from 'node:os';
+import {dirname, join} from 'node:path';
+import {setTimeout as delay} from 'node:timers/promises';
+import {callEntry} from '@pistachiogauge/cli';
+import {type ListedInstance, type OperatorCommand} from '@pistachiogauge/model';
+import {createKeyPair, signBundle} from '@pistachiogauge/settings';
+import {request} from 'undici';
+
+/** @public */
+export type LocalClusterOptions = {
+	readonly entryCount: number;
+	readonly zones: readonly string[];
+	/** Instances by pool. */
+	readonly instances: Readonly<Record<string, number>>;
+	/** Text of the first bundle. */
+	readonly bundle: string;
+	/** Run time of a request at the endpoints in milliseconds. */
+	readonly runMs: number;
+};
+
+/** A process of the cluster. @public */
+export type LocalProcess = {
+	readonly name: string;
+	/** Address for callers, operators or faults. */
+	readonly address: string;
+	readonly child: ChildProcess;
+};
+
+/** Entries, store, platform and endpoints as separate processes on loopback. @public */
+export type LocalCluster = {
+	readonly entries: readonly LocalProcess[];
+	readonly endpoints: ReadonlyMap<string, LocalProcess>;
+	readonly storeAddress: string;
+	readonly platformAddress: string;
+	readonly folder: string;
+	callOperator(command: OperatorCommand, entryIndex?: number): Promise<unknown>;
+	applyBundle(text: string): Promise<unknown>;
+	waitUntil(what: string, isMet: () => Promise<boolean>, limitMs?: number): Promise<void>;
+	stop(): Promise<void>;
+};
+
+const load = createRequire(import.meta.url);
+const operator = 'demo';
+const pollMs = 50;
+const stopLimitMs = 8000;
+
+/** Starts a cluster and waits until every entry is ready. @public */
+export async function createLocalCluster(options: LocalClusterOptions): Promise<LocalCluster> {
+	const folder = mkdtempSync(join(tmpdir(), 'pistachiogauge-'));
+	mkdirSync(join(folder, 'logs'));
+	const children: ChildProcess[] = [];
+	const keys = createKeyPair();
+	writeFileSync(join(folder, 'operator.pem'), keys.privateKey, {mode: 0o600});
+	writeFileSync(join(folder, 'operator.pem.pub'), keys.publicKey);
+	writeFileSync(join(folder, 'peer.secret'), 'loopback-cluster-secret\n', {mode: 0o600});
+	const ports = await findFreePorts(2 + (options.entryCount * 2) + Object.values(options.instances).reduce((sum, count) => sum + count, 0));
+	const takeAddress = () => `127.0.0.1:${ports.pop()!}`;
+
+	function startProcess(name: string, address: string, script: string, values: readonly string[]): LocalProcess {
+		const logFile = openSync(join(folder, 'logs', `${name}.log`), 'a');
+		const child = spawn(process.execPath, [script, ...values], {stdio: ['ignore', logFile, logFile]});
+		children.push(child);
+		return {name, address, child};
+	}
+
+	const standin = join(dirname(load.resolve('@pistachiogauge/standins')), 'main.js');
+	const entryMain = join(dirname(load.resolve('@pistachiogauge/entry')), 'main.js');
+	const storeAddress = takeAddress();
+	const platformAddress = takeAddress();
+	startProcess('store', storeAddress, standin, ['store', storeAddress]);
+	startProcess('platform', platformAddress, standin, ['platform', platformAddress]);
+	const listed: ListedInstance[] = [];
+	const endpoints = new Map<string, LocalProcess>();
+	for (const [pool, count] of Object.entries(options.instances)) {
+		for (let index = 0; index < count; index++) {
+			const id = `${pool}-${index + 1}`;
+			const address = takeAddress();
+			endpoints.set(id, startProcess(id, address, standin, ['endpoint', address, '--run-ms', String(options.runMs)]));
+			listed.push({
+				id, address, pool, zone: options.zones[index % options.zones.length]!, rack: `rack-${Math.floor(listed.length / 4) + 1}`, state: 'live',
+			});
+		}
+	}
+
+	const entries: LocalProcess[] = [];
+	for (let index = 0; index < options.entryCount; index++) {
+		const name = `entry-${index + 1}`;
+		const callerAddress = takeAddress();
+		const settingsFile = join(folder, `${name}.ini`);
+		writeFileSync(settingsFile, formatSettings({
+			name, zone: options.zones[index % options.zones.length]!, callerAddress, peerAddress: takeAddress(), storeAddress, platformAddress,
+		}));
+		entries.push(startProcess(name, callerAddress, entryMain, [settingsFile]));
+	}
+
+	async function callOperator(command: OperatorCommand, entryIndex = 0): Promise<unknown> {
+		return callEntry({entry: entries[entryIndex]!.address, operator, key: join(folder, 'operator.pem')}, command);
+	}
+
+	async function applyBundle(text: string): Promise<unknown> {
+		const bundle = signBundle(text, operator, keys.privateKey);
+		return callOperator({command: 'bundle-apply', bundle, nonce: `${bundle.version}-${Date.now()}`});
+	}
+
+	async function stop(): Promise<void> {
+		for (const child of children) {
+			child.kill('SIGCONT');
+			child.kill('SIGTERM');
+		}
+
+		await Promise.all(children.map(async child => {
+			const timer = setTimeout(() => child.kill('SIGKILL'), stopLimitMs);
+			if (child.exitCode === null && child.signalCode === null) {
+				await once(child, 'exit');
+			}
+
+			clearTimeout(timer);
+		}));
+		rmSync(folder, {recursive: true, force: true});
+	}
+
+	const cluster: LocalCluster = {
+		entries, endpoints, storeAddress, platformAddress, folder, callOperator, applyBundle, waitUntil, stop,
+	};
+	try {
+		await waitUntil('the platform listens', async () => (await getStatusCode(`http://${platformAddress}/instances`)) === 200);
+		await request(`http://${platformAddress}/instances`, {method: 'PUT', body: JSON.stringify(listed)});
+		await waitUntil('the entries listen', async () => {
+			const codes = await Promise.all(entries.map(async entry => getStatusCode(`http://${entry.address}/healthz`)));
+			return codes.every(code => code === 200);
+		});
+		await waitUntil('the bundle is accepted', async () => applyBundle(options.bundle).catch(() => false).then(() => true));
+		await waitUntil('the entries are ready', async () => {
+			const codes = await Promise.all(entries.map(async entry => getStatusCode(`http://${entry.address}/readyz`)));
+			return codes.every(code => code === 200);
+		});
+		return cluster;
+	} catch (error) {
+		await stop();
+		throw error;
+	}
+}
+
+/** Waits until a condition holds. Tests wait for conditions and not for times, so a slow machine changes no verdict. */
+async function waitUntil(what: string, isMet: () => Promise<boolean>, limitMs = 20_000): Promise<void> {
+	const startedAt = performance.now();
+	while (performance.now() - startedAt < limitMs) {
+		// eslint-disable-next-line no-await-in-loop
+		if (await isMet().catch(() => false)) {
+			return;
+		}
+
+		// eslint-disable-next-line no-await-in-loop
+		await delay(pollMs);
+	}
+
+	throw new Error(`not within ${limitMs} ms: ${what}`);
+}
+
+async function getStatusCode(url: string): Promise<number> {
+	const answer = await request(url);
+	await answer.body.dump();
+	return answer.statusCode;
+}
+
+async function findFreePorts(count: number): Promise<number[]> {
+	const servers = Array.from({length: count}, () => createServer());
+	const ports = await Promise.all(servers.map(async server => {
+		server.listen(0, '127.0.0.1');
+		await once(server, 'listening');
+		const address = server.address();
+		return typeof address === 'object' && address !== null ? address.port : 0;
+	}));
+	await Promise.all(servers.map(async server => {
+		server.close();
+		await once(server, 'close');
+	}));
+	return ports;
+}
+
+type EntryAddresses = {
+	readonly name: string;
+	readonly zone: string;
+	readonly callerAddress: string;
+	readonly peerAddress: string;
+	readonly storeAddress: string;
+	readonly platformAddress: string;
+};
+
+function formatSettings(addresses: EntryAddresses): string {
+	return [
+		'[entry]',
+		`name = ${addresses.name}`,
+		`zone = ${addresses.zone}`,
+		`caller-address = ${addresses.callerAddress}`,
+		`peer-address = ${addresses.peerAddress}`,
+		'[store]',
+		`addresses = ${addresses.storeAddress}`,
+		'[platform]',
+		`address = ${addresses.platformAddress}`,
+		'list-interval-ms = 300',
+		'[peers]',
+		'secret-file = peer.secret',
+		'[operators]',
+		`${operator} = operator.pem.pub`,
+		'',
+	].join('\n');
+}
--- /dev/null
+++ b/packages/decisions/src/admission/index.ts
@@ -0,0 +1,2 @@
+export {admissionFilter} from './admission-filter.js';
+export {createAdmissionState, type AdmissionState} from './admission-state.js';
--- /dev/null
+++ b/packages/decisions/src/bundle/index.ts
@@ -0,0 +1,2 @@
+export {bundleFilter} from './bundle-filter.js';
+export {createBundleState, type BundleState} from './bundle-state.js';
--- /dev/null
+++ b/packages/decisions/src/dispatch/index.ts
@@ -0,0 +1,4 @@
+export {dispatchFilter} from './dispatch-filter.js';
+export {
+	createDispatchState, getFlowLength, type DispatchState, type PoolQueue, type RunningAttempt,
+} from './dispatch-state.js';
--- /dev/null
+++ b/packages/decisions/src/fleet/index.ts
@@ -0,0 +1,4 @@
+export {fleetFilter} from './fleet-filter.js';
+export {
+	createFleetState, getServingInstances, type FleetState, type OwnedPool,
+} from './fleet-state.js';
--- /dev/null
+++ b/packages/decisions/src/membership/assign-pools.ts
@@ -0,0 +1,120 @@
+import {createHash} from 'node:crypto';
+import {
+	type EntryId, type Member, type PoolAssignment, type PoolName,
+} from '@pistachiogauge/model';
+
+type Assignments = Record<PoolName, PoolAssignment>;
+
+/**
+Names an owner and a standby for every pool.
+
+A living owner keeps its pools, the standby follows a lost owner, and pools move between living entries only to even out a difference of two or more. The standby stands in another availability zone where there is one.
+
+@public
+*/
+export function assignPools(
+	pools: readonly PoolName[],
+	members: readonly Member[],
+	former: Readonly<Assignments>,
+): Assignments {
+	const owners = chooseOwners(pools, members, former);
+	evenOut(owners, members);
+	return addStandbys(owners, members, former);
+}
+
+function chooseOwners(
+	pools: readonly PoolName[],
+	members: readonly Member[],
+	former: Readonly<Assignments>,
+): Map<PoolName, EntryId> {
+	const alive = new Set(members.map(member => member.id));
+	const owners = new Map<PoolName, EntryId>();
+	const orphans: PoolName[] = [];
+	for (const pool of [...pools].sort()) {
+		const successor = [former[pool]?.owner, former[pool]?.standby].find(id => id !== undefined && alive.has(id));
+		if (successor === undefined) {
+			orphans.push(pool);
+			continue;
+		}
+
+		owners.set(pool, successor);
+	}
+
+	for (const pool of orphans) {
+		owners.set(pool, chooseLeastLoaded(pool, members, owners.values()));
+	}
+
+	return owners;
+}
+
+function evenOut(owners: Map<PoolName, EntryId>, members: readonly Member[]): void {
+	for (let round = 0; round < owners.size; round++) {
+		const loads = countLoads(members, owners.values());
+		const ordered = [...loads.entries()].sort((left, right) => left[1] - right[1] || (left[0] < right[0] ? -1 : 1));
+		const [least, most] = [ordered[0]!, ordered.at(-1)!];
+		if (most[1] - least[1] < 2) {
+			return;
+		}
+
+		for (const [pool, owner] of owners) {
+			if (owner === most[0]) {
+				owners.set(pool, least[0]);
+				break;
+			}
+		}
+	}
+}
+
+function addStandbys(
+	owners: ReadonlyMap<PoolName, EntryId>,
+	members: readonly Member[],
+	former: Readonly<Assignments>,
+): Assignments {
+	const byId = new Map(members.map(member => [member.id, member]));
+	const assignments: Assignments = {};
+	const chosen: EntryId[] = [];
+	for (const [pool, owner] of owners) {
+		const elsewhere = members.filter(member => member.id !== owner && member.zone !== byId.get(owner)!.zone);
+		const candidates = elsewhere.length > 0 ? elsewhere : members.filter(member => member.id !== owner);
+		const kept = candidates.find(member => member.id === former[pool]?.standby);
+		const standby = kept?.id ?? (candidates.length > 0 ? chooseLeastLoaded(pool, candidates, chosen) : undefined);
+		if (standby === undefined) {
+			assignments[pool] = {owner};
+			continue;
+		}
+
+		chosen.push(standby);
+		assignments[pool] = {owner, standby};
+	}
+
+	return assignments;
+}
+
+function chooseLeastLoaded(pool: PoolName, candidates: readonly Member[], taken: Iterable<EntryId>): EntryId {
+	const loads = countLoads(candidates, taken);
+	let best = candidates[0]!.id;
+	for (const {id} of candidates) {
+		const difference = loads.get(id)! - loads.get(best)!;
+		if (difference < 0 || (difference === 0 && computeWeight(pool, id) > computeWeight(pool, best))) {
+			best = id;
+		}
+	}
+
+	return best;
+}
+
+function countLoads(members: readonly Member[], owners: Iterable<EntryId>): Map<EntryId, number> {
+	const loads = new Map(members.map(member => [member.id, 0]));
+	for (const owner of owners) {
+		const load = loads.get(owner);
+		if (load !== undefined) {
+			loads.set(owner, load + 1);
+		}
+	}
+
+	return loads;
+}
+
+function computeWeight(pool: PoolName, entryId: EntryId): string {
+	return createHash('sha256').update(`${pool}\n${entryId}`).digest('hex');
+}
--- /dev/null
+++ b/packages/decisions/src/membership/permission.ts
@@ -0,0 +1,70 @@
+import {type EntryId, type PoolName} from '@pistachiogauge/model';
+import {type EntryState} from '../entry-state.js';
+
+/** Number of members that make a majority. @public */
+export function getMajority(memberCount: number): number {
+	return Math.floor(memberCount / 2) + 1;
+}
+
+/** Whether the entry belongs to the adopted epoch. @public */
+export function isMember(state: EntryState, entryId: EntryId): boolean {
+	return state.membership.record?.members.some(member => member.id === entryId) ?? false;
+}
+
+/**
+Time until which a majority of the adopted epoch's members vouches for this entry, in monotonic milliseconds.
+
+Vouchers count from the moment they were asked for, so a slow answer never lengthens them.
+
+@public
+*/
+export function getVouchedUntil(state: EntryState, now: number): number | undefined {
+	const {record, vouchers} = state.membership;
+	if (record === undefined) {
+		return undefined;
+	}
+
+	return computeVouchedUntil(state, record.members.map(member => member.id), vouchers, now);
+}
+
+/**
+Time until which this entry may start new work for a pool, in monotonic milliseconds; undefined when it may not.
+
+@public
+*/
+export function getPoolPermission(state: EntryState, pool: PoolName, now: number): number | undefined {
+	const {record, acquired, formerMembers, formerVouchers, isLeaving} = state.membership;
+	if (record?.pools[pool]?.owner !== state.config.id || !acquired.has(pool) || isLeaving) {
+		return undefined;
+	}
+
+	const current = getVouchedUntil(state, now) ?? 0;
+	// The epoch after this one cannot become active before these vouchers have run out, so they still protect a pool that kept its owner.
+	const former = formerMembers.length > 0 ? computeVouchedUntil(state, formerMembers, formerVouchers, now) ?? 0 : 0;
+	const until = Math.max(current, former);
+	return until > now ? until : undefined;
+}
+
+function computeVouchedUntil(
+	state: EntryState,
+	members: readonly EntryId[],
+	vouchers: ReadonlyMap<EntryId, number>,
+	now: number,
+): number | undefined {
+	const {id, timings} = state.config;
+	const askedTimes: number[] = [];
+	for (const member of members) {
+		const askedAt = member === id ? now : vouchers.get(member);
+		if (askedAt !== undefined) {
+			askedTimes.push(askedAt);
+		}
+	}
+
+	const majority = getMajority(members.length);
+	if (askedTimes.length < majority) {
+		return undefined;
+	}
+
+	askedTimes.sort((left, right) => right - left);
+	return askedTimes[majority - 1]! + timings.voucherMs;
+}
--- /dev/null
+++ b/packages/decisions/src/reply/index.ts
@@ -0,0 +1,2 @@
+export {replyFilter} from './reply-filter.js';
+export {createReplyState, type ReplyState} from './reply-state.js';
--- /dev/null
+++ b/packages/decisions/src/reply/reply-filter.ts
@@ -0,0 +1,117 @@
+import {storeKeys} from '@pistachiogauge/model';
+import {
+	emitEffect, restartEvent, type Filter, type Output,
+} from '../chain.js';
+import {type DecisionContext} from '../context.js';
+import {type EntryState} from '../entry-state.js';
+import {getVouchedUntil} from '../membership/index.js';
+
+/** A shutdown that does not finish by itself ends the process with exit code 1 after this time. */
+const shutdownLimitMs = 30_000;
+/** Time for the balancer to see the failed readiness check before the entry counts its requests as the last. */
+const balancerDelayMs = 500;
+
+/**
+Sends results and operator answers on their way, keeps the readiness answer, and ends the process after a graceful shutdown.
+
+@public
+*/
+export const replyFilter: Filter = {
+	name: 'reply',
+	handlers: {
+		'request-ended': (_state, event) => [
+			restartEvent({
+				kind: 'result-ready', requestId: event.requestId, receiver: event.receiver, result: event.result,
+			}),
+		],
+		'peer-operator-forward'(state, event) {
+			const {callId, operator, command} = event.message;
+			state.reply.callOrigins.set(callId, event.from);
+			return [restartEvent({
+				kind: 'operator-called', callId, operator, command,
+			})];
+		},
+		'peer-operator-result'(_state, event) {
+			const {callId, status, body} = event.message;
+			return [emitEffect({
+				kind: 'answer-operator', callId, status, body,
+			})];
+		},
+		'operator-answered'(state, event) {
+			const {callId, status, body} = event;
+			const origin = state.reply.callOrigins.get(callId);
+			if (origin === undefined) {
+				return [emitEffect({
+					kind: 'answer-operator', callId, status, body,
+				})];
+			}
+
+			state.reply.callOrigins.delete(callId);
+			return [emitEffect({
+				kind: 'send-peer', to: origin, message: {
+					kind: 'operator-result', callId, status, body,
+				},
+			})];
+		},
+		'operator-called': (state, event) => event.command.command === 'status'
+			? [restartEvent({
+				kind: 'operator-answered', callId: event.callId, status: 200, body: getStatus(state),
+			})]
+			: [],
+		tick: (state, _event, context) => [...updateReadiness(state, context), ...finishShutdown(state, context)],
+		'shutdown-requested'(state, _event, context) {
+			state.reply.shutdownAt ??= context.now;
+			return updateReadiness(state, context);
+		},
+		'store-answered': (state, event) => event.operationId === 'reply:departed' ? [emitEffect({kind: 'stop-process', exitCode: 0})] : [],
+	},
+};
+
+function updateReadiness(state: EntryState, context: DecisionContext): Output[] {
+	const vouchedUntil = getVouchedUntil(state, context.now) ?? 0;
+	const isReady = state.reply.shutdownAt === undefined && state.bundle.current !== undefined && vouchedUntil > context.now;
+	if (isReady === state.reply.isReady) {
+		return [];
+	}
+
+	state.reply.isReady = isReady;
+	return [emitEffect({kind: 'set-readiness', isReady})];
+}
+
+function finishShutdown(state: EntryState, context: DecisionContext): Output[] {
+	const {reply, dispatch, routing, config} = state;
+	if (reply.shutdownAt === undefined || reply.hasStopped || context.now - reply.shutdownAt < balancerDelayMs) {
+		return [];
+	}
+
+	const isIdle = dispatch.attempts.size === 0 && routing.requests.size === 0;
+	const isLate = context.now - reply.shutdownAt > shutdownLimitMs;
+	if (!isIdle && !isLate) {
+		return [];
+	}
+
+	reply.hasStopped = true;
+	if (isLate || !state.membership.isStoreReached) {
+		return [emitEffect({kind: 'stop-process', exitCode: isIdle ? 0 : 1})];
+	}
+
+	return [emitEffect({
+		kind: 'write-store', operationId: 'reply:departed', key: `${storeKeys.departedPrefix}${config.id}`, value: JSON.stringify({by: config.id}), condition: {kind: 'always'}, isLeased: false,
+	})];
+}
+
+function getStatus(state: EntryState): unknown {
+	const {membership, bundle, config} = state;
+	return {
+		entry: config.id,
+		zone: config.zone,
+		epoch: membership.record?.epoch ?? 0,
+		isActive: membership.isActive,
+		isReady: state.reply.isReady,
+		isStoreReached: membership.isStoreReached,
+		members: membership.record?.members ?? [],
+		pools: membership.record?.pools ?? {},
+		bundleVersion: bundle.current?.version ?? 0,
+		requests: {routed: state.routing.requests.size, running: state.dispatch.attempts.size},
+	};
+}
--- /dev/null
+++ b/packages/decisions/src/retry/index.ts
@@ -0,0 +1,2 @@
+export {retryFilter} from './retry-filter.js';
+export {createRetryState, type RetryState} from './retry-state.js';
--- /dev/null
+++ b/packages/decisions/src/routing/routing-filter.ts
@@ -0,0 +1,204 @@
+import {type EventOf, type RequestResult} from '@pistachiogauge/model';
+import {
+	emitEffect, passEvent, type Filter, type Output,
+} from '../chain.js';
+import {type DecisionContext} from '../context.js';
+import {type EntryState} from '../entry-state.js';
+import {getPoolPermission} from '../membership/index.js';
+import {createNotRunResult, createUnknownResult} from '../results.js';
+import {type RoutedRequest} from './routing-state.js';
+
+/** The owner answers at the deadline; the receiver waits this much longer for that answer to arrive. */
+const answerGraceMs = 150;
+
+/**
+Brings callers' requests to the owner of their pool and the results back.
+
+A request stays here until its result is known, so it can be sent again to a new owner when its owner is lost.
+
+@public
+*/
+export const routingFilter: Filter = {
+	name: 'routing',
+	handlers: {
+		'request-received': handleRequest,
+		'peer-forward'(state, event, context) {
+			const {pool, request} = event.message;
+			if (getPoolPermission(state, pool, context.now) === undefined) {
+				const epoch = state.membership.record?.epoch ?? 0;
+				return [emitEffect({kind: 'send-peer', to: event.from, message: {kind: 'not-owner', requestId: request.requestId, epoch}})];
+			}
+
+			return [passEvent({
+				kind: 'request-offered', request, receiver: event.from, pool,
+			})];
+		},
+		'peer-not-owner'(state, event) {
+			const routed = state.routing.requests.get(event.message.requestId);
+			if (routed?.heldBy === event.from) {
+				routed.heldBy = undefined;
+			}
+
+			return [];
+		},
+		'peer-result'(state, event) {
+			const {requestId, result} = event.message;
+			return state.routing.requests.get(requestId)?.heldBy === event.from ? finishRequest(state, requestId, result) : [];
+		},
+		'request-returned'(state, event) {
+			const {receiver, requestId} = event;
+			if (receiver !== state.config.id) {
+				return [emitEffect({kind: 'send-peer', to: receiver, message: {kind: 'not-owner', requestId, epoch: state.membership.record?.epoch ?? 0}})];
+			}
+
+			const routed = state.routing.requests.get(requestId);
+			if (routed !== undefined) {
+				routed.heldBy = undefined;
+			}
+
+			return [];
+		},
+		'result-ready'(state, event) {
+			const {receiver, requestId, result} = event;
+			return receiver === state.config.id
+				? finishRequest(state, requestId, result)
+				: [emitEffect({kind: 'send-peer', to: receiver, message: {kind: 'result', requestId, result}})];
+		},
+		'link-down'(state, event, context) {
+			const outputs: Output[] = [];
+			for (const routed of state.routing.requests.values()) {
+				if (routed.heldBy === event.entryId) {
+					loseHolder(routed);
+					outputs.push(...routeRequest(state, routed, context));
+				}
+			}
+
+			return outputs;
+		},
+		'epoch-adopted': (state, _event, context) => routeHeldElsewhere(state, context),
+		'pool-acquired': (state, _event, context) => routeHeldElsewhere(state, context),
+		tick(state, _event, context) {
+			const outputs: Output[] = [];
+			for (const [requestId, routed] of state.routing.requests) {
+				if (context.now >= routed.deadlineAt + (routed.heldBy === undefined ? 0 : answerGraceMs)) {
+					outputs.push(...finishRequest(state, requestId, createDeadlineResult(routed)));
+					continue;
+				}
+
+				if (routed.heldBy === undefined) {
+					outputs.push(...routeRequest(state, routed, context));
+				}
+			}
+
+			return outputs;
+		},
+		'caller-gone'(state, event) {
+			const routed = state.routing.requests.get(event.requestId);
+			state.routing.requests.delete(event.requestId);
+			return routed?.heldBy === undefined || routed.heldBy === state.config.id
+				? []
+				: [emitEffect({kind: 'send-peer', to: routed.heldBy, message: {kind: 'cancel', requestId: event.requestId}})];
+		},
+	},
+};
+
+function handleRequest(state: EntryState, event: EventOf<'request-received'>, context: DecisionContext): Output[] {
+	const {request} = event;
+	const {requestId} = request;
+	const {current} = state.bundle;
+	if (state.membership.isLeaving) {
+		return [emitEffect({kind: 'respond-caller', requestId, result: createNotRunResult('shutting-down', 0)})];
+	}
+
+	if (current === undefined) {
+		return [emitEffect({kind: 'respond-caller', requestId, result: createNotRunResult('entry-not-ready', 1000)})];
+	}
+
+	const pool = current.services[request.service]?.pool;
+	if (pool === undefined) {
+		return [emitEffect({kind: 'respond-caller', requestId, result: createNotRunResult('unknown-service')})];
+	}
+
+	if (request.timeLeftMs <= 0) {
+		return [emitEffect({kind: 'respond-caller', requestId, result: createNotRunResult('deadline-passed')})];
+	}
+
+	const routed: RoutedRequest = {
+		request, pool, deadlineAt: context.now + request.timeLeftMs, heldBy: undefined, mayHaveRun: false,
+	};
+	state.routing.requests.set(requestId, routed);
+	return routeRequest(state, routed, context);
+}
+
+function routeRequest(state: EntryState, routed: RoutedRequest, context: DecisionContext): Output[] {
+	const owner = state.membership.record?.pools[routed.pool]?.owner;
+	const request = {...routed.request, timeLeftMs: routed.deadlineAt - context.now};
+	if (owner === undefined || request.timeLeftMs <= 0) {
+		return [];
+	}
+
+	if (owner === state.config.id) {
+		if (getPoolPermission(state, routed.pool, context.now) === undefined) {
+			return [];
+		}
+
+		routed.heldBy = owner;
+		return [passEvent({
+			kind: 'request-offered', request, receiver: owner, pool: routed.pool,
+		})];
+	}
+
+	if (!state.membership.links.has(owner)) {
+		return [];
+	}
+
+	routed.heldBy = owner;
+	return [emitEffect({kind: 'send-peer', to: owner, message: {kind: 'forward', pool: routed.pool, request}})];
+}
+
+/** Sends requests again whose pool has changed hands since they were forwarded. */
+function routeHeldElsewhere(state: EntryState, context: DecisionContext): Output[] {
+	const outputs: Output[] = [];
+	for (const routed of state.routing.requests.values()) {
+		const owner = state.membership.record?.pools[routed.pool]?.owner;
+		if (routed.heldBy === owner) {
+			continue;
+		}
+
+		// A former owner that is still linked finishes what it has; its result is as good.
+		if (routed.heldBy !== undefined && state.membership.links.has(routed.heldBy)) {
+			continue;
+		}
+
+		if (routed.heldBy !== undefined) {
+			loseHolder(routed);
+		}
+
+		outputs.push(...routeRequest(state, routed, context));
+	}
+
+	return outputs;
+}
+
+function loseHolder(routed: RoutedRequest): void {
+	routed.heldBy = undefined;
+	routed.mayHaveRun = true;
+}
+
+function finishRequest(state: EntryState, requestId: string, result: RequestResult): Output[] {
+	const routed = state.routing.requests.get(requestId);
+	if (routed === undefined) {
+		return [];
+	}
+
+	state.routing.requests.delete(requestId);
+	// The new owner's refusal says nothing about an idempotent request's run at the lost one; for a keyed request the new owner has checked the key.
+	const isRefusalUncertain = result.outcome === 'not-run' && routed.mayHaveRun && routed.request.isIdempotent;
+	return [emitEffect({kind: 'respond-caller', requestId, result: isRefusalUncertain ? createUnknownResult('connection-lost') : result})];
+}
+
+function createDeadlineResult(routed: RoutedRequest): RequestResult {
+	return routed.heldBy === undefined && !routed.mayHaveRun
+		? createNotRunResult('owner-unreachable', 1000)
+		: createUnknownResult('answer-timeout');
+}
--- /dev/null
+++ b/packages/entry/src/entry-process.ts
@@ -0,0 +1,157 @@
+import {randomInt, randomUUID} from 'node:crypto';
+import {
+	applyEvent, createEntryState, createNotRunResult, createRandomSource, type DecisionContext,
+} from '@pistachiogauge/decisions';
+import {createCallerServer, createEndpointClient} from '@pistachiogauge/http';
+import {type EntryConfig, type InputEvent} from '@pistachiogauge/model';
+import {createPeerNetwork} from '@pistachiogauge/peer';
+import {createPipeline, type SinkTable} from '@pistachiogauge/pipeline';
+import {verifyBundle, type EntrySettings} from '@pistachiogauge/settings';
+import {createStoreClient} from '@pistachiogauge/store';
+import {createLogger, createMetrics} from '@pistachiogauge/telemetry';
+import {createInstanceList} from './instance-list.js';
+import {createKey} from './create-key.js';
+
+/** @public */
+export type EntryProcess = {
+	/** Opens the listeners and starts to take part. */
+	start(): Promise<void>;
+	/** Begins a graceful shutdown; `onStop` is told the exit code. */
+	requestShutdown(): void;
+};
+
+const tickMs = 50;
+/** Links that stay silent for this many suspect times are opened anew. */
+const linkIdleFactor = 2;
+
+/** Wires an entry: sources of events, the decisions, and the sinks of their effects. @public */
+export function createEntryProcess(settings: EntrySettings, onStop: (exitCode: 0 | 1) => void): EntryProcess {
+	const id = `${settings.name}.${randomUUID().slice(0, 8)}`;
+	const config: EntryConfig = {
+		id,
+		zone: settings.zone,
+		peerAddress: settings.peerAddress,
+		timings: settings.timings,
+		readBundle: bundle => verifyBundle(bundle, settings.operatorKeys, Date.now()),
+	};
+	const log = createLogger(settings.logLevel, {entry: id});
+	const metrics = createMetrics();
+	const state = createEntryState(config);
+	const random = createRandomSource(randomInt(2 ** 31));
+	const count = (metric: string) => {
+		metrics.addCount(metric);
+	};
+
+	const pushEvent = (event: InputEvent) => {
+		pipeline.pushEvent(event);
+	};
+
+	const callers = createCallerServer({
+		address: settings.callerAddress,
+		bodyLimitBytes: settings.bodyLimitBytes,
+		operatorKeys: settings.operatorKeys,
+		getDefaults(service) {
+			const declaration = state.bundle.current?.services[service];
+			return {requestClass: declaration?.defaultClass ?? 'normal', deadlineMs: declaration?.defaultDeadlineMs ?? settings.timings.defaultDeadlineMs};
+		},
+		createKey: () => createKey(Date.now()),
+		createRefusal: createNotRunResult,
+		getMetrics: () => metrics.formatMetrics(),
+		pushEvent,
+		log,
+		count,
+	});
+	const endpoints = createEndpointClient({pushEvent, getNow: () => performance.now(), answerLimitBytes: settings.bodyLimitBytes});
+	const peers = createPeerNetwork({
+		id, address: settings.peerAddress, secret: settings.peerSecret, idleLimitMs: settings.timings.suspectMs * linkIdleFactor, pushEvent, log, count,
+	});
+	const store = createStoreClient({
+		addresses: settings.storeAddresses, leaseSeconds: settings.leaseSeconds, pushEvent, count,
+	});
+	const instances = createInstanceList({
+		address: settings.platformAddress, intervalMs: settings.listIntervalMs, pushEvent, count,
+	});
+
+	async function stopAll(exitCode: 0 | 1): Promise<void> {
+		clearInterval(ticking);
+		instances.stop();
+		callers.stop();
+		await Promise.allSettled([store.stop(), peers.stop(), endpoints.stop()]);
+		onStop(exitCode);
+	}
+
+	const sinks: SinkTable = {
+		'respond-caller'({requestId, result}) {
+			metrics.addCount(`requests_${result.outcome.replace('-', '_')}_total`);
+			callers.respondCaller(requestId, result);
+		},
+		'send-endpoint': endpoints.sendAttempt,
+		'probe-endpoint': endpoints.probeEndpoint,
+		'reboot-instance': instances.rebootInstance,
+		'send-peer'({to, message}) {
+			peers.sendMessage(to, message);
+		},
+		'open-link'({entryId, address}) {
+			peers.openLink(entryId, address);
+		},
+		'close-link'({entryId}) {
+			peers.closeLink(entryId);
+		},
+		'read-store': store.runOperation,
+		'write-store': store.runOperation,
+		'delete-store': store.runOperation,
+		'answer-operator'({callId, status, body}) {
+			callers.answerOperator(callId, status, body);
+		},
+		'set-readiness'({isReady}) {
+			log('info', isReady ? 'ready' : 'not ready');
+			callers.setReadiness(isReady);
+		},
+		'stop-process'({exitCode}) {
+			void stopAll(exitCode);
+		},
+		count({metric, by}) {
+			metrics.addCount(metric, by);
+		},
+		observe({metric, value}) {
+			metrics.recordValue(metric, value);
+		},
+		log({level, message, fields}) {
+			log(level, message, fields);
+		},
+		'handler-failed'({filter, eventKind, error}) {
+			count('handler_failures_total');
+			log('error', 'handler failed', {filter, event: eventKind, error: error instanceof Error ? error.stack ?? error.message : String(error)});
+		},
+	};
+
+	const pipeline = createPipeline<InputEvent>({
+		applyEvent(event) {
+			const context: DecisionContext = {now: performance.now(), wallTime: Date.now(), random};
+			return applyEvent(state, event, context);
+		},
+		sinks,
+		reportFailure(stage, error) {
+			count('stage_failures_total');
+			log('error', 'stage failed', {stage, error: String(error)});
+		},
+	});
+
+	let ticking: NodeJS.Timeout;
+	return {
+		async start() {
+			await callers.start();
+			await peers.start();
+			ticking = setInterval(() => {
+				pushEvent({kind: 'tick'});
+			}, tickMs);
+			store.start();
+			instances.start();
+			log('info', 'entry started', {callers: settings.callerAddress, peers: settings.peerAddress, zone: settings.zone});
+		},
+		requestShutdown() {
+			log('info', 'shutdown requested');
+			pushEvent({kind: 'shutdown-requested'});
+		},
+	};
+}
--- /dev/null
+++ b/packages/entry/src/index.ts
@@ -0,0 +1,6 @@
+/**
+Entry process of pistachiogauge.
+
+@packageDocumentation
+*/
+export {createEntryProcess, type EntryProcess} from './entry-process.js';
--- /dev/null
+++ b/packages/entry/src/instance-list.ts
@@ -0,0 +1,66 @@
+import {setTimeout as delay} from 'node:timers/promises';
+import {listedInstanceSchema, type EffectOf, type InputEvent} from '@pistachiogauge/model';
+import {request} from 'undici';
+import {z} from 'zod';
+
+/** Reads the platform's instance list and asks for reboots. */
+export type InstanceList = {
+	start(): void;
+	stop(): void;
+	rebootInstance(effect: EffectOf<'reboot-instance'>): void;
+};
+
+export type InstanceListOptions = {
+	readonly address: string;
+	readonly intervalMs: number;
+	readonly pushEvent: (event: InputEvent) => void;
+	readonly count: (metric: string) => void;
+};
+
+const callTimeoutMs = 1000;
+const listSchema = z.array(listedInstanceSchema);
+
+/** Creates the client of the platform's instance list. @internal */
+export function createInstanceList(options: InstanceListOptions): InstanceList {
+	const stopping = new AbortController();
+	const timeouts = {headersTimeout: callTimeoutMs, bodyTimeout: callTimeoutMs};
+
+	async function readList(): Promise<void> {
+		try {
+			const answer = await request(`http://${options.address}/instances`, timeouts);
+			options.pushEvent({kind: 'instances-listed', instances: listSchema.parse(await answer.body.json())});
+		} catch {
+			options.count('instance_list_failures_total');
+		}
+	}
+
+	return {
+		start() {
+			void (async () => {
+				while (!stopping.signal.aborted) {
+					// eslint-disable-next-line no-await-in-loop
+					await readList();
+					// eslint-disable-next-line no-await-in-loop
+					await delay(options.intervalMs * (0.9 + (Math.random() / 5)), undefined, {signal: stopping.signal}).catch(() => undefined);
+				}
+			})();
+		},
+		stop() {
+			stopping.abort();
+		},
+		rebootInstance({instanceId}) {
+			void (async () => {
+				let isAccepted = false;
+				try {
+					const answer = await request(`http://${options.address}/instances/${encodeURIComponent(instanceId)}/reboot`, {method: 'POST', ...timeouts});
+					await answer.body.dump();
+					isAccepted = answer.statusCode === 202;
+				} catch {
+					options.count('reboot_failures_total');
+				}
+
+				options.pushEvent({kind: 'reboot-ended', instanceId, isAccepted});
+			})();
+		},
+	};
+}
--- /dev/null
+++ b/packages/http/src/index.ts
@@ -0,0 +1,13 @@
+/**
+HTTP towards callers, operators and endpoints.
+
+@packageDocumentation
+*/
+export {createCallerServer, type CallerServer, type CallerServerOptions} from './caller-server.js';
+export {createEndpointClient, type EndpointClient, type EndpointClientOptions} from './endpoint-client.js';
+export {HttpRequestError, ListenError} from './http-errors.js';
+export {listen} from './listen.js';
+export {parseServiceRequest} from './service-request.js';
+export {
+	operatorHeaders, signOperatorCall, verifyOperatorCall, type SignedCall,
+} from './operator-signature.js';
--- /dev/null
+++ b/packages/http/src/service-request.ts
@@ -0,0 +1,102 @@
+import {type IncomingMessage} from 'node:http';
+import {
+	requestClassSchema, type HeaderList, type RequestClass, type ServiceRequest,
+} from '@pistachiogauge/model';
+import {HttpRequestError} from './http-errors.js';
+
+const servicePathPattern = /^\/services\/(?<service>[\w\-]+)(?<path>\/.*)?$/u;
+const idempotentMethods: ReadonlySet<string> = new Set(['GET', 'HEAD', 'OPTIONS', 'PUT', 'DELETE']);
+const maxDeadlineMs = 86_400_000;
+
+/** Headers that belong to one connection (RFC 9110, section 7.6.1) or that the entry sets itself. */
+const droppedHeaders: ReadonlySet<string> = new Set([
+	'connection', 'keep-alive', 'proxy-connection', 'te', 'trailer', 'transfer-encoding', 'upgrade', 'host', 'content-length', 'expect',
+]);
+
+/** What the server knows about defaults of a service. */
+export type ServiceDefaults = {
+	readonly requestClass: RequestClass;
+	readonly deadlineMs: number;
+};
+
+/**
+Reads a caller's request.
+
+@throws HttpRequestError when a header is malformed or the path names no service.
+@public
+*/
+export function parseServiceRequest(
+	message: IncomingMessage,
+	body: Uint8Array,
+	requestId: string,
+	getDefaults: (service: string) => ServiceDefaults,
+	createKey: () => string,
+): ServiceRequest {
+	const match = servicePathPattern.exec(message.url ?? '');
+	const service = match?.groups?.service;
+	if (service === undefined) {
+		throw new HttpRequestError('unknown-service', 'paths have the form /services/<service>/<path>');
+	}
+
+	const method = message.method ?? 'GET';
+	const defaults = getDefaults(service);
+	const isIdempotent = idempotentMethods.has(method) || readHeader(message, 'pistachiogauge-idempotent') === 'true';
+	return {
+		requestId,
+		service,
+		method,
+		path: match?.groups?.path ?? '/',
+		headers: listHeaders(message),
+		body,
+		requestClass: readClass(message) ?? defaults.requestClass,
+		team: readHeader(message, 'pistachiogauge-team') ?? '',
+		isIdempotent,
+		key: isIdempotent ? undefined : readHeader(message, 'idempotency-key') ?? createKey(),
+		timeLeftMs: readDeadline(message) ?? defaults.deadlineMs,
+	};
+}
+
+function readHeader(message: IncomingMessage, name: string): string | undefined {
+	const value = message.headers[name];
+	return typeof value === 'string' ? value.replace(/^"(?<text>.*)"$/u, '$<text>') : undefined;
+}
+
+function readClass(message: IncomingMessage): RequestClass | undefined {
+	const value = readHeader(message, 'pistachiogauge-class');
+	if (value === undefined) {
+		return undefined;
+	}
+
+	const parsed = requestClassSchema.safeParse(value);
+	if (!parsed.success) {
+		throw new HttpRequestError('malformed-request', `Pistachiogauge-Class is one of ${requestClassSchema.options.join(', ')}`);
+	}
+
+	return parsed.data;
+}
+
+function readDeadline(message: IncomingMessage): number | undefined {
+	const value = readHeader(message, 'pistachiogauge-deadline');
+	if (value === undefined) {
+		return undefined;
+	}
+
+	const deadlineMs = Number(value);
+	if (value.trim() === '' || !Number.isFinite(deadlineMs) || deadlineMs > maxDeadlineMs) {
+		throw new HttpRequestError('malformed-request', `Pistachiogauge-Deadline is a number of milliseconds up to ${maxDeadlineMs}`);
+	}
+
+	return deadlineMs;
+}
+
+function listHeaders(message: IncomingMessage): HeaderList {
+	const headers: HeaderList = [];
+	for (let index = 0; index + 1 < message.rawHeaders.length; index += 2) {
+		const name = message.rawHeaders[index]!.toLowerCase();
+		if (!droppedHeaders.has(name)) {
+			headers.push([name, message.rawHeaders[index + 1]!]);
+		}
+	}
+
+	return headers;
+}
--- /dev/null
+++ b/packages/model/src/index.ts
@@ -0,0 +1,17 @@
+/**
+Types, string unions and schemas shared by every package.
+
+@packageDocumentation
+*/
+export * from './bundle.js';
+export type * from './effects.js';
+export * from './entry-config.js';
+export * from './epoch.js';
+export type * from './events.js';
+export * from './fleet.js';
+export type * from './identifiers.js';
+export * from './messages.js';
+export * from './operator-command.js';
+export * from './outcome.js';
+export * from './request.js';
+export * from './store-keys.js';
--- /dev/null
+++ b/packages/model/src/store-keys.ts
@@ -0,0 +1,15 @@
+/** Prefix of every key of the system in the platform's key-value service. @public */
+export const storePrefix = '/pistachiogauge/';
+
+/** Keys of the records in the platform's key-value service. @public */
+export const storeKeys = {
+	epoch: `${storePrefix}epoch`,
+	bundleHead: `${storePrefix}bundle/head`,
+	membersPrefix: `${storePrefix}members/`,
+	departedPrefix: `${storePrefix}departed/`,
+	instancesPrefix: `${storePrefix}instances/`,
+	poolsPrefix: `${storePrefix}pools/`,
+	auditPrefix: `${storePrefix}audit/`,
+	tasksPrefix: `${storePrefix}tasks/`,
+	bundleTextsPrefix: `${storePrefix}bundle/text/`,
+} as const;
--- /dev/null
+++ b/packages/peer/src/peer-network.ts
@@ -0,0 +1,336 @@
+import {randomUUID} from 'node:crypto';
+import {createServer, type Http2Server, type ServerHttp2Session} from 'node:http2';
+import {
+	Code, ConnectError, createClient, type ConnectRouter, type HandlerContext,
+} from '@connectrpc/connect';
+import {connectNodeAdapter, createConnectTransport} from '@connectrpc/connect-node';
+import {
+	type EntryId, type InputEvent, type LogLevel, type PeerMessage,
+} from '@pistachiogauge/model';
+import {decodeFrame, encodeFrame} from './frame-codec.js';
+import {FrameOutbox} from './frame-outbox.js';
+import {PeerLink, type FrameBatch} from './generated/peer_pb.js';
+import {createPeerCredential, verifyPeerCredential, type PeerClaim} from './peer-credential.js';
+import {PeerAuthenticationError, PeerFrameError} from './peer-errors.js';
+
+/** @public */
+export type PeerNetworkOptions = {
+	readonly id: EntryId;
+	/** IP number and port to listen on. */
+	readonly address: string;
+	/** Secret that all entries share. */
+	readonly secret: string;
+	/** A link that brings nothing for this long is closed and opened again. */
+	readonly idleLimitMs: number;
+	readonly pushEvent: (event: InputEvent) => void;
+	readonly log: (level: LogLevel, message: string, fields: Record<string, string | number>) => void;
+	readonly count: (metric: string) => void;
+};
+
+/** @public */
+export type PeerNetwork = {
+	start(): Promise<void>;
+	stop(): Promise<void>;
+	/** Sends a message; it is dropped when there is no link, which `link-down` has told. */
+	sendMessage(to: EntryId, message: PeerMessage): void;
+	openLink(entryId: EntryId, address: string): void;
+	closeLink(entryId: EntryId): void;
+};
+
+type Link = {
+	readonly entryId: EntryId;
+	readonly address: string;
+	readonly outbox: FrameOutbox;
+	readonly abort: AbortController;
+	lastFrameAt: number;
+};
+
+type WantedLink = {
+	readonly address: string;
+	readonly stop: AbortController;
+};
+
+const reconnectMinMs = 50;
+const reconnectMaxMs = 1000;
+const headerNames = {
+	from: 'pistachiogauge-from',
+	to: 'pistachiogauge-to',
+	issuedAt: 'pistachiogauge-issued-at',
+	nonce: 'pistachiogauge-nonce',
+	credential: 'pistachiogauge-credential',
+} as const;
+
+/** Creates the links of one entry. @public */
+export function createPeerNetwork(options: PeerNetworkOptions): PeerNetwork {
+	const links = new Map<EntryId, Link>();
+	const wanted = new Map<EntryId, WantedLink>();
+	const sessions = new Set<ServerHttp2Session>();
+	let server: Http2Server | undefined;
+
+	function registerLink(entryId: EntryId, address: string): Link {
+		const link: Link = {
+			entryId, address, outbox: new FrameOutbox(), abort: new AbortController(), lastFrameAt: performance.now(),
+		};
+		const former = links.get(entryId);
+		if (former !== undefined) {
+			removeLink(former);
+		}
+
+		links.set(entryId, link);
+		options.pushEvent({kind: 'link-up', entryId});
+		return link;
+	}
+
+	function removeLink(link: Link): void {
+		link.outbox.close();
+		link.abort.abort();
+		if (links.get(link.entryId) === link) {
+			links.delete(link.entryId);
+			options.pushEvent({kind: 'link-down', entryId: link.entryId});
+		}
+	}
+
+	async function receiveFrames(link: Link, batches: AsyncIterable<FrameBatch>): Promise<void> {
+		for await (const batch of batches) {
+			link.lastFrameAt = performance.now();
+			for (const frame of batch.frames) {
+				receiveFrame(link, frame);
+			}
+		}
+	}
+
+	function receiveFrame(link: Link, frame: Uint8Array): void {
+		if (links.get(link.entryId) !== link) {
+			return;
+		}
+
+		try {
+			const message = decodeFrame(frame);
+			options.pushEvent({kind: `peer-${message.kind}`, from: link.entryId, message} as InputEvent);
+		} catch (error) {
+			if (!(error instanceof PeerFrameError)) {
+				throw error;
+			}
+
+			options.count('peer_frames_malformed_total');
+			options.log('warn', 'malformed frame dropped', {peer: link.entryId, address: link.address});
+		}
+	}
+
+	/** Closes a link that has gone silent, although nothing has reported it as broken. */
+	function watchSilence(link: Link): NodeJS.Timeout {
+		return setInterval(() => {
+			if (performance.now() - link.lastFrameAt > options.idleLimitMs) {
+				options.log('warn', 'silent link closed', {peer: link.entryId, address: link.address});
+				removeLink(link);
+			}
+		}, options.idleLimitMs / 4);
+	}
+
+	async function * serveExchange(batches: AsyncIterable<FrameBatch>, context: HandlerContext): AsyncGenerator<{frames: Uint8Array[]}> {
+		const claim = readClaim(context.requestHeader);
+		const credential = context.requestHeader.get(headerNames.credential) ?? '';
+		if (claim.to !== options.id || !verifyPeerCredential(options.secret, claim, credential, Date.now())) {
+			options.count('peer_links_refused_total');
+			options.log('warn', 'link refused', {peer: claim.from, address: 'incoming'});
+			throw new ConnectError('not authenticated, or another incarnation', Code.Unauthenticated);
+		}
+
+		writeClaim(context.responseHeader, options.secret, {
+			from: options.id, to: claim.from, issuedAt: Date.now(), nonce: claim.nonce,
+		});
+		const link = registerLink(claim.from, 'incoming');
+		const silenceTimer = watchSilence(link);
+		const receiving = receiveFrames(link, batches).catch(() => undefined).finally(() => {
+			removeLink(link);
+		});
+		try {
+			// An empty first batch sends the response headers at once.
+			yield {frames: []};
+			for await (const frames of link.outbox.readBatches()) {
+				yield {frames};
+			}
+		} finally {
+			clearInterval(silenceTimer);
+			removeLink(link);
+			void receiving;
+		}
+	}
+
+	async function runClientLink(entryId: EntryId, address: string, signal: AbortSignal): Promise<void> {
+		const claim: PeerClaim = {
+			from: options.id, to: entryId, issuedAt: Date.now(), nonce: randomUUID(),
+		};
+		const headers = new Headers();
+		writeClaim(headers, options.secret, claim);
+		const transport = createConnectTransport({baseUrl: `http://${address}`, httpVersion: '2'});
+		const client = createClient(PeerLink, transport);
+		const outbox = new FrameOutbox();
+		const abort = new AbortController();
+		const stop = () => {
+			abort.abort();
+			outbox.close();
+		};
+
+		signal.addEventListener('abort', stop, {once: true});
+		const openTimer = setTimeout(stop, options.idleLimitMs);
+		let link: Link | undefined;
+		let silenceTimer: NodeJS.Timeout | undefined;
+		try {
+			const batches = client.exchange(mapBatches(outbox), {
+				headers,
+				signal: abort.signal,
+				onHeader(answer) {
+					verifyAnswer(answer, claim);
+					clearTimeout(openTimer);
+					link = {
+						entryId, address, outbox, abort, lastFrameAt: performance.now(),
+					};
+					const former = links.get(entryId);
+					if (former !== undefined) {
+						removeLink(former);
+					}
+
+					links.set(entryId, link);
+					silenceTimer = watchSilence(link);
+					options.pushEvent({kind: 'link-up', entryId});
+				},
+			});
+			for await (const batch of batches) {
+				if (link === undefined) {
+					throw new PeerAuthenticationError('no answer to the credential');
+				}
+
+				link.lastFrameAt = performance.now();
+				for (const frame of batch.frames) {
+					receiveFrame(link, frame);
+				}
+			}
+		} finally {
+			clearTimeout(openTimer);
+			clearInterval(silenceTimer);
+			signal.removeEventListener('abort', stop);
+			stop();
+			if (link !== undefined) {
+				removeLink(link);
+			}
+		}
+	}
+
+	function verifyAnswer(headers: Headers, asked: PeerClaim): void {
+		const claim = readClaim(headers);
+		const credential = headers.get(headerNames.credential) ?? '';
+		const isExpected = claim.from === asked.to && claim.to === options.id && claim.nonce === asked.nonce;
+		if (!isExpected || !verifyPeerCredential(options.secret, claim, credential, Date.now())) {
+			options.count('peer_links_refused_total');
+			throw new PeerAuthenticationError(`the entry at the address of ${asked.to} has not authenticated itself`);
+		}
+	}
+
+	async function keepLink(entryId: EntryId, {address, stop}: WantedLink): Promise<void> {
+		let pauseMs = reconnectMinMs;
+		while (!stop.signal.aborted) {
+			const startedAt = performance.now();
+			try {
+				// eslint-disable-next-line no-await-in-loop
+				await runClientLink(entryId, address, stop.signal);
+			} catch (error) {
+				options.log('debug', 'link ended', {peer: entryId, address, reason: error instanceof Error ? error.message : String(error)});
+			}
+
+			const wasLong = performance.now() - startedAt > reconnectMaxMs;
+			pauseMs = wasLong ? reconnectMinMs : Math.min(pauseMs * 2, reconnectMaxMs);
+			// eslint-disable-next-line no-await-in-loop
+			await waitFor(pauseMs * (0.5 + Math.random()), stop.signal);
+		}
+	}
+
+	return {
+		async start() {
+			const routes = (router: ConnectRouter) => router.service(PeerLink, {exchange: serveExchange});
+			const [host, port] = splitAddress(options.address);
+			server = createServer(connectNodeAdapter({routes}));
+			server.on('session', session => {
+				sessions.add(session);
+				session.on('close', () => sessions.delete(session));
+				session.on('error', () => undefined);
+			});
+			await new Promise<void>((resolve, reject) => {
+				server!.once('error', reject);
+				server!.listen(port, host, resolve);
+			});
+		},
+		async stop() {
+			for (const {stop} of wanted.values()) {
+				stop.abort();
+			}
+
+			for (const link of links.values()) {
+				removeLink(link);
+			}
+
+			for (const session of sessions) {
+				session.destroy();
+			}
+
+			server?.close();
+		},
+		sendMessage(to, message) {
+			const link = links.get(to);
+			if (link !== undefined && !link.outbox.addFrame(encodeFrame(message))) {
+				options.log('warn', 'link does not drain', {peer: to, address: link.address});
+				removeLink(link);
+			}
+		},
+		openLink(entryId, address) {
+			wanted.get(entryId)?.stop.abort();
+			const link: WantedLink = {address, stop: new AbortController()};
+			wanted.set(entryId, link);
+			void keepLink(entryId, link);
+		},
+		closeLink(entryId) {
+			wanted.get(entryId)?.stop.abort();
+			wanted.delete(entryId);
+		},
+	};
+}
+
+async function * mapBatches(outbox: FrameOutbox): AsyncGenerator<{frames: Uint8Array[]}> {
+	// An empty first batch sends the request headers at once.
+	yield {frames: []};
+	for await (const frames of outbox.readBatches()) {
+		yield {frames};
+	}
+}
+
+function writeClaim(headers: Headers, secret: string, claim: PeerClaim): void {
+	headers.set(headerNames.from, claim.from);
+	headers.set(headerNames.to, claim.to);
+	headers.set(headerNames.issuedAt, String(claim.issuedAt));
+	headers.set(headerNames.nonce, claim.nonce);
+	headers.set(headerNames.credential, createPeerCredential(secret, claim));
+}
+
+function readClaim(headers: Headers): PeerClaim {
+	return {
+		from: headers.get(headerNames.from) ?? '',
+		to: headers.get(headerNames.to) ?? '',
+		issuedAt: Number(headers.get(headerNames.issuedAt) ?? Number.NaN),
+		nonce: headers.get(headerNames.nonce) ?? '',
+	};
+}
+
+function splitAddress(address: string): [host: string, port: number] {
+	const [host = '', port = ''] = address.split(':');
+	return [host, Number(port)];
+}
+
+async function waitFor(delayMs: number, signal: AbortSignal): Promise<void> {
+	return new Promise(resolve => {
+		const timer = setTimeout(resolve, delayMs);
+		signal.addEventListener('abort', () => {
+			clearTimeout(timer);
+			resolve();
+		}, {once: true});
+	});
+}
--- /dev/null
+++ b/packages/store/src/gateway.ts
@@ -0,0 +1,104 @@
+import {setTimeout as delay} from 'node:timers/promises';
+import {Agent, request, type Dispatcher} from 'undici';
+import {z} from 'zod';
+import {StoreError} from './store-error.js';
+
+const callTimeoutMs = 1000;
+
+const keyValueSchema = z.object({
+	key: z.string(),
+	value: z.string().default(''),
+	mod_revision: z.coerce.number().default(0),
+});
+/** A key with its value, both base64, as the gateway sends them. */
+export type GatewayKeyValue = z.infer<typeof keyValueSchema>;
+
+const headerSchema = z.object({revision: z.coerce.number().default(0)});
+
+/** Schemas of the gateway's answers (etcd API reference, version 3). @internal */
+export const answerSchemas = {
+	range: z.object({header: headerSchema, kvs: z.array(keyValueSchema).default([])}),
+	txn: z.object({header: headerSchema, succeeded: z.boolean().default(false)}),
+	deleteRange: z.object({header: headerSchema}),
+	leaseGrant: z.object({ID: z.coerce.string()}),
+	leaseKeepAlive: z.object({result: z.object({TTL: z.coerce.number().default(0)})}),
+	watch: z.object({
+		result: z.object({
+			header: headerSchema,
+			events: z.array(z.object({type: z.enum(['PUT', 'DELETE']).default('PUT'), kv: keyValueSchema})).default([]),
+		}),
+	}),
+} as const;
+
+/** Calls of the JSON gateway. @internal */
+export class Gateway {
+	readonly #addresses: readonly string[];
+	readonly #agent = new Agent({connections: 8, pipelining: 1, connect: {timeout: callTimeoutMs}});
+	#current = 0;
+
+	constructor(addresses: readonly string[]) {
+		this.#addresses = addresses;
+	}
+
+	/**
+	Posts one call and checks its answer.
+
+	@throws StoreError when there is no valid answer in time.
+	*/
+	async post<Schema extends z.ZodType>(path: string, body: unknown, schema: Schema): Promise<z.infer<Schema>> {
+		try {
+			const answer = await request(this.#getUrl(path), {
+				method: 'POST', body: JSON.stringify(body), dispatcher: this.#agent, headersTimeout: callTimeoutMs, bodyTimeout: callTimeoutMs,
+			});
+			const value: unknown = await answer.body.json();
+			if (answer.statusCode !== 200) {
+				throw new TypeError(`status ${answer.statusCode}`);
+			}
+
+			return schema.parse(value);
+		} catch (error) {
+			this.#current = (this.#current + 1) % this.#addresses.length;
+			throw new StoreError(`call ${path} failed`, {cause: error});
+		}
+	}
+
+	/**
+	Opens a watch and yields its lines.
+
+	@throws StoreError when the watch ends or cannot be opened.
+	*/
+	async * watch(body: unknown, signal: AbortSignal): AsyncGenerator<z.infer<typeof answerSchemas.watch>['result']> {
+		try {
+			const answer = await request(this.#getUrl('/v3/watch'), {
+				method: 'POST', body: JSON.stringify(body), dispatcher: this.#agent, headersTimeout: callTimeoutMs, bodyTimeout: 0, signal,
+			});
+			yield * parseLines(answer.body);
+			throw new TypeError('the watch has ended');
+		} catch (error) {
+			throw new StoreError('watch failed', {cause: error});
+		}
+	}
+
+	async close(): Promise<void> {
+		await Promise.race([this.#agent.destroy(), delay(callTimeoutMs)]);
+	}
+
+	#getUrl(path: string): string {
+		return `http://${this.#addresses[this.#current]!}${path}`;
+	}
+}
+
+async function * parseLines(body: Dispatcher.ResponseData['body']): AsyncGenerator<z.infer<typeof answerSchemas.watch>['result']> {
+	const decoder = new TextDecoder();
+	let rest = '';
+	for await (const chunk of body) {
+		rest += decoder.decode(chunk as Uint8Array, {stream: true});
+		const lines = rest.split('\n');
+		rest = lines.pop()!;
+		for (const line of lines) {
+			if (line.trim() !== '') {
+				yield answerSchemas.watch.parse(JSON.parse(line)).result;
+			}
+		}
+	}
+}
--- /dev/null
+++ b/vitest.config.ts
@@ -0,0 +1,10 @@
+import {defineConfig} from 'vitest/config';
+
+export default defineConfig({
+	resolve: {conditions: ['source']},
+	ssr: {resolve: {conditions: ['source']}},
+	test: {
+		include: ['packages/*/src/**/*.test.ts'],
+		testTimeout: 60_000,
+	},
+});
