--- a/packages/bench/src/demo-main.ts
+++ b/packages/bench/src/demo-main.ts
@@ -76,7 +76,10 @@
 		lines.push(`requests over 3 entries      ${JSON.stringify(await sendRequests(cluster, 150, [0, 1, 2]))}`);
 		const rolloutStart = performance.now();
 		await cluster.applyBundle(formatBundle(2));
-		await cluster.waitUntil('version 2 is in force', async () => (await getVersions(cluster, [0, 1, 2])).every(version => version === 2), 5000);
+		await cluster.waitUntil('version 2 is in force', async () => {
+			const versions = await getVersions(cluster, [0, 1, 2]);
+			return versions.every(version => version === 2);
+		}, 5000);
 		lines.push(`bundle 2 in force everywhere ${Math.round(performance.now() - rolloutStart)} ms`);
 		cluster.entries[2]!.child.kill('SIGKILL');
 		lines.push(`one entry killed             ${JSON.stringify(await sendRequests(cluster, 150, [0, 1]))}`);
--- a/packages/bench/src/local-cluster.ts
+++ b/packages/bench/src/local-cluster.ts
@@ -130,7 +130,10 @@
 		entries, endpoints, storeAddress, platformAddress, folder, callOperator, applyBundle, waitUntil, stop,
 	};
 	try {
-		await waitUntil('the platform listens', async () => (await getStatusCode(`http://${platformAddress}/instances`)) === 200);
+		await waitUntil('the platform listens', async () => {
+			const code = await getStatusCode(`http://${platformAddress}/instances`);
+			return code === 200;
+		});
 		await request(`http://${platformAddress}/instances`, {method: 'PUT', body: JSON.stringify(listed)});
 		await waitUntil('the entries listen', async () => {
 			const codes = await Promise.all(entries.map(async entry => getStatusCode(`http://${entry.address}/healthz`)));
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -10,9 +10,8 @@
 program.option('--operator <name>', 'Name of the operator');
 program.option('--key <file>', 'Private key of the operator');
 program.usage('<command> [options]');
-for (const {usage, example} of commands) {
+for (const {example} of commands) {
 	program.example(`pistachiogauge ${example}`);
-	usage;
 }
 
 program.help(sections => [
@@ -35,7 +34,7 @@
 
 async function run(): Promise<number> {
 	const {args, options} = program.parse(process.argv, {run: false});
-	if (options.help || options.version) {
+	if (options.help === true || options.version === true) {
 		return 0;
 	}
 
--- a/packages/decisions/src/bundle/bundle-filter.ts
+++ b/packages/decisions/src/bundle/bundle-filter.ts
@@ -6,7 +6,7 @@
 import {type DecisionContext} from '../context.js';
 import {type EntryState} from '../entry-state.js';
 import {parseJson} from '../parse-json.js';
-import {type PendingApplication} from './bundle-state.js';
+import {type PendingAcceptance} from './bundle-state.js';
 
 const readOperation = 'bundle:head';
 const applyOperationPrefix = 'bundle:apply:';
@@ -80,7 +80,7 @@
 	},
 };
 
-function requestApp(state: EntryState, app: PendingApplication): Output[] {
+function requestApp(state: EntryState, app: PendingAcceptance): Output[] {
 	const {bundle} = state;
 	const reading = state.config.readBundle(app.signed);
 	if (reading.kind === 'invalid') {
@@ -145,7 +145,7 @@
 	];
 }
 
-function refuse(app: PendingApplication, status: number, reason: string): Output[] {
+function refuse(app: PendingAcceptance, status: number, reason: string): Output[] {
 	return [
 		passEvent({
 			kind: 'change-made', by: app.operator, action: 'bundle-apply', subject: `version ${app.signed.version}`, result: 'refused', detail: reason,
--- a/packages/decisions/src/bundle/bundle-state.ts
+++ b/packages/decisions/src/bundle/bundle-state.ts
@@ -1,7 +1,7 @@
 import {type Bundle, type SignedBundle} from '@pistachiogauge/model';
 
 /** An operator's call that waits for the store to decide. */
-export type PendingApplication = {
+export type PendingAcceptance = {
 	readonly callId: string;
 	readonly operator: string;
 	readonly signed: SignedBundle;
@@ -17,7 +17,7 @@
 	appliedAt: number;
 	/** Revision of the head record in the store; 0 when absent, undefined before the first read. */
 	headRevision: number | undefined;
-	readonly pending: Map<string, PendingApplication>;
+	readonly pending: Map<string, PendingAcceptance>;
 	operationCount: number;
 };
 
--- a/packages/decisions/src/membership/assign-pools.ts
+++ b/packages/decisions/src/membership/assign-pools.ts
@@ -30,7 +30,7 @@
 	const alive = new Set(members.map(member => member.id));
 	const owners = new Map<PoolName, EntryId>();
 	const orphans: PoolName[] = [];
-	for (const pool of [...pools].sort()) {
+	for (const pool of [...pools].sort((left, right) => left < right ? -1 : 1)) {
 		const successor = [former[pool]?.owner, former[pool]?.standby].find(id => id !== undefined && alive.has(id));
 		if (successor === undefined) {
 			orphans.push(pool);
--- a/packages/decisions/src/membership/propose-epoch.ts
+++ b/packages/decisions/src/membership/propose-epoch.ts
@@ -100,12 +100,16 @@
 		&& JSON.stringify(toSortedEntries(record.pools)) === JSON.stringify(toSortedEntries(pools));
 }
 
+function compareText(left: string, right: string): number {
+	return left < right ? -1 : 1;
+}
+
 function toSortedIds(members: readonly Member[]): EntryId[] {
-	return members.map(member => member.id).sort();
+	return members.map(member => member.id).sort(compareText);
 }
 
 function toSortedEntries(pools: EpochRecord['pools']): unknown {
-	return Object.entries(pools).sort().map(([pool, {owner, standby}]) => [pool, owner, standby]);
+	return Object.entries(pools).sort(([left], [right]) => compareText(left, right)).map(([pool, {owner, standby}]) => [pool, owner, standby]);
 }
 
 /** Keeps members that a majority of the others does not suspect, and adds registered entries that are linked. */
@@ -125,7 +129,7 @@
 		}
 	}
 
-	return [...members.values()].sort((left, right) => left.id < right.id ? -1 : 1);
+	return [...members.values()].sort((left, right) => compareText(left.id, right.id));
 }
 
 function isHeard(state: EntryState, entryId: EntryId, now: number): boolean {
@@ -153,6 +157,6 @@
 }
 
 function getRank(state: EntryState, members: readonly EntryId[]): number {
-	const present = members.filter(id => id === state.config.id || state.membership.links.has(id)).sort();
+	const present = members.filter(id => id === state.config.id || state.membership.links.has(id)).sort(compareText);
 	return Math.max(0, present.indexOf(state.config.id));
 }
--- a/packages/entry/src/main.ts
+++ b/packages/entry/src/main.ts
@@ -18,17 +18,17 @@
 	const settings = readEntrySettings(settingsFile);
 	const entry = createEntryProcess(settings, exitCode => process.exit(exitCode));
 	let isStopping = false;
-	for (const signal of ['SIGTERM', 'SIGINT'] as const) {
-		process.on(signal, () => {
-			if (isStopping) {
-				process.exit(1);
-			}
+	const stop = () => {
+		if (isStopping) {
+			process.exit(1);
+		}
 
-			isStopping = true;
-			entry.requestShutdown();
-		});
-	}
+		isStopping = true;
+		entry.requestShutdown();
+	};
 
+	process.on('SIGTERM', stop);
+	process.on('SIGINT', stop);
 	await entry.start();
 }
 
--- a/packages/http/src/service-request.ts
+++ b/packages/http/src/service-request.ts
@@ -4,7 +4,7 @@
 } from '@pistachiogauge/model';
 import {HttpRequestError} from './http-errors.js';
 
-const servicePathPattern = /^\/services\/(?<service>[\w\-]+)(?<path>\/.*)?$/u;
+const servicePathPattern = /^\/services\/(?<service>[\w-]+)(?<path>\/.*)?$/u;
 const idempotentMethods: ReadonlySet<string> = new Set(['GET', 'HEAD', 'OPTIONS', 'PUT', 'DELETE']);
 const maxDeadlineMs = 86_400_000;
 
--- a/packages/peer/src/peer-network.ts
+++ b/packages/peer/src/peer-network.ts
@@ -67,9 +67,9 @@
 	const sessions = new Set<ServerHttp2Session>();
 	let server: Http2Server | undefined;
 
-	function registerLink(entryId: EntryId, address: string): Link {
+	function registerLink(entryId: EntryId, address: string, outbox: FrameOutbox, abort: AbortController): Link {
 		const link: Link = {
-			entryId, address, outbox: new FrameOutbox(), abort: new AbortController(), lastFrameAt: performance.now(),
+			entryId, address, outbox, abort, lastFrameAt: performance.now(),
 		};
 		const former = links.get(entryId);
 		if (former !== undefined) {
@@ -92,10 +92,14 @@
 
 	async function receiveFrames(link: Link, batches: AsyncIterable<FrameBatch>): Promise<void> {
 		for await (const batch of batches) {
-			link.lastFrameAt = performance.now();
-			for (const frame of batch.frames) {
-				receiveFrame(link, frame);
-			}
+			receiveBatch(link, batch);
+		}
+	}
+
+	function receiveBatch(link: Link, batch: FrameBatch): void {
+		link.lastFrameAt = performance.now();
+		for (const frame of batch.frames) {
+			receiveFrame(link, frame);
 		}
 	}
 
@@ -139,7 +143,7 @@
 		writeClaim(context.responseHeader, options.secret, {
 			from: options.id, to: claim.from, issuedAt: Date.now(), nonce: claim.nonce,
 		});
-		const link = registerLink(claim.from, 'incoming');
+		const link = registerLink(claim.from, 'incoming', new FrameOutbox(), new AbortController());
 		const silenceTimer = watchSilence(link);
 		const receiving = receiveFrames(link, batches).catch(() => undefined).finally(() => {
 			removeLink(link);
@@ -183,17 +187,8 @@
 				onHeader(answer) {
 					verifyAnswer(answer, claim);
 					clearTimeout(openTimer);
-					link = {
-						entryId, address, outbox, abort, lastFrameAt: performance.now(),
-					};
-					const former = links.get(entryId);
-					if (former !== undefined) {
-						removeLink(former);
-					}
-
-					links.set(entryId, link);
+					link = registerLink(entryId, address, outbox, abort);
 					silenceTimer = watchSilence(link);
-					options.pushEvent({kind: 'link-up', entryId});
 				},
 			});
 			for await (const batch of batches) {
@@ -201,10 +196,7 @@
 					throw new PeerAuthenticationError('no answer to the credential');
 				}
 
-				link.lastFrameAt = performance.now();
-				for (const frame of batch.frames) {
-					receiveFrame(link, frame);
-				}
+				receiveBatch(link, batch);
 			}
 		} finally {
 			clearTimeout(openTimer);
--- a/packages/settings/src/entry-settings.ts
+++ b/packages/settings/src/entry-settings.ts
@@ -18,7 +18,7 @@
 /** Schema of an entry's settings file. @public */
 export const entrySettingsSchema = z.strictObject({
 	entry: z.strictObject({
-		name: z.string().regex(/^[\w\-]+$/u, 'expected letters, digits, - and _').describe('Name of the instance; the process adds an incarnation to it.'),
+		name: z.string().regex(/^[\w-]+$/u, 'expected letters, digits, - and _').describe('Name of the instance; the process adds an incarnation to it.'),
 		zone: z.string().min(1).describe('Availability zone of the instance.'),
 		'caller-address': addressSchema.describe('Where callers and operators connect.'),
 		'peer-address': addressSchema.describe('Where other entries connect.'),
--- a/packages/standins/src/endpoint-standin.ts
+++ b/packages/standins/src/endpoint-standin.ts
@@ -1,4 +1,5 @@
 import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
+import {type Socket} from 'node:net';
 import {setTimeout as delay} from 'node:timers/promises';
 import {z} from 'zod';
 import {listenOn, readJson, sendJson} from './read-json.js';
@@ -53,8 +54,8 @@
 /** Creates a stand-in for a worker's endpoint with slots, a connection limit and faults. @public */
 export function createEndpointStandin(options: EndpointStandinOptions): EndpointStandin {
 	const runs: Record<string, number> = {};
-	const silentSockets = new WeakSet<Record<string, unknown>>();
-	const openSockets = new Set<Record<string, unknown>>();
+	const silentSockets = new WeakSet<Socket>();
+	const openSockets = new Set<Socket>();
 	let fault: EndpointFault = 'none';
 	let busy = 0;
 	let maxBusy = 0;
--- a/packages/standins/src/platform-standin.ts
+++ b/packages/standins/src/platform-standin.ts
@@ -15,10 +15,10 @@
 
 /** @public */
 export type PlatformStandin = {
+	readonly reboots: readonly string[];
 	start(): Promise<void>;
 	stop(): void;
 	setInstances(instances: readonly ListedInstance[]): void;
-	readonly reboots: readonly string[];
 };
 
 const rebootPathPattern = /^\/instances\/(?<id>[^/]+)\/reboot$/u;
@@ -51,7 +51,7 @@
 	}
 
 	const server = createServer((message, response) => {
-		accept(message, response).catch(error => {
+		accept(message, response).catch((error: unknown) => {
 			sendJson(response, 400, {error: String(error)});
 		});
 	});
--- a/packages/standins/src/store-standin.ts
+++ b/packages/standins/src/store-standin.ts
@@ -20,12 +20,12 @@
 
 /** @public */
 export type StoreStandin = {
-	start(): Promise<void>;
-	stop(): void;
-	setFaults(faults: Partial<StoreFaults>): void;
 	readonly store: KeyValueStore;
 	/** Calls so far, by path. */
 	readonly calls: ReadonlyMap<string, number>;
+	start(): Promise<void>;
+	stop(): void;
+	setFaults(faults: Partial<StoreFaults>): void;
 };
 
 const rangeSchema = z.object({key: z.string(), range_end: z.string().optional()});
@@ -151,7 +151,7 @@
 	}
 
 	const server = createServer((message, response) => {
-		accept(message, response).catch(error => {
+		accept(message, response).catch((error: unknown) => {
 			sendJson(response, 400, {error: String(error)});
 		});
 	});
--- a/xo.config.js
+++ b/xo.config.js
@@ -1,11 +1,13 @@
 /** @type {import('xo').FlatXoConfig} */
 const config = [
 	{
-		ignores: ['**/dist/**', '**/*_pb.ts', 'coverage/**'],
+		ignores: ['**/dist/**', '**/*_pb.ts', 'coverage/**', 'vitest.config.ts'],
 	},
 	{
 		files: ['**/*.ts'],
 		rules: {
+			'n/prefer-global/process': ['error', 'always'],
+			'n/prefer-global/buffer': ['error', 'always'],
 			// Servers and command lines end their process with an exit code.
 			'unicorn/no-process-exit': 'off',
 			// Background work that must not reject is clearer with .catch() and .finally() than with a wrapping function.
@@ -15,8 +17,16 @@
 		},
 	},
 	{
-		// Names of the key-value service's protocol are not ours to choose.
-		files: ['packages/store/src/**/*.ts', 'packages/standins/src/**/*.ts'],
+		// Vitest is a development dependency of the workspace.
+		files: ['**/*.test.ts'],
+		rules: {
+			'import-x/no-extraneous-dependencies': 'off',
+			'n/no-extraneous-import': 'off',
+		},
+	},
+	{
+		// Names of the key-value service's protocol and URL paths are not ours to choose.
+		files: ['packages/store/src/**/*.ts', 'packages/standins/src/**/*.ts', 'packages/http/src/caller-server.ts'],
 		rules: {
 			'@typescript-eslint/naming-convention': 'off',
 		},
