Make the request filters judge by observed times, shares and peers

Cause: one urgent flood or one long deferrable job per slot could hold a whole pool, queue operations passed over whole queues on each tick, a worker that failed everything fast attracted the pool's work, and a request offered twice could be answered not-run while it ran.

Ruled out: strict priority and plain virtual-time queueing. The first starves, the second gives a burst no more than its share against a flood and lengthens its waits. The order now uses the slots held over the last ten seconds against the share.

Change: decayed use per flow with minimum shares, slots kept back from long-running work, heaps for deadlines and backoffs, refusals from observed quantiles, quotas per pool and team, a strict token budget, trust stages within the availability budget, failing jobs, held slots after time-outs, a first-answer limit for idempotent requests.

--- a/packages/decisions/src/dispatch/dispatch-state.ts
+++ b/packages/decisions/src/dispatch/dispatch-state.ts
@@ -1,21 +1,43 @@
 import {
-	type AttemptId, type InstanceId, type PoolName, type PoolWork, type RequestId, type ServiceRequest,
+	type AttemptId, type InstanceId, type PoolName, type PoolWork, type RequestClass, type RequestId, type ServiceRequest,
 } from '@pistachiogauge/model';
 import {type EntryState} from '../entry-state.js';
+import {type TimeHeap} from './time-heap.js';
+import {type SlotUsage} from './usage.js';
+import {type WaitingWork, type WorkQueue} from './work-queue.js';
 
-/** Requests of one service, class and team that wait in one pool. */
+/** Requests of one service, class and team that wait or run in one pool. */
 export type Flow = {
-	readonly waiting: PoolWork[];
+	readonly key: string;
+	readonly service: string;
+	readonly requestClass: RequestClass;
+	/** Weight among the flows of the same class. */
 	readonly weight: number;
-	/** Virtual time at which the flow's next request starts; the lowest goes first. */
-	virtualTime: number;
+	readonly waiting: WorkQueue;
+	/** Requests of the flow that wait for the end of a backoff. */
+	delayedCount: number;
+	readonly usage: SlotUsage;
+	/** Monotonic time of the last request. */
+	askedAt: number;
 };
 
 /** Queue of one pool. @public */
 export type PoolQueue = {
 	readonly flows: Map<string, Flow>;
-	/** Virtual time of the last start. A flow that was empty starts from here, so idle time earns nothing. */
-	virtualTime: number;
+	/** Sum of the weights of each class's flows. */
+	readonly classWeights: Record<RequestClass, number>;
+	/** Minimum share of each class, from the bundle. */
+	classShares: Readonly<Record<RequestClass, number>>;
+	/** Bundle version that shares and weights come from. */
+	sharesVersion: number;
+	/** Slots of the instances that serve, as of the last start. */
+	slotCount: number;
+	waitingCount: number;
+	/** Waiting requests by deadline; those that no longer wait are skipped. */
+	readonly deadlines: TimeHeap<WaitingWork>;
+	/** Requests whose backoff has not ended. */
+	readonly delayed: TimeHeap<WaitingWork>;
+	nextSweepAt: number;
 };
 
 /** A request that was sent to an endpoint and has not ended. @public */
@@ -25,21 +47,39 @@
 	readonly startedAt: number;
 };
 
+/** A slot that stays in use after its attempt has ended without an answer: the endpoint may still work on it. */
+export type HeldSlot = {
+	readonly instanceId: InstanceId;
+	readonly flow: Flow | undefined;
+};
+
 /** State of the dispatch filter. @public */
 export type DispatchState = {
 	readonly queues: Map<PoolName, PoolQueue>;
 	readonly attempts: Map<AttemptId, RunningAttempt>;
-	/** Slots in use for each instance. */
+	/** Slots in use for each instance, held ones included. */
 	readonly busySlots: Map<InstanceId, number>;
+	/** Slots whose attempt has ended without an answer, by the time they are counted as free again. */
+	readonly heldSlots: TimeHeap<HeldSlot>;
+	/** Monotonic time until which an instance that refused for lack of slots gets nothing more. */
+	readonly refusingUntil: Map<InstanceId, number>;
 	/** Requests that are queued or running here. */
 	readonly present: Set<RequestId>;
+	readonly waiting: Map<RequestId, WaitingWork>;
 	attemptCount: number;
 };
 
 /** @internal */
 export function createDispatchState(): DispatchState {
 	return {
-		queues: new Map(), attempts: new Map(), busySlots: new Map(), present: new Set(), attemptCount: 0,
+		queues: new Map(),
+		attempts: new Map(),
+		busySlots: new Map(),
+		heldSlots: [],
+		refusingUntil: new Map(),
+		present: new Set(),
+		waiting: new Map(),
+		attemptCount: 0,
 	};
 }
 
@@ -50,5 +90,6 @@
 
 /** Requests that wait in the flow of the given one. @public */
 export function getFlowLength(state: EntryState, pool: PoolName, request: ServiceRequest): number {
-	return state.dispatch.queues.get(pool)?.flows.get(getFlowKey(request))?.waiting.length ?? 0;
+	const flow = state.dispatch.queues.get(pool)?.flows.get(getFlowKey(request));
+	return flow === undefined ? 0 : flow.waiting.size + flow.delayedCount;
 }
--- /dev/null
+++ b/packages/decisions/src/dispatch/flows.ts
@@ -0,0 +1,141 @@
+import {
+	type PoolName, type PoolWork, type RequestClass, type ServiceRequest,
+} from '@pistachiogauge/model';
+import {type DecisionContext} from '../context.js';
+import {type EntryState} from '../entry-state.js';
+import {getFlowKey, type Flow, type PoolQueue} from './dispatch-state.js';
+import {createUsage, getAverageUse} from './usage.js';
+import {createWorkQueue} from './work-queue.js';
+
+const defaultWeight = 1;
+const sweepIntervalMs = 5000;
+/** A flow without requests for this long has no use left to remember. */
+const flowIdleMs = 60_000;
+const equalShares: Readonly<Record<RequestClass, number>> = {urgent: 1 / 3, normal: 1 / 3, deferrable: 1 / 3};
+
+/** @internal */
+export function getQueue(state: EntryState, pool: PoolName): PoolQueue {
+	const known = state.dispatch.queues.get(pool);
+	const version = state.bundle.current?.version ?? 0;
+	if (known !== undefined) {
+		if (known.sharesVersion !== version) {
+			known.classShares = computeClassShares(state, pool);
+			known.sharesVersion = version;
+		}
+
+		return known;
+	}
+
+	const created: PoolQueue = {
+		flows: new Map(),
+		classWeights: {urgent: 0, normal: 0, deferrable: 0},
+		classShares: computeClassShares(state, pool),
+		sharesVersion: version,
+		slotCount: 0,
+		waitingCount: 0,
+		deadlines: [],
+		delayed: [],
+		nextSweepAt: 0,
+	};
+	state.dispatch.queues.set(pool, created);
+	return created;
+}
+
+/** Flow of a request; it is made with the first one. @internal */
+export function getFlow(state: EntryState, queue: PoolQueue, {request}: PoolWork, context: DecisionContext): Flow {
+	const key = getFlowKey(request);
+	const known = queue.flows.get(key);
+	if (known !== undefined) {
+		return known;
+	}
+
+	const {service, requestClass} = request;
+	const flow: Flow = {
+		key,
+		service,
+		requestClass,
+		weight: getWeight(state, request),
+		waiting: createWorkQueue(),
+		delayedCount: 0,
+		usage: createUsage(context.now),
+		askedAt: context.now,
+	};
+	queue.flows.set(key, flow);
+	queue.classWeights[requestClass] += flow.weight;
+	return flow;
+}
+
+/** Slots that a flow may hold at any time: its part of its class's minimum. @internal */
+export function getEntitledSlots(queue: PoolQueue, flow: Flow): number {
+	const classWeight = queue.classWeights[flow.requestClass];
+	return queue.slotCount * queue.classShares[flow.requestClass] * (classWeight > 0 ? flow.weight / classWeight : 1);
+}
+
+/** Requests of a flow and the slots that can serve them. @internal */
+export type FlowBacklog = {
+	readonly length: number;
+	readonly slots: number;
+};
+
+/** Backlog of the flow that a request belongs to, and the slots that it holds or can expect among the flows that wait now. @internal */
+export function getFlowBacklog(state: EntryState, pool: PoolName, request: ServiceRequest): FlowBacklog | undefined {
+	const queue = state.dispatch.queues.get(pool);
+	const flow = queue?.flows.get(getFlowKey(request));
+	if (queue === undefined || flow === undefined || flow.waiting.size === 0) {
+		return undefined;
+	}
+
+	let promised = 0;
+	for (const other of queue.flows.values()) {
+		promised += other.waiting.size > 0 ? getEntitledSlots(queue, other) : 0;
+	}
+
+	const part = promised > 0 ? getEntitledSlots(queue, flow) / promised : 1;
+	return {length: flow.waiting.size + flow.delayedCount, slots: Math.max(flow.usage.busy, part * queue.slotCount)};
+}
+
+/** Forgets flows that have been empty for long, so callers cannot fill the memory with team names. @internal */
+export function dropIdleFlows(queue: PoolQueue, context: DecisionContext): void {
+	if (context.now < queue.nextSweepAt) {
+		return;
+	}
+
+	queue.nextSweepAt = context.now + sweepIntervalMs;
+	for (const [key, flow] of queue.flows) {
+		const isEmpty = flow.waiting.size === 0 && flow.delayedCount === 0 && flow.usage.busy === 0;
+		if (isEmpty && context.now - flow.askedAt > flowIdleMs) {
+			queue.flows.delete(key);
+			queue.classWeights[flow.requestClass] = Math.max(0, queue.classWeights[flow.requestClass] - flow.weight);
+		}
+	}
+}
+
+/** Whether a flow has held more than its share over the last seconds. @internal */
+export function isInExcess(queue: PoolQueue, flow: Flow, context: DecisionContext): boolean {
+	return getAverageUse(flow.usage, context.now) > getEntitledSlots(queue, flow);
+}
+
+function getWeight(state: EntryState, request: ServiceRequest): number {
+	const {current} = state.bundle;
+	const share = current?.services[request.service]?.shares[request.requestClass] ?? defaultWeight;
+	const teamWeight = current?.teams[request.team]?.weight ?? defaultWeight;
+	return Math.max(share * teamWeight, Number.EPSILON);
+}
+
+/** Mean of the shares that the pool's services declare, scaled down when they promise more than the whole. */
+function computeClassShares(state: EntryState, pool: PoolName): Readonly<Record<RequestClass, number>> {
+	const services = Object.values(state.bundle.current?.services ?? {}).filter(service => service.pool === pool);
+	if (services.length === 0) {
+		return equalShares;
+	}
+
+	const shares = {urgent: 0, normal: 0, deferrable: 0};
+	for (const service of services) {
+		shares.urgent += service.shares.urgent / services.length;
+		shares.normal += service.shares.normal / services.length;
+		shares.deferrable += service.shares.deferrable / services.length;
+	}
+
+	const scale = Math.max(1, shares.urgent + shares.normal + shares.deferrable);
+	return {urgent: shares.urgent / scale, normal: shares.normal / scale, deferrable: shares.deferrable / scale};
+}
--- a/packages/decisions/src/health/index.ts
+++ b/packages/decisions/src/health/index.ts
@@ -1,2 +1,5 @@
+export {isJobRefused} from './failing-jobs.js';
 export {healthFilter} from './health-filter.js';
-export {createHealthState, isInstanceTrusted, type HealthState} from './health-state.js';
+export {
+	createHealthState, getInstanceSlots, getTrustStage, isInstanceTrusted, type HealthState, type TrustStage,
+} from './health-state.js';
--- /dev/null
+++ b/packages/decisions/src/owned-pool.fixture.ts
@@ -0,0 +1,140 @@
+import {
+	defaultTimings, type Bundle, type Effect, type EffectOf, type EntryEvent, type ServiceDeclaration, type ServiceRequest,
+} from '@pistachiogauge/model';
+import {applyEvent} from './apply-event.js';
+import {createRandomSource} from './context.js';
+import {createEntryState, type EntryState} from './entry-state.js';
+
+/** An entry that owns one pool, with time and effects at hand. For tests only. */
+export type OwnedPool = {
+	readonly state: EntryState;
+	readonly effects: Effect[];
+	now: number;
+	requestCount: number;
+	/** Applies an event and keeps its effects. */
+	send(event: EntryEvent): Effect[];
+	/** Moves time on in steps of a tick. */
+	wait(durationMs: number): void;
+	/** Sends a caller's request; returns its id. */
+	ask(request?: Partial<ServiceRequest>): string;
+	/** Attempts that were sent and have not been ended by `answer` or `fail`. */
+	listAttempts(): Array<EffectOf<'send-endpoint'>>;
+	answer(attempt: EffectOf<'send-endpoint'>, status?: number): void;
+	fail(attempt: EffectOf<'send-endpoint'>, failure: 'not-sent' | 'connection-lost' | 'answer-truncated' | 'answer-timeout'): void;
+	/** Result of a request; undefined while it is not known. */
+	getResult(requestId: string): EffectOf<'respond-caller'>['result'] | undefined;
+};
+
+/** What differs from one instance with two slots and one service. */
+export type OwnedPoolOptions = {
+	readonly instances?: number;
+	readonly slots?: number;
+	readonly budget?: number;
+	readonly service?: Partial<ServiceDeclaration>;
+	readonly teams?: Bundle['teams'];
+};
+
+const pool = 'desk';
+const service: ServiceDeclaration = {
+	pool, defaultClass: 'normal', shares: {urgent: 0.5, normal: 0.35, deferrable: 0.15}, queueLimit: 100, notExecutedStatuses: [503], defaultDeadlineMs: 10_000,
+};
+
+/** Creates an entry that owns the pool `desk`. */
+export function createOwnedPool(options: OwnedPoolOptions = {}): OwnedPool {
+	const state = createPoolState(options);
+	const random = createRandomSource(1);
+	const ended = new Set<string>();
+	const owned: OwnedPool = {
+		state,
+		effects: [],
+		now: 10_000,
+		requestCount: 0,
+		send(event) {
+			const effects = applyEvent(state, event, {now: owned.now, wallTime: owned.now, random});
+			owned.effects.push(...effects);
+			return effects;
+		},
+		wait(durationMs) {
+			for (const end = owned.now + durationMs; owned.now < end;) {
+				owned.now = Math.min(end, owned.now + 50);
+				owned.send({kind: 'tick'});
+			}
+		},
+		ask(request = {}) {
+			owned.requestCount += 1;
+			const requestId = request.requestId ?? `r${owned.requestCount}`;
+			const timeDigits = owned.now.toString(16).padStart(12, '0');
+			const key = `${timeDigits.slice(0, 8)}-${timeDigits.slice(8)}-7000-8000-${String(owned.requestCount).padStart(12, '0')}`;
+			owned.send({
+				kind: 'request-received', request: {
+					requestId,
+					key,
+					service: 'badge',
+					method: 'GET',
+					path: `/${requestId}`,
+					headers: [],
+					body: new Uint8Array(),
+					requestClass: 'normal',
+					team: 'lobby',
+					isIdempotent: true,
+					timeLeftMs: 10_000,
+					...request,
+				},
+			});
+			return requestId;
+		},
+		listAttempts: () => owned.effects.filter((effect): effect is EffectOf<'send-endpoint'> => effect.kind === 'send-endpoint' && !ended.has(effect.attemptId)),
+		answer({attemptId}, status = 200) {
+			ended.add(attemptId);
+			owned.send({
+				kind: 'endpoint-answered', attemptId, status, headers: [], body: new Uint8Array(),
+			});
+		},
+		fail({attemptId}, failure) {
+			ended.add(attemptId);
+			owned.send({kind: 'endpoint-failed', attemptId, failure});
+		},
+		getResult: requestId => owned.effects.find((effect): effect is EffectOf<'respond-caller'> => effect.kind === 'respond-caller' && effect.requestId === requestId)?.result,
+	};
+	return owned;
+}
+
+function createPoolState(options: OwnedPoolOptions): EntryState {
+	const {instances = 1, slots = 2, budget = 1, teams = {}} = options;
+	const state = createEntryState({
+		id: 'e1', zone: 'a', peerAddress: '127.0.0.1:1', timings: defaultTimings, readBundle: () => ({kind: 'invalid', reason: 'not used'}),
+	});
+	state.bundle.current = {
+		schemaVersion: 1,
+		version: 1,
+		pools: {
+			[pool]: {
+				budget, maintenancePeriodDays: 35, isSpare: false, minInstances: 1, slotsPerInstance: slots,
+			},
+		},
+		services: {badge: {...service, ...options.service}},
+		teams,
+	};
+	state.membership.record = {
+		epoch: 1, members: [{id: 'e1', address: '127.0.0.1:1', zone: 'a'}], pools: {[pool]: {owner: 'e1'}}, previousMembers: [], previousPools: {}, forced: false, proposer: 'e1',
+	};
+	state.membership.isActive = true;
+	state.idempotency.pools.set(pool, {coverageSince: Number.NEGATIVE_INFINITY, keys: new Map()});
+	state.membership.acquired.add(pool);
+	state.fleet.owned.set(pool, {
+		record: {
+			ownerEpoch: 1, owner: 'e1', permits: {}, maintained: {},
+		}, revision: 1, isFenced: true, pendingOperation: undefined, nextTryAt: 0,
+	});
+	for (let index = 1; index <= instances; index += 1) {
+		state.fleet.instances.set(`i${index}`, {
+			listed: {
+				id: `i${index}`, address: `10.0.0.${index}:80`, zone: 'a', rack: 'r', pool, state: 'live',
+			},
+			record: {pool, moves: 0},
+			recordRevision: 1,
+		});
+	}
+
+	return state;
+}
--- a/packages/decisions/src/retry/index.ts
+++ b/packages/decisions/src/retry/index.ts
@@ -1,2 +1,4 @@
 export {retryFilter} from './retry-filter.js';
-export {createRetryState, type RetryState} from './retry-state.js';
+export {
+	createRetryState, isNotExecutedStatus, maxAttempts, type RetryState,
+} from './retry-state.js';
--- a/packages/decisions/src/retry/retry-filter.ts
+++ b/packages/decisions/src/retry/retry-filter.ts
@@ -1,14 +1,21 @@
-import {type EventOf, type PoolWork, type RequestResult} from '@pistachiogauge/model';
+import {
+	type AttemptFailure, type EventOf, type PoolWork, type RequestResult,
+} from '@pistachiogauge/model';
 import {restartEvent, type Filter, type Output} from '../chain.js';
 import {type DecisionContext} from '../context.js';
 import {type EntryState} from '../entry-state.js';
 import {createCompletedResult, createNotRunResult, createUnknownResult} from '../results.js';
+import {isNotExecutedStatus, maxAttempts} from './retry-state.js';
 
 /** Retries earned by each request; keeps the sent-to-asked ratio at or below 1.1. */
 const tokensPerRequest = 0.1;
 const maxTokens = 20;
-const maxAttempts = 3;
 const backoffBaseMs = 20;
+const maxBackoffDoublings = 5;
+const retryAfterMs = 1000;
+
+/** What the end of an attempt tells about a request. */
+type AttemptVerdict = 'final' | 'refused' | 'not-sent' | 'server-error' | 'interrupted';
 
 /**
 Decides what follows an attempt: a result for the caller, or another attempt when running twice is harmless or nothing ran.
@@ -18,58 +25,96 @@
 export const retryFilter: Filter = {
 	name: 'retry',
 	handlers: {
-		'request-cleared'(state, event) {
-			const {tokens} = state.retry;
-			const {service} = event.request;
-			tokens.set(service, Math.min(maxTokens, (tokens.get(service) ?? maxTokens) + tokensPerRequest));
-			return [];
-		},
-		'attempt-ended'(state, event, context) {
-			const result = getFinalResult(state, event);
-			if (result !== undefined) {
-				return [endRequest(event.work, result)];
+		'request-queued'(state, {work}) {
+			// Refused requests earn nothing: a flood must not pay for retries.
+			if (work.tried.length === 0 && work.refusals === undefined) {
+				const {tokens} = state.retry;
+				const {service} = work.request;
+				tokens.set(service, Math.min(maxTokens, (tokens.get(service) ?? 0) + tokensPerRequest));
 			}
 
-			return retryRequest(state, event, context);
+			return [];
 		},
+		'attempt-ended': (state, event, context) => verdictHandlers[judgeAttempt(state, event)](state, event, context),
 	},
 };
 
-/** Result of the attempt when it settles the request; undefined when another attempt is allowed. */
-function getFinalResult(state: EntryState, {work, ending}: EventOf<'attempt-ended'>): RequestResult | undefined {
-	if (ending.kind === 'answered') {
-		return isRefusal(state, work, ending.status) ? undefined : createCompletedResult(ending.status, ending.headers, ending.body);
+type VerdictHandler = (state: EntryState, event: EventOf<'attempt-ended'>, context: DecisionContext) => Output[];
+
+const verdictHandlers: Readonly<Record<AttemptVerdict, VerdictHandler>> = {
+	final: (_state, event) => [endRequest(event.work, createFinalResult(event))],
+	// The instance pauses after a refusal for lack of slots, which bounds these attempts without the retry budget.
+	refused(_state, {work}, context) {
+		const refusals = (work.refusals ?? 0) + 1;
+		return requeue({...work, refusals, notBefore: context.now + computeBackoff(refusals, context)});
+	},
+	'not-sent': (state, event, context) => retryRequest(state, event, context, createFailedResult(event.work, createNotRunResult('pool-unavailable', retryAfterMs))),
+	'server-error': (state, event, context) => retryRequest(state, event, context, createFinalResult(event)),
+	interrupted: (state, event, context) => retryRequest(state, event, context, createFinalResult(event)),
+};
+
+function judgeAttempt(state: EntryState, {work, ending}: EventOf<'attempt-ended'>): AttemptVerdict {
+	const {request} = work;
+	if (ending.kind === 'failed') {
+		return judgeFailure(ending.failure, request.isIdempotent);
+	}
+
+	if (isNotExecutedStatus(state, request.service, ending.status)) {
+		return 'refused';
 	}
 
-	if (ending.failure === 'not-sent' || work.request.isIdempotent) {
-		return undefined;
+	return request.isIdempotent && ending.status >= 500 ? 'server-error' : 'final';
+}
+
+function judgeFailure(failure: AttemptFailure, isIdempotent: boolean): AttemptVerdict {
+	if (failure === 'not-sent') {
+		return 'not-sent';
 	}
 
-	return createUnknownResult(ending.failure);
+	return isIdempotent ? 'interrupted' : 'final';
 }
 
-function retryRequest(state: EntryState, event: EventOf<'attempt-ended'>, context: DecisionContext): Output[] {
+function retryRequest(state: EntryState, event: EventOf<'attempt-ended'>, context: DecisionContext, lastResult: RequestResult): Output[] {
 	const {work, ending, instanceId} = event;
 	const {tokens} = state.retry;
 	const {service} = work.request;
-	const left = tokens.get(service) ?? maxTokens;
-	const mayHaveRun = work.mayHaveRun || (ending.kind === 'failed' && ending.failure !== 'not-sent');
-	if (left < 1 || work.tried.length + 1 >= maxAttempts) {
-		return [endRequest(work, mayHaveRun ? createUnknownResult('connection-lost') : createNotRunResult('refused-by-endpoint', 1000))];
+	const left = tokens.get(service) ?? 0;
+	const notBefore = context.now + computeBackoff(work.tried.length + 1, context);
+	if (left < 1 || work.tried.length + 1 >= maxAttempts || notBefore >= work.deadlineAt) {
+		return [endRequest(work, lastResult)];
 	}
 
 	tokens.set(service, left - 1);
-	const backoffMs = backoffBaseMs * (2 ** work.tried.length) * (0.5 + context.random.getFraction());
-	return [restartEvent({
-		kind: 'request-queued',
-		work: {
-			...work, tried: [...work.tried, instanceId], mayHaveRun, notBefore: context.now + backoffMs,
-		},
-	})];
+	const mayHaveRun = work.mayHaveRun || ending.kind === 'answered' || ending.failure !== 'not-sent';
+	return requeue({
+		...work, tried: [...work.tried, instanceId], mayHaveRun, notBefore,
+	});
+}
+
+function requeue(work: PoolWork): Output[] {
+	if (work.notBefore >= work.deadlineAt) {
+		return [endRequest(work, createFailedResult(work, createNotRunResult('refused-by-endpoint', retryAfterMs)))];
+	}
+
+	return [restartEvent({kind: 'request-queued', work})];
+}
+
+/** The random part keeps requests that failed together from coming back together. */
+function computeBackoff(failures: number, context: DecisionContext): number {
+	return backoffBaseMs * (2 ** Math.min(maxBackoffDoublings, failures - 1)) * (0.5 + context.random.getFraction());
+}
+
+function createFinalResult({work, ending}: EventOf<'attempt-ended'>): RequestResult {
+	if (ending.kind === 'answered') {
+		return createCompletedResult(ending.status, ending.headers, ending.body);
+	}
+
+	return createUnknownResult(ending.failure === 'not-sent' ? 'connection-lost' : ending.failure);
 }
 
-function isRefusal(state: EntryState, work: PoolWork, status: number): boolean {
-	return state.bundle.current?.services[work.request.service]?.notExecutedStatuses.includes(status) ?? false;
+/** Nothing ran in the last attempt, but an earlier one may have run. */
+function createFailedResult(work: PoolWork, notRun: RequestResult): RequestResult {
+	return work.mayHaveRun ? createUnknownResult('connection-lost') : notRun;
 }
 
 function endRequest(work: PoolWork, result: RequestResult): Output {
--- a/packages/decisions/src/retry/retry-state.ts
+++ b/packages/decisions/src/retry/retry-state.ts
@@ -1,4 +1,5 @@
 import {type ServiceName} from '@pistachiogauge/model';
+import {type EntryState} from '../entry-state.js';
 
 /** State of the retry filter. @public */
 export type RetryState = {
@@ -6,7 +7,15 @@
 	readonly tokens: Map<ServiceName, number>;
 };
 
+/** Attempts of one request, the first included. @internal */
+export const maxAttempts = 3;
+
 /** @internal */
 export function createRetryState(): RetryState {
 	return {tokens: new Map()};
 }
+
+/** Whether an endpoint says with this status that it did not execute the request. @internal */
+export function isNotExecutedStatus(state: EntryState, service: ServiceName, status: number): boolean {
+	return state.bundle.current?.services[service]?.notExecutedStatuses.includes(status) ?? false;
+}
--- a/packages/model/src/events.ts
+++ b/packages/model/src/events.ts
@@ -85,6 +85,8 @@
 	readonly deadlineAt: number;
 	/** Instances at which attempts have failed, the latest last. */
 	readonly tried: readonly InstanceId[];
+	/** Attempts that endpoints have refused as not executed; absent before the first one. */
+	readonly refusals?: number;
 	/** Whether an earlier attempt may have run; true only for idempotent requests. */
 	readonly mayHaveRun: boolean;
 	/** Monotonic milliseconds before which no further attempt starts. */
