Add deferrable tasks that survive the loss of their owner

A request with Prefer: respond-async is recorded in the store, several tasks to a page, before it is answered with 202; the pool's next owner reads the pages and goes on. A non-idempotent task is marked as started in the store before it is sent, so a successor reports it as unknown and never runs it again. Its class rises as its deadline nears.

Ruled out: copying tasks to the standby only, since two lost entries would lose accepted work. Checkpoint, throttle and stop of running tasks are not built.

--- a/packages/decisions/src/apply-event.ts
+++ b/packages/decisions/src/apply-event.ts
@@ -13,6 +13,7 @@
 import {replyFilter} from './reply/index.js';
 import {retryFilter} from './retry/index.js';
 import {routingFilter} from './routing/index.js';
+import {tasksFilter} from './tasks/index.js';
 
 /** The filters of an entry, in order. @public */
 export const entryFilters: readonly Filter[] = [
@@ -20,6 +21,7 @@
 	bundleFilter,
 	fleetFilter,
 	routingFilter,
+	tasksFilter,
 	idempotencyFilter,
 	admissionFilter,
 	dispatchFilter,
--- a/packages/decisions/src/entry-state.ts
+++ b/packages/decisions/src/entry-state.ts
@@ -9,6 +9,7 @@
 import {createMembershipState, type MembershipState} from './membership/index.js';
 import {createReplyState, type ReplyState} from './reply/index.js';
 import {createRetryState, type RetryState} from './retry/index.js';
+import {createTasksState, type TasksState} from './tasks/index.js';
 import {createRoutingState, type RoutingState} from './routing/index.js';
 
 /**
@@ -22,6 +23,7 @@
 	readonly bundle: BundleState;
 	readonly fleet: FleetState;
 	readonly routing: RoutingState;
+	readonly tasks: TasksState;
 	readonly idempotency: IdempotencyState;
 	readonly admission: AdmissionState;
 	readonly dispatch: DispatchState;
@@ -39,6 +41,7 @@
 		bundle: createBundleState(),
 		fleet: createFleetState(),
 		routing: createRoutingState(),
+		tasks: createTasksState(),
 		idempotency: createIdempotencyState(),
 		admission: createAdmissionState(),
 		dispatch: createDispatchState(),
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -11,6 +11,7 @@
 export * from './bundle/index.js';
 export * from './fleet/index.js';
 export * from './routing/index.js';
+export * from './tasks/index.js';
 export * from './idempotency/index.js';
 export * from './admission/index.js';
 export * from './dispatch/index.js';
--- a/packages/decisions/src/routing/routing-filter.ts
+++ b/packages/decisions/src/routing/routing-filter.ts
@@ -1,4 +1,6 @@
-import {type EventOf, type RequestResult} from '@pistachiogauge/model';
+import {
+	type EntryId, type EventOf, type PoolName, type RequestResult, type ServiceRequest,
+} from '@pistachiogauge/model';
 import {
 	emitEffect, passEvent, type Filter, type Output,
 } from '../chain.js';
@@ -29,9 +31,7 @@
 				return [emitEffect({kind: 'send-peer', to: event.from, message: {kind: 'not-owner', requestId: request.requestId, epoch}})];
 			}
 
-			return [passEvent({
-				kind: 'request-offered', request, receiver: event.from, pool,
-			})];
+			return [offerRequest(request, event.from, pool)];
 		},
 		'peer-not-owner'(state, event) {
 			const routed = state.routing.requests.get(event.message.requestId);
@@ -143,9 +143,7 @@
 		}
 
 		routed.heldBy = owner;
-		return [passEvent({
-			kind: 'request-offered', request, receiver: owner, pool: routed.pool,
-		})];
+		return [offerRequest(request, owner, routed.pool)];
 	}
 
 	if (!state.membership.links.has(owner)) {
@@ -156,6 +154,15 @@
 	return [emitEffect({kind: 'send-peer', to: owner, message: {kind: 'forward', pool: routed.pool, request}})];
 }
 
+/** What a request becomes at the owner of its pool. */
+const offerKinds = {direct: 'request-offered', task: 'task-offered', 'task-status': 'task-queried'} as const;
+
+function offerRequest(request: ServiceRequest, receiver: EntryId, pool: PoolName): Output {
+	return passEvent({
+		kind: offerKinds[request.mode], request, receiver, pool,
+	});
+}
+
 /** Sends requests again whose pool has changed hands since they were forwarded. */
 function routeHeldElsewhere(state: EntryState, context: DecisionContext): Output[] {
 	const outputs: Output[] = [];
@@ -193,7 +200,7 @@
 
 	state.routing.requests.delete(requestId);
 	// The new owner's refusal says nothing about an idempotent request's run at the lost one; for a keyed request the new owner has checked the key.
-	const isRefusalUncertain = result.outcome === 'not-run' && routed.mayHaveRun && routed.request.isIdempotent;
+	const isRefusalUncertain = result.outcome === 'not-run' && routed.mayHaveRun && (routed.request.isIdempotent || routed.request.mode === 'task');
 	return [emitEffect({kind: 'respond-caller', requestId, result: isRefusalUncertain ? createUnknownResult('connection-lost') : result})];
 }
 
--- a/packages/http/src/service-request.ts
+++ b/packages/http/src/service-request.ts
@@ -1,9 +1,11 @@
 import {type IncomingMessage} from 'node:http';
 import {
-	requestClassSchema, type HeaderList, type RequestClass, type ServiceRequest,
+	requestClassSchema, type HeaderList, type RequestClass, type RequestMode, type ServiceRequest,
 } from '@pistachiogauge/model';
 import {HttpRequestError} from './http-errors.js';
 
+const taskPathPattern = /^\/tasks\/(?<service>[\w-]+)\/(?<id>[\w-]+)$/u;
+const respondAsyncPattern = /(?:^|,)\s*respond-async\s*(?:,|;|$)/u;
 const servicePathPattern = /^\/services\/(?<service>[\w-]+)(?<path>\/.*)?$/u;
 const idempotentMethods: ReadonlySet<string> = new Set(['GET', 'HEAD', 'OPTIONS', 'PUT', 'DELETE']);
 const maxDeadlineMs = 86_400_000;
@@ -32,7 +34,8 @@
 	getDefaults: (service: string) => ServiceDefaults,
 	createKey: () => string,
 ): ServiceRequest {
-	const match = servicePathPattern.exec(message.url ?? '');
+	const statusMatch = taskPathPattern.exec(message.url ?? '');
+	const match = statusMatch ?? servicePathPattern.exec(message.url ?? '');
 	const service = match?.groups?.service;
 	if (service === undefined) {
 		throw new HttpRequestError('unknown-service', 'paths have the form /services/<service>/<path>');
@@ -40,19 +43,22 @@
 
 	const method = message.method ?? 'GET';
 	const defaults = getDefaults(service);
+	const mode = readMode(message, statusMatch !== null);
 	const isIdempotent = idempotentMethods.has(method) || readHeader(message, 'pistachiogauge-idempotent') === 'true';
 	return {
 		requestId,
 		service,
 		method,
-		path: match?.groups?.path ?? '/',
+		path: statusMatch?.groups?.id ?? match?.groups?.path ?? '/',
 		headers: listHeaders(message),
 		body,
 		requestClass: readClass(message) ?? defaults.requestClass,
 		team: readHeader(message, 'pistachiogauge-team') ?? '',
 		isIdempotent,
-		key: isIdempotent ? undefined : readHeader(message, 'idempotency-key') ?? createKey(),
-		timeLeftMs: readDeadline(message) ?? defaults.deadlineMs,
+		mode,
+		key: isIdempotent && mode !== 'task' ? undefined : readHeader(message, 'idempotency-key') ?? createKey(),
+		timeLeftMs: readDuration(message, 'pistachiogauge-deadline') ?? defaults.deadlineMs,
+		finishWithinMs: readDuration(message, 'pistachiogauge-finish-within'),
 	};
 }
 
@@ -75,18 +81,26 @@
 	return parsed.data;
 }
 
-function readDeadline(message: IncomingMessage): number | undefined {
-	const value = readHeader(message, 'pistachiogauge-deadline');
+function readMode(message: IncomingMessage, isStatus: boolean): RequestMode {
+	if (isStatus) {
+		return 'task-status';
+	}
+
+	return respondAsyncPattern.test(readHeader(message, 'prefer') ?? '') ? 'task' : 'direct';
+}
+
+function readDuration(message: IncomingMessage, name: string): number | undefined {
+	const value = readHeader(message, name);
 	if (value === undefined) {
 		return undefined;
 	}
 
-	const deadlineMs = Number(value);
-	if (value.trim() === '' || !Number.isFinite(deadlineMs) || deadlineMs > maxDeadlineMs) {
-		throw new HttpRequestError('malformed-request', `Pistachiogauge-Deadline is a number of milliseconds up to ${maxDeadlineMs}`);
+	const durationMs = Number(value);
+	if (value.trim() === '' || !Number.isFinite(durationMs) || durationMs > maxDeadlineMs) {
+		throw new HttpRequestError('malformed-request', `${name} is a number of milliseconds up to ${maxDeadlineMs}`);
 	}
 
-	return deadlineMs;
+	return durationMs;
 }
 
 function listHeaders(message: IncomingMessage): HeaderList {
--- a/packages/model/src/events.ts
+++ b/packages/model/src/events.ts
@@ -52,6 +52,9 @@
 export type DerivedEvent =
 	/** A request has reached the owner of its pool. */
 	| {readonly kind: 'request-offered'; readonly request: ServiceRequest; readonly receiver: EntryId; readonly pool: string}
+	/** A task to record, or a question about one, has reached the owner of its pool. */
+	| {readonly kind: 'task-offered'; readonly request: ServiceRequest; readonly receiver: EntryId; readonly pool: string}
+	| {readonly kind: 'task-queried'; readonly request: ServiceRequest; readonly receiver: EntryId; readonly pool: string}
 	/** The idempotency filter lets the request run. */
 	| {readonly kind: 'request-cleared'; readonly request: ServiceRequest; readonly receiver: EntryId; readonly pool: string}
 	/** A request waits for a slot: admitted, or coming back for another attempt. */
--- a/packages/model/src/index.ts
+++ b/packages/model/src/index.ts
@@ -15,3 +15,4 @@
 export * from './outcome.js';
 export * from './request.js';
 export * from './store-keys.js';
+export * from './task.js';
--- a/packages/model/src/request.ts
+++ b/packages/model/src/request.ts
@@ -12,6 +12,19 @@
 /** @public */
 export type HeaderList = z.infer<typeof headerListSchema>;
 
+/**
+How a request is answered.
+
+- `direct`: when it has run.
+- `task`: when it is recorded; it runs later.
+- `task-status`: with what is known of a task, whose id is the path.
+
+@public
+*/
+export const requestModeSchema = z.enum(['direct', 'task', 'task-status']);
+/** @public */
+export type RequestMode = z.infer<typeof requestModeSchema>;
+
 /** A caller's request as the decisions see it. @public */
 export type ServiceRequest = {
 	readonly requestId: RequestId;
@@ -21,12 +34,15 @@
 	readonly path: string;
 	readonly headers: HeaderList;
 	readonly body: Uint8Array;
+	readonly mode: RequestMode;
 	readonly requestClass: RequestClass;
 	readonly team: string;
 	/** Whether running the request twice has the same effect as running it once. */
 	readonly isIdempotent: boolean;
 	/** Idempotency key of a non-idempotent request; the receiver makes one when the caller sends none. */
 	readonly key?: string;
+	/** Time within which a task should have ended, in milliseconds. */
+	readonly finishWithinMs?: number;
 	/** Time left until the caller's deadline when the request was handed to this process, in milliseconds. */
 	readonly timeLeftMs: number;
 };
--- a/packages/peer/src/frame-codec.ts
+++ b/packages/peer/src/frame-codec.ts
@@ -2,7 +2,7 @@
 	create, fromBinary, toBinary, type MessageInitShape,
 } from '@bufbuild/protobuf';
 import {
-	controlMessageSchema, outcomeReasonSchema, outcomeSchema, requestClassSchema,
+	controlMessageSchema, outcomeReasonSchema, outcomeSchema, requestClassSchema, requestModeSchema,
 	type ControlMessage, type HeaderList, type PeerMessage, type PeerMessageKind, type RequestResult, type ServiceRequest,
 } from '@pistachiogauge/model';
 import {
@@ -82,11 +82,13 @@
 		path: request.path,
 		headers: decodeHeaders(request.headers),
 		body: request.body,
+		mode: requestModeSchema.parse(request.mode),
 		requestClass: requestClassSchema.parse(request.requestClass),
 		team: request.team,
 		isIdempotent: request.isIdempotent,
 		key: request.key === '' ? undefined : request.key,
 		timeLeftMs: request.timeLeftMs,
+		finishWithinMs: request.finishWithinMs,
 	};
 }
 
