--- a/packages/decisions/src/tasks/task-pages.ts
+++ b/packages/decisions/src/tasks/task-pages.ts
@@ -15,12 +15,13 @@
 /** Changes of this long are written together, which bounds the writes of a pool to four a second. */
 const writeIntervalMs = 250;
 const retryPauseMs = 500;
+const loadPauseMs = 1000;
 /** Ended tasks are kept for questions about them, and so that a repeat of the key does not run again. */
 const endedRetentionMs = 86_400_000;
 
 /** Asks for all pages of a pool. @internal */
 export function readPages(state: EntryState, pool: PoolName, pooled: PoolTasks, context: DecisionContext): Output[] {
-	pooled.nextLoadAt = context.now + retryPauseMs * 2;
+	pooled.nextLoadAt = context.now + loadPauseMs;
 	return [emitEffect({
 		kind: 'read-store', operationId: createOperationId(state, 'load', pool), key: getPrefix(pool), isPrefix: true,
 	})];
--- a/packages/decisions/src/tasks/tasks-filter.test.ts
+++ b/packages/decisions/src/tasks/tasks-filter.test.ts
@@ -21,6 +21,21 @@
 	fault: StoreFault = 'none';
 	readonly #state: EntryState;
 	readonly #random = createRandomSource(7);
+	readonly #sinks: Readonly<Partial<{[Kind in Effect['kind']]: (effect: EffectOf<Kind>) => void}>> = {
+		'respond-caller': ({requestId, result}) => {
+			this.answers.set(requestId, result);
+		},
+		'send-endpoint': effect => {
+			this.sent.push(effect);
+		},
+		'read-store': effect => {
+			this.#read(effect);
+		},
+		'write-store': effect => {
+			this.#write(effect);
+		},
+	};
+
 	#now = 1000;
 
 	constructor(id: string, epoch: number, pages = new Map<string, {value: string; revision: number}>()) {
@@ -93,36 +108,17 @@
 	}
 
 	#run(effect: Effect): void {
-		switch (effect.kind) {
-			case 'respond-caller': {
-				this.answers.set(effect.requestId, effect.result);
-
-				break;
-			}
-
-			case 'send-endpoint': {
-				this.sent.push(effect);
-
-				break;
-			}
-
-			case 'read-store': {
-				const entries = [...this.pages].filter(([key]) => effect.isPrefix ? key.startsWith(effect.key) : key === effect.key)
-					.map(([key, {value, revision}]) => ({key, value, revision}));
-				this.push({
-					kind: 'store-answered', operationId: effect.operationId, result: this.fault === 'down' ? 'failed' : 'applied', entries: this.fault === 'down' ? [] : entries,
-				});
-
-				break;
-			}
-
-			case 'write-store': {
-				this.#write(effect);
+		(this.#sinks[effect.kind] as ((value: Effect) => void) | undefined)?.(effect);
+	}
 
-				break;
-			}
-		// No default
-		}
+	#read({operationId, key, isPrefix}: EffectOf<'read-store'>): void {
+		const entries = [...this.pages]
+			.filter(([known]) => isPrefix ? known.startsWith(key) : known === key)
+			.map(([known, {value, revision}]) => ({key: known, value, revision}));
+		const isDown = this.fault === 'down';
+		this.push({
+			kind: 'store-answered', operationId, result: isDown ? 'failed' : 'applied', entries: isDown ? [] : entries,
+		});
 	}
 
 	#write({operationId, key, value, condition}: EffectOf<'write-store'>): void {
