Add the virtual harness and the randomised runs

Several entries run in one process over virtual time with seeded fakes of peer links, store, endpoints, instance list, callers and operators. Checks observe all entries and endpoints; a run ends at the first broken invariant and prints its last events and the command that repeats it.

--- /dev/null
+++ b/packages/bench/src/checks/check.ts
@@ -0,0 +1,40 @@
+import {type Monitor} from '../virtual/virtual-cluster.js';
+import {type VirtualCallers} from '../virtual/virtual-callers.js';
+import {
+	type Observation, type ObservationKind, type ObservationOf, type World,
+} from '../virtual/world.js';
+
+/** Handlers of one check; each returns what is broken, or nothing. */
+export type CheckHandlers = {
+	readonly [Kind in ObservationKind]?: (world: World, observation: ObservationOf<Kind>) => string | undefined;
+};
+
+/** An invariant over all entries and endpoints of a run. */
+export type Check = {
+	readonly name: string;
+	createHandlers(callers: VirtualCallers): CheckHandlers;
+};
+
+type AnyHandler = (world: World, observation: Observation) => string | undefined;
+
+/** Creates a monitor that keeps the first broken invariant of a run. */
+export function createMonitor(checks: readonly Check[], callers: VirtualCallers): Monitor {
+	const tables = checks.map(check => ({name: check.name, handlers: check.createHandlers(callers)}));
+	const handlersByKind = new Map<ObservationKind, Array<{name: string; handler: AnyHandler}>>();
+	for (const {name, handlers} of tables) {
+		for (const [kind, handler] of Object.entries(handlers)) {
+			const list = handlersByKind.get(kind as ObservationKind) ?? [];
+			list.push({name, handler: handler as AnyHandler});
+			handlersByKind.set(kind as ObservationKind, list);
+		}
+	}
+
+	return (world, observation) => {
+		for (const {name, handler} of handlersByKind.get(observation.kind) ?? []) {
+			const message = handler(world, observation);
+			if (message !== undefined) {
+				world.breach ??= {invariant: name, message, at: world.queue.now};
+			}
+		}
+	};
+}
--- /dev/null
+++ b/packages/bench/src/faults/store-faults.ts
@@ -0,0 +1,100 @@
+import {getBetween, type Conditions} from '../virtual/world.js';
+import {type VirtualCluster} from '../virtual/virtual-cluster.js';
+import {chooseEntry, type Fault} from './fault.js';
+
+type Switchable = 'isStoreDown' | 'storeDelayMs' | 'lostAnswerShare' | 'lateWriteShare' | 'watchDelayMs' | 'isListDown' | 'listLagMs';
+
+/** Sets one condition for the length of the fault. */
+export function switchCondition<Name extends Switchable>({world}: VirtualCluster, name: Name, value: Conditions[Name]): () => void {
+	const former = world.conditions[name];
+	world.conditions[name] = value;
+	return () => {
+		world.conditions[name] = former;
+	};
+}
+
+export const storeFaults: readonly Fault[] = [
+	{
+		name: 'store-outage',
+		rate: 2,
+		minMs: 200,
+		maxMs: 15_000,
+		start(cluster) {
+			if (cluster.world.conditions.isStoreDown) {
+				return undefined;
+			}
+
+			if (cluster.world.random.getFraction() < 0.5) {
+				cluster.world.store.breakWatches();
+			}
+
+			return switchCondition(cluster, 'isStoreDown', true);
+		},
+	},
+	{
+		name: 'store-slow',
+		rate: 1.5,
+		minMs: 500,
+		maxMs: 6000,
+		start: cluster => switchCondition(cluster, 'storeDelayMs', getBetween(cluster.world.random, 100, 900)),
+	},
+	{
+		name: 'store-lost-answer',
+		rate: 2,
+		minMs: 200,
+		maxMs: 5000,
+		start: cluster => switchCondition(cluster, 'lostAnswerShare', getBetween(cluster.world.random, 0.2, 1)),
+	},
+	{
+		name: 'store-late-write',
+		rate: 2,
+		minMs: 200,
+		maxMs: 5000,
+		start: cluster => switchCondition(cluster, 'lateWriteShare', getBetween(cluster.world.random, 0.2, 1)),
+	},
+	{
+		name: 'watch-late',
+		rate: 1.5,
+		minMs: 500,
+		maxMs: 6000,
+		start: cluster => switchCondition(cluster, 'watchDelayMs', getBetween(cluster.world.random, 200, 4000)),
+	},
+	{
+		name: 'watch-silent',
+		rate: 2,
+		minMs: 500,
+		maxMs: 10_000,
+		start(cluster) {
+			const {silentWatches} = cluster.world.conditions;
+			const name = chooseEntry(cluster)?.name;
+			if (name === undefined || silentWatches.has(name)) {
+				return undefined;
+			}
+
+			silentWatches.add(name);
+			return () => {
+				silentWatches.delete(name);
+			};
+		},
+	},
+	{
+		name: 'lease-lapse',
+		rate: 1,
+		minMs: 0,
+		maxMs: 0,
+		start({world}) {
+			world.store.lapseLeases();
+			return undefined;
+		},
+	},
+	{
+		name: 'store-restore',
+		rate: 0.3,
+		minMs: 0,
+		maxMs: 0,
+		start({world}) {
+			world.store.restoreState(getBetween(world.random, 1000, 20_000));
+			return undefined;
+		},
+	},
+];
