--- a/packages/bench/src/virtual/trace.ts
+++ b/packages/bench/src/virtual/trace.ts
@@ -12,8 +12,8 @@
 const hashStart = 0x81_1C_9D_C5;
 const hashFactor = 0x01_00_01_93;
 
-/** Creates an empty trace. */
-export function createTrace(): Trace {
+/** Creates an empty trace; `onLine` is told each line. */
+export function createTrace(onLine?: (line: string) => void): Trace {
 	const lines: string[] = [];
 	let hash = hashStart;
 	let lineCount = 0;
@@ -23,6 +23,7 @@
 		},
 		addLine(line) {
 			lineCount += 1;
+			onLine?.(line);
 			lines[lineCount % keptLines] = line;
 			for (let index = 0; index < line.length; index++) {
 				// FNV-1a over UTF-16 units: traces are compared with each other only.
--- a/packages/bench/src/virtual/virtual-cluster.ts
+++ b/packages/bench/src/virtual/virtual-cluster.ts
@@ -19,6 +19,8 @@
 	readonly entryCount: number;
 	readonly pools: readonly PoolPlan[];
 	readonly services: readonly ServicePlan[];
+	/** Told each line of the trace. */
+	readonly onLine?: (line: string) => void;
 };
 
 /** Looks at what happens in a run and tells what is broken. */
@@ -112,7 +114,7 @@
 	const world: World = {
 		queue: createEventQueue(),
 		random: createRandomSource(plan.seed),
-		trace: createTrace(),
+		trace: createTrace(plan.onLine),
 		conditions: createConditions(),
 		entries: new Map(),
 		bundles: createVirtualBundles(plan.pools, plan.services),
--- a/packages/bench/src/virtual/virtual-entry.ts
+++ b/packages/bench/src/virtual/virtual-entry.ts
@@ -146,13 +146,12 @@
 		world.trace.addLine(formatStep(time, entry, event, effects));
 	}
 
-	for (const effect of effects) {
-		(sinks[effect.kind] as (target: World, source: VirtualEntry, value: Effect) => void)(world, entry, effect);
-	}
-
 	world.observe({
 		kind: 'entry-stepped', entry, event, effects,
 	});
+	for (const effect of effects) {
+		(sinks[effect.kind] as (target: World, source: VirtualEntry, value: Effect) => void)(world, entry, effect);
+	}
 }
 
 function formatStep(time: number, entry: VirtualEntry, event: InputEvent, effects: readonly Effect[]): string {
