Add tests with real processes on loopback

A cluster can restart an entry. The main scripts are found in dist also when packages resolve to their sources.

--- a/packages/bench/src/local-cluster.ts
+++ b/packages/bench/src/local-cluster.ts
@@ -40,6 +40,8 @@
 	readonly storeAddress: string;
 	readonly platformAddress: string;
 	readonly folder: string;
+	/** Starts an ended entry anew with the same settings; it is a new incarnation. */
+	restartEntry(index: number): Promise<void>;
 	callOperator(command: OperatorCommand, entryIndex?: number): Promise<unknown>;
 	applyBundle(text: string): Promise<unknown>;
 	waitUntil(what: string, isMet: () => Promise<boolean>, limitMs?: number): Promise<void>;
@@ -70,8 +72,8 @@
 		return {name, address, child};
 	}
 
-	const standin = join(dirname(load.resolve('@pistachiogauge/standins')), 'main.js');
-	const entryMain = join(dirname(load.resolve('@pistachiogauge/entry')), 'main.js');
+	const standin = getMainScript('@pistachiogauge/standins');
+	const entryMain = getMainScript('@pistachiogauge/entry');
 	const storeAddress = takeAddress();
 	const platformAddress = takeAddress();
 	startProcess('store', storeAddress, standin, ['store', storeAddress]);
@@ -100,6 +102,12 @@
 		entries.push(startProcess(name, callerAddress, entryMain, [settingsFile]));
 	}
 
+	async function restartEntry(index: number): Promise<void> {
+		const {name, address} = entries[index]!;
+		entries[index] = startProcess(name, address, entryMain, [join(folder, `${name}.ini`)]);
+		await waitUntil(`${name} is ready`, async () => await getStatusCode(`http://${address}/readyz`) === 200);
+	}
+
 	async function callOperator(command: OperatorCommand, entryIndex = 0): Promise<unknown> {
 		return callEntry({entry: entries[entryIndex]!.address, operator, key: join(folder, 'operator.pem')}, command);
 	}
@@ -127,7 +135,7 @@
 	}
 
 	const cluster: LocalCluster = {
-		entries, endpoints, storeAddress, platformAddress, folder, callOperator, applyBundle, waitUntil, stop,
+		entries, endpoints, storeAddress, platformAddress, folder, restartEntry, callOperator, applyBundle, waitUntil, stop,
 	};
 	try {
 		await waitUntil('the platform listens', async () => {
@@ -151,6 +159,11 @@
 	}
 }
 
+/** Built main script of a package; under the tests a package resolves to its sources, which Node cannot run. */
+function getMainScript(packageName: string): string {
+	return join(dirname(load.resolve(packageName)), '..', 'dist', 'main.js');
+}
+
 /** Waits until a condition holds. Tests wait for conditions and not for times, so a slow machine changes no verdict. */
 async function waitUntil(what: string, isMet: () => Promise<boolean>, limitMs = 20_000): Promise<void> {
 	const startedAt = performance.now();
--- /dev/null
+++ b/packages/bench/src/processes/endpoints.test.ts
@@ -0,0 +1,131 @@
+import {randomUUID} from 'node:crypto';
+import {
+	afterAll, afterEach, beforeAll, describe, expect, it,
+} from 'vitest';
+import {createKey} from '@pistachiogauge/entry';
+import {type EndpointFault} from '@pistachiogauge/standins';
+import {createLocalCluster, type LocalCluster} from '../local-cluster.js';
+import {
+	checkLedger, countRuns, type SentRequest,
+} from './request-ledger.js';
+import {sendRequest} from './send-request.js';
+import {setEndpointFault} from './test-cluster.js';
+
+const ledger: SentRequest[] = [];
+/** A pool for each fault, so that what one case teaches about its instances does not change the next. */
+const pools = ['cut', 'truncate', 'freeze', 'silent', 'fail', 'repeat'];
+let cluster: LocalCluster;
+
+function formatBundle(): string {
+	return [
+		'[bundle]',
+		'schema-version = 1',
+		'version = 1',
+		...pools.flatMap(pool => [`[pool.${pool}]`, 'budget = 1', `[service.${pool}-work]`, `pool = ${pool}`, 'not-executed-statuses = 503']),
+		'',
+	].join('\n');
+}
+
+beforeAll(async () => {
+	cluster = await createLocalCluster({
+		entryCount: 3, zones: ['a', 'b', 'c'], instances: Object.fromEntries(pools.map(pool => [pool, 2])), bundle: formatBundle(), runMs: 10,
+	});
+});
+afterAll(async () => cluster.stop());
+afterEach(async () => {
+	expect(checkLedger(ledger, await countRuns([...cluster.endpoints.values()]))).toEqual([]);
+});
+
+type FaultCase = {
+	readonly fault: EndpointFault;
+	/** Instances of the case's pool that show the fault; each pool has two. */
+	readonly faultyCount: 1 | 2;
+	/** Allowed answers, as outcome and status. */
+	readonly idempotent: readonly string[];
+	readonly nonIdempotent: readonly string[];
+};
+
+const completed = 'completed 200';
+const faultCases: readonly FaultCase[] = [
+	{
+		fault: 'cut', faultyCount: 1, idempotent: [completed], nonIdempotent: [completed, 'unknown 502'],
+	},
+	{
+		fault: 'truncate', faultyCount: 1, idempotent: [completed], nonIdempotent: [completed, 'unknown 502'],
+	},
+	{
+		fault: 'freeze', faultyCount: 1, idempotent: [completed], nonIdempotent: [completed, 'unknown 504'],
+	},
+	{
+		fault: 'silent', faultyCount: 2, idempotent: [completed], nonIdempotent: [completed, 'unknown 504'],
+	},
+	{
+		fault: 'fail', faultyCount: 1, idempotent: [completed, 'completed 500'], nonIdempotent: [completed, 'completed 500'],
+	},
+];
+
+const deadlineMs = 3000;
+/** Below the pool's slots, so that no request waits behind those that the fault holds. */
+const requestCount = 8;
+
+async function sendMixed(service: string): Promise<SentRequest[]> {
+	const sent = await Promise.all(Array.from({length: requestCount}, async (_, index) =>
+		sendRequest(cluster.entries[index % 3]!, {service, isIdempotent: index % 2 === 0, deadlineMs})));
+	ledger.push(...sent);
+	return sent;
+}
+
+// Guards against false outcomes, second runs and partial answers when endpoints misbehave.
+describe('endpoint faults', () => {
+	it.each(faultCases)('$fault', async ({fault, faultyCount, idempotent, nonIdempotent}) => {
+		const service = `${fault}-work`;
+		const faulty = Array.from({length: faultyCount}, (_, index) => cluster.endpoints.get(`${fault}-${index + 1}`)!);
+		await cluster.waitUntil('all instances answer', async () => {
+			const sent = await sendMixed(service);
+			return sent.every(item => item.outcome === 'completed');
+		});
+		const runsBefore = await countRuns(faulty);
+		await Promise.all(faulty.map(async endpoint => setEndpointFault(endpoint, fault)));
+		const sent = await sendMixed(service);
+		const describeAnswer = ({outcome, status}: SentRequest) => `${outcome} ${status}`;
+		expect(sent.filter(item => !(item.isIdempotent ? idempotent : nonIdempotent).includes(describeAnswer(item)))).toEqual([]);
+		const runsAfter = await countRuns(faulty);
+		expect(runsAfter.size, 'the fault was met').toBeGreaterThan(runsBefore.size);
+	});
+});
+
+type RepeatCase = {
+	readonly name: string;
+	readonly texts: readonly [string, string];
+	readonly isConcurrent: boolean;
+	readonly expected: readonly string[];
+	readonly runs: number;
+};
+
+const body = randomUUID();
+const repeatCases: readonly RepeatCase[] = [
+	{
+		name: 'one after the other', texts: [`a-${body}`, `a-${body}`], isConcurrent: false, expected: ['completed 200', 'completed 200'], runs: 1,
+	},
+	{
+		name: 'at the same time', texts: [`b-${body}`, `b-${body}`], isConcurrent: true, expected: ['completed 200', 'completed 200'], runs: 1,
+	},
+	{
+		name: 'with another body', texts: [`c-${body}`, `d-${body}`], isConcurrent: false, expected: ['completed 200', 'not-run 422'], runs: 1,
+	},
+];
+
+// Guards against a badge printed twice because the caller repeated its request at another entry.
+describe('a key sent to two entries', () => {
+	it.each(repeatCases)('$name', async ({texts, isConcurrent, expected, runs}) => {
+		const key = createKey(Date.now());
+		const sendTo = async (index: 0 | 1) => sendRequest(cluster.entries[index]!, {
+			service: 'repeat-work', isIdempotent: false, text: texts[index], key,
+		});
+		const sent = isConcurrent ? await Promise.all([sendTo(0), sendTo(1)]) : [await sendTo(0), await sendTo(1)];
+		ledger.push(...sent);
+		expect(sent.map(({outcome, status}) => `${outcome} ${status}`)).toEqual(expected);
+		const counts = await countRuns([...cluster.endpoints.values()]);
+		expect([...new Set(texts)].reduce((sum, text) => sum + (counts.get(text) ?? 0), 0)).toBe(runs);
+	});
+});
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -6,5 +6,7 @@
 	test: {
 		include: ['packages/*/src/**/*.test.ts'],
 		testTimeout: 60_000,
+		// Starting a cluster of processes takes a few seconds, more on a busy machine.
+		hookTimeout: 60_000,
 	},
 });
