--- a/packages/entry/src/entry-process.ts
+++ b/packages/entry/src/entry-process.ts
@@ -75,7 +75,8 @@
 	async function stopAll(exitCode: 0 | 1): Promise<void> {
 		clearInterval(ticking);
 		instances.stop();
-		callers.stop();
+		// Answers that are due leave first; requests that still arrive are refused as not run.
+		await callers.stop();
 		await Promise.allSettled([store.stop(), peers.stop(), endpoints.stop()]);
 		onStop(exitCode);
 	}
--- a/packages/http/src/caller-server.ts
+++ b/packages/http/src/caller-server.ts
@@ -2,12 +2,18 @@
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
+import {type Socket} from 'node:net';
 import {
 	operatorCommandSchema, type InputEvent, type LogLevel, type OutcomeReason, type RequestResult,
 } from '@pistachiogauge/model';
 import {HttpRequestError} from './http-errors.js';
 import {listen} from './listen.js';
-import {operatorHeaders, verifyOperatorCall} from './operator-signature.js';
+import {createOperatorGate} from './operator-gate.js';
+import {operatorHeaders} from './operator-signature.js';
+import {readBody} from './read-body.js';
+import {
+	formatRawRefusal, sendJson, sendResult, sendText,
+} from './send-answer.js';
 import {parseServiceRequest, type ServiceDefaults} from './service-request.js';
 
 /** @public */
@@ -31,7 +37,8 @@
 /** @public */
 export type CallerServer = {
 	start(): Promise<void>;
-	stop(): void;
+	/** Takes no new connections, waits for answers that are due, and closes. */
+	stop(): Promise<void>;
 	respondCaller(requestId: string, result: RequestResult): void;
 	answerOperator(callId: string, status: number, body: unknown): void;
 	setReadiness(isReady: boolean): void;
@@ -42,11 +49,13 @@
 const operatorBodyLimitBytes = 2 * 1024 * 1024;
 /** Calls that no filter answers within this time are answered with 504. */
 const operatorTimeoutMs = 10_000;
+/** Time for requests that are still arriving or being answered when the server stops. */
+const stopLimitMs = 2000;
 
 /** Creates the HTTP server for callers and operators. @public */
 export function createCallerServer(options: CallerServerOptions): CallerServer {
 	const responses = new Map<string, ServerResponse>();
-	const usedNonces = new Map<string, number>();
+	const gate = createOperatorGate(options.operatorKeys);
 	let isReady = false;
 
 	/** Fixed paths; everything else belongs to a service. */
@@ -96,7 +105,7 @@
 	async function acceptOperatorCall(message: IncomingMessage, response: ServerResponse): Promise<void> {
 		const body = Buffer.from(await readBody(message, operatorBodyLimitBytes)).toString();
 		const operator = String(message.headers[operatorHeaders.operator] ?? '');
-		if (!isAuthentic(message, operator, body)) {
+		if (!gate.isAuthentic(message, operator, body)) {
 			options.count('operator_calls_refused_total');
 			options.log('warn', 'operator call refused', {operator, peer: message.socket.remoteAddress ?? ''});
 			sendJson(response, 401, {outcome: 'refused', message: 'the call is not signed by a known operator, is too old, or was seen before'});
@@ -124,28 +133,6 @@
 		});
 	}
 
-	function isAuthentic(message: IncomingMessage, operator: string, body: string): boolean {
-		const key = Object.hasOwn(options.operatorKeys, operator) ? options.operatorKeys[operator] : undefined;
-		const issuedAt = Number(message.headers[operatorHeaders.issuedAt]);
-		const nonce = String(message.headers[operatorHeaders.nonce] ?? '');
-		const signature = String(message.headers[operatorHeaders.signature] ?? '');
-		const now = Date.now();
-		for (const [used, at] of usedNonces) {
-			if (now - at > 2 * 60_000) {
-				usedNonces.delete(used);
-			}
-		}
-
-		const isValid = key !== undefined && !usedNonces.has(nonce) && verifyOperatorCall({
-			operator, issuedAt, nonce, body,
-		}, signature, key, now);
-		if (isValid) {
-			usedNonces.set(nonce, now);
-		}
-
-		return isValid;
-	}
-
 	function answerOperator(callId: string, status: number, body: unknown): void {
 		const response = responses.get(callId);
 		responses.delete(callId);
@@ -155,20 +142,38 @@
 	}
 
 	const server: Server = createServer((message, response) => {
+		if (!isReady) {
+			// The caller's next request opens a connection, which the balancer brings to another entry.
+			response.setHeader('connection', 'close');
+		}
+
 		void acceptMessage(message, response);
 	});
+	server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
+		options.count('requests_malformed_total');
+		if (socket.writable) {
+			socket.end(formatRawRefusal(randomUUID(), options.createRefusal('malformed-request'), `the request cannot be parsed (${error.code ?? 'unknown fault'})`));
+			return;
+		}
+
+		socket.destroy();
+	});
 	return {
 		async start() {
 			await listen(server, options.address);
 		},
-		stop() {
-			server.close();
-			server.closeAllConnections();
+		async stop() {
+			isReady = false;
+			await closeGracefully(server);
 		},
 		respondCaller(requestId, result) {
 			const response = responses.get(requestId);
 			responses.delete(requestId);
 			if (response !== undefined) {
+				if (!isReady) {
+					response.setHeader('connection', 'close');
+				}
+
 				sendResult(response, requestId, result);
 			}
 		},
@@ -179,66 +184,16 @@
 	};
 }
 
-/**
-Reads a whole request body.
-
-@throws HttpRequestError when it is larger than the limit or does not arrive whole.
-*/
-async function readBody(message: IncomingMessage, limitBytes: number): Promise<Uint8Array> {
-	const chunks: Uint8Array[] = [];
-	let size = 0;
-	try {
-		for await (const chunk of message) {
-			size += (chunk as Uint8Array).length;
-			if (size > limitBytes) {
-				break;
-			}
-
-			chunks.push(chunk as Uint8Array);
-		}
-	} catch {
-		throw new HttpRequestError('malformed-request', 'the request body did not arrive whole');
-	}
-
-	if (size > limitBytes) {
-		throw new HttpRequestError('body-too-large', `request bodies are at most ${limitBytes} bytes`);
-	}
-
-	return chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks);
-}
-
-function sendResult(response: ServerResponse, requestId: string, result: RequestResult, detail?: string): void {
-	for (const [name, value] of result.headers) {
-		response.appendHeader(name, value);
-	}
-
-	response.setHeader('pistachiogauge-outcome', result.outcome);
-	response.setHeader('pistachiogauge-request-id', requestId);
-	if (result.reason !== undefined) {
-		response.setHeader('pistachiogauge-reason', result.reason);
-		response.setHeader('pistachiogauge-time', new Date().toISOString());
-	}
-
-	if (detail !== undefined) {
-		response.setHeader('pistachiogauge-detail', detail);
-	}
-
-	if (result.retryAfterMs !== undefined) {
-		response.setHeader('retry-after', Math.ceil(result.retryAfterMs / 1000));
-	}
-
-	response.statusCode = result.status;
-	response.end(result.body);
-}
-
-function sendText(response: ServerResponse, status: number, text: string): void {
-	response.writeHead(status, {'content-type': 'text/plain; charset=utf-8'});
-	response.end(text);
-}
-
-function sendJson(response: ServerResponse, status: number, body: unknown): void {
-	response.writeHead(status, {'content-type': 'application/json'});
-	response.end(`${JSON.stringify(body)}\n`);
+async function closeGracefully(server: Server): Promise<void> {
+	const closed = new Promise(resolve => {
+		server.close(resolve);
+	});
+	server.closeIdleConnections();
+	const timer = setTimeout(() => {
+		server.closeAllConnections();
+	}, stopLimitMs);
+	await closed;
+	clearTimeout(timer);
 }
 
 function parseJson(text: string): unknown {
--- a/packages/http/src/service-request.ts
+++ b/packages/http/src/service-request.ts
@@ -12,7 +12,7 @@
 
 /** Headers that belong to one connection (RFC 9110, section 7.6.1) or that the entry sets itself. */
 const droppedHeaders: ReadonlySet<string> = new Set([
-	'connection', 'keep-alive', 'proxy-connection', 'te', 'trailer', 'transfer-encoding', 'upgrade', 'host', 'content-length', 'expect',
+	'connection', 'keep-alive', 'proxy-connection', 'te', 'trailer', 'transfer-encoding', 'upgrade', 'host', 'content-length', 'expect', 'pistachiogauge-request-id',
 ]);
 
 /** What the server knows about defaults of a service. */
@@ -34,22 +34,16 @@
 	getDefaults: (service: string) => ServiceDefaults,
 	createKey: () => string,
 ): ServiceRequest {
-	const statusMatch = taskPathPattern.exec(message.url ?? '');
-	const match = statusMatch ?? servicePathPattern.exec(message.url ?? '');
-	const service = match?.groups?.service;
-	if (service === undefined) {
-		throw new HttpRequestError('unknown-service', 'paths have the form /services/<service>/<path>');
-	}
-
+	const {service, path, isStatus} = readPath(message);
 	const method = message.method ?? 'GET';
 	const defaults = getDefaults(service);
-	const mode = readMode(message, statusMatch !== null);
-	const isIdempotent = idempotentMethods.has(method) || readHeader(message, 'pistachiogauge-idempotent') === 'true';
+	const mode = readMode(message, isStatus);
+	const isIdempotent = idempotentMethods.has(method) || (readFlag(message, 'pistachiogauge-idempotent') ?? false);
 	return {
 		requestId,
 		service,
 		method,
-		path: statusMatch?.groups?.id ?? match?.groups?.path ?? '/',
+		path,
 		headers: listHeaders(message),
 		body,
 		requestClass: readClass(message) ?? defaults.requestClass,
@@ -62,6 +56,17 @@
 	};
 }
 
+function readPath(message: IncomingMessage): {service: string; path: string; isStatus: boolean} {
+	const status = taskPathPattern.exec(message.url ?? '')?.groups;
+	const direct = servicePathPattern.exec(message.url ?? '')?.groups;
+	const service = status?.service ?? direct?.service;
+	if (service === undefined) {
+		throw new HttpRequestError('unknown-service', 'paths have the form /services/<service>/<path>');
+	}
+
+	return {service, path: status?.id ?? direct?.path ?? '/', isStatus: status !== undefined};
+}
+
 function readHeader(message: IncomingMessage, name: string): string | undefined {
 	const value = message.headers[name];
 	return typeof value === 'string' ? value.replace(/^"(?<text>.*)"$/u, '$<text>') : undefined;
@@ -81,6 +86,15 @@
 	return parsed.data;
 }
 
+function readFlag(message: IncomingMessage, name: string): boolean | undefined {
+	const value = readHeader(message, name);
+	if (value !== undefined && value !== 'true' && value !== 'false') {
+		throw new HttpRequestError('malformed-request', `${name} is true or false`);
+	}
+
+	return value === undefined ? undefined : value === 'true';
+}
+
 function readMode(message: IncomingMessage, isStatus: boolean): RequestMode {
 	if (isStatus) {
 		return 'task-status';
@@ -105,9 +119,10 @@
 
 function listHeaders(message: IncomingMessage): HeaderList {
 	const headers: HeaderList = [];
+	const perConnection = new Set((message.headers.connection ?? '').toLowerCase().split(',').map(name => name.trim()));
 	for (let index = 0; index + 1 < message.rawHeaders.length; index += 2) {
 		const name = message.rawHeaders[index]!.toLowerCase();
-		if (!droppedHeaders.has(name)) {
+		if (!droppedHeaders.has(name) && !perConnection.has(name)) {
 			headers.push([name, message.rawHeaders[index + 1]!]);
 		}
 	}
