--- a/packages/decisions/src/admission/admission-filter.test.ts
+++ b/packages/decisions/src/admission/admission-filter.test.ts
@@ -1,5 +1,5 @@
 import {describe, expect, it} from 'vitest';
-import {createOwnedPool, type OwnedPool, type OwnedPoolOptions} from '../owned-pool.fixture.js';
+import {createOwnedPool, type OwnedPool, type OwnedPoolOptions} from '../owned-pool.test-support.js';
 
 /** Runs so many requests of the given length that run times are known. */
 function learnRunTime(owned: OwnedPool, runMs: number): void {
--- a/packages/decisions/src/dispatch/dispatch-filter.test.ts
+++ b/packages/decisions/src/dispatch/dispatch-filter.test.ts
@@ -1,6 +1,6 @@
 import {describe, expect, it} from 'vitest';
 import {type RequestClass} from '@pistachiogauge/model';
-import {createOwnedPool, type OwnedPool} from '../owned-pool.fixture.js';
+import {createOwnedPool, type OwnedPool} from '../owned-pool.test-support.js';
 
 function countByClass(owned: OwnedPool): Record<RequestClass, number> {
 	const counts = {urgent: 0, normal: 0, deferrable: 0};
--- a/packages/decisions/src/fleet/pool-status.ts
+++ b/packages/decisions/src/fleet/pool-status.ts
@@ -46,10 +46,5 @@
 
 /** Requests that wait in a pool's queue. @internal */
 export function countQueued(state: EntryState, pool: string): number {
-	let queued = 0;
-	for (const flow of state.dispatch.queues.get(pool)?.flows.values() ?? []) {
-		queued += flow.waiting.length;
-	}
-
-	return queued;
+	return state.dispatch.queues.get(pool)?.waitingCount ?? 0;
 }
--- a/packages/decisions/src/fleet/pool-view.ts
+++ b/packages/decisions/src/fleet/pool-view.ts
@@ -83,7 +83,7 @@
 		return 'unknown';
 	}
 
-	return evidence && isInstanceTrusted(state, id, context) ? undefined : 'failed';
+	return evidence && isInstanceTrusted(state, id) ? undefined : 'failed';
 }
 
 /**
--- a/packages/decisions/src/health/health-filter.test.ts
+++ b/packages/decisions/src/health/health-filter.test.ts
@@ -1,5 +1,5 @@
 import {describe, expect, it} from 'vitest';
-import {createOwnedPool, type OwnedPool, type OwnedPoolOptions} from '../owned-pool.fixture.js';
+import {createOwnedPool, type OwnedPool, type OwnedPoolOptions} from '../owned-pool.test-support.js';
 import {type TrustStage} from './health-state.js';
 
 type Case = {
--- a/packages/decisions/src/health/trust.ts
+++ b/packages/decisions/src/health/trust.ts
@@ -3,7 +3,7 @@
 import {type DecisionContext} from '../context.js';
 import {type EntryState} from '../entry-state.js';
 import {getServingInstances} from '../fleet/index.js';
-import {type InstanceHealth, type TrustStage} from './health-state.js';
+import {getTrustStage, type InstanceHealth, type TrustStage} from './health-state.js';
 
 /** Weight kept by earlier attempts at each new one: about the last ten count. */
 const recordDecay = 0.9;
@@ -58,8 +58,13 @@
 	return failureHandlers[health.stage](state, instanceId, health, context);
 }
 
-/** Takes note of a healthy probe of an instance that was taken out. @internal */
+/** Takes note of a probe of an instance that was taken out. @internal */
 export function recordProbe(health: InstanceHealth, isHealthy: boolean, context: DecisionContext): void {
+	// The fleet filter probes more often than the pause after a relapse allows.
+	if (context.now < health.nextTryAt) {
+		return;
+	}
+
 	health.successesInRow = isHealthy ? health.successesInRow + 1 : 0;
 	health.nextTryAt = context.now + (isHealthy ? firstProbePauseMs : health.pauseMs);
 	if (health.successesInRow >= probesToTrial) {
@@ -73,7 +78,7 @@
 const failureHandlers: Readonly<Record<TrustStage, FailureHandler>> = {
 	trusted: (state, instanceId, health, context) => isWorseThanPeers(state, instanceId, health) ? avoidInstance(state, instanceId, health, context) : [],
 	limited(state, instanceId, health, context) {
-		if (countBudgetLeft(state, health.pool) > 0) {
+		if (mayTakeOut(state, instanceId, health.pool)) {
 			return avoidInstance(state, instanceId, health, context);
 		}
 
@@ -88,7 +93,7 @@
 
 function avoidInstance(state: EntryState, instanceId: InstanceId, health: InstanceHealth, context: DecisionContext): Output[] {
 	const former = health.stage;
-	if (countBudgetLeft(state, health.pool) > 0) {
+	if (mayTakeOut(state, instanceId, health.pool)) {
 		health.pauseMs = former === 'trial' ? Math.min(maxProbePauseMs, health.pauseMs * 2) : firstProbePauseMs;
 		health.stage = 'distrusted';
 		health.nextTryAt = context.now + health.pauseMs;
@@ -132,16 +137,21 @@
 	return better.length > 0 && share >= peerFactor * total / better.length;
 }
 
-/** Instances that may still be taken out: the pool's budget less those that are out for any reason. */
-function countBudgetLeft(state: EntryState, pool: PoolName): number {
+/** Whether the pool's budget allows one more instance out. An instance that fails its probes is out already. */
+function mayTakeOut(state: EntryState, instanceId: InstanceId, pool: PoolName): boolean {
+	const evidence = state.fleet.owned.get(pool)?.evidence;
+	if (evidence?.get(instanceId)?.isHealthy === false) {
+		return true;
+	}
+
 	const serving = new Set(getServingInstances(state, pool).map(instance => instance.id));
 	let out = 0;
 	for (const [id, {record}] of state.fleet.instances) {
-		const isDistrusted = state.health.instances.get(id)?.stage === 'distrusted';
-		if (record?.pool === pool && (!serving.has(id) || isDistrusted)) {
+		const isServing = serving.has(id) && evidence?.get(id)?.isHealthy === true && getTrustStage(state, id) !== 'distrusted';
+		if (id !== instanceId && record?.pool === pool && record.hasLeft !== true && !isServing) {
 			out += 1;
 		}
 	}
 
-	return (state.bundle.current?.pools[pool]?.budget ?? 0) - out;
+	return out < (state.bundle.current?.pools[pool]?.budget ?? 0);
 }
--- a/packages/decisions/src/owned-pool.fixture.ts
+++ b/packages/decisions/src/owned-pool.test-support.ts
@@ -4,6 +4,7 @@
 import {applyEvent} from './apply-event.js';
 import {createRandomSource} from './context.js';
 import {createEntryState, type EntryState} from './entry-state.js';
+import {createOwnedPool as createFleetPool, getEvidence, getInstance} from './fleet/fleet-state.js';
 
 /** An entry that owns one pool, with time and effects at hand. For tests only. */
 export type OwnedPool = {
@@ -70,6 +71,7 @@
 					requestId,
 					key,
 					service: 'badge',
+					mode: 'direct',
 					method: 'GET',
 					path: `/${requestId}`,
 					headers: [],
@@ -121,19 +123,22 @@
 	state.membership.isActive = true;
 	state.idempotency.pools.set(pool, {coverageSince: Number.NEGATIVE_INFINITY, keys: new Map()});
 	state.membership.acquired.add(pool);
-	state.fleet.owned.set(pool, {
-		record: {
-			ownerEpoch: 1, owner: 'e1', permits: {}, maintained: {},
-		}, revision: 1, isFenced: true, pendingOperation: undefined, nextTryAt: 0,
-	});
+	const owned = createFleetPool();
+	owned.record = {
+		ownerEpoch: 1, owner: 'e1', permits: {}, maintained: {},
+	};
+	owned.isFenced = true;
+	state.fleet.owned.set(pool, owned);
+	state.fleet.listedAt = 0;
 	for (let index = 1; index <= instances; index += 1) {
-		state.fleet.instances.set(`i${index}`, {
-			listed: {
-				id: `i${index}`, address: `10.0.0.${index}:80`, zone: 'a', rack: 'r', pool, state: 'live',
-			},
-			record: {pool, moves: 0},
-			recordRevision: 1,
-		});
+		const id = `i${index}`;
+		const instance = getInstance(state, id);
+		instance.listed = {
+			id, address: `10.0.0.${index}:80`, zone: 'a', rack: 'r', pool, state: 'live',
+		};
+		instance.record = {pool, moves: 0};
+		instance.recordRevision = 1;
+		getEvidence(owned, id).isHealthy = true;
 	}
 
 	return state;
--- a/packages/decisions/src/retry/retry-filter.test.ts
+++ b/packages/decisions/src/retry/retry-filter.test.ts
@@ -1,5 +1,5 @@
 import {describe, expect, it} from 'vitest';
-import {createOwnedPool, type OwnedPool} from '../owned-pool.fixture.js';
+import {createOwnedPool, type OwnedPool} from '../owned-pool.test-support.js';
 
 type Case = {
 	readonly name: string;
