Order lent slots by what flows ask for, and measure floods

Cause: with slots lent by past use alone, a burst in the flood's own class had as much past use as the flood and shared the pool with it.

Change: a flow that asks for more than the pool holds is a flood; it gets a small floor at once and its share over a minute.

--- /dev/null
+++ b/packages/bench/src/measure-main.ts
@@ -0,0 +1,42 @@
+import process from 'node:process';
+import {cac} from 'cac';
+import {z} from 'zod';
+import {measures} from './measure/index.js';
+
+const wrongUsage = 2;
+const seedSchema = z.coerce.number().int().nonnegative();
+
+/** Runs the named measures, or all, and prints one JSON object a line. Returns the exit code. */
+function runMeasures(names: readonly string[], seed: number): number {
+	const unknownNames = names.filter(name => !measures.has(name));
+	if (unknownNames.length > 0) {
+		process.stderr.write(`measure: unknown name ${unknownNames.join(', ')}; names are ${[...measures.keys()].join(', ')}\n`);
+		return wrongUsage;
+	}
+
+	for (const name of names.length === 0 ? measures.keys() : names) {
+		for (const line of measures.get(name)!.run(seed)) {
+			process.stdout.write(`${JSON.stringify(line)}\n`);
+		}
+	}
+
+	return 0;
+}
+
+const cli = cac('measure');
+cli.usage('[NAME...] [--seed N]');
+cli.option('--seed <number>', 'Seed of the load', {default: 1});
+cli.help(sections => [
+	...sections,
+	{title: 'Names', body: [...measures.values()].map(({name, description}) => `  ${name}  ${description}`).join('\n')},
+]);
+const parsed = cli.parse(process.argv, {run: false});
+if (!parsed.options.help) {
+	const seed = seedSchema.safeParse(parsed.options.seed);
+	if (seed.success) {
+		process.exitCode = runMeasures(parsed.args, seed.data);
+	} else {
+		process.stderr.write('measure: --seed expects a whole number from 0 up\n');
+		process.exitCode = wrongUsage;
+	}
+}
--- a/packages/decisions/src/admission/expected-wait.ts
+++ b/packages/decisions/src/admission/expected-wait.ts
@@ -13,7 +13,7 @@
 */
 export function computeExpectedWait(state: EntryState, pool: PoolName, request: ServiceRequest, context: DecisionContext): number {
 	const times = getServiceTimes(state, request.service, request.requestClass, context);
-	const backlog = getFlowBacklog(state, pool, request);
+	const backlog = getFlowBacklog(state, pool, request, context);
 	if (times === undefined || backlog === undefined || backlog.slots < 1) {
 		return 0;
 	}
--- a/packages/decisions/src/dispatch/attempts.ts
+++ b/packages/decisions/src/dispatch/attempts.ts
@@ -76,7 +76,7 @@
 	}
 
 	const {work, instanceId, startedAt} = attempt;
-	const flow = dispatch.queues.get(work.pool)?.flows.get(getFlowKey(work.request));
+	const flow = dispatch.queues.get(work.pool)?.flows.get(getFlowKey(state, work.request));
 	dispatch.attempts.delete(attemptId);
 	dispatch.present.delete(work.request.requestId);
 	if (ending.kind === 'failed' && mayStillRun[ending.failure]) {
@@ -120,6 +120,7 @@
 	dispatch.attempts.set(attemptId, {work, instanceId: instance.id, startedAt: context.now});
 	dispatch.busySlots.set(instance.id, (dispatch.busySlots.get(instance.id) ?? 0) + 1);
 	updateUsage(flow.usage, 1, context.now);
+	updateUsage(flow.longUsage, 1, context.now);
 	return emitEffect({
 		kind: 'send-endpoint',
 		attemptId,
@@ -178,5 +179,6 @@
 
 	if (flow !== undefined) {
 		updateUsage(flow.usage, -1, context.now);
+		updateUsage(flow.longUsage, -1, context.now);
 	}
 }
--- a/packages/decisions/src/dispatch/choose-flow.ts
+++ b/packages/decisions/src/dispatch/choose-flow.ts
@@ -3,7 +3,7 @@
 import {type DecisionContext} from '../context.js';
 import {type EntryState} from '../entry-state.js';
 import {type Flow, type PoolQueue} from './dispatch-state.js';
-import {getEntitledSlots} from './flows.js';
+import {getEntitledSlots, isFlood} from './flows.js';
 import {getAverageUse} from './usage.js';
 
 /** Order in which flows below their minimum get slots. */
@@ -14,12 +14,14 @@
 const longRunMs = 1000;
 /** A class that asked for nothing for this long has no slots kept back, except the urgent one. */
 const classQuietMs = 60_000;
-/** Part of its minimum that a flow in excess gets at once; a larger part doubles other flows' waits in a burst. */
-const excessFloor = 0.1;
+/** Part of its minimum that every flow gets at once; with a larger part a flood lengthens the waits of other flows' bursts. */
+const floorPart = 0.1;
+/** A flood claims its whole minimum at once only when it has had a tenth less over the last minute; a claim at the least deficit would take its slots in the middle of a burst. */
+const floodClaimGain = 10;
 
 type FlowRank = {
 	readonly flow: Flow;
-	/** 0: below its minimum; 1: in excess, but without its floor; 2: lent slots. */
+	/** 0: below its minimum; 1: below its floor; 2: lent slots; 3: lent slots of a flood. */
 	readonly tier: number;
 	readonly order: number;
 };
@@ -27,7 +29,7 @@
 /**
 Chooses the flow that gets the next free slot.
 
-Flows below their minimum come first, the most urgent one of them leading. A flow that has held more than its share over the last seconds loses that precedence but for a small floor, so a flood leaves bursts of other flows the whole pool. Slots that nobody claims by right go to the flow with the least use against its share.
+Flows below their minimum come first, the most urgent one of them leading. A flow that has held more than its share over the last seconds has no claim but a small floor. Slots that nobody claims are lent to the flow that asks least against its share. A flood, which asks for more than the whole pool holds, gets its share over a minute instead of at once and is lent what others leave, so it takes nothing from their bursts.
 
 @internal
 */
@@ -49,15 +51,28 @@
 
 function rankFlow(queue: PoolQueue, flow: Flow, context: DecisionContext): FlowRank {
 	const entitled = getEntitledSlots(queue, flow);
-	const average = getAverageUse(flow.usage, context.now);
-	const isExcess = average > entitled;
+	const isFlooding = isFlood(queue, flow, context);
 	const {busy} = flow.usage;
-	const ratio = average / Math.max(entitled, Number.EPSILON);
-	if (!isExcess && busy < entitled) {
-		return {flow, tier: 0, order: urgencyRanks[flow.requestClass] + Math.min(0.99, ratio)};
+	if (busy < countClaimedSlots(flow, entitled, isFlooding, context)) {
+		return {flow, tier: 0, order: urgencyRanks[flow.requestClass] + (0.99 * busy / entitled)};
 	}
 
-	return isExcess && busy < entitled * excessFloor ? {flow, tier: 1, order: ratio} : {flow, tier: 2, order: ratio};
+	const ratio = getAverageUse(isFlooding ? flow.usage : flow.offered, context.now) / Math.max(entitled, Number.EPSILON);
+	if (busy < entitled * floorPart) {
+		return {flow, tier: 1, order: ratio};
+	}
+
+	return {flow, tier: isFlooding ? 3 : 2, order: ratio};
+}
+
+/** Slots that a flow may claim before any are lent. */
+function countClaimedSlots(flow: Flow, entitled: number, isFlooding: boolean, context: DecisionContext): number {
+	if (isFlooding) {
+		const deficit = 1 - (getAverageUse(flow.longUsage, context.now) / Math.max(entitled, Number.EPSILON));
+		return entitled * Math.min(1, Math.max(0, deficit * floodClaimGain));
+	}
+
+	return getAverageUse(flow.usage, context.now) <= entitled ? entitled : 0;
 }
 
 function isBefore(left: FlowRank, right: FlowRank): boolean {
--- a/packages/decisions/src/dispatch/dispatch-filter.ts
+++ b/packages/decisions/src/dispatch/dispatch-filter.ts
@@ -1,6 +1,6 @@
 import {type Filter, type Output} from '../chain.js';
 import {endAttempt, releaseHeldSlots, startWork} from './attempts.js';
-import {dropIdleFlows} from './flows.js';
+import {dropIdleFlows, recordOffer} from './flows.js';
 import {
 	addWaiting, cancelWaiting, expireWaiting, returnWaiting,
 } from './waiting.js';
@@ -13,6 +13,10 @@
 export const dispatchFilter: Filter = {
 	name: 'dispatch',
 	handlers: {
+		'request-cleared'(state, event, context) {
+			recordOffer(state, event.pool, event.request, context);
+			return [];
+		},
 		'request-queued'(state, event, context) {
 			const {work} = event;
 			if (state.dispatch.present.has(work.request.requestId)) {
--- a/packages/decisions/src/dispatch/dispatch-state.ts
+++ b/packages/decisions/src/dispatch/dispatch-state.ts
@@ -16,7 +16,14 @@
 	readonly waiting: WorkQueue;
 	/** Requests of the flow that wait for the end of a backoff. */
 	delayedCount: number;
+	/** Slots held over the last seconds. */
 	readonly usage: SlotUsage;
+	/** Slots held over the last minute. */
+	readonly longUsage: SlotUsage;
+	/** Slots that the requests of the last seconds would fill, refused ones included. */
+	readonly offered: SlotUsage;
+	/** The same over the last second. */
+	readonly recentOffered: SlotUsage;
 	/** Monotonic time of the last request. */
 	askedAt: number;
 };
@@ -83,13 +90,14 @@
 	};
 }
 
-/** Key of the flow that a request belongs to. @internal */
-export function getFlowKey(request: ServiceRequest): string {
-	return `${request.service}\n${request.requestClass}\n${request.team}`;
+/** Key of the flow that a request belongs to. Teams that the bundle does not declare share one flow, so that invented names earn no share. @internal */
+export function getFlowKey(state: EntryState, {service, requestClass, team}: ServiceRequest): string {
+	const isDeclared = state.bundle.current !== undefined && Object.hasOwn(state.bundle.current.teams, team);
+	return `${service}\n${requestClass}\n${isDeclared ? team : ''}`;
 }
 
 /** Requests that wait in the flow of the given one. @public */
 export function getFlowLength(state: EntryState, pool: PoolName, request: ServiceRequest): number {
-	const flow = state.dispatch.queues.get(pool)?.flows.get(getFlowKey(request));
+	const flow = state.dispatch.queues.get(pool)?.flows.get(getFlowKey(state, request));
 	return flow === undefined ? 0 : flow.waiting.size + flow.delayedCount;
 }
--- a/packages/decisions/src/dispatch/flows.ts
+++ b/packages/decisions/src/dispatch/flows.ts
@@ -1,16 +1,25 @@
 import {
-	type PoolName, type PoolWork, type RequestClass, type ServiceRequest,
+	type PoolName, type RequestClass, type ServiceRequest,
 } from '@pistachiogauge/model';
+import {getServiceTimes} from '../admission/index.js';
 import {type DecisionContext} from '../context.js';
 import {type EntryState} from '../entry-state.js';
+import {getServingInstances} from '../fleet/index.js';
 import {getFlowKey, type Flow, type PoolQueue} from './dispatch-state.js';
-import {createUsage, getAverageUse} from './usage.js';
+import {addOfferedWork, createUsage, getAverageUse} from './usage.js';
 import {createWorkQueue} from './work-queue.js';
 
 const defaultWeight = 1;
 const sweepIntervalMs = 5000;
 /** A flow without requests for this long has no use left to remember. */
 const flowIdleMs = 60_000;
+/** Bursts last a few seconds; a flow that was quiet before stays below its share throughout one. */
+const usageWindowMs = 10_000;
+/** Time over which a flood gets its share: longer than a burst of the other flows. */
+const longUsageWindowMs = 60_000;
+const recentWindowMs = 1000;
+/** Requests of one second that would fill the pool twice are a flood, too; the average over ten seconds shows it only after four. */
+const recentFloodFactor = 2;
 const equalShares: Readonly<Record<RequestClass, number>> = {urgent: 1 / 3, normal: 1 / 3, deferrable: 1 / 3};
 
 /** @internal */
@@ -31,7 +40,7 @@
 		classWeights: {urgent: 0, normal: 0, deferrable: 0},
 		classShares: computeClassShares(state, pool),
 		sharesVersion: version,
-		slotCount: 0,
+		slotCount: getServingInstances(state, pool).length * (state.bundle.current?.pools[pool]?.slotsPerInstance ?? 0),
 		waitingCount: 0,
 		deadlines: [],
 		delayed: [],
@@ -42,26 +51,32 @@
 }
 
 /** Flow of a request; it is made with the first one. @internal */
-export function getFlow(state: EntryState, queue: PoolQueue, {request}: PoolWork, context: DecisionContext): Flow {
-	const key = getFlowKey(request);
+export function getFlow(state: EntryState, queue: PoolQueue, request: ServiceRequest, context: DecisionContext): Flow {
+	const key = getFlowKey(state, request);
 	const known = queue.flows.get(key);
 	if (known !== undefined) {
 		return known;
 	}
 
 	const {service, requestClass} = request;
+	const weight = getWeight(state, request);
+	queue.classWeights[requestClass] += weight;
+	const share = queue.classShares[requestClass] * weight / queue.classWeights[requestClass];
 	const flow: Flow = {
 		key,
 		service,
 		requestClass,
-		weight: getWeight(state, request),
+		weight,
 		waiting: createWorkQueue(),
 		delayedCount: 0,
-		usage: createUsage(context.now),
+		usage: createUsage(context.now, usageWindowMs),
+		// A flow that begins as a flood has no claim to the share of the minute before.
+		longUsage: createUsage(context.now, longUsageWindowMs, queue.slotCount * share),
+		offered: createUsage(context.now, usageWindowMs),
+		recentOffered: createUsage(context.now, recentWindowMs),
 		askedAt: context.now,
 	};
 	queue.flows.set(key, flow);
-	queue.classWeights[requestClass] += flow.weight;
 	return flow;
 }
 
@@ -78,20 +93,25 @@
 };
 
 /** Backlog of the flow that a request belongs to, and the slots that it holds or can expect among the flows that wait now. @internal */
-export function getFlowBacklog(state: EntryState, pool: PoolName, request: ServiceRequest): FlowBacklog | undefined {
+export function getFlowBacklog(state: EntryState, pool: PoolName, request: ServiceRequest, context: DecisionContext): FlowBacklog | undefined {
 	const queue = state.dispatch.queues.get(pool);
-	const flow = queue?.flows.get(getFlowKey(request));
+	const flow = queue?.flows.get(getFlowKey(state, request));
 	if (queue === undefined || flow === undefined || flow.waiting.size === 0) {
 		return undefined;
 	}
 
+	const length = flow.waiting.size + flow.delayedCount;
+	if (isFlood(queue, flow, context)) {
+		return {length, slots: Math.max(flow.usage.busy, getAverageUse(flow.longUsage, context.now))};
+	}
+
 	let promised = 0;
 	for (const other of queue.flows.values()) {
 		promised += other.waiting.size > 0 ? getEntitledSlots(queue, other) : 0;
 	}
 
 	const part = promised > 0 ? getEntitledSlots(queue, flow) / promised : 1;
-	return {length: flow.waiting.size + flow.delayedCount, slots: Math.max(flow.usage.busy, part * queue.slotCount)};
+	return {length, slots: Math.max(flow.usage.busy, part * queue.slotCount)};
 }
 
 /** Forgets flows that have been empty for long, so callers cannot fill the memory with team names. @internal */
@@ -110,9 +130,20 @@
 	}
 }
 
-/** Whether a flow has held more than its share over the last seconds. @internal */
-export function isInExcess(queue: PoolQueue, flow: Flow, context: DecisionContext): boolean {
-	return getAverageUse(flow.usage, context.now) > getEntitledSlots(queue, flow);
+/** Whether a flow has asked over the last seconds for more than the whole pool holds. @internal */
+export function isFlood(queue: PoolQueue, flow: Flow, context: DecisionContext): boolean {
+	return getAverageUse(flow.offered, context.now) > queue.slotCount
+		|| getAverageUse(flow.recentOffered, context.now) > recentFloodFactor * queue.slotCount;
+}
+
+/** Records that a request was asked for, whether or not it is admitted. @internal */
+export function recordOffer(state: EntryState, pool: PoolName, request: ServiceRequest, context: DecisionContext): void {
+	const flow = getFlow(state, getQueue(state, pool), request, context);
+	const times = getServiceTimes(state, request.service, request.requestClass, context);
+	flow.askedAt = context.now;
+	const runMs = times?.meanMs ?? 0;
+	addOfferedWork(flow.offered, runMs, context.now);
+	addOfferedWork(flow.recentOffered, runMs, context.now);
 }
 
 function getWeight(state: EntryState, request: ServiceRequest): number {
--- a/packages/decisions/src/dispatch/usage.ts
+++ b/packages/decisions/src/dispatch/usage.ts
@@ -1,30 +1,37 @@
-/** Average number of slots that a flow has held, with old use forgotten exponentially. @internal */
+/** Average of a number of slots, with old values forgotten exponentially. @internal */
 export type SlotUsage = {
-	/** Slots held now. */
+	/** Slots now. */
 	busy: number;
 	/** Decayed average at `at`. */
 	average: number;
 	/** Monotonic milliseconds. */
 	at: number;
+	/** Time in which an old value loses all but a third of its weight. */
+	readonly windowMs: number;
 };
 
-/** Bursts last a few seconds; a flow that was quiet before stays below its share throughout one. */
-export const usageWindowMs = 10_000;
-
 /** @internal */
-export function createUsage(now: number): SlotUsage {
-	return {busy: 0, average: 0, at: now};
+export function createUsage(now: number, windowMs: number, average = 0): SlotUsage {
+	return {
+		busy: 0, average, at: now, windowMs,
+	};
 }
 
-/** Average slots held over about the last ten seconds. @internal */
+/** Average slots over about the window. @internal */
 export function getAverageUse(usage: SlotUsage, now: number): number {
-	const kept = Math.exp(-(now - usage.at) / usageWindowMs);
+	const kept = Math.exp(-(now - usage.at) / usage.windowMs);
 	return (usage.average * kept) + (usage.busy * (1 - kept));
 }
 
-/** Records that a flow has taken or given back slots. @internal */
+/** Records that slots have been taken or given back. @internal */
 export function updateUsage(usage: SlotUsage, change: number, now: number): void {
 	usage.average = getAverageUse(usage, now);
 	usage.at = now;
 	usage.busy = Math.max(0, usage.busy + change);
 }
+
+/** Adds work of the given length to an average of offered work. @internal */
+export function addOfferedWork(usage: SlotUsage, runMs: number, now: number): void {
+	usage.average = getAverageUse(usage, now) + (runMs / usage.windowMs);
+	usage.at = now;
+}
--- a/packages/decisions/src/dispatch/waiting.ts
+++ b/packages/decisions/src/dispatch/waiting.ts
@@ -16,7 +16,7 @@
 /** Adds a request to its flow, or to the delayed ones while its backoff lasts. @internal */
 export function addWaiting(state: EntryState, work: PoolWork, context: DecisionContext): void {
 	const queue = getQueue(state, work.pool);
-	const flow = getFlow(state, queue, work, context);
+	const flow = getFlow(state, queue, work.request, context);
 	const item: WaitingWork = {
 		work, flow, isDelayed: work.notBefore > context.now, isGone: false,
 	};
