Start no work that cannot end before its deadline

Cause: a flood's queue is served near its deadlines, so its requests timed out while running, held slots, and their time-outs had healthy workers taken out of the pool.

Ruled out: dropping time-outs from health altogether; a frozen worker shows itself only by them.

Change: requests with less time left than the observed median are ended instead of started; a time-out within the observed 99th percentile is neutral; run times are known 50 ms after enough runs.

--- a/packages/decisions/src/admission/service-times.ts
+++ b/packages/decisions/src/admission/service-times.ts
@@ -26,6 +26,8 @@
 /** Run times older than two periods are forgotten, so the estimate follows a change of the service. */
 const periodMs = 60_000;
 const summaryMs = 500;
+/** Interval of the first attempts, while too few runs are known. */
+const firstSummaryMs = 50;
 /** Fewer runs tell too little to refuse anyone. */
 const minRuns = 20;
 const highestTrackedMs = 3_600_000;
@@ -54,7 +56,7 @@
 
 	if (context.now >= record.summaryEndsAt) {
 		record.summary = computeSummary(record);
-		record.summaryEndsAt = context.now + summaryMs;
+		record.summaryEndsAt = context.now + (record.summary === undefined ? firstSummaryMs : summaryMs);
 	}
 
 	return record.summary;
--- a/packages/decisions/src/dispatch/attempts.ts
+++ b/packages/decisions/src/dispatch/attempts.ts
@@ -13,8 +13,7 @@
 import {getQueue} from './flows.js';
 import {addTimed, removeDue} from './time-heap.js';
 import {updateUsage} from './usage.js';
-import {releaseDelayed, removeWaiting} from './waiting.js';
-import {getFirst} from './work-queue.js';
+import {releaseDelayed, takeFirst} from './waiting.js';
 
 /** An answer that takes this many times the 99.9th percentile is taken for lost with its connection. */
 const firstAnswerFactor = 3;
@@ -53,15 +52,18 @@
 	let freeSlots = countFreeSlots(state, instances);
 	while (freeSlots > 0) {
 		const flow = chooseFlow(state, queue, freeSlots, context);
-		const item = flow === undefined ? undefined : getFirst(flow.waiting);
-		const instance = item === undefined ? undefined : chooseInstance(state, instances, item.work, context);
-		if (flow === undefined || item === undefined || instance === undefined) {
+		if (flow === undefined) {
 			break;
 		}
 
-		removeWaiting(state, item);
-		outputs.push(startAttempt(state, item.work, {flow, instance, notAfter}, context));
-		freeSlots -= 1;
+		const first = takeFirst(state, flow, context);
+		outputs.push(...first.outputs);
+		if (first.work !== undefined) {
+			// A slot is free, so there is an instance.
+			const instance = chooseInstance(state, instances, first.work, context)!;
+			outputs.push(startAttempt(state, first.work, {flow, instance, notAfter}, context));
+			freeSlots -= 1;
+		}
 	}
 
 	return outputs;
--- a/packages/decisions/src/dispatch/dispatch-filter.test.ts
+++ b/packages/decisions/src/dispatch/dispatch-filter.test.ts
@@ -99,6 +99,23 @@
 		},
 		expected: expect.objectContaining({outcome: 'not-run', reason: 'deadline-passed'}) as unknown,
 	},
+	{
+		name: 'a request that cannot end before its deadline is not started (slot held for an answer that nobody gets)',
+		act(owned) {
+			for (let count = 0; count < 30; count += 1) {
+				owned.ask();
+				owned.now += 100;
+				owned.answer(owned.listAttempts()[0]!);
+			}
+
+			askMany(owned, 2, 'normal');
+			const late = owned.ask({timeLeftMs: 150});
+			owned.now += 100;
+			owned.answer(owned.listAttempts()[0]!);
+			return {running: owned.state.dispatch.attempts.size, reason: owned.getResult(late)?.reason};
+		},
+		expected: {running: 1, reason: 'deadline-passed'},
+	},
 	{
 		name: 'a timed-out attempt keeps its slot for the expected rest of the work (more than the slots sent)',
 		act(owned) {
--- a/packages/decisions/src/dispatch/flows.ts
+++ b/packages/decisions/src/dispatch/flows.ts
@@ -20,6 +20,8 @@
 const recentWindowMs = 1000;
 /** Requests of one second that would fill the pool twice are a flood, too; the average over ten seconds shows it only after four. */
 const recentFloodFactor = 2;
+/** Assumed run time until enough runs have ended; with none, a flood at the start of an owner is seen a second later. */
+const unknownRunMs = 100;
 const equalShares: Readonly<Record<RequestClass, number>> = {urgent: 1 / 3, normal: 1 / 3, deferrable: 1 / 3};
 
 /** @internal */
@@ -141,7 +143,7 @@
 	const flow = getFlow(state, getQueue(state, pool), request, context);
 	const times = getServiceTimes(state, request.service, request.requestClass, context);
 	flow.askedAt = context.now;
-	const runMs = times?.meanMs ?? 0;
+	const runMs = times?.meanMs ?? unknownRunMs;
 	addOfferedWork(flow.offered, runMs, context.now);
 	addOfferedWork(flow.recentOffered, runMs, context.now);
 }
--- a/packages/decisions/src/dispatch/waiting.ts
+++ b/packages/decisions/src/dispatch/waiting.ts
@@ -1,13 +1,14 @@
 import {type PoolName, type PoolWork, type RequestResult} from '@pistachiogauge/model';
+import {getServiceTimes} from '../admission/index.js';
 import {restartEvent, type Output} from '../chain.js';
 import {type DecisionContext} from '../context.js';
 import {type EntryState} from '../entry-state.js';
 import {createNotRunResult, createUnknownResult} from '../results.js';
-import {type PoolQueue} from './dispatch-state.js';
+import {type Flow, type PoolQueue} from './dispatch-state.js';
 import {getFlow, getQueue} from './flows.js';
 import {addTimed, dropTimed, removeDue} from './time-heap.js';
 import {
-	addFirst, addLast, removeItem, type WaitingWork,
+	addFirst, addLast, getFirst, removeItem, type WaitingWork,
 } from './work-queue.js';
 
 /** Entries of requests that no longer wait are dropped from the heap of deadlines beyond this number. */
@@ -63,6 +64,29 @@
 	}
 }
 
+/**
+Next request of a flow that can be expected to end before its deadline.
+
+Others are ended on the way: started late they would hold a slot for an answer that nobody gets.
+
+@internal
+*/
+export function takeFirst(state: EntryState, flow: Flow, context: DecisionContext): {work: PoolWork | undefined; outputs: Output[]} {
+	const outputs: Output[] = [];
+	for (let item = getFirst(flow.waiting); item !== undefined; item = getFirst(flow.waiting)) {
+		const {work} = item;
+		const times = getServiceTimes(state, work.request.service, work.request.requestClass, context);
+		removeWaiting(state, item);
+		if (work.deadlineAt - context.now > (times?.p50Ms ?? 0)) {
+			return {work, outputs};
+		}
+
+		outputs.push(endWork(work, createExpiredResult(work)));
+	}
+
+	return {work: undefined, outputs};
+}
+
 /** Ends the requests whose deadline has passed. @internal */
 export function expireWaiting(state: EntryState, queue: PoolQueue, context: DecisionContext): Output[] {
 	const outputs: Output[] = [];
--- a/packages/decisions/src/health/health-filter.test.ts
+++ b/packages/decisions/src/health/health-filter.test.ts
@@ -136,6 +136,26 @@
 		},
 		expected: true,
 	},
+	{
+		name: 'time-outs for the deadline of the request do not count (short deadlines take the pool out)',
+		act(owned) {
+			for (let count = 0; count < 40; count += 1) {
+				owned.ask({requestClass: 'urgent'});
+				owned.now += 100;
+				owned.answer(owned.listAttempts()[0]!);
+			}
+
+			for (let count = 0; count < 40; count += 1) {
+				owned.ask({requestClass: 'urgent', timeLeftMs: 110});
+				owned.now += 50;
+				owned.fail(owned.listAttempts()[0]!, 'answer-timeout');
+				owned.wait(200);
+			}
+
+			return [...owned.state.health.instances.values()].every(health => health.stage === 'trusted' && health.timeoutsInRow === 0);
+		},
+		expected: true,
+	},
 	{
 		name: 'time-outs over a connection do not count while a fresh connection works (healthy worker taken out)',
 		act(owned) {
--- a/packages/decisions/src/health/health-filter.ts
+++ b/packages/decisions/src/health/health-filter.ts
@@ -1,4 +1,5 @@
 import {type EventOf, type InstanceId} from '@pistachiogauge/model';
+import {getServiceTimes} from '../admission/index.js';
 import {emitEffect, type Filter, type Output} from '../chain.js';
 import {type DecisionContext} from '../context.js';
 import {type EntryState} from '../entry-state.js';
@@ -24,7 +25,7 @@
 	name: 'health',
 	handlers: {
 		'attempt-ended'(state, event, context) {
-			const verdict = judgeEnding(state, event);
+			const verdict = judgeEnding(state, event, context);
 			return verdict === 'neutral' ? [] : verdictHandlers[verdict](state, event, getHealth(state, event.instanceId, event.work.pool), context);
 		},
 		'probe-ended'(state, event, context) {
@@ -93,10 +94,12 @@
 	},
 };
 
-/** A refusal for lack of slots says nothing about health: the endpoint answers and protects itself. */
-function judgeEnding(state: EntryState, {ending, work}: EventOf<'attempt-ended'>): Verdict {
+/** A refusal for lack of slots says nothing about health: the endpoint answers and protects itself. Nor does a deadline that left less time than such work may take. */
+function judgeEnding(state: EntryState, {ending, work, durationMs}: EventOf<'attempt-ended'>, context: DecisionContext): Verdict {
 	if (ending.kind === 'failed') {
-		return ending.failure === 'answer-timeout' ? 'timeout' : 'failure';
+		const {service, requestClass} = work.request;
+		const isShort = durationMs < (getServiceTimes(state, service, requestClass, context)?.p99Ms ?? 0);
+		return ending.failure === 'answer-timeout' ? (isShort ? 'neutral' : 'timeout') : 'failure';
 	}
 
 	if (isNotExecutedStatus(state, work.request.service, ending.status)) {
