Measure slot use, retries after a lost rack and a failing worker

Cause: the targets for retries and for finding a failing worker had no measurement, and the choice of one owner per pool had no figures.

Ruled out: driving the whole virtual cluster; its faults and clocks would blur the comparison, and the baselines need the same workers.

Change: measures slot-use, retry-ratio and bad-worker on applyEvent in virtual time, each beside its simple policy; a test holds their targets.

--- /dev/null
+++ b/packages/bench/src/measure/measures.test.ts
@@ -0,0 +1,43 @@
+import {describe, expect, it} from 'vitest';
+import {measures} from './index.js';
+
+type Target = {
+	readonly measure: string;
+	readonly isMet: (value: number, baselineValue: number) => boolean;
+};
+
+/** Targets of the design page, and that the simple policy does not do as well: then the load would show nothing. */
+const cases: ReadonlyArray<{readonly name: string; readonly targets: readonly Target[]}> = [
+	{
+		name: 'flood',
+		targets: ['deferrable', 'urgent'].flatMap(floodClass => [
+			{measure: `flood-goodput-${floodClass}`, isMet: (value: number, baselineValue: number) => value >= 0.99 && baselineValue < 0.99},
+			{measure: `flood-p99-${floodClass}`, isMet: (value: number) => value <= 1.5},
+			{measure: `flood-longest-urgent-start-${floodClass}`, isMet: (value: number) => value <= 1200},
+		]),
+	},
+	{
+		name: 'slot-use',
+		targets: [{measure: 'slot-use-goodput', isMet: (value, baselineValue) => value > baselineValue}],
+	},
+	{
+		name: 'retry-ratio',
+		targets: [{measure: 'retry-ratio', isMet: (value, baselineValue) => value <= 1.1 && baselineValue > 1.1}],
+	},
+	{
+		name: 'bad-worker',
+		targets: [{measure: 'bad-worker-found-after', isMet: (value, baselineValue) => value <= 20 && baselineValue > 20}],
+	},
+];
+
+// Guards against a change of a filter that passes its cases and misses a target under load.
+describe('measures', () => {
+	it.each(cases)('$name meets its targets', ({name, targets}) => {
+		const lines = measures.get(name)!.run(1);
+		for (const {measure, isMet} of targets) {
+			const ofMeasure = lines.filter(line => line.measure === measure);
+			expect(ofMeasure.length).toBeGreaterThan(0);
+			expect(ofMeasure.filter(line => !isMet(line.value, line.baselineValue))).toEqual([]);
+		}
+	});
+});
--- a/packages/bench/src/measure/workers.ts
+++ b/packages/bench/src/measure/workers.ts
@@ -19,7 +19,8 @@
 	busy: number;
 	/** Time that the slots were in use, summed over the slots. */
 	busyMs: number;
-	received: number;
+	/** Virtual times at which requests were sent to it. */
+	readonly receivedAt: number[];
 	refused: number;
 	readonly running: Set<(end: RunEnd) => void>;
 };
@@ -37,7 +38,7 @@
 		mode: 'normal' as const,
 		busy: 0,
 		busyMs: 0,
-		received: 0,
+		receivedAt: [],
 		refused: 0,
 		running: new Set<(end: RunEnd) => void>(),
 	}));
@@ -71,7 +72,7 @@
 export function runJob(queue: EventQueue, worker: Worker, job: Job, end: (result: RunEnd) => void): void {
 	job.attempts += 1;
 	job.startedAt ??= queue.now;
-	worker.received += 1;
+	worker.receivedAt.push(queue.now);
 	runModes[worker.mode](queue, worker, job, end);
 }
 
