--- a/packages/decisions/src/tasks/tasks-filter.test.ts
+++ b/packages/decisions/src/tasks/tasks-filter.test.ts
@@ -1,6 +1,6 @@
 import {describe, expect, it} from 'vitest';
 import {
-	defaultTimings, taskPageSchema, type Effect, type EffectOf, type EntryEvent, type RequestResult, type ServiceRequest, type TaskRecord,
+	defaultTimings, storeKeys, taskPageSchema, type Effect, type EffectOf, type EntryEvent, type RequestResult, type ServiceRequest, type TaskRecord,
 } from '@pistachiogauge/model';
 import {applyEvent} from '../apply-event.js';
 import {createRandomSource} from '../context.js';
@@ -28,6 +28,9 @@
 		'send-endpoint': effect => {
 			this.sent.push(effect);
 		},
+		'probe-endpoint': ({instanceId}) => {
+			this.push({kind: 'probe-ended', instanceId, isHealthy: true});
+		},
 		'read-store': effect => {
 			this.#read(effect);
 		},
@@ -63,14 +66,14 @@
 		};
 		this.#state.membership.isActive = true;
 		this.#state.membership.acquired.add(pool);
-		this.#state.fleet.instances.set('w1', {
-			listed: {
+		this.push({kind: 'store-reached'});
+		this.push({kind: 'pool-acquired', pool, isContinuous: false});
+		this.push({
+			kind: 'instances-listed',
+			instances: [{
 				id: 'w1', address: '127.0.0.1:2', zone: 'a', rack: 'r', pool, state: 'live',
-			},
-			record: {pool, moves: 0},
-			recordRevision: 1,
+			}],
 		});
-		this.push({kind: 'pool-acquired', pool, isContinuous: false});
 		this.advance(2000);
 	}
 
@@ -104,7 +107,8 @@
 	}
 
 	get tasks(): TaskRecord[] {
-		return [...this.pages.values()].flatMap(({value}) => taskPageSchema.safeParse(JSON.parse(value)).data?.tasks ?? []);
+		const values = [...this.pages].filter(([key]) => key.startsWith(storeKeys.tasksPrefix)).map(([, page]) => page);
+		return values.flatMap(({value}) => taskPageSchema.safeParse(JSON.parse(value)).data?.tasks ?? []);
 	}
 
 	#run(effect: Effect): void {
