Keep idempotency keys through lost standbys, moves and lost messages

A standby that missed an epoch kept its coverage, and releases that were overtaken freed a later reservation.

Ruled out: fencing by epoch number alone for releases, because one owner can reserve the same key twice in an epoch; reservations carry an identifier.

Change: a full copy of the keys goes to each new standby and to the new owner of a moved pool, in chunks with acknowledgements; requests that only waited go back after the new owner has freed their keys; reservations are repeated and given up before the deadline; coverage follows the owner's clock and unbroken epochs; moved services are covered once every member has applied the bundle; keys and results have bounds.

Conclusion: an owner lost together with its standby still gives unknown, as designed.

--- /dev/null
+++ b/packages/decisions/src/idempotency/takeover-traces.test.ts
@@ -0,0 +1,167 @@
+import {describe, expect, it} from 'vitest';
+import {
+	getRoles, readRecord, settleMs, runKeyTrace, type KeyTrace,
+} from '../testing/key-trace.js';
+
+const traces: readonly KeyTrace[] = [
+	{
+		// Guards against a second run by the standby after the owner was lost with the request at an endpoint.
+		name: 'owner lost while the request runs',
+		run({cluster, ask, run, key}) {
+			const {owner, other} = getRoles(cluster);
+			const sent = key(1);
+			ask(other, 'r1', sent);
+			run(20);
+			cluster.killEntry(owner);
+			run(settleMs);
+			ask(other, 'r2', sent);
+			run(1000);
+		},
+		outcomes: {r1: 'unknown connection-lost', r2: 'unknown connection-lost'},
+		sends: 1,
+	},
+	{
+		// Guards against a lost result: the standby has the copy.
+		name: 'owner lost after the answer',
+		answerMs: 30,
+		run({cluster, ask, run, key}) {
+			const {owner, other} = getRoles(cluster);
+			const sent = key(1);
+			ask(other, 'r1', sent);
+			run(200);
+			cluster.killEntry(owner);
+			run(settleMs);
+			ask(other, 'r2', sent);
+			ask(other, 'r3', sent, {body: 'another'});
+			run(1000);
+		},
+		outcomes: {r1: 'completed', r2: 'completed', r3: 'not-run key-reused'},
+		sends: 1,
+	},
+	{
+		// Guards against a new standby that knows only what was reserved since it was named.
+		name: 'standby lost, then the owner',
+		answerMs: 30,
+		run({cluster, ask, run, key}) {
+			const {owner, standby, other} = getRoles(cluster);
+			const [sent, fresh] = [key(1), key(2)];
+			ask(other, 'r1', sent);
+			run(200);
+			cluster.killEntry(standby);
+			run(settleMs);
+			cluster.killEntry(owner);
+			run(2 * settleMs);
+			const {other: last, owner: next} = getRoles(cluster);
+			ask(last ?? next, 'r2', sent);
+			ask(last ?? next, 'r3', fresh);
+			run(1000);
+		},
+		outcomes: {r1: 'completed', r2: 'completed', r3: 'completed'},
+		sends: 2,
+	},
+	{
+		// Guards against keys that are forgotten when a living owner hands its pool over.
+		name: 'owner shuts down between the request and its repeat',
+		answerMs: 30,
+		run({cluster, ask, run, key}) {
+			const {owner, other} = getRoles(cluster);
+			const [sent, fresh] = [key(1), key(2)];
+			ask(other, 'r1', sent);
+			run(200);
+			cluster.pushEvent(owner, {kind: 'shutdown-requested'});
+			run(settleMs);
+			ask(other, 'r2', sent);
+			ask(other, 'r3', fresh);
+			run(1000);
+		},
+		outcomes: {r1: 'completed', r2: 'completed', r3: 'completed'},
+		sends: 2,
+	},
+	{
+		// Guards against `unknown` for a request that only waited when its pool moved: its key must be released first.
+		name: 'pool moves while a request waits for a slot',
+		answerMs: 1500,
+		run({cluster, ask, run, key}) {
+			const {owner, other} = getRoles(cluster);
+			for (let count = 1; count <= 9; count++) {
+				ask(other, `r${count}`, key(count));
+			}
+
+			run(100);
+			cluster.pushEvent(owner, {kind: 'shutdown-requested'});
+			run(settleMs);
+		},
+		outcomes: {r1: 'completed', r8: 'completed', r9: 'completed'},
+		sends: 9,
+	},
+	{
+		// Guards against a repeat at the new owner that runs again, or is told less than the living former owner will know.
+		name: 'pool moves while a request runs, and the caller repeats it',
+		answerMs: 1500,
+		run({cluster, ask, run, key}) {
+			const {owner, other} = getRoles(cluster);
+			const sent = key(1);
+			ask(other, 'r1', sent);
+			run(100);
+			cluster.pushEvent(owner, {kind: 'shutdown-requested'});
+			run(600);
+			ask(other, 'r2', sent);
+			run(settleMs);
+		},
+		outcomes: {r1: 'completed', r2: 'completed'},
+		sends: 1,
+	},
+	{
+		// Guards against a standby that missed an epoch in which another entry held the copy.
+		name: 'the standby misses the epochs in which another was standby',
+		run({cluster, ask, run, key}) {
+			const {owner, standby} = getRoles(cluster);
+			cluster.entries.get(standby)!.isPaused = true;
+			run(settleMs);
+			const {standby: second} = getRoles(cluster);
+			const sent = key(1, 5500);
+			ask(owner, 'r1', sent);
+			run(100);
+			cluster.wakeEntry(standby);
+			cluster.killEntry(second);
+			run(3000);
+			cluster.killEntry(owner);
+			run(settleMs);
+			const alive = [...cluster.entries.values()].find(entry => !entry.isDead)!;
+			ask(alive.id, 'r2', sent);
+			run(2000);
+		},
+		outcomes: {},
+		sends: 1,
+	},
+	{
+		// Guards against a second run when both copies are lost.
+		name: 'owner and standby lost together',
+		run({cluster, ask, run, key}) {
+			const {owner, standby, other} = getRoles(cluster);
+			const sent = key(1, 4000);
+			ask(other, 'r1', sent);
+			run(20);
+			cluster.killEntry(owner);
+			cluster.killEntry(standby);
+			run(3000);
+			// The majority of four is lost, so an operator has to force the next epoch.
+			cluster.pushEvent(other, {
+				kind: 'operator-called', callId: 'call', operator: 'ada', command: {command: 'membership-force', epoch: readRecord(cluster).epoch},
+			});
+			run(4000);
+			ask(other, 'r2', sent);
+			run(1000);
+		},
+		outcomes: {r1: 'unknown key-not-covered', r2: 'unknown key-not-covered'},
+		sends: 1,
+	},
+];
+
+describe('keys when entries are lost or pools move', () => {
+	it.each(traces)('$name', trace => {
+		expect(runKeyTrace(trace)).toEqual({
+			unexpected: [], sends: trace.sends, sentKeys: trace.sends, handlerFailures: 0,
+		});
+	});
+});
--- /dev/null
+++ b/packages/decisions/src/membership/frozen-ownership.test.ts
@@ -0,0 +1,30 @@
+import {describe, expect, it} from 'vitest';
+import {storeKeys, type EpochRecord} from '@pistachiogauge/model';
+import {
+	pools, readRecord, runChecked, services, settleMs, threeEntries,
+} from '../testing/one-owner.js';
+import {createVirtualCluster} from '../testing/virtual-cluster.js';
+
+describe('ownership frozen without a majority', () => {
+	// Under the rejected rule an owner keeps its pools for as long as it knows no newer epoch. Then the entry that alone
+	// reaches the store takes over, and both act. The record is written here as that rule would write it.
+	it('gives two owners to a pool, which the vouchers prevent', () => {
+		const cluster = createVirtualCluster({entries: threeEntries, services});
+		runChecked(cluster, settleMs);
+		cluster.splitEntries(['a.1'], false);
+		cluster.setStore('b.1', false);
+		cluster.setStore('c.1', false);
+		const former = readRecord(cluster);
+		const taken: EpochRecord = {
+			...former, epoch: 2, members: former.members.filter(member => member.id === 'a.1'), pools: Object.fromEntries(pools.map(pool => [pool, {owner: 'a.1'}])),
+			previousMembers: former.members.map(member => member.id), previousPools: former.pools, proposal: 'frozen', previousProposal: former.proposal,
+		};
+		cluster.pushEvent('a.1', {
+			kind: 'store-changed', key: storeKeys.epoch, revision: 90, value: JSON.stringify(taken),
+		});
+		runChecked(cluster, settleMs);
+		const frozenOwners = [...cluster.entries.values()].flatMap(({id, state}) => pools.filter(pool => state.membership.record?.pools[pool]?.owner === id));
+		expect(frozenOwners.length).toBeGreaterThan(pools.length);
+		expect(pools.map(pool => cluster.listActing(pool))).toEqual(pools.map(pool => [former.pools[pool]!.owner]));
+	});
+});
--- a/packages/decisions/src/membership/membership-traces.test.ts
+++ b/packages/decisions/src/membership/membership-traces.test.ts
@@ -1,32 +1,10 @@
 import {describe, expect, it} from 'vitest';
-import {storeKeys, type EpochRecord} from '@pistachiogauge/model';
+import {storeKeys} from '@pistachiogauge/model';
+import {
+	getOwner, pools, readRecord, runChecked, services, settleMs, threeEntries,
+} from '../testing/one-owner.js';
 import {createVirtualCluster, type VirtualCluster} from '../testing/virtual-cluster.js';
 
-const services = {badge: 'p1', host: 'p2', admin: 'p3'};
-const pools = ['p1', 'p2', 'p3'];
-const three = [{id: 'a.1', zone: 'z1'}, {id: 'b.1', zone: 'z2'}, {id: 'c.1', zone: 'z3'}];
-const settleMs = 6000;
-
-/** Runs the cluster and fails at the first moment at which two entries may act for one pool. */
-function runChecked(cluster: VirtualCluster, durationMs: number): void {
-	cluster.runFor(durationMs, () => {
-		for (const pool of pools) {
-			const acting = cluster.listActing(pool);
-			if (acting.length > 1) {
-				throw new Error(`${pool} has two owners at ${cluster.getNow()}: ${acting.join(', ')}`);
-			}
-		}
-	});
-}
-
-function readRecord(cluster: VirtualCluster): EpochRecord {
-	return JSON.parse(cluster.store.pairs.get(storeKeys.epoch)!.value) as EpochRecord;
-}
-
-function getOwner(cluster: VirtualCluster, pool: string): string {
-	return readRecord(cluster).pools[pool]!.owner;
-}
-
 type Trace = {
 	readonly name: string;
 	readonly run: (cluster: VirtualCluster) => void;
@@ -271,71 +249,9 @@
 	},
 ];
 
-describe('ownership frozen without a majority', () => {
-	// Under the rejected rule an owner keeps its pools for as long as it knows no newer epoch. Then the entry that alone
-	// reaches the store takes over, and both act. The record is written here as that rule would write it.
-	it('gives two owners to a pool, which the vouchers prevent', () => {
-		const cluster = createVirtualCluster({entries: three, services});
-		runChecked(cluster, settleMs);
-		cluster.splitEntries(['a.1'], false);
-		cluster.setStore('b.1', false);
-		cluster.setStore('c.1', false);
-		const former = readRecord(cluster);
-		const taken: EpochRecord = {
-			...former, epoch: 2, members: former.members.filter(member => member.id === 'a.1'), pools: Object.fromEntries(pools.map(pool => [pool, {owner: 'a.1'}])),
-			previousMembers: former.members.map(member => member.id), previousPools: former.pools, proposal: 'frozen', previousProposal: former.proposal,
-		};
-		cluster.pushEvent('a.1', {
-			kind: 'store-changed', key: storeKeys.epoch, revision: 90, value: JSON.stringify(taken),
-		});
-		runChecked(cluster, settleMs);
-		const frozenOwners = [...cluster.entries.values()].flatMap(({id, state}) => pools.filter(pool => state.membership.record?.pools[pool]?.owner === id));
-		expect(frozenOwners.length).toBeGreaterThan(pools.length);
-		expect(pools.map(pool => cluster.listActing(pool))).toEqual(pools.map(pool => [former.pools[pool]!.owner]));
-	});
-});
-
-const forceCases = [
-	// Guards against a forced epoch that skips the protection of a majority which is still there.
-	{
-		name: 'refused while a majority is present', killed: ['c.1'], epoch: 2, status: 409, result: 'refused', isServed: true,
-	},
-	// Guards against two operators who force different epochs.
-	{
-		name: 'refused for another epoch than the one in force', killed: ['b.1', 'c.1'], epoch: 7, status: 409, result: 'refused', isServed: false,
-	},
-	// Guards against a fleet that stays down after two zones are lost for good.
-	{
-		name: 'accepted without a majority', killed: ['b.1', 'c.1'], epoch: 1, status: 200, result: 'done', isServed: true,
-	},
-];
-
-describe('membership-force', () => {
-	it.each(forceCases)('$name', ({killed, epoch, status, result, isServed}) => {
-		const cluster = createVirtualCluster({entries: three, services});
-		runChecked(cluster, settleMs);
-		for (const id of killed) {
-			cluster.killEntry(id);
-		}
-
-		runChecked(cluster, settleMs);
-		cluster.pushEvent('a.1', {
-			kind: 'operator-called', callId: 'call', operator: 'ada', command: {command: 'membership-force', epoch},
-		});
-		runChecked(cluster, 900);
-		const actingEarly = pools.flatMap(pool => cluster.listActing(pool)).filter(id => id === 'a.1').length;
-		expect(isServed || actingEarly === 0).toBe(true);
-		runChecked(cluster, settleMs);
-		expect(cluster.operatorAnswers.map(answer => answer.status)).toEqual([status]);
-		const {audit} = cluster.entries.get('a.1')!.state;
-		expect([...audit.segment, ...audit.unwritten].map(record => [record.action, record.result])).toEqual([['membership-force', result]]);
-		expect(pools.every(pool => cluster.listActing(pool).length === 1)).toBe(isServed);
-	});
-});
-
 describe('traces of membership under failure', () => {
 	it.each(traces)('$name', ({run, expected, isServed}) => {
-		const cluster = createVirtualCluster({entries: three, services});
+		const cluster = createVirtualCluster({entries: threeEntries, services});
 		run(cluster);
 		expected?.(cluster);
 		if (isServed) {
--- a/packages/decisions/src/routing/routing-filter.ts
+++ b/packages/decisions/src/routing/routing-filter.ts
@@ -24,7 +24,9 @@
 		'request-received': handleRequest,
 		'peer-forward'(state, event, context) {
 			const {pool, request} = event.message;
-			if (getPoolPermission(state, pool, context.now) === undefined) {
+			// An owner that runs a service for a pool which the bundle has taken it from would not know the keys of the new pool.
+			const isAssigned = getPool(state, request.service) === pool;
+			if (!isAssigned || getPoolPermission(state, pool, context.now) === undefined) {
 				const epoch = state.membership.record?.epoch ?? 0;
 				return [emitEffect({kind: 'send-peer', to: event.from, message: {kind: 'not-owner', requestId: request.requestId, epoch}})];
 			}
@@ -47,6 +49,11 @@
 		},
 		'request-returned'(state, event) {
 			const {receiver, requestId} = event;
+			if (state.idempotency.returning.has(requestId)) {
+				// Goes back once the new owner has freed the key.
+				return [];
+			}
+
 			if (receiver !== state.config.id) {
 				return [emitEffect({kind: 'send-peer', to: receiver, message: {kind: 'not-owner', requestId, epoch: state.membership.record?.epoch ?? 0}})];
 			}
@@ -131,6 +138,7 @@
 }
 
 function routeRequest(state: EntryState, routed: RoutedRequest, context: DecisionContext): Output[] {
+	routed.pool = getPool(state, routed.request.service) ?? routed.pool;
 	const owner = state.membership.record?.pools[routed.pool]?.owner;
 	const request = {...routed.request, timeLeftMs: routed.deadlineAt - context.now};
 	if (owner === undefined || request.timeLeftMs <= 0) {
@@ -156,6 +164,10 @@
 	return [emitEffect({kind: 'send-peer', to: owner, message: {kind: 'forward', pool: routed.pool, request}})];
 }
 
+function getPool(state: EntryState, service: string): string | undefined {
+	return state.bundle.current?.services[service]?.pool;
+}
+
 /** Sends requests again whose pool has changed hands since they were forwarded. */
 function routeHeldElsewhere(state: EntryState, context: DecisionContext): Output[] {
 	const outputs: Output[] = [];
@@ -193,7 +205,8 @@
 
 	state.routing.requests.delete(requestId);
 	// The new owner's refusal says nothing about an idempotent request's run at the lost one; for a keyed request the new owner has checked the key.
-	const isRefusalUncertain = result.outcome === 'not-run' && routed.mayHaveRun && routed.request.isIdempotent;
+	const isUnproven = routed.request.isIdempotent || result.reason === 'pool-unavailable';
+	const isRefusalUncertain = result.outcome === 'not-run' && routed.mayHaveRun && isUnproven;
 	return [emitEffect({kind: 'respond-caller', requestId, result: isRefusalUncertain ? createUnknownResult('connection-lost') : result})];
 }
 
--- a/packages/decisions/src/routing/routing-state.ts
+++ b/packages/decisions/src/routing/routing-state.ts
@@ -5,7 +5,8 @@
 /** A request of one of this entry's own callers. @public */
 export type RoutedRequest = {
 	readonly request: ServiceRequest;
-	readonly pool: PoolName;
+	/** Pool of the service in the newest bundle. */
+	pool: PoolName;
 	/** Monotonic milliseconds. */
 	readonly deadlineAt: number;
 	/** Entry that has the request now; undefined while no owner is known or reachable. */
--- a/packages/decisions/src/testing/virtual-cluster.ts
+++ b/packages/decisions/src/testing/virtual-cluster.ts
@@ -1,11 +1,12 @@
 import {
-	defaultTimings, storeKeys, type Bundle, type Effect, type EffectKind, type EffectOf, type EntryEvent, type EntryId,
+	defaultTimings, storeKeys, type Effect, type EffectKind, type EffectOf, type EntryEvent, type EntryId,
 	type EntryTimings, type PeerMessage, type RequestResult, type ServiceRequest,
 } from '@pistachiogauge/model';
 import {applyEvent} from '../apply-event.js';
 import {createRandomSource, type DecisionContext} from '../context.js';
 import {createEntryState, type EntryState} from '../entry-state.js';
 import {getPoolPermission} from '../membership/index.js';
+import {createTestBundle} from './test-bundle.js';
 import {createVirtualStore, type StoreEffect, type VirtualStore} from './virtual-store.js';
 
 /** One entry of the cluster. */
@@ -47,22 +48,6 @@
 const storeMs = 2;
 const startWallTime = 1_800_000_000_000;
 
-/** Builds a bundle with one pool for each pool that a service names. */
-export function createTestBundle(version: number, services: Readonly<Record<string, string>>): Bundle {
-	const pools = new Set(Object.values(services));
-	return {
-		schemaVersion: 1,
-		version,
-		pools: Object.fromEntries([...pools].map(pool => [pool, {
-			budget: 1, maintenancePeriodDays: 35, isSpare: false, minInstances: 1, slotsPerInstance: 8,
-		}])),
-		services: Object.fromEntries(Object.entries(services).map(([service, pool]) => [service, {
-			pool, defaultClass: 'normal', shares: {urgent: 0.5, normal: 0.3, deferrable: 0.2}, queueLimit: 1000, notExecutedStatuses: [503], defaultDeadlineMs: 10_000,
-		}])),
-		teams: {},
-	};
-}
-
 /** Creates the cluster; nothing runs before `runFor`. */
 export function createVirtualCluster(options: ClusterOptions) {
 	const store: VirtualStore = createVirtualStore();
@@ -240,8 +225,10 @@
 		const {changes} = store.runCall({
 			kind: 'write-store', operationId: '', key: storeKeys.bundleHead, value, condition: {kind: 'always'}, isLeased: false,
 		});
-		for (const {id} of entries.values()) {
-			pushEvent(id, {kind: 'store-changed', ...changes[0]!});
+		for (const {id, isStoreCut} of entries.values()) {
+			if (!isStoreCut) {
+				pushEvent(id, {kind: 'store-changed', ...changes[0]!});
+			}
 		}
 	}
 
--- a/packages/model/src/messages.ts
+++ b/packages/model/src/messages.ts
@@ -47,6 +47,10 @@
 	key: z.string(),
 	/** SHA-256 of method, path and body, hex. */
 	fingerprint: z.string(),
+	/** Identifies this reservation; a release that was overtaken must not free a later one. */
+	reservation: z.string(),
+	/** Owner's Unix time in milliseconds. */
+	ownerTime: z.number(),
 });
 
 const keyReservedSchema = z.object({
@@ -54,6 +58,20 @@
 	epoch: z.number().int().positive(),
 	pool: z.string(),
 	key: z.string(),
+	reservation: z.string(),
+	/** Set when the standby knows the key from a former owner, so that it may have run. */
+	isKnown: z.boolean().optional(),
+	/** Set while the standby has no full copy of the owner's keys. */
+	isCopyMissing: z.boolean().optional(),
+});
+
+const keysReceivedSchema = z.object({
+	kind: z.literal('keys-received'),
+	epoch: z.number().int().positive(),
+	pool: z.string(),
+	transfer: z.number().int(),
+	/** Position of the chunk that has arrived. */
+	index: z.number().int().nonnegative(),
 });
 
 const operatorForwardSchema = z.object({
@@ -80,6 +98,7 @@
 	cancelSchema,
 	keyReserveSchema,
 	keyReservedSchema,
+	keysReceivedSchema,
 	operatorForwardSchema,
 	operatorResultSchema,
 ]);
@@ -113,11 +132,44 @@
 	readonly kind: 'key-settled';
 	readonly pool: string;
 	readonly key: string;
+	readonly reservation: string;
 	/** Absent when the key was released because nothing ran. */
 	readonly result?: RequestResult;
 };
 
+/** One key as it is copied to another entry. @public */
+export type CopiedKey = {
+	readonly key: string;
+	readonly fingerprint: string;
+	readonly reservation: string;
+	/** Absent while the key may be running. */
+	readonly result?: RequestResult;
+};
+
+/** Time since which a service has belonged to its pool at every entry. @public */
+export type ServiceCoverage = {
+	readonly service: string;
+	/** Unix time in milliseconds. */
+	readonly since: number;
+};
+
+/** One chunk of a pool's keys, from an owner to its standby or to the next owner. @public */
+export type KeysCopiedMessage = {
+	readonly kind: 'keys-copied';
+	readonly epoch: number;
+	readonly pool: string;
+	readonly transfer: number;
+	readonly index: number;
+	readonly isLast: boolean;
+	/** Whether the sender has lost the pool, so that keys missing here were released. */
+	readonly isHandover: boolean;
+	/** Unix time in milliseconds; minus infinity when every key is known. */
+	readonly coverageSince: number;
+	readonly services: readonly ServiceCoverage[];
+	readonly keys: readonly CopiedKey[];
+};
+
 /** Messages between entries. @public */
-export type PeerMessage = ControlMessage | ForwardMessage | ResultMessage | NotOwnerMessage | KeySettledMessage;
+export type PeerMessage = ControlMessage | ForwardMessage | ResultMessage | NotOwnerMessage | KeySettledMessage | KeysCopiedMessage;
 /** @public */
 export type PeerMessageKind = PeerMessage['kind'];
--- a/packages/peer/src/frame-codec.ts
+++ b/packages/peer/src/frame-codec.ts
@@ -26,7 +26,19 @@
 	forward: ({pool, request}) => ({case: 'forward', value: {pool, request: encodeRequest(request)}}),
 	result: ({requestId, result}) => ({case: 'result', value: {requestId, answer: encodeAnswer(result)}}),
 	'not-owner': ({requestId, epoch}) => ({case: 'notOwner', value: {requestId, epoch}}),
-	'key-settled': ({pool, key, result}) => ({case: 'keySettled', value: {pool, key, answer: result === undefined ? undefined : encodeAnswer(result)}}),
+	'key-settled': ({pool, key, reservation, result}) => ({
+		case: 'keySettled', value: {
+			pool, key, reservation, answer: encodeOptional(result),
+		},
+	}),
+	'keys-copied': ({kind: _kind, services, keys, ...rest}) => ({
+		case: 'keysCopied',
+		value: {
+			...rest,
+			services: services.map(({service, since}) => ({service, since})),
+			keys: keys.map(({result, ...key}) => ({...key, answer: encodeOptional(result)})),
+		},
+	}),
 };
 
 const bodyDecoders: BodyDecoders = {
@@ -34,8 +46,22 @@
 	forward: ({pool, request}) => ({kind: 'forward', pool, request: decodeRequest(request)}),
 	result: ({requestId, answer}) => ({kind: 'result', requestId, result: decodeAnswer(answer)}),
 	notOwner: ({requestId, epoch}) => ({kind: 'not-owner', requestId, epoch}),
-	keySettled: ({pool, key, answer}) => ({
-		kind: 'key-settled', pool, key, result: answer === undefined ? undefined : decodeAnswer(answer),
+	keySettled: ({pool, key, reservation, answer}) => ({
+		kind: 'key-settled', pool, key, reservation, result: decodeOptional(answer),
+	}),
+	keysCopied: ({epoch, pool, transfer, index, isLast, isHandover, coverageSince, services, keys}) => ({
+		kind: 'keys-copied',
+		epoch,
+		pool,
+		transfer,
+		index,
+		isLast,
+		isHandover,
+		coverageSince,
+		services: services.map(({service, since}) => ({service, since})),
+		keys: keys.map(({key, fingerprint, reservation, answer}) => ({
+			key, fingerprint, reservation, result: decodeOptional(answer),
+		})),
 	}),
 };
 
@@ -109,6 +135,14 @@
 	};
 }
 
+function encodeOptional(result: RequestResult | undefined): MessageInitShape<typeof AnswerSchema> | undefined {
+	return result === undefined ? undefined : encodeAnswer(result);
+}
+
+function decodeOptional(answer: Answer | undefined): RequestResult | undefined {
+	return answer === undefined ? undefined : decodeAnswer(answer);
+}
+
 function encodeHeaders(headers: HeaderList): Array<{name: string; value: string}> {
 	return headers.map(([name, value]) => ({name, value}));
 }
