--- a/packages/bench/src/checks/stop-checks.ts
+++ b/packages/bench/src/checks/stop-checks.ts
@@ -99,7 +99,16 @@
 export const gracefulStopCheck: Check = {
 	name: 'graceful-stop',
 	createHandlers(callers) {
+		/** A process cannot wait for a request that it has not read yet. */
+		const read = new Set<string>();
 		return {
+			'entry-stepped'(_world, {event}) {
+				if (event.kind === 'request-received') {
+					read.add(event.request.requestId);
+				}
+
+				return undefined;
+			},
 			'instance-rebooted': (_world, {instanceId, busyCount}) => busyCount > 0
 				? `${instanceId} was rebooted while it ran ${busyCount} requests`
 				: undefined,
@@ -108,7 +117,7 @@
 					return undefined;
 				}
 
-				const waiting = callers.requests.find(sent => sent.entry === entry && sent.result === undefined && !sent.isGone);
+				const waiting = callers.requests.find(sent => sent.entry === entry && sent.result === undefined && !sent.isGone && read.has(sent.request.requestId));
 				if (waiting !== undefined) {
 					return `${entry.id} stopped before it answered ${waiting.request.requestId}`;
 				}
--- /dev/null
+++ b/packages/bench/src/scenario/operator-commands.ts
@@ -0,0 +1,44 @@
+import {type OperatorCommand} from '@pistachiogauge/model';
+import {
+	getCluster, getEntry, type Command, type LineArguments, type ScenarioRun,
+} from './command.js';
+import {type Parameter} from './parameters.js';
+
+const callOptions = {at: {kind: 'entry'}, by: {kind: 'text', isOptional: true}} as const;
+
+function createCallCommand(
+	name: string,
+	words: Readonly<Record<string, Parameter>>,
+	options: Readonly<Record<string, Parameter>>,
+	createCall: (values: LineArguments, scenario: ScenarioRun) => OperatorCommand,
+): Command {
+	return {
+		name,
+		phase: 'run',
+		words: {call: {kind: 'new-call'}, ...words},
+		options: {...options, ...callOptions},
+		run(scenario, values) {
+			const entry = getEntry(scenario, values.getText('at'));
+			const command = createCall(values, scenario);
+			scenario.calls.set(values.getText('call'), getCluster(scenario).callOperator(entry, command, values.getText('by', 'ayse')));
+			return undefined;
+		},
+	};
+}
+
+/** Operators' calls; each line names its call, so that an expectation can look at the answer. */
+export const operatorCommands: readonly Command[] = [
+	createCallCommand('bundle', {version: {kind: 'count'}}, {}, (values, scenario) => ({
+		command: 'bundle-apply',
+		bundle: getCluster(scenario).world.bundles.createBundle(values.getNumber('version'), values.getText('by', 'ayse')),
+		nonce: values.getText('call'),
+	})),
+	createCallCommand('drain', {instance: {kind: 'instance'}}, {pool: {kind: 'pool'}}, values => ({command: 'drain', pool: values.getText('pool'), instance: values.getText('instance')})),
+	createCallCommand('undrain', {instance: {kind: 'instance'}}, {pool: {kind: 'pool'}}, values => ({command: 'undrain', pool: values.getText('pool'), instance: values.getText('instance')})),
+	createCallCommand('move', {instance: {kind: 'instance'}}, {pool: {kind: 'pool'}, to: {kind: 'pool'}}, values => ({
+		command: 'move', pool: values.getText('pool'), instance: values.getText('instance'), targetPool: values.getText('to'),
+	})),
+	createCallCommand('wave', {pool: {kind: 'pool'}}, {}, values => ({command: 'wave-start', pool: values.getText('pool')})),
+	createCallCommand('wave-pause', {pool: {kind: 'pool'}}, {}, values => ({command: 'wave-pause', pool: values.getText('pool')})),
+	createCallCommand('force', {epoch: {kind: 'count'}}, {}, values => ({command: 'membership-force', epoch: values.getNumber('epoch')})),
+];
--- /dev/null
+++ b/packages/bench/src/scenario/run-commands.ts
@@ -0,0 +1,108 @@
+import {type RequestClass} from '@pistachiogauge/model';
+import {type VirtualCluster} from '../virtual/virtual-cluster.js';
+import {type CallerPlan} from '../virtual/virtual-callers.js';
+import {type VirtualEntry} from '../virtual/world.js';
+import {
+	getCluster, getEntry, type Command, type LineArguments, type ScenarioRun,
+} from './command.js';
+import {type Parameter} from './parameters.js';
+
+const classParameter: Parameter = {kind: 'choice', choices: ['urgent', 'normal', 'deferrable'], isOptional: true};
+const defaultDeadlineMs = 5000;
+
+/** Commands of callers and of time. */
+export const callerCommands: readonly Command[] = [
+	{
+		name: 'run',
+		phase: 'run',
+		words: {duration: {kind: 'milliseconds'}},
+		options: {},
+		run(scenario, values) {
+			getCluster(scenario).run(values.getNumber('duration'));
+			return undefined;
+		},
+	},
+	{
+		name: 'send',
+		phase: 'run',
+		words: {name: {kind: 'new-request'}, service: {kind: 'service'}},
+		options: {
+			at: {kind: 'entry'},
+			class: classParameter,
+			method: {kind: 'choice', choices: ['GET', 'POST'], isOptional: true},
+			deadline: {kind: 'milliseconds', isOptional: true},
+			'run-ms': {kind: 'milliseconds', isOptional: true},
+			key: {kind: 'text', isOptional: true},
+			body: {kind: 'text', isOptional: true},
+			team: {kind: 'text', isOptional: true},
+			count: {kind: 'count', isOptional: true},
+			every: {kind: 'milliseconds', isOptional: true},
+		},
+		run(scenario, values) {
+			sendRequests(scenario, values);
+			return undefined;
+		},
+	},
+	{
+		name: 'repeat',
+		phase: 'run',
+		words: {request: {kind: 'request'}, name: {kind: 'new-request'}},
+		options: {at: {kind: 'entry'}, body: {kind: 'text', isOptional: true}},
+		run(scenario, values) {
+			const entry = getEntry(scenario, values.getText('at'));
+			const sent = scenario.requests.get(values.getText('request')) ?? [];
+			scenario.requests.set(values.getText('name'), sent.map(({plan, request}) => getCluster(scenario).callers.send(entry, {
+				...plan, key: request.key, body: values.get('body') ?? Buffer.from(request.body).toString(),
+			})));
+			return undefined;
+		},
+	},
+	{
+		name: 'hang-up',
+		phase: 'run',
+		words: {request: {kind: 'request'}},
+		options: {},
+		run(scenario, values) {
+			for (const sent of scenario.requests.get(values.getText('request')) ?? []) {
+				getCluster(scenario).callers.hangUp(sent);
+			}
+
+			return undefined;
+		},
+	},
+];
+
+function sendRequests(scenario: ScenarioRun, values: LineArguments): void {
+	const cluster = getCluster(scenario);
+	const entry = getEntry(scenario, values.getText('at'));
+	const group: Array<ReturnType<VirtualCluster['callers']['send']>> = [];
+	scenario.requests.set(values.getText('name'), group);
+	const plan: CallerPlan = {
+		service: values.getText('service'),
+		requestClass: values.getText('class', 'normal') as RequestClass,
+		isIdempotent: values.getText('method', 'POST') === 'GET',
+		deadlineMs: values.getNumber('deadline', defaultDeadlineMs),
+		runMs: values.get('run-ms') === undefined ? undefined : values.getNumber('run-ms'),
+		key: values.get('key'),
+		body: values.get('body'),
+		team: values.get('team'),
+	};
+	for (let index = 0; index < values.getNumber('count', 1); index++) {
+		sendLater(cluster, index * values.getNumber('every'), entry, () => {
+			group.push(cluster.callers.send(entry, plan));
+		});
+	}
+}
+
+function sendLater({world}: VirtualCluster, delayMs: number, entry: VirtualEntry, send: () => void): void {
+	if (delayMs === 0) {
+		send();
+		return;
+	}
+
+	world.queue.add(delayMs, () => {
+		if (entry.isAlive) {
+			send();
+		}
+	});
+}
--- a/packages/bench/src/virtual/virtual-store.ts
+++ b/packages/bench/src/virtual/virtual-store.ts
@@ -48,7 +48,7 @@
 		return (conditions.storeDelayMs * getBetween(random, 0.5, 1.5)) + 0.5;
 	}
 
-	function setKey(key: string, stored: Stored | undefined): void {
+	function setKey(key: string, stored: Stored | undefined, cause: 'entry' | 'lease' | 'restore' = 'entry'): void {
 		if (stored === undefined) {
 			data.delete(key);
 		} else {
@@ -56,7 +56,9 @@
 		}
 
 		world.trace.addLine(`${queue.now.toFixed(2)} store ${key} ${stored === undefined ? 'deleted' : `revision ${stored.revision}`}`);
-		world.observe({kind: 'store-written', key, value: stored?.value});
+		world.observe({
+			kind: 'store-written', key, value: stored?.value, cause,
+		});
 		if (key.startsWith(storeKeys.auditPrefix)) {
 			return;
 		}
@@ -208,7 +210,7 @@
 		for (const [key, stored] of data) {
 			if (stored.leaseOf === entryId) {
 				revision += 1;
-				setKey(key, undefined);
+				setKey(key, undefined, 'lease');
 			}
 		}
 	}
@@ -265,12 +267,12 @@
 			}
 
 			for (const key of [...data.keys()].filter(name => !older.has(name))) {
-				setKey(key, undefined);
+				setKey(key, undefined, 'restore');
 			}
 
 			for (const [key, stored] of older) {
 				if (data.get(key) !== stored) {
-					setKey(key, stored);
+					setKey(key, stored, 'restore');
 				}
 			}
 		},
--- a/packages/bench/src/virtual/world.ts
+++ b/packages/bench/src/virtual/world.ts
@@ -38,7 +38,7 @@
 	| {readonly kind: 'slots-overrun'; readonly instanceId: string}
 	| {readonly kind: 'connection-opened'; readonly instanceId: string; readonly openCount: number}
 	| {readonly kind: 'caller-answered'; readonly entry: VirtualEntry; readonly requestId: string; readonly result: RequestResult}
-	| {readonly kind: 'store-written'; readonly key: string; readonly value: string | undefined}
+	| {readonly kind: 'store-written'; readonly key: string; readonly value: string | undefined; readonly cause: 'entry' | 'lease' | 'restore'}
 	| {readonly kind: 'instance-rebooted'; readonly instanceId: string; readonly busyCount: number}
 	| {readonly kind: 'entry-stopped'; readonly entry: VirtualEntry; readonly exitCode: number}
 	/** Comes every 250 ms of virtual time. */
