--- a/packages/bench/src/checks/pool-checks.ts
+++ b/packages/bench/src/checks/pool-checks.ts
@@ -27,21 +27,30 @@
 /**
 Work goes to an instance only for the pool that its record names.
 
-A restore of the store can take the record away; the instance then stays in the pool that it last worked for.
+A restore of the store can take the record away; the instance then stays in the pool that the record named.
 */
 export const onePoolCheck: Check = {
 	name: 'one-pool',
 	createHandlers() {
-		const lastPools = new Map<string, string>();
+		const knownPools = new Map<string, string>();
 		return {
 			'attempt-written'(world, {entry, request, instanceId, pool}) {
-				const recorded = readInstancePool(world.store.entries, instanceId) ?? lastPools.get(instanceId);
-				lastPools.set(instanceId, pool);
+				const recorded = readInstancePool(world.store.entries, instanceId) ?? knownPools.get(instanceId);
 				return recorded === pool ? undefined : `${entry.id} sent ${request.requestId} for ${pool} to ${instanceId}, which is recorded in ${recorded ?? 'no pool'}`;
 			},
-			'store-written': (_world, {key, value, cause}) => key.startsWith(storeKeys.instancesPrefix) && value === undefined && cause !== 'restore'
-				? `the record ${key} was deleted`
-				: undefined,
+			'store-written'(world, {key, value, cause}) {
+				if (!key.startsWith(storeKeys.instancesPrefix)) {
+					return undefined;
+				}
+
+				const instanceId = key.slice(storeKeys.instancesPrefix.length);
+				if (value === undefined) {
+					return cause === 'restore' ? undefined : `the record ${key} was deleted`;
+				}
+
+				knownPools.set(instanceId, readInstancePool(world.store.entries, instanceId) ?? '');
+				return undefined;
+			},
 		};
 	},
 };
--- a/packages/bench/src/virtual/virtual-callers.ts
+++ b/packages/bench/src/virtual/virtual-callers.ts
@@ -58,6 +58,7 @@
 				path: '/print',
 				headers: plan.runMs === undefined ? [] : [['x-run-ms', String(plan.runMs)]],
 				body: encoder.encode(plan.body ?? `job-${number}`),
+				mode: 'direct',
 				requestClass: plan.requestClass,
 				team: plan.team ?? 'desk',
 				isIdempotent: plan.isIdempotent,
--- a/packages/decisions/src/tasks/tasks-filter.test.ts
+++ b/packages/decisions/src/tasks/tasks-filter.test.ts
@@ -69,6 +69,9 @@
 			},
 			record: {pool, moves: 0},
 			recordRevision: 1,
+			wasLeaving: false,
+			unlistedAt: undefined,
+			nextWriteAt: 0,
 		});
 		this.push({kind: 'pool-acquired', pool, isContinuous: false});
 		this.advance(2000);
