--- a/packages/bench/src/virtual/virtual-entry.ts
+++ b/packages/bench/src/virtual/virtual-entry.ts
@@ -54,8 +54,10 @@
 	observe() {
 		// Quantiles are of no use to a run.
 	},
-	log() {
-		// The trace already has the event.
+	log(world, entry, {message, fields}) {
+		if (message === 'invariant broken') {
+			world.breach ??= {invariant: String(fields.invariant), message: `${entry.id}: ${String(fields.detail)}`, at: world.queue.now};
+		}
 	},
 	'handler-failed'(world, entry, {filter, eventKind, error}) {
 		world.breach ??= {
--- a/packages/decisions/src/apply-event.ts
+++ b/packages/decisions/src/apply-event.ts
@@ -9,6 +9,7 @@
 import {fleetFilter} from './fleet/index.js';
 import {healthFilter} from './health/index.js';
 import {idempotencyFilter} from './idempotency/index.js';
+import {invariantsFilter} from './invariants/index.js';
 import {membershipFilter} from './membership/index.js';
 import {replyFilter} from './reply/index.js';
 import {retryFilter} from './retry/index.js';
@@ -29,6 +30,7 @@
 	retryFilter,
 	replyFilter,
 	auditFilter,
+	invariantsFilter,
 ];
 
 /**
--- a/packages/decisions/src/entry-state.ts
+++ b/packages/decisions/src/entry-state.ts
@@ -6,6 +6,7 @@
 import {createFleetState, type FleetState} from './fleet/index.js';
 import {createHealthState, type HealthState} from './health/index.js';
 import {createIdempotencyState, type IdempotencyState} from './idempotency/index.js';
+import {createInvariantsState, type InvariantsState} from './invariants/index.js';
 import {createMembershipState, type MembershipState} from './membership/index.js';
 import {createReplyState, type ReplyState} from './reply/index.js';
 import {createRetryState, type RetryState} from './retry/index.js';
@@ -31,6 +32,7 @@
 	readonly retry: RetryState;
 	readonly reply: ReplyState;
 	readonly audit: AuditState;
+	readonly invariants: InvariantsState;
 };
 
 /** Creates the state of an entry that has just started. @public */
@@ -49,5 +51,6 @@
 		retry: createRetryState(),
 		reply: createReplyState(),
 		audit: createAuditState(),
+		invariants: createInvariantsState(),
 	};
 }
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -19,4 +19,5 @@
 export * from './retry/index.js';
 export * from './reply/index.js';
 export * from './audit/index.js';
+export * from './invariants/index.js';
 export * from './results.js';
