--- a/packages/bench/src/soak/soak-arguments.ts
+++ b/packages/bench/src/soak/soak-arguments.ts
@@ -77,7 +77,7 @@
 
 function parseFaults(text: string, problems: string[]): readonly Fault[] {
 	if (text === 'all') {
-		return allFaults;
+		return allFaults.filter(fault => fault.isOptIn !== true);
 	}
 
 	if (text === 'none') {
