Plan stops, moves and maintenance waves from the pool record

Cause: pools had a fence but no permits; an operator could not drain, move or maintain an instance. Ruled out: one write for each step and each caller. A single undecided write for a pool, read back before anything else is decided, makes lost answers and late writes harmless, since both use the same revision as condition. Change: permits, stages, waves and operators' calls are decided from one view of the pool and written together. A permit excludes the instance from sending from the moment its write is decided. Takeover reads the instance records after the fence, and waits for the largest deadline of the pool's services before a stop. Calls for other pools go to their owner once. Automatic moves ask the spare pool for an instance on lasting load only.

--- a/packages/decisions/src/fleet/fleet-filter.ts
+++ b/packages/decisions/src/fleet/fleet-filter.ts
@@ -1,41 +1,48 @@
-import {
-	instanceRecordSchema, poolRecordSchema, storeKeys, type InstanceId, type PoolName, type PoolRecord, type StoreEntry, type StoreResult,
-} from '@pistachiogauge/model';
-import {emitEffect, type Filter, type Output} from '../chain.js';
+import {type EventOf, type PoolName} from '@pistachiogauge/model';
+import {type Filter, type Output} from '../chain.js';
 import {type DecisionContext} from '../context.js';
 import {type EntryState} from '../entry-state.js';
-import {parseJson} from '../parse-json.js';
-import {type FleetInstance} from './fleet-state.js';
+import {advancePool} from './advance-pool.js';
+import {balancePool} from './automatic-moves.js';
+import {type FleetOperation} from './fleet-state.js';
+import {
+	instancesOperation, readInstanceRecords, updateInstanceRecord, updateList, updateRecords,
+} from './instance-record.js';
+import {
+	acquirePool, finishFence, openPool, retryFence, writeFence,
+} from './pool-fence.js';
+import {
+	refuseCall, retryWrite, settleRead, settleWrite,
+} from './pool-write.js';
+import {
+	probeInstances, recordAnswer, recordProbe, recordReboot,
+} from './probes.js';
+import {routeCall} from './route-call.js';
+
+const serverErrorStatus = 500;
 
-const instancesOperation = 'fleet:instances';
-const fenceReadPrefix = 'fleet:fence-read:';
-const fenceWritePrefix = 'fleet:fence-write:';
-const retryPauseMs = 500;
+type OperationHandler = (state: EntryState, pool: PoolName, answer: EventOf<'store-answered'>, context: DecisionContext) => Output[];
+
+const operationHandlers: Readonly<Record<FleetOperation['kind'], OperationHandler>> = {
+	'fence-read': writeFence,
+	'fence-write': finishFence,
+	'fence-instances': openPool,
+	'record-write': settleWrite,
+	'record-read': settleRead,
+};
 
 /**
-Keeps the pools that this entry owns: their record in the store, their instances and who of them may get work.
+Keeps the pools that this entry owns: their record in the store, their instances and who of them may get work, and every planned stop.
 
 @public
 */
 export const fleetFilter: Filter = {
 	name: 'fleet',
 	handlers: {
-		'store-reached': () => [emitEffect({
-			kind: 'read-store', operationId: instancesOperation, key: storeKeys.instancesPrefix, isPrefix: true,
-		})],
-		'instances-listed'(state, event) {
-			const listedIds = new Set(event.instances.map(instance => instance.id));
-			for (const [id, instance] of state.fleet.instances) {
-				if (!listedIds.has(id)) {
-					instance.listed = undefined;
-				}
-			}
-
-			for (const listed of event.instances) {
-				getInstance(state, listed.id).listed = listed;
-			}
-
-			return admitNewInstances(state);
+		'store-reached': () => [readInstanceRecords()],
+		'instances-listed'(state, event, context) {
+			updateList(state, event.instances, context);
+			return updateRecords(state, context);
 		},
 		'store-changed'(state, event) {
 			updateInstanceRecord(state, event);
@@ -47,33 +54,33 @@
 					updateInstanceRecord(state, entry);
 				}
 
-				return admitNewInstances(state);
+				return updateRecords(state, context);
 			}
 
-			if (event.operationId.startsWith(fenceReadPrefix)) {
-				return writeFence(state, event.operationId.slice(fenceReadPrefix.length), event, context);
+			return settleOperation(state, event, context);
+		},
+		'pool-acquired': (state, event, context) => acquirePool(state, event.pool, context),
+		'pool-lost': (state, event) => releasePool(state, event.pool),
+		'probe-ended'(state, event) {
+			recordProbe(state, event);
+			return [];
+		},
+		'endpoint-answered'(state, event) {
+			if (event.status < serverErrorStatus) {
+				recordAnswer(state, event.attemptId);
 			}
 
-			return event.operationId.startsWith(fenceWritePrefix)
-				? finishFence(state, event.operationId.slice(fenceWritePrefix.length), event, context)
-				: [];
-		},
-		'pool-acquired'(state, event) {
-			state.fleet.owned.set(event.pool, {
-				record: undefined, revision: 0, isFenced: false, pendingOperation: undefined, nextTryAt: 0,
-			});
-			return [...readFence(state, event.pool), ...admitNewInstances(state)];
+			return [];
 		},
-		'pool-lost'(state, event) {
-			state.fleet.owned.delete(event.pool);
+		'reboot-ended'(state, event, context) {
+			recordReboot(state, event, context);
 			return [];
 		},
+		'operator-called': routeCall,
 		tick(state, _event, context) {
 			const outputs: Output[] = [];
 			for (const [pool, owned] of state.fleet.owned) {
-				if (!owned.isFenced && owned.pendingOperation === undefined && context.now >= owned.nextTryAt) {
-					outputs.push(...readFence(state, pool));
-				}
+				outputs.push(...(owned.isFenced ? runPool(state, pool, context) : retryFence(state, pool, context)));
 			}
 
 			return outputs;
@@ -81,113 +88,36 @@
 	},
 };
 
-type StoreAnswer = {
-	readonly result: StoreResult;
-	readonly entries: readonly StoreEntry[];
-};
-
-function getInstance(state: EntryState, id: InstanceId): FleetInstance {
-	const known = state.fleet.instances.get(id);
-	if (known !== undefined) {
-		return known;
-	}
-
-	const created: FleetInstance = {listed: undefined, record: undefined, recordRevision: 0};
-	state.fleet.instances.set(id, created);
-	return created;
+function runPool(state: EntryState, pool: PoolName, context: DecisionContext): Output[] {
+	return [
+		...probeInstances(state, pool, context),
+		...retryWrite(state, pool, context),
+		...advancePool(state, pool, context),
+		...balancePool(state, pool, context),
+	];
 }
 
-function updateInstanceRecord(state: EntryState, entry: {readonly key: string; readonly value?: string; readonly revision: number}): void {
-	if (!entry.key.startsWith(storeKeys.instancesPrefix) || entry.value === undefined) {
-		return;
-	}
-
-	const record = instanceRecordSchema.safeParse(parseJson(entry.value));
-	const instance = getInstance(state, entry.key.slice(storeKeys.instancesPrefix.length));
-	// Watches can deliver late; an older revision must not undo a move.
-	if (record.success && entry.revision > instance.recordRevision) {
-		instance.record = record.data;
-		instance.recordRevision = entry.revision;
-	}
-}
-
-/** Writes the first record of instances that were delivered for a pool of this owner. Only the first writer succeeds. */
-function admitNewInstances(state: EntryState): Output[] {
-	const outputs: Output[] = [];
-	for (const [id, {listed, record}] of state.fleet.instances) {
-		if (listed === undefined || record !== undefined || !state.fleet.owned.has(listed.pool)) {
-			continue;
-		}
-
-		outputs.push(
-			emitEffect({
-				kind: 'write-store', operationId: `fleet:admit:${id}`, key: `${storeKeys.instancesPrefix}${id}`, value: JSON.stringify({pool: listed.pool, moves: 0}), condition: {kind: 'absent'}, isLeased: false,
-			}),
-			emitEffect({
-				kind: 'read-store', operationId: instancesOperation, key: storeKeys.instancesPrefix, isPrefix: true,
-			}),
-		);
-	}
-
-	return outputs;
-}
-
-function readFence(state: EntryState, pool: PoolName): Output[] {
-	const operationId = `${fenceReadPrefix}${pool}`;
-	state.fleet.owned.get(pool)!.pendingOperation = operationId;
-	return [emitEffect({
-		kind: 'read-store', operationId, key: `${storeKeys.poolsPrefix}${pool}`, isPrefix: false,
-	})];
-}
-
-function writeFence(state: EntryState, pool: PoolName, answer: StoreAnswer, context: DecisionContext): Output[] {
-	const owned = state.fleet.owned.get(pool);
-	if (owned === undefined || owned.isFenced) {
-		return [];
-	}
-
-	owned.pendingOperation = undefined;
-	owned.nextTryAt = context.now + retryPauseMs;
-	if (answer.result !== 'applied') {
+/** Hands an answer of the store to its pool; answers that the pool no longer waits for are dropped. */
+function settleOperation(state: EntryState, event: EventOf<'store-answered'>, context: DecisionContext): Output[] {
+	const {operations, owned} = state.fleet;
+	const operation = operations.get(event.operationId);
+	operations.delete(event.operationId);
+	const pool = operation === undefined ? undefined : owned.get(operation.pool);
+	if (operation === undefined || pool?.pendingOperation !== event.operationId) {
 		return [];
 	}
 
-	const [entry] = answer.entries;
-	const former = entry === undefined ? undefined : poolRecordSchema.safeParse(parseJson(entry.value)).data;
-	const record: PoolRecord = {
-		permits: {},
-		maintained: {},
-		...former,
-		ownerEpoch: state.membership.record!.epoch,
-		owner: state.config.id,
-	};
-	owned.record = record;
-	owned.pendingOperation = `${fenceWritePrefix}${pool}`;
-	return [emitEffect({
-		kind: 'write-store',
-		operationId: owned.pendingOperation,
-		key: `${storeKeys.poolsPrefix}${pool}`,
-		value: JSON.stringify(record),
-		condition: entry === undefined ? {kind: 'absent'} : {kind: 'unchanged', revision: entry.revision},
-		isLeased: false,
-	})];
+	pool.pendingOperation = undefined;
+	return operationHandlers[operation.kind](state, operation.pool, event, context);
 }
 
-function finishFence(state: EntryState, pool: PoolName, answer: StoreAnswer, context: DecisionContext): Output[] {
+/** Ends the work for a pool that has a new owner; the new one goes on from the pool's record. */
+function releasePool(state: EntryState, pool: PoolName): Output[] {
 	const owned = state.fleet.owned.get(pool);
-	if (owned === undefined || owned.isFenced) {
-		return [];
-	}
-
-	owned.pendingOperation = undefined;
-	owned.nextTryAt = context.now + retryPauseMs;
-	if (answer.result !== 'applied') {
-		return [];
-	}
-
-	owned.isFenced = true;
-	owned.revision = answer.entries[0]?.revision ?? 0;
-	return [emitEffect({
-		kind: 'log', level: 'info', message: 'pool taken over', fields: {pool, epoch: owned.record!.ownerEpoch},
-	})];
+	state.fleet.owned.delete(pool);
+	const written = owned?.pendingWrite?.hasAnswered === false ? owned.pendingWrite.calls.map(({call}) => call) : [];
+	return [
+		...written.flatMap(call => refuseCall(call, 504, 'the pool has a new owner; whether the change was made shows in its status')),
+		...(owned?.calls ?? []).flatMap(call => refuseCall(call, 503, 'the pool has a new owner; nothing was done, try again')),
+	];
 }
--- /dev/null
+++ b/packages/decisions/src/fleet/fleet-rig.test-support.ts
@@ -0,0 +1,214 @@
+import {
+	defaultTimings, storeKeys, type Bundle, type Effect, type EffectOf, type EntryEvent, type EventOf, type ListedInstance, type OperatorCommand, type PoolRecord, type PoolWork,
+} from '@pistachiogauge/model';
+import {runChain, type Filter} from '../chain.js';
+import {createRandomSource} from '../context.js';
+import {createEntryState, type EntryState} from '../entry-state.js';
+import {fleetFilter} from './fleet-filter.js';
+import {getServingInstances} from './fleet-state.js';
+
+const pools = ['p', 'q'];
+const bundle: Bundle = {
+	schemaVersion: 1,
+	version: 1,
+	pools: Object.fromEntries(pools.map(pool => [pool, {
+		budget: 1, maintenancePeriodDays: 35, isSpare: pool === 'q', minInstances: 1, slotsPerInstance: 8,
+	}])),
+	services: {},
+	teams: {},
+};
+
+/** What goes wrong with writes. */
+export type StoreFault = 'none' | 'answer-lost' | 'write-lost' | 'out';
+
+export type Entry = {
+	readonly id: string;
+	readonly state: EntryState;
+	readonly answers: Array<EventOf<'operator-answered'>>;
+	readonly changes: Array<EventOf<'change-made'>>;
+};
+
+/** Entries that share a store and a platform, driven in virtual time. */
+export class Rig {
+	now = 0;
+	fault: StoreFault = 'none';
+	/** Writes that the store has not seen yet, as sent. */
+	readonly held: Array<EffectOf<'write-store'>> = [];
+	isHolding = false;
+	readonly pairs = new Map<string, {value: string; revision: number}>();
+	readonly down = new Set<string>();
+	readonly reboots: string[] = [];
+	readonly entries: Entry[] = [];
+	listed: ListedInstance[] = [];
+	#revision = 0;
+	#calls = 0;
+
+	addInstances(pool: string, count: number): void {
+		for (let index = 1; index <= count; index++) {
+			this.listed.push({
+				id: `${pool}${index}`, address: '127.0.0.1:1', zone: 'z', rack: 'r', pool, state: 'live',
+			});
+		}
+	}
+
+	addEntry(id: string, epoch: number, owned: readonly string[]): Entry {
+		const state = createEntryState({
+			id, zone: 'z', peerAddress: '127.0.0.1:1', timings: {...defaultTimings, defaultDeadlineMs: 1000}, readBundle: () => ({kind: 'invalid', reason: 'not used'}),
+		});
+		state.bundle.current = bundle;
+		state.membership.isStoreReached = true;
+		const entry: Entry = {
+			id, state, answers: [], changes: [],
+		};
+		this.entries.push(entry);
+		this.giveEpoch(entry, epoch, owned);
+		return entry;
+	}
+
+	giveEpoch({id, state}: Entry, epoch: number, owned: readonly string[]): void {
+		state.membership.record = {
+			epoch,
+			members: [{id, address: '127.0.0.1:1', zone: 'z'}],
+			pools: Object.fromEntries(owned.map(pool => [pool, {owner: id}])),
+			previousMembers: [], previousPools: {}, forced: false, proposer: id,
+		};
+		for (const pool of owned) {
+			state.membership.acquired.add(pool);
+			this.push(this.entries.find(item => item.id === id)!, {kind: 'pool-acquired', pool, isContinuous: true});
+		}
+	}
+
+	push(entry: Entry, event: EntryEvent): void {
+		const collector: Filter = {
+			name: 'collector',
+			handlers: {
+				'operator-answered'(_state, answer) {
+					entry.answers.push(answer);
+					return [];
+				},
+				'change-made'(_state, change) {
+					entry.changes.push(change);
+					return [];
+				},
+			},
+		};
+		const context = {now: this.now, wallTime: 1_700_000_000_000 + this.now, random: createRandomSource(1)};
+		for (const effect of runChain([fleetFilter, collector], entry.state, event, context)) {
+			if (effect.kind === 'handler-failed') {
+				throw effect.error as Error;
+			}
+
+			this.#run(entry, effect);
+		}
+	}
+
+	call(entry: Entry, command: OperatorCommand, operator = 'ana'): string {
+		this.#calls += 1;
+		const callId = `call-${this.#calls}`;
+		this.push(entry, {
+			kind: 'operator-called', callId, operator, command,
+		});
+		return callId;
+	}
+
+	run(durationMs: number, check: () => void = () => undefined): void {
+		for (const end = this.now + durationMs; this.now < end;) {
+			this.now += 50;
+			for (const entry of this.entries) {
+				this.push(entry, {kind: 'instances-listed', instances: this.listed});
+				this.push(entry, {kind: 'tick'});
+			}
+
+			check();
+		}
+	}
+
+	getRecord(pool: string): PoolRecord {
+		return JSON.parse(this.pairs.get(`${storeKeys.poolsPrefix}${pool}`)!.value) as PoolRecord;
+	}
+
+	getPool(id: string): string {
+		return (JSON.parse(this.pairs.get(`${storeKeys.instancesPrefix}${id}`)!.value) as {pool: string}).pool;
+	}
+
+	applyWrite(effect: EffectOf<'write-store'>): boolean {
+		const current = this.pairs.get(effect.key);
+		const {condition} = effect;
+		const isMet = condition.kind === 'always' || (condition.kind === 'absent' ? current === undefined : current?.revision === condition.revision);
+		if (isMet) {
+			this.#revision += 1;
+			this.pairs.set(effect.key, {value: effect.value, revision: this.#revision});
+			for (const entry of this.entries) {
+				this.push(entry, {
+					kind: 'store-changed', key: effect.key, value: effect.value, revision: this.#revision,
+				});
+			}
+		}
+
+		return isMet;
+	}
+
+	#run(entry: Entry, effect: Effect): void {
+		const sinks: Partial<Record<Effect['kind'], () => void>> = {
+			'probe-endpoint': () => {
+				const {instanceId} = effect as EffectOf<'probe-endpoint'>;
+				this.push(entry, {kind: 'probe-ended', instanceId, isHealthy: !this.down.has(instanceId)});
+			},
+			'reboot-instance': () => {
+				const {instanceId} = effect as EffectOf<'reboot-instance'>;
+				this.reboots.push(instanceId);
+				this.push(entry, {kind: 'reboot-ended', instanceId, isAccepted: true});
+			},
+			'read-store': () => {
+				this.#read(entry, effect as EffectOf<'read-store'>);
+			},
+			'write-store': () => {
+				this.#write(entry, effect as EffectOf<'write-store'>);
+			},
+		};
+		sinks[effect.kind]?.();
+	}
+
+	#read(entry: Entry, {operationId, key, isPrefix}: EffectOf<'read-store'>): void {
+		const entries = [...this.pairs].filter(([name]) => isPrefix ? name.startsWith(key) : name === key).map(([name, pair]) => ({key: name, ...pair}));
+		this.push(entry, {
+			kind: 'store-answered', operationId, result: this.fault === 'out' ? 'failed' : 'applied', entries: this.fault === 'out' ? [] : entries,
+		});
+	}
+
+	#write(entry: Entry, effect: EffectOf<'write-store'>): void {
+		if (this.isHolding) {
+			this.held.push(effect);
+			return;
+		}
+
+		const isApplied = this.fault !== 'out' && this.fault !== 'write-lost' && this.applyWrite(effect);
+		const isAnswered = this.fault === 'none';
+		this.push(entry, {
+			kind: 'store-answered',
+			operationId: effect.operationId,
+			result: isAnswered ? (isApplied ? 'applied' : 'conflict') : 'failed',
+			entries: isAnswered && isApplied ? [{key: effect.key, ...this.pairs.get(effect.key)!}] : [],
+		});
+	}
+}
+
+/** Creates a rig with one entry that owns both pools, 3 and 2 instances. */
+export function createRig(owned: readonly string[] = ['p', 'q']): {rig: Rig; entry: Entry} {
+	const rig = new Rig();
+	rig.addInstances('p', 3);
+	rig.addInstances('q', 2);
+	const entry = rig.addEntry('a', 1, owned);
+	rig.run(2000);
+	return {rig, entry};
+}
+
+const work = {pool: 'p'} as unknown as PoolWork;
+
+export function addAttempt({state}: Entry, instanceId: string): void {
+	state.dispatch.attempts.set('attempt', {work, instanceId, startedAt: 0});
+}
+
+export function listServing(entry: Entry, pool = 'p'): string[] {
+	return getServingInstances(entry.state, pool).map(instance => instance.id);
+}
--- a/packages/decisions/src/fleet/fleet-state.ts
+++ b/packages/decisions/src/fleet/fleet-state.ts
@@ -1,41 +1,170 @@
 import {
-	type InstanceId, type InstanceRecord, type ListedInstance, type PoolName, type PoolRecord,
+	type InstanceId, type InstanceRecord, type ListedInstance, type OperatorCommand, type PoolName, type PoolRecord,
 } from '@pistachiogauge/model';
 import {type EntryState} from '../entry-state.js';
 
 /** An instance with its record in the store. */
 export type FleetInstance = {
 	listed: ListedInstance | undefined;
+	/** Whether the list last showed the instance as leaving, or an operator said that it is gone. */
+	wasLeaving: boolean;
+	/** Monotonic time at which the list stopped to show the instance. */
+	unlistedAt: number | undefined;
 	record: InstanceRecord | undefined;
 	recordRevision: number;
+	/** Monotonic time before which the instance record is not written again. */
+	nextWriteAt: number;
+};
+
+/** What this owner has seen of an instance since it took over the pool. Times are monotonic milliseconds. */
+export type InstanceEvidence = {
+	askedAt: number;
+	isHealthy: boolean | undefined;
+	/** Healthy answers without a failure in between, since the last change of stage. */
+	healthyInRow: number;
+	/** Whether the instance failed to answer since its reboot was accepted. */
+	hasBeenDown: boolean;
+	rebootAskedAt: number | undefined;
+	rebootAcceptedAt: number | undefined;
+};
+
+/** A call for a pool that arrived while a write of the pool record was in flight. */
+export type PoolCall = {
+	readonly callId: string;
+	readonly operator: string;
+	readonly command: OperatorCommand;
+	/** Monotonic time of arrival. */
+	readonly at: number;
+};
+
+/** A write of the pool record that the store has not confirmed. */
+export type PendingWrite = {
+	readonly record: PoolRecord;
+	readonly text: string;
+	/** The calls that the write carries out, with the answer for each when it is confirmed. */
+	readonly calls: ReadonlyArray<{readonly call: PoolCall; readonly body: unknown; readonly detail: string}>;
+	readonly startedAt: number;
+	hasAnswered: boolean;
 };
 
 /** A pool that this entry owns. @public */
 export type OwnedPool = {
-	/** The pool record as last read or written; undefined until this owner has fenced it. */
+	/** The pool record as the store last confirmed it; undefined until this owner has fenced it. */
 	record: PoolRecord | undefined;
 	revision: number;
-	/** Whether the record carries this owner's epoch, so that a former owner's late write fails. */
+	/** Whether the record carries this owner's epoch, so that a former owner's late write fails, and the instance records were read after that. */
 	isFenced: boolean;
 	pendingOperation: string | undefined;
 	nextTryAt: number;
+	pendingWrite: PendingWrite | undefined;
+	calls: PoolCall[];
+	/** Monotonic time from which no request of a former owner can run at the instances. */
+	quietAt: number;
+	acquiredAt: number;
+	readonly evidence: Map<InstanceId, InstanceEvidence>;
+	/** Instances that moved here under this owner and have not answered a probe yet. */
+	readonly joining: Set<InstanceId>;
+	/** Samples for the policy of automatic moves. */
+	load: LoadHistory;
+};
+
+/** Samples of one pool's load. */
+export type LoadHistory = {
+	/** Requests queued or running, as a share of the pool's slots, one mean value a sample interval. */
+	readonly samples: number[];
+	nextSampleAt: number;
+	/** Sum and count of the sample being formed. */
+	sum: number;
+	count: number;
+	/** Monotonic time before which no further automatic move is asked for. */
+	nextMoveAt: number;
 };
 
 /** State of the fleet filter. @public */
 export type FleetState = {
 	readonly instances: Map<InstanceId, FleetInstance>;
 	readonly owned: Map<PoolName, OwnedPool>;
+	/** Store operations in flight for owned pools. */
+	readonly operations: Map<string, FleetOperation>;
+	/** Monotonic time at which the instance list last arrived. */
+	listedAt: number | undefined;
 	operationCount: number;
 };
 
+/** A store operation in flight. */
+export type FleetOperation = {
+	readonly kind: 'fence-read' | 'fence-write' | 'fence-instances' | 'record-write' | 'record-read';
+	readonly pool: PoolName;
+};
+
 /** @internal */
 export function createFleetState(): FleetState {
-	return {instances: new Map(), owned: new Map(), operationCount: 0};
+	return {
+		instances: new Map(), owned: new Map(), operations: new Map(), listedAt: undefined, operationCount: 0,
+	};
+}
+
+/** @internal */
+export function createOwnedPool(): OwnedPool {
+	return {
+		record: undefined,
+		revision: 0,
+		isFenced: false,
+		pendingOperation: undefined,
+		nextTryAt: 0,
+		pendingWrite: undefined,
+		calls: [],
+		quietAt: 0,
+		acquiredAt: 0,
+		evidence: new Map(),
+		joining: new Set(),
+		load: {
+			samples: [], nextSampleAt: 0, sum: 0, count: 0, nextMoveAt: 0,
+		},
+	};
+}
+
+/** @internal */
+export function getInstance(state: EntryState, id: InstanceId): FleetInstance {
+	const known = state.fleet.instances.get(id);
+	if (known !== undefined) {
+		return known;
+	}
+
+	const created: FleetInstance = {
+		listed: undefined, wasLeaving: false, unlistedAt: undefined, record: undefined, recordRevision: 0, nextWriteAt: 0,
+	};
+	state.fleet.instances.set(id, created);
+	return created;
+}
+
+/** @internal */
+export function getEvidence(owned: OwnedPool, id: InstanceId): InstanceEvidence {
+	const known = owned.evidence.get(id);
+	if (known !== undefined) {
+		return known;
+	}
+
+	const created: InstanceEvidence = {
+		askedAt: Number.NEGATIVE_INFINITY, isHealthy: undefined, healthyInRow: 0, hasBeenDown: false, rebootAskedAt: undefined, rebootAcceptedAt: undefined,
+	};
+	owned.evidence.set(id, created);
+	return created;
+}
+
+/** Forgets the reboot of an instance that serves again. @internal */
+export function clearReboot(owned: OwnedPool, id: InstanceId): void {
+	const evidence = getEvidence(owned, id);
+	evidence.rebootAskedAt = undefined;
+	evidence.rebootAcceptedAt = undefined;
+	evidence.hasBeenDown = false;
 }
 
 /**
 Instances of a pool that may get new work: recorded in the pool, listed as live, and without a permit to be out of service.
 
+A permit counts from the moment its write is decided on. So the owner has stopped sending before the record says so, and an unanswered write cannot leave a recorded drain with work arriving.
+
 @public
 */
 export function getServingInstances(state: EntryState, pool: PoolName): ListedInstance[] {
@@ -45,10 +174,10 @@
 	}
 
 	const serving: ListedInstance[] = [];
-	for (const [id, instance] of state.fleet.instances) {
-		const isServing = instance.record?.pool === pool && instance.listed?.state === 'live' && owned.record.permits[id] === undefined;
-		if (isServing) {
-			serving.push(instance.listed!);
+	for (const [id, {record, listed}] of state.fleet.instances) {
+		const isMember = record?.pool === pool && record.hasLeft !== true && !owned.joining.has(id);
+		if (isMember && listed?.state === 'live' && owned.record.permits[id] === undefined && owned.pendingWrite?.record.permits[id] === undefined) {
+			serving.push(listed);
 		}
 	}
 
--- /dev/null
+++ b/packages/decisions/src/fleet/instance-record.ts
@@ -0,0 +1,128 @@
+import {
+	instanceRecordSchema, storeKeys, type InstanceId, type InstanceRecord, type ListedInstance,
+} from '@pistachiogauge/model';
+import {emitEffect, type Output} from '../chain.js';
+import {type DecisionContext} from '../context.js';
+import {type EntryState} from '../entry-state.js';
+import {parseJson} from '../parse-json.js';
+import {getInstance, type FleetInstance} from './fleet-state.js';
+
+/** @internal */
+export const instancesOperation = 'fleet:instances';
+const writePauseMs = 1000;
+/** A restarted instance can be missing from the list for minutes; it must count as out of service during that time. */
+const leftAfterMs = 300_000;
+
+/** Takes over a record of the store. Watches can deliver late; an older revision must not undo a move. @internal */
+export function updateInstanceRecord(state: EntryState, entry: {readonly key: string; readonly value?: string; readonly revision: number}): void {
+	if (!entry.key.startsWith(storeKeys.instancesPrefix) || entry.value === undefined) {
+		return;
+	}
+
+	const id = entry.key.slice(storeKeys.instancesPrefix.length);
+	const record = instanceRecordSchema.safeParse(parseJson(entry.value));
+	const instance = getInstance(state, id);
+	if (!record.success || entry.revision <= instance.recordRevision) {
+		return;
+	}
+
+	const hasJoined = instance.record !== undefined && (instance.record.pool !== record.data.pool || instance.record.hasLeft === true);
+	instance.record = record.data;
+	instance.recordRevision = entry.revision;
+	for (const [pool, owned] of state.fleet.owned) {
+		if (pool !== record.data.pool) {
+			owned.joining.delete(id);
+			owned.evidence.delete(id);
+		} else if (hasJoined) {
+			// It gets work only after it has answered a probe of this owner.
+			owned.joining.add(id);
+			owned.evidence.delete(id);
+		}
+	}
+}
+
+/** Takes over the platform's list. @internal */
+export function updateList(state: EntryState, listed: readonly ListedInstance[], context: DecisionContext): void {
+	const listedIds = new Set(listed.map(instance => instance.id));
+	for (const [id, instance] of state.fleet.instances) {
+		if (!listedIds.has(id)) {
+			instance.listed = undefined;
+			instance.unlistedAt ??= context.now;
+		}
+	}
+
+	for (const item of listed) {
+		const instance = getInstance(state, item.id);
+		instance.listed = item;
+		instance.unlistedAt = undefined;
+		instance.wasLeaving = item.state === 'leaving';
+	}
+
+	state.fleet.listedAt = context.now;
+}
+
+/**
+Keeps the records of owned instances in step with the list: the first record of a delivered instance, the end of one that left, the return of one that is listed again.
+
+@internal
+*/
+export function updateRecords(state: EntryState, context: DecisionContext): Output[] {
+	if (!state.membership.isStoreReached) {
+		return [];
+	}
+
+	const outputs: Output[] = [];
+	for (const [id, instance] of state.fleet.instances) {
+		const pool = instance.record?.pool ?? instance.listed?.pool ?? '';
+		const owned = state.fleet.owned.get(pool);
+		const stage = owned?.record?.permits[id]?.stage;
+		if (owned?.isFenced !== true || stage === 'rebooting' || stage === 'returning' || context.now < instance.nextWriteAt) {
+			continue;
+		}
+
+		const change = findChange(instance, context);
+		if (change === undefined) {
+			continue;
+		}
+
+		instance.nextWriteAt = context.now + writePauseMs;
+		outputs.push(writeInstanceRecord(state, id, change));
+	}
+
+	return outputs.length === 0 ? [] : [...outputs, readInstanceRecords()];
+}
+
+function findChange({
+	listed, wasLeaving, unlistedAt, record,
+}: FleetInstance, context: DecisionContext): InstanceRecord | undefined {
+	if (record === undefined) {
+		return listed === undefined ? undefined : {pool: listed.pool, moves: 0};
+	}
+
+	if (record.hasLeft === true) {
+		return listed?.state === 'live' ? {...record, hasLeft: undefined} : undefined;
+	}
+
+	const hasLeft = listed === undefined && wasLeaving && unlistedAt !== undefined && context.now - unlistedAt >= leftAfterMs;
+	return hasLeft ? {...record, hasLeft: true} : undefined;
+}
+
+/** Writes an instance record on the condition that it is as last seen. @internal */
+export function writeInstanceRecord(state: EntryState, id: InstanceId, record: InstanceRecord): Output {
+	const {recordRevision} = getInstance(state, id);
+	return emitEffect({
+		kind: 'write-store',
+		operationId: `fleet:instance:${id}`,
+		key: `${storeKeys.instancesPrefix}${id}`,
+		value: JSON.stringify(record),
+		condition: recordRevision === 0 ? {kind: 'absent'} : {kind: 'unchanged', revision: recordRevision},
+		isLeased: false,
+	});
+}
+
+/** The answer to a write of an instance record may be lost; reading it decides. @internal */
+export function readInstanceRecords(): Output {
+	return emitEffect({
+		kind: 'read-store', operationId: instancesOperation, key: storeKeys.instancesPrefix, isPrefix: true,
+	});
+}
--- /dev/null
+++ b/packages/decisions/src/fleet/pool-status.ts
@@ -0,0 +1,55 @@
+import {type DecisionContext} from '../context.js';
+import {type EntryState} from '../entry-state.js';
+import {describeBlock} from './pool-stages.js';
+import {countOut, type PoolMember, type PoolView} from './pool-view.js';
+import {findWaveHold} from './wave.js';
+
+/** Describes an owned pool for operators, with what holds each planned stop. @internal */
+export function describePool(state: EntryState, view: PoolView, context: DecisionContext): unknown {
+	const {pool, record, declaration} = view;
+	return {
+		pool,
+		owner: record.owner,
+		ownerEpoch: record.ownerEpoch,
+		budget: declaration?.budget ?? 0,
+		out: countOut(view),
+		isStoreReached: view.isStoreReached,
+		queued: countQueued(state, pool),
+		instances: view.members.map(member => describeMember(state, view, member, context)),
+		wave: record.wave === undefined
+			? undefined
+			: {
+				id: record.wave.id, state: record.wave.state, done: record.wave.done.length, hold: record.wave.state === 'running' ? findWaveHold(view) : undefined,
+			},
+	};
+}
+
+function describeMember(state: EntryState, view: PoolView, member: PoolMember, context: DecisionContext): unknown {
+	const {id, listed, out, maintainedAt} = member;
+	const permit = view.record.permits[id];
+	const owned = state.fleet.owned.get(view.pool)!;
+	return {
+		id,
+		zone: listed?.zone,
+		rack: listed?.rack,
+		state: owned.joining.has(id) ? 'joining' : out ?? 'serving',
+		running: state.dispatch.busySlots.get(id) ?? 0,
+		maintainedAt,
+		permit,
+		waitsFor: permit === undefined
+			? undefined
+			: describeBlock({
+				state, owned, pool: view.pool, id, permit, context,
+			}),
+	};
+}
+
+/** Requests that wait in a pool's queue. @internal */
+export function countQueued(state: EntryState, pool: string): number {
+	let queued = 0;
+	for (const flow of state.dispatch.queues.get(pool)?.flows.values() ?? []) {
+		queued += flow.waiting.length;
+	}
+
+	return queued;
+}
--- /dev/null
+++ b/packages/decisions/src/fleet/pool-view.ts
@@ -0,0 +1,103 @@
+import {
+	type InstanceId, type ListedInstance, type PermitStage, type PoolDeclaration, type PoolName, type PoolRecord,
+} from '@pistachiogauge/model';
+import {type DecisionContext} from '../context.js';
+import {type EntryState} from '../entry-state.js';
+import {isInstanceTrusted} from '../health/index.js';
+
+/** Why an instance counts as out of service. @public */
+export type OutReason = 'failed' | 'leaving' | 'draining' | 'rebooting' | 'unknown';
+
+/** One instance of a pool, as its owner sees it. @public */
+export type PoolMember = {
+	readonly id: InstanceId;
+	readonly listed: ListedInstance | undefined;
+	/** Absent for an instance in service. */
+	readonly out: OutReason | undefined;
+	/** Unix time in milliseconds of the last maintenance, 0 when it is not known. */
+	readonly maintainedAt: number;
+};
+
+/**
+What the decisions about a pool's planned stops rest on.
+
+@public
+*/
+export type PoolView = {
+	readonly pool: PoolName;
+	/** Absent when the bundle in force does not declare the pool; then nothing may be stopped. */
+	readonly declaration: PoolDeclaration | undefined;
+	readonly record: PoolRecord;
+	/** In the order of their ids. */
+	readonly members: readonly PoolMember[];
+	readonly isStoreReached: boolean;
+};
+
+/** The platform's list is read every second; a list older than this says nothing about who is live. */
+const listStaleMs = 30_000;
+
+const outReasonByStage: Readonly<Record<PermitStage, OutReason>> = {
+	draining: 'draining',
+	stopped: 'draining',
+	rebooting: 'rebooting',
+	returning: 'rebooting',
+};
+
+/** Collects what is known of an owned pool. `record` is the one to decide on. @internal */
+export function createPoolView(state: EntryState, pool: PoolName, record: PoolRecord, context: DecisionContext): PoolView {
+	const members: PoolMember[] = [];
+	for (const [id, instance] of state.fleet.instances) {
+		if (instance.record?.pool !== pool || instance.record.hasLeft === true) {
+			continue;
+		}
+
+		members.push({
+			id, listed: instance.listed, out: findOutReason(state, pool, record, id, context), maintainedAt: record.maintained[id] ?? 0,
+		});
+	}
+
+	members.sort((left, right) => left.id < right.id ? -1 : 1);
+	return {
+		pool, declaration: state.bundle.current?.pools[pool], record, members, isStoreReached: state.membership.isStoreReached,
+	};
+}
+
+function findOutReason(state: EntryState, pool: PoolName, record: PoolRecord, id: InstanceId, context: DecisionContext): OutReason | undefined {
+	const permit = record.permits[id];
+	if (permit !== undefined) {
+		return outReasonByStage[permit.stage];
+	}
+
+	const {instances, listedAt, owned} = state.fleet;
+	const listed = instances.get(id)?.listed;
+	if (listed === undefined || listedAt === undefined || context.now - listedAt > listStaleMs) {
+		return 'unknown';
+	}
+
+	if (listed.state === 'leaving') {
+		return 'leaving';
+	}
+
+	const evidence = owned.get(pool)?.evidence.get(id)?.isHealthy;
+	if (evidence === undefined) {
+		return 'unknown';
+	}
+
+	return evidence && isInstanceTrusted(state, id, context) ? undefined : 'failed';
+}
+
+/**
+Counts the instances out of service, permits of instances outside the pool's members included.
+
+@public
+*/
+export function countOut(view: PoolView): number {
+	const memberIds = new Set(view.members.map(member => member.id));
+	const strayPermits = Object.keys(view.record.permits).filter(id => !memberIds.has(id)).length;
+	return view.members.filter(member => member.out !== undefined).length + strayPermits;
+}
+
+/** Members that are out of service without a permit. @public */
+export function listFailures(view: PoolView): PoolMember[] {
+	return view.members.filter(member => member.out !== undefined && view.record.permits[member.id] === undefined);
+}
--- /dev/null
+++ b/packages/decisions/src/fleet/pool-write.ts
@@ -0,0 +1,181 @@
+import {
+	poolRecordSchema, storeKeys, type EventOf, type PoolName, type PoolRecord,
+} from '@pistachiogauge/model';
+import {
+	emitEffect, passEvent, restartEvent, type Output,
+} from '../chain.js';
+import {type DecisionContext} from '../context.js';
+import {type EntryState} from '../entry-state.js';
+import {parseJson} from '../parse-json.js';
+import {createChangeEvents} from './change-events.js';
+import {type FleetOperation, type OwnedPool, type PendingWrite} from './fleet-state.js';
+
+const retryPauseMs = 500;
+/** An operator's call is answered as unknown after this time; the entry's HTTP server gives up at 10 s. */
+const callLimitMs = 5000;
+
+type StoreAnswer = EventOf<'store-answered'>;
+
+/** Registers a store operation for a pool and returns its id. Answers to any other operation of the pool are ignored. @internal */
+export function registerOperation(state: EntryState, owned: OwnedPool, operation: FleetOperation): string {
+	state.fleet.operationCount += 1;
+	const operationId = `fleet:${operation.kind}:${operation.pool}:${state.fleet.operationCount}`;
+	state.fleet.operations.set(operationId, operation);
+	owned.pendingOperation = operationId;
+	return operationId;
+}
+
+/**
+Starts the write of a changed pool record.
+
+The write counts as undecided until the store confirms it or the record is read back, and no other write of the record starts meanwhile.
+
+@internal
+*/
+export function startWrite(
+	state: EntryState,
+	pool: PoolName,
+	change: {readonly record: PoolRecord; readonly calls: PendingWrite['calls']},
+	context: DecisionContext,
+): Output[] {
+	const owned = state.fleet.owned.get(pool)!;
+	owned.pendingWrite = {
+		...change, text: JSON.stringify(change.record), startedAt: context.now, hasAnswered: false,
+	};
+	return sendWrite(state, pool, owned, owned.pendingWrite);
+}
+
+function sendWrite(state: EntryState, pool: PoolName, owned: OwnedPool, write: PendingWrite): Output[] {
+	return [emitEffect({
+		kind: 'write-store',
+		operationId: registerOperation(state, owned, {kind: 'record-write', pool}),
+		key: `${storeKeys.poolsPrefix}${pool}`,
+		value: write.text,
+		condition: {kind: 'unchanged', revision: owned.revision},
+		isLeased: false,
+	})];
+}
+
+/** Settles a write by the store's answer; any answer but success is checked by reading the record back. @internal */
+export function settleWrite(state: EntryState, pool: PoolName, answer: StoreAnswer, context: DecisionContext): Output[] {
+	const owned = state.fleet.owned.get(pool)!;
+	const revision = answer.entries[0]?.revision;
+	if (answer.result === 'applied' && revision !== undefined) {
+		return finishWrite(pool, owned, revision);
+	}
+
+	if (answer.result === 'conflict') {
+		return readRecord(state, pool, owned);
+	}
+
+	owned.nextTryAt = context.now + retryPauseMs;
+	return [];
+}
+
+/** Reads the record back after a pause, while a write is undecided. @internal */
+export function retryWrite(state: EntryState, pool: PoolName, context: DecisionContext): Output[] {
+	const owned = state.fleet.owned.get(pool)!;
+	const outputs = expireCalls(owned, context);
+	if (owned.pendingWrite === undefined || owned.pendingOperation !== undefined || context.now < owned.nextTryAt) {
+		return outputs;
+	}
+
+	return [...outputs, ...readRecord(state, pool, owned)];
+}
+
+function readRecord(state: EntryState, pool: PoolName, owned: OwnedPool): Output[] {
+	return [emitEffect({
+		kind: 'read-store', operationId: registerOperation(state, owned, {kind: 'record-read', pool}), key: `${storeKeys.poolsPrefix}${pool}`, isPrefix: false,
+	})];
+}
+
+/** Decides an unanswered write by what the store holds. @internal */
+export function settleRead(state: EntryState, pool: PoolName, answer: StoreAnswer, context: DecisionContext): Output[] {
+	const owned = state.fleet.owned.get(pool)!;
+	const write = owned.pendingWrite;
+	if (answer.result !== 'applied' || write === undefined) {
+		owned.nextTryAt = context.now + retryPauseMs;
+		return [];
+	}
+
+	const [entry] = answer.entries;
+	if (entry?.value === write.text) {
+		return finishWrite(pool, owned, entry.revision);
+	}
+
+	// The write may still be under way. The same condition lets only one of the two take effect.
+	if (entry?.revision === owned.revision) {
+		return sendWrite(state, pool, owned, write);
+	}
+
+	return dropWrite(owned, write, entry === undefined ? undefined : poolRecordSchema.safeParse(parseJson(entry.value)).data);
+}
+
+function finishWrite(pool: PoolName, owned: OwnedPool, revision: number): Output[] {
+	const write = owned.pendingWrite!;
+	const changes = createChangeEvents(pool, owned.record!, write.record);
+	owned.record = write.record;
+	owned.revision = revision;
+	owned.pendingWrite = undefined;
+	const answers = write.calls.flatMap(({call, body, detail}) => [
+		createAuditEvent(call, 'done', detail),
+		...(write.hasAnswered
+			? []
+			: [restartEvent({
+				kind: 'operator-answered', callId: call.callId, status: 200, body,
+			})]),
+	]);
+	return [...answers, ...changes];
+}
+
+/** The record has changed under this owner: another entry has fenced the pool. Nothing is sent until the pool is fenced anew. */
+function dropWrite(owned: OwnedPool, write: PendingWrite, found: PoolRecord | undefined): Output[] {
+	owned.isFenced = false;
+	owned.pendingWrite = undefined;
+	const reason = `entry ${found?.owner ?? 'unknown'} has changed the pool's record; nothing was done`;
+	return [
+		emitEffect({kind: 'count', metric: 'pool_records_lost_total', by: 1}),
+		...write.calls.flatMap(({call}) => write.hasAnswered ? [createAuditEvent(call, 'refused', reason)] : refuseCall(call, 409, reason)),
+	];
+}
+
+/** Answers calls that have waited too long; the write itself goes on and stays undecided. */
+function expireCalls(owned: OwnedPool, context: DecisionContext): Output[] {
+	const outputs: Output[] = [];
+	const write = owned.pendingWrite;
+	if (write !== undefined && !write.hasAnswered && context.now - write.startedAt > callLimitMs) {
+		write.hasAnswered = true;
+		outputs.push(...write.calls.map(({call}) => restartEvent({
+			kind: 'operator-answered', callId: call.callId, status: 504, body: {outcome: 'unknown', message: 'the store does not answer; see the status of the pool later'},
+		})));
+	}
+
+	const late = owned.calls.filter(call => context.now - call.at > callLimitMs);
+	owned.calls = owned.calls.filter(call => !late.includes(call));
+	outputs.push(...late.flatMap(call => refuseCall(call, 503, 'an earlier change of the pool waits for the store; nothing was done')));
+	return outputs;
+}
+
+/** Answers a call as refused and records that. @internal */
+export function refuseCall(call: Parameters<typeof createAuditEvent>[0], status: number, reason: string): Output[] {
+	return [
+		createAuditEvent(call, 'refused', reason),
+		restartEvent({
+			kind: 'operator-answered', callId: call.callId, status, body: {outcome: 'refused', message: reason},
+		}),
+	];
+}
+
+/** Creates the audit event of an operator's call. @internal */
+export function createAuditEvent(
+	call: {readonly callId: string; readonly operator: string; readonly command: EventOf<'operator-called'>['command']},
+	result: 'done' | 'refused',
+	detail: string,
+): Output {
+	const {command} = call;
+	const pool = 'pool' in command && command.pool !== undefined ? `pool ${command.pool}` : '';
+	const instance = 'instance' in command ? ` instance ${command.instance}` : '';
+	return passEvent({
+		kind: 'change-made', by: call.operator, action: command.command, subject: `${pool}${instance}`, result, detail,
+	});
+}
--- /dev/null
+++ b/packages/decisions/src/fleet/wave.ts
@@ -0,0 +1,113 @@
+import {type PoolRecord, type Wave} from '@pistachiogauge/model';
+import {checkPermit, setPermit} from './permit.js';
+import {listFailures, type PoolMember, type PoolView} from './pool-view.js';
+
+const dayMs = 86_400_000;
+/** A wave begins by itself when an instance has used this share of its period, so that the wave ends within it. */
+const waveStartShare = 0.9;
+/** A wave that began by itself also takes the instances that would be due soon after. */
+const waveCoverShare = 0.7;
+
+/** One step of a plan: instances of one rack that are stopped as the budget allows. @public */
+export type WaveStep = {
+	readonly zone: string;
+	readonly rack: string;
+	readonly instances: readonly string[];
+};
+
+/** Instances that a wave has yet to maintain, by zone and rack. @public */
+export function planWave(view: PoolView, wave: Wave): PoolMember[] {
+	const {done, dueBefore = wave.startedAt} = wave;
+	return view.members
+		.filter(member => !done.includes(member.id) && member.maintainedAt <= dueBefore && member.listed?.state !== 'leaving')
+		.sort((left, right) => getPlace(left) < getPlace(right) ? -1 : 1);
+}
+
+/** Groups a plan by rack, for people to read. @public */
+export function describePlan(plan: readonly PoolMember[]): WaveStep[] {
+	const steps = new Map<string, {zone: string; rack: string; instances: string[]}>();
+	for (const {id, listed} of plan) {
+		const zone = listed?.zone ?? 'unknown';
+		const rack = listed?.rack ?? 'unknown';
+		const step = steps.get(`${zone}\n${rack}`) ?? {zone, rack, instances: []};
+		step.instances.push(id);
+		steps.set(`${zone}\n${rack}`, step);
+	}
+
+	return [...steps.values()];
+}
+
+/** Creates a wave over the whole pool. @internal */
+export function createWave(wallTime: number, by: string): Wave {
+	return {
+		id: `wave-${wallTime}`, state: 'running', startedAt: wallTime, done: [], by,
+	};
+}
+
+/** Why a running wave stops nothing further; undefined when it goes on. @public */
+export function findWaveHold(view: PoolView): string | undefined {
+	const failures = listFailures(view);
+	if (failures.length > 0) {
+		return `out of service without a permit: ${failures.map(member => `${member.id} ${member.out}`).join(', ')}`;
+	}
+
+	return view.isStoreReached ? undefined : 'the store is not reached';
+}
+
+/**
+Moves a pool's wave on: begins one when instances come due, takes permits while the budget allows, and ends it.
+
+Failures hold it, because the instances of a wave tend to fail together.
+
+@internal
+*/
+export function advanceWave(view: PoolView, wallTime: number): PoolRecord {
+	const {record} = view;
+	const wave = record.wave?.state === 'running' || record.wave?.state === 'paused' ? record.wave : createDueWave(view, wallTime);
+	if (wave?.state !== 'running') {
+		return record;
+	}
+
+	const plan = planWave(view, wave).filter(member => record.permits[member.id] === undefined);
+	const isMaintaining = Object.values(record.permits).some(permit => permit.reason === 'maintenance');
+	if (plan.length === 0 && !isMaintaining) {
+		return {...record, wave: {...wave, state: 'done'}};
+	}
+
+	let next: PoolRecord = wave === record.wave ? record : {...record, wave};
+	if (findWaveHold(view) !== undefined) {
+		return next;
+	}
+
+	for (const {id} of plan) {
+		if (checkPermit(updateView(view, next), id).kind === 'refused') {
+			break;
+		}
+
+		next = setPermit(next, id, {
+			reason: 'maintenance', stage: 'draining', since: wallTime, by: wave.id,
+		});
+	}
+
+	return next;
+}
+
+/** A wave over the instances near the end of their period; undefined when none is. */
+function createDueWave(view: PoolView, wallTime: number): Wave | undefined {
+	const periodMs = (view.declaration?.maintenancePeriodDays ?? 0) * dayMs;
+	if (periodMs === 0 || !view.members.some(member => member.maintainedAt > 0 && wallTime - member.maintainedAt >= periodMs * waveStartShare)) {
+		return undefined;
+	}
+
+	return {...createWave(wallTime, 'system'), dueBefore: wallTime - (periodMs * waveCoverShare)};
+}
+
+/** The view with the permits of a record that is being put together. */
+function updateView(view: PoolView, record: PoolRecord): PoolView {
+	const members = view.members.map(member => member.out === undefined && record.permits[member.id] !== undefined ? {...member, out: 'draining' as const} : member);
+	return {...view, record, members};
+}
+
+function getPlace({id, listed}: PoolMember): string {
+	return `${listed?.zone ?? ''}\n${listed?.rack ?? ''}\n${id}`;
+}
--- a/packages/model/src/fleet.ts
+++ b/packages/model/src/fleet.ts
@@ -22,6 +22,10 @@
 	pool: z.string().min(1),
 	/** Times the instance has changed pools. */
 	moves: z.number().int().nonnegative(),
+	/** Unix time in milliseconds of the last maintenance before the instance moved here; the new owner takes it over. */
+	maintainedAt: z.number().optional(),
+	/** Set when the instance has left the fleet, so that it no longer counts as out of service. Cleared when the list shows it again. */
+	hasLeft: z.boolean().optional(),
 });
 /** @public */
 export type InstanceRecord = z.infer<typeof instanceRecordSchema>;
@@ -65,6 +69,9 @@
 	startedAt: z.number(),
 	/** Instances already maintained in this wave. */
 	done: z.array(z.string()),
+	/** Instances last maintained at or before this Unix time in milliseconds belong to the wave; absent means all of the pool. */
+	dueBefore: z.number().optional(),
+	by: z.string().optional(),
 });
 /** @public */
 export type Wave = z.infer<typeof waveSchema>;
--- a/packages/model/src/operator-command.ts
+++ b/packages/model/src/operator-command.ts
@@ -17,6 +17,12 @@
 	z.object({command: z.literal('wave-start'), pool: z.string()}),
 	z.object({command: z.literal('wave-pause'), pool: z.string()}),
 	z.object({command: z.literal('wave-status'), pool: z.string()}),
+	/** States that an instance which the list no longer shows is gone for good; frees its share of the budget. */
+	z.object({command: z.literal('retire'), pool: z.string(), instance: z.string()}),
+	/** Asks the owner of a lending pool to choose an instance and to move it; sent by the owner of a pool in lasting need. */
+	z.object({command: z.literal('lend'), pool: z.string(), targetPool: z.string()}),
+	z.object({command: z.literal('bundle-history')}),
+	z.object({command: z.literal('bundle-text'), version: z.number().int().positive()}),
 	z.object({command: z.literal('audit'), since: z.number().optional(), pool: z.string().optional()}),
 ]);
 /** @public */
