Keep an accepted bundle in force through expiry, a restored store and lost answers

Cause: an expired bundle was refused by entries that took it from a peer; a malformed public key threw; a store restored from an older copy kept the older head; a lost answer to the accepting write could end as a refusal although the version had been accepted. Ruled out: checking expiry with a clock in the signature check, since a new entry must be able to take over an old bundle. A write without an answer is sent again under the same condition, and the history decides when a later version has followed. History of the last 200 versions.

--- /dev/null
+++ b/packages/decisions/src/bundle/bundle-head.ts
@@ -0,0 +1,102 @@
+import {signedBundleSchema, storeKeys, type SignedBundle} from '@pistachiogauge/model';
+import {z} from 'zod';
+import {emitEffect, passEvent, type Output} from '../chain.js';
+import {type DecisionContext} from '../context.js';
+import {type EntryState} from '../entry-state.js';
+import {parseJson} from '../parse-json.js';
+
+/** @internal */
+export const readOperation = 'bundle:head';
+/** @internal */
+export const restoreOperation = 'bundle:restore';
+
+/** Head record: the accepted bundle and the nonce of the call that wrote it. */
+const headSchema = signedBundleSchema.extend({nonce: z.string()});
+/** @internal */
+export type BundleHead = z.infer<typeof headSchema>;
+
+type HeadEntry = {readonly value: string; readonly revision: number};
+
+/** @internal */
+export function readHead(): Output {
+	return emitEffect({
+		kind: 'read-store', operationId: readOperation, key: storeKeys.bundleHead, isPrefix: false,
+	});
+}
+
+/** @internal */
+export function parseHead(entry: HeadEntry | undefined): BundleHead | undefined {
+	return entry === undefined ? undefined : headSchema.safeParse(parseJson(entry.value)).data;
+}
+
+/**
+Takes over the head record as read from the store. Its revision counts as it is, because a restored store may begin anew.
+
+@internal
+*/
+export function applyHead(state: EntryState, entry: HeadEntry | undefined, context: DecisionContext): Output[] {
+	const {bundle} = state;
+	bundle.headRevision = entry?.revision ?? 0;
+	const head = parseHead(entry);
+	const version = head?.version ?? 0;
+	if (bundle.signed !== undefined && version < bundle.signed.version) {
+		return [restoreHead(state, bundle.signed)];
+	}
+
+	return head === undefined ? [] : applyBundle(state, head, context);
+}
+
+/** Writes the bundle in force to a store that was restored from an older copy. Of several entries that do so, one succeeds. */
+function restoreHead(state: EntryState, signed: SignedBundle): Output {
+	const revision = state.bundle.headRevision ?? 0;
+	return emitEffect({
+		kind: 'write-store',
+		operationId: restoreOperation,
+		key: storeKeys.bundleHead,
+		value: JSON.stringify({...signed, nonce: `restored by ${state.config.id}`}),
+		condition: revision === 0 ? {kind: 'absent'} : {kind: 'unchanged', revision},
+		isLeased: false,
+	});
+}
+
+/** Takes a change of the head record from a watch. Watches can deliver late, so an older version is read before it is believed. @internal */
+export function applyWatchedHead(state: EntryState, entry: HeadEntry, context: DecisionContext): Output[] {
+	const head = parseHead(entry);
+	if (head === undefined || head.version < (state.bundle.current?.version ?? 0)) {
+		return [readHead()];
+	}
+
+	state.bundle.headRevision = Math.max(entry.revision, state.bundle.headRevision ?? 0);
+	return applyBundle(state, head, context);
+}
+
+/** Puts a bundle in force if its version is higher and its signature valid. @internal */
+export function applyBundle(state: EntryState, signed: SignedBundle, context: DecisionContext): Output[] {
+	const {bundle, config, membership} = state;
+	if (signed.version <= (bundle.current?.version ?? 0)) {
+		return [];
+	}
+
+	const reading = config.readBundle(signed);
+	if (reading.kind === 'invalid') {
+		return [
+			emitEffect({kind: 'count', metric: 'bundles_refused_total', by: 1}),
+			passEvent({
+				kind: 'change-made', by: signed.signedBy, action: 'bundle-receive', subject: `version ${signed.version}`, result: 'refused', detail: reading.reason,
+			}),
+		];
+	}
+
+	bundle.current = reading.bundle;
+	bundle.signed = {
+		version: signed.version, text: signed.text, signedBy: signed.signedBy, signature: signed.signature,
+	};
+	bundle.appliedAt = context.now;
+	return [
+		emitEffect({
+			kind: 'log', level: 'info', message: 'bundle in force', fields: {version: signed.version, signedBy: signed.signedBy},
+		}),
+		...[...membership.links].map(to => emitEffect({kind: 'send-peer', to, message: {kind: 'bundle-sent', bundle: bundle.signed!}})),
+		passEvent({kind: 'bundle-applied', version: signed.version}),
+	];
+}
--- /dev/null
+++ b/packages/decisions/src/bundle/bundle-history.ts
@@ -0,0 +1,118 @@
+import {
+	signedBundleSchema, storeKeys, type EventOf, type SignedBundle,
+} from '@pistachiogauge/model';
+import {z} from 'zod';
+import {emitEffect, restartEvent, type Output} from '../chain.js';
+import {type DecisionContext} from '../context.js';
+import {type EntryState} from '../entry-state.js';
+import {parseJson} from '../parse-json.js';
+
+/** @internal */
+export const historyWritePrefix = 'bundle:text:';
+/** @internal */
+export const historyReadPrefix = 'bundle:history:';
+
+const retryPauseMs = 1000;
+/** Versions that the history keeps. */
+const historyLimit = 200;
+const versionDigits = 10;
+
+const historySchema = signedBundleSchema.extend({
+	/** Unix time in milliseconds; absent when another entry accepted the version and ended before it wrote this. */
+	acceptedAt: z.number().optional(),
+	acceptedBy: z.string().optional(),
+});
+
+/** @internal */
+export function getTextKey(version: number): string {
+	return `${storeKeys.bundleTextsPrefix}${String(version).padStart(versionDigits, '0')}`;
+}
+
+/** @internal */
+export function parseHistory(text: string): z.infer<typeof historySchema> | undefined {
+	return historySchema.safeParse(parseJson(text)).data;
+}
+
+/** Adds an accepted version to the history, and the one before in case the entry that accepted it could not. @internal */
+export function addHistory(state: EntryState, signed: SignedBundle, acceptance: {readonly acceptedAt: number; readonly acceptedBy: string}): void {
+	const {unwrittenTexts, signed: former} = state.bundle;
+	if (former !== undefined && former.version < signed.version) {
+		unwrittenTexts.set(getTextKey(former.version), JSON.stringify(former));
+	}
+
+	unwrittenTexts.set(getTextKey(signed.version), JSON.stringify({...signed, ...acceptance}));
+	state.bundle.nextHistoryWriteAt = 0;
+}
+
+/** Writes what the store has not confirmed yet. The first record of a version stays. @internal */
+export function writeHistory(state: EntryState, context: DecisionContext): Output[] {
+	const {bundle, membership} = state;
+	if (bundle.unwrittenTexts.size === 0 || context.now < bundle.nextHistoryWriteAt || !membership.isStoreReached) {
+		return [];
+	}
+
+	bundle.nextHistoryWriteAt = context.now + retryPauseMs;
+	return [...bundle.unwrittenTexts].map(([key, value]) => emitEffect({
+		kind: 'write-store', operationId: `${historyWritePrefix}${key}`, key, value, condition: {kind: 'absent'}, isLeased: false,
+	}));
+}
+
+/** @internal */
+export function settleHistoryWrite(state: EntryState, key: string, answer: EventOf<'store-answered'>): Output[] {
+	if (answer.result === 'failed') {
+		return [];
+	}
+
+	state.bundle.unwrittenTexts.delete(key);
+	const version = Number(key.slice(storeKeys.bundleTextsPrefix.length));
+	return version <= historyLimit
+		? []
+		: [emitEffect({
+			kind: 'delete-store', operationId: `${historyWritePrefix}drop`, key: getTextKey(version - historyLimit),
+		})];
+}
+
+/** Reads the whole history, or one version. @internal */
+export function requestHistory(state: EntryState, callId: string, version?: number): Output[] {
+	state.bundle.operationCount += 1;
+	const operationId = `${historyReadPrefix}${state.bundle.operationCount}`;
+	state.bundle.historyCalls.set(operationId, {callId, version});
+	return [emitEffect({
+		kind: 'read-store', operationId, key: version === undefined ? storeKeys.bundleTextsPrefix : getTextKey(version), isPrefix: version === undefined,
+	})];
+}
+
+/** @internal */
+export function answerHistory(state: EntryState, answer: EventOf<'store-answered'>): Output[] {
+	const call = state.bundle.historyCalls.get(answer.operationId);
+	if (call === undefined) {
+		return [];
+	}
+
+	state.bundle.historyCalls.delete(answer.operationId);
+	const {callId, version} = call;
+	if (answer.result !== 'applied') {
+		return [answerCall(callId, 503, {outcome: 'refused', message: 'the store does not answer'})];
+	}
+
+	const records = answer.entries.map(entry => parseHistory(entry.value)).filter(record => record !== undefined);
+	if (version !== undefined) {
+		const [record] = records;
+		return [record === undefined
+			? answerCall(callId, 404, {outcome: 'refused', message: `version ${version} is not in the history`})
+			: answerCall(callId, 200, record)];
+	}
+
+	const versions = records
+		.map(({version: accepted, signedBy, acceptedAt, acceptedBy}) => ({
+			version: accepted, signedBy, acceptedAt, acceptedBy,
+		}))
+		.sort((left, right) => right.version - left.version);
+	return [answerCall(callId, 200, {inForce: state.bundle.current?.version ?? 0, versions})];
+}
+
+function answerCall(callId: string, status: number, body: unknown): Output {
+	return restartEvent({
+		kind: 'operator-answered', callId, status, body,
+	});
+}
--- a/packages/decisions/src/bundle/bundle-state.ts
+++ b/packages/decisions/src/bundle/bundle-state.ts
@@ -6,6 +6,10 @@
 	readonly operator: string;
 	readonly signed: SignedBundle;
 	readonly nonce: string;
+	/** Revision of the head record that the write replaces; 0 when there is none. */
+	readonly headRevision: number;
+	/** Times that the write was sent. */
+	writeCount: number;
 };
 
 /** State of the bundle filter. @public */
@@ -17,7 +21,13 @@
 	appliedAt: number;
 	/** Revision of the head record in the store; 0 when absent, undefined before the first read. */
 	headRevision: number | undefined;
+	nextHeadReadAt: number;
 	readonly pending: Map<string, PendingAcceptance>;
+	/** Records of the history that the store has not confirmed, by key. */
+	readonly unwrittenTexts: Map<string, string>;
+	/** Calls that wait for the history, by operation id. */
+	readonly historyCalls: Map<string, {readonly callId: string; readonly version: number | undefined}>;
+	nextHistoryWriteAt: number;
 	operationCount: number;
 };
 
@@ -28,7 +38,11 @@
 		signed: undefined,
 		appliedAt: 0,
 		headRevision: undefined,
+		nextHeadReadAt: 0,
 		pending: new Map(),
+		unwrittenTexts: new Map(),
+		historyCalls: new Map(),
+		nextHistoryWriteAt: 0,
 		operationCount: 0,
 	};
 }
--- a/packages/entry/src/entry-process.ts
+++ b/packages/entry/src/entry-process.ts
@@ -32,7 +32,7 @@
 		zone: settings.zone,
 		peerAddress: settings.peerAddress,
 		timings: settings.timings,
-		readBundle: bundle => verifyBundle(bundle, settings.operatorKeys, Date.now()),
+		readBundle: bundle => verifyBundle(bundle, settings.operatorKeys),
 	};
 	const log = createLogger(settings.logLevel, {entry: id});
 	const metrics = createMetrics();
--- a/packages/settings/src/bundle-signature.ts
+++ b/packages/settings/src/bundle-signature.ts
@@ -1,5 +1,5 @@
 import {
-	createPrivateKey, createPublicKey, generateKeyPairSync, sign, verify,
+	createPrivateKey, createPublicKey, generateKeyPairSync, sign, verify, type KeyObject,
 } from 'node:crypto';
 import {type BundleReading, type SignedBundle} from '@pistachiogauge/model';
 import {parseBundle} from './bundle-text.js';
@@ -16,42 +16,68 @@
 /**
 Checks and signs the text of a bundle.
 
-@throws SettingsError when the text has faults.
+@throws SettingsError when the text has faults or the key cannot sign.
 @public
 */
 export function signBundle(text: string, operator: string, privateKeyPem: string): SignedBundle {
 	const {version} = parseBundle(text);
-
-	const signature = sign(null, encodeText(text, operator), createPrivateKey(privateKeyPem)).toString('base64');
 	return {
-		version, text, signedBy: operator, signature,
+		version, text, signedBy: operator, signature: createSignature(text, operator, privateKeyPem),
 	};
 }
 
-/** Checks the signature of a bundle against the operators' public keys and parses its text. @public */
-export function verifyBundle(signed: SignedBundle, operatorKeys: Readonly<Record<string, string>>, wallTime: number): BundleReading {
+/**
+Checks the signature of a bundle against the operators' public keys and parses its text.
+
+Whether the bundle has expired is not checked here: a bundle that was accepted in time stays valid wherever it is carried.
+
+@public
+*/
+export function verifyBundle(signed: SignedBundle, operatorKeys: Readonly<Record<string, string>>): BundleReading {
+	const fault = findSignatureFault(signed, operatorKeys);
+	if (fault !== undefined) {
+		return {kind: 'invalid', reason: fault};
+	}
+
+	try {
+		const bundle = parseBundle(signed.text);
+		return bundle.version === signed.version
+			? {kind: 'valid', bundle}
+			: {kind: 'invalid', reason: `the text is version ${bundle.version}, not ${signed.version}`};
+	} catch (error) {
+		return {kind: 'invalid', reason: error instanceof SettingsError ? error.message : 'the text cannot be read'};
+	}
+}
+
+function findSignatureFault(signed: SignedBundle, operatorKeys: Readonly<Record<string, string>>): string | undefined {
 	const key = Object.hasOwn(operatorKeys, signed.signedBy) ? operatorKeys[signed.signedBy] : undefined;
 	if (key === undefined) {
-		return {kind: 'invalid', reason: `${signed.signedBy} is not a known operator`};
+		return `${signed.signedBy} is not a known operator`;
 	}
 
-	if (!verify(null, encodeText(signed.text, signed.signedBy), createPublicKey(key), Buffer.from(signed.signature, 'base64'))) {
-		return {kind: 'invalid', reason: 'the signature does not fit the text'};
+	const publicKey = parsePublicKey(key);
+	if (publicKey?.asymmetricKeyType !== 'ed25519') {
+		return `the key of ${signed.signedBy} cannot be read`;
 	}
 
-	try {
-		const bundle = parseBundle(signed.text);
-		if (bundle.version !== signed.version) {
-			return {kind: 'invalid', reason: `the text is version ${bundle.version}, not ${signed.version}`};
-		}
+	return verify(null, encodeText(signed.text, signed.signedBy), publicKey, Buffer.from(signed.signature, 'base64'))
+		? undefined
+		: 'the signature does not fit the text';
+}
 
-		if (bundle.expiresAt !== undefined && bundle.expiresAt <= wallTime) {
-			return {kind: 'invalid', reason: 'the bundle has expired'};
-		}
+function parsePublicKey(pem: string): KeyObject | undefined {
+	try {
+		return createPublicKey(pem);
+	} catch {
+		return undefined;
+	}
+}
 
-		return {kind: 'valid', bundle};
+function createSignature(text: string, operator: string, privateKeyPem: string): string {
+	try {
+		return sign(null, encodeText(text, operator), createPrivateKey(privateKeyPem)).toString('base64');
 	} catch (error) {
-		return {kind: 'invalid', reason: error instanceof SettingsError ? error.message : 'the text cannot be read'};
+		throw new SettingsError('key', ['the private key cannot be read; expected Ed25519 in PEM'], {cause: error});
 	}
 }
 
