Keep the audit trail whole through lost answers, and bound its memory

Cause: a segment was rewritten without a condition, so an older write that arrived late removed records; records waited without bound while the store was out; nothing read the trail. Ruled out: repeating the very same write until it is confirmed, because a late copy could still replace the next one. At most 5000 records wait; the number of those dropped becomes a record. The audit call reads the segments of all entries and checks the chains over whole trails before it filters. Records in the memory of an entry that is killed during an outage are lost, and only the missing departure shows it.

--- /dev/null
+++ b/packages/decisions/src/audit/audit-call.ts
@@ -0,0 +1,70 @@
+import {storeKeys, type EventOf} from '@pistachiogauge/model';
+import {emitEffect, restartEvent, type Output} from '../chain.js';
+import {type EntryState} from '../entry-state.js';
+import {parseJson} from '../parse-json.js';
+import {segmentSchema} from './audit-segment.js';
+import {type AuditCall, type AuditRecord} from './audit-state.js';
+import {findChainFaults} from './verify-chain.js';
+
+/** Records in one answer; the latest are kept. */
+const recordsPerAnswer = 2000;
+
+/** Reads the trails of all entries for an operator. @internal */
+export function requestTrail(state: EntryState, event: EventOf<'operator-called'>): Output[] {
+	if (event.command.command !== 'audit') {
+		return [];
+	}
+
+	const {audit} = state;
+	audit.operationCount += 1;
+	const operationId = `audit:call:${audit.operationCount}`;
+	audit.calls.set(operationId, {callId: event.callId, since: event.command.since ?? 0, pool: event.command.pool});
+	return [emitEffect({
+		kind: 'read-store', operationId, key: storeKeys.auditPrefix, isPrefix: true,
+	})];
+}
+
+/** Checks the chains over all records, and answers with those that were asked for. @internal */
+export function answerTrail(state: EntryState, answer: EventOf<'store-answered'>): Output[] {
+	const call = state.audit.calls.get(answer.operationId);
+	if (call === undefined) {
+		return [];
+	}
+
+	state.audit.calls.delete(answer.operationId);
+	if (answer.result !== 'applied') {
+		return [restartEvent({
+			kind: 'operator-answered', callId: call.callId, status: 503, body: {outcome: 'refused', message: 'the store does not answer; the audit trail is kept there'},
+		})];
+	}
+
+	const {records, faults} = readTrails(answer);
+	const selected = selectRecords(records, call);
+	return [restartEvent({
+		kind: 'operator-answered',
+		callId: call.callId,
+		status: 200,
+		body: {records: selected.slice(-recordsPerAnswer), isTruncated: selected.length > recordsPerAnswer, faults},
+	})];
+}
+
+function readTrails({entries}: EventOf<'store-answered'>): {records: AuditRecord[]; faults: string[]} {
+	const records: AuditRecord[] = [];
+	const unreadable: string[] = [];
+	for (const {key, value} of [...entries].sort((left, right) => left.key < right.key ? -1 : 1)) {
+		const segment = segmentSchema.safeParse(parseJson(value));
+		if (segment.success) {
+			records.push(...segment.data);
+		} else {
+			unreadable.push(`segment ${key.slice(storeKeys.auditPrefix.length)} cannot be read`);
+		}
+	}
+
+	return {records, faults: [...unreadable, ...findChainFaults(records)]};
+}
+
+function selectRecords(records: readonly AuditRecord[], {since, pool}: AuditCall): AuditRecord[] {
+	return records
+		.filter(record => record.at >= since && (pool === undefined || ` ${record.subject} `.includes(` pool ${pool} `)))
+		.sort((left, right) => left.at - right.at);
+}
--- /dev/null
+++ b/packages/decisions/src/audit/audit-records.ts
@@ -0,0 +1,61 @@
+import {type EventOf} from '@pistachiogauge/model';
+import {type DecisionContext} from '../context.js';
+import {type EntryState} from '../entry-state.js';
+import {auditLimits, type AuditRecord} from './audit-state.js';
+import {computeHash} from './verify-chain.js';
+
+type AuditContent = Pick<AuditRecord, 'by' | 'action' | 'subject' | 'result' | 'detail'>;
+
+/** Adds a record to the trail, or counts it as dropped when too many wait for the store. @internal */
+export function recordChange(state: EntryState, event: EventOf<'change-made'>, context: DecisionContext): void {
+	const {audit} = state;
+	recordGap(state, context);
+	if (audit.unwritten.length < auditLimits.recordsInMemory) {
+		addRecord(state, event, context);
+		return;
+	}
+
+	audit.dropped = {count: audit.dropped.count + 1, firstAt: audit.dropped.count === 0 ? context.wallTime : audit.dropped.firstAt};
+}
+
+/** States how many records were dropped, as soon as there is room. @internal */
+export function recordGap(state: EntryState, context: DecisionContext): void {
+	const {audit, config} = state;
+	const {count, firstAt} = audit.dropped;
+	if (count === 0 || audit.unwritten.length >= auditLimits.recordsInMemory) {
+		return;
+	}
+
+	audit.dropped = {count: 0, firstAt: 0};
+	addRecord(state, {
+		by: 'system',
+		action: 'audit-gap',
+		subject: `entry ${config.id}`,
+		result: 'refused',
+		detail: `${count} records since ${new Date(firstAt).toISOString()} were dropped, because the store did not take them`,
+	}, context);
+}
+
+function addRecord(state: EntryState, content: AuditContent, context: DecisionContext): void {
+	const {audit, config} = state;
+	const record = {
+		sequence: audit.sequence + 1,
+		at: context.wallTime,
+		entry: config.id,
+		by: limitText(content.by),
+		action: content.action,
+		subject: limitText(content.subject),
+		result: content.result,
+		detail: limitText(content.detail),
+		previousHash: audit.lastHash,
+	};
+	const hash = computeHash(record);
+	audit.sequence = record.sequence;
+	audit.lastHash = hash;
+	audit.unwritten.push({...record, hash});
+}
+
+/** Names in calls come from outside and could be of any length. */
+function limitText(text: string): string {
+	return text.length <= auditLimits.textLength ? text : `${text.slice(0, auditLimits.textLength)}…`;
+}
--- a/packages/decisions/src/audit/index.ts
+++ b/packages/decisions/src/audit/index.ts
@@ -1,2 +1,5 @@
 export {auditFilter} from './audit-filter.js';
-export {createAuditState, type AuditState} from './audit-state.js';
+export {
+	auditLimits, createAuditState, type AuditRecord, type AuditState,
+} from './audit-state.js';
+export {findChainFaults} from './verify-chain.js';
