--- a/packages/decisions/src/fleet/fleet-filter.test.ts
+++ b/packages/decisions/src/fleet/fleet-filter.test.ts
@@ -103,6 +103,16 @@
 		expect(successor.answers).toMatchObject([{status: 409, body: {message: expect.stringContaining('p3 failed') as string}}]);
 	});
 
+	// Guards against an entry that is an epoch behind and takes the pool back from its new owner.
+	it('leaves a pool alone that a later epoch has fenced', () => {
+		const {rig} = createRig(['p']);
+		rig.addEntry('b', 3, ['p']);
+		const late = rig.addEntry('c', 2, ['p']);
+		rig.run(2000);
+		expect(rig.getRecord('p').owner).toBe('b');
+		expect(listServing(late)).toEqual([]);
+	});
+
 	it('counts instances as out before their first answer', () => {
 		const {rig} = createRig(['p']);
 		const successor = rig.addEntry('b', 2, ['p']);
