List all settings faults at once, name busy ports and flush links on a stop

Tables of cases that failed first: - settings (12 of 19 cases): missing keys gave the schema library's wording; unknown keys did not name the allowed ones; addresses such as 300.0.0.1:70000, short or readable secrets and keys that are not Ed25519 were accepted; key files were read only after all else was right; - entry: a busy peer port ended with code 1 and no setting named; - peer links: frames sent right before a stop were lost, so a receiver could lose the result of a request that an owner had finished. Malformed frames, wrong secrets, other incarnations and silent links were handled correctly and are now tested.

--- a/packages/entry/src/entry-process.ts
+++ b/packages/entry/src/entry-process.ts
@@ -38,8 +38,8 @@
 	const metrics = createMetrics();
 	const state = createEntryState(config);
 	const random = createRandomSource(randomInt(2 ** 31));
-	const count = (metric: string) => {
-		metrics.addCount(metric);
+	const count = (metric: string, by = 1) => {
+		metrics.addCount(metric, by);
 	};
 
 	const pushEvent = (event: InputEvent) => {
--- a/packages/entry/src/main.ts
+++ b/packages/entry/src/main.ts
@@ -1,5 +1,6 @@
 #!/usr/bin/env node
 import {ListenError} from '@pistachiogauge/http';
+import {PeerListenError} from '@pistachiogauge/peer';
 import {readEntrySettings, SettingsError} from '@pistachiogauge/settings';
 import {cac} from 'cac';
 import {createEntryProcess} from './entry-process.js';
@@ -41,7 +42,7 @@
 
 	await program.runMatchedCommand();
 } catch (error) {
-	const isUsage = error instanceof SettingsError || error instanceof ListenError || (error instanceof Error && error.name === 'CACError');
+	const isUsage = error instanceof SettingsError || error instanceof ListenError || error instanceof PeerListenError || (error instanceof Error && error.name === 'CACError');
 	process.stderr.write(`${error instanceof Error ? error.message : String(error)}\n`);
 	process.exit(isUsage ? usageExitCode : 1);
 }
--- a/packages/peer/src/frame-outbox.ts
+++ b/packages/peer/src/frame-outbox.ts
@@ -20,6 +20,7 @@
 		return this.#waitingBytes <= waitingBytesLimit;
 	}
 
+	/** Takes no more frames; those that wait are still read. */
 	close(): void {
 		this.#isClosed = true;
 		this.#wake?.();
@@ -27,7 +28,7 @@
 	}
 
 	async * readBatches(): AsyncGenerator<Uint8Array[]> {
-		while (!this.#isClosed) {
+		while (!this.#isClosed || this.#waiting.length > 0) {
 			if (this.#waiting.length === 0) {
 				// eslint-disable-next-line no-await-in-loop
 				await new Promise<void>(resolve => {
--- a/packages/peer/src/index.ts
+++ b/packages/peer/src/index.ts
@@ -5,5 +5,5 @@
 */
 export {decodeFrame, encodeFrame} from './frame-codec.js';
 export {createPeerNetwork, type PeerNetwork, type PeerNetworkOptions} from './peer-network.js';
-export {PeerAuthenticationError, PeerFrameError} from './peer-errors.js';
+export {PeerAuthenticationError, PeerFrameError, PeerListenError} from './peer-errors.js';
 export {createPeerCredential, verifyPeerCredential} from './peer-credential.js';
--- a/packages/peer/src/peer-errors.ts
+++ b/packages/peer/src/peer-errors.ts
@@ -7,3 +7,8 @@
 export class PeerAuthenticationError extends Error {
 	override readonly name = 'PeerAuthenticationError';
 }
+
+/** The listener for other entries could not be opened. The message names the address. @public */
+export class PeerListenError extends Error {
+	override readonly name = 'PeerListenError';
+}
--- /dev/null
+++ b/packages/peer/src/peer-network.test.ts
@@ -0,0 +1,206 @@
+import {once} from 'node:events';
+import {
+	connect, createServer, type AddressInfo, type Server, type Socket,
+} from 'node:net';
+import {
+	afterEach, beforeEach, describe, expect, it,
+} from 'vitest';
+import {type InputEvent, type PeerMessage} from '@pistachiogauge/model';
+import {createPeerNetwork, type PeerNetwork} from './peer-network.js';
+
+type Node = {
+	readonly network: PeerNetwork;
+	readonly address: string;
+	readonly events: InputEvent[];
+	readonly counts: string[];
+};
+
+const idleLimitMs = 400;
+const heartbeat: PeerMessage = {
+	kind: 'heartbeat', askedAt: 1, adoptedEpoch: 1, bundleVersion: 1, suspects: [],
+};
+const malformed = {kind: 'heartbeat', askedAt: 'soon'} as unknown as PeerMessage;
+
+let nodes: Node[];
+let relays: Relay[];
+
+beforeEach(() => {
+	nodes = [];
+	relays = [];
+});
+afterEach(async () => {
+	await Promise.all(nodes.map(async ({network}) => network.stop()));
+	for (const relay of relays) {
+		relay.close();
+	}
+});
+
+async function findFreePort(): Promise<number> {
+	const probe = createServer().listen(0, '127.0.0.1');
+	await once(probe, 'listening');
+	const {port} = probe.address() as AddressInfo;
+	probe.close();
+	await once(probe, 'close');
+	return port;
+}
+
+async function startNode(id: string, secret = 'secret'): Promise<Node> {
+	const address = `127.0.0.1:${await findFreePort()}`;
+	const events: InputEvent[] = [];
+	const counts: string[] = [];
+	const network = createPeerNetwork({
+		id,
+		address,
+		secret,
+		idleLimitMs,
+		pushEvent(event) {
+			events.push(event);
+		},
+		log: () => undefined,
+		count(metric) {
+			counts.push(metric);
+		},
+	});
+	await network.start();
+	const node = {
+		network, address, events, counts,
+	};
+	nodes.push(node);
+	return node;
+}
+
+/** Forwards connections; while `isSilent` the ones that are open carry nothing and stay open. */
+type Relay = {
+	readonly address: string;
+	makeSilent(): void;
+	close(): void;
+};
+
+async function startRelay(target: string): Promise<Relay> {
+	const sockets = new Set<Socket>();
+	const server: Server = createServer(socket => {
+		const onward = connect(Number(target.split(':')[1]), '127.0.0.1');
+		socket.pipe(onward);
+		onward.pipe(socket);
+		for (const side of [socket, onward]) {
+			sockets.add(side);
+			side.on('error', () => undefined);
+		}
+	});
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	const {port} = server.address() as AddressInfo;
+	const relay: Relay = {
+		address: `127.0.0.1:${port}`,
+		makeSilent() {
+			for (const socket of sockets) {
+				socket.unpipe();
+				socket.pause();
+			}
+		},
+		close() {
+			server.close();
+			for (const socket of sockets) {
+				socket.destroy();
+			}
+		},
+	};
+	relays.push(relay);
+	return relay;
+}
+
+function countEvents(node: Node, kind: InputEvent['kind']): number {
+	return node.events.filter(event => event.kind === kind).length;
+}
+
+function countMetric(node: Node, metric: string): number {
+	return node.counts.filter(item => item === metric).length;
+}
+
+async function waitFor(what: string, isMet: () => boolean): Promise<void> {
+	await expect.poll(isMet, {timeout: 10_000, message: what}).toBe(true);
+}
+
+type LinkCase = {
+	readonly name: string;
+	readonly run: () => Promise<void>;
+};
+
+const cases: readonly LinkCase[] = [
+	{
+		// Guards against one faulty frame that ends a link with all that waits on it.
+		name: 'a malformed frame is dropped and counted while the link goes on',
+		async run() {
+			const [a, b] = [await startNode('a'), await startNode('b')];
+			a.network.openLink('b', b.address);
+			await waitFor('the link is up', () => countEvents(a, 'link-up') === 1 && countEvents(b, 'link-up') === 1);
+			a.network.sendMessage('b', malformed);
+			a.network.sendMessage('b', heartbeat);
+			await waitFor('the next frame arrives', () => countEvents(b, 'peer-heartbeat') === 1);
+			expect(countMetric(b, 'peer_frames_malformed_total')).toBe(1);
+			expect(countMetric(b, 'peer_frames_received_total')).toBe(2);
+			expect(countEvents(b, 'link-down')).toBe(0);
+		},
+	},
+	{
+		// Guards against processes that take part without knowing the shared secret.
+		name: 'a wrong secret is refused and counted',
+		async run() {
+			const [a, b] = [await startNode('a', 'guessed'), await startNode('b')];
+			a.network.openLink('b', b.address);
+			await waitFor('the refusal is counted', () => countMetric(b, 'peer_links_refused_total') > 0);
+			expect([countEvents(a, 'link-up'), countEvents(b, 'link-up')]).toEqual([0, 0]);
+		},
+	},
+	{
+		// Guards against a restarted process that gets messages meant for its former incarnation.
+		name: 'a link to another incarnation is refused',
+		async run() {
+			const [a, b] = [await startNode('a'), await startNode('b.2')];
+			a.network.openLink('b.1', b.address);
+			await waitFor('the refusal is counted', () => countMetric(b, 'peer_links_refused_total') > 0);
+			expect([countEvents(a, 'link-up'), countEvents(b, 'link-up')]).toEqual([0, 0]);
+		},
+	},
+	{
+		// Guards against a connection that is silent for good while new ones work.
+		name: 'a silent link is closed and opened anew',
+		async run() {
+			const [a, b] = [await startNode('a'), await startNode('b')];
+			const relay = await startRelay(b.address);
+			a.network.openLink('b', relay.address);
+			await waitFor('the link is up', () => countEvents(a, 'link-up') === 1);
+			const beating = setInterval(() => {
+				a.network.sendMessage('b', heartbeat);
+				b.network.sendMessage('a', heartbeat);
+			}, idleLimitMs / 8);
+			try {
+				relay.makeSilent();
+				await waitFor('the link is down', () => countEvents(a, 'link-down') === 1);
+				const before = countEvents(b, 'peer-heartbeat');
+				await waitFor('frames arrive again', () => countEvents(a, 'link-up') === 2 && countEvents(b, 'peer-heartbeat') > before);
+			} finally {
+				clearInterval(beating);
+			}
+		},
+	},
+	{
+		// Guards against frames that are lost between an answer and the end of a process that stops as planned.
+		name: 'frames sent right before the stop arrive',
+		async run() {
+			const [a, b] = [await startNode('a'), await startNode('b')];
+			a.network.openLink('b', b.address);
+			await waitFor('the link is up', () => countEvents(a, 'link-up') === 1 && countEvents(b, 'link-up') === 1);
+			a.network.sendMessage('b', heartbeat);
+			b.network.sendMessage('a', heartbeat);
+			await Promise.all([a.network.stop(), b.network.stop()]);
+			await waitFor('the frames arrive', () => countEvents(a, 'peer-heartbeat') === 1 && countEvents(b, 'peer-heartbeat') === 1);
+		},
+	},
+];
+
+describe('peer links', () => {
+	it.each(cases)('$name', async ({run}) => {
+		await run();
+	});
+});
--- a/packages/peer/src/peer-network.ts
+++ b/packages/peer/src/peer-network.ts
@@ -1,5 +1,6 @@
 import {randomUUID} from 'node:crypto';
 import {createServer, type Http2Server, type ServerHttp2Session} from 'node:http2';
+import {setTimeout as delay} from 'node:timers/promises';
 import {
 	Code, ConnectError, createClient, type ConnectRouter, type HandlerContext,
 } from '@connectrpc/connect';
@@ -10,7 +11,9 @@
 import {decodeFrame, encodeFrame} from './frame-codec.js';
 import {FrameOutbox} from './frame-outbox.js';
 import {PeerLink, type FrameBatch} from './generated/peer_pb.js';
-import {createPeerCredential, verifyPeerCredential, type PeerClaim} from './peer-credential.js';
+import {listenForPeers} from './listen-for-peers.js';
+import {readClaim, readCredential, writeClaim} from './peer-claim.js';
+import {verifyPeerCredential, type PeerClaim} from './peer-credential.js';
 import {PeerAuthenticationError, PeerFrameError} from './peer-errors.js';
 
 /** @public */
@@ -24,7 +27,8 @@
 	readonly idleLimitMs: number;
 	readonly pushEvent: (event: InputEvent) => void;
 	readonly log: (level: LogLevel, message: string, fields: Record<string, string | number>) => void;
-	readonly count: (metric: string) => void;
+	/** Counts refusals, faulty frames, and frames and bytes in each direction. */
+	readonly count: (metric: string, by?: number) => void;
 };
 
 /** @public */
@@ -52,20 +56,16 @@
 
 const reconnectMinMs = 50;
 const reconnectMaxMs = 1000;
-const headerNames = {
-	from: 'pistachiogauge-from',
-	to: 'pistachiogauge-to',
-	issuedAt: 'pistachiogauge-issued-at',
-	nonce: 'pistachiogauge-nonce',
-	credential: 'pistachiogauge-credential',
-} as const;
-
+/** Time for frames that wait when the network stops. */
+const flushLimitMs = 500;
+const flushPollMs = 5;
 /** Creates the links of one entry. @public */
 export function createPeerNetwork(options: PeerNetworkOptions): PeerNetwork {
 	const links = new Map<EntryId, Link>();
 	const wanted = new Map<EntryId, WantedLink>();
 	const sessions = new Set<ServerHttp2Session>();
 	let server: Http2Server | undefined;
+	const stopping = new AbortController();
 
 	function registerLink(entryId: EntryId, address: string, outbox: FrameOutbox, abort: AbortController): Link {
 		const link: Link = {
@@ -99,10 +99,25 @@
 	function receiveBatch(link: Link, batch: FrameBatch): void {
 		link.lastFrameAt = performance.now();
 		for (const frame of batch.frames) {
+			options.count('peer_frames_received_total');
+			options.count('peer_bytes_received_total', frame.length);
 			receiveFrame(link, frame);
 		}
 	}
 
+	/** Ends the streams after the frames that wait, such as results that receivers still need. */
+	async function flushLinks(): Promise<void> {
+		const startedAt = performance.now();
+		for (const {outbox} of links.values()) {
+			outbox.close();
+		}
+
+		while (links.size > 0 && performance.now() - startedAt < flushLimitMs) {
+			// eslint-disable-next-line no-await-in-loop
+			await delay(flushPollMs);
+		}
+	}
+
 	function receiveFrame(link: Link, frame: Uint8Array): void {
 		if (links.get(link.entryId) !== link) {
 			return;
@@ -133,7 +148,7 @@
 
 	async function * serveExchange(batches: AsyncIterable<FrameBatch>, context: HandlerContext): AsyncGenerator<{frames: Uint8Array[]}> {
 		const claim = readClaim(context.requestHeader);
-		const credential = context.requestHeader.get(headerNames.credential) ?? '';
+		const credential = readCredential(context.requestHeader);
 		if (claim.to !== options.id || !verifyPeerCredential(options.secret, claim, credential, Date.now())) {
 			options.count('peer_links_refused_total');
 			options.log('warn', 'link refused', {peer: claim.from, address: 'incoming'});
@@ -154,10 +169,13 @@
 			for await (const frames of link.outbox.readBatches()) {
 				yield {frames};
 			}
+
+			if (stopping.signal.aborted) {
+				await Promise.race([receiving, delay(flushLimitMs)]);
+			}
 		} finally {
 			clearInterval(silenceTimer);
 			removeLink(link);
-			void receiving;
 		}
 	}
 
@@ -211,7 +229,7 @@
 
 	function verifyAnswer(headers: Headers, asked: PeerClaim): void {
 		const claim = readClaim(headers);
-		const credential = headers.get(headerNames.credential) ?? '';
+		const credential = readCredential(headers);
 		const isExpected = claim.from === asked.to && claim.to === options.id && claim.nonce === asked.nonce;
 		if (!isExpected || !verifyPeerCredential(options.secret, claim, credential, Date.now())) {
 			options.count('peer_links_refused_total');
@@ -221,7 +239,7 @@
 
 	async function keepLink(entryId: EntryId, {address, stop}: WantedLink): Promise<void> {
 		let pauseMs = reconnectMinMs;
-		while (!stop.signal.aborted) {
+		while (!stop.signal.aborted && !stopping.signal.aborted) {
 			const startedAt = performance.now();
 			try {
 				// eslint-disable-next-line no-await-in-loop
@@ -240,19 +258,17 @@
 	return {
 		async start() {
 			const routes = (router: ConnectRouter) => router.service(PeerLink, {exchange: serveExchange});
-			const [host, port] = splitAddress(options.address);
 			server = createServer(connectNodeAdapter({routes}));
 			server.on('session', session => {
 				sessions.add(session);
 				session.on('close', () => sessions.delete(session));
 				session.on('error', () => undefined);
 			});
-			await new Promise<void>((resolve, reject) => {
-				server!.once('error', reject);
-				server!.listen(port, host, resolve);
-			});
+			await listenForPeers(server, options.address);
 		},
 		async stop() {
+			stopping.abort();
+			await flushLinks();
 			for (const {stop} of wanted.values()) {
 				stop.abort();
 			}
@@ -269,7 +285,14 @@
 		},
 		sendMessage(to, message) {
 			const link = links.get(to);
-			if (link !== undefined && !link.outbox.addFrame(encodeFrame(message))) {
+			if (link === undefined) {
+				return;
+			}
+
+			const frame = encodeFrame(message);
+			options.count('peer_frames_sent_total');
+			options.count('peer_bytes_sent_total', frame.length);
+			if (!link.outbox.addFrame(frame)) {
 				options.log('warn', 'link does not drain', {peer: to, address: link.address});
 				removeLink(link);
 			}
@@ -295,28 +318,6 @@
 	}
 }
 
-function writeClaim(headers: Headers, secret: string, claim: PeerClaim): void {
-	headers.set(headerNames.from, claim.from);
-	headers.set(headerNames.to, claim.to);
-	headers.set(headerNames.issuedAt, String(claim.issuedAt));
-	headers.set(headerNames.nonce, claim.nonce);
-	headers.set(headerNames.credential, createPeerCredential(secret, claim));
-}
-
-function readClaim(headers: Headers): PeerClaim {
-	return {
-		from: headers.get(headerNames.from) ?? '',
-		to: headers.get(headerNames.to) ?? '',
-		issuedAt: Number(headers.get(headerNames.issuedAt) ?? Number.NaN),
-		nonce: headers.get(headerNames.nonce) ?? '',
-	};
-}
-
-function splitAddress(address: string): [host: string, port: number] {
-	const [host = '', port = ''] = address.split(':');
-	return [host, Number(port)];
-}
-
 async function waitFor(delayMs: number, signal: AbortSignal): Promise<void> {
 	return new Promise(resolve => {
 		const timer = setTimeout(resolve, delayMs);
--- a/packages/settings/src/bundle-text.ts
+++ b/packages/settings/src/bundle-text.ts
@@ -60,7 +60,7 @@
 export function parseBundle(text: string, file = 'bundle'): Bundle {
 	const parsed = bundleTextSchema.safeParse(parse(text));
 	if (!parsed.success) {
-		throw new SettingsError(file, describeFaults(parsed.error));
+		throw new SettingsError(file, describeFaults(parsed.error, bundleTextSchema));
 	}
 
 	const {bundle, pool, service, team} = parsed.data;
--- a/packages/settings/src/entry-settings.ts
+++ b/packages/settings/src/entry-settings.ts
@@ -1,12 +1,24 @@
-import {readFileSync} from 'node:fs';
+import {isIPv4} from 'node:net';
 import {dirname, resolve} from 'node:path';
 import {parse} from 'ini';
 import {z} from 'zod';
 import {defaultTimings, type EntryTimings} from '@pistachiogauge/model';
 import {describeFaults} from './describe-faults.js';
+import {
+	readPublicKeyFile, readSecretFile, readTextFile, type FileReading,
+} from './read-key-files.js';
 import {SettingsError} from './settings-error.js';
 
-const addressSchema = z.string().regex(/^(?:\d{1,3}\.){3}\d{1,3}:\d{1,5}$/u, 'expected an IP number and port, such as 127.0.0.1:7000');
+const maxPort = 65_535;
+/** Share of the voucher time by which clocks may drift apart (design page, section 5). */
+const minDriftShare = 0.1;
+
+function isAddress(text: string): boolean {
+	const [host = '', port = '', ...rest] = text.split(':');
+	return rest.length === 0 && isIPv4(host) && /^\d{1,5}$/u.test(port) && Number(port) >= 1 && Number(port) <= maxPort;
+}
+
+const addressSchema = z.string().refine(text => isAddress(text), 'expected an IP number and port, such as 127.0.0.1:7000');
 
 function createNumberSchema(minimum: number, maximum: number, fallback: number) {
 	return z.coerce.number(`expected a number from ${minimum} to ${maximum}`)
@@ -45,6 +57,18 @@
 		'clock-skew-ms': createNumberSchema(0, 60_000, defaultTimings.clockSkewMs).describe('Allowed difference between callers\' and entries\' clocks.'),
 		'key-retention-ms': createNumberSchema(60_000, 604_800_000, defaultTimings.keyRetentionMs).describe('How long outcomes of non-idempotent requests are kept.'),
 		'default-deadline-ms': createNumberSchema(100, 3_600_000, defaultTimings.defaultDeadlineMs).describe('Deadline of requests whose service declares none.'),
+	}).superRefine((timings, context) => {
+		if (context.issues.length > 0) {
+			return;
+		}
+
+		if (timings['voucher-ms'] < 2 * timings['heartbeat-ms']) {
+			context.addIssue({code: 'custom', path: ['voucher-ms'], message: 'expected at least twice heartbeat-ms; otherwise vouchers run out between heartbeats'});
+		}
+
+		if (timings['drift-ms'] < minDriftShare * timings['voucher-ms']) {
+			context.addIssue({code: 'custom', path: ['drift-ms'], message: 'expected at least a tenth of voucher-ms'});
+		}
 	}).prefault({}),
 });
 
@@ -73,13 +97,20 @@
 @public
 */
 export function readEntrySettings(file: string): EntrySettings {
-	const parsed = entrySettingsSchema.safeParse(parse(readText(file, file, 'settings')));
-	if (!parsed.success) {
-		throw new SettingsError(file, describeFaults(parsed.error));
+	const text = readTextFile(file);
+	if (text.kind === 'faulty') {
+		throw new SettingsError(file, [text.fault]);
+	}
+
+	const values: unknown = parse(text.text);
+	const parsed = entrySettingsSchema.safeParse(values);
+	const keyFiles = readKeyFiles(values, dirname(file));
+	const faults = [...(parsed.success ? [] : describeFaults(parsed.error, entrySettingsSchema)), ...keyFiles.faults];
+	if (!parsed.success || faults.length > 0) {
+		throw new SettingsError(file, faults);
 	}
 
-	const {entry, store, platform, peers, operators, timings} = parsed.data;
-	const folder = dirname(file);
+	const {entry, store, platform, timings} = parsed.data;
 	return {
 		name: entry.name,
 		zone: entry.zone,
@@ -91,8 +122,8 @@
 		leaseSeconds: store['lease-seconds'],
 		platformAddress: platform.address,
 		listIntervalMs: platform['list-interval-ms'],
-		peerSecret: readText(file, resolve(folder, peers['secret-file']), '[peers] secret-file').trim(),
-		operatorKeys: Object.fromEntries(Object.entries(operators).map(([name, keyFile]) => [name, readText(file, resolve(folder, keyFile), `[operators] ${name}`)])),
+		peerSecret: keyFiles.secret,
+		operatorKeys: keyFiles.operatorKeys,
 		timings: {
 			heartbeatMs: timings['heartbeat-ms'],
 			voucherMs: timings['voucher-ms'],
@@ -105,10 +136,37 @@
 	};
 }
 
-function readText(file: string, path: string, what: string): string {
-	try {
-		return readFileSync(path, 'utf8');
-	} catch (error) {
-		throw new SettingsError(file, [`${what}: cannot read ${path}`], {cause: error});
-	}
+type KeyFiles = {
+	readonly secret: string;
+	readonly operatorKeys: Readonly<Record<string, string>>;
+	readonly faults: readonly string[];
+};
+
+/** Takes what names a file and passes over everything else, whose faults the settings' schema reports. */
+function createKeyFilePathsSchema() {
+	return z.object({
+		peers: z.object({'secret-file': z.string().min(1).optional().catch(undefined)}).catch({}),
+		operators: z.record(z.string(), z.string().catch('')).catch({}),
+	}).partial();
+}
+
+/** Reads the files that the settings name, also when other settings have faults, so that all faults are listed at once. */
+function readKeyFiles(values: unknown, folder: string): KeyFiles {
+	const faults: string[] = [];
+	const getText = (place: string, reading: FileReading): string => {
+		if (reading.kind === 'read') {
+			return reading.text;
+		}
+
+		faults.push(`${place}: ${reading.fault}`);
+		return '';
+	};
+
+	const {peers, operators = {}} = createKeyFilePathsSchema().parse(values);
+	const secretFile = peers?.['secret-file'];
+	const secret = secretFile === undefined ? '' : getText('[peers] secret-file', readSecretFile(resolve(folder, secretFile)));
+	const operatorKeys = Object.fromEntries(Object.entries(operators)
+		.filter(([, keyFile]) => keyFile !== '')
+		.map(([name, keyFile]) => [name, getText(`[operators] ${name}`, readPublicKeyFile(resolve(folder, keyFile)))]));
+	return {secret, operatorKeys, faults};
 }
--- /dev/null
+++ b/packages/settings/src/settings-reference-main.ts
@@ -0,0 +1,3 @@
+import {formatSettingsReference} from './settings-reference.js';
+
+process.stdout.write(formatSettingsReference());
