Reopen cancelled watches and count the store's bytes

A watch that the service cancels (etcd does so after a compaction) keeps its stream open; the client waited on it until a later record was missed. The case 'a cancelled watch is opened anew' fails without the change (20 s time-out) and passes with it. Outage, lost answer, silent watch, lapsed lease and conflicts were handled correctly and are now tested. The backoff is a function of its own with a table of cases.

--- a/packages/standins/src/store-standin.ts
+++ b/packages/standins/src/store-standin.ts
@@ -14,6 +14,8 @@
 	lostAnswers: z.number().int().nonnegative().default(0),
 	/** Keep watches open and deliver nothing. */
 	isWatchSilent: z.boolean().default(false),
+	/** Cancel the watches that are open now, as after a compaction; their streams stay open. */
+	areWatchesCanceled: z.boolean().default(false),
 });
 /** @public */
 export type StoreFaults = z.infer<typeof storeFaultsSchema>;
@@ -148,6 +150,12 @@
 				watch.destroy();
 			}
 		}
+
+		if (changed.areWatchesCanceled) {
+			for (const watch of watches) {
+				watch.write(`${JSON.stringify({result: {header: createHeader(), canceled: true}})}\n`);
+			}
+		}
 	}
 
 	const server = createServer((message, response) => {
--- a/packages/store/src/gateway.ts
+++ b/packages/store/src/gateway.ts
@@ -25,6 +25,8 @@
 	watch: z.object({
 		result: z.object({
 			header: headerSchema,
+			/** The service has ended the watch, for example after a compaction; the stream itself stays open. */
+			canceled: z.boolean().default(false),
 			events: z.array(z.object({type: z.enum(['PUT', 'DELETE']).default('PUT'), kv: keyValueSchema})).default([]),
 		}),
 	}),
@@ -33,11 +35,13 @@
 /** Calls of the JSON gateway. @internal */
 export class Gateway {
 	readonly #addresses: readonly string[];
+	readonly #count: (metric: string, by: number) => void;
 	readonly #agent = new Agent({connections: 8, pipelining: 1, connect: {timeout: callTimeoutMs}});
 	#current = 0;
 
-	constructor(addresses: readonly string[]) {
+	constructor(addresses: readonly string[], count: (metric: string, by: number) => void) {
 		this.#addresses = addresses;
+		this.#count = count;
 	}
 
 	/**
@@ -47,10 +51,14 @@
 	*/
 	async post<Schema extends z.ZodType>(path: string, body: unknown, schema: Schema): Promise<z.infer<Schema>> {
 		try {
+			const text = JSON.stringify(body);
+			this.#count('store_bytes_sent_total', Buffer.byteLength(text));
 			const answer = await request(this.#getUrl(path), {
-				method: 'POST', body: JSON.stringify(body), dispatcher: this.#agent, headersTimeout: callTimeoutMs, bodyTimeout: callTimeoutMs,
+				method: 'POST', body: text, dispatcher: this.#agent, headersTimeout: callTimeoutMs, bodyTimeout: callTimeoutMs,
 			});
-			const value: unknown = await answer.body.json();
+			const answerText = await answer.body.text();
+			this.#count('store_bytes_received_total', Buffer.byteLength(answerText));
+			const value: unknown = JSON.parse(answerText);
 			if (answer.statusCode !== 200) {
 				throw new TypeError(`status ${answer.statusCode}`);
 			}
@@ -72,7 +80,14 @@
 			const answer = await request(this.#getUrl('/v3/watch'), {
 				method: 'POST', body: JSON.stringify(body), dispatcher: this.#agent, headersTimeout: callTimeoutMs, bodyTimeout: 0, signal,
 			});
-			yield * parseLines(answer.body);
+			for await (const result of this.#readLines(answer.body)) {
+				if (result.canceled) {
+					break;
+				}
+
+				yield result;
+			}
+
 			throw new TypeError('the watch has ended');
 		} catch (error) {
 			throw new StoreError('watch failed', {cause: error});
@@ -86,18 +101,20 @@
 	#getUrl(path: string): string {
 		return `http://${this.#addresses[this.#current]!}${path}`;
 	}
-}
 
-async function * parseLines(body: Dispatcher.ResponseData['body']): AsyncGenerator<z.infer<typeof answerSchemas.watch>['result']> {
-	const decoder = new TextDecoder();
-	let rest = '';
-	for await (const chunk of body) {
-		rest += decoder.decode(chunk as Uint8Array, {stream: true});
-		const lines = rest.split('\n');
-		rest = lines.pop()!;
-		for (const line of lines) {
-			if (line.trim() !== '') {
-				yield answerSchemas.watch.parse(JSON.parse(line)).result;
+	async * #readLines(body: Dispatcher.ResponseData['body']): AsyncGenerator<z.infer<typeof answerSchemas.watch>['result']> {
+		const decoder = new TextDecoder();
+		let rest = '';
+		for await (const chunk of body) {
+			const bytes = chunk as Uint8Array;
+			this.#count('store_bytes_received_total', bytes.length);
+			rest += decoder.decode(bytes, {stream: true});
+			const lines = rest.split('\n');
+			rest = lines.pop()!;
+			for (const line of lines) {
+				if (line.trim() !== '') {
+					yield answerSchemas.watch.parse(JSON.parse(line)).result;
+				}
 			}
 		}
 	}
--- a/packages/store/src/store-client.ts
+++ b/packages/store/src/store-client.ts
@@ -3,6 +3,7 @@
 	storeKeys, storePrefix, type Effect, type EffectOf, type InputEvent, type StoreEntry, type WriteCondition,
 } from '@pistachiogauge/model';
 import {answerSchemas, Gateway, type GatewayKeyValue} from './gateway.js';
+import {getRetryPauseMs} from './retry-pause.js';
 import {StoreError} from './store-error.js';
 
 /** @public */
@@ -11,8 +12,8 @@
 	readonly addresses: readonly string[];
 	readonly leaseSeconds: number;
 	readonly pushEvent: (event: InputEvent) => void;
-	/** Counts each call by kind; a waiting watch counts as one. */
-	readonly count: (metric: string) => void;
+	/** Counts each call by kind, and bytes; a waiting watch counts as one. */
+	readonly count: (metric: string, by?: number) => void;
 };
 
 /** @public */
@@ -26,12 +27,12 @@
 type StoreEffect = Extract<Effect, {kind: 'read-store' | 'write-store' | 'delete-store'}>;
 
 const pollIntervalMs = 2000;
-const retryMinMs = 100;
-const retryMaxMs = 3000;
+/** A watch that held this long starts the pauses anew. */
+const steadyWatchMs = 3000;
 
 /** Creates a client that keeps a watch and a lease, and reports when the service is reached or lost. @public */
 export function createStoreClient(options: StoreClientOptions): StoreClient {
-	const gateway = new Gateway(options.addresses);
+	const gateway = new Gateway(options.addresses, options.count);
 	const stopping = new AbortController();
 	let leaseId: string | undefined;
 	let isReached = false;
@@ -112,16 +113,15 @@
 	}
 
 	async function keepWatch(): Promise<void> {
-		let pauseMs = retryMinMs;
+		let failures = 0;
 		while (!stopping.signal.aborted) {
 			const startedAt = performance.now();
 			// eslint-disable-next-line no-await-in-loop
 			await watchChanges().catch(() => undefined);
 			setReached(false);
-			pauseMs = performance.now() - startedAt > retryMaxMs ? retryMinMs : Math.min(pauseMs * 2, retryMaxMs);
-			// Jitter keeps the entries from returning all at once after an outage.
+			failures = performance.now() - startedAt > steadyWatchMs ? 1 : failures + 1;
 			// eslint-disable-next-line no-await-in-loop
-			await waitFor(pauseMs * (0.5 + Math.random()));
+			await waitFor(getRetryPauseMs(failures, Math.random()));
 		}
 	}
 
