--- a/packages/bench/src/measure/entry-policy.ts
+++ b/packages/bench/src/measure/entry-policy.ts
@@ -1,5 +1,5 @@
 import {
-	applyEvent, createEntryState, type EntryState, type RandomSource,
+	applyEvent, createEntryState, getPoolKeys, type EntryState, type RandomSource,
 } from '@pistachiogauge/decisions';
 import {
 	defaultTimings, storeKeys, type Bundle, type Effect, type EffectKind, type EffectOf, type InputEvent, type StoreEntry,
@@ -158,7 +158,7 @@
 	}
 
 	#acquire(): void {
-		this.#state.idempotency.pools.set(pool, {coverageSince: Number.NEGATIVE_INFINITY, keys: new Map()});
+		getPoolKeys(this.#state, pool).coverageSince = Number.NEGATIVE_INFINITY;
 		this.#push({kind: 'pool-acquired', pool, isContinuous: true} as unknown as InputEvent);
 	}
 
--- a/packages/decisions/src/owned-pool.test-support.ts
+++ b/packages/decisions/src/owned-pool.test-support.ts
@@ -5,6 +5,7 @@
 import {createRandomSource} from './context.js';
 import {createEntryState, type EntryState} from './entry-state.js';
 import {createOwnedPool as createFleetPool, getEvidence, getInstance} from './fleet/fleet-state.js';
+import {getPoolKeys} from './idempotency/index.js';
 
 /** An entry that owns one pool, with time and effects at hand. For tests only. */
 export type OwnedPool = {
@@ -121,7 +122,7 @@
 		epoch: 1, members: [{id: 'e1', address: '127.0.0.1:1', zone: 'a'}], pools: {[pool]: {owner: 'e1'}}, previousMembers: [], previousPools: {}, forced: false, proposer: 'e1',
 	};
 	state.membership.isActive = true;
-	state.idempotency.pools.set(pool, {coverageSince: Number.NEGATIVE_INFINITY, keys: new Map()});
+	getPoolKeys(state, pool).coverageSince = Number.NEGATIVE_INFINITY;
 	state.membership.acquired.add(pool);
 	const owned = createFleetPool();
 	owned.record = {
--- a/packages/decisions/src/testing/keyed-request.ts
+++ b/packages/decisions/src/testing/keyed-request.ts
@@ -22,7 +22,7 @@
 	cluster.pushEvent(receiver, {
 		kind: 'request-received',
 		request: {
-			requestId, service, method: 'POST', path: '/', headers: [], body: new TextEncoder().encode(body), requestClass: 'normal', team: '', isIdempotent: false, key, timeLeftMs,
+			requestId, service, method: 'POST', path: '/', headers: [], body: new TextEncoder().encode(body), mode: 'direct', requestClass: 'normal', team: '', isIdempotent: false, key, timeLeftMs,
 		},
 	});
 }
