--- a/packages/bench/src/virtual/world.ts
+++ b/packages/bench/src/virtual/world.ts
@@ -38,7 +38,7 @@
 	| {readonly kind: 'slots-overrun'; readonly instanceId: string}
 	| {readonly kind: 'connection-opened'; readonly instanceId: string; readonly openCount: number}
 	| {readonly kind: 'caller-answered'; readonly entry: VirtualEntry; readonly requestId: string; readonly result: RequestResult}
-	| {readonly kind: 'store-written'; readonly key: string; readonly value: string | undefined}
+	| {readonly kind: 'store-written'; readonly key: string; readonly value: string | undefined; readonly cause: 'entry' | 'lease' | 'restore'}
 	| {readonly kind: 'instance-rebooted'; readonly instanceId: string; readonly busyCount: number}
 	| {readonly kind: 'entry-stopped'; readonly entry: VirtualEntry; readonly exitCode: number}
 	/** Comes every 250 ms of virtual time. */
@@ -94,8 +94,8 @@
 	/** Breaks the watches of all entries, as a restart of the service does. */
 	breakWatches(): void;
 	lapseLeases(): void;
-	/** Puts the whole service back to its state of some time ago. */
-	restoreState(ageMs: number): void;
+	/** Puts the keys with a prefix back to their state of some time ago. */
+	restoreState(ageMs: number, prefix?: string): void;
 	/** Virtual time since which the entry has a working watch; undefined without one. */
 	getWatchedSince(entry: VirtualEntry): number | undefined;
 };
