Know that a pool without a former owner has run nothing

Cause: scenarios 'store-outage-keeps-serving' and 'paused-owner' answered every keyed request with unknown (key-not-covered), because pools that the first bundle adds are assigned in the second epoch, whose coverage began at the takeover. Ruled out: probes and health, since idempotent requests completed. Change: an epoch keeps the pools of the epoch before, so a pool without a former owner has never had one and its coverage has no beginning.

--- a/packages/decisions/src/membership/force-epoch.ts
+++ b/packages/decisions/src/membership/force-epoch.ts
@@ -9,7 +9,7 @@
 import {isHeard} from './heartbeat.js';
 import {type PendingForce} from './membership-state.js';
 import {countSupport, getMajority} from './permission.js';
-import {buildRecord, writeEpoch} from './propose-epoch.js';
+import {buildRecord, listAssignedPools, writeEpoch} from './propose-epoch.js';
 
 /** An operator is told that the outcome is unknown when the store has not answered for this long. */
 const forceLimitMs = 5000;
@@ -29,7 +29,7 @@
 	}
 
 	const members = listPresent(state, context);
-	const pools = assignPools(Object.keys(bundle.current?.pools ?? membership.record!.pools), members, membership.record!.pools);
+	const pools = assignPools(listAssignedPools(state), members, membership.record!.pools);
 	const record = buildRecord(state, members, pools, true);
 	membership.pendingForce = {
 		callId: event.callId, operator: event.operator, record, askedAt: context.now,
--- a/packages/decisions/src/membership/propose-epoch.ts
+++ b/packages/decisions/src/membership/propose-epoch.ts
@@ -1,5 +1,5 @@
 import {
-	epochRecordSchema, storeKeys, type EntryId, type EpochRecord, type EventOf, type Member,
+	epochRecordSchema, storeKeys, type EntryId, type EpochRecord, type EventOf, type Member, type PoolName,
 } from '@pistachiogauge/model';
 import {emitEffect, type Output} from '../chain.js';
 import {type DecisionContext} from '../context.js';
@@ -121,8 +121,7 @@
 		return undefined;
 	}
 
-	const poolNames = Object.keys(bundle.current?.pools ?? record?.pools ?? {});
-	const pools = assignPools(poolNames, members, record?.pools ?? {});
+	const pools = assignPools(listAssignedPools(state), members, record?.pools ?? {});
 	if (record !== undefined && isSame(record, members, pools) && !hasStray(state, record)) {
 		return undefined;
 	}
@@ -217,3 +216,16 @@
 	const present = members.filter(id => id === state.config.id || state.membership.links.has(id)).sort(compareText);
 	return Math.max(0, present.indexOf(state.config.id));
 }
+
+/**
+Pools that an epoch assigns: those of the bundle and those of the epoch before.
+
+A pool that the bundle drops keeps its owner. So a pool without a former owner has never had one, and its owner knows that no key can have run.
+
+@internal
+*/
+export function listAssignedPools(state: EntryState): PoolName[] {
+	const declared = Object.keys(state.bundle.current?.pools ?? {});
+	const former = Object.keys(state.membership.record?.pools ?? {});
+	return [...new Set([...former, ...declared])];
+}
