--- a/packages/http/src/service-request.ts
+++ b/packages/http/src/service-request.ts
@@ -1,16 +1,18 @@
 import {type IncomingMessage} from 'node:http';
 import {
-	requestClassSchema, type HeaderList, type RequestClass, type ServiceRequest,
+	requestClassSchema, type HeaderList, type RequestClass, type RequestMode, type ServiceRequest,
 } from '@pistachiogauge/model';
 import {HttpRequestError} from './http-errors.js';
 
+const taskPathPattern = /^\/tasks\/(?<service>[\w-]+)\/(?<id>[\w-]+)$/u;
+const respondAsyncPattern = /(?:^|,)\s*respond-async\s*(?:,|;|$)/u;
 const servicePathPattern = /^\/services\/(?<service>[\w-]+)(?<path>\/.*)?$/u;
 const idempotentMethods: ReadonlySet<string> = new Set(['GET', 'HEAD', 'OPTIONS', 'PUT', 'DELETE']);
 const maxDeadlineMs = 86_400_000;
 
 /** Headers that belong to one connection (RFC 9110, section 7.6.1) or that the entry sets itself. */
 const droppedHeaders: ReadonlySet<string> = new Set([
-	'connection', 'keep-alive', 'proxy-connection', 'te', 'trailer', 'transfer-encoding', 'upgrade', 'host', 'content-length', 'expect',
+	'connection', 'keep-alive', 'proxy-connection', 'te', 'trailer', 'transfer-encoding', 'upgrade', 'host', 'content-length', 'expect', 'pistachiogauge-request-id',
 ]);
 
 /** What the server knows about defaults of a service. */
@@ -32,30 +34,39 @@
 	getDefaults: (service: string) => ServiceDefaults,
 	createKey: () => string,
 ): ServiceRequest {
-	const match = servicePathPattern.exec(message.url ?? '');
-	const service = match?.groups?.service;
-	if (service === undefined) {
-		throw new HttpRequestError('unknown-service', 'paths have the form /services/<service>/<path>');
-	}
-
+	const {service, path, isStatus} = readPath(message);
 	const method = message.method ?? 'GET';
 	const defaults = getDefaults(service);
-	const isIdempotent = idempotentMethods.has(method) || readHeader(message, 'pistachiogauge-idempotent') === 'true';
+	const mode = readMode(message, isStatus);
+	const isIdempotent = idempotentMethods.has(method) || (readFlag(message, 'pistachiogauge-idempotent') ?? false);
 	return {
 		requestId,
 		service,
 		method,
-		path: match?.groups?.path ?? '/',
+		path,
 		headers: listHeaders(message),
 		body,
 		requestClass: readClass(message) ?? defaults.requestClass,
 		team: readHeader(message, 'pistachiogauge-team') ?? '',
 		isIdempotent,
-		key: isIdempotent ? undefined : readHeader(message, 'idempotency-key') ?? createKey(),
-		timeLeftMs: readDeadline(message) ?? defaults.deadlineMs,
+		mode,
+		key: isIdempotent && mode !== 'task' ? undefined : readHeader(message, 'idempotency-key') ?? createKey(),
+		timeLeftMs: readDuration(message, 'pistachiogauge-deadline') ?? defaults.deadlineMs,
+		finishWithinMs: readDuration(message, 'pistachiogauge-finish-within'),
 	};
 }
 
+function readPath(message: IncomingMessage): {service: string; path: string; isStatus: boolean} {
+	const status = taskPathPattern.exec(message.url ?? '')?.groups;
+	const direct = servicePathPattern.exec(message.url ?? '')?.groups;
+	const service = status?.service ?? direct?.service;
+	if (service === undefined) {
+		throw new HttpRequestError('unknown-service', 'paths have the form /services/<service>/<path>');
+	}
+
+	return {service, path: status?.id ?? direct?.path ?? '/', isStatus: status !== undefined};
+}
+
 function readHeader(message: IncomingMessage, name: string): string | undefined {
 	const value = message.headers[name];
 	return typeof value === 'string' ? value.replace(/^"(?<text>.*)"$/u, '$<text>') : undefined;
@@ -75,25 +86,43 @@
 	return parsed.data;
 }
 
-function readDeadline(message: IncomingMessage): number | undefined {
-	const value = readHeader(message, 'pistachiogauge-deadline');
+function readFlag(message: IncomingMessage, name: string): boolean | undefined {
+	const value = readHeader(message, name);
+	if (value !== undefined && value !== 'true' && value !== 'false') {
+		throw new HttpRequestError('malformed-request', `${name} is true or false`);
+	}
+
+	return value === undefined ? undefined : value === 'true';
+}
+
+function readMode(message: IncomingMessage, isStatus: boolean): RequestMode {
+	if (isStatus) {
+		return 'task-status';
+	}
+
+	return respondAsyncPattern.test(readHeader(message, 'prefer') ?? '') ? 'task' : 'direct';
+}
+
+function readDuration(message: IncomingMessage, name: string): number | undefined {
+	const value = readHeader(message, name);
 	if (value === undefined) {
 		return undefined;
 	}
 
-	const deadlineMs = Number(value);
-	if (value.trim() === '' || !Number.isFinite(deadlineMs) || deadlineMs > maxDeadlineMs) {
-		throw new HttpRequestError('malformed-request', `Pistachiogauge-Deadline is a number of milliseconds up to ${maxDeadlineMs}`);
+	const durationMs = Number(value);
+	if (value.trim() === '' || !Number.isFinite(durationMs) || durationMs > maxDeadlineMs) {
+		throw new HttpRequestError('malformed-request', `${name} is a number of milliseconds up to ${maxDeadlineMs}`);
 	}
 
-	return deadlineMs;
+	return durationMs;
 }
 
 function listHeaders(message: IncomingMessage): HeaderList {
 	const headers: HeaderList = [];
+	const perConnection = new Set((message.headers.connection ?? '').toLowerCase().split(',').map(name => name.trim()));
 	for (let index = 0; index + 1 < message.rawHeaders.length; index += 2) {
 		const name = message.rawHeaders[index]!.toLowerCase();
-		if (!droppedHeaders.has(name)) {
+		if (!droppedHeaders.has(name) && !perConnection.has(name)) {
 			headers.push([name, message.rawHeaders[index + 1]!]);
 		}
 	}
