--- a/packages/decisions/src/membership/propose-epoch.ts
+++ b/packages/decisions/src/membership/propose-epoch.ts
@@ -117,9 +117,14 @@
 	const {membership, bundle} = state;
 	const {record} = membership;
 	const members = listNextMembers(state, context);
+	if (members.length === 0) {
+		// Everyone is suspected, this entry as well.
+		return undefined;
+	}
+
 	const poolNames = Object.keys(bundle.current?.pools ?? record?.pools ?? {});
 	const pools = assignPools(poolNames, members, record?.pools ?? {});
-	if (members.length === 0 || (record !== undefined && isSame(record, members, pools) && !hasStray(state, record))) {
+	if (record !== undefined && isSame(record, members, pools) && !hasStray(state, record)) {
 		return undefined;
 	}
 
