--- a/packages/decisions/src/routing/routing-filter.ts
+++ b/packages/decisions/src/routing/routing-filter.ts
@@ -162,10 +162,6 @@
 	return [emitEffect({kind: 'send-peer', to: owner, message: {kind: 'forward', pool: routed.pool, request}})];
 }
 
-function getPool(state: EntryState, service: string): string | undefined {
-	return state.bundle.current?.services[service]?.pool;
-}
-
 /** What a request becomes at the owner of its pool. */
 const offerKinds = {direct: 'request-offered', task: 'task-offered', 'task-status': 'task-queried'} as const;
 
@@ -175,6 +171,10 @@
 	});
 }
 
+function getPool(state: EntryState, service: string): string | undefined {
+	return state.bundle.current?.services[service]?.pool;
+}
+
 /** Sends requests again whose pool has changed hands since they were forwarded. */
 function routeHeldElsewhere(state: EntryState, context: DecisionContext): Output[] {
 	const outputs: Output[] = [];
--- a/packages/entry/src/entry-process.ts
+++ b/packages/entry/src/entry-process.ts
@@ -32,14 +32,14 @@
 		zone: settings.zone,
 		peerAddress: settings.peerAddress,
 		timings: settings.timings,
-		readBundle: bundle => verifyBundle(bundle, settings.operatorKeys, Date.now()),
+		readBundle: bundle => verifyBundle(bundle, settings.operatorKeys),
 	};
 	const log = createLogger(settings.logLevel, {entry: id});
 	const metrics = createMetrics();
 	const state = createEntryState(config);
 	const random = createRandomSource(randomInt(2 ** 31));
-	const count = (metric: string) => {
-		metrics.addCount(metric);
+	const count = (metric: string, by = 1) => {
+		metrics.addCount(metric, by);
 	};
 
 	const pushEvent = (event: InputEvent) => {
