Count the majority of the epoch before in the recovery check

Ruled out: a fault in activation; an operator has to force the next epoch. Change: the check asks for both majorities while the epoch is not active. It demands service exactly when both are there, and refusal otherwise.

--- a/packages/decisions/src/testing/random-faults.test.ts
+++ b/packages/decisions/src/testing/random-faults.test.ts
@@ -87,11 +87,13 @@
 };
 const faultNames = Object.keys(faults);
 
-/** Whether a majority of the stored epoch's members still runs. */
+/** Whether a majority of the stored epoch's members still runs, and one of the epoch before where it is still needed. */
 function hasMajority(cluster: VirtualCluster): boolean {
-	const {members} = JSON.parse(cluster.store.pairs.get(storeKeys.epoch)!.value) as EpochRecord;
-	const alive = members.filter(({id}) => !cluster.entries.get(id)!.isDead || cluster.store.pairs.has(`${storeKeys.departedPrefix}${id}`));
-	return 2 * alive.length > members.length;
+	const {members, previousMembers} = JSON.parse(cluster.store.pairs.get(storeKeys.epoch)!.value) as EpochRecord;
+	const isActive = [...cluster.entries.values()].some(entry => !entry.isDead && entry.state.membership.isActive);
+	const isCounted = (id: string) => !cluster.entries.get(id)!.isDead || cluster.store.pairs.has(`${storeKeys.departedPrefix}${id}`);
+	const hasHalf = (ids: readonly string[]) => 2 * ids.filter(id => isCounted(id)).length > ids.length;
+	return hasHalf(members.map(member => member.id)) && (isActive || previousMembers.length === 0 || hasHalf(previousMembers));
 }
 
 function runSeed(seed: number): void {
