--- a/packages/decisions/src/membership/propose-epoch.ts
+++ b/packages/decisions/src/membership/propose-epoch.ts
@@ -118,6 +118,7 @@
 	const {record} = membership;
 	const members = listNextMembers(state, context);
 	if (members.length === 0) {
+		// Everyone is suspected, this entry as well.
 		return undefined;
 	}
 
