--- a/packages/cli/src/call-entry.ts
+++ b/packages/cli/src/call-entry.ts
@@ -1,5 +1,5 @@
-import {createPrivateKey, randomUUID} from 'node:crypto';
-import {readFileSync} from 'node:fs';
+import {createPrivateKey, randomUUID, type KeyObject} from 'node:crypto';
+import {readFileSync, statSync} from 'node:fs';
 import {operatorHeaders, signOperatorCall} from '@pistachiogauge/http';
 import {type OperatorCommand} from '@pistachiogauge/model';
 import {request} from 'undici';
@@ -15,6 +15,8 @@
 };
 
 const callTimeoutMs = 15_000;
+const ownerModePattern = /00$/u;
+const addressPattern = /^(?:\d{1,3}\.){3}\d{1,3}:\d{1,5}$/u;
 
 /**
 Sends a signed command to an entry and returns the answer.
@@ -23,11 +25,15 @@
 @public
 */
 export async function callEntry(options: CallOptions, command: OperatorCommand): Promise<unknown> {
+	if (!addressPattern.test(options.entry)) {
+		throw new CliError(2, `--entry: expected an IP number and port, such as 10.0.0.1:8080, not ${options.entry}`);
+	}
+
 	const body = JSON.stringify(command);
 	const call = {
 		operator: options.operator, issuedAt: Date.now(), nonce: randomUUID(), body,
 	};
-	const signature = signOperatorCall(call, createPrivateKey(readKeyFile(options.key)));
+	const signature = signOperatorCall(call, readPrivateKey(options.key));
 	const answer = await postCall(options.entry, body, {
 		[operatorHeaders.operator]: call.operator,
 		[operatorHeaders.issuedAt]: String(call.issuedAt),
@@ -35,8 +41,8 @@
 		[operatorHeaders.signature]: signature,
 	});
 	if (answer.status !== 200) {
-		const {message} = answer.body as {message?: string};
-		throw new CliError(1, message ?? `the entry answered with status ${answer.status}`);
+		const {message} = (answer.body ?? {}) as {message?: unknown};
+		throw new CliError(1, typeof message === 'string' ? message : `the entry answered with status ${answer.status}`);
 	}
 
 	return answer.body;
@@ -53,10 +59,29 @@
 	}
 }
 
-function readKeyFile(file: string): string {
+/** Reads an operator's private key, which no one else may be able to read. @internal */
+export function readPrivateKeyText(file: string): string {
 	try {
+		// The last two octal digits are the rights of the group and of everyone else.
+		if (!statSync(file).mode.toString(8).endsWith('00')) {
+			throw new CliError(2, `the key file ${file} can be read by others; run chmod 600 ${file}`);
+		}
+
 		return readFileSync(file, 'utf8');
 	} catch (error) {
+		if (error instanceof CliError) {
+			throw error;
+		}
+
 		throw new CliError(2, `cannot read the key file ${file}`, {cause: error});
 	}
 }
+
+function readPrivateKey(file: string): KeyObject {
+	const text = readPrivateKeyText(file);
+	try {
+		return createPrivateKey(text);
+	} catch (error) {
+		throw new CliError(2, `the key file ${file} holds no private key; expected Ed25519 in PEM`, {cause: error});
+	}
+}
--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -5,3 +5,4 @@
 */
 export {callEntry, type CallOptions} from './call-entry.js';
 export {CliError} from './cli-error.js';
+export {runCommandLine, type CommandExitCode, type CommandOutput} from './run-command-line.js';
--- a/packages/decisions/src/bundle/bundle-filter.test.ts
+++ b/packages/decisions/src/bundle/bundle-filter.test.ts
@@ -117,7 +117,7 @@
 
 function addInstance(state: EntryState, id: string, pool: string): void {
 	state.fleet.instances.set(id, {
-		listed: undefined, wasLeaving: false, unlistedAt: undefined, record: {pool, moves: 0}, recordRevision: 1, nextWriteAt: 0,
+		listed: undefined, wasLeaving: false, unlistedAt: undefined, record: {pool, moves: 0}, recordRevision: 1, recordAt: 0, isRestoring: false, doubtUntil: undefined, nextWriteAt: 0,
 	});
 }
 
--- a/packages/decisions/src/fleet/fleet-filter.ts
+++ b/packages/decisions/src/fleet/fleet-filter.ts
@@ -6,13 +6,13 @@
 import {balancePool} from './automatic-moves.js';
 import {type FleetOperation} from './fleet-state.js';
 import {
-	instancesOperation, readInstanceRecords, updateInstanceRecord, updateList, updateRecords,
+	readInstanceRecords, updateInstanceRecord, updateInstanceRecords, updateList, updateRecords,
 } from './instance-record.js';
 import {
 	acquirePool, finishFence, openPool, retryFence, writeFence,
 } from './pool-fence.js';
 import {
-	refuseCall, retryWrite, settleRead, settleWrite,
+	readRecord, refuseCall, retryWrite, settleRead, settleWrite,
 } from './pool-write.js';
 import {
 	probeInstances, recordAnswer, recordProbe, recordReboot,
@@ -21,7 +21,7 @@
 
 const serverErrorStatus = 500;
 
-type OperationHandler = (state: EntryState, pool: PoolName, answer: EventOf<'store-answered'>, context: DecisionContext) => Output[];
+type OperationHandler = (state: EntryState, pool: PoolName, answer: EventOf<'store-answered'>, context: DecisionContext, sentAt: number) => Output[];
 
 const operationHandlers: Readonly<Record<FleetOperation['kind'], OperationHandler>> = {
 	'fence-read': writeFence,
@@ -39,21 +39,20 @@
 export const fleetFilter: Filter = {
 	name: 'fleet',
 	handlers: {
-		'store-reached': () => [readInstanceRecords()],
+		'store-reached': (state, _event, context) => [readInstanceRecords(state, context), ...checkPools(state, context)],
 		'instances-listed'(state, event, context) {
 			updateList(state, event.instances, context);
 			return updateRecords(state, context);
 		},
-		'store-changed'(state, event) {
-			updateInstanceRecord(state, event);
+		'store-changed'(state, event, context) {
+			updateInstanceRecord(state, event, context);
 			return [];
 		},
 		'store-answered'(state, event, context) {
-			if (event.operationId === instancesOperation && event.result === 'applied') {
-				for (const entry of event.entries) {
-					updateInstanceRecord(state, entry);
-				}
-
+			const sentAt = state.fleet.instanceReads.get(event.operationId);
+			state.fleet.instanceReads.delete(event.operationId);
+			if (sentAt !== undefined && event.result === 'applied') {
+				updateInstanceRecords(state, event.entries, sentAt, context);
 				return updateRecords(state, context);
 			}
 
@@ -88,6 +87,11 @@
 	},
 };
 
+/** Finds out after an outage whether the store still holds the records of the owned pools. */
+function checkPools(state: EntryState, context: DecisionContext): Output[] {
+	return [...state.fleet.owned].flatMap(([pool, owned]) => owned.isFenced && owned.pendingOperation === undefined ? readRecord(state, pool, owned, context) : []);
+}
+
 function runPool(state: EntryState, pool: PoolName, context: DecisionContext): Output[] {
 	return [
 		...probeInstances(state, pool, context),
@@ -108,7 +112,7 @@
 	}
 
 	pool.pendingOperation = undefined;
-	return operationHandlers[operation.kind](state, operation.pool, event, context);
+	return operationHandlers[operation.kind](state, operation.pool, event, context, operation.sentAt);
 }
 
 /** Ends the work for a pool that has a new owner; the new one goes on from the pool's record. */
--- a/packages/decisions/src/fleet/fleet-state.ts
+++ b/packages/decisions/src/fleet/fleet-state.ts
@@ -12,6 +12,12 @@
 	unlistedAt: number | undefined;
 	record: InstanceRecord | undefined;
 	recordRevision: number;
+	/** Monotonic time at which the record was learned. */
+	recordAt: number;
+	/** Whether this owner writes its record back, because the store was restored from an older copy. */
+	isRestoring: boolean;
+	/** Monotonic time until which the instance gets no work, because a restored store names another pool than before. */
+	doubtUntil: number | undefined;
 	/** Monotonic time before which the instance record is not written again. */
 	nextWriteAt: number;
 };
@@ -54,6 +60,8 @@
 	revision: number;
 	/** Whether the record carries this owner's epoch, so that a former owner's late write fails, and the instance records were read after that. */
 	isFenced: boolean;
+	/** Whether this owner has fenced the pool once, so that its own record is the latest. */
+	hasWritten: boolean;
 	pendingOperation: string | undefined;
 	nextTryAt: number;
 	pendingWrite: PendingWrite | undefined;
@@ -86,6 +94,8 @@
 	readonly owned: Map<PoolName, OwnedPool>;
 	/** Store operations in flight for owned pools. */
 	readonly operations: Map<string, FleetOperation>;
+	/** Reads of the instance records in flight, with the monotonic time at which they were sent. */
+	readonly instanceReads: Map<string, number>;
 	/** Monotonic time at which the instance list last arrived. */
 	listedAt: number | undefined;
 	operationCount: number;
@@ -95,12 +105,14 @@
 export type FleetOperation = {
 	readonly kind: 'fence-read' | 'fence-write' | 'fence-instances' | 'record-write' | 'record-read';
 	readonly pool: PoolName;
+	/** Monotonic milliseconds. */
+	readonly sentAt: number;
 };
 
 /** @internal */
 export function createFleetState(): FleetState {
 	return {
-		instances: new Map(), owned: new Map(), operations: new Map(), listedAt: undefined, operationCount: 0,
+		instances: new Map(), owned: new Map(), operations: new Map(), instanceReads: new Map(), listedAt: undefined, operationCount: 0,
 	};
 }
 
@@ -110,6 +122,7 @@
 		record: undefined,
 		revision: 0,
 		isFenced: false,
+		hasWritten: false,
 		pendingOperation: undefined,
 		nextTryAt: 0,
 		pendingWrite: undefined,
@@ -132,7 +145,7 @@
 	}
 
 	const created: FleetInstance = {
-		listed: undefined, wasLeaving: false, unlistedAt: undefined, record: undefined, recordRevision: 0, nextWriteAt: 0,
+		listed: undefined, wasLeaving: false, unlistedAt: undefined, record: undefined, recordRevision: 0, recordAt: 0, isRestoring: false, doubtUntil: undefined, nextWriteAt: 0,
 	};
 	state.fleet.instances.set(id, created);
 	return created;
@@ -174,8 +187,8 @@
 	}
 
 	const serving: ListedInstance[] = [];
-	for (const [id, {record, listed}] of state.fleet.instances) {
-		const isMember = record?.pool === pool && record.hasLeft !== true && !owned.joining.has(id);
+	for (const [id, {record, listed, doubtUntil}] of state.fleet.instances) {
+		const isMember = record?.pool === pool && record.hasLeft !== true && doubtUntil === undefined && !owned.joining.has(id);
 		if (isMember && listed?.state === 'live' && owned.record.permits[id] === undefined && owned.pendingWrite?.record.permits[id] === undefined) {
 			serving.push(listed);
 		}
--- a/packages/decisions/src/fleet/instance-record.ts
+++ b/packages/decisions/src/fleet/instance-record.ts
@@ -1,5 +1,5 @@
 import {
-	instanceRecordSchema, storeKeys, type InstanceId, type InstanceRecord, type ListedInstance,
+	instanceRecordSchema, storeKeys, type InstanceId, type InstanceRecord, type ListedInstance, type PoolName, type StoreEntry,
 } from '@pistachiogauge/model';
 import {emitEffect, type Output} from '../chain.js';
 import {type DecisionContext} from '../context.js';
@@ -7,14 +7,15 @@
 import {parseJson} from '../parse-json.js';
 import {getInstance, type FleetInstance} from './fleet-state.js';
 
-/** @internal */
-export const instancesOperation = 'fleet:instances';
 const writePauseMs = 1000;
 /** A restarted instance can be missing from the list for minutes; it must count as out of service during that time. */
 const leftAfterMs = 300_000;
 
+/** Time in which the owner of an instance can write its record back to a restored store. */
+const doubtMs = 10_000;
+
 /** Takes over a record of the store. Watches can deliver late; an older revision must not undo a move. @internal */
-export function updateInstanceRecord(state: EntryState, entry: {readonly key: string; readonly value?: string; readonly revision: number}): void {
+export function updateInstanceRecord(state: EntryState, entry: {readonly key: string; readonly value?: string; readonly revision: number}, context: DecisionContext): void {
 	if (!entry.key.startsWith(storeKeys.instancesPrefix) || entry.value === undefined) {
 		return;
 	}
@@ -26,21 +27,67 @@
 		return;
 	}
 
+	instance.recordAt = context.now;
+	instance.isRestoring = false;
+	instance.doubtUntil = undefined;
 	const hasJoined = instance.record !== undefined && (instance.record.pool !== record.data.pool || instance.record.hasLeft === true);
 	instance.record = record.data;
 	instance.recordRevision = entry.revision;
+	if (hasJoined) {
+		setMembership(state, id, record.data.pool);
+	}
+}
+
+function setMembership(state: EntryState, id: InstanceId, recordedPool: PoolName | undefined): void {
 	for (const [pool, owned] of state.fleet.owned) {
-		if (pool !== record.data.pool) {
-			owned.joining.delete(id);
-			owned.evidence.delete(id);
-		} else if (hasJoined) {
+		owned.evidence.delete(id);
+		owned.joining.delete(id);
+		if (pool === recordedPool) {
 			// It gets work only after it has answered a probe of this owner.
 			owned.joining.add(id);
-			owned.evidence.delete(id);
 		}
 	}
 }
 
+/**
+Takes over a reading of all records.
+
+A record older than one that was known before the reading was sent shows that the store was restored from an older copy. The owner by the newer record writes it back. Until then the instance gets no work, so that the owners by the two records do not both send to it.
+
+@internal
+*/
+export function updateInstanceRecords(state: EntryState, entries: readonly StoreEntry[], sentAt: number, context: DecisionContext): void {
+	const entryByKey = new Map(entries.map(entry => [entry.key, entry]));
+	for (const [id, instance] of state.fleet.instances) {
+		const entry = entryByKey.get(`${storeKeys.instancesPrefix}${id}`);
+		const storedRevision = entry?.revision ?? 0;
+		if (instance.record !== undefined && instance.recordAt < sentAt && storedRevision < instance.recordRevision) {
+			markRestored(state, id, entry, context);
+		}
+	}
+
+	for (const entry of entries) {
+		updateInstanceRecord(state, entry, context);
+	}
+}
+
+function markRestored(state: EntryState, id: InstanceId, entry: StoreEntry | undefined, context: DecisionContext): void {
+	const instance = getInstance(state, id);
+	const stored = entry === undefined ? undefined : instanceRecordSchema.safeParse(parseJson(entry.value)).data;
+	instance.recordRevision = entry?.revision ?? 0;
+	instance.recordAt = context.now;
+	if (stored !== undefined && stored.pool === instance.record?.pool && stored.hasLeft === instance.record.hasLeft) {
+		return;
+	}
+
+	instance.doubtUntil = context.now + doubtMs;
+	instance.isRestoring = state.fleet.owned.get(instance.record!.pool)?.isFenced === true;
+	if (!instance.isRestoring) {
+		instance.record = stored;
+		setMembership(state, id, stored?.pool);
+	}
+}
+
 /** Takes over the platform's list. @internal */
 export function updateList(state: EntryState, listed: readonly ListedInstance[], context: DecisionContext): void {
 	const listedIds = new Set(listed.map(instance => instance.id));
@@ -73,6 +120,10 @@
 
 	const outputs: Output[] = [];
 	for (const [id, instance] of state.fleet.instances) {
+		if (instance.doubtUntil !== undefined && !instance.isRestoring && context.now >= instance.doubtUntil) {
+			instance.doubtUntil = undefined;
+		}
+
 		const pool = instance.record?.pool ?? instance.listed?.pool ?? '';
 		const owned = state.fleet.owned.get(pool);
 		const stage = owned?.record?.permits[id]?.stage;
@@ -89,12 +140,16 @@
 		outputs.push(writeInstanceRecord(state, id, change));
 	}
 
-	return outputs.length === 0 ? [] : [...outputs, readInstanceRecords()];
+	return outputs.length === 0 ? [] : [...outputs, readInstanceRecords(state, context)];
 }
 
 function findChange({
-	listed, wasLeaving, unlistedAt, record,
+	listed, wasLeaving, unlistedAt, record, isRestoring, doubtUntil,
 }: FleetInstance, context: DecisionContext): InstanceRecord | undefined {
+	if (doubtUntil !== undefined) {
+		return isRestoring ? record : undefined;
+	}
+
 	if (record === undefined) {
 		return listed === undefined ? undefined : {pool: listed.pool, moves: 0};
 	}
@@ -121,8 +176,11 @@
 }
 
 /** The answer to a write of an instance record may be lost; reading it decides. @internal */
-export function readInstanceRecords(): Output {
+export function readInstanceRecords(state: EntryState, context: DecisionContext): Output {
+	state.fleet.operationCount += 1;
+	const operationId = `fleet:instances:${state.fleet.operationCount}`;
+	state.fleet.instanceReads.set(operationId, context.now);
 	return emitEffect({
-		kind: 'read-store', operationId: instancesOperation, key: storeKeys.instancesPrefix, isPrefix: true,
+		kind: 'read-store', operationId, key: storeKeys.instancesPrefix, isPrefix: true,
 	});
 }
--- a/packages/decisions/src/fleet/pool-fence.ts
+++ b/packages/decisions/src/fleet/pool-fence.ts
@@ -7,7 +7,7 @@
 import {parseJson} from '../parse-json.js';
 import {registerOperation} from './pool-write.js';
 import {createOwnedPool} from './fleet-state.js';
-import {updateInstanceRecord} from './instance-record.js';
+import {updateInstanceRecords} from './instance-record.js';
 
 const retryPauseMs = 500;
 
@@ -25,7 +25,7 @@
 	owned.acquiredAt = context.now;
 	owned.quietAt = context.now + computeQuietMs(state, pool);
 	state.fleet.owned.set(pool, owned);
-	return readFence(state, pool);
+	return readFence(state, pool, context);
 }
 
 /**
@@ -43,13 +43,13 @@
 /** Tries again after a pause when the store did not answer. @internal */
 export function retryFence(state: EntryState, pool: PoolName, context: DecisionContext): Output[] {
 	const owned = state.fleet.owned.get(pool)!;
-	return owned.pendingOperation === undefined && context.now >= owned.nextTryAt ? readFence(state, pool) : [];
+	return owned.pendingOperation === undefined && context.now >= owned.nextTryAt ? readFence(state, pool, context) : [];
 }
 
-function readFence(state: EntryState, pool: PoolName): Output[] {
+function readFence(state: EntryState, pool: PoolName, context: DecisionContext): Output[] {
 	return [emitEffect({
 		kind: 'read-store',
-		operationId: registerOperation(state, state.fleet.owned.get(pool)!, {kind: 'fence-read', pool}),
+		operationId: registerOperation(state, state.fleet.owned.get(pool)!, {kind: 'fence-read', pool}, context),
 		key: `${storeKeys.poolsPrefix}${pool}`,
 		isPrefix: false,
 	})];
@@ -77,17 +77,19 @@
 		return [];
 	}
 
+	// This owner has written a later record, so the store was restored from an older copy; its permits may have been given back since.
+	const known = owned.hasWritten ? owned.record : former?.data;
 	const record: PoolRecord = {
 		permits: {},
 		maintained: {},
-		...former?.data,
+		...known,
 		ownerEpoch: epoch,
 		owner: state.config.id,
 	};
 	owned.record = record;
 	return [emitEffect({
 		kind: 'write-store',
-		operationId: registerOperation(state, owned, {kind: 'fence-write', pool}),
+		operationId: registerOperation(state, owned, {kind: 'fence-write', pool}, context),
 		key: `${storeKeys.poolsPrefix}${pool}`,
 		value: JSON.stringify(record),
 		condition: entry === undefined ? {kind: 'absent'} : {kind: 'unchanged', revision: entry.revision},
@@ -107,23 +109,21 @@
 
 	owned.revision = revision;
 	return [emitEffect({
-		kind: 'read-store', operationId: registerOperation(state, owned, {kind: 'fence-instances', pool}), key: storeKeys.instancesPrefix, isPrefix: true,
+		kind: 'read-store', operationId: registerOperation(state, owned, {kind: 'fence-instances', pool}, context), key: storeKeys.instancesPrefix, isPrefix: true,
 	})];
 }
 
 /** @internal */
-export function openPool(state: EntryState, pool: PoolName, answer: StoreAnswer, context: DecisionContext): Output[] {
+export function openPool(state: EntryState, pool: PoolName, answer: StoreAnswer, context: DecisionContext, sentAt: number): Output[] {
 	const owned = state.fleet.owned.get(pool)!;
 	owned.nextTryAt = context.now + retryPauseMs;
 	if (answer.result !== 'applied') {
 		return [];
 	}
 
-	for (const entry of answer.entries) {
-		updateInstanceRecord(state, entry);
-	}
-
+	updateInstanceRecords(state, answer.entries, sentAt, context);
 	owned.isFenced = true;
+	owned.hasWritten = true;
 	return [emitEffect({
 		kind: 'log', level: 'info', message: 'pool taken over', fields: {pool, epoch: owned.record!.ownerEpoch, permits: Object.keys(owned.record!.permits).length},
 	})];
--- a/packages/decisions/src/fleet/pool-stages.ts
+++ b/packages/decisions/src/fleet/pool-stages.ts
@@ -133,7 +133,7 @@
 	const record = {
 		...instance.record, pool: permit.targetPool!, moves: instance.record.moves + 1, maintainedAt: owned.record?.maintained[id],
 	};
-	return {permit, outputs: [writeInstanceRecord(state, id, record), readInstanceRecords()]};
+	return {permit, outputs: [writeInstanceRecord(state, id, record), readInstanceRecords(state, context)]};
 }
 
 function requestReboot(stop: PlannedStop): StopStep {
--- a/packages/decisions/src/fleet/pool-write.ts
+++ b/packages/decisions/src/fleet/pool-write.ts
@@ -17,10 +17,10 @@
 type StoreAnswer = EventOf<'store-answered'>;
 
 /** Registers a store operation for a pool and returns its id. Answers to any other operation of the pool are ignored. @internal */
-export function registerOperation(state: EntryState, owned: OwnedPool, operation: FleetOperation): string {
+export function registerOperation(state: EntryState, owned: OwnedPool, operation: Omit<FleetOperation, 'sentAt'>, context: DecisionContext): string {
 	state.fleet.operationCount += 1;
 	const operationId = `fleet:${operation.kind}:${operation.pool}:${state.fleet.operationCount}`;
-	state.fleet.operations.set(operationId, operation);
+	state.fleet.operations.set(operationId, {...operation, sentAt: context.now});
 	owned.pendingOperation = operationId;
 	return operationId;
 }
@@ -42,15 +42,15 @@
 	owned.pendingWrite = {
 		...change, text: JSON.stringify(change.record), startedAt: context.now, hasAnswered: false,
 	};
-	return sendWrite(state, pool, owned, owned.pendingWrite);
+	return sendWrite(state, pool, owned, context);
 }
 
-function sendWrite(state: EntryState, pool: PoolName, owned: OwnedPool, write: PendingWrite): Output[] {
+function sendWrite(state: EntryState, pool: PoolName, owned: OwnedPool, context: DecisionContext): Output[] {
 	return [emitEffect({
 		kind: 'write-store',
-		operationId: registerOperation(state, owned, {kind: 'record-write', pool}),
+		operationId: registerOperation(state, owned, {kind: 'record-write', pool}, context),
 		key: `${storeKeys.poolsPrefix}${pool}`,
-		value: write.text,
+		value: owned.pendingWrite!.text,
 		condition: {kind: 'unchanged', revision: owned.revision},
 		isLeased: false,
 	})];
@@ -65,7 +65,7 @@
 	}
 
 	if (answer.result === 'conflict') {
-		return readRecord(state, pool, owned);
+		return readRecord(state, pool, owned, context);
 	}
 
 	owned.nextTryAt = context.now + retryPauseMs;
@@ -80,35 +80,36 @@
 		return outputs;
 	}
 
-	return [...outputs, ...readRecord(state, pool, owned)];
+	return [...outputs, ...readRecord(state, pool, owned, context)];
 }
 
-function readRecord(state: EntryState, pool: PoolName, owned: OwnedPool): Output[] {
+/** Reads the record of a pool, to settle a write or to see that the store still holds it. @internal */
+export function readRecord(state: EntryState, pool: PoolName, owned: OwnedPool, context: DecisionContext): Output[] {
 	return [emitEffect({
-		kind: 'read-store', operationId: registerOperation(state, owned, {kind: 'record-read', pool}), key: `${storeKeys.poolsPrefix}${pool}`, isPrefix: false,
+		kind: 'read-store', operationId: registerOperation(state, owned, {kind: 'record-read', pool}, context), key: `${storeKeys.poolsPrefix}${pool}`, isPrefix: false,
 	})];
 }
 
-/** Decides an unanswered write by what the store holds. @internal */
+/** Decides an unanswered write by what the store holds, and finds a record that has changed without one. @internal */
 export function settleRead(state: EntryState, pool: PoolName, answer: StoreAnswer, context: DecisionContext): Output[] {
 	const owned = state.fleet.owned.get(pool)!;
 	const write = owned.pendingWrite;
-	if (answer.result !== 'applied' || write === undefined) {
+	if (answer.result !== 'applied') {
 		owned.nextTryAt = context.now + retryPauseMs;
 		return [];
 	}
 
 	const [entry] = answer.entries;
-	if (entry?.value === write.text) {
+	if (write !== undefined && entry?.value === write.text) {
 		return finishWrite(pool, owned, entry.revision);
 	}
 
-	// The write may still be under way. The same condition lets only one of the two take effect.
 	if (entry?.revision === owned.revision) {
-		return sendWrite(state, pool, owned, write);
+		// The write may still be under way. The same condition lets only one of the two take effect.
+		return write === undefined ? [] : sendWrite(state, pool, owned, context);
 	}
 
-	return dropWrite(owned, write, entry === undefined ? undefined : poolRecordSchema.safeParse(parseJson(entry.value)).data);
+	return loseRecord(owned, entry === undefined ? undefined : poolRecordSchema.safeParse(parseJson(entry.value)).data);
 }
 
 function finishWrite(pool: PoolName, owned: OwnedPool, revision: number): Output[] {
@@ -128,14 +129,16 @@
 	return [...answers, ...changes];
 }
 
-/** The record has changed under this owner: another entry has fenced the pool. Nothing is sent until the pool is fenced anew. */
-function dropWrite(owned: OwnedPool, write: PendingWrite, found: PoolRecord | undefined): Output[] {
+/** The record has changed under this owner: another entry has fenced the pool, or the store was restored. Nothing is sent until the pool is fenced anew. */
+function loseRecord(owned: OwnedPool, found: PoolRecord | undefined): Output[] {
+	const calls = owned.pendingWrite?.calls ?? [];
+	const hasAnswered = owned.pendingWrite?.hasAnswered === true;
 	owned.isFenced = false;
 	owned.pendingWrite = undefined;
 	const reason = `entry ${found?.owner ?? 'unknown'} has changed the pool's record; nothing was done`;
 	return [
 		emitEffect({kind: 'count', metric: 'pool_records_lost_total', by: 1}),
-		...write.calls.flatMap(({call}) => write.hasAnswered ? [createAuditEvent(call, 'refused', reason)] : refuseCall(call, 409, reason)),
+		...calls.flatMap(({call}) => hasAnswered ? [createAuditEvent(call, 'refused', reason)] : refuseCall(call, 409, reason)),
 	];
 }
 
