Admit delivered instances as soon as a pool is taken over, and let services move

The refusal of a service's move to another pool was needless since the idempotency filter refuses keys that the new owner cannot know.

--- a/packages/decisions/src/bundle/check-replacement.ts
+++ b/packages/decisions/src/bundle/check-replacement.ts
@@ -4,7 +4,7 @@
 /**
 Finds what keeps a bundle from replacing the one in force; undefined when nothing does.
 
-A pool with instances cannot be removed, because no one would own them. A service stays in its pool, because only that pool's owner knows which keys have run.
+A pool with instances cannot be removed, because no one would own them. A service may be removed or change its pool: the idempotency filter refuses keys that the new pool's owner cannot know.
 
 @public
 */
@@ -17,13 +17,6 @@
 		}
 	}
 
-	for (const [service, declaration] of Object.entries(current?.services ?? {})) {
-		const pool = Object.hasOwn(next.services, service) ? next.services[service]!.pool : declaration.pool;
-		if (pool !== declaration.pool) {
-			return `service ${service} moves from pool ${declaration.pool} to pool ${pool}, whose owner does not know which of its requests have run; declare a new service`;
-		}
-	}
-
 	return undefined;
 }
 
--- a/packages/decisions/src/fleet/pool-fence.ts
+++ b/packages/decisions/src/fleet/pool-fence.ts
@@ -7,7 +7,7 @@
 import {parseJson} from '../parse-json.js';
 import {registerOperation} from './pool-write.js';
 import {createOwnedPool} from './fleet-state.js';
-import {updateInstanceRecords} from './instance-record.js';
+import {updateInstanceRecords, updateRecords} from './instance-record.js';
 
 const retryPauseMs = 500;
 
@@ -124,7 +124,8 @@
 	updateInstanceRecords(state, answer.entries, sentAt, context);
 	owned.isFenced = true;
 	owned.hasWritten = true;
-	return [emitEffect({
+	const log = emitEffect({
 		kind: 'log', level: 'info', message: 'pool taken over', fields: {pool, epoch: owned.record!.ownerEpoch, permits: Object.keys(owned.record!.permits).length},
-	})];
+	});
+	return [log, ...updateRecords(state, context)];
 }
