Give metrics labels and quantiles, and wait until the first bundle is in force

createLocalCluster took any answer to its first bundle for acceptance; with an entry that had not reached the store yet, no bundle was in force and the start failed after 20 s (5 of 18 starts, three clusters at once on a busy machine). A failed start reports the entries' status and last log lines.

The metrics page gives request durations by class, the forwarded count, peer messages by kind, link and store bytes, loop delay and process figures. Each request is logged at debug level with its id. Sinks and the observer of requests are files of their own.

--- a/packages/bench/src/local-cluster.ts
+++ b/packages/bench/src/local-cluster.ts
@@ -1,7 +1,7 @@
 import {spawn, type ChildProcess} from 'node:child_process';
 import {once} from 'node:events';
 import {
-	mkdirSync, mkdtempSync, openSync, rmSync, writeFileSync,
+	mkdirSync, mkdtempSync, openSync, readFileSync, rmSync, writeFileSync,
 } from 'node:fs';
 import {createServer} from 'node:net';
 import {createRequire} from 'node:module';
@@ -147,18 +147,30 @@
 			const codes = await Promise.all(entries.map(async entry => getStatusCode(`http://${entry.address}/healthz`)));
 			return codes.every(code => code === 200);
 		});
-		await waitUntil('the bundle is accepted', async () => applyBundle(options.bundle).catch(() => false).then(() => true));
+		// An entry refuses a bundle before it has reached the store; a refusal as already known shows that an earlier try was accepted.
+		await waitUntil('the bundle is accepted', async () => {
+			await applyBundle(options.bundle).catch(() => undefined);
+			const status = await callOperator({command: 'status'}) as {bundleVersion: number};
+			return status.bundleVersion > 0;
+		});
 		await waitUntil('the entries are ready', async () => {
 			const codes = await Promise.all(entries.map(async entry => getStatusCode(`http://${entry.address}/readyz`)));
 			return codes.every(code => code === 200);
 		});
 		return cluster;
 	} catch (error) {
+		const statuses = await Promise.all(entries.map(async (_, index) => callOperator({command: 'status'}, index).catch(String)));
+		const logs = entries.map(({name}) => readLastLines(join(folder, 'logs', `${name}.log`)));
 		await stop();
-		throw error;
+		throw new Error([error instanceof Error ? error.message : String(error), ...statuses.map(status => JSON.stringify(status)), ...logs].join('\n'), {cause: error});
 	}
 }
 
+function readLastLines(file: string): string {
+	const lines = readFileSync(file, 'utf8').trimEnd().split('\n');
+	return lines.slice(-10).join('\n');
+}
+
 /** Built main script of a package; under the tests a package resolves to its sources, which Node cannot run. */
 function getMainScript(packageName: string): string {
 	return join(dirname(load.resolve(packageName)), '..', 'dist', 'main.js');
--- /dev/null
+++ b/packages/entry/src/create-sinks.ts
@@ -0,0 +1,69 @@
+import {type CallerServer, type EndpointClient} from '@pistachiogauge/http';
+import {type PeerNetwork} from '@pistachiogauge/peer';
+import {type SinkTable} from '@pistachiogauge/pipeline';
+import {type StoreClient} from '@pistachiogauge/store';
+import {type Logger, type Metrics} from '@pistachiogauge/telemetry';
+import {type InstanceList} from './instance-list.js';
+import {type RequestObserver} from './request-observer.js';
+
+/** Parts of an entry that carry out effects. @internal */
+export type EntryParts = {
+	readonly callers: CallerServer;
+	readonly endpoints: EndpointClient;
+	readonly peers: PeerNetwork;
+	readonly store: StoreClient;
+	readonly instances: InstanceList;
+	readonly observer: RequestObserver;
+	readonly metrics: Metrics;
+	readonly log: Logger;
+	readonly stop: (exitCode: 0 | 1) => void;
+};
+
+/** Creates the table from effect kind to the part that carries it out. @internal */
+export function createSinks({callers, endpoints, peers, store, instances, observer, metrics, log, stop}: EntryParts): SinkTable {
+	return {
+		'respond-caller'({requestId, result}) {
+			observer.observeResult(requestId, result);
+			callers.respondCaller(requestId, result);
+		},
+		'send-endpoint': endpoints.sendAttempt,
+		'probe-endpoint': endpoints.probeEndpoint,
+		'reboot-instance': instances.rebootInstance,
+		'send-peer'(effect) {
+			observer.observeMessage(effect);
+			peers.sendMessage(effect.to, effect.message);
+		},
+		'open-link'({entryId, address}) {
+			peers.openLink(entryId, address);
+		},
+		'close-link'({entryId}) {
+			peers.closeLink(entryId);
+		},
+		'read-store': store.runOperation,
+		'write-store': store.runOperation,
+		'delete-store': store.runOperation,
+		'answer-operator'({callId, status, body}) {
+			callers.answerOperator(callId, status, body);
+		},
+		'set-readiness'({isReady}) {
+			log('info', isReady ? 'ready' : 'not ready');
+			callers.setReadiness(isReady);
+		},
+		'stop-process'({exitCode}) {
+			stop(exitCode);
+		},
+		count({metric, by}) {
+			metrics.addCount(metric, by);
+		},
+		observe({metric, value}) {
+			metrics.recordValue(metric, value);
+		},
+		log({level, message, fields}) {
+			log(level, message, fields);
+		},
+		'handler-failed'({filter, eventKind, error}) {
+			metrics.addCount('handler_failures_total');
+			log('error', 'handler failed', {filter, event: eventKind, error: error instanceof Error ? error.stack ?? error.message : String(error)});
+		},
+	};
+}
--- a/packages/entry/src/entry-process.ts
+++ b/packages/entry/src/entry-process.ts
@@ -5,12 +5,15 @@
 import {createCallerServer, createEndpointClient} from '@pistachiogauge/http';
 import {type EntryConfig, type InputEvent} from '@pistachiogauge/model';
 import {createPeerNetwork} from '@pistachiogauge/peer';
-import {createPipeline, type SinkTable} from '@pistachiogauge/pipeline';
+import {createPipeline} from '@pistachiogauge/pipeline';
 import {verifyBundle, type EntrySettings} from '@pistachiogauge/settings';
 import {createStoreClient} from '@pistachiogauge/store';
 import {createLogger, createMetrics} from '@pistachiogauge/telemetry';
-import {createInstanceList} from './instance-list.js';
 import {createKey} from './create-key.js';
+import {createSinks} from './create-sinks.js';
+import {createInstanceList} from './instance-list.js';
+import {setProcessGauges} from './process-gauges.js';
+import {createRequestObserver} from './request-observer.js';
 
 /** @public */
 export type EntryProcess = {
@@ -42,7 +45,9 @@
 		metrics.addCount(metric, by);
 	};
 
+	const observer = createRequestObserver(metrics, log, () => performance.now(), tickMs);
 	const pushEvent = (event: InputEvent) => {
+		observer.observeEvent(event);
 		pipeline.pushEvent(event);
 	};
 
@@ -56,7 +61,10 @@
 		},
 		createKey: () => createKey(Date.now()),
 		createRefusal: createNotRunResult,
-		getMetrics: () => metrics.formatMetrics(),
+		getMetrics() {
+			setProcessGauges(metrics, state);
+			return metrics.formatMetrics();
+		},
 		pushEvent,
 		log,
 		count,
@@ -81,50 +89,19 @@
 		onStop(exitCode);
 	}
 
-	const sinks: SinkTable = {
-		'respond-caller'({requestId, result}) {
-			metrics.addCount(`requests_${result.outcome.replace('-', '_')}_total`);
-			callers.respondCaller(requestId, result);
-		},
-		'send-endpoint': endpoints.sendAttempt,
-		'probe-endpoint': endpoints.probeEndpoint,
-		'reboot-instance': instances.rebootInstance,
-		'send-peer'({to, message}) {
-			peers.sendMessage(to, message);
-		},
-		'open-link'({entryId, address}) {
-			peers.openLink(entryId, address);
-		},
-		'close-link'({entryId}) {
-			peers.closeLink(entryId);
-		},
-		'read-store': store.runOperation,
-		'write-store': store.runOperation,
-		'delete-store': store.runOperation,
-		'answer-operator'({callId, status, body}) {
-			callers.answerOperator(callId, status, body);
-		},
-		'set-readiness'({isReady}) {
-			log('info', isReady ? 'ready' : 'not ready');
-			callers.setReadiness(isReady);
-		},
-		'stop-process'({exitCode}) {
+	const sinks = createSinks({
+		callers,
+		endpoints,
+		peers,
+		store,
+		instances,
+		observer,
+		metrics,
+		log,
+		stop(exitCode) {
 			void stopAll(exitCode);
 		},
-		count({metric, by}) {
-			metrics.addCount(metric, by);
-		},
-		observe({metric, value}) {
-			metrics.recordValue(metric, value);
-		},
-		log({level, message, fields}) {
-			log(level, message, fields);
-		},
-		'handler-failed'({filter, eventKind, error}) {
-			count('handler_failures_total');
-			log('error', 'handler failed', {filter, event: eventKind, error: error instanceof Error ? error.stack ?? error.message : String(error)});
-		},
-	};
+	});
 
 	const pipeline = createPipeline<InputEvent>({
 		applyEvent(event) {
@@ -144,6 +121,7 @@
 			await callers.start();
 			await peers.start();
 			ticking = setInterval(() => {
+				observer.observeTick(performance.now());
 				pushEvent({kind: 'tick'});
 			}, tickMs);
 			store.start();
--- a/packages/telemetry/src/logger.ts
+++ b/packages/telemetry/src/logger.ts
@@ -28,6 +28,11 @@
 		...(!isTerminal && {reporters: [jsonReporter]}),
 	});
 	return (recordLevel, message, fields = {}) => {
+		// A record that is not written costs one comparison; debug records are made for every request.
+		if (consolaLevels[recordLevel] > consolaLevels[level]) {
+			return;
+		}
+
 		consola[recordLevel](message, {...common, ...fields});
 	};
 }
--- a/packages/telemetry/src/metrics.ts
+++ b/packages/telemetry/src/metrics.ts
@@ -1,6 +1,12 @@
 import {build, type Histogram} from 'hdr-histogram-js';
 
-/** Counters, gauges and quantiles of a process. @public */
+/**
+Counters, gauges and quantiles of a process.
+
+A metric's name may carry labels: `request_duration_ms{class="urgent"}`. Labels come from closed sets of values, so the number of series is bounded.
+
+@public
+*/
 export type Metrics = {
 	addCount(metric: string, by?: number): void;
 	setGauge(metric: string, value: number): void;
@@ -10,8 +16,11 @@
 	formatMetrics(): string;
 };
 
+type MetricType = 'counter' | 'gauge' | 'summary';
+
 const prefix = 'pistachiogauge_';
-const quantiles = [50, 90, 99, 99.9] as const;
+/** Labels and percentiles. The labels are texts, because 99.9 / 100 is not 0.999 in floating point. */
+const quantiles = [['0.5', 50], ['0.9', 90], ['0.99', 99], ['0.999', 99.9]] as const;
 
 /** Creates an empty set of metrics. @public */
 export function createMetrics(): Metrics {
@@ -26,29 +35,46 @@
 			gauges.set(metric, value);
 		},
 		recordValue(metric, value) {
-			const histogram = histograms.get(metric) ?? build({numberOfSignificantValueDigits: 2});
-			histograms.set(metric, histogram);
+			let histogram = histograms.get(metric);
+			if (histogram === undefined) {
+				histogram = build({numberOfSignificantValueDigits: 2});
+				histograms.set(metric, histogram);
+			}
+
 			histogram.recordValue(Math.max(0, Math.round(value)));
 		},
 		formatMetrics() {
 			return [
-				...formatSimple(counters, 'counter'),
-				...formatSimple(gauges, 'gauge'),
-				...[...histograms].flatMap(([metric, histogram]) => formatSummary(metric, histogram)),
+				...formatFamilies(counters, 'counter', formatSample),
+				...formatFamilies(gauges, 'gauge', formatSample),
+				...formatFamilies(histograms, 'summary', formatSummary),
 			].join('');
 		},
 	};
 }
 
-function formatSimple(values: ReadonlyMap<string, number>, type: 'counter' | 'gauge'): string[] {
-	return [...values].map(([metric, value]) => `# TYPE ${prefix}${metric} ${type}\n${prefix}${metric} ${value}\n`);
+/** Formats metrics of one type; the series of one name stand together under one type line, as the format asks. */
+function formatFamilies<Value>(values: ReadonlyMap<string, Value>, type: MetricType, format: (name: string, labels: string, value: Value) => string): string[] {
+	const families = new Map<string, string[]>();
+	for (const [metric, value] of values) {
+		const [name = '', labels = ''] = metric.replace(/\}$/u, '').split('{', 2);
+		const lines = families.get(name) ?? [`# TYPE ${prefix}${name} ${type}\n`];
+		families.set(name, lines);
+		lines.push(format(name, labels, value));
+	}
+
+	return [...families.values()].flat();
+}
+
+function formatSample(name: string, labels: string, value: number): string {
+	return `${prefix}${name}${labels === '' ? '' : `{${labels}}`} ${value}\n`;
 }
 
-function formatSummary(metric: string, histogram: Histogram): string[] {
+function formatSummary(name: string, labels: string, histogram: Histogram): string {
+	const before = labels === '' ? '' : `${labels},`;
 	return [
-		`# TYPE ${prefix}${metric} summary\n`,
-		...quantiles.map(quantile => `${prefix}${metric}{quantile="${quantile / 100}"} ${histogram.getValueAtPercentile(quantile)}\n`),
-		`${prefix}${metric}_sum ${histogram.mean * histogram.totalCount}\n`,
-		`${prefix}${metric}_count ${histogram.totalCount}\n`,
-	];
+		...quantiles.map(([label, percentile]) => formatSample(name, `${before}quantile="${label}"`, histogram.getValueAtPercentile(percentile))),
+		formatSample(`${name}_sum`, labels, histogram.mean * histogram.totalCount),
+		formatSample(`${name}_count`, labels, histogram.totalCount),
+	].join('');
 }
