--- a/packages/bench/src/checks/stop-checks.ts
+++ b/packages/bench/src/checks/stop-checks.ts
@@ -20,7 +20,7 @@
 		const permitted = new Map<string, ReadonlySet<string>>();
 		const unlistedSince = new Map<string, number>();
 		return {
-			'store-written'(world, {key, value}) {
+			'store-written'(world, {key, value, cause}) {
 				const pool = getPoolOfKey(key);
 				if (pool === undefined) {
 					return undefined;
@@ -29,7 +29,8 @@
 				const former = permitted.get(pool) ?? new Set<string>();
 				const current = new Set(Object.keys(parsePoolRecord(value)?.permits ?? {}));
 				permitted.set(pool, current);
-				const isLarger = [...current].some(id => !former.has(id));
+				// A restore of the store brings permits back that no entry asked for.
+				const isLarger = cause !== 'restore' && [...current].some(id => !former.has(id));
 				const failed = listUnlisted(world, pool, unlistedSince).filter(id => !current.has(id));
 				const budget = world.bundles.getBudget(pool);
 				return isLarger && current.size + failed.length > budget
@@ -73,13 +74,19 @@
 	createHandlers() {
 		const recordedAt = new Map<string, Map<string, number>>();
 		return {
-			'store-written'(world, {key, value}) {
+			'store-written'(world, {key, value, cause}) {
 				const pool = getPoolOfKey(key);
 				if (pool === undefined) {
 					return undefined;
 				}
 
 				const former = recordedAt.get(pool);
+				if (cause === 'restore') {
+					// A restore of the store records no drain; what an entry writes after it counts again.
+					recordedAt.delete(pool);
+					return undefined;
+				}
+
 				const ids = Object.keys(parsePoolRecord(value)?.permits ?? {});
 				recordedAt.set(pool, new Map(ids.map(id => [id, former?.get(id) ?? world.queue.now])));
 				return undefined;
@@ -99,7 +106,16 @@
 export const gracefulStopCheck: Check = {
 	name: 'graceful-stop',
 	createHandlers(callers) {
+		/** A process cannot wait for a request that it has not read yet. */
+		const read = new Set<string>();
 		return {
+			'entry-stepped'(_world, {event}) {
+				if (event.kind === 'request-received') {
+					read.add(event.request.requestId);
+				}
+
+				return undefined;
+			},
 			'instance-rebooted': (_world, {instanceId, busyCount}) => busyCount > 0
 				? `${instanceId} was rebooted while it ran ${busyCount} requests`
 				: undefined,
@@ -108,7 +124,7 @@
 					return undefined;
 				}
 
-				const waiting = callers.requests.find(sent => sent.entry === entry && sent.result === undefined && !sent.isGone);
+				const waiting = callers.requests.find(sent => sent.entry === entry && sent.result === undefined && !sent.isGone && read.has(sent.request.requestId));
 				if (waiting !== undefined) {
 					return `${entry.id} stopped before it answered ${waiting.request.requestId}`;
 				}
