Open fresh connections to an endpoint after an answer time-out

A retry of an idempotent request took another connection of the same age, which is silent as well when a middlebox has dropped them all: the case 'use fresh connections after one that did not answer in time' failed first.

--- a/packages/http/src/endpoint-client.ts
+++ b/packages/http/src/endpoint-client.ts
@@ -53,10 +53,19 @@
 		return created;
 	}
 
+	/** Opens new connections from now on; requests on the old ones go on until they end. */
+	function retirePool(address: string): void {
+		const pool = pools.get(address);
+		pools.delete(address);
+		void pool?.close().catch(() => undefined);
+	}
+
 	return {
 		sendAttempt(effect) {
 			const {attemptId, address, request: {method, path, headers, body}} = effect;
-			const attempt = new Attempt(effect, options);
+			const attempt = new Attempt(effect, options, () => {
+				retirePool(address);
+			});
 			try {
 				getPool(address).dispatch({
 					method,
@@ -102,11 +111,16 @@
 	#isTimedOut = false;
 	#controller: Dispatcher.DispatchController | undefined;
 
-	constructor(effect: EffectOf<'send-endpoint'>, options: EndpointClientOptions) {
+	/** `onTimeout` is told that the connection has carried no answer in time; others that were opened with it may be silent as well. */
+	constructor(effect: EffectOf<'send-endpoint'>, options: EndpointClientOptions, onTimeout: () => void) {
 		this.#effect = effect;
 		this.#options = options;
 		this.#timer = setTimeout(() => {
 			this.#isTimedOut = true;
+			if (this.#isStarted) {
+				onTimeout();
+			}
+
 			this.#fail(this.#isStarted ? 'answer-timeout' : 'not-sent');
 			this.#controller?.abort(new Error('no answer in time'));
 		}, effect.timeoutMs);
