Give each local cluster a loopback address of its own

Cause: entries.test.ts failed to start once while other runs started clusters; a port found free can be taken before the entry listens. Ruled out: a slow start, since the entry had ended. Change: a random 127.x.y.z address for each cluster.

--- a/packages/bench/src/local-cluster.ts
+++ b/packages/bench/src/local-cluster.ts
@@ -1,3 +1,4 @@
+import {randomInt} from 'node:crypto';
 import {spawn, type ChildProcess} from 'node:child_process';
 import {once} from 'node:events';
 import {
@@ -62,8 +63,9 @@
 	writeFileSync(join(folder, 'operator.pem'), keys.privateKey, {mode: 0o600});
 	writeFileSync(join(folder, 'operator.pem.pub'), keys.publicKey);
 	writeFileSync(join(folder, 'peer.secret'), 'loopback-cluster-secret\n', {mode: 0o600});
-	const ports = await findFreePorts(2 + (options.entryCount * 2) + Object.values(options.instances).reduce((sum, count) => sum + count, 0));
-	const takeAddress = () => `127.0.0.1:${ports.pop()!}`;
+	const host = chooseLoopbackHost();
+	const ports = await findFreePorts(2 + (options.entryCount * 2) + Object.values(options.instances).reduce((sum, count) => sum + count, 0), host);
+	const takeAddress = () => `${host}:${ports.pop()!}`;
 
 	function startProcess(name: string, address: string, script: string, values: readonly string[]): LocalProcess {
 		const logFile = openSync(join(folder, 'logs', `${name}.log`), 'a');
@@ -176,6 +178,12 @@
 	return join(dirname(load.resolve(packageName)), '..', 'dist', 'main.js');
 }
 
+/** Chooses a loopback address of its own for a cluster, so that clusters started at the same time cannot take each other's ports. */
+function chooseLoopbackHost(): string {
+	const parts = [1, 2, 3].map(() => randomInt(1, 255));
+	return `127.${parts.join('.')}`;
+}
+
 /** Waits until a condition holds. Tests wait for conditions and not for times, so a slow machine changes no verdict. */
 async function waitUntil(what: string, isMet: () => Promise<boolean>, limitMs = 20_000): Promise<void> {
 	const startedAt = performance.now();
@@ -198,10 +206,10 @@
 	return answer.statusCode;
 }
 
-async function findFreePorts(count: number): Promise<number[]> {
+async function findFreePorts(count: number, host = '127.0.0.1'): Promise<number[]> {
 	const servers = Array.from({length: count}, () => createServer());
 	const ports = await Promise.all(servers.map(async server => {
-		server.listen(0, '127.0.0.1');
+		server.listen(0, host);
 		await once(server, 'listening');
 		const address = server.address();
 		return typeof address === 'object' && address !== null ? address.port : 0;
