Give a new owner a few retries and limit first answers from five runs on

Cause: a service whose owner has just taken over had neither retries nor known run times, so a silent connection held idempotent requests to their deadline (endpoints.test.ts, freeze and silent).

Ruled out: a part of the deadline as the limit; work that takes longer would be cut off each time and its run time never be known.

Change: ten retries to begin with; the first-answer limit uses ten times the longest run until a hundred runs are known, three times the 99.9th percentile then.

Conclusion: silent connections end at the first-answer limit. Retries are bounded by a tenth of the requests and ten more for each new owner.

--- a/packages/decisions/src/admission/expected-wait.ts
+++ b/packages/decisions/src/admission/expected-wait.ts
@@ -4,6 +4,9 @@
 import {type EntryState} from '../entry-state.js';
 import {getServiceTimes} from './service-times.js';
 
+/** Fewer runs tell too little to refuse anyone. */
+const minRuns = 20;
+
 /**
 Time until a new request of the flow can be expected to start, in milliseconds; 0 while too few runs are known.
 
@@ -14,7 +17,7 @@
 export function computeExpectedWait(state: EntryState, pool: PoolName, request: ServiceRequest, context: DecisionContext): number {
 	const times = getServiceTimes(state, request.service, request.requestClass, context);
 	const backlog = getFlowBacklog(state, pool, request, context);
-	if (times === undefined || backlog === undefined || backlog.slots < 1) {
+	if (times === undefined || times.count < minRuns || backlog === undefined || backlog.slots < 1) {
 		return 0;
 	}
 
--- a/packages/decisions/src/admission/service-times.ts
+++ b/packages/decisions/src/admission/service-times.ts
@@ -28,8 +28,10 @@
 const summaryMs = 500;
 /** Interval of the first attempts, while too few runs are known. */
 const firstSummaryMs = 50;
-/** Fewer runs tell too little to refuse anyone. */
-const minRuns = 20;
+/** Fewer runs tell nothing. */
+const minRuns = 5;
+/** The current period is used once it has this many runs, or when it is the only one. */
+const minPeriodRuns = 10;
 const highestTrackedMs = 3_600_000;
 
 /** Records how long an endpoint took for a request. @internal */
@@ -81,7 +83,7 @@
 	}
 
 	// The slower of both periods once the current one tells enough, so a limit is not set too low.
-	const periods = [current, former].filter(period => period.totalCount >= minRuns / 2);
+	const periods = [current, former].filter(period => period.totalCount >= Math.min(count / 2, minPeriodRuns));
 	const getQuantile = (percentile: number) => Math.max(...periods.map(period => period.getValueAtPercentile(percentile)));
 	return {
 		count,
--- a/packages/decisions/src/dispatch/attempts.ts
+++ b/packages/decisions/src/dispatch/attempts.ts
@@ -6,7 +6,7 @@
 import {type DecisionContext} from '../context.js';
 import {type EntryState} from '../entry-state.js';
 import {getPoolPermission} from '../membership/index.js';
-import {isNotExecutedStatus, maxAttempts} from '../retry/index.js';
+import {getRetryTokens, isNotExecutedStatus, maxAttempts} from '../retry/index.js';
 import {chooseFlow} from './choose-flow.js';
 import {chooseInstance, countFreeSlots, listUsableInstances} from './choose-instance.js';
 import {getFlowKey, type Flow, type RunningAttempt} from './dispatch-state.js';
@@ -19,8 +19,9 @@
 const firstAnswerFactor = 3;
 /** Shorter limits would cut off answers for a pause of the process or the network. */
 const minFirstAnswerMs = 250;
-/** Runs known before the first-answer limit is used. */
+/** With fewer runs the 99.9th percentile is only the longest one so far, and the limit leaves more room. */
 const minKnownRuns = 100;
+const firstAnswerFactorFewRuns = 10;
 /** Longest time that a slot is held for work whose answer never came. */
 const maxHoldMs = 30_000;
 /** Bounds of the pause after a refusal for lack of slots. */
@@ -138,12 +139,13 @@
 	const {isIdempotent, service, requestClass} = work.request;
 	const timeLeftMs = work.deadlineAt - context.now;
 	const times = getServiceTimes(state, service, requestClass, context);
-	const canRetry = isIdempotent && work.tried.length + 1 < maxAttempts && (state.retry.tokens.get(service) ?? 0) >= 1;
-	if (!canRetry || times === undefined || times.count < minKnownRuns) {
+	const canRetry = isIdempotent && work.tried.length + 1 < maxAttempts && getRetryTokens(state, service) >= 1;
+	if (!canRetry || times === undefined) {
 		return timeLeftMs;
 	}
 
-	return Math.min(timeLeftMs, Math.max(minFirstAnswerMs, times.p999Ms * firstAnswerFactor));
+	const factor = times.count < minKnownRuns ? firstAnswerFactorFewRuns : firstAnswerFactor;
+	return Math.min(timeLeftMs, Math.max(minFirstAnswerMs, times.p999Ms * factor));
 }
 
 /** The slower half of what is known, counted from the start: most runs have ended by then, and a lost one cannot hold the slot for long. */
--- a/packages/decisions/src/retry/index.ts
+++ b/packages/decisions/src/retry/index.ts
@@ -1,4 +1,4 @@
 export {retryFilter} from './retry-filter.js';
 export {
-	createRetryState, isNotExecutedStatus, maxAttempts, type RetryState,
+	createRetryState, getRetryTokens, isNotExecutedStatus, maxAttempts, type RetryState,
 } from './retry-state.js';
--- a/packages/decisions/src/retry/retry-filter.test.ts
+++ b/packages/decisions/src/retry/retry-filter.test.ts
@@ -21,6 +21,8 @@
 	return (owned: OwnedPool) => {
 		if (isBudgetFull) {
 			earnRetries(owned);
+		} else {
+			owned.state.retry.tokens.set('badge', 0.5);
 		}
 
 		const requestId = owned.ask(request);
--- a/packages/decisions/src/retry/retry-filter.ts
+++ b/packages/decisions/src/retry/retry-filter.ts
@@ -5,7 +5,7 @@
 import {type DecisionContext} from '../context.js';
 import {type EntryState} from '../entry-state.js';
 import {createCompletedResult, createNotRunResult, createUnknownResult} from '../results.js';
-import {isNotExecutedStatus, maxAttempts} from './retry-state.js';
+import {getRetryTokens, isNotExecutedStatus, maxAttempts} from './retry-state.js';
 
 /** Retries earned by each request; keeps the sent-to-asked ratio at or below 1.1. */
 const tokensPerRequest = 0.1;
@@ -30,7 +30,7 @@
 			if (work.tried.length === 0 && work.refusals === undefined) {
 				const {tokens} = state.retry;
 				const {service} = work.request;
-				tokens.set(service, Math.min(maxTokens, (tokens.get(service) ?? 0) + tokensPerRequest));
+				tokens.set(service, Math.min(maxTokens, getRetryTokens(state, service) + tokensPerRequest));
 			}
 
 			return [];
@@ -78,7 +78,7 @@
 	const {work, ending, instanceId} = event;
 	const {tokens} = state.retry;
 	const {service} = work.request;
-	const left = tokens.get(service) ?? 0;
+	const left = getRetryTokens(state, service);
 	const notBefore = context.now + computeBackoff(work.tried.length + 1, context);
 	if (left < 1 || work.tried.length + 1 >= maxAttempts || notBefore >= work.deadlineAt) {
 		return [endRequest(work, lastResult)];
--- a/packages/decisions/src/retry/retry-state.ts
+++ b/packages/decisions/src/retry/retry-state.ts
@@ -10,6 +10,14 @@
 /** Attempts of one request, the first included. @internal */
 export const maxAttempts = 3;
 
+/** Retries that a service may spend before its requests have earned any: an owner may take over in the middle of a failure. */
+const initialTokens = 10;
+
+/** Retries that a service may spend now. @internal */
+export function getRetryTokens(state: EntryState, service: ServiceName): number {
+	return state.retry.tokens.get(service) ?? initialTokens;
+}
+
 /** @internal */
 export function createRetryState(): RetryState {
 	return {tokens: new Map()};
