--- a/packages/decisions/src/testing/virtual-cluster.ts
+++ b/packages/decisions/src/testing/virtual-cluster.ts
@@ -44,6 +44,7 @@
 export type VirtualCluster = ReturnType<typeof createVirtualCluster>;
 
 const tickMs = 50;
+const listMs = 1000;
 const linkMs = 1;
 const storeMs = 2;
 const startWallTime = 1_800_000_000_000;
@@ -185,14 +186,19 @@
 			id: `w-${pool}`, address: `127.0.0.1:${9000 + index}`, zone: 'z1', rack: 'r1', pool, state: 'live' as const,
 		}));
 		schedule(0, () => {
-			pushEvent(id, {kind: 'instances-listed', instances});
 			pushEvent(id, {kind: 'store-reached'});
 		});
+		const list = () => {
+			pushEvent(id, {kind: 'instances-listed', instances});
+			schedule(listMs, list);
+		};
+
 		const tick = () => {
 			pushEvent(id, {kind: 'tick'});
 			schedule(tickMs, tick);
 		};
 
+		schedule(0, list);
 		schedule(1 + random.getInteger(tickMs), tick);
 	}
 
