Know run times by team, and keep slots back for each flow

Change: quantiles by service, class and team, with the class as fallback but for deferrable work, which counts as long until known; slots are kept back for every flow that has asked within a minute. The flood measure has a third flood of long deferrable work.

--- a/packages/bench/src/measure/flood.ts
+++ b/packages/bench/src/measure/flood.ts
@@ -16,6 +16,8 @@
 const capacity = workerCount * slotsPerWorker * 1000 / meanRunMs;
 /** Five times the mean is a fifth above what the pool holds. */
 const queueMean = 0.24 * capacity;
+/** Run time of the flood that could hold every slot for long. */
+const longRunMs = 5000;
 const floodFactor = 3;
 const classes: readonly RequestClass[] = ['urgent', 'normal', 'deferrable'];
 
@@ -35,10 +37,20 @@
 	readonly urgentStartMs: number;
 };
 
-function runFlood(policy: Policy, floodClass: RequestClass, seed: number): FloodFigures {
-	const flood: Source = {
-		name: 'flood', requestClass: floodClass, meanRunMs, deadlineMs, isIdempotent: true, getRate: () => floodFactor * capacity,
+/** Floods of three times the capacity, the least urgent first. */
+const floods: Readonly<Record<string, Source>> = {
+	deferrable: createFlood('deferrable', meanRunMs),
+	'long-deferrable': createFlood('deferrable', longRunMs),
+	urgent: createFlood('urgent', meanRunMs),
+};
+
+function createFlood(requestClass: RequestClass, floodRunMs: number): Source {
+	return {
+		name: 'flood', requestClass, meanRunMs: floodRunMs, deadlineMs, isIdempotent: true, getRate: () => floodFactor * capacity * meanRunMs / floodRunMs,
 	};
+}
+
+function runFlood(policy: Policy, flood: Source, seed: number): FloodFigures {
 	const quiet = runLoad({workerCount, sources: otherSources, durationMs}, policy, seed).jobs;
 	const flooded = runLoad({workerCount, sources: [...otherSources, flood], durationMs}, policy, seed).jobs.filter(job => job.source !== 'flood');
 	const classRatios = classes.map(requestClass => {
@@ -64,16 +76,16 @@
 /** Other work's goodput and waits while one kind of work asks for three times the pool's capacity. */
 export const floodMeasure: Measure = {
 	name: 'flood',
-	description: 'other work in a flood of deferrable, then of urgent requests, against the same work without it',
+	description: 'other work in floods of deferrable, long deferrable and urgent requests, against the same work without it',
 	run(seed) {
 		const lines: MeasureLine[] = [];
-		for (const floodClass of ['deferrable', 'urgent'] as const) {
-			const value = runFlood(ours, floodClass, seed);
+		for (const [name, flood] of Object.entries(floods)) {
+			const value = runFlood(ours, flood, seed);
 			for (const baseline of [sharedFifo, strictPriority]) {
-				const baselineValue = runFlood(baseline, floodClass, seed);
+				const baselineValue = runFlood(baseline, flood, seed);
 				for (const figure of Object.keys(units) as Array<keyof FloodFigures>) {
 					lines.push({
-						measure: `${measureNames[figure]}-${floodClass}`,
+						measure: `${measureNames[figure]}-${name}`,
 						unit: units[figure],
 						policy: ours.name,
 						baseline: baseline.name,
--- a/packages/bench/src/measure/measures.test.ts
+++ b/packages/bench/src/measure/measures.test.ts
@@ -10,7 +10,7 @@
 const cases: ReadonlyArray<{readonly name: string; readonly targets: readonly Target[]}> = [
 	{
 		name: 'flood',
-		targets: ['deferrable', 'urgent'].flatMap(floodClass => [
+		targets: ['deferrable', 'long-deferrable', 'urgent'].flatMap(floodClass => [
 			{measure: `flood-goodput-${floodClass}`, isMet: (value: number, baselineValue: number) => value >= 0.99 && baselineValue < 0.99},
 			{measure: `flood-p99-${floodClass}`, isMet: (value: number) => value <= 1.5},
 			{measure: `flood-longest-urgent-start-${floodClass}`, isMet: (value: number) => value <= 1200},
--- a/packages/decisions/src/admission/expected-wait.ts
+++ b/packages/decisions/src/admission/expected-wait.ts
@@ -15,7 +15,7 @@
 @internal
 */
 export function computeExpectedWait(state: EntryState, pool: PoolName, request: ServiceRequest, context: DecisionContext): number {
-	const times = getServiceTimes(state, request.service, request.requestClass, context);
+	const times = getServiceTimes(state, request, context);
 	const backlog = getFlowBacklog(state, pool, request, context);
 	if (times === undefined || times.count < minRuns || backlog === undefined || backlog.slots < 1) {
 		return 0;
--- a/packages/decisions/src/admission/index.ts
+++ b/packages/decisions/src/admission/index.ts
@@ -1,3 +1,5 @@
 export {admissionFilter} from './admission-filter.js';
 export {createAdmissionState, type AdmissionState} from './admission-state.js';
-export {getServiceTimes, recordServiceTime, type ServiceTimes} from './service-times.js';
+export {
+	getServiceTimes, getTeamServiceTimes, recordServiceTime, type ServiceTimes, type WorkKind,
+} from './service-times.js';
--- a/packages/decisions/src/admission/service-times.ts
+++ b/packages/decisions/src/admission/service-times.ts
@@ -34,12 +34,50 @@
 const minPeriodRuns = 10;
 const highestTrackedMs = 3_600_000;
 
+/** Records kept; the teams' ones used least recently are forgotten first. */
+const maxRecords = 2000;
+
+/** What run times are known by. A team's work can be far longer than that of the others in its class. */
+export type WorkKind = {
+	readonly service: ServiceName;
+	readonly requestClass: RequestClass;
+	readonly team: string;
+};
+
 /** Records how long an endpoint took for a request. @internal */
-export function recordServiceTime(state: EntryState, service: ServiceName, requestClass: RequestClass, durationMs: number, context: DecisionContext): void {
-	const key = `${service}\n${requestClass}`;
+export function recordServiceTime(state: EntryState, kind: WorkKind, durationMs: number, context: DecisionContext): void {
+	addRunTime(state, getClassKey(kind), durationMs, context);
+	addRunTime(state, getTeamKey(kind), durationMs, context);
+}
+
+/** Observed run times of the team's requests, or of all in the class while the team's are too few; undefined until enough runs have ended. @internal */
+export function getServiceTimes(state: EntryState, kind: WorkKind, context: DecisionContext): ServiceTimes | undefined {
+	return getTeamServiceTimes(state, kind, context) ?? getSummary(state, getClassKey(kind), context);
+}
+
+/** Observed run times of the team's own requests. @internal */
+export function getTeamServiceTimes(state: EntryState, kind: WorkKind, context: DecisionContext): ServiceTimes | undefined {
+	return getSummary(state, getTeamKey(kind), context);
+}
+
+function getClassKey({service, requestClass}: WorkKind): string {
+	return `${service}\n${requestClass}`;
+}
+
+function getTeamKey({service, requestClass, team}: WorkKind): string {
+	return `${service}\n${requestClass}\n${team}`;
+}
+
+function addRunTime(state: EntryState, key: string, durationMs: number, context: DecisionContext): void {
 	const {serviceTimes} = state.admission;
 	const record = serviceTimes.get(key) ?? createRecord(context);
+	serviceTimes.delete(key);
 	serviceTimes.set(key, record);
+	if (serviceTimes.size > maxRecords) {
+		const [oldest] = serviceTimes.keys();
+		serviceTimes.delete(oldest!);
+	}
+
 	if (context.now >= record.periodEndsAt) {
 		[record.current, record.former] = [record.former, record.current];
 		record.current.reset();
@@ -49,9 +87,8 @@
 	record.current.recordValue(Math.min(highestTrackedMs, Math.max(0, Math.round(durationMs))));
 }
 
-/** Observed run times; undefined until enough runs have ended. @internal */
-export function getServiceTimes(state: EntryState, service: ServiceName, requestClass: RequestClass, context: DecisionContext): ServiceTimes | undefined {
-	const record = state.admission.serviceTimes.get(`${service}\n${requestClass}`);
+function getSummary(state: EntryState, key: string, context: DecisionContext): ServiceTimes | undefined {
+	const record = state.admission.serviceTimes.get(key);
 	if (record === undefined) {
 		return undefined;
 	}
@@ -72,7 +109,7 @@
 
 function createHistogram(): Histogram {
 	return build({
-		lowestDiscernibleValue: 1, highestTrackableValue: highestTrackedMs, numberOfSignificantValueDigits: 2, bitBucketSize: 32, useWebAssembly: false,
+		lowestDiscernibleValue: 1, highestTrackableValue: 2, autoResize: true, numberOfSignificantValueDigits: 2, bitBucketSize: 32, useWebAssembly: false,
 	});
 }
 
--- a/packages/decisions/src/dispatch/attempts.ts
+++ b/packages/decisions/src/dispatch/attempts.ts
@@ -136,9 +136,9 @@
 
 /** Time left, or the first-answer limit when a request that takes longer can be sent again over another connection. */
 function computeTimeLimit(state: EntryState, work: PoolWork, context: DecisionContext): number {
-	const {isIdempotent, service, requestClass} = work.request;
+	const {isIdempotent, service} = work.request;
 	const timeLeftMs = work.deadlineAt - context.now;
-	const times = getServiceTimes(state, service, requestClass, context);
+	const times = getServiceTimes(state, work.request, context);
 	const canRetry = isIdempotent && work.tried.length + 1 < maxAttempts && getRetryTokens(state, service) >= 1;
 	if (!canRetry || times === undefined) {
 		return timeLeftMs;
@@ -151,15 +151,14 @@
 /** The slower half of what is known, counted from the start: most runs have ended by then, and a lost one cannot hold the slot for long. */
 function computeHoldEnd(state: EntryState, {work, startedAt}: RunningAttempt, context: DecisionContext): number {
 	const elapsedMs = context.now - startedAt;
-	const times = getServiceTimes(state, work.request.service, work.request.requestClass, context);
+	const times = getServiceTimes(state, work.request, context);
 	const expectedMs = times === undefined ? 2 * elapsedMs : Math.max(times.p99Ms, elapsedMs + times.p50Ms);
 	return Math.min(startedAt + expectedMs, context.now + maxHoldMs);
 }
 
 function recordAnswer(state: EntryState, {work, instanceId, startedAt}: RunningAttempt, status: number, context: DecisionContext): void {
-	const {service, requestClass} = work.request;
-	if (isNotExecutedStatus(state, service, status)) {
-		const times = getServiceTimes(state, service, requestClass, context);
+	if (isNotExecutedStatus(state, work.request.service, status)) {
+		const times = getServiceTimes(state, work.request, context);
 		const pauseMs = Math.min(maxRefusalPauseMs, Math.max(minRefusalPauseMs, times?.p50Ms ?? 0));
 		state.dispatch.refusingUntil.set(instanceId, context.now + pauseMs);
 		return;
@@ -168,7 +167,7 @@
 	state.dispatch.refusingUntil.delete(instanceId);
 	// A server error says nothing about how long the work takes: a broken worker answers at once.
 	if (status < 500) {
-		recordServiceTime(state, service, requestClass, context.now - startedAt, context);
+		recordServiceTime(state, work.request, context.now - startedAt, context);
 	}
 }
 
--- a/packages/decisions/src/dispatch/choose-flow.ts
+++ b/packages/decisions/src/dispatch/choose-flow.ts
@@ -1,5 +1,5 @@
 import {type RequestClass} from '@pistachiogauge/model';
-import {getServiceTimes} from '../admission/index.js';
+import {getServiceTimes, getTeamServiceTimes} from '../admission/index.js';
 import {type DecisionContext} from '../context.js';
 import {type EntryState} from '../entry-state.js';
 import {type Flow, type PoolQueue} from './dispatch-state.js';
@@ -8,12 +8,12 @@
 
 /** Order in which flows below their minimum get slots. */
 const urgencyRanks: Readonly<Record<RequestClass, number>> = {urgent: 0, normal: 1, deferrable: 2};
-/** Part of other classes' unused minimum that long-running work of each class leaves free. */
+/** Part of other flows' unused minimum that long-running work of each class leaves free. */
 const keptBackParts: Readonly<Record<RequestClass, number>> = {urgent: 0.25, normal: 0.5, deferrable: 1};
 /** Shorter work gives its slots back within the time in which urgent work must start. */
 const longRunMs = 1000;
-/** A class that asked for nothing for this long has no slots kept back, except the urgent one. */
-const classQuietMs = 60_000;
+/** A flow that asked for nothing for this long has no slots kept back; the urgent class always has. */
+const flowQuietMs = 60_000;
 /** Part of its minimum that every flow gets at once; with a larger part a flood lengthens the waits of other flows' bursts. */
 const floorPart = 0.1;
 /** A flood claims its whole minimum at once only when it has had a tenth less over the last minute; a claim at the least deficit would take its slots in the middle of a burst. */
@@ -79,35 +79,31 @@
 	return left.tier === right.tier ? left.order < right.order : left.tier < right.tier;
 }
 
-/** Long-running work above its minimum leaves the slots free that other classes are promised. */
+/** Long-running work above its minimum leaves the slots free that other flows are promised. */
 function mayTakeSlot(state: EntryState, queue: PoolQueue, flow: Flow, freeSlots: number, context: DecisionContext): boolean {
 	if (flow.usage.busy < Math.max(1, Math.floor(getEntitledSlots(queue, flow))) || !isLongRunning(state, flow, context)) {
 		return true;
 	}
 
-	return freeSlots > countKeptBack(queue, flow.requestClass, context);
+	return freeSlots > countKeptBack(queue, flow, context);
 }
 
 function isLongRunning(state: EntryState, flow: Flow, context: DecisionContext): boolean {
-	const times = getServiceTimes(state, flow.service, flow.requestClass, context);
-	// Until run times are known, deferrable work counts as long.
+	// Until a team's run times are known its deferrable work counts as long, whatever the others' takes.
+	const times = flow.requestClass === 'deferrable' ? getTeamServiceTimes(state, flow, context) : getServiceTimes(state, flow, context);
 	return times === undefined ? flow.requestClass === 'deferrable' : times.p90Ms > longRunMs;
 }
 
-function countKeptBack(queue: PoolQueue, requestClass: RequestClass, context: DecisionContext): number {
-	const busy = {urgent: 0, normal: 0, deferrable: 0};
-	const askedAt = {urgent: context.now, normal: Number.NEGATIVE_INFINITY, deferrable: Number.NEGATIVE_INFINITY};
-	for (const flow of queue.flows.values()) {
-		busy[flow.requestClass] += flow.usage.busy;
-		askedAt[flow.requestClass] = Math.max(askedAt[flow.requestClass], flow.askedAt);
-	}
-
+function countKeptBack(queue: PoolQueue, flow: Flow, context: DecisionContext): number {
 	let kept = 0;
-	for (const other of Object.keys(busy) as RequestClass[]) {
-		if (other !== requestClass && context.now - askedAt[other] < classQuietMs) {
-			kept += Math.max(0, (queue.slotCount * queue.classShares[other]) - busy[other]);
+	let hasUrgentFlow = false;
+	for (const other of queue.flows.values()) {
+		hasUrgentFlow ||= other.requestClass === 'urgent';
+		if (other !== flow && (other.requestClass === 'urgent' || context.now - other.askedAt < flowQuietMs)) {
+			kept += Math.max(0, getEntitledSlots(queue, other) - other.usage.busy);
 		}
 	}
 
-	return kept * keptBackParts[requestClass];
+	const urgentSlots = hasUrgentFlow ? 0 : queue.slotCount * queue.classShares.urgent;
+	return (kept + urgentSlots) * keptBackParts[flow.requestClass];
 }
--- a/packages/decisions/src/dispatch/dispatch-filter.test.ts
+++ b/packages/decisions/src/dispatch/dispatch-filter.test.ts
@@ -54,6 +54,20 @@
 		},
 		expected: {isLimited: true, urgent: 10},
 	},
+	{
+		name: 'short work of one team does not make the long work of another count as short (long jobs hold every slot)',
+		options: {instances: 4, slots: 8, teams: {quick: {maxInFlight: 100, weight: 1}, archive: {maxInFlight: 100, weight: 1}}},
+		act(owned) {
+			for (let count = 0; count < 30; count += 1) {
+				askMany(owned, 1, 'deferrable', 'quick');
+				runFor(owned, 1);
+			}
+
+			askMany(owned, 50, 'deferrable', 'archive');
+			return countByClass(owned).deferrable <= 16;
+		},
+		expected: true,
+	},
 	{
 		name: 'a class below its minimum goes before a flood that filled the pool (flood keeps the slots)',
 		options: {instances: 1, slots: 8},
--- a/packages/decisions/src/dispatch/dispatch-state.ts
+++ b/packages/decisions/src/dispatch/dispatch-state.ts
@@ -11,6 +11,8 @@
 	readonly key: string;
 	readonly service: string;
 	readonly requestClass: RequestClass;
+	/** Team of the flow's first request. */
+	readonly team: string;
 	/** Weight among the flows of the same class. */
 	readonly weight: number;
 	readonly waiting: WorkQueue;
--- a/packages/decisions/src/dispatch/flows.ts
+++ b/packages/decisions/src/dispatch/flows.ts
@@ -60,7 +60,7 @@
 		return known;
 	}
 
-	const {service, requestClass} = request;
+	const {service, requestClass, team} = request;
 	const weight = getWeight(state, request);
 	queue.classWeights[requestClass] += weight;
 	const share = queue.classShares[requestClass] * weight / queue.classWeights[requestClass];
@@ -68,6 +68,7 @@
 		key,
 		service,
 		requestClass,
+		team,
 		weight,
 		waiting: createWorkQueue(),
 		delayedCount: 0,
@@ -141,7 +142,7 @@
 /** Records that a request was asked for, whether or not it is admitted. @internal */
 export function recordOffer(state: EntryState, pool: PoolName, request: ServiceRequest, context: DecisionContext): void {
 	const flow = getFlow(state, getQueue(state, pool), request, context);
-	const times = getServiceTimes(state, request.service, request.requestClass, context);
+	const times = getServiceTimes(state, request, context);
 	flow.askedAt = context.now;
 	const runMs = times?.meanMs ?? unknownRunMs;
 	addOfferedWork(flow.offered, runMs, context.now);
--- a/packages/decisions/src/dispatch/waiting.ts
+++ b/packages/decisions/src/dispatch/waiting.ts
@@ -75,7 +75,7 @@
 	const outputs: Output[] = [];
 	for (let item = getFirst(flow.waiting); item !== undefined; item = getFirst(flow.waiting)) {
 		const {work} = item;
-		const times = getServiceTimes(state, work.request.service, work.request.requestClass, context);
+		const times = getServiceTimes(state, work.request, context);
 		removeWaiting(state, item);
 		if (work.deadlineAt - context.now > (times?.p50Ms ?? 0)) {
 			return {work, outputs};
--- a/packages/decisions/src/health/health-filter.ts
+++ b/packages/decisions/src/health/health-filter.ts
@@ -97,8 +97,7 @@
 /** A refusal for lack of slots says nothing about health: the endpoint answers and protects itself. Nor does a deadline that left less time than such work may take. */
 function judgeEnding(state: EntryState, {ending, work, durationMs}: EventOf<'attempt-ended'>, context: DecisionContext): Verdict {
 	if (ending.kind === 'failed') {
-		const {service, requestClass} = work.request;
-		const isShort = durationMs < (getServiceTimes(state, service, requestClass, context)?.p99Ms ?? 0);
+		const isShort = durationMs < (getServiceTimes(state, work.request, context)?.p99Ms ?? 0);
 		return ending.failure === 'answer-timeout' ? (isShort ? 'neutral' : 'timeout') : 'failure';
 	}
 
