Measure what at-most-once costs the callers

Cause: the design names two rejected policies, one owner without a standby and a store record per key, without figures. Change: measure at-most-once-cost runs six entries in virtual time under keyed requests, a tenth of them sent twice, and loses a pool's owner or the store.

--- a/packages/bench/src/measure/index.ts
+++ b/packages/bench/src/measure/index.ts
@@ -1,3 +1,4 @@
+import {atMostOnceCostMeasure} from './at-most-once-cost.js';
 import {badWorkerMeasure} from './bad-worker.js';
 import {floodMeasure} from './flood.js';
 import {type Measure} from './measure.js';
@@ -12,4 +13,5 @@
 	slotUseMeasure,
 	retryRatioMeasure,
 	badWorkerMeasure,
+	atMostOnceCostMeasure,
 ].map(measure => [measure.name, measure]));
--- a/packages/bench/src/measure/measures.test.ts
+++ b/packages/bench/src/measure/measures.test.ts
@@ -28,6 +28,13 @@
 		name: 'bad-worker',
 		targets: [{measure: 'bad-worker-found-after', isMet: (value, baselineValue) => value <= 20 && baselineValue > 20}],
 	},
+	{
+		name: 'at-most-once-cost',
+		targets: [
+			{measure: 'at-most-once-entry-lost', isMet: (value, baselineValue) => value <= 0.02 && baselineValue > 0.1},
+			{measure: 'at-most-once-store-outage', isMet: (value, baselineValue) => value === 0 && baselineValue > 0.1},
+		],
+	},
 ];
 
 // Guards against a change of a filter that passes its cases and misses a target under load.
