Accept a whole answer from a former holder

Ruled out: taking refusals from a former holder, which can no longer tell what runs elsewhere, and answers from entries that never had the request. Change: a request notes the entries that had it.

--- a/packages/decisions/src/routing/routing-filter.ts
+++ b/packages/decisions/src/routing/routing-filter.ts
@@ -45,7 +45,10 @@
 		},
 		'peer-result'(state, event) {
 			const {requestId, result} = event.message;
-			return state.routing.requests.get(requestId)?.heldBy === event.from ? finishRequest(state, requestId, result) : [];
+			const routed = state.routing.requests.get(requestId);
+			// A former holder can no longer tell what did not run, but a whole answer is one.
+			const isAnswer = result.outcome === 'completed' && routed?.formerHolders.includes(event.from) === true;
+			return isAnswer || routed?.heldBy === event.from ? finishRequest(state, requestId, result) : [];
 		},
 		'request-returned'(state, event) {
 			const {receiver, requestId} = event;
@@ -131,7 +134,7 @@
 	}
 
 	const routed: RoutedRequest = {
-		request, pool, deadlineAt: context.now + request.timeLeftMs, heldBy: undefined, mayHaveRun: false,
+		request, pool, deadlineAt: context.now + request.timeLeftMs, heldBy: undefined, formerHolders: [], mayHaveRun: false,
 	};
 	state.routing.requests.set(requestId, routed);
 	return routeRequest(state, routed, context);
@@ -200,6 +203,10 @@
 }
 
 function loseHolder(routed: RoutedRequest): void {
+	if (routed.heldBy !== undefined && !routed.formerHolders.includes(routed.heldBy)) {
+		routed.formerHolders.push(routed.heldBy);
+	}
+
 	routed.heldBy = undefined;
 	routed.mayHaveRun = true;
 }
--- a/packages/decisions/src/routing/routing-state.ts
+++ b/packages/decisions/src/routing/routing-state.ts
@@ -11,6 +11,8 @@
 	readonly deadlineAt: number;
 	/** Entry that has the request now; undefined while no owner is known or reachable. */
 	heldBy: EntryId | undefined;
+	/** Entries that had the request and were lost; a whole answer of theirs still counts. */
+	readonly formerHolders: EntryId[];
 	/** Whether an entry that had the request was lost, so that it may have run there. */
 	mayHaveRun: boolean;
 };
--- a/packages/decisions/src/tasks/tasks-filter.test.ts
+++ b/packages/decisions/src/tasks/tasks-filter.test.ts
@@ -92,7 +92,7 @@
 
 	offer(requestId: string, change: Partial<ServiceRequest> = {}): void {
 		this.#state.routing.requests.set(requestId, {
-			request: createRequest(requestId, change), pool, deadlineAt: this.#now + 1_000_000, heldBy: this.#state.config.id, mayHaveRun: false,
+			request: createRequest(requestId, change), pool, deadlineAt: this.#now + 1_000_000, heldBy: this.#state.config.id, formerHolders: [], mayHaveRun: false,
 		});
 		this.push({
 			kind: 'task-offered', request: createRequest(requestId, change), receiver: this.#state.config.id, pool,
