--- a/packages/bench/src/scenario/expect-commands.ts
+++ b/packages/bench/src/scenario/expect-commands.ts
@@ -1,5 +1,6 @@
 import {storeKeys} from '@pistachiogauge/model';
 import {parsePoolRecord, readInstancePool} from '../checks/read-records.js';
+import {type SentRequest} from '../virtual/virtual-callers.js';
 import {
 	getCluster, getEntry, type Command, type LineArguments, type Mismatch, type ScenarioRun,
 } from './command.js';
@@ -55,7 +56,8 @@
 		const group = scenario.requests.get(values.getText('request')) ?? [];
 		const outcome = values.getText('outcome');
 		const count = group.filter(({result}) => (result?.outcome ?? 'none') === outcome).length;
-		return createCountResult(`requests ${outcome}`, count, values.getText('number'));
+		const result = createCountResult(`requests ${outcome}`, count, values.getText('number'));
+		return {...result, seen: `${count} of ${formatTally(group)}`};
 	}),
 	createExpectation('answered-by', {request: {kind: 'request'}, limit: {kind: 'milliseconds'}}, {}, (scenario, values) => {
 		const group = scenario.requests.get(values.getText('request')) ?? [];
@@ -113,6 +115,16 @@
 	}),
 ];
 
+function formatTally(group: readonly SentRequest[]): string {
+	const tally = new Map<string, number>();
+	for (const {result} of group) {
+		const text = result === undefined ? 'none' : [result.outcome, result.reason].filter(Boolean).join(' ');
+		tally.set(text, (tally.get(text) ?? 0) + 1);
+	}
+
+	return [...tally].map(([text, count]) => `${count} ${text}`).join(', ');
+}
+
 function listAliveNames(scenario: ScenarioRun): string[] {
 	return [...getCluster(scenario).world.entries.values()].filter(entry => entry.isAlive).map(entry => entry.name);
 }
--- a/packages/bench/src/virtual/virtual-cluster.ts
+++ b/packages/bench/src/virtual/virtual-cluster.ts
@@ -1,4 +1,4 @@
-import {createRandomSource} from '@pistachiogauge/decisions';
+import {applyEvent, createRandomSource} from '@pistachiogauge/decisions';
 import {type OperatorCommand} from '@pistachiogauge/model';
 import {createEventQueue} from './event-queue.js';
 import {createTrace} from './trace.js';
@@ -9,7 +9,7 @@
 import {createVirtualNetwork} from './virtual-network.js';
 import {createVirtualStore} from './virtual-store.js';
 import {
-	type Conditions, type Observation, type VirtualEntry, type World,
+	type Conditions, type Decide, type Observation, type VirtualEntry, type World,
 } from './world.js';
 
 /** What a run consists of. */
@@ -19,6 +19,8 @@
 	readonly entryCount: number;
 	readonly pools: readonly PoolPlan[];
 	readonly services: readonly ServicePlan[];
+	/** Decisions of every entry; tests put a deliberate fault into them. */
+	readonly decide?: Decide;
 	/** Told each line of the trace. */
 	readonly onLine?: (line: string) => void;
 };
@@ -124,6 +126,7 @@
 		fleet: unset,
 		breach: undefined,
 		observe: () => undefined,
+		decide: plan.decide ?? applyEvent,
 		deliver(entry, event) {
 			deliverEvent(world, entry, event);
 		},
--- a/packages/bench/src/virtual/virtual-entry.ts
+++ b/packages/bench/src/virtual/virtual-entry.ts
@@ -1,5 +1,5 @@
 import {
-	applyEvent, createEntryState, createRandomSource, type DecisionContext,
+	createEntryState, createRandomSource, type DecisionContext,
 } from '@pistachiogauge/decisions';
 import {
 	defaultTimings, type Effect, type EffectKind, type EffectOf, type InputEvent,
@@ -143,7 +143,7 @@
 	const context: DecisionContext = {
 		now: entry.clock.getNow(time), wallTime: entry.clock.getWallTime(time), random: entry.random,
 	};
-	const effects = applyEvent(entry.state, event, context);
+	const effects = world.decide(entry.state, event, context);
 	if (event.kind !== 'tick' || effects.length > 0) {
 		world.trace.addLine(formatStep(time, entry, event, effects));
 	}
--- a/packages/bench/src/virtual/world.ts
+++ b/packages/bench/src/virtual/world.ts
@@ -1,4 +1,4 @@
-import {type EntryState, type RandomSource} from '@pistachiogauge/decisions';
+import {type applyEvent, type EntryState, type RandomSource} from '@pistachiogauge/decisions';
 import {
 	type EffectOf, type Effect, type InputEvent, type ListedInstance, type PeerMessage, type RequestResult, type ServiceRequest,
 } from '@pistachiogauge/model';
@@ -130,6 +130,9 @@
 	getList(): readonly ListedInstance[];
 };
 
+/** Signature of the decisions' entry point. */
+export type Decide = typeof applyEvent;
+
 /** Everything in a run. */
 export type World = {
 	readonly queue: EventQueue;
@@ -143,6 +146,7 @@
 	store: VirtualStore;
 	fleet: VirtualFleet;
 	breach: Breach | undefined;
+	readonly decide: Decide;
 	observe(observation: Observation): void;
 	/** Hands an event to an entry, at once or after its pause. */
 	deliver(entry: VirtualEntry, event: InputEvent): void;
