Wait for held slots before a planned stop

Change: a drain also waits for the slots that the dispatch filter holds after such attempts; the pool status says so.

--- a/packages/decisions/src/fleet/fleet-filter.test.ts
+++ b/packages/decisions/src/fleet/fleet-filter.test.ts
@@ -30,6 +30,18 @@
 		expect(listServing(entry)).toEqual(['p1', 'p2', 'p3']);
 	});
 
+	// Guards against a stop that cuts off a request whose answer the owner no longer waits for.
+	it('waits for slots that are held after an attempt without an answer', () => {
+		const {rig, entry} = createRig();
+		entry.state.dispatch.busySlots.set('p1', 1);
+		rig.call(entry, drain);
+		rig.run(1000);
+		expect(rig.getRecord('p').permits['p1']?.stage).toBe('draining');
+		entry.state.dispatch.busySlots.delete('p1');
+		rig.run(100);
+		expect(rig.getRecord('p').permits['p1']?.stage).toBe('stopped');
+	});
+
 	// Guards against work that is sent to an instance after a drain was recorded whose answer was lost.
 	it.each<{fault: StoreFault; isRecorded: boolean}>([
 		{fault: 'answer-lost', isRecorded: true},
--- a/packages/decisions/src/fleet/pool-stages.ts
+++ b/packages/decisions/src/fleet/pool-stages.ts
@@ -87,6 +87,11 @@
 		return `${running} requests run at it, the oldest for ${formatSeconds(context.now - oldestStart)}`;
 	}
 
+	const held = state.dispatch.busySlots.get(id) ?? 0;
+	if (held > 0) {
+		return `${held} requests ended without an answer and may still run at it`;
+	}
+
 	return context.now < owned.quietAt
 		? `requests of the pool's former owner may run at it for another ${formatSeconds(owned.quietAt - context.now)}`
 		: undefined;
