--- a/packages/decisions/src/fleet/fleet-filter.test.ts
+++ b/packages/decisions/src/fleet/fleet-filter.test.ts
@@ -36,10 +36,10 @@
 		entry.state.dispatch.busySlots.set('p1', 1);
 		rig.call(entry, drain);
 		rig.run(1000);
-		expect(rig.getRecord('p').permits['p1']?.stage).toBe('draining');
+		expect(rig.getRecord('p').permits.p1?.stage).toBe('draining');
 		entry.state.dispatch.busySlots.delete('p1');
 		rig.run(100);
-		expect(rig.getRecord('p').permits['p1']?.stage).toBe('stopped');
+		expect(rig.getRecord('p').permits.p1?.stage).toBe('stopped');
 	});
 
 	// Guards against work that is sent to an instance after a drain was recorded whose answer was lost.
