Measure moves, reserve and roll-out time against simple policies

Change: three measures. moves and reserve are models of the load "each queue in turn" with the entries' own policy function; rollout runs 8 entries in virtual time, with and without a store outage right after the acceptance. Roll-out counts 1 ms links and no processor time.

--- a/packages/bench/src/measure/index.ts
+++ b/packages/bench/src/measure/index.ts
@@ -1,9 +1,15 @@
 import {floodMeasure} from './flood.js';
 import {type Measure} from './measure.js';
+import {movesMeasure} from './moves.js';
+import {reserveMeasure} from './reserve.js';
+import {rolloutMeasure} from './rollout.js';
 
 export {type Measure, type MeasureLine} from './measure.js';
 
 /** Measures by name, in the order in which they run. */
 export const measures: ReadonlyMap<string, Measure> = new Map([
 	floodMeasure,
+	movesMeasure,
+	reserveMeasure,
+	rolloutMeasure,
 ].map(measure => [measure.name, measure]));
