--- a/packages/bench/src/measure/index.ts
+++ b/packages/bench/src/measure/index.ts
@@ -1,8 +1,11 @@
+import {badWorkerMeasure} from './bad-worker.js';
 import {floodMeasure} from './flood.js';
 import {type Measure} from './measure.js';
 import {movesMeasure} from './moves.js';
 import {reserveMeasure} from './reserve.js';
 import {rolloutMeasure} from './rollout.js';
+import {retryRatioMeasure} from './retry-ratio.js';
+import {slotUseMeasure} from './slot-use.js';
 
 export {type Measure, type MeasureLine} from './measure.js';
 
@@ -12,4 +15,7 @@
 	movesMeasure,
 	reserveMeasure,
 	rolloutMeasure,
+	slotUseMeasure,
+	retryRatioMeasure,
+	badWorkerMeasure,
 ].map(measure => [measure.name, measure]));
