--- a/packages/bench/src/measure/index.ts
+++ b/packages/bench/src/measure/index.ts
@@ -2,6 +2,9 @@
 import {badWorkerMeasure} from './bad-worker.js';
 import {floodMeasure} from './flood.js';
 import {type Measure} from './measure.js';
+import {movesMeasure} from './moves.js';
+import {reserveMeasure} from './reserve.js';
+import {rolloutMeasure} from './rollout.js';
 import {retryRatioMeasure} from './retry-ratio.js';
 import {slotUseMeasure} from './slot-use.js';
 
@@ -10,6 +13,9 @@
 /** Measures by name, in the order in which they run. */
 export const measures: ReadonlyMap<string, Measure> = new Map([
 	floodMeasure,
+	movesMeasure,
+	reserveMeasure,
+	rolloutMeasure,
 	slotUseMeasure,
 	retryRatioMeasure,
 	badWorkerMeasure,
