--- a/packages/decisions/src/idempotency/pool-roles.ts
+++ b/packages/decisions/src/idempotency/pool-roles.ts
@@ -20,11 +20,8 @@
 	pooled.role = 'owner';
 	pooled.partner = undefined;
 	pooled.handoverUntil = isHandoverDue ? context.now + handoverWaitMs : undefined;
-	if (pooled.coverageSince === undefined) {
-		// A pool without a former owner cannot have run anything. Otherwise a lost owner has judged keys by its own clock.
-		pooled.coverageSince = formerOwner === undefined ? Number.NEGATIVE_INFINITY : idempotency.latestWallTime + config.timings.clockSkewMs;
-	}
-
+	// A pool without a former owner cannot have run anything. Otherwise a lost owner has judged keys by its own clock.
+	pooled.coverageSince ??= formerOwner === undefined ? Number.NEGATIVE_INFINITY : idempotency.latestWallTime + config.timings.clockSkewMs;
 	return [];
 }
 
