--- a/packages/bench/src/local-cluster.ts
+++ b/packages/bench/src/local-cluster.ts
@@ -198,7 +198,8 @@
 	return answer.statusCode;
 }
 
-async function findFreePorts(count: number): Promise<number[]> {
+/** Finds ports on loopback that nothing listens on. @public */
+export async function findFreePorts(count: number): Promise<number[]> {
 	const servers = Array.from({length: count}, () => createServer());
 	const ports = await Promise.all(servers.map(async server => {
 		server.listen(0, '127.0.0.1');
--- a/packages/bench/src/measure-main.ts
+++ b/packages/bench/src/measure-main.ts
@@ -1,4 +1,3 @@
-import process from 'node:process';
 import {cac} from 'cac';
 import {z} from 'zod';
 import {measures} from './measure/index.js';
@@ -7,7 +6,7 @@
 const seedSchema = z.coerce.number().int().nonnegative();
 
 /** Runs the named measures, or all, and prints one JSON object a line. Returns the exit code. */
-function runMeasures(names: readonly string[], seed: number): number {
+async function runMeasures(names: readonly string[], seed: number): Promise<number> {
 	const unknownNames = names.filter(name => !measures.has(name));
 	if (unknownNames.length > 0) {
 		process.stderr.write(`measure: unknown name ${unknownNames.join(', ')}; names are ${[...measures.keys()].join(', ')}\n`);
@@ -15,7 +14,8 @@
 	}
 
 	for (const name of names.length === 0 ? measures.keys() : names) {
-		for (const line of measures.get(name)!.run(seed)) {
+		// eslint-disable-next-line no-await-in-loop
+		for (const line of await measures.get(name)!.run(seed)) {
 			process.stdout.write(`${JSON.stringify(line)}\n`);
 		}
 	}
@@ -34,7 +34,7 @@
 if (!parsed.options.help) {
 	const seed = seedSchema.safeParse(parsed.options.seed);
 	if (seed.success) {
-		process.exitCode = runMeasures(parsed.args, seed.data);
+		process.exitCode = await runMeasures(parsed.args, seed.data);
 	} else {
 		process.stderr.write('measure: --seed expects a whole number from 0 up\n');
 		process.exitCode = wrongUsage;
--- a/packages/bench/src/measure/index.ts
+++ b/packages/bench/src/measure/index.ts
@@ -1,9 +1,11 @@
 import {floodMeasure} from './flood.js';
 import {type Measure} from './measure.js';
+import {throughputMeasure} from './throughput.js';
 
 export {type Measure, type MeasureLine} from './measure.js';
 
 /** Measures by name, in the order in which they run. */
-export const measures: ReadonlyMap<string, Measure> = new Map([
+export const measures: ReadonlyMap<string, Measure> = new Map(([
 	floodMeasure,
-].map(measure => [measure.name, measure]));
+	throughputMeasure,
+] satisfies Measure[]).map(measure => [measure.name, measure]));
--- a/packages/bench/src/measure/measure.ts
+++ b/packages/bench/src/measure/measure.ts
@@ -13,7 +13,7 @@
 export type Measure = {
 	readonly name: string;
 	readonly description: string;
-	run(seed: number): MeasureLine[];
+	run(seed: number): MeasureLine[] | Promise<MeasureLine[]>;
 };
 
 /** Rounds a figure to four significant digits. */
