End an entry's own support for a former epoch when it adopts the next

Its own support for the former epoch counted as given now, so with a single former member the permission never ran out. Ruled out: the vouchers of the present epoch, which had run out (readiness was withdrawn in the same turn). Change: the own support is recorded with the time of adoption and ends with the others.

--- a/packages/decisions/src/membership/adopt-epoch.ts
+++ b/packages/decisions/src/membership/adopt-epoch.ts
@@ -58,7 +58,8 @@
 	const {membership} = state;
 	const formerIds = new Set(membership.record?.members.map(member => member.id));
 	membership.formerMembers = [...formerIds];
-	membership.formerVouchers = membership.vouchers;
+	// From now on this entry does not support the former epoch itself either, so its own vote ends like the others'.
+	membership.formerVouchers = new Map(membership.vouchers).set(state.config.id, context.now);
 	membership.vouchers = new Map();
 	membership.record = record;
 	membership.majorityAdoptedAt = undefined;
--- a/packages/decisions/src/membership/permission.ts
+++ b/packages/decisions/src/membership/permission.ts
@@ -27,7 +27,8 @@
 		return undefined;
 	}
 
-	return computeVouchedUntil(state, record.members.map(member => member.id), vouchers, now);
+	// An entry always supports itself in the epoch that it has adopted.
+	return computeVouchedUntil(state, record.members.map(member => member.id), id => id === state.config.id ? now : vouchers.get(id));
 }
 
 /**
@@ -43,7 +44,7 @@
 
 	const current = getVouchedUntil(state, now) ?? 0;
 	// The epoch after this one cannot become active before these vouchers have run out, so they still protect a pool that kept its owner.
-	const former = formerMembers.length > 0 ? computeVouchedUntil(state, formerMembers, formerVouchers, now) ?? 0 : 0;
+	const former = formerMembers.length > 0 ? computeVouchedUntil(state, formerMembers, id => formerVouchers.get(id)) ?? 0 : 0;
 	const until = Math.max(current, former);
 	return until > now ? until : undefined;
 }
@@ -80,13 +81,11 @@
 function computeVouchedUntil(
 	state: EntryState,
 	members: readonly EntryId[],
-	vouchers: ReadonlyMap<EntryId, number>,
-	now: number,
+	getAskedAt: (member: EntryId) => number | undefined,
 ): number | undefined {
-	const {id, timings} = state.config;
 	const askedTimes: number[] = [];
 	for (const member of members) {
-		const askedAt = member === id ? now : vouchers.get(member);
+		const askedAt = getAskedAt(member);
 		if (askedAt !== undefined) {
 			askedTimes.push(askedAt);
 		}
@@ -98,5 +97,5 @@
 	}
 
 	askedTimes.sort((left, right) => right - left);
-	return askedTimes[majority - 1]! + timings.voucherMs;
+	return askedTimes[majority - 1]! + state.config.timings.voucherMs;
 }
