--- a/packages/bench/src/demo-main.ts
+++ b/packages/bench/src/demo-main.ts
@@ -1,98 +1,152 @@
-import {randomUUID} from 'node:crypto';
-import {setTimeout as delay} from 'node:timers/promises';
-import {request} from 'undici';
+import {once} from 'node:events';
 import {createLocalCluster, type LocalCluster} from './local-cluster.js';
+import {checkLedger, countRuns, type SentRequest} from './processes/request-ledger.js';
+import {runLoad, sendRequest} from './processes/send-request.js';
 
-const bundleLines = [
-	'[pool.badge-desk]',
-	'budget = 1',
-	'[pool.admin]',
-	'budget = 1',
-	'spare = true',
-	'[service.badges]',
-	'pool = badge-desk',
-	'class = urgent',
-	'not-executed-statuses = 503',
-	'deadline-ms = 8000',
-	'[service.reports]',
-	'pool = admin',
-	'not-executed-statuses = 503',
-];
+const pool = 'badge-desk';
+const drained = `${pool}-1`;
+const requestCount = 120;
+const services = ['badges', 'reports'];
 
 function formatBundle(version: number): string {
-	return ['[bundle]', 'schema-version = 1', `version = ${version}`, ...bundleLines, ''].join('\n');
+	return [
+		'[bundle]',
+		'schema-version = 1',
+		`version = ${version}`,
+		`[pool.${pool}]`,
+		'budget = 1',
+		'[pool.admin]',
+		'budget = 1',
+		'spare = true',
+		'[service.badges]',
+		`pool = ${pool}`,
+		'class = urgent',
+		'not-executed-statuses = 503',
+		'deadline-ms = 8000',
+		'[service.reports]',
+		'pool = admin',
+		'not-executed-statuses = 503',
+		'',
+	].join('\n');
 }
 
-type Tally = Record<'completed' | 'not-run' | 'unknown' | 'no-answer', number>;
-
-async function sendRequests(cluster: LocalCluster, count: number, entries: readonly number[]): Promise<Tally> {
-	const tally: Tally = {
-		completed: 0, 'not-run': 0, unknown: 0, 'no-answer': 0,
-	};
-	await Promise.all(Array.from({length: count}, async (_, index) => {
-		await delay(index * 5);
-		const entry = cluster.entries[entries[index % entries.length]!]!;
-		try {
-			const answer = await request(`http://${entry.address}/services/${index % 3 === 0 ? 'reports' : 'badges'}/print`, {
-				method: 'POST', body: `job-${randomUUID()}`,
-			});
-			await answer.body.dump();
-			tally[String(answer.headers['pistachiogauge-outcome']) as keyof Tally] += 1;
-		} catch {
-			tally['no-answer'] += 1;
-		}
-	}));
-	return tally;
-}
+type DemoStep = {
+	readonly name: string;
+	/** Returns what the summary says; throws when something does not hold. */
+	readonly run: (cluster: LocalCluster, ledger: SentRequest[]) => Promise<string>;
+};
 
-async function countRuns(cluster: LocalCluster): Promise<{runs: number; repeated: number}> {
-	let runs = 0;
-	let repeated = 0;
-	for (const endpoint of cluster.endpoints.values()) {
-		// eslint-disable-next-line no-await-in-loop
-		const answer = await request(`http://${endpoint.address}/standin/record`);
-		// eslint-disable-next-line no-await-in-loop
-		const record = await answer.body.json() as {runs: Record<string, number>};
-		for (const count of Object.values(record.runs)) {
-			runs += 1;
-			repeated += count > 1 ? 1 : 0;
-		}
+function formatOutcomes(sent: readonly SentRequest[]): string {
+	const counts = new Map<string, number>();
+	for (const {outcome} of sent) {
+		counts.set(outcome, (counts.get(outcome) ?? 0) + 1);
 	}
 
-	return {runs, repeated};
+	return [...counts].map(([outcome, count]) => `${count} ${outcome}`).join(', ');
 }
 
-async function getVersions(cluster: LocalCluster, entries: readonly number[]): Promise<number[]> {
-	const statuses = await Promise.all(entries.map(async index => cluster.callOperator({command: 'status'}, index)));
-	return statuses.map(status => (status as {bundleVersion: number}).bundleVersion);
+/** Sends requests to the entries in turn while `during` runs, at least `requestCount` of them. */
+async function sendDuring(cluster: LocalCluster, ledger: SentRequest[], isTarget: (name: string) => boolean, during: () => Promise<void>): Promise<SentRequest[]> {
+	return runLoad({ledger, services, getEntries: () => cluster.entries.filter(({name}) => isTarget(name))}, during);
+}
+
+const steps: readonly DemoStep[] = [
+	{
+		name: 'requests over 3 entries',
+		async run(cluster, ledger) {
+			const sent = await Promise.all(Array.from({length: requestCount}, async (_, index) =>
+				sendRequest(cluster.entries[index % 3]!, {service: services[index % 2]!, isIdempotent: index % 3 === 0})));
+			ledger.push(...sent);
+			expectNone(sent.filter(({outcome}) => outcome !== 'completed'), 'requests did not complete');
+			return formatOutcomes(sent);
+		},
+	},
+	{
+		name: 'a bundle rolled out',
+		async run(cluster) {
+			const startedAt = performance.now();
+			await cluster.applyBundle(formatBundle(2));
+			await cluster.waitUntil('bundle 2 is in force everywhere', async () => {
+				const statuses = await Promise.all(cluster.entries.map(async (_, index) => cluster.callOperator({command: 'status'}, index)));
+				return statuses.every(status => (status as {bundleVersion: number}).bundleVersion === 2);
+			}, 3000);
+			return `in force everywhere after ${Math.round(performance.now() - startedAt)} ms`;
+		},
+	},
+	{
+		name: 'an instance drained',
+		async run(cluster, ledger) {
+			const startedAt = performance.now();
+			const sent = await sendDuring(cluster, ledger, () => true, async () => {
+				await cluster.callOperator({command: 'drain', pool, instance: drained});
+				await cluster.waitUntil(`${drained} is stopped`, async () => JSON.stringify(await cluster.callOperator({command: 'pool-status', pool})).includes('"stopped"'));
+			});
+			const stoppedMs = Math.round(performance.now() - startedAt);
+			expectNone(sent.filter(({outcome}) => outcome !== 'completed'), 'requests did not complete during the drain');
+			await cluster.callOperator({command: 'undrain', pool, instance: drained});
+			return `stopped after ${stoppedMs} ms, meanwhile ${formatOutcomes(sent)}`;
+		},
+	},
+	{
+		name: 'an entry killed',
+		async run(cluster, ledger) {
+			const lost = cluster.entries[2]!;
+			const {entry: lostId} = await cluster.callOperator({command: 'status'}, 2) as {entry: string};
+			const startedAt = performance.now();
+			const sent = await sendDuring(cluster, ledger, name => name !== lost.name, async () => {
+				lost.child.kill('SIGKILL');
+				await once(lost.child, 'exit');
+				await cluster.waitUntil('its pools have new owners', async () => {
+					const status = await cluster.callOperator({command: 'status'}) as {isActive: boolean; members: Array<{id: string}>};
+					return status.isActive && status.members.every(({id}) => id !== lostId);
+				});
+			});
+			expectNone(sent.filter(({outcome}) => outcome === 'no-answer'), 'requests to living entries had no answer');
+			return `replaced after ${Math.round(performance.now() - startedAt)} ms, meanwhile ${formatOutcomes(sent)}`;
+		},
+	},
+	{
+		name: 'answers against records',
+		async run(cluster, ledger) {
+			const runs = await countRuns([...cluster.endpoints.values()]);
+			const faults = checkLedger(ledger, runs);
+			if (faults.length > 0) {
+				throw new Error(faults.join('\n'));
+			}
+
+			return `${ledger.length} requests, ${runs.size} ran; none twice, no false outcome`;
+		},
+	},
+];
+
+function expectNone(sent: readonly SentRequest[], fault: string): void {
+	if (sent.length > 0) {
+		const reasons = new Set(sent.map(({outcome, status, reason}) => `${outcome} ${status} ${reason}`));
+		throw new Error(`${sent.length} ${fault}: ${[...reasons].join('; ')}`);
+	}
 }
 
 async function runDemo(): Promise<void> {
-	const lines: string[] = [];
 	const cluster = await createLocalCluster({
-		entryCount: 3, zones: ['a', 'b', 'c'], instances: {'badge-desk': 3, admin: 2}, bundle: formatBundle(1), runMs: 20,
+		entryCount: 3, zones: ['a', 'b', 'c'], instances: {[pool]: 3, admin: 2}, bundle: formatBundle(1), runMs: 20,
 	});
+	const ledger: SentRequest[] = [];
 	try {
-		lines.push(`requests over 3 entries      ${JSON.stringify(await sendRequests(cluster, 150, [0, 1, 2]))}`);
-		const rolloutStart = performance.now();
-		await cluster.applyBundle(formatBundle(2));
-		await cluster.waitUntil('version 2 is in force', async () => {
-			const versions = await getVersions(cluster, [0, 1, 2]);
-			return versions.every(version => version === 2);
-		}, 5000);
-		lines.push(`bundle 2 in force everywhere ${Math.round(performance.now() - rolloutStart)} ms`);
-		cluster.entries[2]!.child.kill('SIGKILL');
-		lines.push(`one entry killed             ${JSON.stringify(await sendRequests(cluster, 150, [0, 1]))}`);
-		const {runs, repeated} = await countRuns(cluster);
-		lines.push(`runs at the endpoints        ${runs}, run more than once: ${repeated}`);
-		if (repeated > 0) {
-			throw new Error('a request ran more than once');
+		for (const {name, run} of steps) {
+			// eslint-disable-next-line no-await-in-loop
+			const summary = await run(cluster, ledger).catch((error: unknown) => {
+				throw new Error(`${name}: ${error instanceof Error ? error.message : String(error)}`, {cause: error});
+			});
+			process.stdout.write(`${name.padEnd(26)}${summary}\n`);
 		}
 	} finally {
 		await cluster.stop();
 	}
-
-	process.stdout.write(`${lines.join('\n')}\n`);
 }
 
-await runDemo();
+try {
+	await runDemo();
+} catch (error) {
+	process.stderr.write(`demo failed: ${error instanceof Error ? error.message : String(error)}\n`);
+	process.exitCode = 1;
+}
