Let planned stops wait for requests that ended without an answer

Ruled out: ending the attempt only when the endpoint answers; a silent connection never does.

Change: a drain waits while the instance has held slots, and a slot is held for the observed 99th percentile from the time-out on.

Conclusion: the common case is closed; a run longer than the 99th percentile can still be cut off.

--- a/packages/decisions/src/dispatch/attempts.ts
+++ b/packages/decisions/src/dispatch/attempts.ts
@@ -148,11 +148,11 @@
 	return Math.min(timeLeftMs, Math.max(minFirstAnswerMs, times.p999Ms * factor));
 }
 
-/** The slower half of what is known, counted from the start: most runs have ended by then, and a lost one cannot hold the slot for long. */
+/** The observed 99th percentile from now on: a planned stop waits for the slot, and a lost run cannot hold it for long. */
 function computeHoldEnd(state: EntryState, {work, startedAt}: RunningAttempt, context: DecisionContext): number {
 	const elapsedMs = context.now - startedAt;
 	const times = getServiceTimes(state, work.request, context);
-	const expectedMs = times === undefined ? 2 * elapsedMs : Math.max(times.p99Ms, elapsedMs + times.p50Ms);
+	const expectedMs = elapsedMs + (times?.p99Ms ?? elapsedMs);
 	return Math.min(startedAt + expectedMs, context.now + maxHoldMs);
 }
 
--- a/packages/decisions/src/fleet/pool-stages.ts
+++ b/packages/decisions/src/fleet/pool-stages.ts
@@ -87,6 +87,10 @@
 		return `${running} requests run at it, the oldest for ${formatSeconds(context.now - oldestStart)}`;
 	}
 
+	if ((state.dispatch.busySlots.get(id) ?? 0) > 0) {
+		return 'a request that ended without an answer may still run at it';
+	}
+
 	return context.now < owned.quietAt
 		? `requests of the pool's former owner may run at it for another ${formatSeconds(owned.quietAt - context.now)}`
 		: undefined;
