--- a/packages/bench/src/measure/index.ts
+++ b/packages/bench/src/measure/index.ts
@@ -1,6 +1,10 @@
+import {atMostOnceCostMeasure} from './at-most-once-cost.js';
 import {badWorkerMeasure} from './bad-worker.js';
 import {floodMeasure} from './flood.js';
 import {type Measure} from './measure.js';
+import {movesMeasure} from './moves.js';
+import {reserveMeasure} from './reserve.js';
+import {rolloutMeasure} from './rollout.js';
 import {retryRatioMeasure} from './retry-ratio.js';
 import {slotUseMeasure} from './slot-use.js';
 
@@ -9,7 +13,11 @@
 /** Measures by name, in the order in which they run. */
 export const measures: ReadonlyMap<string, Measure> = new Map([
 	floodMeasure,
+	movesMeasure,
+	reserveMeasure,
+	rolloutMeasure,
 	slotUseMeasure,
 	retryRatioMeasure,
 	badWorkerMeasure,
+	atMostOnceCostMeasure,
 ].map(measure => [measure.name, measure]));
--- a/packages/decisions/src/fleet/pool-stages.ts
+++ b/packages/decisions/src/fleet/pool-stages.ts
@@ -87,8 +87,9 @@
 		return `${running} requests run at it, the oldest for ${formatSeconds(context.now - oldestStart)}`;
 	}
 
-	if ((state.dispatch.busySlots.get(id) ?? 0) > 0) {
-		return 'a request that ended without an answer may still run at it';
+	const held = state.dispatch.busySlots.get(id) ?? 0;
+	if (held > 0) {
+		return `${held} requests ended without an answer and may still run at it`;
 	}
 
 	return context.now < owned.quietAt
