--- a/packages/bench/src/measure/index.ts
+++ b/packages/bench/src/measure/index.ts
@@ -7,11 +7,12 @@
 import {rolloutMeasure} from './rollout.js';
 import {retryRatioMeasure} from './retry-ratio.js';
 import {slotUseMeasure} from './slot-use.js';
+import {throughputMeasure} from './throughput.js';
 
 export {type Measure, type MeasureLine} from './measure.js';
 
 /** Measures by name, in the order in which they run. */
-export const measures: ReadonlyMap<string, Measure> = new Map([
+export const measures: ReadonlyMap<string, Measure> = new Map(([
 	floodMeasure,
 	movesMeasure,
 	reserveMeasure,
@@ -20,4 +21,5 @@
 	retryRatioMeasure,
 	badWorkerMeasure,
 	atMostOnceCostMeasure,
-].map(measure => [measure.name, measure]));
+	throughputMeasure,
+] satisfies Measure[]).map(measure => [measure.name, measure]));
