Repeat failed reads of the bundle head and the membership records

The reads of members and departed entries were not repeated at all. Ruled out: peers withholding the bundle; the entry had no link because it had not read the members. Change: a failed read is repeated after 0.5 s (head) or 1 s (members, departed, epoch).

--- a/packages/decisions/src/bundle/bundle-filter.test.ts
+++ b/packages/decisions/src/bundle/bundle-filter.test.ts
@@ -240,3 +240,16 @@
 		expect([...rig.pairs.keys()].filter(key => key.startsWith(storeKeys.bundleTextsPrefix))).toHaveLength(2);
 	});
 });
+
+// Guards against a restarted entry that stays without a bundle because its first read of the head failed (soak seed 1003).
+it('reads the head again soon after a failed read', () => {
+	const rig = createRig();
+	rig.push({kind: 'tick'});
+	rig.writeHead(createSigned(1));
+	rig.push({
+		kind: 'store-answered', operationId: 'bundle:head', result: 'failed', entries: [],
+	});
+	rig.now += 600;
+	rig.push({kind: 'tick'});
+	expect(rig.state.bundle.current?.version).toBe(1);
+});
--- a/packages/decisions/src/bundle/bundle-filter.ts
+++ b/packages/decisions/src/bundle/bundle-filter.ts
@@ -18,6 +18,8 @@
 
 /** Finds a store that was restored from an older copy without the watch telling. */
 const headReadMs = 30_000;
+/** Pause before a failed read of the head is repeated. */
+const headRetryMs = 500;
 
 type CallTable = {
 	readonly [Name in OperatorCommandName]?: (
@@ -43,7 +45,7 @@
 
 /** Handlers of store answers, by prefix of the operation id. */
 const answerHandlers: Readonly<Record<string, AnswerHandler>> = {
-	[readOperation]: (state, _rest, answer, context) => answer.result === 'applied' ? applyHead(state, answer.entries[0], context) : [],
+	[readOperation]: finishHeadRead,
 	[restoreOperation]: (_state, _rest, answer) => answer.result === 'failed' ? [] : [readHead()],
 	[acceptPrefixes.write]: settleWrite,
 	[acceptPrefixes.settle]: settleRead,
@@ -102,6 +104,16 @@
 	},
 };
 
+function finishHeadRead(state: EntryState, _rest: string, answer: EventOf<'store-answered'>, context: DecisionContext): Output[] {
+	if (answer.result === 'applied') {
+		return applyHead(state, answer.entries[0], context);
+	}
+
+	// Without the head an entry that has just started would stay without a bundle until the next periodic read.
+	state.bundle.nextHeadReadAt = Math.min(state.bundle.nextHeadReadAt, context.now + headRetryMs);
+	return [];
+}
+
 function getBundleStatus(state: EntryState): unknown {
 	const {bundle, config} = state;
 	return {entry: config.id, version: bundle.current?.version ?? 0, signedBy: bundle.signed?.signedBy};
--- a/packages/decisions/src/membership/membership-filter.ts
+++ b/packages/decisions/src/membership/membership-filter.ts
@@ -7,7 +7,7 @@
 import {answerHeartbeat, restartObservation, sendHeartbeats} from './heartbeat.js';
 import {dropStaleProposal, proposeEpoch, repairEpochRecord} from './propose-epoch.js';
 import {
-	applyEpochAnswer, applyStoreChange, operationPrefix, readEpoch, readMembership, replaceRegistrations, retryRegistration,
+	applyEpochAnswer, applyStoreChange, operationPrefix, readEpoch, readMembership, replaceRegistrations, retryReads, retryRegistration, scheduleRead,
 } from './store-records.js';
 import {updateLinks} from './update-links.js';
 
@@ -68,7 +68,7 @@
 			}
 
 			if (event.result !== 'applied') {
-				return [];
+				return scheduleRead(state, event, context);
 			}
 
 			if (event.operationId.startsWith(`${operationPrefix}epoch:`)) {
@@ -104,6 +104,7 @@
 	return [
 		...updateLinks(state),
 		...retryRegistration(state, context),
+		...retryReads(state, context),
 		...sendHeartbeats(state, context),
 		...updateActivation(state, context),
 		...acquirePools(state),
--- a/packages/decisions/src/membership/membership-state.ts
+++ b/packages/decisions/src/membership/membership-state.ts
@@ -47,6 +47,8 @@
 	/** Whether the store has confirmed this entry's own registration. */
 	isRegistered: boolean;
 	nextRegistrationAt: number;
+	/** When the records are read again because a read has failed; undefined while none has. */
+	readAgainAt: number | undefined;
 	/** Entries known to have ended. */
 	readonly departed: Set<EntryId>;
 	/** Entries that have said that they shut down. */
@@ -100,6 +102,7 @@
 		registrationRevisions: new Map(),
 		isRegistered: false,
 		nextRegistrationAt: 0,
+		readAgainAt: undefined,
 		departed: new Set(),
 		leaving: new Set(),
 		links: new Set(),
--- a/packages/decisions/src/membership/membership-traces.test.ts
+++ b/packages/decisions/src/membership/membership-traces.test.ts
@@ -27,6 +27,20 @@
 		},
 		isServed: true,
 	},
+	{
+		// Guards against an entry that never learns of the others because its first reads failed.
+		name: 'every first read fails',
+		run(cluster) {
+			cluster.faults.isAnswerLost = (_by, effect) => effect.kind === 'read-store';
+			runChecked(cluster, 500);
+			cluster.faults.isAnswerLost = () => false;
+			runChecked(cluster, settleMs);
+		},
+		expected(cluster) {
+			expect(readRecord(cluster).members).toHaveLength(3);
+		},
+		isServed: true,
+	},
 	{
 		// The trace that breaks "freeze ownership without a majority": the one entry that reaches the store would take over
 		// from owners that only lost sight of it. The others' vouchers keep the epoch that they follow in force.
--- a/packages/decisions/src/membership/store-records.ts
+++ b/packages/decisions/src/membership/store-records.ts
@@ -12,6 +12,8 @@
 export const operationPrefix = 'membership:';
 
 const registrationPauseMs = 1000;
+const failedReadPauseMs = 1000;
+const readOperations = ['members', 'departed', 'epoch:'].map(name => `${operationPrefix}${name}`);
 /** Lowest interval of reads that changes of the epoch record cause. */
 const readPauseMs = 300;
 
@@ -42,6 +44,27 @@
 	})];
 }
 
+/** Notes that a read has failed. @internal */
+export function scheduleRead(state: EntryState, event: EventOf<'store-answered'>, context: DecisionContext): Output[] {
+	const isRead = readOperations.some(operation => event.operationId.startsWith(operation));
+	if (isRead) {
+		state.membership.readAgainAt ??= context.now + failedReadPauseMs;
+	}
+
+	return [];
+}
+
+/** Reads everything again after a failed read: what the watch delivered before is not known otherwise. @internal */
+export function retryReads(state: EntryState, context: DecisionContext): Output[] {
+	const {membership} = state;
+	if (membership.readAgainAt === undefined || context.now < membership.readAgainAt || !membership.isStoreReached) {
+		return [];
+	}
+
+	membership.readAgainAt = undefined;
+	return readMembership(state);
+}
+
 /** Writes the registration again when it has failed, for instance because there was no lease yet. @internal */
 export function retryRegistration(state: EntryState, context: DecisionContext): Output[] {
 	const {membership} = state;
