--- a/packages/decisions/src/routing/routing-filter.ts
+++ b/packages/decisions/src/routing/routing-filter.ts
@@ -219,7 +219,9 @@
 
 	state.routing.requests.delete(requestId);
 	// The new owner's refusal says nothing about an idempotent request's run at the lost one; for a keyed request the new owner has checked the key.
-	const isUnproven = routed.request.isIdempotent || routed.request.mode === 'task' || result.reason === 'pool-unavailable';
+	// When the same entry had the request before, its refusal may be of the earlier forward while the later one still runs.
+	const hasReturned = routed.heldBy !== undefined && routed.formerHolders.includes(routed.heldBy);
+	const isUnproven = routed.request.isIdempotent || routed.request.mode === 'task' || result.reason === 'pool-unavailable' || hasReturned;
 	const isRefusalUncertain = result.outcome === 'not-run' && routed.mayHaveRun && isUnproven;
 	return [emitEffect({kind: 'respond-caller', requestId, result: isRefusalUncertain ? createUnknownResult('connection-lost') : result})];
 }
--- a/packages/decisions/src/routing/routing-traces.test.ts
+++ b/packages/decisions/src/routing/routing-traces.test.ts
@@ -53,6 +53,18 @@
 		outcomes: {r1: 'unknown answer-timeout'},
 		sends: 1,
 	},
+	{
+		// Guards against "not run" from a refusal of an earlier forward, while the same entry still runs the later one (soak seed 752).
+		name: 'a refusal from an entry that had the request before',
+		run(script) {
+			const {owner, other} = loseOwner(script);
+			script.cluster.setLink(other, owner, true);
+			script.run(300);
+			pushResult(script, other, owner, createNotRunResult('deadline-passed'));
+		},
+		outcomes: {r1: 'unknown connection-lost'},
+		sends: 1,
+	},
 	{
 		// Guards against an answer from an entry that never had the request.
 		name: 'an answer from a stranger',
