Withdraw a planned stop that the store did not record in time

Ruled out: a late write of a former owner. Change: a write with a new permit that is older than 1 s is replaced by one that changes nothing; once that has taken effect the former cannot any more, and the call is refused.

--- a/packages/decisions/src/fleet/fleet-state.ts
+++ b/packages/decisions/src/fleet/fleet-state.ts
@@ -50,6 +50,8 @@
 	/** The calls that the write carries out, with the answer for each when it is confirmed. */
 	readonly calls: ReadonlyArray<{readonly call: PoolCall; readonly body: unknown; readonly detail: string}>;
 	readonly startedAt: number;
+	/** A change that this write takes the place of; it may still take effect, and its calls are refused once it cannot. */
+	readonly withdrawn?: Pick<PendingWrite, 'record' | 'calls'>;
 	hasAnswered: boolean;
 };
 
@@ -189,10 +191,15 @@
 	const serving: ListedInstance[] = [];
 	for (const [id, {record, listed, doubtUntil}] of state.fleet.instances) {
 		const isMember = record?.pool === pool && record.hasLeft !== true && doubtUntil === undefined && !owned.joining.has(id);
-		if (isMember && listed?.state === 'live' && owned.record.permits[id] === undefined && owned.pendingWrite?.record.permits[id] === undefined) {
+		if (isMember && listed?.state === 'live' && !hasPermit(owned, id)) {
 			serving.push(listed);
 		}
 	}
 
 	return serving;
 }
+
+/** Whether a permit for the instance is recorded, or may be by a write that the store has not answered. */
+function hasPermit({record, pendingWrite}: OwnedPool, id: InstanceId): boolean {
+	return [record, pendingWrite?.record, pendingWrite?.withdrawn?.record].some(item => item?.permits[id] !== undefined);
+}
--- a/packages/decisions/src/fleet/pool-write.ts
+++ b/packages/decisions/src/fleet/pool-write.ts
@@ -11,6 +11,8 @@
 import {type FleetOperation, type OwnedPool, type PendingWrite} from './fleet-state.js';
 
 const retryPauseMs = 500;
+/** A planned stop that was decided longer ago is decided anew: instances may have failed meanwhile. */
+const decisionLimitMs = 1000;
 /** An operator's call is answered as unknown after this time; the entry's HTTP server gives up at 10 s. */
 const callLimitMs = 5000;
 
@@ -105,13 +107,35 @@
 	}
 
 	if (entry?.revision === owned.revision) {
+		if (write === undefined) {
+			return [];
+		}
+
+		if (isOutdated(owned, write, context)) {
+			withdrawWrite(owned, write, context);
+		}
+
 		// The write may still be under way. The same condition lets only one of the two take effect.
-		return write === undefined ? [] : sendWrite(state, pool, owned, context);
+		return sendWrite(state, pool, owned, context);
 	}
 
 	return loseRecord(owned, entry === undefined ? undefined : poolRecordSchema.safeParse(parseJson(entry.value)).data);
 }
 
+/** Whether a write takes an instance out of service on evidence that may no longer hold. */
+function isOutdated(owned: OwnedPool, write: PendingWrite, context: DecisionContext): boolean {
+	const hasNewPermit = Object.keys(write.record.permits).some(id => owned.record?.permits[id] === undefined);
+	return hasNewPermit && context.now - write.startedAt > decisionLimitMs;
+}
+
+/** Replaces a write by one that changes nothing. Once that has taken effect, the former write no longer can. */
+function withdrawWrite(owned: OwnedPool, write: PendingWrite, context: DecisionContext): void {
+	const record = {...owned.record!, withdrawals: (owned.record!.withdrawals ?? 0) + 1};
+	owned.pendingWrite = {
+		record, text: JSON.stringify(record), calls: [], startedAt: context.now, withdrawn: {record: write.record, calls: write.calls}, hasAnswered: write.hasAnswered,
+	};
+}
+
 function finishWrite(pool: PoolName, owned: OwnedPool, revision: number): Output[] {
 	const write = owned.pendingWrite!;
 	const changes = createChangeEvents(pool, owned.record!, write.record);
@@ -126,12 +150,15 @@
 				kind: 'operator-answered', callId: call.callId, status: 200, body,
 			})]),
 	]);
-	return [...answers, ...changes];
+	const reason = 'the store did not answer in time; nothing was done';
+	const refusals = (write.withdrawn?.calls ?? []).flatMap(({call}) =>
+		write.hasAnswered ? [createAuditEvent(call, 'refused', reason)] : refuseCall(call, 503, reason));
+	return [...answers, ...refusals, ...changes];
 }
 
 /** The record has changed under this owner: another entry has fenced the pool, or the store was restored. Nothing is sent until the pool is fenced anew. */
 function loseRecord(owned: OwnedPool, found: PoolRecord | undefined): Output[] {
-	const calls = owned.pendingWrite?.calls ?? [];
+	const calls = [...owned.pendingWrite?.calls ?? [], ...owned.pendingWrite?.withdrawn?.calls ?? []];
 	const hasAnswered = owned.pendingWrite?.hasAnswered === true;
 	owned.isFenced = false;
 	owned.pendingWrite = undefined;
@@ -148,7 +175,7 @@
 	const write = owned.pendingWrite;
 	if (write !== undefined && !write.hasAnswered && context.now - write.startedAt > callLimitMs) {
 		write.hasAnswered = true;
-		outputs.push(...write.calls.map(({call}) => restartEvent({
+		outputs.push(...[...write.calls, ...write.withdrawn?.calls ?? []].map(({call}) => restartEvent({
 			kind: 'operator-answered', callId: call.callId, status: 504, body: {outcome: 'unknown', message: 'the store does not answer; see the status of the pool later'},
 		})));
 	}
--- a/packages/model/src/fleet.ts
+++ b/packages/model/src/fleet.ts
@@ -85,6 +85,8 @@
 	/** Unix time in milliseconds of each instance's last maintenance. */
 	maintained: z.record(z.string(), z.number()),
 	wave: waveSchema.optional(),
+	/** Counts changes that were withdrawn, so that the record differs from the one before. */
+	withdrawals: z.number().int().nonnegative().optional(),
 });
 /** @public */
 export type PoolRecord = z.infer<typeof poolRecordSchema>;
