--- a/packages/bench/src/demo-main.ts
+++ b/packages/bench/src/demo-main.ts
@@ -57,7 +57,7 @@
 			const sent = await Promise.all(Array.from({length: requestCount}, async (_, index) =>
 				sendRequest(cluster.entries[index % 3]!, {service: services[index % 2]!, isIdempotent: index % 3 === 0})));
 			ledger.push(...sent);
-			expectNone(sent.filter(({outcome}) => outcome !== 'completed'), 'requests did not complete');
+			checkNone(sent.filter(({outcome}) => outcome !== 'completed'), 'requests did not complete');
 			return formatOutcomes(sent);
 		},
 	},
@@ -82,7 +82,7 @@
 				await cluster.waitUntil(`${drained} is stopped`, async () => JSON.stringify(await cluster.callOperator({command: 'pool-status', pool})).includes('"stopped"'));
 			});
 			const stoppedMs = Math.round(performance.now() - startedAt);
-			expectNone(sent.filter(({outcome}) => outcome !== 'completed'), 'requests did not complete during the drain');
+			checkNone(sent.filter(({outcome}) => outcome !== 'completed'), 'requests did not complete during the drain');
 			await cluster.callOperator({command: 'undrain', pool, instance: drained});
 			return `stopped after ${stoppedMs} ms, meanwhile ${formatOutcomes(sent)}`;
 		},
@@ -101,7 +101,7 @@
 					return status.isActive && status.members.every(({id}) => id !== lostId);
 				});
 			});
-			expectNone(sent.filter(({outcome}) => outcome === 'no-answer'), 'requests to living entries had no answer');
+			checkNone(sent.filter(({outcome}) => outcome === 'no-answer'), 'requests to living entries had no answer');
 			return `replaced after ${Math.round(performance.now() - startedAt)} ms, meanwhile ${formatOutcomes(sent)}`;
 		},
 	},
@@ -119,7 +119,7 @@
 	},
 ];
 
-function expectNone(sent: readonly SentRequest[], fault: string): void {
+function checkNone(sent: readonly SentRequest[], fault: string): void {
 	if (sent.length > 0) {
 		const reasons = new Set(sent.map(({outcome, status, reason}) => `${outcome} ${status} ${reason}`));
 		throw new Error(`${sent.length} ${fault}: ${[...reasons].join('; ')}`);
--- a/packages/bench/src/faults/fleet-faults.ts
+++ b/packages/bench/src/faults/fleet-faults.ts
@@ -1,7 +1,7 @@
 import {chooseItem, getBetween, type EndpointMode} from '../virtual/world.js';
 import {type VirtualCluster} from '../virtual/virtual-cluster.js';
 import {chooseInstance, type Fault} from './fault.js';
-import {switchCondition} from './store-faults.js';
+import {setCondition} from './store-faults.js';
 
 function createModeFault(name: string, mode: EndpointMode, rate: number): Fault {
 	return {
@@ -77,9 +77,9 @@
 		rate: 1,
 		minMs: 1000,
 		maxMs: 8000,
-		start: cluster => switchCondition(cluster, 'listLagMs', getBetween(cluster.world.random, 500, 5000)),
+		start: cluster => setCondition(cluster, 'listLagMs', getBetween(cluster.world.random, 500, 5000)),
 	},
 	{
-		name: 'list-down', rate: 1, minMs: 1000, maxMs: 8000, start: cluster => switchCondition(cluster, 'isListDown', true),
+		name: 'list-down', rate: 1, minMs: 1000, maxMs: 8000, start: cluster => setCondition(cluster, 'isListDown', true),
 	},
 ];
--- a/packages/bench/src/faults/network-faults.ts
+++ b/packages/bench/src/faults/network-faults.ts
@@ -9,7 +9,7 @@
 }
 
 /** Blocks paths; returns how to open them again. */
-function blockPaths({world}: VirtualCluster, paths: readonly string[]): () => void {
+function closePaths({world}: VirtualCluster, paths: readonly string[]): () => void {
 	const {blockedPaths} = world.conditions;
 	const added = paths.filter(path => !blockedPaths.has(path));
 	for (const path of added) {
@@ -45,7 +45,7 @@
 		maxMs: 8000,
 		start(cluster) {
 			const pair = choosePair(cluster);
-			return pair === undefined ? undefined : blockPaths(cluster, [`${pair[0].name}>${pair[1].name}`]);
+			return pair === undefined ? undefined : closePaths(cluster, [`${pair[0].name}>${pair[1].name}`]);
 		},
 	},
 	{
@@ -57,7 +57,7 @@
 			const pair = choosePair(cluster);
 			return pair === undefined
 				? undefined
-				: blockPaths(cluster, [`${pair[0].name}>${pair[1].name}`, `${pair[1].name}>${pair[0].name}`]);
+				: closePaths(cluster, [`${pair[0].name}>${pair[1].name}`, `${pair[1].name}>${pair[0].name}`]);
 		},
 	},
 	{
@@ -70,7 +70,7 @@
 			const others = listAlive(cluster).filter(other => other !== entry);
 			return entry === undefined
 				? undefined
-				: blockPaths(cluster, others.flatMap(other => [`${entry.name}>${other.name}`, `${other.name}>${entry.name}`]));
+				: closePaths(cluster, others.flatMap(other => [`${entry.name}>${other.name}`, `${other.name}>${entry.name}`]));
 		},
 	},
 	{
--- a/packages/bench/src/faults/store-faults.ts
+++ b/packages/bench/src/faults/store-faults.ts
@@ -6,7 +6,7 @@
 type Switchable = 'isStoreDown' | 'storeDelayMs' | 'lostAnswerShare' | 'lateWriteShare' | 'watchDelayMs' | 'isListDown' | 'listLagMs';
 
 /** Sets one condition for the length of the fault. */
-export function switchCondition<Name extends Switchable>({world}: VirtualCluster, name: Name, value: Conditions[Name]): () => void {
+export function setCondition<Name extends Switchable>({world}: VirtualCluster, name: Name, value: Conditions[Name]): () => void {
 	const former = world.conditions[name];
 	world.conditions[name] = value;
 	return () => {
@@ -29,7 +29,7 @@
 				cluster.world.store.breakWatches();
 			}
 
-			return switchCondition(cluster, 'isStoreDown', true);
+			return setCondition(cluster, 'isStoreDown', true);
 		},
 	},
 	{
@@ -37,28 +37,28 @@
 		rate: 1.5,
 		minMs: 500,
 		maxMs: 6000,
-		start: cluster => switchCondition(cluster, 'storeDelayMs', getBetween(cluster.world.random, 100, 900)),
+		start: cluster => setCondition(cluster, 'storeDelayMs', getBetween(cluster.world.random, 100, 900)),
 	},
 	{
 		name: 'store-lost-answer',
 		rate: 2,
 		minMs: 200,
 		maxMs: 5000,
-		start: cluster => switchCondition(cluster, 'lostAnswerShare', getBetween(cluster.world.random, 0.2, 1)),
+		start: cluster => setCondition(cluster, 'lostAnswerShare', getBetween(cluster.world.random, 0.2, 1)),
 	},
 	{
 		name: 'store-late-write',
 		rate: 2,
 		minMs: 200,
 		maxMs: 5000,
-		start: cluster => switchCondition(cluster, 'lateWriteShare', getBetween(cluster.world.random, 0.2, 1)),
+		start: cluster => setCondition(cluster, 'lateWriteShare', getBetween(cluster.world.random, 0.2, 1)),
 	},
 	{
 		name: 'watch-late',
 		rate: 1.5,
 		minMs: 500,
 		maxMs: 6000,
-		start: cluster => switchCondition(cluster, 'watchDelayMs', getBetween(cluster.world.random, 200, 4000)),
+		start: cluster => setCondition(cluster, 'watchDelayMs', getBetween(cluster.world.random, 200, 4000)),
 	},
 	{
 		name: 'watch-silent',
--- a/packages/bench/src/measure/at-most-once-cost.ts
+++ b/packages/bench/src/measure/at-most-once-cost.ts
@@ -45,7 +45,7 @@
 		const isRepeat = random.getFraction() < repeatShare;
 		const former = isRepeat ? chooseItem(random, cluster.callers.requests.slice(-100)) : undefined;
 		sendKeyed(cluster, random, former);
-		repeatLost(cluster, random);
+		sendLostAgain(cluster, random);
 		cluster.run(intervalMs);
 	}
 }
@@ -65,7 +65,7 @@
 }
 
 /** Callers of a lost entry turn to another one with the same key. */
-function repeatLost(cluster: VirtualCluster, random: RandomSource): void {
+function sendLostAgain(cluster: VirtualCluster, random: RandomSource): void {
 	const {now} = cluster.world.queue;
 	for (const sent of cluster.callers.requests) {
 		if (sent.result === undefined && !sent.isGone && !sent.entry.isAlive && now - sent.sentAt >= repeatAfterMs) {
--- a/packages/bench/src/measure/job.ts
+++ b/packages/bench/src/measure/job.ts
@@ -39,7 +39,7 @@
 	const jobs: Job[] = [];
 	for (let step = 0; step < durationMs; step += stepMs) {
 		const perMs = source.getRate(step) / 1000;
-		for (let at = step + drawGap(perMs, random); at < step + stepMs; at += drawGap(perMs, random)) {
+		for (let at = step + computeGap(perMs, random); at < step + stepMs; at += computeGap(perMs, random)) {
 			jobs.push({
 				id: `${source.name}-${jobs.length}`,
 				at: startMs + at,
@@ -60,7 +60,7 @@
 	return jobs;
 }
 
-function drawGap(perMs: number, random: RandomSource): number {
+function computeGap(perMs: number, random: RandomSource): number {
 	return perMs <= 0 ? Number.POSITIVE_INFINITY : -Math.log(1 - random.getFraction()) / perMs;
 }
 
--- a/packages/bench/src/measure/throughput.ts
+++ b/packages/bench/src/measure/throughput.ts
@@ -59,7 +59,7 @@
 		const baseline: Target = {name: 'pass-through', address: baselineAddress, getCpuUs: async () => Number(await readText(`http://${baselineAddress}/cpu`))};
 		await cluster.waitUntil('the pass-through listens', async () => await baseline.getCpuUs() > 0);
 		const targets = await createEntryTargets(cluster);
-		return await compareTargets(baseline, targets, seed);
+		return await checkTargets(baseline, targets, seed);
 	} finally {
 		child.kill('SIGTERM');
 		await Promise.all([once(child, 'exit'), cluster.stop()]);
@@ -83,7 +83,7 @@
 }
 
 /** Rounds of all targets take turns, so that other work on the machine meets all of them alike. */
-async function compareTargets(baseline: Target, targets: readonly Target[], seed: number): Promise<MeasureLine[]> {
+async function checkTargets(baseline: Target, targets: readonly Target[], seed: number): Promise<MeasureLine[]> {
 	const rounds = new Map<Target, Round[]>([baseline, ...targets].map(target => [target, []]));
 	for (const target of rounds.keys()) {
 		// eslint-disable-next-line no-await-in-loop
--- a/packages/bench/src/measure/workers.ts
+++ b/packages/bench/src/measure/workers.ts
@@ -56,10 +56,10 @@
 			return;
 		}
 
-		occupySlot(queue, worker, job.runMs, end, {kind: 'answered', status: 200});
+		takeSlot(queue, worker, job.runMs, end, {kind: 'answered', status: 200});
 	},
 	fail(queue, worker, _job, end) {
-		occupySlot(queue, worker, failMs, end, {kind: 'answered', status: 500});
+		takeSlot(queue, worker, failMs, end, {kind: 'answered', status: 500});
 	},
 	down(queue, _worker, _job, end) {
 		queue.add(refusedConnectionMs, () => {
@@ -85,7 +85,7 @@
 	}
 }
 
-function occupySlot(queue: EventQueue, worker: Worker, runMs: number, end: (result: RunEnd) => void, result: RunEnd): void {
+function takeSlot(queue: EventQueue, worker: Worker, runMs: number, end: (result: RunEnd) => void, result: RunEnd): void {
 	const startedAt = queue.now;
 	const finish = (ending: RunEnd) => {
 		if (worker.running.delete(finish)) {
--- a/packages/bench/src/scenario/fault-commands.ts
+++ b/packages/bench/src/scenario/fault-commands.ts
@@ -26,7 +26,7 @@
 	return rights.flatMap(right => [`${left}>${right}`, `${right}>${left}`]);
 }
 
-function blockPaths(scenario: ScenarioRun, paths: readonly string[]): void {
+function closePaths(scenario: ScenarioRun, paths: readonly string[]): void {
 	for (const path of paths) {
 		getCluster(scenario).world.conditions.blockedPaths.add(path);
 	}
@@ -67,16 +67,16 @@
 		getCluster(scenario).world.network.cutLinks(values.getText('from'), values.getText('to'));
 	}),
 	createCommand('block', pairWords, (scenario, values) => {
-		blockPaths(scenario, [`${values.getText('from')}>${values.getText('to')}`]);
+		closePaths(scenario, [`${values.getText('from')}>${values.getText('to')}`]);
 	}),
 	createCommand('silence', pairWords, (scenario, values) => {
-		blockPaths(scenario, listPaths(values.getText('from'), [values.getText('to')]));
+		closePaths(scenario, listPaths(values.getText('from'), [values.getText('to')]));
 	}),
 	createCommand('isolate', entryWords, (scenario, values) => {
 		const name = values.getText('entry');
 		const others = new Set([...getCluster(scenario).world.entries.values()].map(entry => entry.name));
 		others.delete(name);
-		blockPaths(scenario, listPaths(name, [...others]));
+		closePaths(scenario, listPaths(name, [...others]));
 	}),
 	createCommand('heal', {}, scenario => {
 		getCluster(scenario).world.conditions.blockedPaths.clear();
--- a/packages/bench/src/virtual/virtual-cluster.ts
+++ b/packages/bench/src/virtual/virtual-cluster.ts
@@ -84,7 +84,7 @@
 		startEntry(world, name, zone, address);
 	}
 
-	observeTime(world);
+	recordTime(world);
 	return {
 		world,
 		callers,
@@ -171,9 +171,9 @@
 	}
 }
 
-function observeTime(world: World): void {
+function recordTime(world: World): void {
 	world.queue.add(observeMs, () => {
 		world.observe({kind: 'time-passed'});
-		observeTime(world);
+		recordTime(world);
 	});
 }
--- a/packages/bench/src/virtual/virtual-entry.ts
+++ b/packages/bench/src/virtual/virtual-entry.ts
@@ -96,12 +96,12 @@
 	world.store.addClient(entry);
 	world.fleet.addListClient(entry);
 	queue.add(random.getInteger(tickMs), () => {
-		tickEntry(world, entry);
+		advanceEntry(world, entry);
 	});
 	return entry;
 }
 
-function tickEntry(world: World, entry: VirtualEntry): void {
+function advanceEntry(world: World, entry: VirtualEntry): void {
 	if (!entry.isAlive) {
 		return;
 	}
@@ -111,7 +111,7 @@
 	}
 
 	world.queue.add(entry.clock.getDuration(tickMs), () => {
-		tickEntry(world, entry);
+		advanceEntry(world, entry);
 	});
 }
 
--- a/packages/bench/src/virtual/virtual-fleet.ts
+++ b/packages/bench/src/virtual/virtual-fleet.ts
@@ -45,7 +45,7 @@
 		});
 	}
 
-	function failAttempt(attempt: Attempt, delayMs: number, failure: AttemptFailure): void {
+	function endFailedAttempt(attempt: Attempt, delayMs: number, failure: AttemptFailure): void {
 		endAttempt(attempt, delayMs, () => ({kind: 'endpoint-failed', attemptId: attempt.effect.attemptId, failure}));
 	}
 
@@ -101,12 +101,12 @@
 
 		if (entry.clock.getNow(queue.now) >= effect.notAfter) {
 			addCount(world, 'sends_dropped');
-			failAttempt(attempt, 0, 'not-sent');
+			endFailedAttempt(attempt, 0, 'not-sent');
 			return;
 		}
 
 		if (endpoint.mode === 'down') {
-			failAttempt(attempt, networkMs, 'not-sent');
+			endFailedAttempt(attempt, networkMs, 'not-sent');
 			return;
 		}
 
@@ -120,7 +120,7 @@
 				return;
 			}
 
-			failAttempt(attempt, 0, 'connection-lost');
+			endFailedAttempt(attempt, 0, 'connection-lost');
 		});
 	}
 
@@ -135,10 +135,10 @@
 			// The time limit of the attempt ends it.
 		},
 		cut(attempt) {
-			failAttempt(attempt, networkMs, 'connection-lost');
+			endFailedAttempt(attempt, networkMs, 'connection-lost');
 		},
 		truncate(attempt) {
-			failAttempt(attempt, networkMs, 'answer-truncated');
+			endFailedAttempt(attempt, networkMs, 'answer-truncated');
 		},
 		down() {
 			// The loss of the connections has ended the attempt.
@@ -158,7 +158,7 @@
 		const {life} = endpoint;
 		queue.add(endpoint.mode === 'fail' ? 1 : getRunTime(endpoint, effect.request), () => {
 			if (endpoint.life !== life) {
-				failAttempt(attempt, networkMs, 'connection-lost');
+				endFailedAttempt(attempt, networkMs, 'connection-lost');
 				return;
 			}
 
@@ -240,7 +240,7 @@
 			queue.add(getBetween(random, 0, 2), () => {
 				writeAttempt(attempt, epoch);
 			});
-			failAttempt(attempt, entry.clock.getDuration(effect.timeoutMs), 'answer-timeout');
+			endFailedAttempt(attempt, entry.clock.getDuration(effect.timeoutMs), 'answer-timeout');
 		},
 		probeEndpoint(entry, {instanceId, address}) {
 			const endpoint = byAddress.get(address);
--- a/packages/bench/src/virtual/virtual-network.ts
+++ b/packages/bench/src/virtual/virtual-network.ts
@@ -148,7 +148,7 @@
 		});
 	}
 
-	function drainLane(lane: Lane, connection: Connection): void {
+	function runLane(lane: Lane, connection: Connection): void {
 		lane.isDraining = true;
 		const [head] = lane.waiting;
 		if (head === undefined) {
@@ -159,7 +159,7 @@
 		const isStalled = !isPassing(lane.from, lane.to);
 		queue.add(isStalled ? stallCheckMs : head.readyAt - queue.now, () => {
 			if (!isPassing(lane.from, lane.to)) {
-				drainLane(lane, connection);
+				runLane(lane, connection);
 				return;
 			}
 
@@ -168,7 +168,7 @@
 				receiveMessage(lane, connection, head.message);
 			}
 
-			drainLane(lane, connection);
+			runLane(lane, connection);
 		});
 	}
 
@@ -223,7 +223,7 @@
 			const lane = connection.lanes.find(item => item.from === from)!;
 			lane.waiting.push({message, readyAt: queue.now + (conditions.linkDelayMs * getBetween(random, 0.5, 1.5))});
 			if (!lane.isDraining) {
-				drainLane(lane, connection);
+				runLane(lane, connection);
 			}
 		},
 		cutLinks(left, right) {
--- a/packages/cli/src/bundle-commands.ts
+++ b/packages/cli/src/bundle-commands.ts
@@ -62,7 +62,7 @@
 		description: 'Show the settings that differ; each side is a file or an accepted version',
 		example: `bundle diff 7 fleet.ini ${access}`,
 		async run([older = '', newer = ''], options) {
-			return listBundleChanges(await loadBundle(older, options), await loadBundle(newer, options));
+			return listBundleChanges(await readBundleFile(older, options), await readBundleFile(newer, options));
 		},
 		format(result) {
 			const changes = result as readonly BundleChange[];
@@ -97,7 +97,7 @@
 	},
 ];
 
-async function loadBundle(source: string, options: CommandOptions): Promise<Bundle> {
+async function readBundleFile(source: string, options: CommandOptions): Promise<Bundle> {
 	if (!/^\d+$/u.test(source)) {
 		const text = readText(source);
 		return parseBundle(source.endsWith('.json') ? parseSigned(source, text).text : text, source);
--- a/packages/cli/src/call-entry.ts
+++ b/packages/cli/src/call-entry.ts
@@ -34,7 +34,7 @@
 		operator: options.operator, issuedAt: Date.now(), nonce: randomUUID(), body,
 	};
 	const signature = signOperatorCall(call, readPrivateKey(options.key));
-	const answer = await postCall(options.entry, body, {
+	const answer = await sendCall(options.entry, body, {
 		[operatorHeaders.operator]: call.operator,
 		[operatorHeaders.issuedAt]: String(call.issuedAt),
 		[operatorHeaders.nonce]: call.nonce,
@@ -48,7 +48,7 @@
 	return answer.body;
 }
 
-async function postCall(entry: string, body: string, headers: Record<string, string>): Promise<{status: number; body: unknown}> {
+async function sendCall(entry: string, body: string, headers: Record<string, string>): Promise<{status: number; body: unknown}> {
 	try {
 		const answer = await request(`http://${entry}/operator/call`, {
 			method: 'POST', body, headers, headersTimeout: callTimeoutMs, bodyTimeout: callTimeoutMs,
--- a/packages/decisions/src/audit/audit-call.ts
+++ b/packages/decisions/src/audit/audit-call.ts
@@ -39,7 +39,7 @@
 	}
 
 	const {records, faults} = readTrails(answer);
-	const selected = selectRecords(records, call);
+	const selected = listAuditRecords(records, call);
 	return [restartEvent({
 		kind: 'operator-answered',
 		callId: call.callId,
@@ -63,7 +63,7 @@
 	return {records, faults: [...unreadable, ...findChainFaults(records)]};
 }
 
-function selectRecords(records: readonly AuditRecord[], {since, pool}: AuditCall): AuditRecord[] {
+function listAuditRecords(records: readonly AuditRecord[], {since, pool}: AuditCall): AuditRecord[] {
 	return records
 		.filter(record => record.at >= since && (pool === undefined || ` ${record.subject} `.includes(` pool ${pool} `)))
 		.sort((left, right) => left.at - right.at);
--- a/packages/decisions/src/dispatch/attempts.ts
+++ b/packages/decisions/src/dispatch/attempts.ts
@@ -85,7 +85,7 @@
 	if (ending.kind === 'failed' && mayStillRun[ending.failure]) {
 		addTimed(dispatch.heldSlots, computeHoldEnd(state, attempt, context), {instanceId, flow});
 	} else {
-		freeSlot(state, instanceId, flow, context);
+		releaseSlot(state, instanceId, flow, context);
 	}
 
 	if (ending.kind === 'answered') {
@@ -104,7 +104,7 @@
 export function releaseHeldSlots(state: EntryState, context: DecisionContext): void {
 	const {heldSlots} = state.dispatch;
 	for (let slot = removeDue(heldSlots, context.now); slot !== undefined; slot = removeDue(heldSlots, context.now)) {
-		freeSlot(state, slot.instanceId, slot.flow, context);
+		releaseSlot(state, slot.instanceId, slot.flow, context);
 	}
 }
 
@@ -171,7 +171,7 @@
 	}
 }
 
-function freeSlot(state: EntryState, instanceId: string, flow: Flow | undefined, context: DecisionContext): void {
+function releaseSlot(state: EntryState, instanceId: string, flow: Flow | undefined, context: DecisionContext): void {
 	const {busySlots} = state.dispatch;
 	const left = (busySlots.get(instanceId) ?? 0) - 1;
 	if (left > 0) {
--- a/packages/decisions/src/dispatch/choose-flow.ts
+++ b/packages/decisions/src/dispatch/choose-flow.ts
@@ -40,7 +40,7 @@
 			continue;
 		}
 
-		const rank = rankFlow(queue, flow, context);
+		const rank = computeFlowRank(queue, flow, context);
 		if ((best === undefined || isBefore(rank, best)) && mayTakeSlot(state, queue, flow, freeSlots, context)) {
 			best = rank;
 		}
@@ -49,7 +49,7 @@
 	return best?.flow;
 }
 
-function rankFlow(queue: PoolQueue, flow: Flow, context: DecisionContext): FlowRank {
+function computeFlowRank(queue: PoolQueue, flow: Flow, context: DecisionContext): FlowRank {
 	const entitled = getEntitledSlots(queue, flow);
 	const isFlooding = isFlood(queue, flow, context);
 	const {busy} = flow.usage;
--- a/packages/decisions/src/fleet/advance-pool.ts
+++ b/packages/decisions/src/fleet/advance-pool.ts
@@ -5,7 +5,7 @@
 import {getPoolPermission} from '../membership/index.js';
 import {runCalls} from './pool-calls.js';
 import {createPoolView, type PoolView} from './pool-view.js';
-import {clearReboot} from './fleet-state.js';
+import {removeReboot} from './fleet-state.js';
 import {advanceStop} from './pool-stages.js';
 import {startWrite} from './pool-write.js';
 import {setPermit} from './permit.js';
@@ -43,7 +43,7 @@
 
 		record = setPermit(record, id, step.permit);
 		if (step.permit === undefined) {
-			clearReboot(owned, id);
+			removeReboot(owned, id);
 			record = permit.reason === 'maintenance' ? recordMaintenance(record, id, context.wallTime) : record;
 		}
 	}
--- a/packages/decisions/src/fleet/fleet-state.ts
+++ b/packages/decisions/src/fleet/fleet-state.ts
@@ -168,7 +168,7 @@
 }
 
 /** Forgets the reboot of an instance that serves again. @internal */
-export function clearReboot(owned: OwnedPool, id: InstanceId): void {
+export function removeReboot(owned: OwnedPool, id: InstanceId): void {
 	const evidence = getEvidence(owned, id);
 	evidence.rebootAskedAt = undefined;
 	evidence.rebootAcceptedAt = undefined;
--- a/packages/decisions/src/fleet/instance-record.ts
+++ b/packages/decisions/src/fleet/instance-record.ts
@@ -62,7 +62,7 @@
 		const entry = entryByKey.get(`${storeKeys.instancesPrefix}${id}`);
 		const storedRevision = entry?.revision ?? 0;
 		if (instance.record !== undefined && instance.recordAt < sentAt && storedRevision < instance.recordRevision) {
-			markRestored(state, id, entry, context);
+			setRestored(state, id, entry, context);
 		}
 	}
 
@@ -71,7 +71,7 @@
 	}
 }
 
-function markRestored(state: EntryState, id: InstanceId, entry: StoreEntry | undefined, context: DecisionContext): void {
+function setRestored(state: EntryState, id: InstanceId, entry: StoreEntry | undefined, context: DecisionContext): void {
 	const instance = getInstance(state, id);
 	const stored = entry === undefined ? undefined : instanceRecordSchema.safeParse(parseJson(entry.value)).data;
 	instance.recordRevision = entry?.revision ?? 0;
--- a/packages/decisions/src/fleet/pool-calls.ts
+++ b/packages/decisions/src/fleet/pool-calls.ts
@@ -52,7 +52,7 @@
 		? createStop(work, {instance: work.command.instance, decision: checkPermit(work.view, work.command.instance), reason: 'operator-drain'})
 		: refuseUnknown(work.command),
 	undrain: work => hasMember(work.view, work.command.instance) ? endDrain(work) : refuseUnknown(work.command),
-	retire: work => hasMember(work.view, work.command.instance) ? retireInstance(work) : refuseUnknown(work.command),
+	retire: work => hasMember(work.view, work.command.instance) ? removeInstanceRecord(work) : refuseUnknown(work.command),
 	move: work => hasMember(work.view, work.command.instance) ? createMove(work, work.command.instance, work.command.targetPool) : refuseUnknown(work.command),
 	lend(work) {
 		if (work.view.declaration?.isSpare !== true) {
@@ -186,7 +186,7 @@
 	return createChange(setPermit(view.record, command.instance, {...permit, stage: 'returning'}), {outcome: 'returning', instance: command.instance}, '');
 }
 
-function retireInstance({state, view, command}: CallWork<'retire'>): CallDecision {
+function removeInstanceRecord({state, view, command}: CallWork<'retire'>): CallDecision {
 	const instance = getInstance(state, command.instance);
 	if (instance.listed !== undefined) {
 		return {kind: 'refuse', status: 409, reason: `the instance list shows ${command.instance} as ${instance.listed.state}; only an instance that is gone can be retired`};
--- a/packages/decisions/src/fleet/pool-stages.ts
+++ b/packages/decisions/src/fleet/pool-stages.ts
@@ -43,7 +43,7 @@
 
 const stageHandlers: Readonly<Record<PermitStage, StageHandler>> = {
 	draining: stop => findDrainBlock(stop) === undefined ? setStage(stop, stageAfterDrain[stop.permit.reason]) : keepStage(stop),
-	stopped: stop => stop.permit.reason === 'move' ? moveInstance(stop) : keepStage(stop),
+	stopped: stop => stop.permit.reason === 'move' ? updateInstancePool(stop) : keepStage(stop),
 	rebooting: stop => getEvidence(stop.owned, stop.id).rebootAcceptedAt === undefined ? requestReboot(stop) : setStage(stop, 'returning'),
 	returning: stop => findReturnBlock(stop) === undefined ? {permit: undefined, outputs: []} : keepStage(stop),
 };
@@ -142,7 +142,7 @@
 }
 
 /** Writes the new pool into the instance record. Reading the record decides, so this can be repeated at any time. */
-function moveInstance(stop: PlannedStop): StopStep {
+function updateInstancePool(stop: PlannedStop): StopStep {
 	const {
 		state, owned, id, permit, context,
 	} = stop;
@@ -173,12 +173,12 @@
 }
 
 function setStage({owned, id, permit}: PlannedStop, stage: PermitStage): StopStep {
-	clearEvidence(getEvidence(owned, id));
+	removeEvidence(getEvidence(owned, id));
 	return {permit: {...permit, stage}, outputs: []};
 }
 
 /** Answers from before a change of stage are no evidence for the stage after it. @internal */
-export function clearEvidence(evidence: InstanceEvidence): void {
+export function removeEvidence(evidence: InstanceEvidence): void {
 	evidence.healthyInRow = 0;
 }
 
--- a/packages/decisions/src/fleet/pool-write.ts
+++ b/packages/decisions/src/fleet/pool-write.ts
@@ -112,7 +112,7 @@
 		}
 
 		if (isOutdated(owned, write, context)) {
-			withdrawWrite(owned, write, context);
+			replaceWrite(owned, write, context);
 		}
 
 		// The write may still be under way. The same condition lets only one of the two take effect.
@@ -129,7 +129,7 @@
 }
 
 /** Replaces a write by one that changes nothing. Once that has taken effect, the former write no longer can. */
-function withdrawWrite(owned: OwnedPool, write: PendingWrite, context: DecisionContext): void {
+function replaceWrite(owned: OwnedPool, write: PendingWrite, context: DecisionContext): void {
 	const record = {...owned.record!, withdrawals: (owned.record!.withdrawals ?? 0) + 1};
 	owned.pendingWrite = {
 		record, text: JSON.stringify(record), calls: [], startedAt: context.now, withdrawn: {record: write.record, calls: write.calls}, hasAnswered: write.hasAnswered,
--- a/packages/decisions/src/health/trust.ts
+++ b/packages/decisions/src/health/trust.ts
@@ -76,10 +76,10 @@
 type FailureHandler = (state: EntryState, instanceId: InstanceId, health: InstanceHealth, context: DecisionContext) => Output[];
 
 const failureHandlers: Readonly<Record<TrustStage, FailureHandler>> = {
-	trusted: (state, instanceId, health, context) => isWorseThanPeers(state, instanceId, health) ? avoidInstance(state, instanceId, health, context) : [],
+	trusted: (state, instanceId, health, context) => isWorseThanPeers(state, instanceId, health) ? setInstancePause(state, instanceId, health, context) : [],
 	limited(state, instanceId, health, context) {
 		if (mayTakeOut(state, instanceId, health.pool)) {
-			return avoidInstance(state, instanceId, health, context);
+			return setInstancePause(state, instanceId, health, context);
 		}
 
 		limitInstance(health, context);
@@ -88,10 +88,10 @@
 	// Attempts that were under way when the instance was taken out.
 	distrusted: () => [],
 	// An endpoint that answers probes and fails requests is probed at longer intervals.
-	trial: avoidInstance,
+	trial: setInstancePause,
 };
 
-function avoidInstance(state: EntryState, instanceId: InstanceId, health: InstanceHealth, context: DecisionContext): Output[] {
+function setInstancePause(state: EntryState, instanceId: InstanceId, health: InstanceHealth, context: DecisionContext): Output[] {
 	const former = health.stage;
 	if (mayTakeOut(state, instanceId, health.pool)) {
 		health.pauseMs = former === 'trial' ? Math.min(maxProbePauseMs, health.pauseMs * 2) : firstProbePauseMs;
--- a/packages/decisions/src/idempotency/idempotency-filter.ts
+++ b/packages/decisions/src/idempotency/idempotency-filter.ts
@@ -8,7 +8,7 @@
 } from './pool-roles.js';
 import {receiveKeys} from './receive-keys.js';
 import {acceptAcknowledgement, acceptReservation, retryReservations} from './reserve-key.js';
-import {continueTransfer, keepCopies} from './send-keys.js';
+import {advanceTransfer, keepCopies} from './send-keys.js';
 import {recordServiceMoves, settleServiceMoves} from './service-moves.js';
 import {
 	applySettlement, cancelRequest, expireWaiters, finishKey, releaseReturned,
@@ -32,7 +32,7 @@
 		'peer-key-reserved': acceptAcknowledgement,
 		'peer-key-settled': applySettlement,
 		'peer-keys-copied': receiveKeys,
-		'peer-keys-received': continueTransfer,
+		'peer-keys-received': advanceTransfer,
 		'pool-acquired'(state, event, context) {
 			updateClock(state, context);
 			return acquireKeys(state, event, context);
--- a/packages/decisions/src/idempotency/offer-key.ts
+++ b/packages/decisions/src/idempotency/offer-key.ts
@@ -10,7 +10,7 @@
 import {
 	addKey, computeFingerprint, createAnswer, getPoolKeys,
 } from './key-records.js';
-import {reserveKey} from './reserve-key.js';
+import {sendReservation} from './reserve-key.js';
 
 /** Decides whether an offered request runs, joins a running one, gets a known result or is refused. @internal */
 export function acceptOffer(state: EntryState, event: EventOf<'request-offered'>, context: DecisionContext): Output[] {
@@ -37,7 +37,7 @@
 	const pooled = getPoolKeys(state, pool);
 	const known = pooled.keys.get(key);
 	if (known !== undefined) {
-		return joinKey(state, known, offer);
+		return addKeyWaiter(state, known, offer);
 	}
 
 	const verdict = checkKey(state, pooled, request.service, key, context);
@@ -46,7 +46,7 @@
 	}
 
 	if (verdict.kind === 'uncovered') {
-		return parkOffer(pooled, offer);
+		return keepOffer(pooled, offer);
 	}
 
 	state.idempotency.reservationCount += 1;
@@ -55,10 +55,10 @@
 	}, 'reserving');
 	record.request = request;
 	addWaiter(state, record, offer);
-	return reserveKey(state, record, context);
+	return sendReservation(state, record, context);
 }
 
-function joinKey(state: EntryState, known: KeyRecord, offer: ParkedOffer): Output[] {
+function addKeyWaiter(state: EntryState, known: KeyRecord, offer: ParkedOffer): Output[] {
 	const {request, receiver} = offer;
 	const address = {receiver, requestId: request.requestId};
 	if (known.fingerprint !== '' && known.fingerprint !== computeFingerprint(request)) {
@@ -96,7 +96,7 @@
 	}
 }
 
-function parkOffer(pooled: PoolKeys, offer: ParkedOffer): Output[] {
+function keepOffer(pooled: PoolKeys, offer: ParkedOffer): Output[] {
 	if (pooled.handoverUntil === undefined) {
 		return [refuseOffer(offer, createUnknownResult('key-not-covered'))];
 	}
--- a/packages/decisions/src/idempotency/reserve-key.ts
+++ b/packages/decisions/src/idempotency/reserve-key.ts
@@ -17,11 +17,11 @@
 const retryAfterMs = 1000;
 
 /** Reserves a key at the standby; without a standby the request runs at once. @internal */
-export function reserveKey(state: EntryState, record: KeyRecord, context: DecisionContext): Output[] {
+export function sendReservation(state: EntryState, record: KeyRecord, context: DecisionContext): Output[] {
 	const epoch = state.membership.record!;
 	const standby = epoch.pools[record.pool]?.standby;
 	if (standby === undefined) {
-		return clearKey(state, record, context);
+		return passKey(state, record, context);
 	}
 
 	if (record.refuseAt === 0) {
@@ -61,7 +61,7 @@
 		}
 
 		if (context.now - record.reserveSentAt >= reserveRetryMs) {
-			outputs.push(...reserveKey(state, record, context));
+			outputs.push(...sendReservation(state, record, context));
 		}
 	}
 
@@ -118,14 +118,14 @@
 		return [];
 	}
 
-	return isKnown === true ? settleRecord(state, record, createUnknownResult('connection-lost')) : clearKey(state, record, context);
+	return isKnown === true ? settleRecord(state, record, createUnknownResult('connection-lost')) : passKey(state, record, context);
 }
 
 function getReserver(reservation: string): string {
 	return reservation.slice(0, reservation.lastIndexOf(':'));
 }
 
-function clearKey(state: EntryState, record: KeyRecord, context: DecisionContext): Output[] {
+function passKey(state: EntryState, record: KeyRecord, context: DecisionContext): Output[] {
 	record.stage = 'reserved';
 	state.idempotency.attended.delete(record);
 	return passRequest(record, context);
--- a/packages/decisions/src/idempotency/send-keys.ts
+++ b/packages/decisions/src/idempotency/send-keys.ts
@@ -46,7 +46,7 @@
 }
 
 /** Sends the next chunk, or ends the transfer when the last one has arrived. @internal */
-export function continueTransfer(state: EntryState, event: EventOf<'peer-keys-received'>, context: DecisionContext): Output[] {
+export function advanceTransfer(state: EntryState, event: EventOf<'peer-keys-received'>, context: DecisionContext): Output[] {
 	const {transfer: id, index} = event.message;
 	for (const transfer of state.idempotency.transfers) {
 		if (transfer.id !== id || transfer.to !== event.from || transfer.index !== index) {
@@ -135,14 +135,14 @@
 
 		chunk.names.push(name);
 		if (record !== undefined) {
-			chunk.keys.push(copyKey(record));
+			chunk.keys.push(sendKeyCopy(record));
 		}
 	}
 
 	return chunk;
 }
 
-function copyKey({key, fingerprint, reservation, result}: KeyRecord): CopiedKey {
+function sendKeyCopy({key, fingerprint, reservation, result}: KeyRecord): CopiedKey {
 	return {
 		key, fingerprint, reservation, result,
 	};
--- a/packages/decisions/src/idempotency/settle-key.ts
+++ b/packages/decisions/src/idempotency/settle-key.ts
@@ -19,7 +19,7 @@
 	const {result} = event;
 	removeWaiter(state, record, event.requestId);
 	if (result.outcome === 'not-run' && result.reason === 'cancelled' && record.waiters.length > 0) {
-		return promoteWaiter(record, context);
+		return startNextWaiter(record, context);
 	}
 
 	if (result.outcome === 'not-run') {
@@ -112,7 +112,7 @@
 }
 
 /** The caller of the running request is gone, but a repeat of it still waits and takes its place. */
-function promoteWaiter(record: KeyRecord, context: DecisionContext): Output[] {
+function startNextWaiter(record: KeyRecord, context: DecisionContext): Output[] {
 	const [next] = record.waiters;
 	if (record.request === undefined || next === undefined) {
 		return [];
--- a/packages/decisions/src/membership/adopt-epoch.ts
+++ b/packages/decisions/src/membership/adopt-epoch.ts
@@ -18,7 +18,7 @@
 	}
 
 	membership.isDirectSuccessor = former !== undefined && record.epoch === former.epoch + 1 && record.previousProposal === former.proposal;
-	replaceEpoch(state, record, context);
+	setEpoch(state, record, context);
 	return [
 		emitEffect({
 			kind: 'log', level: 'info', message: 'epoch adopted', fields: {epoch: record.epoch, members: record.members.length},
@@ -54,7 +54,7 @@
 	return outputs;
 }
 
-function replaceEpoch(state: EntryState, record: EpochRecord, context: DecisionContext): void {
+function setEpoch(state: EntryState, record: EpochRecord, context: DecisionContext): void {
 	const {membership} = state;
 	const formerIds = new Set(membership.record?.members.map(member => member.id));
 	membership.formerMembers = [...formerIds];
--- a/packages/decisions/src/membership/assign-pools.ts
+++ b/packages/decisions/src/membership/assign-pools.ts
@@ -18,7 +18,7 @@
 	former: Readonly<Assignments>,
 ): Assignments {
 	const owners = chooseOwners(pools, members, former);
-	evenOut(owners, members, former);
+	balanceOwners(owners, members, former);
 	return addStandbys(owners, members, former);
 }
 
@@ -47,7 +47,7 @@
 	return owners;
 }
 
-function evenOut(owners: Map<PoolName, EntryId>, members: readonly Member[], former: Readonly<Assignments>): void {
+function balanceOwners(owners: Map<PoolName, EntryId>, members: readonly Member[], former: Readonly<Assignments>): void {
 	for (let round = 0; round < owners.size; round++) {
 		const loads = countLoads(members, owners.values());
 		const ordered = [...loads.entries()].sort((left, right) => left[1] - right[1] || (left[0] < right[0] ? -1 : 1));
--- a/packages/decisions/src/membership/force-epoch.ts
+++ b/packages/decisions/src/membership/force-epoch.ts
@@ -9,7 +9,7 @@
 import {isHeard} from './heartbeat.js';
 import {type PendingForce} from './membership-state.js';
 import {countSupport, getMajority} from './permission.js';
-import {buildRecord, listAssignedPools, writeEpoch} from './propose-epoch.js';
+import {createEpochRecord, listAssignedPools, writeEpoch} from './propose-epoch.js';
 
 /** An operator is told that the outcome is unknown when the store has not answered for this long. */
 const forceLimitMs = 5000;
@@ -30,7 +30,7 @@
 
 	const members = listPresent(state, context);
 	const pools = assignPools(listAssignedPools(state), members, membership.record!.pools);
-	const record = buildRecord(state, members, pools, true);
+	const record = createEpochRecord(state, members, pools, true);
 	membership.pendingForce = {
 		callId: event.callId, operator: event.operator, record, askedAt: context.now,
 	};
--- a/packages/decisions/src/membership/membership-filter.ts
+++ b/packages/decisions/src/membership/membership-filter.ts
@@ -5,9 +5,9 @@
 import {acquirePools, adoptEpoch} from './adopt-epoch.js';
 import {decideForce, expireForce, requestForce} from './force-epoch.js';
 import {answerHeartbeat, restartObservation, sendHeartbeats} from './heartbeat.js';
-import {dropStaleProposal, proposeEpoch, repairEpochRecord} from './propose-epoch.js';
+import {dropStaleProposal, proposeEpoch, restoreEpochRecord} from './propose-epoch.js';
 import {
-	applyEpochAnswer, applyStoreChange, operationPrefix, readEpoch, readMembership, replaceRegistrations, retryReads, retryRegistration, scheduleRead,
+	applyEpochAnswer, applyStoreChange, operationPrefix, readEpoch, readMembership, setRegistrations, retryReads, retryRegistration, setReadRetry,
 } from './store-records.js';
 import {updateLinks} from './update-links.js';
 
@@ -68,19 +68,19 @@
 			}
 
 			if (event.result !== 'applied') {
-				return scheduleRead(state, event, context);
+				return setReadRetry(state, event, context);
 			}
 
 			if (event.operationId.startsWith(`${operationPrefix}epoch:`)) {
 				return [
 					...applyEpochAnswer(state, event, context),
-					...repairEpochRecord(state, event, context),
+					...restoreEpochRecord(state, event, context),
 					...decideForce(state, event),
 				];
 			}
 
 			return event.operationId === `${operationPrefix}members`
-				? replaceRegistrations(state, event.entries)
+				? setRegistrations(state, event.entries)
 				: event.entries.flatMap(entry => applyStoreChange(state, entry, context));
 		},
 		'operator-called': (state, event, context) => event.command.command === 'membership-force'
--- a/packages/decisions/src/membership/propose-epoch.ts
+++ b/packages/decisions/src/membership/propose-epoch.ts
@@ -27,7 +27,7 @@
 */
 export function proposeEpoch(state: EntryState, context: DecisionContext): Output[] {
 	const {membership} = state;
-	if (!canPropose(state, context)) {
+	if (!mayPropose(state, context)) {
 		return [];
 	}
 
@@ -83,7 +83,7 @@
 
 @internal
 */
-export function repairEpochRecord(state: EntryState, event: EventOf<'store-answered'>, context: DecisionContext): Output[] {
+export function restoreEpochRecord(state: EntryState, event: EventOf<'store-answered'>, context: DecisionContext): Output[] {
 	const {membership} = state;
 	if (membership.record === undefined || membership.proposalOperation !== undefined || event.operationId !== membership.readOperation) {
 		return [];
@@ -94,7 +94,7 @@
 	return (stored?.epoch ?? 0) < membership.record.epoch ? writeEpoch(state, membership.record, context) : [];
 }
 
-function canPropose(state: EntryState, context: DecisionContext): boolean {
+function mayPropose(state: EntryState, context: DecisionContext): boolean {
 	const {membership} = state;
 	if (
 		!membership.isStoreReached
@@ -127,11 +127,11 @@
 		return undefined;
 	}
 
-	return buildRecord(state, members, pools, false);
+	return createEpochRecord(state, members, pools, false);
 }
 
 /** Builds the record of the epoch after the adopted one. @internal */
-export function buildRecord(state: EntryState, members: readonly Member[], pools: EpochRecord['pools'], isForced: boolean): EpochRecord {
+export function createEpochRecord(state: EntryState, members: readonly Member[], pools: EpochRecord['pools'], isForced: boolean): EpochRecord {
 	const {record, proposalCount} = state.membership;
 	return {
 		epoch: (record?.epoch ?? 0) + 1,
@@ -153,19 +153,19 @@
 }
 
 function isSame(record: EpochRecord, members: readonly Member[], pools: EpochRecord['pools']): boolean {
-	return JSON.stringify(toSortedIds(record.members)) === JSON.stringify(toSortedIds(members))
-		&& JSON.stringify(toSortedEntries(record.pools)) === JSON.stringify(toSortedEntries(pools));
+	return JSON.stringify(listSortedIds(record.members)) === JSON.stringify(listSortedIds(members))
+		&& JSON.stringify(listSortedEntries(record.pools)) === JSON.stringify(listSortedEntries(pools));
 }
 
 function compareText(left: string, right: string): number {
 	return left < right ? -1 : 1;
 }
 
-function toSortedIds(members: readonly Member[]): EntryId[] {
+function listSortedIds(members: readonly Member[]): EntryId[] {
 	return members.map(member => member.id).sort(compareText);
 }
 
-function toSortedEntries(pools: EpochRecord['pools']): unknown {
+function listSortedEntries(pools: EpochRecord['pools']): unknown {
 	return Object.entries(pools).sort(([left], [right]) => compareText(left, right)).map(([pool, {owner, standby}]) => [pool, owner, standby]);
 }
 
--- a/packages/decisions/src/membership/store-records.ts
+++ b/packages/decisions/src/membership/store-records.ts
@@ -45,7 +45,7 @@
 }
 
 /** Notes that a read has failed. @internal */
-export function scheduleRead(state: EntryState, event: EventOf<'store-answered'>, context: DecisionContext): Output[] {
+export function setReadRetry(state: EntryState, event: EventOf<'store-answered'>, context: DecisionContext): Output[] {
 	const isRead = readOperations.some(operation => event.operationId.startsWith(operation));
 	if (isRead) {
 		state.membership.readAgainAt ??= context.now + failedReadPauseMs;
@@ -126,7 +126,7 @@
 }
 
 /** Takes the registrations as read, and drops those that a missed watch event has deleted. @internal */
-export function replaceRegistrations(state: EntryState, entries: readonly StoreEntry[]): Output[] {
+export function setRegistrations(state: EntryState, entries: readonly StoreEntry[]): Output[] {
 	const {membership} = state;
 	// A restored store starts again from a lower revision.
 	membership.registrationRevisions.clear();
--- a/packages/decisions/src/tasks/task-pages.ts
+++ b/packages/decisions/src/tasks/task-pages.ts
@@ -28,7 +28,7 @@
 }
 
 /** Takes over the pages that former owners left. @internal */
-export function loadPages(state: EntryState, pooled: PoolTasks, entries: readonly StoreEntry[]): void {
+export function readTaskPages(state: EntryState, pooled: PoolTasks, entries: readonly StoreEntry[]): void {
 	for (const entry of entries) {
 		const page = createPage(entry.key);
 		page.revision = entry.revision;
@@ -92,7 +92,7 @@
 	page.pendingOperation = undefined;
 	const [entry] = event.entries;
 	if (event.operationId.startsWith('tasks:write:') && event.result === 'applied') {
-		return confirmWrite(page, entry?.revision ?? page.revision);
+		return finishPageWrite(page, entry?.revision ?? page.revision);
 	}
 
 	if (event.operationId.startsWith('tasks:settle:') && event.result === 'applied') {
@@ -107,7 +107,7 @@
 	})];
 }
 
-function confirmWrite(page: TaskPageState, revision: number): Output[] {
+function finishPageWrite(page: TaskPageState, revision: number): Output[] {
 	page.revision = revision;
 	page.writtenVersion = page.pendingVersion;
 	const outputs: Output[] = [];
@@ -136,7 +136,7 @@
 
 	const stored = taskPageSchema.safeParse(parseJson(entry.value)).data;
 	if (stored?.writer === state.config.id && stored.version === page.pendingVersion) {
-		return confirmWrite(page, entry.revision);
+		return finishPageWrite(page, entry.revision);
 	}
 
 	// Another owner wrote in between: its marks count, and the page is written again on top of them.
--- a/packages/decisions/src/tasks/task-schedule.ts
+++ b/packages/decisions/src/tasks/task-schedule.ts
@@ -58,7 +58,7 @@
 
 function startTask(state: EntryState, pool: PoolName, pooled: PoolTasks, task: TaskRecord, context: DecisionContext): Output[] {
 	if (task.isIdempotent) {
-		return [queueTask(state, pool, pooled, task, context)];
+		return [restartTask(state, pool, pooled, task, context)];
 	}
 
 	// The mark must be in the store before anything is sent, so that a successor never runs the task a second time.
@@ -81,7 +81,7 @@
 			continue;
 		}
 
-		outputs.push(queueTask(state, pool, pooled, task, context));
+		outputs.push(restartTask(state, pool, pooled, task, context));
 	}
 
 	return outputs;
@@ -117,7 +117,7 @@
 	return isTight ? slots : Math.max(1, Math.floor(slots * share));
 }
 
-function queueTask(state: EntryState, pool: PoolName, pooled: PoolTasks, task: TaskRecord, context: DecisionContext): Output {
+function restartTask(state: EntryState, pool: PoolName, pooled: PoolTasks, task: TaskRecord, context: DecisionContext): Output {
 	state.tasks.operationCount += 1;
 	const requestId = `task:${state.config.id}:${state.tasks.operationCount}`;
 	pooled.running.set(requestId, task.id);
--- a/packages/decisions/src/tasks/tasks-filter.ts
+++ b/packages/decisions/src/tasks/tasks-filter.ts
@@ -8,7 +8,7 @@
 import {createCompletedResult, createNotRunResult, createUnknownResult} from '../results.js';
 import {createTaskAnswer} from './task-answer.js';
 import {
-	finishPageOperation, getOpenPage, loadPages, readPages, writePages,
+	finishPageOperation, getOpenPage, readTaskPages, readPages, writePages,
 } from './task-pages.js';
 import {startTasks} from './task-schedule.js';
 import {
@@ -60,7 +60,7 @@
 			if (event.operationId.startsWith('tasks:load:')) {
 				const pooled = state.tasks.pools.get(event.operationId.split(':').slice(3).join(':'));
 				if (pooled !== undefined && !pooled.isLoaded && event.result === 'applied') {
-					loadPages(state, pooled, event.entries);
+					readTaskPages(state, pooled, event.entries);
 				}
 
 				return [];
--- a/packages/http/src/endpoint-client.ts
+++ b/packages/http/src/endpoint-client.ts
@@ -54,7 +54,7 @@
 	}
 
 	/** Opens new connections from now on; requests on the old ones go on until they end. */
-	function retirePool(address: string): void {
+	function removePool(address: string): void {
 		const pool = pools.get(address);
 		pools.delete(address);
 		void pool?.close().catch(() => undefined);
@@ -64,7 +64,7 @@
 		sendAttempt(effect) {
 			const {attemptId, address, request: {method, path, headers, body}} = effect;
 			const attempt = new Attempt(effect, options, () => {
-				retirePool(address);
+				removePool(address);
 			});
 			try {
 				getPool(address).dispatch({
--- a/packages/peer/src/peer-network.ts
+++ b/packages/peer/src/peer-network.ts
@@ -13,6 +13,7 @@
 import {PeerLink, type FrameBatch} from './generated/peer_pb.js';
 import {listenForPeers} from './listen-for-peers.js';
 import {readClaim, readCredential, writeClaim} from './peer-claim.js';
+import {repeatWithBackoff} from './repeat-with-backoff.js';
 import {verifyPeerCredential, type PeerClaim} from './peer-credential.js';
 import {PeerAuthenticationError, PeerFrameError} from './peer-errors.js';
 
@@ -54,8 +55,6 @@
 	readonly stop: AbortController;
 };
 
-const reconnectMinMs = 50;
-const reconnectMaxMs = 1000;
 /** Time for frames that wait when the network stops. */
 const flushLimitMs = 500;
 const flushPollMs = 5;
@@ -106,7 +105,7 @@
 	}
 
 	/** Ends the streams after the frames that wait, such as results that receivers still need. */
-	async function flushLinks(): Promise<void> {
+	async function sendWaitingFrames(): Promise<void> {
 		const startedAt = performance.now();
 		for (const {outbox} of links.values()) {
 			outbox.close();
@@ -146,7 +145,7 @@
 		}, options.idleLimitMs / 4);
 	}
 
-	async function * serveExchange(batches: AsyncIterable<FrameBatch>, context: HandlerContext): AsyncGenerator<{frames: Uint8Array[]}> {
+	async function * runExchange(batches: AsyncIterable<FrameBatch>, context: HandlerContext): AsyncGenerator<{frames: Uint8Array[]}> {
 		const claim = readClaim(context.requestHeader);
 		const credential = readCredential(context.requestHeader);
 		if (claim.to !== options.id || !verifyPeerCredential(options.secret, claim, credential, Date.now())) {
@@ -199,7 +198,7 @@
 		let link: Link | undefined;
 		let silenceTimer: NodeJS.Timeout | undefined;
 		try {
-			const batches = client.exchange(mapBatches(outbox), {
+			const batches = client.exchange(readOutboxBatches(outbox), {
 				headers,
 				signal: abort.signal,
 				onHeader(answer) {
@@ -238,26 +237,15 @@
 	}
 
 	async function keepLink(entryId: EntryId, {address, stop}: WantedLink): Promise<void> {
-		let pauseMs = reconnectMinMs;
-		while (!stop.signal.aborted && !stopping.signal.aborted) {
-			const startedAt = performance.now();
-			try {
-				// eslint-disable-next-line no-await-in-loop
-				await runClientLink(entryId, address, stop.signal);
-			} catch (error) {
-				options.log('debug', 'link ended', {peer: entryId, address, reason: error instanceof Error ? error.message : String(error)});
-			}
-
-			const wasLong = performance.now() - startedAt > reconnectMaxMs;
-			pauseMs = wasLong ? reconnectMinMs : Math.min(pauseMs * 2, reconnectMaxMs);
-			// eslint-disable-next-line no-await-in-loop
-			await waitFor(pauseMs * (0.5 + Math.random()), stop.signal);
-		}
+		const signal = AbortSignal.any([stop.signal, stopping.signal]);
+		await repeatWithBackoff(async () => runClientLink(entryId, address, stop.signal), signal, error => {
+			options.log('debug', 'link ended', {peer: entryId, address, reason: error instanceof Error ? error.message : String(error)});
+		});
 	}
 
 	return {
 		async start() {
-			const routes = (router: ConnectRouter) => router.service(PeerLink, {exchange: serveExchange});
+			const routes = (router: ConnectRouter) => router.service(PeerLink, {exchange: runExchange});
 			server = createServer(connectNodeAdapter({routes}));
 			server.on('session', session => {
 				sessions.add(session);
@@ -268,7 +256,7 @@
 		},
 		async stop() {
 			stopping.abort();
-			await flushLinks();
+			await sendWaitingFrames();
 			for (const {stop} of wanted.values()) {
 				stop.abort();
 			}
@@ -310,20 +298,10 @@
 	};
 }
 
-async function * mapBatches(outbox: FrameOutbox): AsyncGenerator<{frames: Uint8Array[]}> {
+async function * readOutboxBatches(outbox: FrameOutbox): AsyncGenerator<{frames: Uint8Array[]}> {
 	// An empty first batch sends the request headers at once.
 	yield {frames: []};
 	for await (const frames of outbox.readBatches()) {
 		yield {frames};
 	}
 }
-
-async function waitFor(delayMs: number, signal: AbortSignal): Promise<void> {
-	return new Promise(resolve => {
-		const timer = setTimeout(resolve, delayMs);
-		signal.addEventListener('abort', () => {
-			clearTimeout(timer);
-			resolve();
-		}, {once: true});
-	});
-}
--- a/packages/settings/src/bundle-text.ts
+++ b/packages/settings/src/bundle-text.ts
@@ -75,14 +75,14 @@
 		schemaVersion: 1,
 		version: bundle.version,
 		expiresAt: bundle.expires === undefined ? undefined : Date.parse(bundle.expires),
-		pools: mapValues(pool, section => ({
+		pools: convertValues(pool, section => ({
 			budget: section.budget,
 			maintenancePeriodDays: section['maintenance-period-days'],
 			isSpare: section.spare,
 			minInstances: section['min-instances'],
 			slotsPerInstance: section['slots-per-instance'],
 		})),
-		services: mapValues(service, section => ({
+		services: convertValues(service, section => ({
 			pool: section.pool,
 			defaultClass: section.class,
 			shares: {urgent: section['share-urgent'], normal: section['share-normal'], deferrable: section['share-deferrable']},
@@ -90,10 +90,10 @@
 			notExecutedStatuses: section['not-executed-statuses'],
 			defaultDeadlineMs: section['deadline-ms'],
 		})),
-		teams: mapValues(team, section => ({maxInFlight: section['max-in-flight'], weight: section.weight})),
+		teams: convertValues(team, section => ({maxInFlight: section['max-in-flight'], weight: section.weight})),
 	});
 }
 
-function mapValues<From, To>(record: Readonly<Record<string, From>>, convert: (value: From) => To): Record<string, To> {
+function convertValues<From, To>(record: Readonly<Record<string, From>>, convert: (value: From) => To): Record<string, To> {
 	return Object.fromEntries(Object.entries(record).map(([name, value]) => [name, convert(value)]));
 }
