--- a/packages/bench/src/capacity-main.ts
+++ b/packages/bench/src/capacity-main.ts
@@ -1,64 +1,63 @@
-import {decodeFrame, encodeFrame} from '@pistachiogauge/peer';
-import {type PeerMessage} from '@pistachiogauge/model';
+import {encodeFrame} from '@pistachiogauge/peer';
+import {cpuMeasures, measureCpu} from './capacity/cpu-measures.js';
+import {fitLine, getMedian} from './capacity/fit-line.js';
+import {heapMeasures, measureHeap} from './capacity/heap-measures.js';
+import {measureCodec, sizedMessages} from './capacity/message-measures.js';
 
-/** Prints the bytes and the processor time of messages between entries at several sizes, one JSON object a line. */
-const roundCount = 5000;
-const warmUpCount = 2000;
+/** Prints bytes, heap and processor time at several sizes with the line through them, one JSON object a line. */
+const repeatCount = 5;
 
-type SizedMessage = {
-	readonly message: string;
-	/** What the size counts. */
-	readonly unit: string;
-	readonly sizes: readonly number[];
-	readonly create: (size: number) => PeerMessage;
-};
-
-const key = '01a240c4-4ecd-7abc-8abc-0123456789ab';
-const sizedMessages: readonly SizedMessage[] = [
-	{
-		message: 'heartbeat', unit: 'suspects', sizes: [0, 4, 10], create: size => ({
-			kind: 'heartbeat', askedAt: 123_456.789, adoptedEpoch: 42, bundleVersion: 17, suspects: Array.from({length: size}, (_, index) => `entry-${index}.0a0bb898`),
-		}),
-	},
-	{
-		message: 'voucher', unit: 'none', sizes: [0], create: () => ({kind: 'voucher', epoch: 42, askedAt: 123_456.789}),
-	},
-	{
-		message: 'key-reserved', unit: 'none', sizes: [0], create: () => ({
-			kind: 'key-reserved', epoch: 42, pool: 'badge-desk', key, reservation: '42.1',
-		}),
-	},
-	{
-		message: 'forward', unit: 'body bytes', sizes: [100, 1000, 10_000], create: size => ({
-			kind: 'forward',
-			pool: 'badge-desk',
-			request: {
-				requestId: key, service: 'badges', method: 'POST', path: '/print', headers: [['content-type', 'application/json']], body: new Uint8Array(size), requestClass: 'urgent', team: 'desk', isIdempotent: false, mode: 'direct', key, timeLeftMs: 8000,
-			},
-		}),
-	},
-];
+function writeLine(fields: Readonly<Record<string, unknown>>): void {
+	process.stdout.write(`${JSON.stringify(fields, (_name, value: unknown) => typeof value === 'number' && !Number.isInteger(value) ? Number(value.toPrecision(4)) : value)}\n`);
+}
 
-function measureCpuUs(message: PeerMessage): number {
-	const run = (count: number) => {
-		for (let index = 0; index < count; index++) {
-			decodeFrame(encodeFrame(message));
-		}
-	};
+async function getRepeatedMedian(measure: () => number | Promise<number>): Promise<number> {
+	const values: number[] = [];
+	for (let repeat = 0; repeat < repeatCount; repeat++) {
+		// eslint-disable-next-line no-await-in-loop
+		values.push(await measure());
+	}
 
-	run(warmUpCount);
-	const before = process.cpuUsage();
-	run(roundCount);
-	const {user, system} = process.cpuUsage(before);
-	return (user + system) / roundCount;
+	return getMedian(values);
 }
 
 for (const {message, unit, sizes, create} of sizedMessages) {
 	for (const size of sizes) {
 		const sample = create(size);
-		const line = {
-			capacity: message, size, sizeUnit: unit, bytes: encodeFrame(sample).length, cpuUs: Number(measureCpuUs(sample).toPrecision(3)),
-		};
-		process.stdout.write(`${JSON.stringify(line)}\n`);
+		writeLine({
+			capacity: message, size, sizeUnit: unit, bytes: encodeFrame(sample).length,
+			// eslint-disable-next-line no-await-in-loop
+			cpuUs: await getRepeatedMedian(() => measureCodec(sample)),
+		});
 	}
 }
+
+type SizedMeasure = {readonly name: string; readonly unit: string; readonly sizes: readonly number[]};
+
+async function writeSizes<Measure extends SizedMeasure>(measures: readonly Measure[], field: string, measureOnce: (measure: Measure, size: number) => number | Promise<number>): Promise<void> {
+	for (const measure of measures) {
+		const {name, unit, sizes} = measure;
+		// The first run compiles the code and fills caches, so it is left out.
+		// eslint-disable-next-line no-await-in-loop
+		await measureOnce(measure, sizes[0]!);
+		const points: Array<readonly [number, number]> = [];
+		for (const size of sizes) {
+			// eslint-disable-next-line no-await-in-loop
+			points.push([size, await getRepeatedMedian(async () => measureOnce(measure, size))]);
+		}
+
+		for (const [size, value] of points) {
+			writeLine({
+				capacity: name, size, sizeUnit: unit, [field]: value,
+			});
+		}
+
+		const {slope, intercept} = fitLine(points);
+		writeLine({
+			capacity: name, sizeUnit: unit, value: field, slope, intercept,
+		});
+	}
+}
+
+await writeSizes(heapMeasures, 'heapBytes', measureHeap);
+await writeSizes(cpuMeasures, 'cpuUs', measureCpu);
