Let entries ask one peer for a bundle instead of pushing it over every link

Ruled out: dropping the relay, since an outage of the store or a silent watch needs it. Change: an entry that sees a higher version in a heartbeat asks its sender, one peer at a time, again after 300 ms.

--- a/packages/decisions/src/bundle/bundle-filter.test.ts
+++ b/packages/decisions/src/bundle/bundle-filter.test.ts
@@ -253,3 +253,38 @@
 	rig.push({kind: 'tick'});
 	expect(rig.state.bundle.current?.version).toBe(1);
 });
+
+// Guards against a roll-out that costs a copy of the bundle for each pair of entries, and against an entry that waits for one peer without end.
+const askCases: Array<{name: string; versions: readonly number[]; pauseMs: number; asked: number}> = [
+	{
+		name: 'a peer with a higher version is asked', versions: [2], pauseMs: 0, asked: 1,
+	},
+	{
+		name: 'a second peer is not asked at the same time', versions: [2, 2], pauseMs: 50, asked: 1,
+	},
+	{
+		name: 'another peer is asked when no answer has come', versions: [2, 2], pauseMs: 400, asked: 2,
+	},
+	{
+		name: 'a peer with the same or a lower version is not asked', versions: [1, 0], pauseMs: 400, asked: 0,
+	},
+];
+
+it.each(askCases)('$name', ({versions, pauseMs, asked}) => {
+	const rig = createRig();
+	rig.writeHead(createSigned(1));
+	rig.push({kind: 'store-reached'});
+	let count = 0;
+	for (const [index, bundleVersion] of versions.entries()) {
+		const event: EntryEvent = {
+			kind: 'peer-heartbeat', from: `peer-${index}`, message: {
+				kind: 'heartbeat', askedAt: 0, adoptedEpoch: 1, bundleVersion, suspects: [],
+			},
+		};
+		const effects = runChain([bundleFilter], rig.state, event, {now: rig.now, wallTime, random: createRandomSource(1)});
+		count += effects.filter(effect => effect.kind === 'send-peer' && effect.message.kind === 'bundle-wanted').length;
+		rig.now += pauseMs;
+	}
+
+	expect(count).toBe(asked);
+});
--- a/packages/decisions/src/bundle/bundle-filter.ts
+++ b/packages/decisions/src/bundle/bundle-filter.ts
@@ -20,6 +20,8 @@
 const headReadMs = 30_000;
 /** Pause before a failed read of the head is repeated. */
 const headRetryMs = 500;
+/** Time for an answer before another entry is asked for its bundle. */
+const askAgainMs = 300;
 
 type CallTable = {
 	readonly [Name in OperatorCommandName]?: (
@@ -68,12 +70,7 @@
 		'store-changed': (state, event, context) => event.key === storeKeys.bundleHead && event.value !== undefined
 			? applyWatchedHead(state, {value: event.value, revision: event.revision}, context)
 			: [],
-		'peer-heartbeat'(state, event) {
-			const {signed} = state.bundle;
-			return signed !== undefined && event.message.bundleVersion < signed.version
-				? [emitEffect({kind: 'send-peer', to: event.from, message: {kind: 'bundle-sent', bundle: signed}})]
-				: [];
-		},
+		'peer-heartbeat': askForBundle,
 		'peer-bundle-wanted'(state, event) {
 			const {signed} = state.bundle;
 			return signed === undefined ? [] : [emitEffect({kind: 'send-peer', to: event.from, message: {kind: 'bundle-sent', bundle: signed}})];
@@ -104,6 +101,17 @@
 	},
 };
 
+/** Asks the sender of a heartbeat for its bundle when it names a higher version. One is asked at a time, so a change costs one copy for each entry that is behind. */
+function askForBundle(state: EntryState, event: EventOf<'peer-heartbeat'>, context: DecisionContext): Output[] {
+	const {bundle} = state;
+	if (event.message.bundleVersion <= (bundle.current?.version ?? 0) || context.now < bundle.nextAskAt) {
+		return [];
+	}
+
+	bundle.nextAskAt = context.now + askAgainMs;
+	return [emitEffect({kind: 'send-peer', to: event.from, message: {kind: 'bundle-wanted'}})];
+}
+
 function finishHeadRead(state: EntryState, _rest: string, answer: EventOf<'store-answered'>, context: DecisionContext): Output[] {
 	if (answer.result === 'applied') {
 		return applyHead(state, answer.entries[0], context);
--- a/packages/decisions/src/bundle/bundle-head.ts
+++ b/packages/decisions/src/bundle/bundle-head.ts
@@ -72,7 +72,7 @@
 
 /** Puts a bundle in force if its version is higher and its signature valid. @internal */
 export function applyBundle(state: EntryState, signed: SignedBundle, context: DecisionContext): Output[] {
-	const {bundle, config, membership} = state;
+	const {bundle, config} = state;
 	if (signed.version <= (bundle.current?.version ?? 0)) {
 		return [];
 	}
@@ -96,7 +96,6 @@
 		emitEffect({
 			kind: 'log', level: 'info', message: 'bundle in force', fields: {version: signed.version, signedBy: signed.signedBy},
 		}),
-		...[...membership.links].map(to => emitEffect({kind: 'send-peer', to, message: {kind: 'bundle-sent', bundle: bundle.signed!}})),
 		passEvent({kind: 'bundle-applied', version: signed.version}),
 	];
 }
--- a/packages/decisions/src/bundle/bundle-state.ts
+++ b/packages/decisions/src/bundle/bundle-state.ts
@@ -22,6 +22,8 @@
 	/** Revision of the head record in the store; 0 when absent, undefined before the first read. */
 	headRevision: number | undefined;
 	nextHeadReadAt: number;
+	/** Monotonic time before which no other entry is asked for its bundle. */
+	nextAskAt: number;
 	readonly pending: Map<string, PendingAcceptance>;
 	/** Records of the history that the store has not confirmed, by key. */
 	readonly unwrittenTexts: Map<string, string>;
@@ -39,6 +41,7 @@
 		appliedAt: 0,
 		headRevision: undefined,
 		nextHeadReadAt: 0,
+		nextAskAt: 0,
 		pending: new Map(),
 		unwrittenTexts: new Map(),
 		historyCalls: new Map(),
