Index instances by pool

Cause: each tick visited every known instance once for each owned pool, and each start of a request all of them again (docs/CAPACITY.md). Ruled out: the queue, whose cost does not grow with instances. The fleet tests compared instances in the order of the map; they now compare them sorted, since no order is promised.

--- a/packages/bench/src/capacity/sample-entry.ts
+++ b/packages/bench/src/capacity/sample-entry.ts
@@ -1,5 +1,5 @@
 import {
-	applyEvent, createEntryState, createOwnedPool, createRandomSource, getPoolKeys, type EntryState,
+	applyEvent, createEntryState, createOwnedPool, createRandomSource, getPoolKeys, setInstanceRecord, type EntryState,
 } from '@pistachiogauge/decisions';
 import {
 	defaultTimings, type Bundle, type Effect, type EffectKind, type EffectOf, type EntryEvent, type PoolAssignment, type ServiceDeclaration, type ServiceRequest,
@@ -164,7 +164,7 @@
 	sample.send({kind: 'instances-listed', instances: listing});
 	for (const {id, pool} of listing) {
 		const instance = sample.state.fleet.instances.get(id)!;
-		instance.record = {pool, moves: 0};
+		setInstanceRecord(sample.state, id, {pool, moves: 0});
 		instance.recordRevision = 1;
 	}
 
--- a/packages/decisions/src/fleet/fleet-rig.test-support.ts
+++ b/packages/decisions/src/fleet/fleet-rig.test-support.ts
@@ -210,5 +210,6 @@
 }
 
 export function listServing(entry: Entry, pool = 'p'): string[] {
-	return getServingInstances(entry.state, pool).map(instance => instance.id);
+	// The order of instances is not part of what the fleet promises.
+	return getServingInstances(entry.state, pool).map(instance => instance.id).sort((left, right) => left < right ? -1 : 1);
 }
--- a/packages/decisions/src/fleet/fleet-state.ts
+++ b/packages/decisions/src/fleet/fleet-state.ts
@@ -93,6 +93,8 @@
 /** State of the fleet filter. @public */
 export type FleetState = {
 	readonly instances: Map<InstanceId, FleetInstance>;
+	/** Instances by the pool that their record names; kept by `setInstanceRecord`. */
+	readonly idsByPool: Map<PoolName, Set<InstanceId>>;
 	readonly owned: Map<PoolName, OwnedPool>;
 	/** Store operations in flight for owned pools. */
 	readonly operations: Map<string, FleetOperation>;
@@ -114,7 +116,7 @@
 /** @internal */
 export function createFleetState(): FleetState {
 	return {
-		instances: new Map(), owned: new Map(), operations: new Map(), instanceReads: new Map(), listedAt: undefined, operationCount: 0,
+		instances: new Map(), idsByPool: new Map(), owned: new Map(), operations: new Map(), instanceReads: new Map(), listedAt: undefined, operationCount: 0,
 	};
 }
 
@@ -189,8 +191,8 @@
 	}
 
 	const serving: ListedInstance[] = [];
-	for (const [id, {record, listed, doubtUntil}] of state.fleet.instances) {
-		const isMember = record?.pool === pool && record.hasLeft !== true && doubtUntil === undefined && !owned.joining.has(id);
+	for (const [id, {listed, doubtUntil}] of listPoolInstances(state, pool)) {
+		const isMember = doubtUntil === undefined && !owned.joining.has(id);
 		if (isMember && listed?.state === 'live' && !hasPermit(owned, id)) {
 			serving.push(listed);
 		}
@@ -199,6 +201,36 @@
 	return serving;
 }
 
+/** Sets the record of an instance and keeps the index of the pools. @internal */
+export function setInstanceRecord(state: EntryState, id: InstanceId, record: InstanceRecord | undefined): void {
+	const instance = getInstance(state, id);
+	const {idsByPool} = state.fleet;
+	if (instance.record !== undefined) {
+		idsByPool.get(instance.record.pool)?.delete(id);
+	}
+
+	instance.record = record;
+	if (record === undefined) {
+		return;
+	}
+
+	const ids = idsByPool.get(record.pool) ?? new Set();
+	idsByPool.set(record.pool, ids.add(id));
+}
+
+/** Instances that are recorded in a pool and have not left it. @internal */
+export function listPoolInstances(state: EntryState, pool: PoolName): Array<[InstanceId, FleetInstance]> {
+	const members: Array<[InstanceId, FleetInstance]> = [];
+	for (const id of state.fleet.idsByPool.get(pool) ?? []) {
+		const instance = state.fleet.instances.get(id)!;
+		if (instance.record?.hasLeft !== true) {
+			members.push([id, instance]);
+		}
+	}
+
+	return members;
+}
+
 /** Whether a permit for the instance is recorded, or may be by a write that the store has not answered. */
 function hasPermit({record, pendingWrite}: OwnedPool, id: InstanceId): boolean {
 	return [record, pendingWrite?.record, pendingWrite?.withdrawn?.record].some(item => item?.permits[id] !== undefined);
--- a/packages/decisions/src/fleet/index.ts
+++ b/packages/decisions/src/fleet/index.ts
@@ -1,6 +1,6 @@
 export {fleetFilter} from './fleet-filter.js';
 export {
-	createFleetState, createOwnedPool, getServingInstances, type FleetState, type OwnedPool,
+	createFleetState, createOwnedPool, getServingInstances, listPoolInstances, setInstanceRecord, type FleetState, type OwnedPool,
 } from './fleet-state.js';
 export {
 	decideMoveWish, loadSampleCount, loadSampleMs, moveIntervalMs, type MoveWish,
--- a/packages/decisions/src/fleet/instance-record.ts
+++ b/packages/decisions/src/fleet/instance-record.ts
@@ -5,7 +5,7 @@
 import {type DecisionContext} from '../context.js';
 import {type EntryState} from '../entry-state.js';
 import {parseJson} from '../parse-json.js';
-import {getInstance, type FleetInstance} from './fleet-state.js';
+import {getInstance, setInstanceRecord, type FleetInstance} from './fleet-state.js';
 
 const writePauseMs = 1000;
 /** A restarted instance can be missing from the list for minutes; it must count as out of service during that time. */
@@ -31,7 +31,7 @@
 	instance.isRestoring = false;
 	instance.doubtUntil = undefined;
 	const hasJoined = instance.record !== undefined && (instance.record.pool !== record.data.pool || instance.record.hasLeft === true);
-	instance.record = record.data;
+	setInstanceRecord(state, id, record.data);
 	instance.recordRevision = entry.revision;
 	if (hasJoined) {
 		setMembership(state, id, record.data.pool);
@@ -83,7 +83,7 @@
 	instance.doubtUntil = context.now + doubtMs;
 	instance.isRestoring = state.fleet.owned.get(instance.record!.pool)?.isFenced === true;
 	if (!instance.isRestoring) {
-		instance.record = stored;
+		setInstanceRecord(state, id, stored);
 		setMembership(state, id, stored?.pool);
 	}
 }
--- a/packages/decisions/src/fleet/pool-view.ts
+++ b/packages/decisions/src/fleet/pool-view.ts
@@ -4,6 +4,7 @@
 import {type DecisionContext} from '../context.js';
 import {type EntryState} from '../entry-state.js';
 import {isInstanceTrusted} from '../health/index.js';
+import {listPoolInstances} from './fleet-state.js';
 
 /** Why an instance counts as out of service. @public */
 export type OutReason = 'failed' | 'leaving' | 'draining' | 'rebooting' | 'unknown';
@@ -46,11 +47,7 @@
 /** Collects what is known of an owned pool. `record` is the one to decide on. @internal */
 export function createPoolView(state: EntryState, pool: PoolName, record: PoolRecord, context: DecisionContext): PoolView {
 	const members: PoolMember[] = [];
-	for (const [id, instance] of state.fleet.instances) {
-		if (instance.record?.pool !== pool || instance.record.hasLeft === true) {
-			continue;
-		}
-
+	for (const [id, instance] of listPoolInstances(state, pool)) {
 		members.push({
 			id, listed: instance.listed, out: findOutReason(state, pool, record, id, context), maintainedAt: record.maintained[id] ?? 0,
 		});
--- a/packages/decisions/src/fleet/probes.ts
+++ b/packages/decisions/src/fleet/probes.ts
@@ -3,7 +3,7 @@
 import {type DecisionContext} from '../context.js';
 import {type EntryState} from '../entry-state.js';
 import {
-	getEvidence, getInstance, type InstanceEvidence, type OwnedPool,
+	getEvidence, getInstance, listPoolInstances, type InstanceEvidence, type OwnedPool,
 } from './fleet-state.js';
 
 /** Interval of probes at instances that serve: finds failures in a pool without requests. */
@@ -15,8 +15,8 @@
 export function probeInstances(state: EntryState, pool: PoolName, context: DecisionContext): Output[] {
 	const owned = state.fleet.owned.get(pool)!;
 	const outputs: Output[] = [];
-	for (const [id, {record, listed}] of state.fleet.instances) {
-		if (record?.pool !== pool || record.hasLeft === true || listed === undefined) {
+	for (const [id, {listed}] of listPoolInstances(state, pool)) {
+		if (listed === undefined) {
 			continue;
 		}
 
--- a/packages/decisions/src/health/trust.ts
+++ b/packages/decisions/src/health/trust.ts
@@ -2,7 +2,7 @@
 import {emitEffect, type Output} from '../chain.js';
 import {type DecisionContext} from '../context.js';
 import {type EntryState} from '../entry-state.js';
-import {getServingInstances} from '../fleet/index.js';
+import {getServingInstances, listPoolInstances} from '../fleet/index.js';
 import {getTrustStage, type InstanceHealth, type TrustStage} from './health-state.js';
 
 /** Weight kept by earlier attempts at each new one: about the last ten count. */
@@ -146,9 +146,9 @@
 
 	const serving = new Set(getServingInstances(state, pool).map(instance => instance.id));
 	let out = 0;
-	for (const [id, {record}] of state.fleet.instances) {
+	for (const [id] of listPoolInstances(state, pool)) {
 		const isServing = serving.has(id) && evidence?.get(id)?.isHealthy === true && getTrustStage(state, id) !== 'distrusted';
-		if (id !== instanceId && record?.pool === pool && record.hasLeft !== true && !isServing) {
+		if (id !== instanceId && !isServing) {
 			out += 1;
 		}
 	}
--- a/packages/decisions/src/owned-pool.test-support.ts
+++ b/packages/decisions/src/owned-pool.test-support.ts
@@ -4,7 +4,9 @@
 import {applyEvent} from './apply-event.js';
 import {createRandomSource} from './context.js';
 import {createEntryState, type EntryState} from './entry-state.js';
-import {createOwnedPool as createFleetPool, getEvidence, getInstance} from './fleet/fleet-state.js';
+import {
+	createOwnedPool as createFleetPool, getEvidence, getInstance, setInstanceRecord,
+} from './fleet/fleet-state.js';
 import {getPoolKeys} from './idempotency/index.js';
 
 /** An entry that owns one pool, with time and effects at hand. For tests only. */
@@ -137,7 +139,7 @@
 		instance.listed = {
 			id, address: `10.0.0.${index}:80`, zone: 'a', rack: 'r', pool, state: 'live',
 		};
-		instance.record = {pool, moves: 0};
+		setInstanceRecord(state, id, {pool, moves: 0});
 		instance.recordRevision = 1;
 		getEvidence(owned, id).isHealthy = true;
 	}
