--- a/packages/peer/src/index.ts
+++ b/packages/peer/src/index.ts
@@ -4,6 +4,7 @@
 @packageDocumentation
 */
 export {decodeFrame, encodeFrame} from './frame-codec.js';
-export {createPeerNetwork, type PeerNetwork, type PeerNetworkOptions} from './peer-network.js';
+export {createPeerNetwork} from './peer-network.js';
+export {type PeerNetwork, type PeerNetworkOptions} from './peer-network-options.js';
 export {PeerAuthenticationError, PeerFrameError, PeerListenError} from './peer-errors.js';
 export {createPeerCredential, verifyPeerCredential} from './peer-credential.js';
--- a/packages/peer/src/peer-network.test.ts
+++ b/packages/peer/src/peer-network.test.ts
@@ -6,7 +6,8 @@
 	afterEach, beforeEach, describe, expect, it,
 } from 'vitest';
 import {type InputEvent, type PeerMessage} from '@pistachiogauge/model';
-import {createPeerNetwork, type PeerNetwork} from './peer-network.js';
+import {createPeerNetwork} from './peer-network.js';
+import {type PeerNetwork} from './peer-network-options.js';
 
 type Node = {
 	readonly network: PeerNetwork;
--- a/packages/peer/src/peer-network.ts
+++ b/packages/peer/src/peer-network.ts
@@ -5,43 +5,17 @@
 	Code, ConnectError, createClient, type ConnectRouter, type HandlerContext,
 } from '@connectrpc/connect';
 import {connectNodeAdapter, createConnectTransport} from '@connectrpc/connect-node';
-import {
-	type EntryId, type InputEvent, type LogLevel, type PeerMessage,
-} from '@pistachiogauge/model';
+import {type EntryId, type InputEvent} from '@pistachiogauge/model';
 import {decodeFrame, encodeFrame} from './frame-codec.js';
 import {FrameOutbox} from './frame-outbox.js';
 import {PeerLink, type FrameBatch} from './generated/peer_pb.js';
 import {listenForPeers} from './listen-for-peers.js';
+import {type PeerNetwork, type PeerNetworkOptions} from './peer-network-options.js';
 import {readClaim, readCredential, writeClaim} from './peer-claim.js';
 import {repeatWithBackoff} from './repeat-with-backoff.js';
 import {verifyPeerCredential, type PeerClaim} from './peer-credential.js';
 import {PeerAuthenticationError, PeerFrameError} from './peer-errors.js';
 
-/** @public */
-export type PeerNetworkOptions = {
-	readonly id: EntryId;
-	/** IP number and port to listen on. */
-	readonly address: string;
-	/** Secret that all entries share. */
-	readonly secret: string;
-	/** A link that brings nothing for this long is closed and opened again. */
-	readonly idleLimitMs: number;
-	readonly pushEvent: (event: InputEvent) => void;
-	readonly log: (level: LogLevel, message: string, fields: Record<string, string | number>) => void;
-	/** Counts refusals, faulty frames, and frames and bytes in each direction. */
-	readonly count: (metric: string, by?: number) => void;
-};
-
-/** @public */
-export type PeerNetwork = {
-	start(): Promise<void>;
-	stop(): Promise<void>;
-	/** Sends a message; it is dropped when there is no link, which `link-down` has told. */
-	sendMessage(to: EntryId, message: PeerMessage): void;
-	openLink(entryId: EntryId, address: string): void;
-	closeLink(entryId: EntryId): void;
-};
-
 type Link = {
 	readonly entryId: EntryId;
 	readonly address: string;
