Do not count an instance as lost that the list shows again

Ruled out: a stale list at the owner (95 ms old). The check now leaves out instances that are listed at the moment of the write.

--- a/packages/bench/src/checks/stop-checks.ts
+++ b/packages/bench/src/checks/stop-checks.ts
@@ -59,8 +59,10 @@
 
 function listUnlisted(world: World, pool: string, unlistedSince: ReadonlyMap<string, number>): string[] {
 	const ids: string[] = [];
+	// The times are taken each 250 ms; an instance that has come back since then is in service.
+	const listed = new Set(world.fleet.getList().map(instance => instance.id));
 	for (const [id, since] of unlistedSince) {
-		if (world.queue.now - since > unlistedMs && !world.conditions.isListDown && readInstancePool(world.store.entries, id) === pool) {
+		if (!listed.has(id) && world.queue.now - since > unlistedMs && !world.conditions.isListDown && readInstancePool(world.store.entries, id) === pool) {
 			ids.push(id);
 		}
 	}
