Show in the bundle status which entries are behind

Each entry keeps the version that the others name in their heartbeats; bundle status lists it with the age of the bundle at the entry asked.

--- a/packages/decisions/src/bundle/bundle-filter.test.ts
+++ b/packages/decisions/src/bundle/bundle-filter.test.ts
@@ -288,3 +288,27 @@
 
 	expect(count).toBe(asked);
 });
+
+// Guards against a roll-out whose stragglers no operator can see.
+it('shows which entries are behind', () => {
+	const rig = createRig();
+	rig.writeHead(createSigned(2));
+	rig.push({kind: 'store-reached'});
+	rig.state.membership.record = {
+		epoch: 1, members: ['entry', 'a', 'b', 'c'].map(id => ({id, address: '127.0.0.1:1', zone: 'z'})), pools: {}, previousMembers: [], previousPools: {}, forced: false, proposer: 'a',
+	};
+	for (const [from, bundleVersion] of [['a', 2], ['b', 1]] as const) {
+		rig.push({
+			kind: 'peer-heartbeat', from, message: {
+				kind: 'heartbeat', askedAt: 0, adoptedEpoch: 1, bundleVersion, suspects: [],
+			},
+		});
+	}
+
+	rig.push({
+		kind: 'operator-called', callId: 'call', operator: 'ana', command: {command: 'bundle-status'},
+	});
+	expect(rig.answers.at(-1)?.body).toMatchObject({
+		version: 2, others: [{entry: 'a', isBehind: false}, {entry: 'b', isBehind: true}, {entry: 'c', isBehind: true}],
+	});
+});
--- a/packages/decisions/src/bundle/bundle-filter.ts
+++ b/packages/decisions/src/bundle/bundle-filter.ts
@@ -6,6 +6,7 @@
 } from '../chain.js';
 import {type DecisionContext} from '../context.js';
 import {type EntryState} from '../entry-state.js';
+import {isMember} from '../membership/index.js';
 import {
 	acceptPrefixes, requestAcceptance, settleHistory, settleRead, settleWrite,
 } from './accept-bundle.js';
@@ -36,8 +37,8 @@
 	'bundle-apply': (state, {bundle, nonce}, {callId, operator}, context) => requestAcceptance(state, {
 		callId, operator, signed: bundle, nonce,
 	}, context),
-	'bundle-status': (state, _command, {callId}) => [restartEvent({
-		kind: 'operator-answered', callId, status: 200, body: getBundleStatus(state),
+	'bundle-status': (state, _command, {callId}, context) => [restartEvent({
+		kind: 'operator-answered', callId, status: 200, body: getBundleStatus(state, context),
 	})],
 	'bundle-history': (state, _command, {callId}) => requestHistory(state, callId),
 	'bundle-text': (state, {version}, {callId}) => requestHistory(state, callId, version),
@@ -71,6 +72,15 @@
 			? applyWatchedHead(state, {value: event.value, revision: event.revision}, context)
 			: [],
 		'peer-heartbeat': askForBundle,
+		'epoch-adopted'(state) {
+			for (const id of state.bundle.peerVersions.keys()) {
+				if (!isMember(state, id)) {
+					state.bundle.peerVersions.delete(id);
+				}
+			}
+
+			return [];
+		},
 		'peer-bundle-wanted'(state, event) {
 			const {signed} = state.bundle;
 			return signed === undefined ? [] : [emitEffect({kind: 'send-peer', to: event.from, message: {kind: 'bundle-sent', bundle: signed}})];
@@ -104,6 +114,7 @@
 /** Asks the sender of a heartbeat for its bundle when it names a higher version. One is asked at a time, so a change costs one copy for each entry that is behind. */
 function askForBundle(state: EntryState, event: EventOf<'peer-heartbeat'>, context: DecisionContext): Output[] {
 	const {bundle} = state;
+	bundle.peerVersions.set(event.from, {version: event.message.bundleVersion, heardAt: context.now});
 	if (event.message.bundleVersion <= (bundle.current?.version ?? 0) || context.now < bundle.nextAskAt) {
 		return [];
 	}
@@ -122,7 +133,17 @@
 	return [];
 }
 
-function getBundleStatus(state: EntryState): unknown {
-	const {bundle, config} = state;
-	return {entry: config.id, version: bundle.current?.version ?? 0, signedBy: bundle.signed?.signedBy};
+/** Version and age here, and what the other members have last said about themselves. */
+function getBundleStatus(state: EntryState, context: DecisionContext): unknown {
+	const {bundle, config, membership} = state;
+	const version = bundle.current?.version ?? 0;
+	const others = (membership.record?.members ?? []).filter(member => member.id !== config.id).map(({id}) => {
+		const heard = bundle.peerVersions.get(id);
+		return {
+			entry: id, version: heard?.version, heardSecondsAgo: heard && Math.round((context.now - heard.heardAt) / 1000), isBehind: heard === undefined || heard.version < version,
+		};
+	});
+	return {
+		entry: config.id, version, signedBy: bundle.signed?.signedBy, inForceSeconds: Math.round((context.now - bundle.appliedAt) / 1000), others,
+	};
 }
--- a/packages/decisions/src/bundle/bundle-state.ts
+++ b/packages/decisions/src/bundle/bundle-state.ts
@@ -1,4 +1,4 @@
-import {type Bundle, type SignedBundle} from '@pistachiogauge/model';
+import {type Bundle, type EntryId, type SignedBundle} from '@pistachiogauge/model';
 
 /** An operator's call that waits for the store to decide. */
 export type PendingAcceptance = {
@@ -22,6 +22,8 @@
 	/** Revision of the head record in the store; 0 when absent, undefined before the first read. */
 	headRevision: number | undefined;
 	nextHeadReadAt: number;
+	/** Version that each entry has last named in a heartbeat, with the monotonic time. */
+	readonly peerVersions: Map<EntryId, {readonly version: number; readonly heardAt: number}>;
 	/** Monotonic time before which no other entry is asked for its bundle. */
 	nextAskAt: number;
 	readonly pending: Map<string, PendingAcceptance>;
@@ -41,6 +43,7 @@
 		appliedAt: 0,
 		headRevision: undefined,
 		nextHeadReadAt: 0,
+		peerVersions: new Map(),
 		nextAskAt: 0,
 		pending: new Map(),
 		unwrittenTexts: new Map(),
