Remove code without a use and say once which calls a pool write decides

Two variables, two parameters, a constant and a test function had no use left. The calls of an open pool write were joined in two places.

--- a/packages/cli/src/call-entry.ts
+++ b/packages/cli/src/call-entry.ts
@@ -15,7 +15,6 @@
 };
 
 const callTimeoutMs = 15_000;
-const ownerModePattern = /00$/u;
 const addressPattern = /^(?:\d{1,3}\.){3}\d{1,3}:\d{1,5}$/u;
 
 /**
--- a/packages/decisions/src/fleet/pool-write.ts
+++ b/packages/decisions/src/fleet/pool-write.ts
@@ -158,7 +158,7 @@
 
 /** The record has changed under this owner: another entry has fenced the pool, or the store was restored. Nothing is sent until the pool is fenced anew. */
 function loseRecord(owned: OwnedPool, found: PoolRecord | undefined): Output[] {
-	const calls = [...owned.pendingWrite?.calls ?? [], ...owned.pendingWrite?.withdrawn?.calls ?? []];
+	const calls = owned.pendingWrite === undefined ? [] : listCalls(owned.pendingWrite);
 	const hasAnswered = owned.pendingWrite?.hasAnswered === true;
 	owned.isFenced = false;
 	owned.pendingWrite = undefined;
@@ -169,13 +169,18 @@
 	];
 }
 
+/** Calls that an open write decides: those it carries out and those it withdraws. */
+function listCalls(write: PendingWrite): PendingWrite['calls'] {
+	return [...write.calls, ...write.withdrawn?.calls ?? []];
+}
+
 /** Answers calls that have waited too long; the write itself goes on and stays undecided. */
 function expireCalls(owned: OwnedPool, context: DecisionContext): Output[] {
 	const outputs: Output[] = [];
 	const write = owned.pendingWrite;
 	if (write !== undefined && !write.hasAnswered && context.now - write.startedAt > callLimitMs) {
 		write.hasAnswered = true;
-		outputs.push(...[...write.calls, ...write.withdrawn?.calls ?? []].map(({call}) => restartEvent({
+		outputs.push(...listCalls(write).map(({call}) => restartEvent({
 			kind: 'operator-answered', callId: call.callId, status: 504, body: {outcome: 'unknown', message: 'the store does not answer; see the status of the pool later'},
 		})));
 	}
--- a/packages/decisions/src/membership/force-epoch.ts
+++ b/packages/decisions/src/membership/force-epoch.ts
@@ -22,7 +22,7 @@
 @internal
 */
 export function requestForce(state: EntryState, event: EventOf<'operator-called'>, epoch: number, context: DecisionContext): Output[] {
-	const {membership, bundle} = state;
+	const {membership} = state;
 	const refusal = findForceRefusal(state, epoch, context);
 	if (refusal !== undefined) {
 		return refuseForce(event, refusal);
--- a/packages/decisions/src/membership/propose-epoch.ts
+++ b/packages/decisions/src/membership/propose-epoch.ts
@@ -114,7 +114,7 @@
 }
 
 function createNextEpoch(state: EntryState, context: DecisionContext): EpochRecord | undefined {
-	const {membership, bundle} = state;
+	const {membership} = state;
 	const {record} = membership;
 	const members = listNextMembers(state, context);
 	if (members.length === 0) {
--- a/packages/decisions/src/reply/reply-filter.ts
+++ b/packages/decisions/src/reply/reply-filter.ts
@@ -63,7 +63,7 @@
 			state.reply.shutdownAt ??= context.now;
 			return updateReadiness(state, context);
 		},
-		'store-answered': (state, event) => event.operationId === 'reply:departed' ? [emitEffect({kind: 'stop-process', exitCode: 0})] : [],
+		'store-answered': (_state, event) => event.operationId === 'reply:departed' ? [emitEffect({kind: 'stop-process', exitCode: 0})] : [],
 	},
 };
 
--- a/packages/decisions/src/retry/retry-filter.ts
+++ b/packages/decisions/src/retry/retry-filter.ts
@@ -104,7 +104,7 @@
 	return backoffBaseMs * (2 ** Math.min(maxBackoffDoublings, failures - 1)) * (0.5 + context.random.getFraction());
 }
 
-function createFinalResult({work, ending}: EventOf<'attempt-ended'>): RequestResult {
+function createFinalResult({ending}: EventOf<'attempt-ended'>): RequestResult {
 	if (ending.kind === 'answered') {
 		return createCompletedResult(ending.status, ending.headers, ending.body);
 	}
--- a/packages/decisions/src/testing/keyed-request.ts
+++ b/packages/decisions/src/testing/keyed-request.ts
@@ -38,11 +38,6 @@
 	return result === undefined ? undefined : [result.outcome, result.reason].filter(Boolean).join(' ');
 }
 
-/** Sends of each key to endpoints. */
-export function countSends(cluster: VirtualCluster, key: string): number {
-	return cluster.sends.filter(send => send.request.key === key).length;
-}
-
 /** Throws when a key was sent twice or a request that was sent is reported as not run. */
 export function checkAtMostOnce(cluster: VirtualCluster): void {
 	const keys = new Set<string>();
