Give the chain of filters a package of its own

Cause: the jobs of the operators' platform need the same shape of filters, events and effects, with other events and effects than the entry's own interface. Ruled out: a copy of the chain (two copies of one mechanism); putting jobs into the entry's state (its filters form one import circle already). Change: packages/chain holds the generic chain, the time and the random source; decisions and pipeline use it with their own types.

--- a/packages/entry/src/create-sinks.ts
+++ b/packages/entry/src/create-sinks.ts
@@ -1,4 +1,5 @@
 import {type CallerServer, type EndpointClient} from '@pistachiogauge/http';
+import {type Effect} from '@pistachiogauge/model';
 import {type PeerNetwork} from '@pistachiogauge/peer';
 import {type SinkTable} from '@pistachiogauge/pipeline';
 import {type StoreClient} from '@pistachiogauge/store';
@@ -20,7 +21,7 @@
 };
 
 /** Creates the table from effect kind to the part that carries it out. @internal */
-export function createSinks({callers, endpoints, peers, store, instances, observer, metrics, log, stop}: EntryParts): SinkTable {
+export function createSinks({callers, endpoints, peers, store, instances, observer, metrics, log, stop}: EntryParts): SinkTable<Effect> {
 	return {
 		'respond-caller'({requestId, result}) {
 			observer.observeResult(requestId, result);
--- a/packages/entry/src/entry-process.ts
+++ b/packages/entry/src/entry-process.ts
@@ -3,7 +3,7 @@
 	applyEvent, createEntryState, createNotRunResult, createRandomSource, type DecisionContext,
 } from '@pistachiogauge/decisions';
 import {createCallerServer, createEndpointClient} from '@pistachiogauge/http';
-import {type EntryConfig, type InputEvent} from '@pistachiogauge/model';
+import {type Effect, type EntryConfig, type InputEvent} from '@pistachiogauge/model';
 import {createPeerNetwork} from '@pistachiogauge/peer';
 import {createPipeline} from '@pistachiogauge/pipeline';
 import {verifyBundle, type EntrySettings} from '@pistachiogauge/settings';
@@ -103,7 +103,7 @@
 		},
 	});
 
-	const pipeline = createPipeline<InputEvent>({
+	const pipeline = createPipeline<InputEvent, Effect>({
 		applyEvent(event) {
 			const context: DecisionContext = {now: performance.now(), wallTime: Date.now(), random};
 			return applyEvent(state, event, context);
--- a/packages/pipeline/src/pipeline.test.ts
+++ b/packages/pipeline/src/pipeline.test.ts
@@ -35,10 +35,10 @@
 
 				pipeline.pushEvent('count');
 			},
-		} satisfies Partial<SinkTable>;
-		const pipeline = createPipeline<TestEvent>({
+		} satisfies Partial<SinkTable<Effect>>;
+		const pipeline = createPipeline<TestEvent, Effect>({
 			applyEvent: event => effectsByEvent[event](),
-			sinks: sinks as unknown as SinkTable,
+			sinks: sinks as unknown as SinkTable<Effect>,
 			reportFailure(stage) {
 				seen.push(`failed ${stage}`);
 			},
--- a/packages/pipeline/src/pipeline.ts
+++ b/packages/pipeline/src/pipeline.ts
@@ -1,16 +1,16 @@
-import {type Effect, type EffectKind, type EffectOf} from '@pistachiogauge/model';
+import {type Kinded, type OfKind} from '@pistachiogauge/chain';
 import {Stream, type Scheduler, type Sink} from 'most';
 
 /** Lookup table from effect kind to the function that carries it out. @public */
-export type SinkTable = {
-	readonly [Kind in EffectKind]: (effect: EffectOf<Kind>) => void;
+export type SinkTable<Effect extends Kinded> = {
+	readonly [Kind in Effect['kind']]: (effect: OfKind<Effect, Kind>) => void;
 };
 
 /** @public */
-export type PipelineOptions<Event> = {
+export type PipelineOptions<Event, Effect extends Kinded> = {
 	/** Decides on one event. */
 	readonly applyEvent: (event: Event) => readonly Effect[];
-	readonly sinks: SinkTable;
+	readonly sinks: SinkTable<Effect>;
 	/** Told when a sink or the decisions throw; the stream goes on. */
 	readonly reportFailure: (stage: string, error: unknown) => void;
 };
@@ -28,7 +28,7 @@
 
 @public
 */
-export function createPipeline<Event>(options: PipelineOptions<Event>): Pipeline<Event> {
+export function createPipeline<Event, Effect extends Kinded>(options: PipelineOptions<Event, Effect>): Pipeline<Event> {
 	const {stream, pushEvent} = createEventStream<Event>();
 	void stream
 		.map(event => decide(options, event))
@@ -41,7 +41,7 @@
 	return {pushEvent};
 }
 
-function decide<Event>(options: PipelineOptions<Event>, event: Event): readonly Effect[] {
+function decide<Event, Effect extends Kinded>(options: PipelineOptions<Event, Effect>, event: Event): readonly Effect[] {
 	try {
 		return options.applyEvent(event);
 	} catch (error) {
@@ -50,9 +50,9 @@
 	}
 }
 
-function runSink<Event>(options: PipelineOptions<Event>, effect: Effect): void {
+function runSink<Event, Effect extends Kinded>(options: PipelineOptions<Event, Effect>, effect: Effect): void {
 	try {
-		(options.sinks[effect.kind] as (value: Effect) => void)(effect);
+		(options.sinks[effect.kind as Effect['kind']] as (value: Effect) => void)(effect);
 	} catch (error) {
 		options.reportFailure(effect.kind, error);
 	}
