--- /dev/null
+++ b/packages/entry/src/jobs/follow-records.ts
@@ -0,0 +1,318 @@
+import {
+	type Endpoint, type JobEvent, type PoolReport, type ProgressRecord, type JobRecord, type Roster, type StoredJob, type VacateRequest, type EndedJob,
+} from '@pistachiogauge/jobs';
+import {
+	configurationKey, decodeConfiguration, decodeEndpoint, decodeWave, endpointPrefix, followPrefix, wavePrefix, type StoreClient, type StoreItem,
+} from '@pistachiogauge/platform';
+import {type Logger} from '@pistachiogauge/telemetry';
+import {
+	createStoredJob, decodeClaim, decodeMember, decodeRecord, recordKeys, type WaveRecord,
+} from './job-records.js';
+
+/** @internal */
+export type FollowContext = {
+	readonly store: StoreClient;
+	readonly pushEvent: (event: JobEvent) => void;
+	readonly log: Logger;
+	readonly node: string;
+	readonly incarnation: string;
+	/** The entry's own registration has vanished. */
+	readonly loseRegistration: () => void;
+};
+
+/** Stops following. @internal */
+export type StopFollowing = () => void;
+
+/** Pause in ms after an answer about endpoints: their heartbeats alone change the list all the time, and a drain has to be known within 2 s. */
+const endpointPauseMs = 250;
+
+/** Time of the operator's prefix where nothing is lost by waiting a little. */
+const noPauseMs = 0;
+
+function createFailureLog(log: Logger, prefix: string): (error: unknown) => void {
+	return error => {
+		log('debug', 'records not read', {prefix, error: String(error)});
+	};
+}
+
+type Decoder = {readonly prefix: string; readonly decode: (item: StoreItem) => JobEvent | undefined};
+
+function decodeItem(decoders: readonly Decoder[], item: StoreItem, context: FollowContext): void {
+	const decoder = decoders.find(({prefix}) => item.key.startsWith(prefix));
+	const event = decoder?.decode(item);
+	if (event !== undefined) {
+		context.pushEvent(event);
+		return;
+	}
+
+	if (decoder !== undefined && item.value !== undefined) {
+		context.log('warn', 'record left out, as it cannot be read', {key: item.key, revision: item.revision});
+	}
+}
+
+/** Follows the operator's configuration and waves. @internal */
+export function followOperator(context: FollowContext): StopFollowing {
+	const decoders: Decoder[] = [
+		{
+			prefix: configurationKey,
+			decode(item) {
+				const configuration = decodeConfiguration(item.value);
+				return configuration === undefined ? undefined : {kind: 'configuration-changed', configuration};
+			},
+		},
+		{
+			prefix: wavePrefix,
+			decode(item) {
+				if (item.value === undefined) {
+					return {kind: 'wave-removed', number: Number(item.key.slice(wavePrefix.length))};
+				}
+
+				const wave = decodeWave(item.value);
+				return wave === undefined ? undefined : {kind: 'wave-changed', wave, seenAt: Date.now()};
+			},
+		},
+	];
+	const changed = (item: StoreItem) => {
+		decodeItem(decoders, item, context);
+	};
+
+	return followPrefix(context.store, {prefix: 'op/', pauseMs: noPauseMs}, {
+		listed(items) {
+			for (const item of items) {
+				changed(item);
+			}
+		},
+		changed,
+		failed: createFailureLog(context.log, 'op/'),
+	});
+}
+
+/** Follows entries and claims. @internal */
+export function followShared(context: FollowContext): StopFollowing {
+	function changeMember(item: StoreItem): JobEvent {
+		const node = item.key.slice(recordKeys.entryPrefix.length);
+		const member = decodeMember(item);
+		if (node === context.node && member?.incarnation !== context.incarnation) {
+			context.loseRegistration();
+		}
+
+		return {kind: 'member-changed', node, member};
+	}
+
+	const decoders: Decoder[] = [
+		{prefix: recordKeys.entryPrefix, decode: changeMember},
+		{
+			prefix: recordKeys.claimPrefix,
+			decode: item => ({kind: 'claim-changed', name: item.key.slice(recordKeys.claimPrefix.length), claim: decodeClaim(item)}),
+		},
+	];
+	return followPrefix(context.store, {prefix: recordKeys.sharedPrefix, pauseMs: noPauseMs}, {
+		listed(items) {
+			const members = items.filter(item => item.key.startsWith(recordKeys.entryPrefix)).map(item => decodeMember(item)).filter(member => member !== undefined);
+			const claims = items.filter(item => item.key.startsWith(recordKeys.claimPrefix)).map(item => decodeClaim(item)).filter(claim => claim !== undefined);
+			if (!members.some(member => member.node === context.node && member.incarnation === context.incarnation)) {
+				context.loseRegistration();
+			}
+
+			context.pushEvent({kind: 'members-listed', members});
+			context.pushEvent({kind: 'claims-listed', claims});
+		},
+		changed(item) {
+			decodeItem(decoders, item, context);
+		},
+		failed: createFailureLog(context.log, recordKeys.sharedPrefix),
+	});
+}
+
+/** Follows the list of endpoints. @internal */
+export function followEndpoints(context: FollowContext): StopFollowing {
+	function decode(item: StoreItem): Endpoint | undefined {
+		const endpoint = decodeEndpoint(item.key, item.value);
+		if (endpoint === undefined) {
+			context.log('debug', 'entry names no endpoint to use', {key: item.key, revision: item.revision});
+		}
+
+		return endpoint;
+	}
+
+	return followPrefix(context.store, {prefix: endpointPrefix, pauseMs: endpointPauseMs}, {
+		listed(items) {
+			context.pushEvent({kind: 'endpoints-listed', endpoints: items.map(item => decode(item)).filter(endpoint => endpoint !== undefined)});
+		},
+		changed(item) {
+			const endpoint = item.value === undefined ? undefined : decode(item);
+			context.pushEvent(endpoint === undefined
+				? {kind: 'endpoint-removed', endpointId: item.key.slice(endpointPrefix.length)}
+				: {kind: 'endpoint-changed', endpoint});
+		},
+		failed: createFailureLog(context.log, endpointPrefix),
+	});
+}
+
+/** Follows what the fleet's holder and the owners tell each other. @internal */
+export function followFleet(context: FollowContext): StopFollowing {
+	const decoders: Decoder[] = [
+		{
+			prefix: recordKeys.reportPrefix,
+			decode(item) {
+				const report = decodeRecord<PoolReport>(item);
+				return report === undefined ? undefined : {kind: 'report-changed', report};
+			},
+		},
+		{prefix: recordKeys.vacatedPrefix, decode: decodeVacated},
+		{prefix: recordKeys.vacatePrefix, decode: decodeVacateRequest},
+		{
+			prefix: recordKeys.wavePrefix,
+			decode(item) {
+				const record = decodeRecord<WaveRecord>(item);
+				return record === undefined ? undefined : {kind: 'wave-progress-read', number: Number(item.key.slice(recordKeys.wavePrefix.length)), ...record};
+			},
+		},
+	];
+	const changed = (item: StoreItem) => {
+		decodeItem(decoders, item, context);
+	};
+
+	return followPrefix(context.store, {prefix: recordKeys.fleetPrefix, pauseMs: noPauseMs}, {
+		listed(items) {
+			for (const item of items) {
+				changed(item);
+			}
+		},
+		changed,
+		failed: createFailureLog(context.log, recordKeys.fleetPrefix),
+	});
+}
+
+function decodeVacated(item: StoreItem): JobEvent | undefined {
+	const [pool, endpointId] = item.key.slice(recordKeys.vacatedPrefix.length).split('/');
+	return item.value === undefined || pool === undefined || endpointId === undefined ? undefined : {kind: 'endpoint-vacated', vacated: {pool, endpointId}};
+}
+
+function decodeVacateRequest(item: StoreItem): JobEvent | undefined {
+	const [pool, endpointId] = item.key.slice(recordKeys.vacatePrefix.length).split('/');
+	const request = decodeRecord<VacateRequest>(item);
+	if (pool === undefined || endpointId === undefined) {
+		return undefined;
+	}
+
+	return request === undefined ? {kind: 'vacate-withdrawn', pool, endpointId} : {kind: 'vacate-requested', request};
+}
+
+/** Reads all records of a pool and then follows what is asked of its owner. @internal */
+export function followPool(context: FollowContext, pool: string, token: number): StopFollowing {
+	const inboxPrefix = recordKeys.getInboxPrefix(pool);
+	let isLoaded = false;
+	let early: StoreItem[] = [];
+	const jobPrefix = recordKeys.getJobKey(pool, '');
+	const cancelPrefix = recordKeys.getCancelKey(pool, '');
+	const decoders: Decoder[] = [
+		{
+			prefix: jobPrefix,
+			decode(item) {
+				const job = decodeRecord<JobRecord>(item);
+				return job === undefined ? undefined : {kind: 'job-recorded', stored: createStoredJob(job, item.revision)};
+			},
+		},
+		{
+			prefix: cancelPrefix,
+			decode: item => item.value === undefined ? undefined : {kind: 'job-cancelled', pool, jobId: item.key.slice(cancelPrefix.length)},
+		},
+	];
+
+	function changed(item: StoreItem): void {
+		if (!isLoaded) {
+			early.push(item);
+			return;
+		}
+
+		decodeItem(decoders, item, context);
+	}
+
+	async function load(items: readonly StoreItem[]): Promise<void> {
+		// The claim is this entry's, so nobody else changes these records; jobs that came after the list have no other progress than none.
+		const state = await context.store.listItems(recordKeys.getStatePrefix(pool));
+		const progressPrefix = recordKeys.getProgressKey(pool, '');
+		const progress = new Map(state.items.filter(item => item.key.startsWith(progressPrefix)).map(item => [item.key.slice(progressPrefix.length), item]));
+		const cancelled = new Set(items.filter(item => item.key.startsWith(cancelPrefix)).map(item => item.key.slice(cancelPrefix.length)));
+		const jobs: StoredJob[] = [];
+		for (const item of items.filter(each => each.key.startsWith(jobPrefix))) {
+			const job = decodeRecord<JobRecord>(item);
+			if (job === undefined) {
+				context.log('error', 'job record left out, as it cannot be read', {key: item.key, revision: item.revision});
+				continue;
+			}
+
+			const progressItem = progress.get(job.id);
+			const record = progressItem === undefined ? undefined : decodeRecord<ProgressRecord>(progressItem);
+			jobs.push({...createStoredJob(job, progressItem?.revision ?? item.revision), ...(record !== undefined && {progress: record}), isCancelled: cancelled.has(job.id)});
+		}
+
+		const ended = new Map<string, EndedJob>();
+		for (const [jobId, item] of progress) {
+			const record = decodeRecord<ProgressRecord>(item);
+			if (record?.endedAt !== undefined) {
+				ended.set(jobId, {queue: record.queue, status: record.status, endedAt: record.endedAt});
+			}
+		}
+
+		const rosterItem = state.items.find(item => item.key === recordKeys.getRosterKey(pool));
+		const roster = rosterItem === undefined ? undefined : decodeRecord<Roster>(rosterItem);
+		context.pushEvent({
+			kind: 'pool-read',
+			pool,
+			token,
+			jobs: jobs.filter(({job}) => !ended.has(job.id)),
+			ended,
+			roster: roster ?? {endpointIds: []},
+			rosterRevision: rosterItem?.revision ?? 0,
+		});
+		isLoaded = true;
+		const waiting = early;
+		early = [];
+		for (const item of waiting) {
+			changed(item);
+		}
+	}
+
+	const stopInbox = followPrefix(context.store, {prefix: inboxPrefix, pauseMs: noPauseMs}, {
+		listed(items) {
+			if (isLoaded) {
+				for (const item of items) {
+					changed(item);
+				}
+
+				return;
+			}
+
+			early = [];
+			load(items).catch((error: unknown) => {
+				context.log('warn', 'pool not read', {pool, token, error: String(error)});
+				context.pushEvent({kind: 'pool-load-failed', pool, token});
+			});
+		},
+		changed,
+		failed: createFailureLog(context.log, inboxPrefix),
+	});
+	const vacatePrefix = recordKeys.getVacatePoolPrefix(pool);
+	const followVacates = (item: StoreItem) => {
+		const event = decodeVacateRequest(item);
+		if (event !== undefined) {
+			context.pushEvent(event);
+		}
+	};
+
+	const stopVacates = followPrefix(context.store, {prefix: vacatePrefix, pauseMs: noPauseMs}, {
+		listed(items) {
+			for (const item of items) {
+				followVacates(item);
+			}
+		},
+		changed: followVacates,
+		failed: createFailureLog(context.log, vacatePrefix),
+	});
+	return () => {
+		stopInbox();
+		stopVacates();
+	};
+}
--- /dev/null
+++ b/packages/entry/src/jobs/serve-metrics.ts
@@ -0,0 +1,19 @@
+import {createServer} from 'node:http';
+import {listen} from '@pistachiogauge/http';
+
+/** Path of the metrics on the control address. */
+const metricsPath = '/metrics';
+
+/** Serves the metrics page. @returns The function that ends it. @internal */
+export async function serveMetrics(address: string, formatMetrics: () => string): Promise<() => void> {
+	const server = createServer((request, response) => {
+		const isKnown = request.url === metricsPath;
+		response.writeHead(isKnown ? 200 : 404, {'content-type': 'text/plain; version=0.0.4'});
+		response.end(isKnown ? formatMetrics() : '');
+	});
+	await listen(server, address);
+	return () => {
+		server.closeAllConnections();
+		server.close();
+	};
+}
--- a/packages/http/src/read-body.ts
+++ b/packages/http/src/read-body.ts
@@ -8,7 +8,7 @@
 Reads a whole request body.
 
 @throws HttpRequestError when it is larger than the limit or does not arrive whole.
-@internal
+@public
 */
 export async function readBody(message: IncomingMessage, limitBytes: number): Promise<Uint8Array> {
 	return new Promise((resolve, reject) => {
--- /dev/null
+++ b/packages/jobs/src/apply-job-event.ts
@@ -0,0 +1,37 @@
+import {createChain, type DecisionContext} from '@pistachiogauge/chain';
+import {authorityFilter} from './authority/index.js';
+import {configurationFilter} from './configuration/index.js';
+import {directoryFilter} from './directory/index.js';
+import {evacuationFilter} from './evacuation/index.js';
+import {type JobFilter} from './filter.js';
+import {fleetFilter} from './fleet/index.js';
+import {intakeFilter} from './intake/index.js';
+import {type JobsState} from './jobs-state.js';
+import {ledgerFilter} from './ledger/index.js';
+import {type JobEffect, type JobEvent} from './model/index.js';
+import {pacingFilter} from './pacing/index.js';
+import {placementFilter} from './placement/index.js';
+import {supervisionFilter} from './supervision/index.js';
+
+/** The filters of the jobs chain, in order. @public */
+export const jobFilters: ReadonlyArray<JobFilter<JobsState>> = [
+	authorityFilter,
+	configurationFilter,
+	directoryFilter,
+	intakeFilter,
+	supervisionFilter,
+	ledgerFilter,
+	evacuationFilter,
+	placementFilter,
+	pacingFilter,
+	fleetFilter,
+];
+
+/**
+Applies one event to the state and returns the effects, in order.
+
+The same state, event and context always give the same effects, so that an emulator can drive many entries in virtual time.
+
+@public
+*/
+export const applyJobEvent: (state: JobsState, event: JobEvent, context: DecisionContext) => JobEffect[] = createChain(jobFilters);
--- /dev/null
+++ b/packages/jobs/src/authority/index.ts
@@ -0,0 +1,3 @@
+export {authorityFilter} from './authority-filter.js';
+export {createAuthorityState, type AuthorityState, type AuthorityView} from './authority-state.js';
+export {assignClaims} from './assign-claims.js';
--- /dev/null
+++ b/packages/jobs/src/configuration/configuration-filter.ts
@@ -0,0 +1,38 @@
+import {emitLog, type JobFilter} from '../filter.js';
+import {type Configuration} from '../model/index.js';
+
+/** @public */
+export type ConfigurationState = {
+	/** Undefined until the first one has been read. */
+	current: Configuration | undefined;
+};
+
+/** What other filters may ask about the configuration. @public */
+export type ConfigurationView = {readonly configuration: {readonly current: Configuration | undefined}};
+
+/** @public */
+export function createConfigurationState(): ConfigurationState {
+	return {current: undefined};
+}
+
+/**
+Keeps the newest configuration in force. An older one is never applied, whoever brings it.
+
+@public
+*/
+export const configurationFilter: JobFilter<{readonly configuration: ConfigurationState}> = {
+	name: 'configuration',
+	handlers: {
+		'configuration-changed'({configuration: state}, {configuration}) {
+			const before = state.current?.version;
+			if (before !== undefined && before >= configuration.version) {
+				return [];
+			}
+
+			state.current = configuration;
+			return [emitLog('info', 'configuration in force', {
+				version: configuration.version, before, queues: configuration.queues.length, pools: configuration.pools.length,
+			})];
+		},
+	},
+};
--- /dev/null
+++ b/packages/jobs/src/configuration/index.ts
@@ -0,0 +1,4 @@
+export {
+	configurationFilter, createConfigurationState, type ConfigurationState, type ConfigurationView,
+} from './configuration-filter.js';
+export {findQueue, type QueueMatch} from './find-queue.js';
--- /dev/null
+++ b/packages/jobs/src/directory/directory-filter.ts
@@ -0,0 +1,61 @@
+import {passEvent, type DecisionContext} from '@pistachiogauge/chain';
+import {emitLog, type JobFilter, type JobOutput} from '../filter.js';
+import {type Endpoint} from '../model/index.js';
+
+/** Endpoints as they registered themselves. @public */
+export type DirectoryState = {
+	readonly endpoints: Map<string, Endpoint>;
+	/** Undefined until the list has been read as a whole. */
+	listedAt: number | undefined;
+};
+
+/** What other filters may ask about the directory. @public */
+export type DirectoryView = {
+	readonly directory: {readonly endpoints: ReadonlyMap<string, Endpoint>; readonly listedAt: number | undefined};
+};
+
+/** @public */
+export function createDirectoryState(): DirectoryState {
+	return {endpoints: new Map(), listedAt: undefined};
+}
+
+/** Keeps the list of endpoints. @public */
+export const directoryFilter: JobFilter<{readonly directory: DirectoryState}> = {
+	name: 'directory',
+	handlers: {
+		'endpoints-listed'({directory}, {endpoints}, context) {
+			const listed = new Set(endpoints.map(endpoint => endpoint.id));
+			const outputs = [
+				...endpoints.flatMap(endpoint => recordEndpoint(directory, endpoint, context)),
+				...[...directory.endpoints.keys()]
+					.filter(id => !listed.has(id))
+					.flatMap(id => removeEndpoint(directory, id)),
+			];
+			directory.listedAt = context.now;
+			return outputs;
+		},
+		'endpoint-changed': ({directory}, {endpoint}, context) => recordEndpoint(directory, endpoint, context),
+		'endpoint-removed': ({directory}, {endpointId}) => removeEndpoint(directory, endpointId),
+	},
+};
+
+function recordEndpoint(directory: DirectoryState, endpoint: Endpoint, context: DecisionContext): JobOutput[] {
+	const known = directory.endpoints.get(endpoint.id);
+	directory.endpoints.set(endpoint.id, endpoint);
+	if (known?.state === endpoint.state && known.bornAt === endpoint.bornAt && known.pool === endpoint.pool && known.address === endpoint.address) {
+		return [];
+	}
+
+	return [
+		emitLog('info', 'endpoint registered', {
+			endpoint: endpoint.id, pool: endpoint.pool, state: endpoint.state, before: known?.state, bornAt: endpoint.bornAt, remainingMs: endpoint.remainingMs, at: context.wallTime,
+		}),
+		passEvent({kind: 'placement-due', pool: endpoint.pool}),
+	];
+}
+
+function removeEndpoint(directory: DirectoryState, id: string): JobOutput[] {
+	const known = directory.endpoints.get(id);
+	directory.endpoints.delete(id);
+	return known === undefined ? [] : [emitLog('info', 'endpoint left the list', {endpoint: id, pool: known.pool, state: known.state})];
+}
--- /dev/null
+++ b/packages/jobs/src/directory/index.ts
@@ -0,0 +1,3 @@
+export {
+	createDirectoryState, directoryFilter, type DirectoryState, type DirectoryView,
+} from './directory-filter.js';
--- /dev/null
+++ b/packages/jobs/src/fleet/fleet-state.ts
@@ -0,0 +1,74 @@
+import {
+	type Machine, type MachineOrder, type PoolReport, type VacateRequest, type Wave,
+} from '../model/index.js';
+
+/** A wave and how far it has come. @public */
+export type WaveProgress = {
+	readonly wave: Wave;
+	/** Unix ms at which it was first seen. */
+	readonly seenAt: number;
+	readonly maintained: Set<string>;
+	status: 'new' | 'running' | 'done';
+	/** The status on record is behind. */
+	isBehind: boolean;
+	isWriting: boolean;
+};
+
+/** An order that is out, or whose machine is not back yet. @public */
+export type OpenOrder = {
+	readonly order: MachineOrder;
+	readonly machine: string;
+	readonly pool: string;
+	readonly wave: number;
+	sentAt: number;
+	/** Endpoint that ran on the machine before. */
+	readonly endpointId: string | undefined;
+	phase: 'sent' | 'accepted' | 'again';
+};
+
+/** A wish that an endpoint be empty. @public */
+export type VacateState = {
+	readonly request: VacateRequest;
+	readonly askedAt: number;
+	/** Pool that the machine is to move to; undefined for maintenance. */
+	readonly targetPool: string | undefined;
+};
+
+/** @public */
+export type FleetState = {
+	/** Time in ms for which orders of two holders for one machine are kept apart. */
+	readonly orderLeaseMs: number;
+	/** Fencing token while this entry holds the fleet's claim. */
+	token: number | undefined;
+	/** No order before this time in monotonic ms, as a former holder may still give some. */
+	mayOrderFrom: number;
+	readonly machines: Map<string, Machine>;
+	listedAt: number | undefined;
+	listAskedAt: number | undefined;
+	readonly waves: Map<number, WaveProgress>;
+	readonly vacates: Map<string, VacateState>;
+	/** Endpoints that their owner has reported as empty. */
+	readonly vacated: Set<string>;
+	readonly orders: Map<string, OpenOrder>;
+	readonly reports: Map<string, {readonly report: PoolReport; readonly seenAt: number}>;
+	/** When a machine last came to its pool, in monotonic ms. */
+	readonly settledAt: Map<string, number>;
+};
+
+/** @public */
+export function createFleetState(orderLeaseMs: number): FleetState {
+	return {
+		orderLeaseMs,
+		token: undefined,
+		mayOrderFrom: 0,
+		machines: new Map(),
+		listedAt: undefined,
+		listAskedAt: undefined,
+		waves: new Map(),
+		vacates: new Map(),
+		vacated: new Set(),
+		orders: new Map(),
+		reports: new Map(),
+		settledAt: new Map(),
+	};
+}
--- /dev/null
+++ b/packages/jobs/src/fleet/run-waves.ts
@@ -0,0 +1,155 @@
+import {emitEffect, type DecisionContext} from '@pistachiogauge/chain';
+import {type AuthorityView} from '../authority/index.js';
+import {type ConfigurationView} from '../configuration/index.js';
+import {emitLog, type JobOutput} from '../filter.js';
+import {type Machine} from '../model/index.js';
+import {type FleetState, type WaveProgress} from './fleet-state.js';
+import {isAway, mayOrder, orderMachine} from './order-machines.js';
+
+/** Share of a pool that may be asked to be emptied at once, so that the rest carries its work. */
+const poolShare = 0.34;
+/** Time in ms that tasks are awaited before they are stopped for maintenance; about the longest task. */
+const awaitTasksMs = 5000;
+
+type State = {readonly fleet: FleetState} & AuthorityView & ConfigurationView;
+
+/** Has the machines of all waves maintained, in time and within each wave's limit. @internal */
+export function runWaves(state: State, context: DecisionContext): JobOutput[] {
+	const {fleet} = state;
+	if (fleet.token === undefined || fleet.listedAt === undefined) {
+		return [];
+	}
+
+	return [...fleet.waves.values()]
+		.sort((left, right) => getDueAt(left) - getDueAt(right))
+		.flatMap(wave => wave.status === 'done' && !wave.isBehind ? [] : runWave(state, wave, context));
+}
+
+function getDueAt({wave, seenAt}: WaveProgress): number {
+	return seenAt + wave.durationMs;
+}
+
+function runWave(state: State, progress: WaveProgress, context: DecisionContext): JobOutput[] {
+	const {fleet} = state;
+	const {wave} = progress;
+	const outputs: JobOutput[] = [];
+	// Machines that have left the fleet need no maintenance.
+	const rest = wave.machines
+		.filter(name => !progress.maintained.has(name))
+		.map(name => fleet.machines.get(name))
+		.filter(machine => machine !== undefined);
+	if (progress.status !== 'done') {
+		const status = rest.length === 0 ? 'done' : 'running';
+		if (status !== progress.status) {
+			progress.status = status;
+			progress.isBehind = true;
+			outputs.push(emitLog('info', 'wave', {
+				wave: wave.number, status, maintained: progress.maintained.size, machines: wave.machines.length, limit: wave.downLimit, durationMs: wave.durationMs, ageMs: Math.round(context.wallTime - progress.seenAt),
+			}));
+		}
+	}
+
+	if (progress.isBehind && !progress.isWriting) {
+		progress.isWriting = true;
+		progress.isBehind = false;
+		outputs.push(emitEffect({
+			kind: 'write-wave-status', number: wave.number, status: progress.status === 'done' ? 'done' : 'running', maintained: [...progress.maintained],
+		}));
+	}
+
+	let downCount = wave.machines.filter(name => isAway(fleet, name) || (fleet.machines.get(name)?.state ?? 'up') === 'upkeep').length;
+	for (const machine of rest) {
+		if (downCount < wave.downLimit && mayOrder(state, context.now) && isReadyToGo(state, machine)) {
+			const ordered = orderMachine(state, machine, {order: 'maintain', pool: machine.pool, wave: wave.number}, context);
+			downCount += ordered.length > 0 ? 1 : 0;
+			outputs.push(...ordered);
+		}
+	}
+
+	return [...outputs, ...vacateNext(state, progress, rest, context)];
+}
+
+/** Whether nothing runs on a machine: its owner has said so, or it is off. */
+function isReadyToGo({fleet, configuration}: State, machine: Machine): boolean {
+	if (machine.state !== 'up') {
+		return false;
+	}
+
+	return isSpare({configuration}, machine.pool) || (machine.endpointId !== undefined && fleet.vacated.has(machine.endpointId));
+}
+
+/** Whether machines in a pool are off. @internal */
+export function isSpare({configuration}: ConfigurationView, pool: string): boolean {
+	return configuration.current?.pools.find(({name}) => name === pool)?.isSpare === true;
+}
+
+/** Asks for machines to be emptied ahead of their turn, a few of each pool at a time. */
+function vacateNext(state: State, {wave, seenAt}: WaveProgress, rest: readonly Machine[], context: DecisionContext): JobOutput[] {
+	const {fleet} = state;
+	const outputs: JobOutput[] = [];
+	const perPool = new Map<string, number>();
+	let pendingCount = 0;
+	for (const {request} of fleet.vacates.values()) {
+		perPool.set(request.pool, (perPool.get(request.pool) ?? 0) + 1);
+		pendingCount += request.purpose === 'maintenance' ? 1 : 0;
+	}
+
+	for (const machine of rest) {
+		const {endpointId, pool} = machine;
+		if (machine.state !== 'up' || endpointId === undefined || isSpare(state, pool) || fleet.vacates.has(endpointId)) {
+			continue;
+		}
+
+		const size = [...fleet.machines.values()].filter(other => other.pool === pool).length;
+		const limit = Math.max(1, Math.floor(size * poolShare));
+		if ((perPool.get(pool) ?? 0) >= limit || pendingCount >= wave.downLimit * 2) {
+			continue;
+		}
+
+		perPool.set(pool, (perPool.get(pool) ?? 0) + 1);
+		pendingCount += 1;
+		outputs.push(...requestVacate(fleet, {
+			machine, endpointId, purpose: 'maintenance', dueAt: Math.min(context.wallTime + awaitTasksMs, seenAt + wave.durationMs),
+		}, undefined, context));
+	}
+
+	return outputs;
+}
+
+/** Asks a pool's owner to empty an endpoint. @internal */
+export function requestVacate(
+	fleet: FleetState,
+	{machine, endpointId, purpose, dueAt}: {readonly machine: Machine; readonly endpointId: string; readonly purpose: 'maintenance' | 'move'; readonly dueAt: number},
+	targetPool: string | undefined,
+	context: DecisionContext,
+): JobOutput[] {
+	const request = {
+		pool: machine.pool, endpointId, machine: machine.name, purpose, dueAt,
+	};
+	fleet.vacates.set(endpointId, {request, askedAt: context.now, targetPool});
+	return [
+		emitLog('info', 'endpoint to be emptied', {
+			endpoint: endpointId, machine: machine.name, pool: machine.pool, purpose, targetPool,
+		}),
+		emitEffect({kind: 'request-vacate', request}),
+	];
+}
+
+/** Takes back wishes whose machine has gone through its order, or is not to be ordered any more. @internal */
+export function withdrawVacates(state: State): JobOutput[] {
+	const {fleet} = state;
+	const outputs: JobOutput[] = [];
+	const endpointIds = new Set([...fleet.machines.values()].map(machine => machine.endpointId));
+	for (const [endpointId, {request}] of fleet.vacates) {
+		const isWanted = request.purpose === 'move' || [...fleet.waves.values()].some(({wave, maintained}) => wave.machines.includes(request.machine) && !maintained.has(request.machine));
+		if (endpointIds.has(endpointId) && (isWanted || isAway(fleet, request.machine))) {
+			continue;
+		}
+
+		fleet.vacates.delete(endpointId);
+		fleet.vacated.delete(endpointId);
+		outputs.push(emitEffect({kind: 'withdraw-vacate', pool: request.pool, endpointId}));
+	}
+
+	return outputs;
+}
--- /dev/null
+++ b/packages/jobs/src/index.ts
@@ -0,0 +1,11 @@
+/**
+Decisions on jobs, free of I/O: events in, effects out.
+
+@packageDocumentation
+*/
+export * from './model/index.js';
+export * from './filter.js';
+export {applyJobEvent, jobFilters} from './apply-job-event.js';
+export {createJobsState, type JobsOptions, type JobsState} from './jobs-state.js';
+export {findQueue, type QueueMatch} from './configuration/index.js';
+export {rosterRecord} from './ledger/index.js';
--- /dev/null
+++ b/packages/jobs/src/intake/index.ts
@@ -0,0 +1,3 @@
+export {
+	createIntakeState, intakeFilter, type IntakeState, type OpenRequest,
+} from './intake-filter.js';
--- /dev/null
+++ b/packages/jobs/src/jobs-state.ts
@@ -0,0 +1,50 @@
+import {createAuthorityState, type AuthorityState} from './authority/index.js';
+import {createConfigurationState, type ConfigurationState} from './configuration/index.js';
+import {createDirectoryState, type DirectoryState} from './directory/index.js';
+import {createEvacuationState, type EvacuationState} from './evacuation/index.js';
+import {createFleetState, type FleetState} from './fleet/index.js';
+import {createIntakeState, type IntakeState} from './intake/index.js';
+import {createLedgerState, type LedgerState} from './ledger/index.js';
+import {createPacingState, type PacingState} from './pacing/index.js';
+import {createPlacementState, type PlacementState} from './placement/index.js';
+import {createSupervisionState, type SupervisionState} from './supervision/index.js';
+
+/** Everything that an entry believes about jobs, endpoints and machines; a part for each filter. @public */
+export type JobsState = {
+	readonly authority: AuthorityState;
+	readonly configuration: ConfigurationState;
+	readonly directory: DirectoryState;
+	readonly intake: IntakeState;
+	readonly supervision: SupervisionState;
+	readonly ledger: LedgerState;
+	readonly evacuation: EvacuationState;
+	readonly placement: PlacementState;
+	readonly pacing: PacingState;
+	readonly fleet: FleetState;
+};
+
+/** @public */
+export type JobsOptions = {
+	/** Name of the entry; the same after a restart. */
+	readonly node: string;
+	/** Differs for each life of the process. */
+	readonly incarnation: string;
+	/** Time in ms for which orders of two holders for one machine are kept apart. */
+	readonly orderLeaseMs: number;
+};
+
+/** @public */
+export function createJobsState({node, incarnation, orderLeaseMs}: JobsOptions): JobsState {
+	return {
+		authority: createAuthorityState(node, incarnation),
+		configuration: createConfigurationState(),
+		directory: createDirectoryState(),
+		intake: createIntakeState(),
+		supervision: createSupervisionState(),
+		ledger: createLedgerState(),
+		evacuation: createEvacuationState(),
+		placement: createPlacementState(),
+		pacing: createPacingState(),
+		fleet: createFleetState(orderLeaseMs),
+	};
+}
--- /dev/null
+++ b/packages/jobs/src/ledger/ledger-filter.ts
@@ -0,0 +1,309 @@
+import {
+	emitEffect, passEvent, restartEvent, type DecisionContext,
+} from '@pistachiogauge/chain';
+import {type DirectoryView} from '../directory/index.js';
+import {emitLog, type JobFilter, type JobOutput} from '../filter.js';
+import {
+	type JobEventOf, type PoolReport, type StoredJob,
+} from '../model/index.js';
+import {applyEnd, endJob, markChanged} from './apply-end.js';
+import {
+	findTask, isActive, isOpen, type LedgerState, type PoolLedger,
+} from './ledger-state.js';
+import {markUncertain, openJob, openOccurrences} from './open-job.js';
+import {saveProgress, settleSave} from './write-progress.js';
+
+/** How long an ended job is kept, in ms: callers may ask for 120 s, and half a minute more for clocks and late repeats. */
+const retentionMs = 150_000;
+/** Pause between looks for jobs that may be forgotten, in ms. */
+const forgetPauseMs = 5000;
+/** Jobs forgotten in one write, of two records each. */
+const forgetBatch = 15;
+/** Least time between two reports of a pool, in ms; callers may be told counts that are 2 s old. */
+const reportPauseMs = 250;
+/** Step of run numbers after an endpoint says that a number was used before. */
+const outdatedRunStep = 16;
+
+type State = {readonly ledger: LedgerState} & DirectoryView;
+
+/**
+Keeps the jobs of the pools that this entry owns: what has ended, what may run next, and what of it is on record.
+
+@public
+*/
+export const ledgerFilter: JobFilter<State> = {
+	name: 'ledger',
+	handlers: {
+		'pool-loaded': loadPool,
+		'pool-lost'({ledger}, {pool}) {
+			ledger.pools.delete(pool);
+			return [];
+		},
+		'pool-surveyed'({ledger}, {pool: name}) {
+			const pool = ledger.pools.get(name);
+			for (const job of pool?.active ?? []) {
+				job.isUncertain = false;
+			}
+
+			return [passEvent({kind: 'placement-due', pool: name})];
+		},
+		'job-recorded': ({ledger}, {stored}, context) => addJob(ledger.pools.get(stored.job.pool), stored, context),
+		'job-cancelled'({ledger}, {pool: name, jobId}, context) {
+			const pool = ledger.pools.get(name);
+			const job = pool?.jobs.get(jobId);
+			return pool === undefined || job === undefined || !isActive(job)
+				? []
+				: [...endJob(pool, job, 'cancelled', context), ...saveNow(pool, context), passEvent({kind: 'placement-due', pool: name})];
+		},
+		'task-placed': noteRun,
+		'run-adopted': noteRun,
+		'run-ended': noteEnd,
+		'run-dropped'({ledger}, {pool: name, taskId, run, checkpoint}, context) {
+			const task = findTask(ledger.pools.get(name), taskId);
+			if (task !== undefined) {
+				task.runs.delete(run);
+				task.idleSince = context.now;
+				task.checkpoint = checkpoint === '' ? task.checkpoint : checkpoint;
+			}
+
+			return [passEvent({kind: 'placement-due', pool: name})];
+		},
+		'start-refused'({ledger}, {taskId, refusal}) {
+			if (refusal !== 'outdated') {
+				return [];
+			}
+
+			for (const pool of ledger.pools.values()) {
+				const job = findTask(pool, taskId)?.step.job;
+				if (job !== undefined) {
+					job.lastRun += outdatedRunStep;
+				}
+			}
+
+			return [];
+		},
+		'endpoint-forgotten'({ledger}, {pool, endpointId}) {
+			ledger.pools.get(pool)?.forgottenIds.add(endpointId);
+			return [];
+		},
+		'progress-saved'({ledger}, event, context) {
+			const pool = ledger.pools.get(event.pool);
+			return pool?.token === event.token ? [...settleSave(pool, event, context), ...saveNow(pool, context)] : [];
+		},
+		tick: (state, _event, context) => [...state.ledger.pools.values()].flatMap(pool => [
+			...openDueJobs(pool, context),
+			...saveProgress(pool, getRosterIds(state, pool), context),
+			...publishReport(state, pool, context),
+			...forgetJobs(pool, context),
+		]),
+	},
+};
+
+function loadPool({ledger}: State, {
+	pool: name, token, jobs, ended, roster, rosterRevision,
+}: JobEventOf<'pool-loaded'>, context: DecisionContext): JobOutput[] {
+	const pool: PoolLedger = {
+		pool: name,
+		token,
+		jobs: new Map(),
+		ended: new Map(ended),
+		active: new Set(),
+		dirty: new Set(),
+		dirtySince: undefined,
+		isUrgent: false,
+		pendingSave: undefined,
+		saveRetryAt: 0,
+		nextSaveId: 1,
+		rosterRevision,
+		rosterIds: new Set(roster.endpointIds),
+		forgottenIds: new Set(),
+		lastReport: '',
+		reportedAt: 0,
+		forgetAt: context.now + forgetPauseMs,
+	};
+	ledger.pools.set(name, pool);
+	for (const stored of jobs) {
+		addJob(pool, stored, context);
+	}
+
+	for (const job of pool.jobs.values()) {
+		markUncertain(job);
+	}
+
+	return [emitLog('info', 'pool loaded', {
+		pool: name, token, jobs: pool.jobs.size, active: pool.active.size, roster: roster.endpointIds.length,
+	})];
+}
+
+function addJob(pool: PoolLedger | undefined, stored: StoredJob, context: DecisionContext): JobOutput[] {
+	const {id} = stored.job;
+	if (pool === undefined || pool.jobs.has(id) || pool.ended.has(id)) {
+		return [];
+	}
+
+	const job = openJob(stored, context);
+	pool.jobs.set(id, job);
+	if (job.version > job.savedVersion) {
+		// Cancelled before this entry knew it.
+		pool.dirty.add(job);
+		pool.dirtySince ??= context.now;
+		pool.isUrgent = true;
+	}
+
+	if (!isActive(job)) {
+		return [];
+	}
+
+	pool.active.add(job);
+	return [
+		emitLog('info', 'job known', {
+			job: id, queue: job.record.queue, pool: pool.pool, token: pool.token, revision: stored.revision, ageMs: Math.round(context.now - job.acceptedAt),
+		}),
+		passEvent({kind: 'placement-due', pool: pool.pool}),
+	];
+}
+
+function noteRun({ledger}: State, {pool: name, taskId, run, endpointId}: {readonly pool: string; readonly taskId: string; readonly run: number; readonly endpointId: string}, context: DecisionContext): JobOutput[] {
+	const pool = ledger.pools.get(name);
+	const task = findTask(pool, taskId);
+	if (pool === undefined || task === undefined) {
+		return [];
+	}
+
+	const {job} = task.step;
+	task.runs.set(run, endpointId);
+	job.lastRun = Math.max(job.lastRun, run);
+	if (job.status === 'queued') {
+		job.status = 'running';
+		markChanged(pool, job, context.now);
+	}
+
+	return [];
+}
+
+function noteEnd({ledger}: State, {pool: name, endpointId, end}: JobEventOf<'run-ended'>, context: DecisionContext): JobOutput[] {
+	const pool = ledger.pools.get(name);
+	const task = findTask(pool, end.taskId);
+	if (pool === undefined || task === undefined) {
+		// Of a job that ended or that nobody knows: there is nothing to record.
+		return [restartEvent({kind: 'end-recorded', endpointId, number: end.number})];
+	}
+
+	const {job} = task.step;
+	const outputs = applyEnd(pool, task, end, context);
+	const isOnRecord = job.version <= job.savedVersion;
+	if (isOnRecord) {
+		outputs.push(restartEvent({kind: 'end-recorded', endpointId, number: end.number}));
+	} else {
+		job.unrecordedEnds.push({endpointId, number: end.number, version: job.version});
+	}
+
+	return [...outputs, ...saveNow(pool, context), passEvent({kind: 'placement-due', pool: name})];
+}
+
+/** Writes at once what callers wait for; the rest goes with the next tick. */
+function saveNow(pool: PoolLedger, context: DecisionContext): JobOutput[] {
+	return pool.isUrgent ? saveProgress(pool, pool.rosterIds, context) : [];
+}
+
+function openDueJobs(pool: PoolLedger, context: DecisionContext): JobOutput[] {
+	let isDue = false;
+	for (const job of pool.active) {
+		isDue = openOccurrences(job, context) || isDue;
+	}
+
+	return isDue ? [passEvent({kind: 'placement-due', pool: pool.pool})] : [];
+}
+
+/** Endpoints that may run tasks: those listed for the pool, and those on record of which it is not certain that they run nothing. */
+function getRosterIds(state: State, pool: PoolLedger): ReadonlySet<string> {
+	const ids = new Set<string>();
+	for (const endpoint of state.directory.endpoints.values()) {
+		if (endpoint.pool === pool.pool) {
+			ids.add(endpoint.id);
+			pool.forgottenIds.delete(endpoint.id);
+		}
+	}
+
+	for (const id of pool.rosterIds) {
+		if (!pool.forgottenIds.has(id)) {
+			ids.add(id);
+		}
+	}
+
+	return ids;
+}
+
+function publishReport(state: State, pool: PoolLedger, context: DecisionContext): JobOutput[] {
+	if (context.now < pool.reportedAt + reportPauseMs) {
+		return [];
+	}
+
+	const report = createReport(state, pool);
+	const text = JSON.stringify(report);
+	if (text === pool.lastReport) {
+		return [];
+	}
+
+	pool.lastReport = text;
+	pool.reportedAt = context.now;
+	return [emitEffect({kind: 'publish-report', token: pool.token, report})];
+}
+
+function createReport(state: State, pool: PoolLedger): PoolReport {
+	const waiting: Record<string, number> = {};
+	const busy = new Set<string>();
+	let backlogMillis = 0;
+	let usedMillis = 0;
+	for (const job of pool.active) {
+		if (job.status === 'queued') {
+			waiting[job.record.queue] = (waiting[job.record.queue] ?? 0) + 1;
+		}
+
+		for (const step of job.steps.values()) {
+			const isStepOpen = isOpen(step);
+			for (const task of step.tasks) {
+				const cpuMillis = step.spec.isFiller ? 0 : step.spec.room.cpuMillis;
+				for (const endpointId of task.runs.values()) {
+					busy.add(endpointId);
+					usedMillis += cpuMillis;
+				}
+
+				if (isStepOpen && !task.isDone && task.runs.size === 0) {
+					backlogMillis += cpuMillis;
+				}
+			}
+		}
+	}
+
+	const endpoints = [...state.directory.endpoints.values()].filter(endpoint => endpoint.pool === pool.pool && endpoint.state === 'ready');
+	return {
+		pool: pool.pool,
+		waiting,
+		backlogMillis,
+		usedMillis,
+		capacityMillis: endpoints.reduce((sum, endpoint) => sum + endpoint.room.cpuMillis, 0),
+		idleEndpoints: endpoints.filter(endpoint => !busy.has(endpoint.id)).map(endpoint => endpoint.id),
+	};
+}
+
+function forgetJobs(pool: PoolLedger, context: DecisionContext): JobOutput[] {
+	if (context.now < pool.forgetAt) {
+		return [];
+	}
+
+	pool.forgetAt = context.now + forgetPauseMs;
+	const old = [...pool.ended]
+		.filter(([, {endedAt}]) => context.wallTime > endedAt + retentionMs)
+		.map(([jobId]) => jobId)
+		.slice(0, forgetBatch);
+	for (const jobId of old) {
+		pool.ended.delete(jobId);
+	}
+
+	return old.length === 0
+		? []
+		: [emitEffect({
+			kind: 'forget-jobs', pool: pool.pool, token: pool.token, jobIds: old,
+		})];
+}
--- /dev/null
+++ b/packages/jobs/src/model/coordination.ts
@@ -0,0 +1,59 @@
+/** An entry that takes part, as registered under its lease. @public */
+export type Member = {
+	readonly node: string;
+	/** Differs for each life of the process. */
+	readonly incarnation: string;
+	/** Share of a core that the entry has; a larger entry is given more pools. */
+	readonly weight: number;
+};
+
+/** Name of the claim on all orders to machines. @public */
+export const fleetClaim = 'fleet';
+
+/** Claims are on pools, by their name with this prefix, and on the fleet. @public */
+export const poolClaimPrefix = 'pool/';
+
+/** Who may act for a pool or for the fleet. @public */
+export type Claim = {
+	readonly name: string;
+	readonly node: string;
+	readonly incarnation: string;
+	/** Revision of the record. It rises with each claim and serves as the fencing token. */
+	readonly token: number;
+};
+
+/** What a pool's owner tells the others about it, some times a second. @public */
+export type PoolReport = {
+	readonly pool: string;
+	/** Accepted jobs by queue of which no task has started. */
+	readonly waiting: Readonly<Record<string, number>>;
+	/** Thousandths of a core that tasks ready to run ask for and have not got. */
+	readonly backlogMillis: number;
+	/** Thousandths of a core in use. */
+	readonly usedMillis: number;
+	/** Thousandths of a core of all endpoints in use for new tasks. */
+	readonly capacityMillis: number;
+	/** Endpoints with no task, the first to be given away. */
+	readonly idleEndpoints: readonly string[];
+};
+
+/** A wish that an endpoint be empty, so that its machine can be ordered away. @public */
+export type VacateRequest = {
+	readonly pool: string;
+	readonly endpointId: string;
+	readonly machine: string;
+	readonly purpose: 'maintenance' | 'move';
+	/** Unix ms after which running tasks are stopped rather than awaited. */
+	readonly dueAt: number;
+};
+
+/** The owner's answer to a request: the endpoint runs nothing and gets nothing new. @public */
+export type VacatedEndpoint = {
+	readonly pool: string;
+	readonly endpointId: string;
+};
+
+/** Endpoints that an owner may have started tasks on; written before the first start there. @public */
+export type Roster = {
+	readonly endpointIds: readonly string[];
+};
--- /dev/null
+++ b/packages/jobs/src/model/room.ts
@@ -0,0 +1,25 @@
+/** Processor, memory and accelerators that a task takes or an endpoint has. @public */
+export type Room = {
+	/** Thousandths of a core. */
+	readonly cpuMillis: number;
+	readonly memoryMb: number;
+	readonly gpus: number;
+};
+
+/** @public */
+export const emptyRoom: Room = {cpuMillis: 0, memoryMb: 0, gpus: 0};
+
+/** @public */
+export function addRoom(left: Room, right: Room): Room {
+	return {cpuMillis: left.cpuMillis + right.cpuMillis, memoryMb: left.memoryMb + right.memoryMb, gpus: left.gpus + right.gpus};
+}
+
+/** The difference; a component may be negative when more is taken than there is. @public */
+export function takeRoom(left: Room, right: Room): Room {
+	return {cpuMillis: left.cpuMillis - right.cpuMillis, memoryMb: left.memoryMb - right.memoryMb, gpus: left.gpus - right.gpus};
+}
+
+/** Whether the wanted room fits into the free room. @public */
+export function hasRoom(free: Room, wanted: Room): boolean {
+	return wanted.cpuMillis <= free.cpuMillis && wanted.memoryMb <= free.memoryMb && wanted.gpus <= free.gpus;
+}
--- /dev/null
+++ b/packages/jobs/src/pacing/index.ts
@@ -0,0 +1,1 @@
+export {createPacingState, pacingFilter, type PacingState} from './pacing-filter.js';
--- /dev/null
+++ b/packages/jobs/src/placement/index.ts
@@ -0,0 +1,2 @@
+export {placementFilter} from './placement-filter.js';
+export {createPlacementState, type PlacementState} from './placement-state.js';
--- /dev/null
+++ b/packages/jobs/src/placement/placement-filter.ts
@@ -0,0 +1,311 @@
+import {emitEffect, restartEvent, type DecisionContext} from '@pistachiogauge/chain';
+import {type DirectoryView} from '../directory/index.js';
+import {type EvacuationView} from '../evacuation/index.js';
+import {emitLog, type JobFilter, type JobOutput} from '../filter.js';
+import {
+	findTask, type LedgerView, type PoolLedger, type Step, type Task,
+} from '../ledger/index.js';
+import {takeRoom, type JobEventOf} from '../model/index.js';
+import {getUsedRoom, type SupervisionView} from '../supervision/index.js';
+import {chooseEndpoint, takeCandidate, type Candidate} from './choose-endpoint.js';
+import {getOpenSteps, orderJobs} from './order-jobs.js';
+import {type EndpointRecord, type PlacementState} from './placement-state.js';
+
+/** Steps that find no room before the search ends; those after them are seldom much smaller. */
+const missLimit = 24;
+/** Weight of the newest measurement in a moving mean. */
+const newestWeight = 0.1;
+/** Failures in a row after which an endpoint is avoided: jobs fail by themselves in 3 of 100 cases, so three in a row are not chance. */
+const failureLimit = 3;
+/** Time in ms for which such an endpoint is avoided, before it is tried again. */
+const avoidMs = 3000;
+/** Endpoints asked about in one call for advice. */
+const adviceCount = 30;
+/** Time in ms after which unanswered advice is asked for again. */
+const adviceTimeoutMs = 2000;
+
+type State = {readonly placement: PlacementState} & LedgerView & SupervisionView & DirectoryView & EvacuationView;
+
+/**
+Chooses which tasks start, and where.
+
+@public
+*/
+export const placementFilter: JobFilter<State> = {
+	name: 'placement',
+	handlers: {
+		'placement-due': (state, {pool}, context) => placeTasks(state, pool, context),
+		'task-placed'({placement}, {endpointId, taskId}) {
+			placement.reserved.get(endpointId)?.delete(taskId);
+			return [];
+		},
+		'run-ended': learnFromEnd,
+		'advice-answered'(state, {pool, stepId, tickets, validMs}, context) {
+			state.placement.adviceAsked.delete(stepId);
+			if (tickets === undefined) {
+				return [];
+			}
+
+			state.placement.advice.set(stepId, {tickets, validUntil: context.now + validMs});
+			return placeTasks(state, pool, context);
+		},
+		tick: (state, _event, context) => [...state.ledger.pools.keys()].flatMap(pool => placeTasks(state, pool, context)),
+	},
+};
+
+function placeTasks(state: State, poolName: string, context: DecisionContext): JobOutput[] {
+	const pool = state.ledger.pools.get(poolName);
+	if (pool === undefined || pool.active.size === 0) {
+		return [];
+	}
+
+	const waiting = [...pool.active].filter(job => hasPending(job.steps.values()));
+	if (waiting.length === 0) {
+		return [];
+	}
+
+	const candidates = getCandidates(state, pool, context);
+	if (candidates.length === 0) {
+		return [];
+	}
+
+	const outputs: JobOutput[] = [];
+	let misses = 0;
+	for (const {job} of orderJobs(waiting, queue => state.placement.estimateFactors.get(queue) ?? 1, context.now)) {
+		if (job.isUncertain) {
+			continue;
+		}
+
+		for (const step of getOpenSteps(job)) {
+			const place = step.spec.isGang ? placeGang : placeStep;
+			const {placed, hasMissed} = place(state, step, candidates, context);
+			outputs.push(...placed);
+			misses += hasMissed ? 1 : 0;
+		}
+
+		if (misses >= missLimit) {
+			break;
+		}
+	}
+
+	return outputs;
+}
+
+function hasPending(steps: Iterable<Step>): boolean {
+	for (const step of steps) {
+		if (step.doneCount < step.tasks.length && step.tasks.some(task => isPending(task))) {
+			return true;
+		}
+	}
+
+	return false;
+}
+
+function isPending(task: Task): boolean {
+	return !task.isDone && task.runs.size === 0;
+}
+
+function getCandidates({supervision, directory, evacuation, placement}: State, pool: Readonly<PoolLedger>, context: DecisionContext): Candidate[] {
+	const candidates: Candidate[] = [];
+	for (const watch of supervision.watches.values()) {
+		const endpoint = directory.endpoints.get(watch.id);
+		if (watch.pool !== pool.pool || watch.phase !== 'held' || endpoint?.state !== 'ready' || !pool.rosterIds.has(watch.id)) {
+			continue;
+		}
+
+		const record = placement.endpoints.get(watch.id);
+		if (context.now < watch.coolUntil || context.now < (record?.avoidUntil ?? 0) || evacuation.requests.has(watch.id)) {
+			continue;
+		}
+
+		const runs = [...watch.runs.values()];
+		const candidate: Candidate = {
+			endpoint,
+			free: takeRoom(endpoint.room, getUsedRoom(watch)),
+			fillerCount: runs.filter(run => run.isFiller).length,
+			servingCount: runs.filter(run => run.isLongRunning && !run.isFiller).length,
+			slowness: record?.slowness ?? 1,
+		};
+		for (const step of placement.reserved.get(watch.id)?.values() ?? []) {
+			takeCandidate(candidate, step);
+		}
+
+		candidates.push(candidate);
+	}
+
+	return candidates;
+}
+
+type Placing = {readonly placed: JobOutput[]; readonly hasMissed: boolean};
+
+function placeStep(state: State, step: Step, candidates: readonly Candidate[], context: DecisionContext): Placing {
+	const placed: JobOutput[] = [];
+	const advised = adviseStep(state, step, candidates, context);
+	if (advised.outputs.length > 0) {
+		return {placed: advised.outputs, hasMissed: false};
+	}
+
+	const run = step.job.lastRun + 1;
+	for (const task of step.tasks) {
+		if (!isPending(task)) {
+			continue;
+		}
+
+		const chosen = chooseEndpoint(advised.candidates, task, state.placement.failedOn.get(task.id));
+		if (chosen === undefined) {
+			return {placed, hasMissed: true};
+		}
+
+		placed.push(...placeTask(state, {
+			task, run, chosen, ticket: advised.tickets?.get(chosen.endpoint.id),
+		}));
+	}
+
+	return {placed, hasMissed: false};
+}
+
+/** Places all tasks of a gang or none; they wait for each other. */
+function placeGang(state: State, step: Step, candidates: readonly Candidate[], context: DecisionContext): Placing {
+	if (!step.tasks.every(task => isPending(task))) {
+		return {placed: [], hasMissed: false};
+	}
+
+	const advised = adviseStep(state, step, candidates, context);
+	if (advised.outputs.length > 0) {
+		return {placed: advised.outputs, hasMissed: false};
+	}
+
+	for (const group of groupByRack(advised.candidates, step)) {
+		const before = group.map(candidate => ({...candidate}));
+		const run = step.job.lastRun + 1;
+		// All members resume from one value; any member's is valid for the gang.
+		const checkpoint = step.tasks.map(task => task.checkpoint).sort().at(-1) ?? '';
+		const placed: JobOutput[] = [];
+		for (const task of step.tasks) {
+			const chosen = chooseEndpoint(group, task, undefined);
+			if (chosen === undefined) {
+				break;
+			}
+
+			placed.push(...placeTask(state, {
+				task, run, chosen, ticket: advised.tickets?.get(chosen.endpoint.id), checkpoint,
+			}));
+		}
+
+		if (step.tasks.every(task => task.runs.has(run))) {
+			return {placed, hasMissed: false};
+		}
+
+		for (const task of step.tasks) {
+			state.placement.reserved.get(task.runs.get(run) ?? '')?.delete(task.id);
+			task.runs.delete(run);
+		}
+
+		for (const [index, candidate] of group.entries()) {
+			Object.assign(candidate, before[index]);
+		}
+	}
+
+	return {placed: [], hasMissed: true};
+}
+
+/** Racks with the most free room first, and all endpoints together last. */
+function groupByRack(candidates: readonly Candidate[], step: Step): ReadonlyArray<readonly Candidate[]> {
+	if (!step.spec.isSameRack) {
+		return [candidates];
+	}
+
+	const racks = new Map<string, Candidate[]>();
+	for (const candidate of candidates) {
+		racks.set(candidate.endpoint.rack, [...(racks.get(candidate.endpoint.rack) ?? []), candidate]);
+	}
+
+	const getFree = (group: readonly Candidate[]) => group.reduce((sum, candidate) => sum + candidate.free.cpuMillis, 0);
+	return [...[...racks.values()].sort((left, right) => getFree(right) - getFree(left)), candidates];
+}
+
+function placeTask({placement}: State, {task, run, chosen, ticket, checkpoint = task.checkpoint}: {
+	readonly task: Task;
+	readonly run: number;
+	readonly chosen: Candidate;
+	readonly ticket: string | undefined;
+	readonly checkpoint?: string;
+}): JobOutput[] {
+	takeCandidate(chosen, task.step);
+	// The search that follows counts this run; the ledger notes it when the event reaches it.
+	task.runs.set(run, chosen.endpoint.id);
+	const reserved = placement.reserved.get(chosen.endpoint.id) ?? new Map<string, Step>();
+	placement.reserved.set(chosen.endpoint.id, reserved.set(task.id, task.step));
+	return [
+		emitLog('info', 'task placed', {
+			job: task.step.job.record.id, task: task.id, run, endpoint: chosen.endpoint.id, freeMillis: chosen.free.cpuMillis, hasCheckpoint: checkpoint !== '',
+		}),
+		restartEvent({
+			kind: 'task-placed', pool: task.step.job.record.pool, taskId: task.id, run, endpointId: chosen.endpoint.id, checkpoint, ticket,
+		}),
+	];
+}
+
+type Advised = {
+	readonly candidates: readonly Candidate[];
+	readonly tickets: ReadonlyMap<string, string> | undefined;
+	readonly outputs: JobOutput[];
+};
+
+/** Narrows the candidates to those that the queue's policy allows, and asks for advice where it is not known. */
+function adviseStep({placement}: State, step: Step, candidates: readonly Candidate[], context: DecisionContext): Advised {
+	const {record} = step.job;
+	if (record.advice === undefined) {
+		return {candidates, tickets: undefined, outputs: []};
+	}
+
+	const stepId = `${record.id}.${step.key}`;
+	const advice = placement.advice.get(stepId);
+	if (advice !== undefined && context.now < advice.validUntil) {
+		return {candidates: candidates.filter(({endpoint}) => advice.tickets.has(endpoint.id)), tickets: advice.tickets, outputs: []};
+	}
+
+	const askedAt = placement.adviceAsked.get(stepId);
+	if (askedAt !== undefined && context.now < askedAt + adviceTimeoutMs) {
+		return {candidates: [], tickets: undefined, outputs: []};
+	}
+
+	placement.adviceAsked.set(stepId, context.now);
+	return {
+		candidates: [],
+		tickets: undefined,
+		outputs: [emitEffect({
+			kind: 'ask-advice', pool: record.pool, stepId, endpointIds: candidates.slice(0, adviceCount).map(({endpoint}) => endpoint.id),
+		})],
+	};
+}
+
+/** Learns durations and faults from the ends of runs. */
+function learnFromEnd({placement, ledger}: State, {pool, endpointId, end, wasExpected, tookMs}: JobEventOf<'run-ended'>, context: DecisionContext): JobOutput[] {
+	const record: EndpointRecord = placement.endpoints.get(endpointId) ?? {failuresInRow: 0, avoidUntil: 0, slowness: 1};
+	placement.endpoints.set(endpointId, record);
+	if (end.how === 'failed') {
+		placement.failedOn.set(end.taskId, endpointId);
+		record.failuresInRow += 1;
+		if (record.failuresInRow < failureLimit) {
+			return [];
+		}
+
+		record.avoidUntil = context.now + avoidMs;
+		return [emitLog('warn', 'endpoint avoided', {endpoint: endpointId, failuresInRow: record.failuresInRow, avoidMs})];
+	}
+
+	placement.failedOn.delete(end.taskId);
+	const step = findTask(ledger.pools.get(pool), end.taskId)?.step;
+	if (end.how !== 'done' || step === undefined || !wasExpected || step.spec.estimateMs === 0 || step.spec.isLongRunning) {
+		return [];
+	}
+
+	record.failuresInRow = 0;
+	const {queue} = step.job.record;
+	const factor = placement.estimateFactors.get(queue) ?? 1;
+	const measured = Math.min(10, tookMs / step.spec.estimateMs);
+	placement.estimateFactors.set(queue, factor + (newestWeight * (measured - factor)));
+	record.slowness += newestWeight * ((measured / Math.max(factor, 0.01)) - record.slowness);
+	return [];
+}
--- /dev/null
+++ b/packages/jobs/src/supervision/lease-clock.ts
@@ -0,0 +1,34 @@
+import {type Watch} from './supervision-state.js';
+
+/**
+Lease of everything that runs on an endpoint, in ms.
+
+It has to outlive the loss of all entries at once: a restart of 3 s, the end of their claims and the survey of the pool by the next owner. It may be 10 s at most, and work on a dark rack starts anew only after it.
+*/
+export const leaseMs = 6000;
+/** Time in ms after which an endpoint refuses a start as late; a start that is carried out seconds later must not count. */
+export const startDeadlineMs = 1500;
+/** An endpoint's clock may be this much slower than ours. */
+const slowClockFactor = 1.02;
+/** Time in ms for an endpoint to end what has lapsed, and for its answer's way. */
+const lapseSlackMs = 250;
+
+/** The endpoint's clock by now, if it ran like ours. @internal */
+export function estimateClock(watch: Readonly<Watch>, now: number): number | undefined {
+	return watch.clockMs === undefined ? undefined : Math.round(watch.clockMs + (now - watch.clockAt));
+}
+
+/** Whether every lease that the endpoint can have been given has run out, on a clock as slow as it may be. @internal */
+export function hasLapsed(watch: Readonly<Watch>, now: number): boolean {
+	if (watch.clockMs === undefined) {
+		return now > watch.formerLeaseUntil;
+	}
+
+	const clockAtLeast = watch.clockMs + ((now - watch.clockAt) / slowClockFactor);
+	return clockAtLeast > watch.leaseDeadlineMs + lapseSlackMs && now > watch.formerLeaseUntil;
+}
+
+/** When a lease that a former owner gave before now has run out for certain. @internal */
+export function getFormerLeaseEnd(now: number): number {
+	return now + (leaseMs * slowClockFactor) + lapseSlackMs;
+}
--- /dev/null
+++ b/packages/jobs/src/supervision/read-hold.ts
@@ -0,0 +1,220 @@
+import {emitEffect, passEvent, type DecisionContext} from '@pistachiogauge/chain';
+import {emitLog, type JobOutput} from '../filter.js';
+import {
+	findTask, isActive, type LedgerView, type Task,
+} from '../ledger/index.js';
+import {
+	type JobEventOf, type ReportedEnd, type ReportedRun, type RunDropReason,
+} from '../model/index.js';
+import {getTarget} from './hold-endpoints.js';
+import {
+	type PoolWatch, type Run, type SupervisionState, type Watch,
+} from './supervision-state.js';
+
+/**
+Time in ms after a claim in which an endpoint may run tasks of jobs that this entry has not heard of: a former owner started them before it was fenced, and the record is still on its way.
+*/
+const strangerMs = 3000;
+/** Pause in ms before a stop is sent again. */
+const stopAgainMs = 500;
+/** Ends are listed this many at a time; with a full list, a run that is missing may have ended. */
+const endsPerAnswer = 500;
+
+type State = {readonly supervision: SupervisionState} & LedgerView;
+type Hold = JobEventOf<'hold-answered'>;
+
+/** Takes over what an endpoint says that it runs and that has ended. @internal */
+export function readHold(state: State, watch: Watch, hold: Hold, context: DecisionContext): JobOutput[] {
+	const pool = state.supervision.pools.get(watch.pool)!;
+	const outputs: JobOutput[] = [];
+	if (watch.bornAt !== undefined && watch.bornAt !== hold.bornAt) {
+		outputs.push(
+			emitLog('warn', 'endpoint restarted', {endpoint: watch.id, bornAt: hold.bornAt, before: watch.bornAt}),
+			...dropRuns(watch, 'endpoint-restarted'),
+		);
+		watch.processedUpTo = 0;
+		watch.unrecordedEnds.clear();
+		watch.leaseDeadlineMs = 0;
+		watch.clockMs = undefined;
+	}
+
+	watch.bornAt = hold.bornAt;
+	if (watch.clockMs === undefined || hold.clockMs >= watch.clockMs) {
+		watch.clockMs = hold.clockMs;
+		watch.clockAt = context.now;
+	}
+
+	outputs.push(...readEnds(state, pool, watch, hold.ended, context));
+	const reported = new Set<string>();
+	for (const report of hold.running) {
+		reported.add(report.taskId);
+		outputs.push(...readRun(state, pool, watch, report, context));
+	}
+
+	if (hold.ended.length < endsPerAnswer) {
+		outputs.push(...findMissingRuns(watch, reported, hold.clockMs));
+	}
+
+	return outputs;
+}
+
+/** Ends all runs of an endpoint that is certain not to run them. @internal */
+export function dropRuns(watch: Watch, reason: RunDropReason): JobOutput[] {
+	return [...watch.runs.values()].flatMap(run => dropRun(watch, run, reason));
+}
+
+/** Ends a run that is certain not to be at work. @internal */
+export function dropRun(watch: Watch, run: Run, reason: RunDropReason): JobOutput[] {
+	watch.runs.delete(run.taskId);
+	return [
+		emitLog(reason === 'not-started' ? 'debug' : 'info', 'run dropped', {
+			task: run.taskId, run: run.run, endpoint: watch.id, reason, phase: run.phase, percent: run.percent, token: watch.token,
+		}),
+		passEvent({
+			kind: 'run-dropped', pool: watch.pool, taskId: run.taskId, run: run.run, endpointId: watch.id, reason, checkpoint: run.checkpoint,
+		}),
+	];
+}
+
+/** Tells an endpoint to stop a run. @internal */
+export function stopRun(watch: Watch, run: Run, now: number): JobOutput[] {
+	run.phase = 'stopping';
+	run.stopAskedAt = now;
+	return [emitEffect({
+		kind: 'stop-task', target: getTarget(watch), taskId: run.taskId, run: run.run,
+	})];
+}
+
+function readEnds(state: State, pool: PoolWatch, watch: Watch, ended: readonly ReportedEnd[], context: DecisionContext): JobOutput[] {
+	const ledger = state.ledger.pools.get(watch.pool);
+	const outputs: JobOutput[] = [];
+	for (const end of [...ended].sort((left, right) => left.number - right.number)) {
+		if (end.number <= watch.processedUpTo) {
+			continue;
+		}
+
+		const jobId = end.taskId.split('.', 1)[0]!;
+		if (ledger?.jobs.has(jobId) !== true && ledger?.ended.has(jobId) !== true && context.now < pool.acquiredAt + strangerMs) {
+			// Read again once the job's record has arrived.
+			break;
+		}
+
+		watch.processedUpTo = end.number;
+		watch.unrecordedEnds.add(end.number);
+		const run = watch.runs.get(end.taskId);
+		const wasExpected = run?.run === end.run;
+		if (wasExpected) {
+			watch.runs.delete(end.taskId);
+		}
+
+		outputs.push(passEvent({
+			kind: 'run-ended', pool: watch.pool, endpointId: watch.id, end, wasExpected, tookMs: run === undefined ? 0 : context.now - run.startedAt,
+		}));
+	}
+
+	return outputs;
+}
+
+function readRun(state: State, pool: PoolWatch, watch: Watch, report: ReportedRun, context: DecisionContext): JobOutput[] {
+	const run = watch.runs.get(report.taskId);
+	if (run?.run === report.run) {
+		return updateRun(watch, run, report, context);
+	}
+
+	const ledger = state.ledger.pools.get(watch.pool);
+	const jobId = report.taskId.split('.', 1)[0]!;
+	const firstSeen = watch.strangers.get(report.taskId) ?? context.now;
+	const isUnknown = ledger?.jobs.has(jobId) !== true && ledger?.ended.has(jobId) !== true;
+	if (isUnknown && context.now < Math.max(firstSeen, pool.acquiredAt) + strangerMs) {
+		watch.strangers.set(report.taskId, firstSeen);
+		return [];
+	}
+
+	watch.strangers.delete(report.taskId);
+	const task = findTask(ledger, report.taskId);
+	if (task !== undefined && mayAdopt(task) && run === undefined) {
+		return adoptRun(watch, task, report, context);
+	}
+
+	return [
+		emitLog('info', 'unwanted run stopped', {
+			task: report.taskId, run: report.run, endpoint: watch.id, token: watch.token,
+		}),
+		emitEffect({
+			kind: 'stop-task', target: getTarget(watch), taskId: report.taskId, run: report.run,
+		}),
+	];
+}
+
+function mayAdopt(task: Task): boolean {
+	return isActive(task.step.job) && !task.isDone && (task.runs.size === 0 || task.step.spec.mayDuplicate);
+}
+
+function adoptRun(watch: Watch, task: Task, report: ReportedRun, context: DecisionContext): JobOutput[] {
+	const {spec} = task.step;
+	watch.runs.set(report.taskId, {
+		taskId: report.taskId,
+		run: report.run,
+		room: spec.room,
+		isFiller: spec.isFiller,
+		isLongRunning: spec.isLongRunning,
+		phase: 'running',
+		startedAt: context.now,
+		startDeadlineMs: 0,
+		confirmedClockMs: watch.clockMs,
+		percent: report.percent,
+		progressedAt: context.now,
+		checkpoint: report.checkpoint,
+		load: report.load,
+		pacePercent: 100,
+		stopAskedAt: 0,
+	});
+	return [
+		emitLog('info', 'run adopted', {
+			task: report.taskId, run: report.run, endpoint: watch.id, token: watch.token,
+		}),
+		passEvent({
+			kind: 'run-adopted', pool: watch.pool, taskId: report.taskId, run: report.run, endpointId: watch.id,
+		}),
+	];
+}
+
+function updateRun(watch: Watch, run: Run, report: ReportedRun, context: DecisionContext): JobOutput[] {
+	if (report.percent > run.percent) {
+		run.progressedAt = context.now;
+	}
+
+	run.percent = report.percent;
+	run.load = report.load;
+	run.checkpoint = report.checkpoint;
+	run.confirmedClockMs ??= watch.clockMs;
+	if (run.phase === 'starting' || run.phase === 'unsure') {
+		run.phase = 'running';
+	}
+
+	return run.phase === 'stopping' && context.now > run.stopAskedAt + stopAgainMs ? stopRun(watch, run, context.now) : [];
+}
+
+/** Runs that the endpoint does not list: either they never started, or they are gone. */
+function findMissingRuns(watch: Watch, reported: ReadonlySet<string>, clockMs: number): JobOutput[] {
+	const outputs: JobOutput[] = [];
+	for (const run of watch.runs.values()) {
+		if (reported.has(run.taskId)) {
+			continue;
+		}
+
+		if (run.confirmedClockMs === undefined) {
+			if (run.phase === 'unsure' && clockMs > run.startDeadlineMs) {
+				outputs.push(...dropRun(watch, run, 'not-started'));
+			}
+
+			continue;
+		}
+
+		if (clockMs > run.confirmedClockMs && watch.unrecordedEnds.size < endsPerAnswer) {
+			outputs.push(...dropRun(watch, run, 'not-listed'));
+		}
+	}
+
+	return outputs;
+}
--- /dev/null
+++ b/packages/jobs/src/supervision/supervision-filter.ts
@@ -0,0 +1,367 @@
+import {emitEffect, passEvent, type DecisionContext} from '@pistachiogauge/chain';
+import {type DirectoryView} from '../directory/index.js';
+import {
+	emitCount, emitLog, type JobFilter, type JobOutput,
+} from '../filter.js';
+import {findTask, type LedgerView} from '../ledger/index.js';
+import {
+	poolClaimPrefix, type JobEventOf, type OrderRefusal,
+} from '../model/index.js';
+import {getTarget, holdEndpoint, planNextHold} from './hold-endpoints.js';
+import {
+	estimateClock, getFormerLeaseEnd, hasLapsed, startDeadlineMs,
+} from './lease-clock.js';
+import {
+	dropRun, dropRuns, readHold, stopRun,
+} from './read-hold.js';
+import {
+	type PoolWatch, type SupervisionState, type Watch,
+} from './supervision-state.js';
+
+/** Pause in ms before a silent endpoint is asked again. */
+const silentPauseMs = 400;
+/** Pause in ms after an endpoint had less room than was reckoned. */
+const noRoomPauseMs = 200;
+/** Pause in ms after an endpoint said that it is unhealthy; about a health check's interval. */
+const unhealthyPauseMs = 1000;
+
+type State = {readonly supervision: SupervisionState} & LedgerView & DirectoryView;
+
+/**
+Holds the endpoints of the pools that this entry owns: keeps their leases, reads what runs and what has ended, and accounts for each order that was not answered.
+
+@public
+*/
+export const supervisionFilter: JobFilter<State> = {
+	name: 'supervision',
+	handlers: {
+		'pool-loaded'({supervision}, {pool, token, roster}, context) {
+			forgetPool(supervision, pool);
+			supervision.pools.set(pool, {
+				pool, token, acquiredAt: context.now, isSurveyed: false,
+			});
+			for (const id of roster.endpointIds) {
+				supervision.watches.set(id, createWatch({id, pool, address: ''}, token, context));
+			}
+
+			return [];
+		},
+		'pool-lost'({supervision}, {pool}) {
+			forgetPool(supervision, pool);
+			return [];
+		},
+		tick: (state, _event, context) => [
+			...followDirectory(state, context),
+			...[...state.supervision.watches.values()].flatMap(watch => checkWatch(state, watch, context)),
+			...[...state.supervision.pools.values()].flatMap(pool => checkSurvey(state, pool)),
+		],
+		'hold-answered'(state, event, context) {
+			const watch = state.supervision.watches.get(event.endpointId);
+			if (watch === undefined) {
+				return [];
+			}
+
+			watch.isHolding = false;
+			const before = watch.phase;
+			const outputs = readHold(state, watch, event, context);
+			watch.phase = 'held';
+			watch.silentSince = undefined;
+			if (before !== 'held') {
+				outputs.push(emitLog('info', 'endpoint held', {
+					endpoint: watch.id, pool: watch.pool, before, token: watch.token, runs: watch.runs.size, clockMs: event.clockMs,
+				}));
+			}
+
+			planNextHold(watch, context.now);
+			return [
+				...outputs,
+				...(watch.unrecordedEnds.size === 0 ? holdEndpoint(watch, context) : []),
+				passEvent({kind: 'placement-due', pool: watch.pool}),
+			];
+		},
+		'hold-refused'({supervision}, {endpointId, refusal}, context) {
+			const watch = supervision.watches.get(endpointId);
+			if (watch === undefined) {
+				return [];
+			}
+
+			watch.isHolding = false;
+			watch.nextHoldAt = context.now + silentPauseMs;
+			return settleRefusal(watch, refusal, context);
+		},
+		'end-recorded'({supervision}, {endpointId, number}, context) {
+			const watch = supervision.watches.get(endpointId);
+			if (watch?.unrecordedEnds.delete(number) !== true || watch.unrecordedEnds.size > 0 || watch.phase !== 'held') {
+				return [];
+			}
+
+			return holdEndpoint(watch, context);
+		},
+		'task-placed': startTask,
+		'start-answered'({supervision}, {endpointId, taskId, run, clockMs}) {
+			const placed = supervision.watches.get(endpointId)?.runs.get(taskId);
+			if (placed?.run === run) {
+				placed.confirmedClockMs = clockMs;
+				placed.phase = placed.phase === 'starting' || placed.phase === 'unsure' ? 'running' : placed.phase;
+			}
+
+			return [];
+		},
+		'start-refused': settleStart,
+		'run-stop-wanted'({supervision}, {pool, taskId, reason}, context) {
+			const outputs: JobOutput[] = [];
+			for (const watch of supervision.watches.values()) {
+				const run = watch.pool === pool ? watch.runs.get(taskId) : undefined;
+				if (run !== undefined && run.phase !== 'stopping') {
+					outputs.push(
+						emitLog('info', 'run stopped', {
+							task: taskId, run: run.run, endpoint: watch.id, reason, percent: run.percent, token: watch.token,
+						}),
+						...stopRun(watch, run, context.now),
+					);
+				}
+			}
+
+			return outputs;
+		},
+		'stop-answered'({supervision}, {endpointId, refusal}, context) {
+			const watch = supervision.watches.get(endpointId);
+			// An unanswered stop is sent again when the run is still listed.
+			return watch === undefined || refusal === undefined || refusal === 'no-answer' ? [] : settleRefusal(watch, refusal, context);
+		},
+	},
+};
+
+function createWatch({id, pool, address}: {readonly id: string; readonly pool: string; readonly address: string}, token: number, context: DecisionContext): Watch {
+	return {
+		id,
+		pool,
+		token,
+		address,
+		isListed: address !== '',
+		phase: 'new',
+		bornAt: undefined,
+		clockMs: undefined,
+		clockAt: 0,
+		leaseDeadlineMs: 0,
+		formerLeaseUntil: getFormerLeaseEnd(context.now),
+		processedUpTo: 0,
+		unrecordedEnds: new Set(),
+		isHolding: false,
+		nextHoldAt: context.now,
+		runs: new Map(),
+		coolUntil: 0,
+		silentSince: undefined,
+		strangers: new Map(),
+	};
+}
+
+function forgetPool(supervision: SupervisionState, pool: string): void {
+	supervision.pools.delete(pool);
+	for (const watch of supervision.watches.values()) {
+		if (watch.pool === pool) {
+			supervision.watches.delete(watch.id);
+		}
+	}
+}
+
+/** Begins to hold endpoints that are listed, and notes which are not. */
+function followDirectory({supervision, directory}: State, context: DecisionContext): JobOutput[] {
+	const outputs: JobOutput[] = [];
+	for (const watch of supervision.watches.values()) {
+		const isListed = directory.endpoints.get(watch.id)?.pool === watch.pool;
+		if (watch.isListed && !isListed) {
+			outputs.push(emitLog('info', 'endpoint no longer listed', {endpoint: watch.id, runs: watch.runs.size, phase: watch.phase}));
+		}
+
+		watch.isListed = isListed;
+	}
+
+	for (const endpoint of directory.endpoints.values()) {
+		const pool = supervision.pools.get(endpoint.pool);
+		if (pool === undefined) {
+			continue;
+		}
+
+		const watch = supervision.watches.get(endpoint.id);
+		if (watch?.pool !== endpoint.pool) {
+			supervision.watches.set(endpoint.id, createWatch(endpoint, pool.token, context));
+			continue;
+		}
+
+		watch.address = endpoint.address;
+		if (watch.bornAt !== undefined && endpoint.bornAt > watch.bornAt) {
+			// Another life under the same name: nothing of the former one runs any more.
+			outputs.push(emitLog('warn', 'endpoint restarted', {endpoint: watch.id, bornAt: endpoint.bornAt, before: watch.bornAt}), ...dropRuns(watch, 'endpoint-restarted'));
+			supervision.watches.set(endpoint.id, createWatch(endpoint, pool.token, context));
+		}
+	}
+
+	return outputs;
+}
+
+function checkWatch({supervision}: State, watch: Watch, context: DecisionContext): JobOutput[] {
+	const outputs: JobOutput[] = [];
+	if (watch.phase !== 'held' && hasLapsed(watch, context.now)) {
+		outputs.push(...dropRuns(watch, 'lease-expired'));
+		if (!watch.isListed && !watch.isHolding) {
+			supervision.watches.delete(watch.id);
+			return [
+				...outputs,
+				emitLog('info', 'endpoint forgotten', {endpoint: watch.id, pool: watch.pool, phase: watch.phase}),
+				passEvent({kind: 'endpoint-forgotten', pool: watch.pool, endpointId: watch.id}),
+			];
+		}
+
+		if (watch.phase !== 'expired') {
+			watch.phase = 'expired';
+			outputs.push(emitLog('warn', 'lease of endpoint ran out', {endpoint: watch.id, pool: watch.pool, silentMs: Math.round(context.now - (watch.silentSince ?? context.now))}));
+		}
+	}
+
+	if (!watch.isHolding && context.now >= watch.nextHoldAt && watch.address !== '') {
+		outputs.push(...holdEndpoint(watch, context));
+	}
+
+	return outputs;
+}
+
+/** The survey ends once every endpoint has told what it runs, or cannot run anything any more. */
+function checkSurvey({supervision, directory}: State, pool: PoolWatch): JobOutput[] {
+	if (pool.isSurveyed || directory.listedAt === undefined) {
+		return [];
+	}
+
+	let heldCount = 0;
+	for (const watch of supervision.watches.values()) {
+		if (watch.pool !== pool.pool) {
+			continue;
+		}
+
+		if (watch.phase === 'new' || watch.phase === 'silent') {
+			return [];
+		}
+
+		heldCount += 1;
+	}
+
+	pool.isSurveyed = true;
+	return [
+		emitLog('info', 'pool surveyed', {pool: pool.pool, token: pool.token, endpoints: heldCount}),
+		passEvent({kind: 'pool-surveyed', pool: pool.pool}),
+	];
+}
+
+function startTask(state: State, event: JobEventOf<'task-placed'>, context: DecisionContext): JobOutput[] {
+	const {endpointId, taskId, run, checkpoint, ticket} = event;
+	const watch = state.supervision.watches.get(endpointId);
+	const task = findTask(state.ledger.pools.get(event.pool), taskId);
+	const clock = watch === undefined ? undefined : estimateClock(watch, context.now);
+	if (watch === undefined || task === undefined || clock === undefined) {
+		return [{
+			kind: 'next', event: {
+				kind: 'run-dropped', pool: event.pool, taskId, run, endpointId, reason: 'not-started', checkpoint,
+			},
+		}];
+	}
+
+	const {spec, job} = task.step;
+	const deadlineMs = clock + startDeadlineMs;
+	watch.leaseDeadlineMs = Math.max(watch.leaseDeadlineMs, deadlineMs);
+	watch.runs.set(taskId, {
+		taskId,
+		run,
+		room: spec.room,
+		isFiller: spec.isFiller,
+		isLongRunning: spec.isLongRunning,
+		phase: 'starting',
+		startedAt: context.now,
+		startDeadlineMs: deadlineMs,
+		confirmedClockMs: undefined,
+		percent: 0,
+		progressedAt: context.now,
+		checkpoint,
+		load: 0,
+		pacePercent: 100,
+		stopAskedAt: 0,
+	});
+	return [
+		emitEffect({
+			kind: 'start-task', target: getTarget(watch), taskId, run, payload: job.record.spec.payload, deadlineMs, checkpoint, ticket,
+		}),
+		emitCount('starts_total'),
+	];
+}
+
+type StartRefusalHandler = (watch: Watch, context: DecisionContext) => void;
+
+const startRefusals: Readonly<Partial<Record<OrderRefusal, StartRefusalHandler>>> = {
+	'no-room'(watch, context) {
+		watch.coolUntil = context.now + noRoomPauseMs;
+	},
+	unhealthy(watch, context) {
+		watch.coolUntil = context.now + unhealthyPauseMs;
+	},
+	'not-sent'(watch, context) {
+		watch.coolUntil = context.now + unhealthyPauseMs;
+	},
+};
+
+function settleStart({supervision}: State, {endpointId, taskId, run, refusal}: JobEventOf<'start-refused'>, context: DecisionContext): JobOutput[] {
+	const watch = supervision.watches.get(endpointId);
+	const placed = watch?.runs.get(taskId);
+	if (watch === undefined || placed?.run !== run) {
+		return [];
+	}
+
+	const log = emitLog('info', 'start refused', {
+		task: taskId, run, endpoint: endpointId, refusal, token: watch.token,
+	});
+	const count = emitCount(`starts_refused_total{reason="${refusal}"}`);
+	if (refusal === 'no-answer') {
+		if (placed.phase === 'starting') {
+			placed.phase = 'unsure';
+		}
+
+		watch.coolUntil = context.now + unhealthyPauseMs;
+		return [log, count];
+	}
+
+	startRefusals[refusal]?.(watch, context);
+	return [log, count, ...settleRefusal(watch, refusal, context), ...(watch.runs.has(taskId) ? dropRun(watch, placed, 'not-started') : [])];
+}
+
+type RefusalHandler = (watch: Watch, context: DecisionContext) => JobOutput[];
+
+const noteSilence: RefusalHandler = (watch, context) => {
+	if (watch.phase === 'held') {
+		watch.phase = 'silent';
+		watch.silentSince = context.now;
+		return [emitLog('warn', 'endpoint silent', {
+			endpoint: watch.id, pool: watch.pool, runs: watch.runs.size, lastAnswerAgeMs: Math.round(context.now - watch.clockAt),
+		})];
+	}
+
+	return [];
+};
+
+/** What a refusal tells about the endpoint, whatever the order was. */
+const refusalHandlers: Readonly<Partial<Record<OrderRefusal, RefusalHandler>>> = {
+	fenced: watch => [{
+		kind: 'first',
+		event: {kind: 'claim-superseded', name: `${poolClaimPrefix}${watch.pool}`, token: watch.token},
+	}],
+	'other-incarnation': watch => [
+		emitLog('warn', 'another endpoint answers at the address', {endpoint: watch.id, address: watch.address}),
+		...dropRuns(watch, 'endpoint-restarted'),
+	],
+};
+
+function settleRefusal(watch: Watch, refusal: OrderRefusal, context: DecisionContext): JobOutput[] {
+	const handler = refusalHandlers[refusal];
+	if (handler !== undefined) {
+		return handler(watch, context);
+	}
+
+	return refusal === 'no-answer' || refusal === 'not-sent' || refusal === 'unhealthy' ? noteSilence(watch, context) : [];
+}
--- /dev/null
+++ b/packages/jobs/src/supervision/supervision-state.ts
@@ -0,0 +1,117 @@
+import {type Room} from '../model/index.js';
+
+/** @public */
+export type RunPhase =
+	/** The start has been sent. */
+	| 'starting'
+	/** The start has not been answered, and may still be carried out. */
+	| 'unsure'
+	| 'running'
+	| 'stopping';
+
+/** A run of a task on an endpoint. It takes room until it is certain not to be at work. @public */
+export type Run = {
+	readonly taskId: string;
+	readonly run: number;
+	readonly room: Room;
+	readonly isFiller: boolean;
+	readonly isLongRunning: boolean;
+	phase: RunPhase;
+	/** Monotonic ms. */
+	readonly startedAt: number;
+	/** Deadline of the start on the endpoint's clock; after it the endpoint refuses the start as late. */
+	readonly startDeadlineMs: number;
+	/** The endpoint's clock when it confirmed the run. */
+	confirmedClockMs: number | undefined;
+	percent: number;
+	/** When the percentage last rose, in monotonic ms. */
+	progressedAt: number;
+	checkpoint: string;
+	/** Tail in ms for a serving task, processor use for another. */
+	load: number;
+	/** Share of its pace that the run is let work at. */
+	pacePercent: number;
+	stopAskedAt: number;
+};
+
+/** @public */
+export type WatchPhase =
+	/** It has not answered under the present token. */
+	| 'new'
+	| 'held'
+	/** It does not answer; what runs there may run on. */
+	| 'silent'
+	/** Its lease has run out, so nothing can run there. */
+	| 'expired';
+
+/** An endpoint under the orders of this entry. @public */
+export type Watch = {
+	readonly id: string;
+	readonly pool: string;
+	readonly token: number;
+	address: string;
+	/** Whether the directory lists it. */
+	isListed: boolean;
+	phase: WatchPhase;
+	bornAt: number | undefined;
+	/** The endpoint's clock at `clockAt`. */
+	clockMs: number | undefined;
+	/** Monotonic ms at which the clock was at least `clockMs`. */
+	clockAt: number;
+	/** Latest deadline sent in any order, on the endpoint's clock. */
+	leaseDeadlineMs: number;
+	/** Monotonic ms after which a lease given by a former owner has run out; used until the endpoint has answered. */
+	readonly formerLeaseUntil: number;
+	processedUpTo: number;
+	readonly unrecordedEnds: Set<number>;
+	isHolding: boolean;
+	nextHoldAt: number;
+	readonly runs: Map<string, Run>;
+	/** No starts before this time in monotonic ms. */
+	coolUntil: number;
+	/** When it was first seen without an answer; undefined while it answers. */
+	silentSince: number | undefined;
+	/** When runs of jobs that are not known were first seen there. */
+	readonly strangers: Map<string, number>;
+};
+
+/** @public */
+export type PoolWatch = {
+	readonly pool: string;
+	readonly token: number;
+	readonly acquiredAt: number;
+	isSurveyed: boolean;
+};
+
+/** @public */
+export type SupervisionState = {
+	readonly pools: Map<string, PoolWatch>;
+	readonly watches: Map<string, Watch>;
+};
+
+/** What other filters may ask about endpoints. @public */
+export type SupervisionView = {
+	readonly supervision: {
+		readonly pools: ReadonlyMap<string, Readonly<PoolWatch>>;
+		readonly watches: ReadonlyMap<string, Readonly<Watch>>;
+	};
+};
+
+/** @public */
+export function createSupervisionState(): SupervisionState {
+	return {pools: new Map(), watches: new Map()};
+}
+
+/** Room that runs take; what fills takes memory and accelerators only. @public */
+export function getUsedRoom(watch: Readonly<Watch>): Room {
+	let cpuMillis = 0;
+	let memoryMb = 0;
+	let gpus = 0;
+	for (const run of watch.runs.values()) {
+		cpuMillis += run.isFiller ? 0 : run.room.cpuMillis;
+		memoryMb += run.room.memoryMb;
+		gpus += run.room.gpus;
+	}
+
+	return {cpuMillis, memoryMb, gpus};
+}
--- a/packages/telemetry/src/index.ts
+++ b/packages/telemetry/src/index.ts
@@ -3,5 +3,6 @@
 
 @packageDocumentation
 */
-export {createLogger, type Logger} from './logger.js';
+export {createLineWriter, type LineWriter} from './line-writer.js';
+export {createLogger, type LineSink, type Logger} from './logger.js';
 export {createMetrics, type Metrics} from './metrics.js';
--- a/xo.config.js
+++ b/xo.config.js
@@ -1,7 +1,7 @@
 /** @type {import('xo').FlatXoConfig} */
 const config = [
 	{
-		ignores: ['**/dist/**', '**/*_pb.ts', 'coverage/**', 'vitest.config.ts'],
+		ignores: ['**/dist/**', 'target/**', '**/*_pb.ts', 'coverage/**', 'vitest.config.ts'],
 	},
 	{
 		files: ['**/*.ts'],
@@ -25,8 +25,8 @@
 		},
 	},
 	{
-		// Names of the key-value service's protocol and URL paths are not ours to choose.
-		files: ['packages/store/src/**/*.ts', 'packages/standins/src/**/*.ts', 'packages/http/src/caller-server.ts'],
+		// Names of the key-value services' and the platform's protocols and URL paths are not ours to choose.
+		files: ['packages/store/src/**/*.ts', 'packages/standins/src/**/*.ts', 'packages/http/src/caller-server.ts', 'platform/src/**/*.ts'],
 		rules: {
 			'@typescript-eslint/naming-convention': 'off',
 		},
