Survey only a former owner's roster, keep early cancellations, and let silent endpoints lapse

Ruled out: a longer wait of the survey (it has no end); dropping unknown cancellations after a time.

--- a/packages/jobs/src/authority/authority-filter.ts
+++ b/packages/jobs/src/authority/authority-filter.ts
@@ -105,8 +105,8 @@
 
 	const outputs: JobOutput[] = [];
 	for (const claim of claims.values()) {
-		// The process that held it ran under this entry's name before, so it is gone.
-		if (claim.node === node && claim.incarnation !== incarnation) {
+		// The process that held it ran under this entry's name before, so it is gone; or this one has given it up, though the record is its own.
+		if (claim.node === node && (claim.incarnation !== incarnation || !authority.own.has(claim.name))) {
 			outputs.push(...askClaim(authority, claim.name, claim.token, context));
 		}
 	}
--- a/packages/jobs/src/evacuation/evacuation-filter.ts
+++ b/packages/jobs/src/evacuation/evacuation-filter.ts
@@ -111,6 +111,7 @@
 	state.evacuation.confirmed.add(watch.id);
 	return [
 		emitLog('info', 'endpoint empty', {endpoint: watch.id, pool: watch.pool, purpose: request.purpose}),
+		restartEvent({kind: 'endpoint-emptied', pool: watch.pool, endpointId: watch.id}),
 		emitEffect({kind: 'confirm-vacated', pool: watch.pool, endpointId: watch.id}),
 	];
 }
--- a/packages/jobs/src/ledger/apply-end.ts
+++ b/packages/jobs/src/ledger/apply-end.ts
@@ -21,9 +21,13 @@
 };
 
 /** Applies the end of a run to its task and job. @internal */
-export function applyEnd(pool: PoolLedger, task: Task, end: ReportedEnd, context: DecisionContext): JobOutput[] {
+export function applyEnd(pool: PoolLedger, task: Task, endpointId: string, end: ReportedEnd, context: DecisionContext): JobOutput[] {
 	const {job} = task.step;
-	task.runs.delete(end.run);
+	if (task.runs.get(end.run) === endpointId) {
+		// A former owner may have used the same number elsewhere.
+		task.runs.delete(end.run);
+	}
+
 	task.idleSince = context.now;
 	job.lastRun = Math.max(job.lastRun, end.run);
 	if (end.checkpoint !== '') {
--- a/packages/jobs/src/ledger/ledger-filter.ts
+++ b/packages/jobs/src/ledger/ledger-filter.ts
@@ -51,6 +51,10 @@
 		'job-cancelled'({ledger}, {pool: name, jobId}, context) {
 			const pool = ledger.pools.get(name);
 			const job = pool?.jobs.get(jobId);
+			if (pool !== undefined && job === undefined && !pool.ended.has(jobId)) {
+				pool.earlyCancels.add(jobId);
+			}
+
 			return pool === undefined || job === undefined || !isActive(job)
 				? []
 				: [...endJob(pool, job, 'cancelled', context), ...saveNow(pool, context), passEvent({kind: 'placement-due', pool: name})];
@@ -58,9 +62,11 @@
 		'task-placed': noteRun,
 		'run-adopted': noteRun,
 		'run-ended': noteEnd,
-		'run-dropped'({ledger}, {pool: name, taskId, run, checkpoint}, context) {
+		'run-dropped'({ledger}, {
+			pool: name, taskId, run, endpointId, checkpoint,
+		}, context) {
 			const task = findTask(ledger.pools.get(name), taskId);
-			if (task !== undefined) {
+			if (task?.runs.get(run) === endpointId) {
 				task.runs.delete(run);
 				task.idleSince = context.now;
 				task.checkpoint = checkpoint === '' ? task.checkpoint : checkpoint;
@@ -86,6 +92,14 @@
 			ledger.pools.get(pool)?.forgottenIds.add(endpointId);
 			return [];
 		},
+		'endpoint-emptied'({ledger}, {pool, endpointId}) {
+			ledger.pools.get(pool)?.emptiedIds.add(endpointId);
+			return [];
+		},
+		'vacate-withdrawn'({ledger}, {pool, endpointId}) {
+			ledger.pools.get(pool)?.emptiedIds.delete(endpointId);
+			return [];
+		},
 		'progress-saved'({ledger}, event, context) {
 			const pool = ledger.pools.get(event.pool);
 			return pool?.token === event.token ? [...settleSave(pool, event, context), ...saveNow(pool, context)] : [];
@@ -116,6 +130,8 @@
 		nextSaveId: 1,
 		rosterRevision,
 		rosterIds: new Set(roster.endpointIds),
+		earlyCancels: new Set(),
+		emptiedIds: new Set(),
 		forgottenIds: new Set(),
 		lastReport: '',
 		reportedAt: 0,
@@ -127,7 +143,7 @@
 	}
 
 	for (const job of pool.jobs.values()) {
-		markUncertain(job);
+		markUncertain(job, token);
 	}
 
 	return [emitLog('info', 'pool loaded', {
@@ -141,7 +157,7 @@
 		return [];
 	}
 
-	const job = openJob(stored, context);
+	const job = openJob({...stored, isCancelled: stored.isCancelled || pool.earlyCancels.delete(id)}, context);
 	pool.jobs.set(id, job);
 	if (job.version > job.savedVersion) {
 		// Cancelled before this entry knew it.
@@ -190,7 +206,7 @@
 	}
 
 	const {job} = task.step;
-	const outputs = applyEnd(pool, task, end, context);
+	const outputs = applyEnd(pool, task, endpointId, end, context);
 	const isOnRecord = job.version <= job.savedVersion;
 	if (isOnRecord) {
 		outputs.push(restartEvent({kind: 'end-recorded', endpointId, number: end.number}));
@@ -219,14 +235,14 @@
 function getRosterIds(state: State, pool: PoolLedger): ReadonlySet<string> {
 	const ids = new Set<string>();
 	for (const endpoint of state.directory.endpoints.values()) {
-		if (endpoint.pool === pool.pool) {
+		if (endpoint.pool === pool.pool && !pool.emptiedIds.has(endpoint.id)) {
 			ids.add(endpoint.id);
 			pool.forgottenIds.delete(endpoint.id);
 		}
 	}
 
 	for (const id of pool.rosterIds) {
-		if (!pool.forgottenIds.has(id)) {
+		if (!pool.forgottenIds.has(id) && !pool.emptiedIds.has(id)) {
 			ids.add(id);
 		}
 	}
--- a/packages/jobs/src/ledger/ledger-state.ts
+++ b/packages/jobs/src/ledger/ledger-state.ts
@@ -88,6 +88,10 @@
 	rosterRevision: number;
 	/** Endpoints on record as ones that may run tasks. */
 	rosterIds: ReadonlySet<string>;
+	/** Cancelled jobs whose own record has not arrived; a list holds them in no certain order. */
+	readonly earlyCancels: Set<string>;
+	/** Endpoints that run nothing and are given nothing, until the wish for that is withdrawn. */
+	readonly emptiedIds: Set<string>;
 	/** Endpoints that have left for good since the roster was written. */
 	readonly forgottenIds: Set<string>;
 	lastReport: string;
--- a/packages/jobs/src/ledger/open-job.ts
+++ b/packages/jobs/src/ledger/open-job.ts
@@ -29,6 +29,7 @@
 	};
 	if (isCancelled && isActive(job)) {
 		job.status = 'cancelled';
+		job.endedAt = times.wallTime;
 		job.version += 1;
 	}
 
@@ -39,10 +40,15 @@
 /** Age in ms up to which the time of acceptance is believed; longer than a takeover, far shorter than a step of the time of day that would do harm. */
 const maxPlausibleAgeMs = 20_000;
 
-/** Marks a job as one that a former owner may have started. @internal */
-export function markUncertain(job: Job): void {
+/**
+Marks a job as one that a former owner may have started.
+
+@param token - The present claim's token. It is higher than the numbers that a former owner began from.
+@internal
+*/
+export function markUncertain(job: Job, token: number): void {
 	job.isUncertain = isActive(job);
-	job.lastRun += runGap;
+	job.lastRun = Math.max(job.lastRun + runGap, token);
 }
 
 /** Sets up the steps of occurrences that have become due. @returns Whether there were any. @internal */
--- a/packages/jobs/src/model/events.ts
+++ b/packages/jobs/src/model/events.ts
@@ -119,6 +119,8 @@
 	| {
 		readonly kind: 'hold-answered';
 		readonly endpointId: string;
+		/** Fencing token of the order. */
+		readonly token: number;
 		/** Steady clock of the endpoint in ms. */
 		readonly clockMs: number;
 		readonly bornAt: number;
@@ -127,11 +129,11 @@
 		readonly sentAt: number;
 		readonly tookMs: number;
 	}
-	| {readonly kind: 'hold-refused'; readonly endpointId: string; readonly refusal: OrderRefusal}
-	| {readonly kind: 'start-answered'; readonly endpointId: string; readonly taskId: string; readonly run: number; readonly clockMs: number}
-	| {readonly kind: 'start-refused'; readonly endpointId: string; readonly taskId: string; readonly run: number; readonly refusal: OrderRefusal}
-	| {readonly kind: 'stop-answered'; readonly endpointId: string; readonly taskId: string; readonly run: number; readonly refusal: OrderRefusal | undefined}
-	| {readonly kind: 'pace-answered'; readonly endpointId: string; readonly taskId: string; readonly run: number; readonly percent: number; readonly refusal: OrderRefusal | undefined}
+	| {readonly kind: 'hold-refused'; readonly endpointId: string; readonly token: number; readonly refusal: OrderRefusal}
+	| {readonly kind: 'start-answered'; readonly endpointId: string; readonly token: number; readonly taskId: string; readonly run: number; readonly clockMs: number}
+	| {readonly kind: 'start-refused'; readonly endpointId: string; readonly token: number; readonly taskId: string; readonly run: number; readonly refusal: OrderRefusal}
+	| {readonly kind: 'stop-answered'; readonly endpointId: string; readonly token: number; readonly taskId: string; readonly run: number; readonly refusal: OrderRefusal | undefined}
+	| {readonly kind: 'pace-answered'; readonly endpointId: string; readonly token: number; readonly taskId: string; readonly run: number; readonly percent: number; readonly refusal: OrderRefusal | undefined}
 	| {readonly kind: 'advice-answered'; readonly pool: string; readonly stepId: string; readonly tickets: ReadonlyMap<string, string> | undefined; readonly validMs: number};
 
 /** Runs of tasks, from supervision to the filters after it. @public */
@@ -192,7 +194,9 @@
 	| {readonly kind: 'report-changed'; readonly report: PoolReport}
 	| {readonly kind: 'vacate-requested'; readonly request: VacateRequest}
 	| {readonly kind: 'vacate-withdrawn'; readonly pool: string; readonly endpointId: string}
-	| {readonly kind: 'endpoint-vacated'; readonly vacated: VacatedEndpoint};
+	| {readonly kind: 'endpoint-vacated'; readonly vacated: VacatedEndpoint}
+	/** Nothing runs on an endpoint of an own pool, and nothing will be started there until the wish is withdrawn. */
+	| {readonly kind: 'endpoint-emptied'; readonly pool: string; readonly endpointId: string};
 
 /** @public */
 export type JobEvent = CoordinationEvent | OwnershipEvent | CallerEvent | EndpointEvent | RunEvent | SaveEvent | FleetEvent;
--- a/packages/jobs/src/supervision/hold-endpoints.ts
+++ b/packages/jobs/src/supervision/hold-endpoints.ts
@@ -33,7 +33,8 @@
 	}
 
 	const clock = estimateClock(watch, context.now);
-	const deadlineMs = clock === undefined ? undefined : clock + leaseMs;
+	// One that does not answer gets no longer lease, or what runs there could not be started elsewhere for as long as it is asked.
+	const deadlineMs = clock === undefined || watch.phase !== 'held' ? undefined : clock + leaseMs;
 	watch.isHolding = true;
 	watch.leaseDeadlineMs = Math.max(watch.leaseDeadlineMs, deadlineMs ?? 0);
 	return [emitEffect({
--- a/packages/jobs/src/supervision/supervision-filter.ts
+++ b/packages/jobs/src/supervision/supervision-filter.ts
@@ -38,7 +38,7 @@
 		'pool-loaded'({supervision}, {pool, token, roster}, context) {
 			forgetPool(supervision, pool);
 			supervision.pools.set(pool, {
-				pool, token, acquiredAt: context.now, isSurveyed: false,
+				pool, token, acquiredAt: context.now, unsurveyed: new Set(roster.endpointIds), isSurveyed: false,
 			});
 			for (const id of roster.endpointIds) {
 				supervision.watches.set(id, createWatch({id, pool, address: ''}, token, context));
@@ -56,7 +56,7 @@
 			...[...state.supervision.pools.values()].flatMap(pool => checkSurvey(state, pool)),
 		],
 		'hold-answered'(state, event, context) {
-			const watch = state.supervision.watches.get(event.endpointId);
+			const watch = getWatch(state.supervision, event);
 			if (watch === undefined) {
 				return [];
 			}
@@ -79,15 +79,15 @@
 				passEvent({kind: 'placement-due', pool: watch.pool}),
 			];
 		},
-		'hold-refused'({supervision}, {endpointId, refusal}, context) {
-			const watch = supervision.watches.get(endpointId);
+		'hold-refused'({supervision}, event, context) {
+			const watch = getWatch(supervision, event);
 			if (watch === undefined) {
 				return [];
 			}
 
 			watch.isHolding = false;
 			watch.nextHoldAt = context.now + silentPauseMs;
-			return settleRefusal(watch, refusal, context);
+			return settleRefusal(watch, event.refusal, context);
 		},
 		'end-recorded'({supervision}, {endpointId, number}, context) {
 			const watch = supervision.watches.get(endpointId);
@@ -98,8 +98,9 @@
 			return holdEndpoint(watch, context);
 		},
 		'task-placed': startTask,
-		'start-answered'({supervision}, {endpointId, taskId, run, clockMs}) {
-			const placed = supervision.watches.get(endpointId)?.runs.get(taskId);
+		'start-answered'({supervision}, event) {
+			const {taskId, run, clockMs} = event;
+			const placed = getWatch(supervision, event)?.runs.get(taskId);
 			if (placed?.run === run) {
 				placed.confirmedClockMs = clockMs;
 				placed.phase = placed.phase === 'starting' || placed.phase === 'unsure' ? 'running' : placed.phase;
@@ -124,14 +125,21 @@
 
 			return outputs;
 		},
-		'stop-answered'({supervision}, {endpointId, refusal}, context) {
-			const watch = supervision.watches.get(endpointId);
+		'stop-answered'({supervision}, event, context) {
+			const {refusal} = event;
+			const watch = getWatch(supervision, event);
 			// An unanswered stop is sent again when the run is still listed.
 			return watch === undefined || refusal === undefined || refusal === 'no-answer' ? [] : settleRefusal(watch, refusal, context);
 		},
 	},
 };
 
+/** The watch that an answer is for. An answer to an order of a former claim says nothing about the present one. */
+function getWatch(supervision: SupervisionState, {endpointId, token}: {readonly endpointId: string; readonly token: number}): Watch | undefined {
+	const watch = supervision.watches.get(endpointId);
+	return watch?.token === token ? watch : undefined;
+}
+
 function createWatch({id, pool, address}: {readonly id: string; readonly pool: string; readonly address: string}, token: number, context: DecisionContext): Watch {
 	return {
 		id,
@@ -202,15 +210,15 @@
 
 function checkWatch({supervision}: State, watch: Watch, context: DecisionContext): JobOutput[] {
 	const outputs: JobOutput[] = [];
+	if (!watch.isListed && watch.phase === 'silent' && watch.runs.size === 0) {
+		// It answered under this token, so nothing but what this entry starts can run there.
+		return forgetWatch(supervision, watch);
+	}
+
 	if (watch.phase !== 'held' && hasLapsed(watch, context.now)) {
 		outputs.push(...dropRuns(watch, 'lease-expired'));
 		if (!watch.isListed && !watch.isHolding) {
-			supervision.watches.delete(watch.id);
-			return [
-				...outputs,
-				emitLog('info', 'endpoint forgotten', {endpoint: watch.id, pool: watch.pool, phase: watch.phase}),
-				passEvent({kind: 'endpoint-forgotten', pool: watch.pool, endpointId: watch.id}),
-			];
+			return [...outputs, ...forgetWatch(supervision, watch)];
 		}
 
 		if (watch.phase !== 'expired') {
@@ -226,28 +234,36 @@
 	return outputs;
 }
 
-/** The survey ends once every endpoint has told what it runs, or cannot run anything any more. */
+function forgetWatch(supervision: SupervisionState, watch: Watch): JobOutput[] {
+	supervision.watches.delete(watch.id);
+	return [
+		emitLog('info', 'endpoint forgotten', {endpoint: watch.id, pool: watch.pool, phase: watch.phase}),
+		passEvent({kind: 'endpoint-forgotten', pool: watch.pool, endpointId: watch.id}),
+	];
+}
+
+/**
+The survey ends once every endpoint on the former owner's roster has told what it runs, or cannot run anything any more. Endpoints that came later had no tasks from it, as they were not on the roster.
+*/
 function checkSurvey({supervision, directory}: State, pool: PoolWatch): JobOutput[] {
 	if (pool.isSurveyed || directory.listedAt === undefined) {
 		return [];
 	}
 
-	let heldCount = 0;
-	for (const watch of supervision.watches.values()) {
-		if (watch.pool !== pool.pool) {
-			continue;
-		}
-
-		if (watch.phase === 'new' || watch.phase === 'silent') {
-			return [];
+	for (const id of pool.unsurveyed) {
+		const watch = supervision.watches.get(id);
+		if (watch === undefined || watch.phase === 'held' || watch.phase === 'expired') {
+			pool.unsurveyed.delete(id);
 		}
+	}
 
-		heldCount += 1;
+	if (pool.unsurveyed.size > 0) {
+		return [];
 	}
 
 	pool.isSurveyed = true;
 	return [
-		emitLog('info', 'pool surveyed', {pool: pool.pool, token: pool.token, endpoints: heldCount}),
+		emitLog('info', 'pool surveyed', {pool: pool.pool, token: pool.token}),
 		passEvent({kind: 'pool-surveyed', pool: pool.pool}),
 	];
 }
@@ -307,8 +323,11 @@
 	},
 };
 
-function settleStart({supervision}: State, {endpointId, taskId, run, refusal}: JobEventOf<'start-refused'>, context: DecisionContext): JobOutput[] {
-	const watch = supervision.watches.get(endpointId);
+function settleStart({supervision}: State, event: JobEventOf<'start-refused'>, context: DecisionContext): JobOutput[] {
+	const {
+		endpointId, taskId, run, refusal,
+	} = event;
+	const watch = getWatch(supervision, event);
 	const placed = watch?.runs.get(taskId);
 	if (watch === undefined || placed?.run !== run) {
 		return [];
--- a/packages/jobs/src/supervision/supervision-state.ts
+++ b/packages/jobs/src/supervision/supervision-state.ts
@@ -80,6 +80,8 @@
 	readonly pool: string;
 	readonly token: number;
 	readonly acquiredAt: number;
+	/** Endpoints on which a former owner may have started tasks, and which have not told what they run. */
+	readonly unsurveyed: Set<string>;
 	isSurveyed: boolean;
 };
 
