Move machines to where work waits, and maintain them when they are idle

Change: the fleet's holder moves emptied machines to pools whose backlog exceeds their room, and turns off machines of pools that had room to spare for 2 s; a wave takes machines that are off or idle at any time and busy ones as late as its end allows.

--- a/packages/bench/src/jobs/jobs-world.ts
+++ b/packages/bench/src/jobs/jobs-world.ts
@@ -39,6 +39,8 @@
 	cancelJob(entry: WorldEntry, queue: string, jobId: string): void;
 	killEntry(entry: WorldEntry, downMs: number): void;
 	crashEndpoint(endpoint: VirtualEndpoint, downMs: number): void;
+	/** Lets an entry reach the store again; its watches then tell what it has missed. */
+	reconnect(entry: WorldEntry): void;
 	/** All watches lose their history and list everything anew. */
 	loseHistory(): void;
 	runFor(ms: number): void;
@@ -169,7 +171,15 @@
 		},
 		'load-pool'(entry, {pool, token}) {
 			deliverLater(entry, {kind: 'endpoints-listed', endpoints: listEndpoints()});
-			callStore(entry, {kind: 'pool-load-failed', pool, token}, () => records.loadPool(pool, token));
+			callStore(entry, {kind: 'pool-load-failed', pool, token}, () => {
+				// What is recorded while the answer is on its way is told by the watch after it.
+				queue.add(2 * callMs.max, () => {
+					for (const event of records.listInbox(pool)) {
+						deliverLater(entry, event);
+					}
+				});
+				return records.loadPool(pool, token);
+			});
 		},
 		'store-job'(entry, {requestId, job}) {
 			callStore(entry, {kind: 'job-stored', requestId, result: 'refused'}, () => {
@@ -395,6 +405,10 @@
 				addEndpoint(endpoint.registration.pool);
 			});
 		},
+		reconnect(entry) {
+			entry.isStoreReachable = true;
+			tellAll(entry);
+		},
 		loseHistory() {
 			for (const entry of entries) {
 				if (isReached(entry)) {
--- a/packages/bench/src/jobs/run-jobs-soak.ts
+++ b/packages/bench/src/jobs/run-jobs-soak.ts
@@ -64,7 +64,7 @@
 		if (entry !== undefined) {
 			entry.isStoreReachable = false;
 			world.queue.add(drawMs(world), () => {
-				entry.isStoreReachable = true;
+				world.reconnect(entry);
 			});
 		}
 	},
--- a/packages/jobs/src/authority/authority-filter.ts
+++ b/packages/jobs/src/authority/authority-filter.ts
@@ -16,6 +16,8 @@
 const turnMs = 300;
 /** Time after which an unanswered claim is tried again, in ms. */
 const claimTimeoutMs = 1500;
+/** Pause before a claim that was not made is tried again, in ms; the watch tells within a few round trips who has made it. */
+const claimPauseMs = 250;
 /** Pause before a pool whose records could not be read is read again, in ms. */
 const reloadPauseMs = 200;
 
@@ -142,12 +144,14 @@
 }
 
 function settleClaim({authority}: State, {name, result, token}: JobEventOf<'claim-answered'>, context: DecisionContext): JobOutput[] {
-	authority.asked.delete(name);
 	if (result !== 'applied') {
+		authority.asked.set(name, context.now - claimTimeoutMs + claimPauseMs);
 		// An unanswered claim that was carried out shows in the watch.
 		return [emitLog('info', 'claim not made', {name, result})];
 	}
 
+	authority.asked.delete(name);
+
 	return recordClaim(authority, {
 		name, node: authority.node, incarnation: authority.incarnation, token,
 	}, context);
--- /dev/null
+++ b/packages/jobs/src/fleet/balance-pools.ts
@@ -0,0 +1,193 @@
+import {type DecisionContext} from '@pistachiogauge/chain';
+import {type AuthorityView} from '../authority/index.js';
+import {type ConfigurationView} from '../configuration/index.js';
+import {emitLog, type JobOutput} from '../filter.js';
+import {type Machine, type PoolReport} from '../model/index.js';
+import {type FleetState} from './fleet-state.js';
+import {mayOrder, orderMachine} from './order-machines.js';
+import {isSpare, requestVacate} from './run-waves.js';
+
+/** Fewest machines that a pool keeps, so that one may be lost or maintained. */
+const machineMinimum = 2;
+/** Time in ms for which a pool must have had room to spare before a machine is taken away. A move there and back costs what a machine costs in about two seconds; a pool's quiet times last longer. */
+const surplusMs = 2000;
+/** The same while no pool has had work to do for a while, as demand may begin anywhere. */
+const quietSurplusMs = 20_000;
+/** Time in ms after the last work in any pool from which the fleet counts as quiet. */
+const quietAfterMs = 30_000;
+/** Age in ms of a report from which it is not acted on. */
+const reportAgeMs = 3000;
+/** Time in ms for which a machine that has come to a pool stays there. */
+const settleMs = 2500;
+/** Share of a machine that must be short before another one comes. */
+const shortShare = 0.35;
+/** Most machines asked for a pool at once; demand that lasts asks again. */
+const machinesAtOnce = 8;
+
+/** Most machines taken away at once while nothing is short; each is a move that may have to be undone. */
+const idleAtOnce = 4;
+
+type State = {readonly fleet: FleetState} & AuthorityView & ConfigurationView;
+
+/** What a pool has and wants, in thousandths of a core. */
+type PoolBalance = {
+	readonly pool: string;
+	readonly report: PoolReport;
+	readonly machines: readonly Machine[];
+	/** Machines on their way to it. */
+	readonly incoming: number;
+	readonly machineMillis: number;
+	readonly capacityMillis: number;
+	readonly wantedMillis: number;
+};
+
+/** Moves machines to the pools whose work waits, and off where there is nothing to do. @internal */
+export function balancePools(state: State, context: DecisionContext): JobOutput[] {
+	const {fleet} = state;
+	if (fleet.listedAt === undefined || !mayOrder(state, context.now)) {
+		return [];
+	}
+
+	const balances = listBalances(state, context);
+	noteDemand(fleet, balances, context.now);
+	const outputs: JobOutput[] = [];
+	// What is shorter comes first, measured against what it has.
+	const short = balances
+		.map(balance => ({balance, missing: countMissing(balance)}))
+		.filter(({missing}) => missing > 0)
+		.sort((left, right) => right.missing - left.missing);
+	const vacated = [...fleet.vacates.values()].filter(({request}) => request.purpose === 'move' && fleet.vacated.has(request.endpointId));
+	const supply = [
+		...vacated.map(({request}) => fleet.machines.get(request.machine)).filter(machine => machine !== undefined),
+		...[...fleet.machines.values()].filter(machine => isSpare(state, machine.pool) && machine.state === 'up'),
+	].filter(machine => !fleet.orders.has(machine.name));
+	for (const {balance, missing} of short) {
+		let open = Math.min(missing, machinesAtOnce);
+		for (const machine of supply.splice(0, open)) {
+			if (machine.pool !== balance.pool) {
+				open -= 1;
+				outputs.push(...orderMachine(state, machine, {order: 'move', pool: balance.pool, wave: 0}, context));
+			}
+		}
+
+		outputs.push(...takeIdle(state, balances.filter(other => other !== balance), open, 0, context));
+	}
+
+	if (short.length === 0) {
+		outputs.push(...sendOff(state, supply, context), ...takeIdle(state, balances, idleAtOnce, getSurplusMs(fleet, context.now), context));
+	}
+
+	return outputs;
+}
+
+function listBalances(state: State, context: DecisionContext): PoolBalance[] {
+	const {fleet} = state;
+	const balances: PoolBalance[] = [];
+	for (const {report, seenAt} of fleet.reports.values()) {
+		if (isSpare(state, report.pool) || context.now > seenAt + reportAgeMs) {
+			continue;
+		}
+
+		const machines = [...fleet.machines.values()].filter(machine => machine.pool === report.pool && machine.state !== 'down');
+		const machineMillis = Math.max(1, ...machines.map(machine => machine.room.cpuMillis), ...[...fleet.machines.values()].map(machine => machine.room.cpuMillis));
+		const incoming = [...fleet.orders.values()].filter(order => order.order === 'move' && order.pool === report.pool && fleet.machines.get(order.machine)?.pool !== report.pool).length
+			+ machines.filter(machine => machine.state !== 'up').length;
+		balances.push({
+			pool: report.pool,
+			report,
+			machines,
+			incoming,
+			machineMillis,
+			capacityMillis: report.capacityMillis + (incoming * machineMillis),
+			wantedMillis: report.usedMillis + report.backlogMillis,
+		});
+	}
+
+	return balances;
+}
+
+function countMissing({wantedMillis, capacityMillis, machineMillis, machines, incoming}: PoolBalance): number {
+	if (machines.length + incoming < machineMinimum) {
+		return machineMinimum - machines.length - incoming;
+	}
+
+	const missing = (wantedMillis - capacityMillis) / machineMillis;
+	return missing < shortShare ? 0 : Math.ceil(missing - shortShare);
+}
+
+function noteDemand(fleet: FleetState, balances: readonly PoolBalance[], now: number): void {
+	if (balances.some(({report}) => report.hasWork)) {
+		if (fleet.workedAt === undefined || now > fleet.workedAt + quietAfterMs) {
+			// Work begins after a quiet time: that a pool was idle until now says nothing.
+			fleet.fullAt.clear();
+		}
+
+		fleet.workedAt = now;
+	}
+
+	for (const {pool, wantedMillis, capacityMillis, machineMillis} of balances) {
+		if (wantedMillis + machineMillis > capacityMillis) {
+			fleet.fullAt.set(pool, now);
+		}
+
+		// A new holder has not seen when the pool was full.
+		if (!fleet.fullAt.has(pool)) {
+			fleet.fullAt.set(pool, now);
+		}
+	}
+}
+
+function getSurplusMs(fleet: FleetState, now: number): number {
+	return fleet.workedAt !== undefined && now < fleet.workedAt + quietAfterMs ? surplusMs : quietSurplusMs;
+}
+
+/** Asks for idle endpoints of pools that have had room to spare for some time. */
+function takeIdle(state: State, balances: readonly PoolBalance[], count: number, surplusForMs: number, context: DecisionContext): JobOutput[] {
+	const {fleet} = state;
+	const outputs: JobOutput[] = [];
+	let open = count - [...fleet.vacates.values()].filter(({request}) => request.purpose === 'move').length;
+	for (const {pool, report, machines, machineMillis, wantedMillis, capacityMillis} of balances) {
+		if (surplusForMs > 0 && context.now < (fleet.fullAt.get(pool) ?? context.now) + surplusForMs) {
+			continue;
+		}
+
+		const leaving = [...fleet.vacates.values()].filter(({request}) => request.pool === pool).length;
+		let spareCount = Math.min(
+			Math.floor((capacityMillis - wantedMillis) / machineMillis) - leaving,
+			machines.filter(machine => machine.state === 'up').length - leaving - machineMinimum,
+		);
+		for (const machine of machines) {
+			const {endpointId} = machine;
+			const isIdle = endpointId !== undefined && report.idleEndpoints.includes(endpointId) && machine.state === 'up';
+			const hasSettled = context.now > (fleet.settledAt.get(machine.name) ?? 0) + settleMs;
+			if (open <= 0 || spareCount <= 0) {
+				break;
+			}
+
+			if (isIdle && hasSettled && !fleet.vacates.has(endpointId) && !fleet.orders.has(machine.name)) {
+				open -= 1;
+				spareCount -= 1;
+				outputs.push(...requestVacate(fleet, {
+					machine, endpointId, purpose: 'move', dueAt: Number.MAX_SAFE_INTEGER,
+				}, context));
+			}
+		}
+	}
+
+	return outputs;
+}
+
+/** Turns off emptied machines that no pool is short of. */
+function sendOff(state: State, machines: readonly Machine[], context: DecisionContext): JobOutput[] {
+	const spare = state.configuration.current?.pools.find(pool => pool.isSpare);
+	if (spare === undefined) {
+		return [];
+	}
+
+	return machines
+		.filter(machine => machine.pool !== spare.name && !state.fleet.immovable.has(machine.name))
+		.flatMap(machine => [
+			emitLog('info', 'machine not needed', {machine: machine.name, pool: machine.pool}),
+			...orderMachine(state, machine, {order: 'move', pool: spare.name, wave: 0}, context),
+		]);
+}
--- a/packages/jobs/src/fleet/fleet-filter.ts
+++ b/packages/jobs/src/fleet/fleet-filter.ts
@@ -2,12 +2,13 @@
 import {type AuthorityView} from '../authority/index.js';
 import {type ConfigurationView} from '../configuration/index.js';
 import {emitLog, type JobFilter, type JobOutput} from '../filter.js';
+import {balancePools} from './balance-pools.js';
 import {type FleetState} from './fleet-state.js';
 import {checkOrders, followMachines, settleOrder} from './order-machines.js';
 import {runWaves, withdrawVacates} from './run-waves.js';
 
 /** Time in ms between two readings of the machine list while orders or waves are open. */
-const busyListMs = 500;
+const busyListMs = 400;
 /** The same while there is nothing to do. */
 const idleListMs = 2000;
 /** Time in ms after which a reading without an answer is repeated. */
@@ -100,7 +101,7 @@
 		},
 		'vacate-requested'({fleet}, {request}, context) {
 			if (fleet.token !== undefined && !fleet.vacates.has(request.endpointId)) {
-				fleet.vacates.set(request.endpointId, {request, askedAt: context.now, targetPool: undefined});
+				fleet.vacates.set(request.endpointId, {request, askedAt: context.now});
 			}
 
 			return [];
@@ -119,7 +120,8 @@
 	return [
 		...readMachines(fleet, context),
 		...runWaves(state, context),
-		...(fleet.listedAt === undefined ? [] : withdrawVacates(state)),
+		...balancePools(state, context),
+		...(fleet.listedAt === undefined ? [] : withdrawVacates(state, context.now)),
 	];
 }
 
@@ -142,6 +144,8 @@
 	fleet.vacates.clear();
 	fleet.vacated.clear();
 	fleet.reports.clear();
+	fleet.fullAt.clear();
+	fleet.workedAt = undefined;
 	fleet.listedAt = undefined;
 	fleet.listAskedAt = undefined;
 	for (const wave of fleet.waves.values()) {
--- a/packages/jobs/src/fleet/fleet-state.ts
+++ b/packages/jobs/src/fleet/fleet-state.ts
@@ -24,14 +24,14 @@
 	/** Endpoint that ran on the machine before. */
 	readonly endpointId: string | undefined;
 	phase: 'sent' | 'accepted' | 'again';
+	/** The list has shown the machine as away since. */
+	wasSeenAway: boolean;
 };
 
 /** A wish that an endpoint be empty. @public */
 export type VacateState = {
 	readonly request: VacateRequest;
 	readonly askedAt: number;
-	/** Pool that the machine is to move to; undefined for maintenance. */
-	readonly targetPool: string | undefined;
 };
 
 /** @public */
@@ -53,6 +53,12 @@
 	readonly reports: Map<string, {readonly report: PoolReport; readonly seenAt: number}>;
 	/** When a machine last came to its pool, in monotonic ms. */
 	readonly settledAt: Map<string, number>;
+	/** When a pool last had less than a machine to spare, in monotonic ms. */
+	readonly fullAt: Map<string, number>;
+	/** When any pool last had work other than long-running tasks. */
+	workedAt: number | undefined;
+	/** Machines that the service will not move. */
+	readonly immovable: Set<string>;
 };
 
 /** @public */
@@ -70,5 +76,8 @@
 		orders: new Map(),
 		reports: new Map(),
 		settledAt: new Map(),
+		fullAt: new Map(),
+		workedAt: undefined,
+		immovable: new Set(),
 	};
 }
--- a/packages/jobs/src/fleet/order-machines.ts
+++ b/packages/jobs/src/fleet/order-machines.ts
@@ -11,6 +11,9 @@
 /** Pause in ms before an order that was turned down for the moment is sent again. */
 const busyPauseMs = 500;
 
+/** Time in ms after which a machine counts as back though the list never showed it away; several times what an order takes. */
+const backLimitMs = 8000;
+
 /** Whether this entry may give orders to machines now. @internal */
 export function mayOrder({fleet, authority}: {readonly fleet: FleetState} & AuthorityView, now: number): boolean {
 	return fleet.token !== undefined && !authority.isStopping && now >= fleet.mayOrderFrom && now < authority.validUntil - leaseMarginMs;
@@ -34,7 +37,7 @@
 	}
 
 	const sent: OpenOrder = {
-		...order, machine: machine.name, sentAt: context.now, endpointId: machine.endpointId, phase: 'sent',
+		...order, machine: machine.name, sentAt: context.now, endpointId: machine.endpointId, phase: 'sent', wasSeenAway: false,
 	};
 	fleet.orders.set(machine.name, sent);
 	return [
@@ -64,6 +67,10 @@
 const giveUp: AnswerHandler = (fleet, open) => {
 	fleet.orders.delete(open.machine);
 	fleet.waves.get(open.wave)?.maintained.add(open.machine);
+	if (open.order === 'move') {
+		fleet.immovable.add(open.machine);
+	}
+
 	return [];
 };
 
@@ -115,7 +122,13 @@
 			fleet.settledAt.set(machine.name, context.now);
 		}
 
-		if (open?.phase === 'accepted' && machine.state === 'up' && machine.endpointId !== open.endpointId && context.now > open.sentAt) {
+		if (open?.phase !== 'accepted') {
+			continue;
+		}
+
+		open.wasSeenAway ||= machine.state !== 'up';
+		const isBack = machine.state === 'up' && (open.wasSeenAway || machine.endpointId !== open.endpointId);
+		if (isBack || context.now > open.sentAt + backLimitMs) {
 			fleet.orders.delete(machine.name);
 		}
 	}
--- a/packages/jobs/src/fleet/run-waves.ts
+++ b/packages/jobs/src/fleet/run-waves.ts
@@ -8,6 +8,10 @@
 
 /** Share of a pool that may be asked to be emptied at once, so that the rest carries its work. */
 const poolShare = 0.34;
+/** Time in ms for a machine to be emptied, maintained and back at work. */
+const roundMs = 4500;
+/** Time in ms before its end by which a wave is to be done; a change of the holder takes as long. */
+const waveMarginMs = 6000;
 /** Time in ms that tasks are awaited before they are stopped for maintenance; about the longest task. */
 const awaitTasksMs = 5000;
 
@@ -83,7 +87,7 @@
 	return configuration.current?.pools.find(({name}) => name === pool)?.isSpare === true;
 }
 
-/** Asks for machines to be emptied ahead of their turn, a few of each pool at a time. */
+/** Asks for machines to be emptied ahead of their turn: idle ones at any time, others as late as the wave's end allows. */
 function vacateNext(state: State, {wave, seenAt}: WaveProgress, rest: readonly Machine[], context: DecisionContext): JobOutput[] {
 	const {fleet} = state;
 	const outputs: JobOutput[] = [];
@@ -94,6 +98,7 @@
 		pendingCount += request.purpose === 'maintenance' ? 1 : 0;
 	}
 
+	const isPressing = context.wallTime > seenAt + wave.durationMs - getTimeNeeded(state, wave, rest);
 	for (const machine of rest) {
 		const {endpointId, pool} = machine;
 		if (machine.state !== 'up' || endpointId === undefined || isSpare(state, pool) || fleet.vacates.has(endpointId)) {
@@ -102,7 +107,7 @@
 
 		const size = [...fleet.machines.values()].filter(other => other.pool === pool).length;
 		const limit = Math.max(1, Math.floor(size * poolShare));
-		if ((perPool.get(pool) ?? 0) >= limit || pendingCount >= wave.downLimit * 2) {
+		if ((perPool.get(pool) ?? 0) >= limit || pendingCount >= wave.downLimit * 2 || (!isPressing && !mayMissNow(fleet, machine, endpointId))) {
 			continue;
 		}
 
@@ -110,38 +115,63 @@
 		pendingCount += 1;
 		outputs.push(...requestVacate(fleet, {
 			machine, endpointId, purpose: 'maintenance', dueAt: Math.min(context.wallTime + awaitTasksMs, seenAt + wave.durationMs),
-		}, undefined, context));
+		}, context));
 	}
 
 	return outputs;
 }
 
+/** Time in ms that the machines of a wave that are left may still take, one pool's after the other where they are many. */
+function getTimeNeeded({fleet}: State, wave: WaveProgress['wave'], rest: readonly Machine[]): number {
+	const perPool = new Map<string, number>();
+	for (const machine of rest) {
+		perPool.set(machine.pool, (perPool.get(machine.pool) ?? 0) + 1);
+	}
+
+	let rounds = Math.ceil(rest.length / wave.downLimit);
+	for (const [pool, count] of perPool) {
+		const size = [...fleet.machines.values()].filter(machine => machine.pool === pool).length;
+		rounds = Math.max(rounds, Math.ceil(count / Math.max(1, Math.floor(size * poolShare))));
+	}
+
+	return (rounds * roundMs) + waveMarginMs;
+}
+
+/** Whether a pool does without a machine at the moment: it is idle, and no work waits. */
+function mayMissNow(fleet: FleetState, machine: Machine, endpointId: string): boolean {
+	const report = fleet.reports.get(machine.pool)?.report;
+	return report !== undefined && report.backlogMillis === 0 && report.idleEndpoints.includes(endpointId);
+}
+
 /** Asks a pool's owner to empty an endpoint. @internal */
 export function requestVacate(
 	fleet: FleetState,
 	{machine, endpointId, purpose, dueAt}: {readonly machine: Machine; readonly endpointId: string; readonly purpose: 'maintenance' | 'move'; readonly dueAt: number},
-	targetPool: string | undefined,
 	context: DecisionContext,
 ): JobOutput[] {
 	const request = {
 		pool: machine.pool, endpointId, machine: machine.name, purpose, dueAt,
 	};
-	fleet.vacates.set(endpointId, {request, askedAt: context.now, targetPool});
+	fleet.vacates.set(endpointId, {request, askedAt: context.now});
 	return [
 		emitLog('info', 'endpoint to be emptied', {
-			endpoint: endpointId, machine: machine.name, pool: machine.pool, purpose, targetPool,
+			endpoint: endpointId, machine: machine.name, pool: machine.pool, purpose,
 		}),
 		emitEffect({kind: 'request-vacate', request}),
 	];
 }
 
+/** Time in ms in which an idle endpoint is empty, if it still is idle when its owner hears of the wish. */
+const moveWaitMs = 1500;
+
 /** Takes back wishes whose machine has gone through its order, or is not to be ordered any more. @internal */
-export function withdrawVacates(state: State): JobOutput[] {
+export function withdrawVacates(state: State, now: number): JobOutput[] {
 	const {fleet} = state;
 	const outputs: JobOutput[] = [];
 	const endpointIds = new Set([...fleet.machines.values()].map(machine => machine.endpointId));
-	for (const [endpointId, {request}] of fleet.vacates) {
-		const isWanted = request.purpose === 'move' || [...fleet.waves.values()].some(({wave, maintained}) => wave.machines.includes(request.machine) && !maintained.has(request.machine));
+	for (const [endpointId, {request, askedAt}] of fleet.vacates) {
+		const isMoving = request.purpose === 'move' && (fleet.vacated.has(endpointId) || now < askedAt + moveWaitMs);
+		const isWanted = isMoving || [...fleet.waves.values()].some(({wave, maintained}) => wave.machines.includes(request.machine) && !maintained.has(request.machine));
 		if (endpointIds.has(endpointId) && (isWanted || isAway(fleet, request.machine))) {
 			continue;
 		}
--- a/packages/jobs/src/ledger/ledger-filter.ts
+++ b/packages/jobs/src/ledger/ledger-filter.ts
@@ -4,7 +4,7 @@
 import {type DirectoryView} from '../directory/index.js';
 import {emitLog, type JobFilter, type JobOutput} from '../filter.js';
 import {
-	type JobEventOf, type PoolReport, type StoredJob,
+	type JobEventOf, type PoolReport, type StepSpec, type StoredJob,
 } from '../model/index.js';
 import {applyEnd, endJob, markChanged} from './apply-end.js';
 import {
@@ -20,7 +20,7 @@
 /** Jobs forgotten in one write, of two records each. */
 const forgetBatch = 15;
 /** Least time between two reports of a pool, in ms; callers may be told counts that are 2 s old. */
-const reportPauseMs = 250;
+const reportPauseMs = 150;
 /** Step of run numbers after an endpoint says that a number was used before. */
 const outdatedRunStep = 16;
 
@@ -173,12 +173,23 @@
 	pool.active.add(job);
 	return [
 		emitLog('info', 'job known', {
-			job: id, queue: job.record.queue, pool: pool.pool, token: pool.token, revision: stored.revision, ageMs: Math.round(context.now - job.acceptedAt),
+			job: id, queue: job.record.queue, pool: pool.pool, token: pool.token, revision: stored.revision, ageMs: Math.round(context.now - job.acceptedAt), steps: stored.job.spec.steps.map(step => describeStep(step)),
 		}),
 		passEvent({kind: 'placement-due', pool: pool.pool}),
 	];
 }
 
+/** A step in a few words, for the log: number of tasks, room of each, and what is special about it. */
+function describeStep(step: StepSpec): string {
+	const traits = Object.entries({
+		long: step.isLongRunning, gang: step.isGang, fills: step.isFiller, saves: step.isCheckpointing, copies: step.mayDuplicate,
+	}).filter(([, isSet]) => isSet).map(([name]) => name);
+	const limits = Object.entries({
+		apart: step.endpointLimit, miss: step.missLimit, tail: step.tailTargetMs,
+	}).filter(([, value]) => value !== undefined).map(([name, value]) => `${name}=${value}`);
+	return [`${step.count}x${step.room.cpuMillis}m/${step.room.memoryMb}MB`, `${step.estimateMs}ms`, ...traits, ...limits].join(' ');
+}
+
 function noteRun({ledger}: State, {pool: name, taskId, run, endpointId}: {readonly pool: string; readonly taskId: string; readonly run: number; readonly endpointId: string}, context: DecisionContext): JobOutput[] {
 	const pool = ledger.pools.get(name);
 	const task = findTask(pool, taskId);
@@ -271,6 +282,7 @@
 	const busy = new Set<string>();
 	let backlogMillis = 0;
 	let usedMillis = 0;
+	let hasWork = false;
 	for (const job of pool.active) {
 		if (job.status === 'queued') {
 			waiting[job.record.queue] = (waiting[job.record.queue] ?? 0) + 1;
@@ -278,6 +290,7 @@
 
 		for (const step of job.steps.values()) {
 			const isStepOpen = isOpen(step);
+			hasWork ||= !step.spec.isLongRunning;
 			for (const task of step.tasks) {
 				const cpuMillis = step.spec.isFiller ? 0 : step.spec.room.cpuMillis;
 				for (const endpointId of task.runs.values()) {
@@ -296,6 +309,7 @@
 	return {
 		pool: pool.pool,
 		waiting,
+		hasWork,
 		backlogMillis,
 		usedMillis,
 		capacityMillis: endpoints.reduce((sum, endpoint) => sum + endpoint.room.cpuMillis, 0),
--- a/packages/jobs/src/model/coordination.ts
+++ b/packages/jobs/src/model/coordination.ts
@@ -29,6 +29,8 @@
 	readonly waiting: Readonly<Record<string, number>>;
 	/** Thousandths of a core that tasks ready to run ask for and have not got. */
 	readonly backlogMillis: number;
+	/** Whether there is work other than long-running tasks. */
+	readonly hasWork: boolean;
 	/** Thousandths of a core in use. */
 	readonly usedMillis: number;
 	/** Thousandths of a core of all endpoints in use for new tasks. */
--- a/packages/jobs/src/placement/choose-endpoint.ts
+++ b/packages/jobs/src/placement/choose-endpoint.ts
@@ -82,8 +82,10 @@
 	}
 
 	if (isLongRunning) {
-		// Spread, so that one endpoint's loss takes few tasks of a step.
-		return rackCost + slowCost - freeShare + (2 * (counts.get(endpoint.id) ?? 0)) + (neighbourWeight * fillerCount);
+		// On two endpoints or more, so that one's loss does not take all; on few, so that the others can be given away.
+		const ownCount = counts.get(endpoint.id) ?? 0;
+		const isCrowded = ownCount > 0 && ownCount >= step.tasks.length / 2;
+		return rackCost + slowCost + freeShare + (isCrowded ? 2 : 0) - (servingCount > 0 ? 1 : 0) + (neighbourWeight * fillerCount);
 	}
 
 	return rackCost + slowCost + freeShare;
