Displace the largest jobs when a pool cannot do all in time, and bring in no machines for hopeless ones

Change: jobs due together are counted against the pool's capacity, and the largest are displaced until the rest fits; reports leave hopeless jobs out of the backlog and stand in a filter of their own.

--- a/packages/bench/src/jobs/jobs-world.ts
+++ b/packages/bench/src/jobs/jobs-world.ts
@@ -218,9 +218,11 @@
 				endpoint.hold(effect, event => {
 					const isHeard = endpoint.isReachable;
 					queue.add(isHeard ? getDelay() : callTimeoutMs, () => {
-						deliver(entry, isHeard ? event : {
-				kind: 'hold-refused', endpointId, token, refusal: 'no-answer',
-			}, incarnation);
+						deliver(entry, isHeard
+							? event
+							: {
+								kind: 'hold-refused', endpointId, token, refusal: 'no-answer',
+							}, incarnation);
 					});
 				});
 				return undefined;
--- a/packages/bench/src/jobs/virtual-endpoint.ts
+++ b/packages/bench/src/jobs/virtual-endpoint.ts
@@ -50,9 +50,7 @@
 const clockRate = 1 / 1.02;
 const clockStart = 500_000;
 
-export function createVirtualEndpoint(
-	queue: EventQueue, registration: Endpoint, getNature: (taskId: string) => TaskNature, observer: EndpointObserver,
-): VirtualEndpoint {
+export function createVirtualEndpoint(queue: EventQueue, registration: Endpoint, getNature: (taskId: string) => TaskNature, observer: EndpointObserver): VirtualEndpoint {
 	const bornAt = queue.now;
 	const runs = new Map<string, VirtualRun>();
 	const highest = new Map<string, number>();
--- a/packages/jobs/src/apply-job-event.ts
+++ b/packages/jobs/src/apply-job-event.ts
@@ -11,6 +11,7 @@
 import {type JobEffect, type JobEvent} from './model/index.js';
 import {pacingFilter} from './pacing/index.js';
 import {placementFilter} from './placement/index.js';
+import {reportingFilter} from './reporting/index.js';
 import {supervisionFilter} from './supervision/index.js';
 
 /** The filters of the jobs chain, in order. @public */
@@ -23,6 +24,7 @@
 	ledgerFilter,
 	evacuationFilter,
 	placementFilter,
+	reportingFilter,
 	pacingFilter,
 	fleetFilter,
 ];
--- /dev/null
+++ b/packages/jobs/src/fleet/balance-pools.test.ts
@@ -0,0 +1,118 @@
+import {createRandomSource} from '@pistachiogauge/chain';
+import {describe, expect, it} from 'vitest';
+import {type JobEffectOf, type Machine, type PoolReport} from '../model/index.js';
+import {createTestMachine, createTestReport} from '../testing.test-support.js';
+import {balancePools} from './balance-pools.js';
+import {createFleetState, type FleetState} from './fleet-state.js';
+
+const configuration = {
+	current: {
+		version: 1, queues: [], pools: [{name: 'desk', isSpare: false}, {name: 'notify', isSpare: false}, {name: 'off', isSpare: true}], limits: {
+			headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1,
+		},
+	},
+};
+const authority = {
+	node: 'entry-1', own: new Map(), validUntil: 1_000_000, isStopping: false,
+};
+const random = createRandomSource(1);
+
+type Input = {
+	readonly machines: readonly Machine[];
+	readonly reports: readonly PoolReport[];
+	/** Times in ms at which the fleet is looked at; the reports stay as they are. */
+	readonly at: readonly number[];
+	readonly vacated?: readonly string[];
+};
+
+function createFleet({machines, reports}: Input): FleetState {
+	const fleet = createFleetState(3000);
+	fleet.token = 7;
+	fleet.listedAt = 0;
+	for (const machine of machines) {
+		fleet.machines.set(machine.name, machine);
+	}
+
+	for (const report of reports) {
+		fleet.reports.set(report.pool, {report, seenAt: 0});
+	}
+
+	return fleet;
+}
+
+/** What is asked for, in words: orders as `machine>pool`, wishes as `empty endpoint`. */
+function listDecisions(input: Input): string[] {
+	const fleet = createFleet(input);
+	const decisions: string[] = [];
+	for (const now of input.at) {
+		for (const [pool, {report}] of fleet.reports) {
+			fleet.reports.set(pool, {report, seenAt: now});
+		}
+
+		for (const output of balancePools({fleet, authority, configuration}, {now, wallTime: now, random})) {
+			if (output.kind === 'sink' && output.effect.kind === 'order-machine') {
+				const order: JobEffectOf<'order-machine'> = output.effect;
+				decisions.push(`${order.machine}>${order.pool}`);
+			}
+
+			if (output.kind === 'sink' && output.effect.kind === 'request-vacate') {
+				decisions.push(`empty ${output.effect.request.endpointId}`);
+			}
+		}
+	}
+
+	return decisions;
+}
+
+const desk = [1, 2, 3].map(index => createTestMachine(`desk-${index}`, 'desk'));
+const notify = [1, 2, 3].map(index => createTestMachine(`notify-${index}`, 'notify'));
+const off = [1, 2].map(index => createTestMachine(`off-${index}`, 'off', {endpointId: undefined}));
+const idle = (machines: readonly Machine[]) => machines.map(machine => machine.endpointId!);
+const busyDesk = createTestReport('desk', {
+	hasWork: true, usedMillis: 48_000, backlogMillis: 20_000, capacityMillis: 48_000,
+});
+const quietNotify = createTestReport('notify', {capacityMillis: 48_000, idleEndpoints: idle(notify)});
+
+// Pattern: turns of demand. Each pool in its turn asks for several times its mean, and for next to nothing in between.
+const cases: ReadonlyArray<{readonly name: string; readonly expected: readonly string[]} & Input> = [
+	{
+		name: 'a pool whose work waits gets machines that are off', machines: [...desk, ...off], reports: [busyDesk], at: [5000], expected: ['off-1>desk'],
+	},
+	{
+		name: 'without machines that are off it gets an idle one of a quiet pool', machines: [...desk, ...notify], reports: [busyDesk, quietNotify], at: [5000], expected: ['empty endpoint-of-notify-1'],
+	},
+	{
+		name: 'a quiet pool keeps two machines', machines: [...desk, ...notify.slice(0, 2)], reports: [busyDesk, {...quietNotify, capacityMillis: 32_000}], at: [5000], expected: [],
+	},
+	{
+		name: 'a pool that was full a moment ago keeps its machines', machines: desk, reports: [createTestReport('desk', {hasWork: true, capacityMillis: 48_000, idleEndpoints: idle(desk)})], at: [5000, 6500], expected: [],
+	},
+	{
+		name: 'a pool with room to spare for two seconds gives a machine away', machines: desk, reports: [createTestReport('desk', {hasWork: true, capacityMillis: 48_000, idleEndpoints: idle(desk)})], at: [5000, 7100], expected: ['empty endpoint-of-desk-1'],
+	},
+	{
+		name: 'nothing moves while the whole fleet is quiet, as work may begin anywhere', machines: desk, reports: [createTestReport('desk', {capacityMillis: 48_000, idleEndpoints: idle(desk)})], at: [5000, 7100, 12_000], expected: [],
+	},
+	{
+		name: 'a backlog below a third of a machine is waited out', machines: [...desk, ...off], reports: [{...busyDesk, backlogMillis: 5000}], at: [5000], expected: [],
+	},
+];
+
+describe('balancePools', () => {
+	it.each(cases)('$name', ({expected, ...input}) => {
+		expect(listDecisions(input)).toEqual(expected);
+	});
+
+	it('gives no order before a former holder must have stopped, nor after its own term', () => {
+		const fleet = createFleet({machines: [...desk, ...off], reports: [busyDesk], at: []});
+		fleet.mayOrderFrom = 6000;
+		const look = (now: number, validUntil: number) => {
+			fleet.reports.set('desk', {report: busyDesk, seenAt: now});
+			return balancePools({fleet, authority: {...authority, validUntil}, configuration}, {now, wallTime: now, random}).length;
+		};
+
+		expect(look(5900, 1_000_000)).toBe(0);
+		expect(look(6100, 6300)).toBe(0);
+		expect(look(6100, 1_000_000)).toBeGreaterThan(0);
+	});
+});
--- a/packages/jobs/src/jobs-state.ts
+++ b/packages/jobs/src/jobs-state.ts
@@ -7,6 +7,7 @@
 import {createLedgerState, type LedgerState} from './ledger/index.js';
 import {createPacingState, type PacingState} from './pacing/index.js';
 import {createPlacementState, type PlacementState} from './placement/index.js';
+import {createReportingState, type ReportingState} from './reporting/index.js';
 import {createSupervisionState, type SupervisionState} from './supervision/index.js';
 
 /** Everything that an entry believes about jobs, endpoints and machines; a part for each filter. @public */
@@ -19,6 +20,7 @@
 	readonly ledger: LedgerState;
 	readonly evacuation: EvacuationState;
 	readonly placement: PlacementState;
+	readonly reporting: ReportingState;
 	readonly pacing: PacingState;
 	readonly fleet: FleetState;
 };
@@ -44,6 +46,7 @@
 		ledger: createLedgerState(),
 		evacuation: createEvacuationState(),
 		placement: createPlacementState(),
+		reporting: createReportingState(),
 		pacing: createPacingState(),
 		fleet: createFleetState(orderLeaseMs),
 	};
--- a/packages/jobs/src/ledger/ledger-filter.ts
+++ b/packages/jobs/src/ledger/ledger-filter.ts
@@ -4,11 +4,11 @@
 import {type DirectoryView} from '../directory/index.js';
 import {emitLog, type JobFilter, type JobOutput} from '../filter.js';
 import {
-	type JobEventOf, type PoolReport, type StepSpec, type StoredJob,
+	type JobEventOf, type StepSpec, type StoredJob,
 } from '../model/index.js';
 import {applyEnd, endJob, markChanged} from './apply-end.js';
 import {
-	findTask, isActive, isOpen, type LedgerState, type PoolLedger,
+	findTask, isActive, type LedgerState, type PoolLedger,
 } from './ledger-state.js';
 import {markUncertain, openJob, openOccurrences} from './open-job.js';
 import {saveProgress, settleSave} from './write-progress.js';
@@ -19,8 +19,6 @@
 const forgetPauseMs = 5000;
 /** Jobs forgotten in one write, of two records each. */
 const forgetBatch = 15;
-/** Least time between two reports of a pool, in ms; callers may be told counts that are 2 s old. */
-const reportPauseMs = 150;
 /** Step of run numbers after an endpoint says that a number was used before. */
 const outdatedRunStep = 16;
 
@@ -107,7 +105,6 @@
 		tick: (state, _event, context) => [...state.ledger.pools.values()].flatMap(pool => [
 			...openDueJobs(pool, context),
 			...saveProgress(pool, getRosterIds(state, pool), context),
-			...publishReport(state, pool, context),
 			...forgetJobs(pool, context),
 		]),
 	},
@@ -133,8 +130,6 @@
 		earlyCancels: new Set(),
 		emptiedIds: new Set(),
 		forgottenIds: new Set(),
-		lastReport: '',
-		reportedAt: 0,
 		forgetAt: context.now + forgetPauseMs,
 	};
 	ledger.pools.set(name, pool);
@@ -261,62 +256,6 @@
 	return ids;
 }
 
-function publishReport(state: State, pool: PoolLedger, context: DecisionContext): JobOutput[] {
-	if (context.now < pool.reportedAt + reportPauseMs) {
-		return [];
-	}
-
-	const report = createReport(state, pool);
-	const text = JSON.stringify(report);
-	if (text === pool.lastReport) {
-		return [];
-	}
-
-	pool.lastReport = text;
-	pool.reportedAt = context.now;
-	return [emitEffect({kind: 'publish-report', token: pool.token, report})];
-}
-
-function createReport(state: State, pool: PoolLedger): PoolReport {
-	const waiting: Record<string, number> = {};
-	const busy = new Set<string>();
-	let backlogMillis = 0;
-	let usedMillis = 0;
-	let hasWork = false;
-	for (const job of pool.active) {
-		if (job.status === 'queued') {
-			waiting[job.record.queue] = (waiting[job.record.queue] ?? 0) + 1;
-		}
-
-		for (const step of job.steps.values()) {
-			const isStepOpen = isOpen(step);
-			hasWork ||= !step.spec.isLongRunning;
-			for (const task of step.tasks) {
-				const cpuMillis = step.spec.isFiller ? 0 : step.spec.room.cpuMillis;
-				for (const endpointId of task.runs.values()) {
-					busy.add(endpointId);
-					usedMillis += cpuMillis;
-				}
-
-				if (isStepOpen && !task.isDone && task.runs.size === 0) {
-					backlogMillis += cpuMillis;
-				}
-			}
-		}
-	}
-
-	const endpoints = [...state.directory.endpoints.values()].filter(endpoint => endpoint.pool === pool.pool && endpoint.state === 'ready');
-	return {
-		pool: pool.pool,
-		waiting,
-		hasWork,
-		backlogMillis,
-		usedMillis,
-		capacityMillis: endpoints.reduce((sum, endpoint) => sum + endpoint.room.cpuMillis, 0),
-		idleEndpoints: endpoints.filter(endpoint => !busy.has(endpoint.id)).map(endpoint => endpoint.id),
-	};
-}
-
 function forgetJobs(pool: PoolLedger, context: DecisionContext): JobOutput[] {
 	if (context.now < pool.forgetAt) {
 		return [];
--- a/packages/jobs/src/ledger/ledger-state.ts
+++ b/packages/jobs/src/ledger/ledger-state.ts
@@ -94,8 +94,6 @@
 	readonly emptiedIds: Set<string>;
 	/** Endpoints that have left for good since the roster was written. */
 	readonly forgottenIds: Set<string>;
-	lastReport: string;
-	reportedAt: number;
 	forgetAt: number;
 };
 
--- a/packages/jobs/src/placement/index.ts
+++ b/packages/jobs/src/placement/index.ts
@@ -1,2 +1,3 @@
-export {placementFilter} from './placement-filter.js';
-export {createPlacementState, type PlacementState} from './placement-state.js';
+export {getStanding, placementFilter} from './placement-filter.js';
+export {type JobStanding} from './order-jobs.js';
+export {createPlacementState, type PlacementState, type PlacementView} from './placement-state.js';
--- a/packages/jobs/src/placement/order-jobs.ts
+++ b/packages/jobs/src/placement/order-jobs.ts
@@ -4,47 +4,82 @@
 How a job stands against its latency objective.
 
 - `serving`: its tasks run until it is cancelled, and are worth something for as long as they run.
-- `timely`: it can still meet its objective.
+- `timely`: it can meet its objective.
+- `displaced`: it could, but not together with others that ask for less.
 - `late`: it can still be done within three times its objective, when it is worth a little.
 - `hopeless`: it is done when nothing else wants the room.
 
-@internal
+@public
 */
-export type JobStanding = 'serving' | 'timely' | 'late' | 'hopeless';
+export type JobStanding = 'serving' | 'timely' | 'displaced' | 'late' | 'hopeless';
 
 const standingOrder: Readonly<Record<JobStanding, number>> = {
-	serving: 0, timely: 1, late: 2, hopeless: 3,
+	serving: 0, timely: 1, displaced: 2, late: 3, hopeless: 4,
 };
 
 /** Factor of the objective up to which a job that is done late counts. */
 const lateFactor = 3;
+/** Share of a task's work that is left, on average, while it runs. */
+const runningShare = 0.5;
 
 /** @internal */
 export type RankedJob = {
 	readonly job: Job;
-	readonly standing: JobStanding;
+	standing: JobStanding;
 	/** Time in ms by which the rest may be put off. */
 	readonly slackMs: number;
+	/** Time in ms until the rest must be done. */
+	readonly dueInMs: number;
+	/** Work that is left, in thousandths of a core times ms. */
+	readonly restWork: number;
 };
 
+/** Measured against estimated durations of a queue's tasks. @internal */
+export type FactorSource = (queue: string) => number;
+
 /**
 Orders jobs for the room that there is: by standing, then priority, then least slack.
 
-@param getFactor - Measured against estimated durations of a queue's tasks.
+Under more load than the pool can carry, least slack first makes every job late by a little. So the jobs that are due together are counted against the pool's capacity, and those that ask for most are displaced until the rest fits.
+
+@param capacityMillis - Thousandths of a core that the pool has.
 @internal
 */
-export function orderJobs(jobs: Iterable<Job>, getFactor: (queue: string) => number, now: number): RankedJob[] {
-	return [...jobs]
-		.map(job => rankJob(job, getFactor(job.record.queue), now))
-		.sort((left, right) => standingOrder[left.standing] - standingOrder[right.standing]
-			|| left.job.record.priority - right.job.record.priority
-			|| left.slackMs - right.slackMs);
+export function orderJobs(jobs: Iterable<Job>, getFactor: FactorSource, capacityMillis: number, now: number): RankedJob[] {
+	const ranked = [...jobs].map(job => rankJob(job, getFactor(job.record.queue), now));
+	displaceJobs(ranked.filter(({standing}) => standing === 'timely'), capacityMillis);
+	return ranked.sort((left, right) => standingOrder[left.standing] - standingOrder[right.standing]
+		|| left.job.record.priority - right.job.record.priority
+		|| left.slackMs - right.slackMs);
+}
+
+/** Takes the largest jobs out of the order of due times until the rest can be done in time (Moore and Hodgson's rule, with the pool as one machine). */
+function displaceJobs(timely: RankedJob[], capacityMillis: number): void {
+	if (capacityMillis <= 0) {
+		return;
+	}
+
+	const kept: RankedJob[] = [];
+	let work = 0;
+	for (const ranked of timely.sort((left, right) => left.dueInMs - right.dueInMs)) {
+		kept.push(ranked);
+		work += ranked.restWork;
+		while (work / capacityMillis > ranked.dueInMs && kept.length > 0) {
+			const largest = kept.reduce((found, each) => each.restWork > found.restWork ? each : found);
+			kept.splice(kept.indexOf(largest), 1);
+			work -= largest.restWork;
+			largest.standing = 'displaced';
+		}
+	}
 }
 
-function rankJob(job: Job, factor: number, now: number): RankedJob {
+/** How a single job stands, leaving the others aside. @internal */
+export function rankJob(job: Job, factor: number, now: number): RankedJob {
 	const {record} = job;
 	if (record.spec.steps.some(step => step.isLongRunning)) {
-		return {job, standing: 'serving', slackMs: 0};
+		return {
+			job, standing: 'serving', slackMs: 0, dueInMs: 0, restWork: 0,
+		};
 	}
 
 	// Occurrences have their own due times; their steps rank by their latest start.
@@ -52,13 +87,28 @@
 	const wholeMs = getChainMs(job, () => false) * factor;
 	const restMs = getChainMs(job, step => step.doneCount === step.tasks.length) * factor;
 	const objectiveMs = (record.stretch * wholeMs) + record.latencyTargetMs;
-	const slackMs = objectiveMs - ageMs - restMs;
+	const rest = {job, dueInMs: objectiveMs - ageMs, restWork: getRestWork(job) * factor};
+	const slackMs = rest.dueInMs - restMs;
 	if (slackMs >= 0) {
-		return {job, standing: 'timely', slackMs};
+		return {...rest, standing: 'timely', slackMs};
 	}
 
 	const lateSlackMs = (lateFactor * objectiveMs) - ageMs - restMs;
-	return {job, standing: lateSlackMs >= 0 ? 'late' : 'hopeless', slackMs: lateSlackMs};
+	return {...rest, standing: lateSlackMs >= 0 ? 'late' : 'hopeless', slackMs: lateSlackMs};
+}
+
+function getRestWork(job: Job): number {
+	let work = 0;
+	for (const step of job.steps.values()) {
+		const taskWork = step.spec.room.cpuMillis * step.spec.estimateMs;
+		for (const task of step.tasks) {
+			if (!task.isDone) {
+				work += taskWork * (task.runs.size > 0 ? runningShare : 1);
+			}
+		}
+	}
+
+	return work;
 }
 
 function getLatestDue(job: Job): number {
--- a/packages/jobs/src/placement/placement-filter.ts
+++ b/packages/jobs/src/placement/placement-filter.ts
@@ -3,13 +3,15 @@
 import {type EvacuationView} from '../evacuation/index.js';
 import {emitLog, type JobFilter, type JobOutput} from '../filter.js';
 import {
-	findTask, type LedgerView, type PoolLedger, type Step, type Task,
+	findTask, type Job, type LedgerView, type PoolLedger, type Step, type Task,
 } from '../ledger/index.js';
 import {takeRoom, type JobEventOf} from '../model/index.js';
 import {getUsedRoom, type SupervisionView} from '../supervision/index.js';
 import {chooseEndpoint, takeCandidate, type Candidate} from './choose-endpoint.js';
-import {getOpenSteps, orderJobs} from './order-jobs.js';
-import {type EndpointRecord, type PlacementState} from './placement-state.js';
+import {
+	getOpenSteps, orderJobs, rankJob, type JobStanding,
+} from './order-jobs.js';
+import {type EndpointRecord, type PlacementState, type PlacementView} from './placement-state.js';
 
 /** Steps that find no room before the search ends; those after them are seldom much smaller. */
 const missLimit = 24;
@@ -71,7 +73,7 @@
 
 	const outputs: JobOutput[] = [];
 	let misses = 0;
-	for (const {job} of orderJobs(waiting, queue => state.placement.estimateFactors.get(queue) ?? 1, context.now)) {
+	for (const {job} of orderJobs(waiting, queue => state.placement.estimateFactors.get(queue) ?? 1, getCapacity(candidates), context.now)) {
 		if (job.isUncertain) {
 			continue;
 		}
@@ -91,6 +93,15 @@
 	return outputs;
 }
 
+function getCapacity(candidates: readonly Candidate[]): number {
+	return candidates.reduce((sum, {endpoint}) => sum + endpoint.room.cpuMillis, 0);
+}
+
+/** How a job stands against its objective, as far as durations are known. @internal */
+export function getStanding({placement}: PlacementView, job: Job, now: number): JobStanding {
+	return rankJob(job, placement.estimateFactors.get(job.record.queue) ?? 1, now).standing;
+}
+
 function hasPending(steps: Iterable<Step>): boolean {
 	for (const step of steps) {
 		if (step.doneCount < step.tasks.length && step.tasks.some(task => isPending(task))) {
--- a/packages/jobs/src/placement/placement-state.ts
+++ b/packages/jobs/src/placement/placement-state.ts
@@ -30,6 +30,9 @@
 	readonly adviceAsked: Map<string, number>;
 };
 
+/** What other filters may ask about durations. @public */
+export type PlacementView = {readonly placement: {readonly estimateFactors: ReadonlyMap<string, number>}};
+
 /** @public */
 export function createPlacementState(): PlacementState {
 	return {
--- /dev/null
+++ b/packages/jobs/src/reporting/index.ts
@@ -0,0 +1,1 @@
+export {createReportingState, reportingFilter, type ReportingState} from './reporting-filter.js';
--- /dev/null
+++ b/packages/jobs/src/testing.test-support.ts
@@ -0,0 +1,67 @@
+import {openJob} from './ledger/open-job.js';
+import {type Job} from './ledger/index.js';
+import {
+	type JobRecord, type Machine, type PoolReport, type StepSpec,
+} from './model/index.js';
+
+const plainStep: StepSpec = {
+	count: 1,
+	room: {cpuMillis: 1000, memoryMb: 100, gpus: 0},
+	estimateMs: 1000,
+	after: [],
+	isCheckpointing: false,
+	isGang: false,
+	isSameRack: false,
+	requiredLabel: undefined,
+	dataRack: undefined,
+	endpointLimit: undefined,
+	mayDuplicate: false,
+	isLongRunning: false,
+	image: '',
+	tailTargetMs: undefined,
+	isFiller: false,
+	missLimit: undefined,
+};
+
+/** A step with the given traits; one task of one core and one second otherwise. @internal */
+export function createStepSpec(traits: Partial<StepSpec> = {}): StepSpec {
+	return {...plainStep, ...traits};
+}
+
+/** A job of the given steps, accepted at 0. @internal */
+export function createTestJob(id: string, steps: ReadonlyArray<Partial<StepSpec>>, terms: Partial<JobRecord> = {}): Job {
+	const record: JobRecord = {
+		id,
+		queue: 'prints',
+		pool: 'desk',
+		spec: {
+			payload: '', steps: steps.map(step => createStepSpec(step)), repeatCount: 0, startAtMs: 0, intervalMs: 0,
+		},
+		priority: 0,
+		attempts: 2,
+		stretch: 1.6,
+		latencyTargetMs: 600,
+		advice: undefined,
+		acceptedAt: 0,
+		...terms,
+	};
+	return openJob({
+		job: record, progress: {
+			queue: record.queue, status: 'queued', steps: {}, lastRun: 0,
+		}, revision: 1, isCancelled: false,
+	}, {now: 0, wallTime: 0});
+}
+
+/** A machine of 16 cores. @internal */
+export function createTestMachine(name: string, pool: string, traits: Partial<Machine> = {}): Machine {
+	return {
+		name, pool, state: 'up', zone: 'a', labels: ['a', 'rack-1'], room: {cpuMillis: 16_000, memoryMb: 64_000, gpus: 0}, endpointId: `endpoint-of-${name}`, ...traits,
+	};
+}
+
+/** A report of a pool with nothing to do. @internal */
+export function createTestReport(pool: string, traits: Partial<PoolReport> = {}): PoolReport {
+	return {
+		pool, waiting: {}, hasWork: false, backlogMillis: 0, usedMillis: 0, capacityMillis: 0, idleEndpoints: [], ...traits,
+	};
+}
