--- a/packages/bench/src/jobs/virtual-records.ts
+++ b/packages/bench/src/jobs/virtual-records.ts
@@ -1,5 +1,5 @@
 import {
-	poolClaimPrefix, rosterRecord, type Claim, type JobEffectOf, type JobEvent, type JobRecord, type Member, type PoolReport, type ProgressRecord, type StoredJob, type VacateRequest,
+	poolClaimPrefix, rosterRecord, type Claim, type JobEffectOf, type JobEvent, type JobRecord, type Member, type ProgressRecord, type StoredJob,
 } from '@pistachiogauge/jobs';
 
 /** What the platform's store holds for the emulator, in the project's terms. */
@@ -17,9 +17,6 @@
 	loadPool(pool: string, token: number): JobEvent;
 	/** Events that tell everything anew, as after history was lost. Jobs and cancellations come in order of their keys. */
 	listInbox(pool: string): readonly JobEvent[];
-	readonly reports: Map<string, PoolReport>;
-	readonly vacates: Map<string, VacateRequest>;
-	readonly vacated: Set<string>;
 };
 
 type Versioned<Record> = {readonly record: Record; readonly revision: number};
@@ -44,9 +41,6 @@
 	return {
 		claims,
 		members,
-		reports: new Map(),
-		vacates: new Map(),
-		vacated: new Set(),
 		register(member) {
 			revision += 1;
 			members.set(member.node, member);
--- a/packages/jobs/src/fleet/run-waves.ts
+++ b/packages/jobs/src/fleet/run-waves.ts
@@ -140,7 +140,7 @@
 /** Whether a pool does without a machine at the moment: it is idle, and no work waits. */
 function mayMissNow(fleet: FleetState, machine: Machine, endpointId: string): boolean {
 	const report = fleet.reports.get(machine.pool)?.report;
-	return report !== undefined && report.backlogMillis === 0 && report.idleEndpoints.includes(endpointId);
+	return report?.backlogMillis === 0 && report.idleEndpoints.includes(endpointId);
 }
 
 /** Asks a pool's owner to empty an endpoint. @internal */
--- a/packages/jobs/src/placement/order-jobs.ts
+++ b/packages/jobs/src/placement/order-jobs.ts
@@ -65,7 +65,7 @@
 		kept.push(ranked);
 		work += ranked.restWork;
 		while (work / capacityMillis > ranked.dueInMs && kept.length > 0) {
-			const largest = kept.reduce((found, each) => each.restWork > found.restWork ? each : found);
+			const largest = findLargest(kept)!;
 			kept.splice(kept.indexOf(largest), 1);
 			work -= largest.restWork;
 			largest.standing = 'displaced';
@@ -73,6 +73,17 @@
 	}
 }
 
+function findLargest(jobs: readonly RankedJob[]): RankedJob | undefined {
+	let largest: RankedJob | undefined;
+	for (const job of jobs) {
+		if (largest === undefined || job.restWork > largest.restWork) {
+			largest = job;
+		}
+	}
+
+	return largest;
+}
+
 /** How a single job stands, leaving the others aside. @internal */
 export function rankJob(job: Job, factor: number, now: number): RankedJob {
 	const {record} = job;
