Count each failed run once, find endpoints that stall or slow down their runs, and ask for machines by due times

Change: progress keeps the numbers of failed runs; a filter for observations avoids endpoints whose runs stand still, fail or are slow and moves these runs; reports tell the room needed by due times and by arrivals of five jobs or more; waves keep 9 s for two changes of the holder.

--- a/packages/jobs/src/apply-job-event.ts
+++ b/packages/jobs/src/apply-job-event.ts
@@ -9,6 +9,7 @@
 import {type JobsState} from './jobs-state.js';
 import {ledgerFilter} from './ledger/index.js';
 import {type JobEffect, type JobEvent} from './model/index.js';
+import {observationFilter} from './observation/index.js';
 import {pacingFilter} from './pacing/index.js';
 import {placementFilter} from './placement/index.js';
 import {reportingFilter} from './reporting/index.js';
@@ -22,6 +23,7 @@
 	intakeFilter,
 	supervisionFilter,
 	ledgerFilter,
+	observationFilter,
 	evacuationFilter,
 	placementFilter,
 	reportingFilter,
--- a/packages/jobs/src/fleet/balance-pools.test.ts
+++ b/packages/jobs/src/fleet/balance-pools.test.ts
@@ -69,7 +69,7 @@
 const off = [1, 2].map(index => createTestMachine(`off-${index}`, 'off', {endpointId: undefined}));
 const idle = (machines: readonly Machine[]) => machines.map(machine => machine.endpointId!);
 const busyDesk = createTestReport('desk', {
-	hasWork: true, usedMillis: 48_000, backlogMillis: 20_000, capacityMillis: 48_000,
+	hasWork: true, usedMillis: 48_000, backlogMillis: 20_000, neededMillis: 68_000, capacityMillis: 48_000,
 });
 const quietNotify = createTestReport('notify', {capacityMillis: 48_000, idleEndpoints: idle(notify)});
 
@@ -93,6 +93,21 @@
 	{
 		name: 'nothing moves while the whole fleet is quiet, as work may begin anywhere', machines: desk, reports: [createTestReport('desk', {capacityMillis: 48_000, idleEndpoints: idle(desk)})], at: [5000, 7100, 12_000], expected: [],
 	},
+	{
+		// Guards against a turn's first seconds being lost because machines follow the backlog one after the other.
+		name: 'a pool at the start of its turn gets machines for the work that is arriving', machines: [...desk, ...off], reports: [{
+			...busyDesk, backlogMillis: 0, usedMillis: 40_000, arrivingMillis: 90_000,
+		}], at: [5000], expected: ['off-1>desk', 'off-2>desk'],
+	},
+	{
+		name: 'a single large arrival counts for no more than is wanted already', machines: [...desk, ...off], reports: [{
+			...busyDesk, backlogMillis: 0, usedMillis: 10_000, arrivingMillis: 200_000,
+		}], at: [5000], expected: [],
+	},
+	{
+		// Pattern: few large jobs with time to spare beside many small ones; the large ones must not take all machines.
+		name: 'a backlog that can wait brings no machines', machines: [...desk, ...off], reports: [{...busyDesk, backlogMillis: 90_000, neededMillis: 40_000}], at: [5000], expected: [],
+	},
 	{
 		name: 'a backlog below a third of a machine is waited out', machines: [...desk, ...off], reports: [{...busyDesk, backlogMillis: 5000}], at: [5000], expected: [],
 	},
--- a/packages/jobs/src/fleet/balance-pools.ts
+++ b/packages/jobs/src/fleet/balance-pools.ts
@@ -21,6 +21,8 @@
 const settleMs = 2500;
 /** Share of a machine that must be short before another one comes. */
 const shortShare = 0.35;
+/** Factor of what is wanted at present up to which arriving work counts. */
+const arrivalLimit = 2;
 /** Most machines asked for a pool at once; demand that lasts asks again. */
 const machinesAtOnce = 8;
 
@@ -99,13 +101,21 @@
 			incoming,
 			machineMillis,
 			capacityMillis: report.capacityMillis + (incoming * machineMillis),
-			wantedMillis: report.usedMillis + report.backlogMillis,
+			wantedMillis: getWantedMillis(report),
 		});
 	}
 
 	return balances;
 }
 
+/**
+What a pool wants: the room with which its jobs are in time, as far as there are tasks for it, or what arriving work will want by the time a machine has come. Arrivals count for at most twice what is there, as few of them tell little.
+*/
+function getWantedMillis({usedMillis, backlogMillis, neededMillis, arrivingMillis}: PoolReport): number {
+	const present = usedMillis + backlogMillis;
+	return Math.max(Math.min(present, neededMillis), Math.min(arrivingMillis, arrivalLimit * present));
+}
+
 function countMissing({wantedMillis, capacityMillis, machineMillis, machines, incoming}: PoolBalance): number {
 	if (machines.length + incoming < machineMinimum) {
 		return machineMinimum - machines.length - incoming;
@@ -125,8 +135,8 @@
 		fleet.workedAt = now;
 	}
 
-	for (const {pool, wantedMillis, capacityMillis, machineMillis} of balances) {
-		if (wantedMillis + machineMillis > capacityMillis) {
+	for (const {pool, report, wantedMillis, capacityMillis, machineMillis} of balances) {
+		if (Math.max(report.usedMillis, wantedMillis) + machineMillis > capacityMillis) {
 			fleet.fullAt.set(pool, now);
 		}
 
@@ -153,7 +163,7 @@
 
 		const leaving = [...fleet.vacates.values()].filter(({request}) => request.pool === pool).length;
 		let spareCount = Math.min(
-			Math.floor((capacityMillis - wantedMillis) / machineMillis) - leaving,
+			Math.floor((capacityMillis - Math.max(report.usedMillis, wantedMillis)) / machineMillis) - leaving,
 			machines.filter(machine => machine.state === 'up').length - leaving - machineMinimum,
 		);
 		for (const machine of machines) {
--- a/packages/jobs/src/fleet/run-waves.ts
+++ b/packages/jobs/src/fleet/run-waves.ts
@@ -10,8 +10,8 @@
 const poolShare = 0.34;
 /** Time in ms for a machine to be emptied, maintained and back at work. */
 const roundMs = 4500;
-/** Time in ms before its end by which a wave is to be done; a change of the holder takes as long. */
-const waveMarginMs = 6000;
+/** Time in ms before its end by which a wave is to be done; two changes of the holder take as long. */
+const waveMarginMs = 9000;
 /** Time in ms that tasks are awaited before they are stopped for maintenance; about the longest task. */
 const awaitTasksMs = 5000;
 
--- a/packages/jobs/src/jobs-state.ts
+++ b/packages/jobs/src/jobs-state.ts
@@ -5,6 +5,7 @@
 import {createFleetState, type FleetState} from './fleet/index.js';
 import {createIntakeState, type IntakeState} from './intake/index.js';
 import {createLedgerState, type LedgerState} from './ledger/index.js';
+import {createObservationState, type ObservationState} from './observation/index.js';
 import {createPacingState, type PacingState} from './pacing/index.js';
 import {createPlacementState, type PlacementState} from './placement/index.js';
 import {createReportingState, type ReportingState} from './reporting/index.js';
@@ -19,6 +20,7 @@
 	readonly supervision: SupervisionState;
 	readonly ledger: LedgerState;
 	readonly evacuation: EvacuationState;
+	readonly observation: ObservationState;
 	readonly placement: PlacementState;
 	readonly reporting: ReportingState;
 	readonly pacing: PacingState;
@@ -45,6 +47,7 @@
 		supervision: createSupervisionState(),
 		ledger: createLedgerState(),
 		evacuation: createEvacuationState(),
+		observation: createObservationState(),
 		placement: createPlacementState(),
 		reporting: createReportingState(),
 		pacing: createPacingState(),
--- a/packages/jobs/src/ledger/apply-end.ts
+++ b/packages/jobs/src/ledger/apply-end.ts
@@ -100,18 +100,18 @@
 		return [];
 	}
 
-	if (step.spec.isGang && step.failedRuns.has(end.run)) {
+	const counted = step.spec.isGang ? step.tasks[0]! : task;
+	if (counted.failedRuns.has(end.run)) {
 		return [];
 	}
 
-	step.failedRuns.add(end.run);
-	const counted = step.spec.isGang ? step.tasks[0]! : task;
-	counted.failures += 1;
+	counted.failedRuns.add(end.run);
 	markChanged(pool, job, context.now);
+	const failures = counted.failedRuns.size;
 	const outputs = [emitLog('info', 'task failed', {
-		job: job.record.id, task: task.id, run: end.run, failures: counted.failures, attempts: job.record.attempts,
+		job: job.record.id, task: task.id, run: end.run, failures, attempts: job.record.attempts,
 	})];
-	return counted.failures >= job.record.attempts ? [...outputs, ...endJob(pool, job, 'failed', context)] : outputs;
+	return failures >= job.record.attempts ? [...outputs, ...endJob(pool, job, 'failed', context)] : outputs;
 }
 
 function isComplete(job: Job): boolean {
--- a/packages/jobs/src/ledger/ledger-filter.ts
+++ b/packages/jobs/src/ledger/ledger-filter.ts
@@ -8,7 +8,7 @@
 } from '../model/index.js';
 import {applyEnd, endJob, markChanged} from './apply-end.js';
 import {
-	findTask, isActive, type LedgerState, type PoolLedger,
+	createPoolLedger, findTask, isActive, type LedgerState, type PoolLedger,
 } from './ledger-state.js';
 import {markUncertain, openJob, openOccurrences} from './open-job.js';
 import {saveProgress, settleSave} from './write-progress.js';
@@ -114,23 +114,7 @@
 	pool: name, token, jobs, ended, roster, rosterRevision,
 }: JobEventOf<'pool-loaded'>, context: DecisionContext): JobOutput[] {
 	const pool: PoolLedger = {
-		pool: name,
-		token,
-		jobs: new Map(),
-		ended: new Map(ended),
-		active: new Set(),
-		dirty: new Set(),
-		dirtySince: undefined,
-		isUrgent: false,
-		pendingSave: undefined,
-		saveRetryAt: 0,
-		nextSaveId: 1,
-		rosterRevision,
-		rosterIds: new Set(roster.endpointIds),
-		earlyCancels: new Set(),
-		emptiedIds: new Set(),
-		forgottenIds: new Set(),
-		forgetAt: context.now + forgetPauseMs,
+		...createPoolLedger({pool: name, token, now: context.now}), ended: new Map(ended), rosterRevision, rosterIds: new Set(roster.endpointIds), forgetAt: context.now + forgetPauseMs,
 	};
 	ledger.pools.set(name, pool);
 	for (const stored of jobs) {
--- a/packages/jobs/src/ledger/ledger-state.ts
+++ b/packages/jobs/src/ledger/ledger-state.ts
@@ -1,5 +1,5 @@
 import {
-	type EndedJob, type JobRecord, type JobStatus, type StepSpec,
+	type EndedJob, type JobRecord, type JobStatus, type ProgressRecord, type StepSpec,
 } from '../model/index.js';
 
 /** One task of a step. @public */
@@ -7,8 +7,8 @@
 	readonly id: string;
 	readonly step: Step;
 	isDone: boolean;
-	/** Runs that ended as failed. */
-	failures: number;
+	/** Numbers of the runs that ended as failed; a gang's stand with its first task. */
+	readonly failedRuns: Set<number>;
 	/** Endpoint by run number, for runs that may be at work. */
 	readonly runs: Map<number, string>;
 	/** From which the next run resumes; empty when there is none. */
@@ -26,8 +26,6 @@
 	readonly spec: StepSpec;
 	readonly tasks: readonly Task[];
 	doneCount: number;
-	/** Runs whose failure has been counted, for a gang. */
-	readonly failedRuns: Set<number>;
 };
 
 /** An end that is forgotten by its endpoint once the job's record includes it. */
@@ -47,8 +45,8 @@
 	/** Occurrences whose steps have been set up. */
 	openedOccurrences: number;
 	lastRun: number;
-	/** Progress of steps that have not been set up, as read from the store. */
-	restoredSteps: Readonly<Record<string, string>>;
+	/** Progress as read from the store, from which steps are set up. */
+	readonly restored: ProgressRecord;
 	unrecordedEnds: UnrecordedEnd[];
 	/** Its tasks may be at work for a former owner where this entry has not looked yet. */
 	isUncertain: boolean;
@@ -108,6 +106,29 @@
 	return {pools: new Map()};
 }
 
+/** The ledger of a pool that has just been claimed. @internal */
+export function createPoolLedger({pool, token, now}: {readonly pool: string; readonly token: number; readonly now: number}): PoolLedger {
+	return {
+		pool,
+		token,
+		jobs: new Map(),
+		ended: new Map(),
+		active: new Set(),
+		dirty: new Set(),
+		dirtySince: undefined,
+		isUrgent: false,
+		pendingSave: undefined,
+		saveRetryAt: 0,
+		nextSaveId: 1,
+		rosterRevision: 0,
+		rosterIds: new Set(),
+		earlyCancels: new Set(),
+		emptiedIds: new Set(),
+		forgottenIds: new Set(),
+		forgetAt: now,
+	};
+}
+
 /** Whether a job still has work to come. @public */
 export function isActive(job: Job): boolean {
 	return job.status === 'queued' || job.status === 'running';
--- a/packages/jobs/src/ledger/open-job.ts
+++ b/packages/jobs/src/ledger/open-job.ts
@@ -19,7 +19,7 @@
 		steps: new Map(),
 		openedOccurrences: 0,
 		lastRun: progress.lastRun,
-		restoredSteps: progress.steps,
+		restored: progress,
 		unrecordedEnds: [],
 		isUncertain: false,
 		endedAt: progress.endedAt,
@@ -74,10 +74,10 @@
 function openOccurrence(job: Job, occurrence: number, now: number): void {
 	for (const [index, spec] of job.record.spec.steps.entries()) {
 		const key = `${occurrence}.${index}`;
-		const saved = job.restoredSteps[key] ?? '';
+		const saved = job.restored.steps[key] ?? '';
 		const tasks: Task[] = [];
 		const step: Step = {
-			key, job, occurrence, index, spec, tasks, doneCount: 0, failedRuns: new Set(),
+			key, job, occurrence, index, spec, tasks, doneCount: 0,
 		};
 		for (let number = 0; number < spec.count; number++) {
 			const mark = saved[number] ?? '.';
@@ -87,7 +87,7 @@
 				}),
 				step,
 				isDone: mark === 'd',
-				failures: /\d/u.test(mark) ? Number(mark) : 0,
+				failedRuns: new Set(job.restored.failedRuns?.[`${key}.${number}`]),
 				runs: new Map(),
 				checkpoint: '',
 				idleSince: now,
--- a/packages/jobs/src/ledger/write-progress.ts
+++ b/packages/jobs/src/ledger/write-progress.ts
@@ -135,19 +135,27 @@
 /** Stands for the roster among the records of a write. @public */
 export const rosterRecord = '(roster)';
 
-function formatProgress(job: Job): ProgressRecord {
+/** The record of a job as it stands. @internal */
+export function formatProgress(job: Job): ProgressRecord {
 	const steps: Record<string, string> = {};
-	for (const step of job.steps.values()) {
-		const marks = step.tasks.map(task => task.isDone ? 'd' : (task.failures > 0 ? String(Math.min(task.failures, 9)) : '.')).join('');
-		if (/[^.]/u.test(marks)) {
-			steps[step.key] = marks;
+	const failedRuns: Record<string, readonly number[]> = {};
+	for (const step of isActive(job) ? job.steps.values() : []) {
+		if (step.doneCount > 0) {
+			steps[step.key] = step.tasks.map(task => task.isDone ? 'd' : '.').join('');
+		}
+
+		for (const [index, task] of step.tasks.entries()) {
+			if (task.failedRuns.size > 0) {
+				failedRuns[`${step.key}.${index}`] = [...task.failedRuns];
+			}
 		}
 	}
 
 	return {
 		queue: job.record.queue,
 		status: job.status,
-		steps: isActive(job) ? steps : {},
+		steps,
+		...(Object.keys(failedRuns).length > 0 && {failedRuns}),
 		lastRun: job.lastRun,
 		...(job.endedAt !== undefined && {endedAt: job.endedAt}),
 	};
--- a/packages/jobs/src/model/coordination.ts
+++ b/packages/jobs/src/model/coordination.ts
@@ -33,6 +33,10 @@
 	readonly hasWork: boolean;
 	/** Thousandths of a core in use. */
 	readonly usedMillis: number;
+	/** Thousandths of a core with which all jobs that can be in time are. */
+	readonly neededMillis: number;
+	/** Thousandths of a core that work as it arrives at present would keep busy. */
+	readonly arrivingMillis: number;
 	/** Thousandths of a core of all endpoints in use for new tasks. */
 	readonly capacityMillis: number;
 	/** Endpoints with no task, the first to be given away. */
--- a/packages/jobs/src/model/job.ts
+++ b/packages/jobs/src/model/job.ts
@@ -78,8 +78,12 @@
 export type ProgressRecord = {
 	readonly queue: string;
 	readonly status: JobStatus;
-	/** Tasks by `occurrence.step`, a character a task: `d` done, a digit for the number of failures. Steps with no entry are untouched. */
+	/** Tasks by `occurrence.step`, a character a task: `d` for done. Steps with no entry are untouched. */
 	readonly steps: Readonly<Record<string, string>>;
+	/**
+	Numbers of the runs that have failed, by `occurrence.step.index`. An end is told again to the next owner when the former one could not let the endpoint forget it, so failures are not just counted.
+	*/
+	readonly failedRuns?: Readonly<Record<string, readonly number[]>>;
 	/** Highest run number used so far. */
 	readonly lastRun: number;
 	/** Unix ms at which the job ended. */
--- /dev/null
+++ b/packages/jobs/src/observation/index.ts
@@ -0,0 +1,2 @@
+export {observationFilter} from './observation-filter.js';
+export {createObservationState, type ObservationState, type ObservationView} from './observation-state.js';
--- a/packages/jobs/src/placement/index.ts
+++ b/packages/jobs/src/placement/index.ts
@@ -1,3 +1,3 @@
-export {getStanding, placementFilter} from './placement-filter.js';
-export {type JobStanding} from './order-jobs.js';
-export {createPlacementState, type PlacementState, type PlacementView} from './placement-state.js';
+export {getRank, placementFilter} from './placement-filter.js';
+export {type JobStanding, type RankedJob} from './order-jobs.js';
+export {createPlacementState, type PlacementState} from './placement-state.js';
--- a/packages/jobs/src/placement/order-jobs.ts
+++ b/packages/jobs/src/placement/order-jobs.ts
@@ -30,6 +30,8 @@
 	readonly slackMs: number;
 	/** Time in ms until the rest must be done. */
 	readonly dueInMs: number;
+	/** Longest chain of estimated durations that is left, in ms. */
+	readonly restMs: number;
 	/** Work that is left, in thousandths of a core times ms. */
 	readonly restWork: number;
 };
@@ -89,7 +91,7 @@
 	const {record} = job;
 	if (record.spec.steps.some(step => step.isLongRunning)) {
 		return {
-			job, standing: 'serving', slackMs: 0, dueInMs: 0, restWork: 0,
+			job, standing: 'serving', slackMs: 0, dueInMs: 0, restMs: 0, restWork: 0,
 		};
 	}
 
@@ -98,7 +100,9 @@
 	const wholeMs = getChainMs(job, () => false) * factor;
 	const restMs = getChainMs(job, step => step.doneCount === step.tasks.length) * factor;
 	const objectiveMs = (record.stretch * wholeMs) + record.latencyTargetMs;
-	const rest = {job, dueInMs: objectiveMs - ageMs, restWork: getRestWork(job) * factor};
+	const rest = {
+		job, dueInMs: objectiveMs - ageMs, restMs, restWork: getRestWork(job) * factor,
+	};
 	const slackMs = rest.dueInMs - restMs;
 	if (slackMs >= 0) {
 		return {...rest, standing: 'timely', slackMs};
--- a/packages/jobs/src/placement/placement-filter.ts
+++ b/packages/jobs/src/placement/placement-filter.ts
@@ -3,30 +3,25 @@
 import {type EvacuationView} from '../evacuation/index.js';
 import {emitLog, type JobFilter, type JobOutput} from '../filter.js';
 import {
-	findTask, type Job, type LedgerView, type PoolLedger, type Step, type Task,
+	type Job, type LedgerView, type PoolLedger, type Step, type Task,
 } from '../ledger/index.js';
-import {takeRoom, type JobEventOf} from '../model/index.js';
+import {takeRoom} from '../model/index.js';
+import {type ObservationView} from '../observation/index.js';
 import {getUsedRoom, type SupervisionView} from '../supervision/index.js';
 import {chooseEndpoint, takeCandidate, type Candidate} from './choose-endpoint.js';
 import {
-	getOpenSteps, orderJobs, rankJob, type JobStanding,
+	getOpenSteps, orderJobs, rankJob, type RankedJob,
 } from './order-jobs.js';
-import {type EndpointRecord, type PlacementState, type PlacementView} from './placement-state.js';
+import {type PlacementState} from './placement-state.js';
 
 /** Steps that find no room before the search ends; those after them are seldom much smaller. */
 const missLimit = 24;
-/** Weight of the newest measurement in a moving mean. */
-const newestWeight = 0.1;
-/** Failures in a row after which an endpoint is avoided: jobs fail by themselves in 3 of 100 cases, so three in a row are not chance. */
-const failureLimit = 3;
-/** Time in ms for which such an endpoint is avoided, before it is tried again. */
-const avoidMs = 3000;
 /** Endpoints asked about in one call for advice. */
 const adviceCount = 30;
 /** Time in ms after which unanswered advice is asked for again. */
 const adviceTimeoutMs = 2000;
 
-type State = {readonly placement: PlacementState} & LedgerView & SupervisionView & DirectoryView & EvacuationView;
+type State = {readonly placement: PlacementState} & LedgerView & SupervisionView & DirectoryView & EvacuationView & ObservationView;
 
 /**
 Chooses which tasks start, and where.
@@ -41,7 +36,6 @@
 			placement.reserved.get(endpointId)?.delete(taskId);
 			return [];
 		},
-		'run-ended': learnFromEnd,
 		'advice-answered'(state, {pool, stepId, tickets, validMs}, context) {
 			state.placement.adviceAsked.delete(stepId);
 			if (tickets === undefined) {
@@ -73,7 +67,7 @@
 
 	const outputs: JobOutput[] = [];
 	let misses = 0;
-	for (const {job} of orderJobs(waiting, queue => state.placement.estimateFactors.get(queue) ?? 1, getCapacity(candidates), context.now)) {
+	for (const {job} of orderJobs(waiting, queue => state.observation.estimateFactors.get(queue) ?? 1, getCapacity(candidates), context.now)) {
 		if (job.isUncertain) {
 			continue;
 		}
@@ -98,8 +92,8 @@
 }
 
 /** How a job stands against its objective, as far as durations are known. @internal */
-export function getStanding({placement}: PlacementView, job: Job, now: number): JobStanding {
-	return rankJob(job, placement.estimateFactors.get(job.record.queue) ?? 1, now).standing;
+export function getRank({observation}: ObservationView, job: Job, now: number): RankedJob {
+	return rankJob(job, observation.estimateFactors.get(job.record.queue) ?? 1, now);
 }
 
 function hasPending(steps: Iterable<Step>): boolean {
@@ -116,7 +110,9 @@
 	return !task.isDone && task.runs.size === 0;
 }
 
-function getCandidates({supervision, directory, evacuation, placement}: State, pool: Readonly<PoolLedger>, context: DecisionContext): Candidate[] {
+function getCandidates({
+	supervision, directory, evacuation, placement, observation,
+}: State, pool: Readonly<PoolLedger>, context: DecisionContext): Candidate[] {
 	const candidates: Candidate[] = [];
 	for (const watch of supervision.watches.values()) {
 		const endpoint = directory.endpoints.get(watch.id);
@@ -124,7 +120,7 @@
 			continue;
 		}
 
-		const record = placement.endpoints.get(watch.id);
+		const record = observation.endpoints.get(watch.id);
 		if (context.now < watch.coolUntil || context.now < (record?.avoidUntil ?? 0) || evacuation.requests.has(watch.id)) {
 			continue;
 		}
@@ -162,7 +158,7 @@
 			continue;
 		}
 
-		const chosen = chooseEndpoint(advised.candidates, task, state.placement.failedOn.get(task.id));
+		const chosen = chooseEndpoint(advised.candidates, task, state.observation.failedOn.get(task.id));
 		if (chosen === undefined) {
 			return {placed, hasMissed: true};
 		}
@@ -290,33 +286,3 @@
 		})],
 	};
 }
-
-/** Learns durations and faults from the ends of runs. */
-function learnFromEnd({placement, ledger}: State, {pool, endpointId, end, wasExpected, tookMs}: JobEventOf<'run-ended'>, context: DecisionContext): JobOutput[] {
-	const record: EndpointRecord = placement.endpoints.get(endpointId) ?? {failuresInRow: 0, avoidUntil: 0, slowness: 1};
-	placement.endpoints.set(endpointId, record);
-	if (end.how === 'failed') {
-		placement.failedOn.set(end.taskId, endpointId);
-		record.failuresInRow += 1;
-		if (record.failuresInRow < failureLimit) {
-			return [];
-		}
-
-		record.avoidUntil = context.now + avoidMs;
-		return [emitLog('warn', 'endpoint avoided', {endpoint: endpointId, failuresInRow: record.failuresInRow, avoidMs})];
-	}
-
-	placement.failedOn.delete(end.taskId);
-	const step = findTask(ledger.pools.get(pool), end.taskId)?.step;
-	if (end.how !== 'done' || step === undefined || !wasExpected || step.spec.estimateMs === 0 || step.spec.isLongRunning) {
-		return [];
-	}
-
-	record.failuresInRow = 0;
-	const {queue} = step.job.record;
-	const factor = placement.estimateFactors.get(queue) ?? 1;
-	const measured = Math.min(10, tookMs / step.spec.estimateMs);
-	placement.estimateFactors.set(queue, factor + (newestWeight * (measured - factor)));
-	record.slowness += newestWeight * ((measured / Math.max(factor, 0.01)) - record.slowness);
-	return [];
-}
--- a/packages/jobs/src/reporting/reporting-filter.ts
+++ b/packages/jobs/src/reporting/reporting-filter.ts
@@ -5,7 +5,8 @@
 	isOpen, type Job, type LedgerView, type PoolLedger,
 } from '../ledger/index.js';
 import {type Endpoint, type PoolReport} from '../model/index.js';
-import {getStanding, type PlacementView} from '../placement/index.js';
+import {type ObservationView} from '../observation/index.js';
+import {getRank, type RankedJob} from '../placement/index.js';
 
 /** The last report of each pool that this entry owns. @public */
 export type ReportingState = {readonly reports: Map<string, {readonly text: string; readonly sentAt: number}>};
@@ -18,7 +19,15 @@
 /** Least time in ms between two reports of a pool; demand in a pool rises within a second, and machines take longer to come. */
 const reportPauseMs = 150;
 
-type State = {readonly reporting: ReportingState} & LedgerView & DirectoryView & PlacementView;
+/** Time in ms over which arriving work is measured; a pool's turn begins within it. */
+const arrivalWindowMs = 600;
+/** Fewest jobs in that time that tell a rate; a few large ones tell none. */
+const arrivalMinimum = 5;
+
+/** Share of the time until a job is due that its work is spread over; the rest is for machines to come and for tasks that do not fit together. */
+const usableShare = 0.6;
+
+type State = {readonly reporting: ReportingState} & LedgerView & DirectoryView & ObservationView;
 
 /**
 Tells the others what waits in the pools that this entry owns, and how much room they have.
@@ -65,6 +74,9 @@
 	let backlogMillis = 0;
 	let usedMillis = 0;
 	let hasWork = false;
+	let neededMillis = 0;
+	let arrivingWork = 0;
+	let arrivalCount = 0;
 	for (const job of pool.active) {
 		if (job.status === 'queued') {
 			waiting[job.record.queue] = (waiting[job.record.queue] ?? 0) + 1;
@@ -74,7 +86,14 @@
 		usedMillis += load.usedMillis;
 		hasWork ||= load.hasWork;
 		// Machines are not brought in for what is too late to be of use; it runs in the room that there is.
-		backlogMillis += getStanding(state, job, now) === 'hopeless' ? 0 : load.backlogMillis;
+		const rank = getRank(state, job, now);
+		const {standing, restWork} = rank;
+		neededMillis += getNeededMillis(rank);
+		backlogMillis += standing === 'hopeless' ? 0 : load.backlogMillis;
+		if (job.knownAt > now - arrivalWindowMs) {
+			arrivalCount += 1;
+			arrivingWork += restWork;
+		}
 	}
 
 	const endpoints = [...state.directory.endpoints.values()].filter(endpoint => endpoint.pool === pool.pool && endpoint.state === 'ready');
@@ -84,11 +103,22 @@
 		hasWork,
 		backlogMillis,
 		usedMillis,
+		neededMillis: Math.round(neededMillis),
+		arrivingMillis: arrivalCount < arrivalMinimum ? 0 : Math.round(arrivingWork / arrivalWindowMs),
 		capacityMillis: endpoints.reduce((sum: number, endpoint: Endpoint) => sum + endpoint.room.cpuMillis, 0),
 		idleEndpoints: endpoints.filter(endpoint => !busy.has(endpoint.id)).map(endpoint => endpoint.id),
 	};
 }
 
+/** Room with which a job is done in time, if it has that room from now on: its work over the time until it is due, or over its longest chain where that is longer. */
+function getNeededMillis({standing, dueInMs, restMs, restWork}: RankedJob): number {
+	if (standing === 'serving' || standing === 'hopeless') {
+		return 0;
+	}
+
+	return restWork / Math.max(1, restMs, dueInMs * usableShare);
+}
+
 /** Adds the endpoints that a job's tasks are on to those that are busy. */
 function measureLoad(job: Job, busy: Set<string>): JobLoad {
 	let usedMillis = 0;
