--- a/packages/entry/src/jobs/follow-records.ts
+++ b/packages/entry/src/jobs/follow-records.ts
@@ -220,7 +220,7 @@
 		},
 	];
 
-	function changed(item: StoreItem): void {
+	function changeItem(item: StoreItem): void {
 		if (!isLoaded) {
 			early.push(item);
 			return;
@@ -271,7 +271,7 @@
 		const waiting = early;
 		early = [];
 		for (const item of waiting) {
-			changed(item);
+			changeItem(item);
 		}
 	}
 
@@ -279,7 +279,7 @@
 		listed(items) {
 			if (isLoaded) {
 				for (const item of items) {
-					changed(item);
+					changeItem(item);
 				}
 
 				return;
@@ -291,7 +291,7 @@
 				context.pushEvent({kind: 'pool-load-failed', pool, token});
 			});
 		},
-		changed,
+		changed: changeItem,
 		failed: createFailureLog(context.log, inboxPrefix),
 	});
 	const vacatePrefix = recordKeys.getVacatePoolPrefix(pool);
--- a/packages/jobs/src/supervision/lease-clock.ts
+++ b/packages/jobs/src/supervision/lease-clock.ts
@@ -1,5 +1,8 @@
 import {type Watch} from './supervision-state.js';
 
+/** What tells an endpoint's lease. @internal */
+export type LeaseView = Readonly<Pick<Watch, 'clockMs' | 'clockAt' | 'leaseDeadlineMs' | 'formerLeaseUntil'>>;
+
 /**
 Lease of everything that runs on an endpoint, in ms.
 
@@ -19,7 +22,7 @@
 }
 
 /** Whether every lease that the endpoint can have been given has run out, on a clock as slow as it may be. @internal */
-export function hasLapsed(watch: Readonly<Watch>, now: number): boolean {
+export function hasLapsed(watch: LeaseView, now: number): boolean {
 	if (watch.clockMs === undefined) {
 		return now > watch.formerLeaseUntil;
 	}
