--- a/packages/bench/src/jobs/virtual-endpoint.ts
+++ b/packages/bench/src/jobs/virtual-endpoint.ts
@@ -136,11 +136,11 @@
 			}
 
 			extendLease(order.deadlineMs ?? 0);
-			for (const end of ended.filter(({number}) => number <= order.lastSeen)) {
+			for (const end of ended.filter(({number}) => number <= order.recordedUpTo)) {
 				observer.noted(endpoint, end);
 			}
 
-			ended = ended.filter(({number}) => number > order.lastSeen);
+			ended = ended.filter(({number}) => number > order.recordedUpTo);
 			let isAnswered = false;
 			const finish = () => {
 				if (isAnswered) {
--- a/packages/entry/src/jobs/create-job-sinks.ts
+++ b/packages/entry/src/jobs/create-job-sinks.ts
@@ -1,37 +1,20 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {
-	rosterRecord, type JobEffect, type JobEffectOf, type JobEvent, type JobsState, type PoolReport, type ProgressRecord,
+	rosterRecord, type JobEffect, type JobEffectOf, type PoolReport, type ProgressRecord,
 } from '@pistachiogauge/jobs';
 import {
-	askAdvice, encodeWaveStatus, type ChangeResult, type EndpointOrders, type HttpCaller, type Ingress, type MachineService, type StoreChange, type StoreClient,
+	encodeWaveStatus, type ChangeResult, type StoreChange,
 } from '@pistachiogauge/platform';
 import {type SinkTable} from '@pistachiogauge/pipeline';
-import {type Logger, type Metrics} from '@pistachiogauge/telemetry';
+import {createOrderSinks, type CallRunner} from './create-order-sinks.js';
+import {followPool} from './follow-pool.js';
 import {
-	followEndpoints, followFleet, followPool, type FollowContext, type StopFollowing,
+	followEndpoints, followFleet, type StopFollowing,
 } from './follow-records.js';
 import {
 	createProgress, createStoredJob, decodeRecord, encodeRecord, recordKeys,
 } from './job-records.js';
-import {type Session} from './session.js';
-
-/** Parts of the process that carry out effects. @internal */
-export type JobParts = {
-	readonly state: JobsState;
-	readonly store: StoreClient;
-	readonly session: Session;
-	readonly http: HttpCaller;
-	readonly ingress: Ingress;
-	readonly orders: EndpointOrders;
-	readonly machines: MachineService | undefined;
-	readonly adviceAddress: string | undefined;
-	readonly follow: FollowContext;
-	readonly metrics: Metrics;
-	readonly log: Logger;
-	readonly pushEvent: (event: JobEvent) => void;
-	readonly node: string;
-	readonly incarnation: string;
-};
+import {type JobParts} from './job-parts.js';
 
 type WriteResult = 'applied' | 'conflict' | 'refused' | 'unknown';
 
@@ -52,14 +35,14 @@
 	let stopFleet: StopFollowing | undefined;
 
 	/** Runs a call whose outcome is told by an event; what goes wrong in between is logged. */
-	function run(name: string, call: () => Promise<void>, failed?: JobEvent): void {
+	const run: CallRunner = (name, call, failed) => {
 		call().catch((error: unknown) => {
 			log('warn', 'call failed', {call: name, error: String(error)});
 			if (failed !== undefined) {
 				pushEvent(failed);
 			}
 		});
-	}
+	};
 
 	/** Writes a record until the store has taken it; it makes no difference when it is written twice. */
 	async function writeRecord(change: StoreChange): Promise<void> {
@@ -286,51 +269,7 @@
 				pushEvent({kind: 'wave-status-written', number, result: writeResults[result.kind]});
 			}, {kind: 'wave-status-written', number, result: 'unknown'});
 		},
-		'hold-endpoint'(effect) {
-			run('hold-endpoint', async () => {
-				pushEvent(await parts.orders.holdEndpoint(effect));
-			});
-		},
-		'start-task'(effect) {
-			run('start-task', async () => {
-				pushEvent(await parts.orders.startTask(effect));
-			});
-		},
-		'stop-task'(effect) {
-			run('stop-task', async () => {
-				pushEvent(await parts.orders.stopTask(effect));
-			});
-		},
-		'pace-task'(effect) {
-			run('pace-task', async () => {
-				pushEvent(await parts.orders.paceTask(effect));
-			});
-		},
-		'ask-advice'(effect) {
-			const {adviceAddress} = parts;
-			run('ask-advice', async () => {
-				pushEvent(adviceAddress === undefined
-					? {
-						kind: 'advice-answered', pool: effect.pool, stepId: effect.stepId, tickets: undefined, validMs: 0,
-					}
-					: await askAdvice(parts.http, adviceAddress, effect));
-			});
-		},
-		'list-machines'() {
-			run('list-machines', async () => {
-				const machines = await parts.machines?.listMachines();
-				pushEvent(machines === undefined ? {kind: 'machines-unread'} : {kind: 'machines-listed', machines});
-			}, {kind: 'machines-unread'});
-		},
-		'order-machine'(effect) {
-			run('order-machine', async () => {
-				pushEvent(parts.machines === undefined
-					? {
-						kind: 'machine-ordered', machine: effect.machine, order: effect.order, result: 'invalid',
-					}
-					: await parts.machines.orderMachine(effect));
-			});
-		},
+		...createOrderSinks(parts, run),
 		'answer-caller'({requestId, answer}) {
 			parts.ingress.answerCaller(requestId, answer);
 		},
--- a/packages/entry/src/jobs/follow-records.ts
+++ b/packages/entry/src/jobs/follow-records.ts
@@ -1,5 +1,5 @@
 import {
-	type Endpoint, type JobEvent, type PoolReport, type ProgressRecord, type JobRecord, type Roster, type StoredJob, type VacateRequest, type EndedJob,
+	type Endpoint, type JobEvent, type PoolReport, type VacateRequest,
 } from '@pistachiogauge/jobs';
 import {
 	configurationKey, decodeConfiguration, decodeEndpoint, decodeWave, endpointPrefix, followPrefix, wavePrefix, type StoreClient, type StoreItem,
@@ -26,18 +26,21 @@
 /** Pause in ms after an answer about endpoints: their heartbeats alone change the list all the time, and a drain has to be known within 2 s. */
 const endpointPauseMs = 250;
 
-/** Time of the operator's prefix where nothing is lost by waiting a little. */
-const noPauseMs = 0;
+/** Pause in ms where each change counts and there are few. @internal */
+export const noPauseMs = 0;
 
-function createFailureLog(log: Logger, prefix: string): (error: unknown) => void {
+/** Logs what kept records from being read; the follower tries again. @internal */
+export function createFailureLog(log: Logger, prefix: string): (error: unknown) => void {
 	return error => {
 		log('debug', 'records not read', {prefix, error: String(error)});
 	};
 }
 
-type Decoder = {readonly prefix: string; readonly decode: (item: StoreItem) => JobEvent | undefined};
+/** Decodes items whose key has a prefix. @internal */
+export type Decoder = {readonly prefix: string; readonly decode: (item: StoreItem) => JobEvent | undefined};
 
-function decodeItem(decoders: readonly Decoder[], item: StoreItem, context: FollowContext): void {
+/** Tells an item as an event; what cannot be read is left out with a line in the log. @internal */
+export function decodeItem(decoders: readonly Decoder[], item: StoreItem, context: FollowContext): void {
 	const decoder = decoders.find(({prefix}) => item.key.startsWith(prefix));
 	const event = decoder?.decode(item);
 	if (event !== undefined) {
@@ -189,7 +192,8 @@
 	return item.value === undefined || pool === undefined || endpointId === undefined ? undefined : {kind: 'endpoint-vacated', vacated: {pool, endpointId}};
 }
 
-function decodeVacateRequest(item: StoreItem): JobEvent | undefined {
+/** @internal */
+export function decodeVacateRequest(item: StoreItem): JobEvent | undefined {
 	const [pool, endpointId] = item.key.slice(recordKeys.vacatePrefix.length).split('/');
 	const request = decodeRecord<VacateRequest>(item);
 	if (pool === undefined || endpointId === undefined) {
@@ -198,121 +202,3 @@
 
 	return request === undefined ? {kind: 'vacate-withdrawn', pool, endpointId} : {kind: 'vacate-requested', request};
 }
-
-/** Reads all records of a pool and then follows what is asked of its owner. @internal */
-export function followPool(context: FollowContext, pool: string, token: number): StopFollowing {
-	const inboxPrefix = recordKeys.getInboxPrefix(pool);
-	let isLoaded = false;
-	let early: StoreItem[] = [];
-	const jobPrefix = recordKeys.getJobKey(pool, '');
-	const cancelPrefix = recordKeys.getCancelKey(pool, '');
-	const decoders: Decoder[] = [
-		{
-			prefix: jobPrefix,
-			decode(item) {
-				const job = decodeRecord<JobRecord>(item);
-				return job === undefined ? undefined : {kind: 'job-recorded', stored: createStoredJob(job, item.revision)};
-			},
-		},
-		{
-			prefix: cancelPrefix,
-			decode: item => item.value === undefined ? undefined : {kind: 'job-cancelled', pool, jobId: item.key.slice(cancelPrefix.length)},
-		},
-	];
-
-	function changeItem(item: StoreItem): void {
-		if (!isLoaded) {
-			early.push(item);
-			return;
-		}
-
-		decodeItem(decoders, item, context);
-	}
-
-	async function load(items: readonly StoreItem[]): Promise<void> {
-		// The claim is this entry's, so nobody else changes these records; jobs that came after the list have no other progress than none.
-		const state = await context.store.listItems(recordKeys.getStatePrefix(pool));
-		const progressPrefix = recordKeys.getProgressKey(pool, '');
-		const progress = new Map(state.items.filter(item => item.key.startsWith(progressPrefix)).map(item => [item.key.slice(progressPrefix.length), item]));
-		const cancelled = new Set(items.filter(item => item.key.startsWith(cancelPrefix)).map(item => item.key.slice(cancelPrefix.length)));
-		const jobs: StoredJob[] = [];
-		for (const item of items.filter(each => each.key.startsWith(jobPrefix))) {
-			const job = decodeRecord<JobRecord>(item);
-			if (job === undefined) {
-				context.log('error', 'job record left out, as it cannot be read', {key: item.key, revision: item.revision});
-				continue;
-			}
-
-			const progressItem = progress.get(job.id);
-			const record = progressItem === undefined ? undefined : decodeRecord<ProgressRecord>(progressItem);
-			jobs.push({...createStoredJob(job, progressItem?.revision ?? item.revision), ...(record !== undefined && {progress: record}), isCancelled: cancelled.has(job.id)});
-		}
-
-		const ended = new Map<string, EndedJob>();
-		for (const [jobId, item] of progress) {
-			const record = decodeRecord<ProgressRecord>(item);
-			if (record?.endedAt !== undefined) {
-				ended.set(jobId, {queue: record.queue, status: record.status, endedAt: record.endedAt});
-			}
-		}
-
-		const rosterItem = state.items.find(item => item.key === recordKeys.getRosterKey(pool));
-		const roster = rosterItem === undefined ? undefined : decodeRecord<Roster>(rosterItem);
-		context.pushEvent({
-			kind: 'pool-read',
-			pool,
-			token,
-			jobs: jobs.filter(({job}) => !ended.has(job.id)),
-			ended,
-			roster: roster ?? {endpointIds: []},
-			rosterRevision: rosterItem?.revision ?? 0,
-		});
-		isLoaded = true;
-		const waiting = early;
-		early = [];
-		for (const item of waiting) {
-			changeItem(item);
-		}
-	}
-
-	const stopInbox = followPrefix(context.store, {prefix: inboxPrefix, pauseMs: noPauseMs}, {
-		listed(items) {
-			if (isLoaded) {
-				for (const item of items) {
-					changeItem(item);
-				}
-
-				return;
-			}
-
-			early = [];
-			load(items).catch((error: unknown) => {
-				context.log('warn', 'pool not read', {pool, token, error: String(error)});
-				context.pushEvent({kind: 'pool-load-failed', pool, token});
-			});
-		},
-		changed: changeItem,
-		failed: createFailureLog(context.log, inboxPrefix),
-	});
-	const vacatePrefix = recordKeys.getVacatePoolPrefix(pool);
-	const followVacates = (item: StoreItem) => {
-		const event = decodeVacateRequest(item);
-		if (event !== undefined) {
-			context.pushEvent(event);
-		}
-	};
-
-	const stopVacates = followPrefix(context.store, {prefix: vacatePrefix, pauseMs: noPauseMs}, {
-		listed(items) {
-			for (const item of items) {
-				followVacates(item);
-			}
-		},
-		changed: followVacates,
-		failed: createFailureLog(context.log, vacatePrefix),
-	});
-	return () => {
-		stopInbox();
-		stopVacates();
-	};
-}
--- a/packages/jobs/src/model/effects.ts
+++ b/packages/jobs/src/model/effects.ts
@@ -63,7 +63,7 @@
 		readonly kind: 'hold-endpoint';
 		readonly target: OrderTarget;
 		/** Ends up to this number have been recorded. */
-		readonly lastSeen: number;
+		readonly recordedUpTo: number;
 		/** On the endpoint's clock; undefined to leave the lease as it is. */
 		readonly deadlineMs: number | undefined;
 		/** How long the endpoint may wait for an end before it answers. */
--- a/packages/jobs/src/supervision/hold-endpoints.ts
+++ b/packages/jobs/src/supervision/hold-endpoints.ts
@@ -17,7 +17,7 @@
 }
 
 /** Ends up to this number are on record. @internal */
-export function getLastSeen(watch: Readonly<Watch>): number {
+export function getRecordedUpTo(watch: Readonly<Watch>): number {
 	let first = watch.processedUpTo + 1;
 	for (const number of watch.unrecordedEnds) {
 		first = Math.min(first, number);
@@ -38,7 +38,7 @@
 	watch.isHolding = true;
 	watch.leaseDeadlineMs = Math.max(watch.leaseDeadlineMs, deadlineMs ?? 0);
 	return [emitEffect({
-		kind: 'hold-endpoint', target: getTarget(watch), lastSeen: getLastSeen(watch), deadlineMs, waitMs: getWaitMs(watch),
+		kind: 'hold-endpoint', target: getTarget(watch), recordedUpTo: getRecordedUpTo(watch), deadlineMs, waitMs: getWaitMs(watch),
 	})];
 }
 
--- a/packages/jobs/src/supervision/supervision-filter.ts
+++ b/packages/jobs/src/supervision/supervision-filter.ts
@@ -4,26 +4,19 @@
 	emitCount, emitLog, type JobFilter, type JobOutput,
 } from '../filter.js';
 import {findTask, type LedgerView} from '../ledger/index.js';
-import {
-	poolClaimPrefix, type JobEventOf, type OrderRefusal,
-} from '../model/index.js';
+import {type JobEventOf} from '../model/index.js';
 import {getTarget, holdEndpoint, planNextHold} from './hold-endpoints.js';
 import {
 	estimateClock, getFormerLeaseEnd, hasLapsed, startDeadlineMs,
 } from './lease-clock.js';
+import {dropRuns, readHold, stopRun} from './read-hold.js';
+import {settleRefusal, settleStart} from './settle-refusals.js';
 import {
-	dropRun, dropRuns, readHold, stopRun,
-} from './read-hold.js';
-import {
-	type PoolWatch, type SupervisionState, type Watch,
+	getWatch, type PoolWatch, type SupervisionState, type Watch,
 } from './supervision-state.js';
 
 /** Pause in ms before a silent endpoint is asked again. */
 const silentPauseMs = 400;
-/** Pause in ms after an endpoint had less room than was reckoned. */
-const noRoomPauseMs = 200;
-/** Pause in ms after an endpoint said that it is unhealthy; about a health check's interval. */
-const unhealthyPauseMs = 1000;
 
 type State = {readonly supervision: SupervisionState} & LedgerView & DirectoryView;
 
@@ -108,7 +101,7 @@
 
 			return [];
 		},
-		'start-refused': settleStart,
+		'start-refused': ({supervision}, event, context) => settleStart(supervision, event, context),
 		'run-stop-wanted'({supervision}, {pool, taskId, reason}, context) {
 			const outputs: JobOutput[] = [];
 			for (const watch of supervision.watches.values()) {
@@ -134,12 +127,6 @@
 	},
 };
 
-/** The watch that an answer is for. An answer to an order of a former claim says nothing about the present one. */
-function getWatch(supervision: SupervisionState, {endpointId, token}: {readonly endpointId: string; readonly token: number}): Watch | undefined {
-	const watch = supervision.watches.get(endpointId);
-	return watch?.token === token ? watch : undefined;
-}
-
 function createWatch({id, pool, address}: {readonly id: string; readonly pool: string; readonly address: string}, token: number, context: DecisionContext): Watch {
 	return {
 		id,
@@ -308,79 +295,3 @@
 		emitCount('starts_total'),
 	];
 }
-
-type StartRefusalHandler = (watch: Watch, context: DecisionContext) => void;
-
-const startRefusals: Readonly<Partial<Record<OrderRefusal, StartRefusalHandler>>> = {
-	'no-room'(watch, context) {
-		watch.coolUntil = context.now + noRoomPauseMs;
-	},
-	unhealthy(watch, context) {
-		watch.coolUntil = context.now + unhealthyPauseMs;
-	},
-	'not-sent'(watch, context) {
-		watch.coolUntil = context.now + unhealthyPauseMs;
-	},
-};
-
-function settleStart({supervision}: State, event: JobEventOf<'start-refused'>, context: DecisionContext): JobOutput[] {
-	const {
-		endpointId, taskId, run, refusal,
-	} = event;
-	const watch = getWatch(supervision, event);
-	const placed = watch?.runs.get(taskId);
-	if (watch === undefined || placed?.run !== run) {
-		return [];
-	}
-
-	const log = emitLog('info', 'start refused', {
-		task: taskId, run, endpoint: endpointId, refusal, token: watch.token,
-	});
-	const count = emitCount(`starts_refused_total{reason="${refusal}"}`);
-	if (refusal === 'no-answer') {
-		if (placed.phase === 'starting') {
-			placed.phase = 'unsure';
-		}
-
-		watch.coolUntil = context.now + unhealthyPauseMs;
-		return [log, count];
-	}
-
-	startRefusals[refusal]?.(watch, context);
-	return [log, count, ...settleRefusal(watch, refusal, context), ...(watch.runs.has(taskId) ? dropRun(watch, placed, 'not-started') : [])];
-}
-
-type RefusalHandler = (watch: Watch, context: DecisionContext) => JobOutput[];
-
-const noteSilence: RefusalHandler = (watch, context) => {
-	if (watch.phase === 'held') {
-		watch.phase = 'silent';
-		watch.silentSince = context.now;
-		return [emitLog('warn', 'endpoint silent', {
-			endpoint: watch.id, pool: watch.pool, runs: watch.runs.size, lastAnswerAgeMs: Math.round(context.now - watch.clockAt),
-		})];
-	}
-
-	return [];
-};
-
-/** What a refusal tells about the endpoint, whatever the order was. */
-const refusalHandlers: Readonly<Partial<Record<OrderRefusal, RefusalHandler>>> = {
-	fenced: watch => [{
-		kind: 'first',
-		event: {kind: 'claim-superseded', name: `${poolClaimPrefix}${watch.pool}`, token: watch.token},
-	}],
-	'other-incarnation': watch => [
-		emitLog('warn', 'another endpoint answers at the address', {endpoint: watch.id, address: watch.address}),
-		...dropRuns(watch, 'endpoint-restarted'),
-	],
-};
-
-function settleRefusal(watch: Watch, refusal: OrderRefusal, context: DecisionContext): JobOutput[] {
-	const handler = refusalHandlers[refusal];
-	if (handler !== undefined) {
-		return handler(watch, context);
-	}
-
-	return refusal === 'no-answer' || refusal === 'not-sent' || refusal === 'unhealthy' ? noteSilence(watch, context) : [];
-}
--- a/packages/jobs/src/supervision/supervision-state.ts
+++ b/packages/jobs/src/supervision/supervision-state.ts
@@ -104,6 +104,12 @@
 	return {pools: new Map(), watches: new Map()};
 }
 
+/** The watch that an answer is for. An answer to an order of a former claim says nothing about the present one. @internal */
+export function getWatch(supervision: SupervisionState, {endpointId, token}: {readonly endpointId: string; readonly token: number}): Watch | undefined {
+	const watch = supervision.watches.get(endpointId);
+	return watch?.token === token ? watch : undefined;
+}
+
 /** Room that runs take; what fills takes memory and accelerators only. @public */
 export function getUsedRoom(watch: Readonly<Watch>): Room {
 	let cpuMillis = 0;
