Do not take a run whose work is done for one that stands still

Ruled out: a longer stall time, which finds hanging endpoints later. Change: a run at 100 percent is left alone; the emulator shows the share of the task's duration.

--- a/packages/bench/src/jobs/run-jobs-soak.test.ts
+++ b/packages/bench/src/jobs/run-jobs-soak.test.ts
@@ -8,6 +8,7 @@
 	{seed: 3, cause: 'drawn first'},
 	{seed: 6, cause: 'the refusal of an order under a former claim ended the present one, whose record then stayed without an owner'},
 	{seed: 44, cause: 'two owners used one run number on two endpoints, and the end of one counted for the other'},
+	{seed: 20, cause: 'a run at 100 percent that had not ended yet counted as standing still, and was started again'},
 ];
 
 describe('random faults on jobs', () => {
--- a/packages/bench/src/jobs/virtual-endpoint.ts
+++ b/packages/bench/src/jobs/virtual-endpoint.ts
@@ -50,6 +50,15 @@
 const clockRate = 1 / 1.02;
 const clockStart = 500_000;
 
+/** Startup of a long-running task in ms, after which it is at work. */
+const startupMs = 300;
+
+/** Share of a run's work that is done; of its startup, for a long-running task. */
+function getPercent({startedAt, endsAt}: VirtualRun, now: number): number {
+	const wholeMs = Number.isFinite(endsAt) ? endsAt - startedAt : startupMs;
+	return Math.min(100, Math.floor((100 * (now - startedAt)) / wholeMs));
+}
+
 export function createVirtualEndpoint(queue: EventQueue, registration: Endpoint, getNature: (taskId: string) => TaskNature, observer: EndpointObserver): VirtualEndpoint {
 	const bornAt = queue.now;
 	const runs = new Map<string, VirtualRun>();
@@ -156,7 +165,7 @@
 					clockMs: getClock(),
 					bornAt: registration.bornAt,
 					running: [...runs.values()].map(run => ({
-						taskId: run.taskId, run: run.run, checkpoint: '', percent: Math.min(100, Math.floor(100 * (queue.now - run.startedAt) / Math.min(run.endsAt - run.startedAt, 300))), load: 0,
+						taskId: run.taskId, run: run.run, checkpoint: '', percent: getPercent(run, queue.now), load: 0,
 					})),
 					ended,
 					sentAt: 0,
--- a/packages/jobs/src/observation/observation-filter.ts
+++ b/packages/jobs/src/observation/observation-filter.ts
@@ -83,7 +83,8 @@
 			continue;
 		}
 
-		if (context.now > run.progressedAt + stallMs) {
+		// One whose work is all done has nothing left to show but its end.
+		if (run.percent < 100 && context.now > run.progressedAt + stallMs) {
 			outputs.push(...moveRun(state, watch, run, task, 'it stands still'));
 			continue;
 		}
