--- a/packages/bench/src/jobs/virtual-endpoint.ts
+++ b/packages/bench/src/jobs/virtual-endpoint.ts
@@ -168,8 +168,6 @@
 						taskId: run.taskId, run: run.run, checkpoint: '', percent: getPercent(run, queue.now), load: 0,
 					})),
 					ended,
-					sentAt: 0,
-					tookMs: 0,
 				});
 			};
 
--- a/packages/jobs/src/authority/authority-filter.ts
+++ b/packages/jobs/src/authority/authority-filter.ts
@@ -198,7 +198,7 @@
 	}
 
 	const pool = getClaimedPool(name);
-	return [passEvent({kind: 'pool-acquired', pool, token}), emitEffect({kind: 'load-pool', pool, token})];
+	return [emitEffect({kind: 'load-pool', pool, token})];
 }
 
 function removeClaim(authority: AuthorityState, name: string, context: DecisionContext): JobOutput[] {
--- a/packages/jobs/src/model/events.ts
+++ b/packages/jobs/src/model/events.ts
@@ -85,7 +85,6 @@
 
 /** Ownership of a pool, made by the authority filter. @public */
 export type OwnershipEvent =
-	| {readonly kind: 'pool-acquired'; readonly pool: string; readonly token: number}
 	| {readonly kind: 'pool-lost'; readonly pool: string; readonly reason: string}
 	/** A pool's records as read after its claim with this token. */
 	| ({readonly kind: 'pool-read'} & PoolRecords)
@@ -126,8 +125,6 @@
 		readonly bornAt: number;
 		readonly running: readonly ReportedRun[];
 		readonly ended: readonly ReportedEnd[];
-		readonly sentAt: number;
-		readonly tookMs: number;
 	}
 	| {readonly kind: 'hold-refused'; readonly endpointId: string; readonly token: number; readonly refusal: OrderRefusal}
 	| {readonly kind: 'start-answered'; readonly endpointId: string; readonly token: number; readonly taskId: string; readonly run: number; readonly clockMs: number}
--- a/packages/jobs/src/model/room.ts
+++ b/packages/jobs/src/model/room.ts
@@ -6,14 +6,6 @@
 	readonly gpus: number;
 };
 
-/** @public */
-export const emptyRoom: Room = {cpuMillis: 0, memoryMb: 0, gpus: 0};
-
-/** @public */
-export function addRoom(left: Room, right: Room): Room {
-	return {cpuMillis: left.cpuMillis + right.cpuMillis, memoryMb: left.memoryMb + right.memoryMb, gpus: left.gpus + right.gpus};
-}
-
 /** The difference; a component may be negative when more is taken than there is. @public */
 export function takeRoom(left: Room, right: Room): Room {
 	return {cpuMillis: left.cpuMillis - right.cpuMillis, memoryMb: left.memoryMb - right.memoryMb, gpus: left.gpus - right.gpus};
