Weigh pools by the machines that are there, and take a turn's machines as soon as it has passed

Ruled out: the machines' way (1.55 to 1.75 s from order to first hold, of which the platform's move is 1.5 s); registration (20 to 280 ms).

Change: capacity from the machine list and the owner's word; reports repeated each second; arrivals less the root of the sum of their squares, by time of acceptance; surplus endpoints with the least work are emptied after 1 s, or at once for a pool that is short; a wave leaves machines to waiting work while it has time; a pool keeps as many machines as its long-running tasks need beside those away for maintenance; a job that is late is due when it is of no use; the entry's lease is 1.5 s.

--- a/packages/entry/src/jobs/session.ts
+++ b/packages/entry/src/jobs/session.ts
@@ -26,10 +26,10 @@
 	close(): Promise<void>;
 };
 
-/** Time in ms after which a process that has died loses its claims: three renewals, and longer than a pause of its loop. */
-const leaseTtlMs = 2000;
+/** Time in ms after which a process that has died loses its claims: three renewals of a store that answers in 250 ms, and longer than a pause of its loop. */
+const leaseTtlMs = 1500;
 /** Time in ms between two renewals. */
-const renewMs = 500;
+const renewMs = 350;
 /** Bounds in ms of the pause after a failure; random, so that entries do not return together. */
 const retryPausesMs = {min: 60, max: 300} as const;
 
--- a/packages/jobs/src/fleet/balance-pools.ts
+++ b/packages/jobs/src/fleet/balance-pools.ts
@@ -9,8 +9,8 @@
 
 /** Fewest machines that a pool keeps, so that one may be lost or maintained. */
 const machineMinimum = 2;
-/** Time in ms for which a pool must have had room to spare before a machine is taken away. A move there and back costs what a machine costs in about two seconds; a pool's quiet times last longer. */
-const surplusMs = 2000;
+/** Time in ms for which a pool must have had room to spare before a machine is taken away: longer than the gaps between a turn's jobs. A move there and back costs what a machine costs in about two seconds; a pool's quiet times last longer. */
+const surplusMs = 1000;
 /** The same while no pool has had work to do for a while, as demand may begin anywhere. */
 const quietSurplusMs = 20_000;
 /** Time in ms after the last work in any pool from which the fleet counts as quiet. */
@@ -19,15 +19,19 @@
 const reportAgeMs = 3000;
 /** Time in ms for which a machine that has come to a pool stays there. */
 const settleMs = 2500;
+/** Time in ms in which the endpoint of a machine that has come is registered and held; its first heartbeat and a watch's answer. */
+const joinMs = 1500;
 /** Share of a machine that must be short before another one comes. */
 const shortShare = 0.35;
 /** Factor of what is wanted at present up to which arriving work counts. */
 const arrivalLimit = 2;
+/** Time in ms between two log lines on the pools' balance; machines take longer than that to come. */
+const logPauseMs = 1000;
 /** Most machines asked for a pool at once; demand that lasts asks again. */
 const machinesAtOnce = 8;
 
 /** Most machines taken away at once while nothing is short; each is a move that may have to be undone. */
-const idleAtOnce = 4;
+const idleAtOnce = 12;
 
 type State = {readonly fleet: FleetState} & AuthorityView & ConfigurationView;
 
@@ -39,7 +43,9 @@
 	/** Machines on their way to it. */
 	readonly incoming: number;
 	readonly machineMillis: number;
+	/** Of usable machines that are not asked to leave, and of those on their way. */
 	readonly capacityMillis: number;
+	readonly presentMillis: number;
 	readonly wantedMillis: number;
 };
 
@@ -52,12 +58,20 @@
 
 	const balances = listBalances(state, context);
 	noteDemand(fleet, balances, context.now);
-	const outputs: JobOutput[] = [];
+	const outputs = logBalances(fleet, balances, context);
 	// What is shorter comes first, measured against what it has.
 	const short = balances
-		.map(balance => ({balance, missing: countMissing(balance)}))
+		.map(balance => ({balance, missing: countMissing(fleet, balance)}))
 		.filter(({missing}) => missing > 0)
 		.sort((left, right) => right.missing - left.missing);
+	fleet.isShort = short.length > 0;
+	fleet.busyPools.clear();
+	for (const {pool, wantedMillis, presentMillis, machineMillis} of balances) {
+		if (wantedMillis > presentMillis + (shortShare * machineMillis)) {
+			fleet.busyPools.add(pool);
+		}
+	}
+
 	const vacated = [...fleet.vacates.values()].filter(({request}) => request.purpose === 'move' && fleet.vacated.has(request.endpointId));
 	const supply = [
 		...vacated.map(({request}) => fleet.machines.get(request.machine)).filter(machine => machine !== undefined),
@@ -72,16 +86,39 @@
 			}
 		}
 
-		outputs.push(...takeIdle(state, balances.filter(other => other !== balance), open, 0, context));
+		outputs.push(...takeSurplus(state, balances.filter(other => other !== balance), open, 0, context));
 	}
 
 	if (short.length === 0) {
-		outputs.push(...sendOff(state, supply, context), ...takeIdle(state, balances, idleAtOnce, getSurplusMs(fleet, context.now), context));
+		outputs.push(...sendOff(state, supply, context), ...takeSurplus(state, balances, idleAtOnce, getSurplusMs(fleet, context.now), context));
 	}
 
 	return outputs;
 }
 
+/** A line a pool and second with what the orders of that time rest on. */
+function logBalances(fleet: FleetState, balances: readonly PoolBalance[], {now}: DecisionContext): JobOutput[] {
+	if (now < fleet.balancesLoggedAt + logPauseMs) {
+		return [];
+	}
+
+	fleet.balancesLoggedAt = now;
+	return balances.map(({pool, report, machines, incoming, capacityMillis, wantedMillis}) => emitLog('info', 'pool weighed', {
+		pool,
+		machines: machines.length,
+		incoming,
+		idle: report.idleEndpoints.length,
+		capacityMillis,
+		wantedMillis: Math.round(wantedMillis),
+		usedMillis: report.usedMillis,
+		backlogMillis: report.backlogMillis,
+		neededMillis: report.neededMillis,
+		arrivingMillis: report.arrivingMillis,
+		reportAgeMs: Math.round(now - (fleet.reports.get(pool)?.seenAt ?? now)),
+		listAgeMs: Math.round(now - (fleet.listedAt ?? now)),
+	}));
+}
+
 function listBalances(state: State, context: DecisionContext): PoolBalance[] {
 	const {fleet} = state;
 	const balances: PoolBalance[] = [];
@@ -94,13 +131,17 @@
 		const machineMillis = Math.max(1, ...machines.map(machine => machine.room.cpuMillis), ...[...fleet.machines.values()].map(machine => machine.room.cpuMillis));
 		const incoming = [...fleet.orders.values()].filter(order => order.order === 'move' && order.pool === report.pool && fleet.machines.get(order.machine)?.pool !== report.pool).length
 			+ machines.filter(machine => machine.state !== 'up').length;
+		const presentMillis = machines
+			.filter(machine => isUsable(fleet, machine, report, context.now))
+			.reduce((sum, machine) => sum + machine.room.cpuMillis, 0);
 		balances.push({
 			pool: report.pool,
 			report,
 			machines,
 			incoming,
 			machineMillis,
-			capacityMillis: report.capacityMillis + (incoming * machineMillis),
+			capacityMillis: presentMillis + (incoming * machineMillis),
+			presentMillis,
 			wantedMillis: getWantedMillis(report),
 		});
 	}
@@ -108,6 +149,11 @@
 	return balances;
 }
 
+/** Whether tasks can be started on a machine: its endpoint takes orders, or is about to, and is not to be given away. Endpoints stay listed for seconds after their machine has left, so the owner's word counts only for machines that are there. */
+function isUsable(fleet: FleetState, {name, state, endpointId}: Machine, report: PoolReport, now: number): boolean {
+	return state === 'up' && endpointId !== undefined && fleet.vacates.get(endpointId)?.request.purpose !== 'move' && (report.usableEndpoints.includes(endpointId) || now < (fleet.settledAt.get(name) ?? 0) + joinMs);
+}
+
 /**
 What a pool wants: the room with which its jobs are in time, as far as there are tasks for it, or what arriving work will want by the time a machine has come. Arrivals count for at most twice what is there, as few of them tell little.
 */
@@ -116,13 +162,24 @@
 	return Math.max(Math.min(present, neededMillis), Math.min(arrivingMillis, arrivalLimit * present));
 }
 
-function countMissing({wantedMillis, capacityMillis, machineMillis, machines, incoming}: PoolBalance): number {
-	if (machines.length + incoming < machineMinimum) {
-		return machineMinimum - machines.length - incoming;
-	}
-
+function countMissing(fleet: FleetState, {report, wantedMillis, capacityMillis, machineMillis, machines, incoming}: PoolBalance): number {
+	const staying = machines.filter(machine => machine.state === 'moving' || (machine.state === 'up' && !isLeaving(fleet, machine))).length;
+	const arriving = incoming - machines.filter(machine => machine.state !== 'up').length;
 	const missing = (wantedMillis - capacityMillis) / machineMillis;
-	return missing < shortShare ? 0 : Math.ceil(missing - shortShare);
+	return Math.max(
+		getMachineMinimum(report) - staying - arriving,
+		missing < shortShare ? 0 : Math.ceil(missing - shortShare),
+	);
+}
+
+/** Machines that a pool keeps beside those that leave it for a while. */
+function getMachineMinimum({endpointMinimum}: PoolReport): number {
+	return Math.max(machineMinimum, endpointMinimum);
+}
+
+/** Whether a machine is to be emptied, or has been ordered away. */
+function isLeaving(fleet: FleetState, {name, endpointId}: Machine): boolean {
+	return fleet.orders.has(name) || (endpointId !== undefined && fleet.vacates.has(endpointId));
 }
 
 function noteDemand(fleet: FleetState, balances: readonly PoolBalance[], now: number): void {
@@ -151,8 +208,8 @@
 	return fleet.workedAt !== undefined && now < fleet.workedAt + quietAfterMs ? surplusMs : quietSurplusMs;
 }
 
-/** Asks for idle endpoints of pools that have had room to spare for some time. */
-function takeIdle(state: State, balances: readonly PoolBalance[], count: number, surplusForMs: number, context: DecisionContext): JobOutput[] {
+/** Asks for endpoints of pools that have had room to spare for some time, those that will be empty first. */
+function takeSurplus(state: State, balances: readonly PoolBalance[], count: number, surplusForMs: number, context: DecisionContext): JobOutput[] {
 	const {fleet} = state;
 	const outputs: JobOutput[] = [];
 	let open = count - [...fleet.vacates.values()].filter(({request}) => request.purpose === 'move').length;
@@ -161,20 +218,19 @@
 			continue;
 		}
 
-		const leaving = [...fleet.vacates.values()].filter(({request}) => request.pool === pool).length;
+		const staying = machines.filter(machine => machine.state === 'up' && !isLeaving(fleet, machine));
 		let spareCount = Math.min(
-			Math.floor((capacityMillis - Math.max(report.usedMillis, wantedMillis)) / machineMillis) - leaving,
-			machines.filter(machine => machine.state === 'up').length - leaving - machineMinimum,
+			Math.floor((capacityMillis - Math.max(report.usedMillis, wantedMillis)) / machineMillis),
+			staying.length - getMachineMinimum(report),
 		);
-		for (const machine of machines) {
-			const {endpointId} = machine;
-			const isIdle = endpointId !== undefined && report.idleEndpoints.includes(endpointId) && machine.state === 'up';
-			const hasSettled = context.now > (fleet.settledAt.get(machine.name) ?? 0) + settleMs;
+		const byEndpoint = new Map(staying.map(machine => [machine.endpointId, machine]));
+		for (const endpointId of report.releasableEndpoints) {
 			if (open <= 0 || spareCount <= 0) {
 				break;
 			}
 
-			if (isIdle && hasSettled && !fleet.vacates.has(endpointId) && !fleet.orders.has(machine.name)) {
+			const machine = byEndpoint.get(endpointId);
+			if (machine !== undefined && context.now > (fleet.settledAt.get(machine.name) ?? 0) + settleMs) {
 				open -= 1;
 				spareCount -= 1;
 				outputs.push(...requestVacate(fleet, {
--- a/packages/jobs/src/fleet/fleet-state.ts
+++ b/packages/jobs/src/fleet/fleet-state.ts
@@ -57,6 +57,12 @@
 	readonly fullAt: Map<string, number>;
 	/** When any pool last had work other than long-running tasks. */
 	workedAt: number | undefined;
+	/** Whether a pool asks for more machines than it has and gets. */
+	isShort: boolean;
+	/** Pools whose work waits for machines, also for those that are on their way. */
+	readonly busyPools: Set<string>;
+	/** When the pools' balance was last logged, in monotonic ms. */
+	balancesLoggedAt: number;
 	/** Machines that the service will not move. */
 	readonly immovable: Set<string>;
 };
@@ -78,6 +84,9 @@
 		settledAt: new Map(),
 		fullAt: new Map(),
 		workedAt: undefined,
+		isShort: false,
+		busyPools: new Set(),
+		balancesLoggedAt: 0,
 		immovable: new Set(),
 	};
 }
--- a/packages/jobs/src/fleet/run-waves.ts
+++ b/packages/jobs/src/fleet/run-waves.ts
@@ -10,8 +10,10 @@
 const poolShare = 0.34;
 /** Time in ms for a machine to be emptied, maintained and back at work. */
 const roundMs = 4500;
-/** Time in ms before its end by which a wave is to be done; two changes of the holder take as long. */
-const waveMarginMs = 9000;
+/** The same for one that is idle or off. */
+const idleRoundMs = 3000;
+/** Time in ms before its end by which a wave is to be done; a change of the holder takes 5 s. */
+const waveMarginMs = 6000;
 /** Time in ms that tasks are awaited before they are stopped for maintenance; about the longest task. */
 const awaitTasksMs = 5000;
 
@@ -62,7 +64,13 @@
 	}
 
 	let downCount = wave.machines.filter(name => isAway(fleet, name) || (fleet.machines.get(name)?.state ?? 'up') === 'upkeep').length;
+	// While work waits for machines, a wave that has time leaves those that are off to it.
+	const mayWait = fleet.isShort && !isPressing(state, progress, rest, idleRoundMs, context);
 	for (const machine of rest) {
+		if (mayWait && isSpare(state, machine.pool)) {
+			continue;
+		}
+
 		if (downCount < wave.downLimit && mayOrder(state, context.now) && isReadyToGo(state, machine)) {
 			const ordered = orderMachine(state, machine, {order: 'maintain', pool: machine.pool, wave: wave.number}, context);
 			downCount += ordered.length > 0 ? 1 : 0;
@@ -70,7 +78,25 @@
 		}
 	}
 
-	return [...outputs, ...vacateNext(state, progress, rest, context)];
+	return [...outputs, ...vacateNext(state, progress, sortByLoad(fleet, rest), context)];
+}
+
+/** Machines that are missed the least first: idle ones, then those of pools that have room to spare. */
+function sortByLoad(fleet: FleetState, machines: readonly Machine[]): Machine[] {
+	const rank = (machine: Machine) => {
+		if (machine.endpointId !== undefined && mayMissNow(fleet, machine, machine.endpointId)) {
+			return 0;
+		}
+
+		return fleet.busyPools.has(machine.pool) ? 2 : 1;
+	};
+
+	return [...machines].sort((left, right) => rank(left) - rank(right));
+}
+
+/** Whether a wave must go on now to be done in time. */
+function isPressing(state: State, {wave, seenAt}: WaveProgress, rest: readonly Machine[], machineMs: number, {wallTime}: DecisionContext): boolean {
+	return wallTime > seenAt + wave.durationMs - (countRounds(state, wave, rest) * machineMs) - waveMarginMs;
 }
 
 /** Whether nothing runs on a machine: its owner has said so, or it is off. */
@@ -88,8 +114,9 @@
 }
 
 /** Asks for machines to be emptied ahead of their turn: idle ones at any time, others as late as the wave's end allows. */
-function vacateNext(state: State, {wave, seenAt}: WaveProgress, rest: readonly Machine[], context: DecisionContext): JobOutput[] {
+function vacateNext(state: State, progress: WaveProgress, rest: readonly Machine[], context: DecisionContext): JobOutput[] {
 	const {fleet} = state;
+	const {wave, seenAt} = progress;
 	const outputs: JobOutput[] = [];
 	const perPool = new Map<string, number>();
 	let pendingCount = 0;
@@ -98,7 +125,7 @@
 		pendingCount += request.purpose === 'maintenance' ? 1 : 0;
 	}
 
-	const isPressing = context.wallTime > seenAt + wave.durationMs - getTimeNeeded(state, wave, rest);
+	const mayTakeBusy = isPressing(state, progress, rest, roundMs, context);
 	for (const machine of rest) {
 		const {endpointId, pool} = machine;
 		if (machine.state !== 'up' || endpointId === undefined || isSpare(state, pool) || fleet.vacates.has(endpointId)) {
@@ -107,7 +134,7 @@
 
 		const size = [...fleet.machines.values()].filter(other => other.pool === pool).length;
 		const limit = Math.max(1, Math.floor(size * poolShare));
-		if ((perPool.get(pool) ?? 0) >= limit || pendingCount >= wave.downLimit * 2 || (!isPressing && !mayMissNow(fleet, machine, endpointId))) {
+		if ((perPool.get(pool) ?? 0) >= limit || pendingCount >= wave.downLimit * 2 || (!mayTakeBusy && !mayMissNow(fleet, machine, endpointId))) {
 			continue;
 		}
 
@@ -121,8 +148,8 @@
 	return outputs;
 }
 
-/** Time in ms that the machines of a wave that are left may still take, one pool's after the other where they are many. */
-function getTimeNeeded({fleet}: State, wave: WaveProgress['wave'], rest: readonly Machine[]): number {
+/** Rounds that the machines of a wave that are left may still take, one pool's after the other where they are many. */
+function countRounds({fleet}: State, wave: WaveProgress['wave'], rest: readonly Machine[]): number {
 	const perPool = new Map<string, number>();
 	for (const machine of rest) {
 		perPool.set(machine.pool, (perPool.get(machine.pool) ?? 0) + 1);
@@ -134,7 +161,7 @@
 		rounds = Math.max(rounds, Math.ceil(count / Math.max(1, Math.floor(size * poolShare))));
 	}
 
-	return (rounds * roundMs) + waveMarginMs;
+	return rounds;
 }
 
 /** Whether a pool does without a machine at the moment: it is idle, and no work waits. */
@@ -161,8 +188,8 @@
 	];
 }
 
-/** Time in ms in which an idle endpoint is empty, if it still is idle when its owner hears of the wish. */
-const moveWaitMs = 1500;
+/** Time in ms that an endpoint's tasks are awaited before it is left to its pool; most tasks end within it. */
+const moveWaitMs = 4000;
 
 /** Takes back wishes whose machine has gone through its order, or is not to be ordered any more. @internal */
 export function withdrawVacates(state: State, now: number): JobOutput[] {
@@ -170,7 +197,7 @@
 	const outputs: JobOutput[] = [];
 	const endpointIds = new Set([...fleet.machines.values()].map(machine => machine.endpointId));
 	for (const [endpointId, {request, askedAt}] of fleet.vacates) {
-		const isMoving = request.purpose === 'move' && (fleet.vacated.has(endpointId) || now < askedAt + moveWaitMs);
+		const isMoving = request.purpose === 'move' && (fleet.vacated.has(endpointId) || (now < askedAt + moveWaitMs && !fleet.busyPools.has(request.pool)));
 		const isWanted = isMoving || [...fleet.waves.values()].some(({wave, maintained}) => wave.machines.includes(request.machine) && !maintained.has(request.machine));
 		if (endpointIds.has(endpointId) && (isWanted || isAway(fleet, request.machine))) {
 			continue;
--- /dev/null
+++ b/packages/jobs/src/reporting/estimate-arrivals.ts
@@ -0,0 +1,30 @@
+/** Windows in ms over which arriving work is measured: the short one shows the beginning of a turn, the long one tells more about its rate. */
+const windowsMs = [400, 1200] as const;
+
+/** Work that has arrived, in thousandths of a core times ms, and its age in ms. @internal */
+export type Arrival = {readonly work: number; readonly ageMs: number};
+
+/**
+Thousandths of a core that work keeps busy if it goes on arriving as it does.
+
+Arrivals of a few large jobs tell little about a rate. The sum of n arrivals varies by the root of the sum of their squares (a compound Poisson process), so that much is taken off.
+
+@internal
+*/
+export function estimateArrivals(arrivals: readonly Arrival[]): number {
+	let best = 0;
+	for (const windowMs of windowsMs) {
+		let sum = 0;
+		let squares = 0;
+		for (const {work, ageMs} of arrivals) {
+			if (ageMs >= 0 && ageMs < windowMs) {
+				sum += work;
+				squares += work ** 2;
+			}
+		}
+
+		best = Math.max(best, (sum - Math.sqrt(squares)) / windowMs);
+	}
+
+	return best;
+}
--- a/packages/jobs/src/reporting/reporting-filter.ts
+++ b/packages/jobs/src/reporting/reporting-filter.ts
@@ -4,9 +4,11 @@
 import {
 	isOpen, type Job, type LedgerView, type PoolLedger,
 } from '../ledger/index.js';
-import {type Endpoint, type PoolReport} from '../model/index.js';
+import {type PoolReport} from '../model/index.js';
 import {type ObservationView} from '../observation/index.js';
 import {getRank, type RankedJob} from '../placement/index.js';
+import {type SupervisionView} from '../supervision/index.js';
+import {estimateArrivals, type Arrival} from './estimate-arrivals.js';
 
 /** The last report of each pool that this entry owns. @public */
 export type ReportingState = {readonly reports: Map<string, {readonly text: string; readonly sentAt: number}>};
@@ -19,15 +21,13 @@
 /** Least time in ms between two reports of a pool; demand in a pool rises within a second, and machines take longer to come. */
 const reportPauseMs = 150;
 
-/** Time in ms over which arriving work is measured; a pool's turn begins within it. */
-const arrivalWindowMs = 600;
-/** Fewest jobs in that time that tell a rate; a few large ones tell none. */
-const arrivalMinimum = 5;
+/** Time in ms after which a report is sent again though nothing in it has changed; readers take one of 3 s as outdated. */
+const repeatMs = 1000;
 
 /** Share of the time until a job is due that its work is spread over; the rest is for machines to come and for tasks that do not fit together. */
 const usableShare = 0.6;
 
-type State = {readonly reporting: ReportingState} & LedgerView & DirectoryView & ObservationView;
+type State = {readonly reporting: ReportingState} & LedgerView & DirectoryView & SupervisionView & ObservationView;
 
 /**
 Tells the others what waits in the pools that this entry owns, and how much room they have.
@@ -53,7 +53,7 @@
 
 	const report = createReport(state, pool, context.now);
 	const text = JSON.stringify(report);
-	if (text === last?.text) {
+	if (text === last?.text && context.now < last.sentAt + repeatMs) {
 		return [];
 	}
 
@@ -65,6 +65,8 @@
 type JobLoad = {
 	readonly usedMillis: number;
 	readonly backlogMillis: number;
+	readonly servingMillis: number;
+	readonly endpointMinimum: number;
 	readonly hasWork: boolean;
 };
 
@@ -75,8 +77,8 @@
 	let usedMillis = 0;
 	let hasWork = false;
 	let neededMillis = 0;
-	let arrivingWork = 0;
-	let arrivalCount = 0;
+	let endpointMinimum = 0;
+	const arrivals: Arrival[] = [];
 	for (const job of pool.active) {
 		if (job.status === 'queued') {
 			waiting[job.record.queue] = (waiting[job.record.queue] ?? 0) + 1;
@@ -88,15 +90,14 @@
 		// Machines are not brought in for what is too late to be of use; it runs in the room that there is.
 		const rank = getRank(state, job, now);
 		const {standing, restWork} = rank;
-		neededMillis += getNeededMillis(rank);
+		neededMillis += load.servingMillis + getNeededMillis(rank);
+		endpointMinimum = Math.max(endpointMinimum, load.endpointMinimum);
 		backlogMillis += standing === 'hopeless' ? 0 : load.backlogMillis;
-		if (job.knownAt > now - arrivalWindowMs) {
-			arrivalCount += 1;
-			arrivingWork += restWork;
-		}
+		// By the time of acceptance: after a takeover all jobs are new to this entry.
+		arrivals.push({work: restWork, ageMs: now - job.acceptedAt});
 	}
 
-	const endpoints = [...state.directory.endpoints.values()].filter(endpoint => endpoint.pool === pool.pool && endpoint.state === 'ready');
+	const usable = listUsable(state, pool, now);
 	return {
 		pool: pool.pool,
 		waiting,
@@ -104,30 +105,58 @@
 		backlogMillis,
 		usedMillis,
 		neededMillis: Math.round(neededMillis),
-		arrivingMillis: arrivalCount < arrivalMinimum ? 0 : Math.round(arrivingWork / arrivalWindowMs),
-		capacityMillis: endpoints.reduce((sum: number, endpoint: Endpoint) => sum + endpoint.room.cpuMillis, 0),
-		idleEndpoints: endpoints.filter(endpoint => !busy.has(endpoint.id)).map(endpoint => endpoint.id),
+		arrivingMillis: Math.round(estimateArrivals(arrivals)),
+		endpointMinimum,
+		usableEndpoints: usable,
+		idleEndpoints: usable.filter(id => !busy.has(id)),
+		releasableEndpoints: listReleasable(state, usable),
 	};
 }
 
-/** Room with which a job is done in time, if it has that room from now on: its work over the time until it is due, or over its longest chain where that is longer. */
-function getNeededMillis({standing, dueInMs, restMs, restWork}: RankedJob): number {
+/** Endpoints that answer this entry and are not avoided. */
+function listUsable({directory, supervision, observation}: State, pool: Readonly<PoolLedger>, now: number): string[] {
+	return [...directory.endpoints.values()]
+		.filter(({id, pool: name, state}) => name === pool.pool && state === 'ready'
+			&& supervision.watches.get(id)?.phase === 'held' && now >= (observation.endpoints.get(id)?.avoidUntil ?? 0))
+		.map(({id}) => id);
+}
+
+/** Endpoints whose tasks all end by themselves, those that are the first to be empty first. */
+function listReleasable({supervision}: State, usable: readonly string[]): string[] {
+	return usable
+		.map(id => ({id, runs: [...supervision.watches.get(id)?.runs.values() ?? []]}))
+		.filter(({runs}) => runs.every(run => !run.isLongRunning))
+		.map(({id, runs}) => ({id, usedMillis: runs.reduce((sum, run) => sum + run.room.cpuMillis, 0)}))
+		.sort((left, right) => left.usedMillis - right.usedMillis)
+		.map(({id}) => id);
+}
+
+/** Room with which a job is done in time, if it has that room from now on: its work over the time until it is due, or over its longest chain where that is longer. A job that is late by now is due when it stops being of use. */
+function getNeededMillis({standing, dueInMs, slackMs, restMs, restWork}: RankedJob): number {
 	if (standing === 'serving' || standing === 'hopeless') {
 		return 0;
 	}
 
-	return restWork / Math.max(1, restMs, dueInMs * usableShare);
+	const leftMs = standing === 'late' ? slackMs + restMs : dueInMs;
+	return restWork / Math.max(1, restMs, leftMs * usableShare);
 }
 
 /** Adds the endpoints that a job's tasks are on to those that are busy. */
 function measureLoad(job: Job, busy: Set<string>): JobLoad {
 	let usedMillis = 0;
 	let backlogMillis = 0;
+	let servingMillis = 0;
+	let endpointMinimum = 0;
 	let hasWork = false;
 	for (const step of job.steps.values()) {
 		const isStepOpen = isOpen(step);
 		const cpuMillis = step.spec.isFiller ? 0 : step.spec.room.cpuMillis;
 		hasWork ||= !step.spec.isLongRunning;
+		if (step.spec.isLongRunning) {
+			servingMillis += cpuMillis * step.tasks.length;
+			endpointMinimum = Math.max(endpointMinimum, Math.ceil(step.tasks.length / (step.spec.endpointLimit ?? step.tasks.length)));
+		}
+
 		for (const task of step.tasks) {
 			for (const endpointId of task.runs.values()) {
 				busy.add(endpointId);
@@ -140,5 +169,7 @@
 		}
 	}
 
-	return {usedMillis, backlogMillis, hasWork};
+	return {
+		usedMillis, backlogMillis, servingMillis, endpointMinimum, hasWork,
+	};
 }
