--- a/packages/jobs/src/fleet/balance-pools.test.ts
+++ b/packages/jobs/src/fleet/balance-pools.test.ts
@@ -94,10 +94,14 @@
 		name: 'a quiet pool keeps two machines', machines: [...desk, ...notify.slice(0, 2)], reports: [busyDesk, quietNotify], at: [5000], expected: [],
 	},
 	{
-		name: 'a pool that was full a moment ago keeps its machines', machines: desk, reports: [createTestReport('desk', {hasWork: true, usableEndpoints: idle(desk), idleEndpoints: idle(desk), releasableEndpoints: idle(desk)})], at: [5000, 5900], expected: [],
+		name: 'a pool that was full a moment ago keeps its machines', machines: desk, reports: [createTestReport('desk', {
+			hasWork: true, usableEndpoints: idle(desk), idleEndpoints: idle(desk), releasableEndpoints: idle(desk),
+		})], at: [5000, 5900], expected: [],
 	},
 	{
-		name: 'a pool with room to spare for a second gives a machine away', machines: desk, reports: [createTestReport('desk', {hasWork: true, usableEndpoints: idle(desk), idleEndpoints: idle(desk), releasableEndpoints: idle(desk)})], at: [5000, 6100], expected: ['empty endpoint-of-desk-1'],
+		name: 'a pool with room to spare for a second gives a machine away', machines: desk, reports: [createTestReport('desk', {
+			hasWork: true, usableEndpoints: idle(desk), idleEndpoints: idle(desk), releasableEndpoints: idle(desk),
+		})], at: [5000, 6100], expected: ['empty endpoint-of-desk-1'],
 	},
 	{
 		name: 'nothing moves while the whole fleet is quiet, as work may begin anywhere', machines: desk, reports: [createTestReport('desk', {usableEndpoints: idle(desk), idleEndpoints: idle(desk), releasableEndpoints: idle(desk)})], at: [5000, 7100, 12_000], expected: [],
