Do not pause an endpoint for one lost order, and keep machines for a pool that may soon be short

At the beginning of work the quiet pools' machines were turned off a second before the first pool was short of them.

Change: an endpoint that has answered since is not paused; a start is valid for as long as its answer is awaited, 0.7 s; surplus machines are kept for 2.5 s while another pool uses three fifths of its room.

--- a/packages/jobs/src/fleet/balance-pools.test.ts
+++ b/packages/jobs/src/fleet/balance-pools.test.ts
@@ -103,6 +103,23 @@
 			hasWork: true, usableEndpoints: idle(desk), idleEndpoints: idle(desk), releasableEndpoints: idle(desk),
 		})], at: [5000, 6100], expected: ['empty endpoint-of-desk-1'],
 	},
+	{
+		// Guards against machines that are turned off while the next pool's turn begins, and have to be moved twice.
+		name: 'room to spare is kept for a while when another pool may soon be short', machines: [...desk, ...notify], reports: [
+			createTestReport('desk', {
+				hasWork: true, usedMillis: 30_000, neededMillis: 30_000, usableEndpoints: idle(desk),
+			}),
+			quietNotify,
+		], at: [5000, 6100, 7400], expected: [],
+	},
+	{
+		name: 'but not for long', machines: [...desk, ...notify], reports: [
+			createTestReport('desk', {
+				hasWork: true, usedMillis: 30_000, neededMillis: 30_000, usableEndpoints: idle(desk),
+			}),
+			quietNotify,
+		], at: [5000, 6100, 7600], expected: ['empty endpoint-of-notify-1'],
+	},
 	{
 		name: 'nothing moves while the whole fleet is quiet, as work may begin anywhere', machines: desk, reports: [createTestReport('desk', {usableEndpoints: idle(desk), idleEndpoints: idle(desk), releasableEndpoints: idle(desk)})], at: [5000, 7100, 12_000], expected: [],
 	},
--- a/packages/jobs/src/fleet/balance-pools.ts
+++ b/packages/jobs/src/fleet/balance-pools.ts
@@ -11,6 +11,10 @@
 const machineMinimum = 2;
 /** Time in ms for which a pool must have had room to spare before a machine is taken away: longer than the gaps between a turn's jobs. A move there and back costs what a machine costs in about two seconds; a pool's quiet times last longer. */
 const surplusMs = 1000;
+/** The same while a pool may soon be short: a machine that goes there at once comes two moves earlier than one that is turned off first. */
+const risingSurplusMs = 2500;
+/** Share of a pool's capacity in use from which it may soon be short. */
+const risingShare = 0.6;
 /** The same while no pool has had work to do for a while, as demand may begin anywhere. */
 const quietSurplusMs = 20_000;
 /** Time in ms after the last work in any pool from which the fleet counts as quiet. */
@@ -90,7 +94,7 @@
 	}
 
 	if (short.length === 0) {
-		outputs.push(...sendOff(state, supply, context), ...takeSurplus(state, balances, idleAtOnce, getSurplusMs(fleet, context.now), context));
+		outputs.push(...sendOff(state, supply, context), ...takeSurplus(state, balances, idleAtOnce, getSurplusMs(fleet, balances, context.now), context));
 	}
 
 	return outputs;
@@ -204,8 +208,12 @@
 	}
 }
 
-function getSurplusMs(fleet: FleetState, now: number): number {
-	return fleet.workedAt !== undefined && now < fleet.workedAt + quietAfterMs ? surplusMs : quietSurplusMs;
+function getSurplusMs(fleet: FleetState, balances: readonly PoolBalance[], now: number): number {
+	if (fleet.workedAt === undefined || now > fleet.workedAt + quietAfterMs) {
+		return quietSurplusMs;
+	}
+
+	return balances.some(({wantedMillis, capacityMillis}) => wantedMillis > capacityMillis * risingShare) ? risingSurplusMs : surplusMs;
 }
 
 /** Asks for endpoints of pools that have had room to spare for some time, those that will be empty first. */
--- a/packages/jobs/src/supervision/lease-clock.ts
+++ b/packages/jobs/src/supervision/lease-clock.ts
@@ -9,8 +9,8 @@
 It has to outlive the loss of all entries at once: a restart of 3 s, the end of their claims and the survey of the pool by the next owner. It may be 10 s at most, and work on a dark rack starts anew only after it.
 */
 export const leaseMs = 6000;
-/** Time in ms after which an endpoint refuses a start as late; a start that is carried out seconds later must not count. */
-export const startDeadlineMs = 1500;
+/** Time in ms after which an endpoint refuses a start as late: as long as its answer is awaited. A start that is carried out seconds later must not count, and its task waits until then. */
+export const startDeadlineMs = 700;
 /** An endpoint's clock may be this much slower than ours. */
 const slowClockFactor = 1.02;
 /** Time in ms for an endpoint to end what has lapsed, and for its answer's way. */
--- a/packages/jobs/src/supervision/settle-refusals.ts
+++ b/packages/jobs/src/supervision/settle-refusals.ts
@@ -43,7 +43,11 @@
 			placed.phase = 'unsure';
 		}
 
-		watch.coolUntil = context.now + unhealthyPauseMs;
+		// Where the endpoint has answered since, the order or its answer was lost on the way, and others need not be.
+		if (watch.clockAt < placed.startedAt) {
+			watch.coolUntil = context.now + unhealthyPauseMs;
+		}
+
 		return [log, count];
 	}
 
--- a/packages/jobs/src/testing.test-support.ts
+++ b/packages/jobs/src/testing.test-support.ts
@@ -1,6 +1,6 @@
 import {openJob} from './ledger/open-job.js';
 import {type Job} from './ledger/index.js';
-import {type Watch} from './supervision/index.js';
+import {type Run, type Watch} from './supervision/index.js';
 import {
 	type Endpoint, type JobRecord, type Machine, type PoolReport, type StepSpec,
 } from './model/index.js';
@@ -99,3 +99,25 @@
 		...traits,
 	};
 }
+
+/** A run of one core whose start has been sent. @internal */
+export function createTestRun(taskId: string, traits: Partial<Run> = {}): Run {
+	return {
+		taskId,
+		run: 1,
+		room: {cpuMillis: 1000, memoryMb: 100, gpus: 0},
+		isFiller: false,
+		isLongRunning: false,
+		phase: 'starting',
+		startedAt: 0,
+		startDeadlineMs: 0,
+		confirmedClockMs: undefined,
+		percent: 0,
+		progressedAt: 0,
+		checkpoint: '',
+		load: 0,
+		pacePercent: 100,
+		stopAskedAt: 0,
+		...traits,
+	};
+}
