Write wishes and answers for empty endpoints until the store takes them

An answer to a former wish could also be taken for one to the present wish, and a wish withdrawn while the store's history was lost was not noticed.

Change: such records are written until the store takes them, a newer change of the same record comes, or the claim they rest on is lost; an answer names its wish; a list shows what was withdrawn.

--- a/packages/entry/src/jobs/create-job-sinks.ts
+++ b/packages/entry/src/jobs/create-job-sinks.ts
@@ -11,6 +11,7 @@
 import {
 	followEndpoints, followFleet, type StopFollowing,
 } from './follow-records.js';
+import {createRecordWriter, rewritePauseMs} from './record-writer.js';
 import {
 	createProgress, createStoredJob, decodeRecord, encodeRecord, recordKeys,
 } from './job-records.js';
@@ -22,11 +23,6 @@
 	applied: 'applied', conflict: 'conflict', refused: 'refused', unknown: 'unknown', 'lease-gone': 'refused',
 };
 
-/** Pause in ms before a record whose write failed is written again. */
-const rewritePauseMs = 300;
-/** Tries for a record that the next tick would not write again. */
-const rewriteLimit = 10;
-
 /** Carries out the effects of the jobs chain. @internal */
 export function createJobSinks(parts: JobParts): SinkTable<JobEffect> {
 	const {store, session, pushEvent, metrics, log} = parts;
@@ -44,21 +40,7 @@
 		});
 	};
 
-	/** Writes a record until the store has taken it; it makes no difference when it is written twice. */
-	async function writeRecord(change: StoreChange): Promise<void> {
-		for (let attempt = 0; attempt < rewriteLimit; attempt++) {
-			// eslint-disable-next-line no-await-in-loop
-			const result = await store.changeItems(change);
-			if (result.kind === 'applied' || result.kind === 'conflict') {
-				return;
-			}
-
-			// eslint-disable-next-line no-await-in-loop
-			await delay(rewritePauseMs);
-		}
-
-		log('warn', 'record not written', {keys: [...change.puts.map(put => put.key), ...(change.removes ?? [])]});
-	}
+	const writeRecord = createRecordWriter(store, log);
 
 	function getFleetCondition(): StoreChange['conditions'] {
 		const token = parts.state.fleet.token ?? 0;
@@ -241,19 +223,21 @@
 		},
 		'request-vacate'({request}) {
 			const key = `${recordKeys.vacatePrefix}${request.pool}/${request.endpointId}`;
-			run('request-vacate', async () => writeRecord({conditions: getFleetCondition(), puts: [{key, value: encodeRecord(request)}]}));
+			run('request-vacate', async () => writeRecord(key, {conditions: getFleetCondition(), puts: [{key, value: encodeRecord(request)}]}));
 		},
 		'withdraw-vacate'({pool, endpointId}) {
-			run('withdraw-vacate', async () => writeRecord({
+			const key = `${recordKeys.vacatePrefix}${pool}/${endpointId}`;
+			run('withdraw-vacate', async () => writeRecord(key, {
 				conditions: getFleetCondition(),
 				puts: [],
-				removes: [`${recordKeys.vacatePrefix}${pool}/${endpointId}`, `${recordKeys.vacatedPrefix}${pool}/${endpointId}`],
+				removes: [key, `${recordKeys.vacatedPrefix}${pool}/${endpointId}`],
 			}));
 		},
-		'confirm-vacated'({pool, endpointId}) {
-			run('confirm-vacated', async () => writeRecord({
-				conditions: [],
-				puts: [{key: `${recordKeys.vacatedPrefix}${pool}/${endpointId}`, value: encodeRecord({})}],
+		'confirm-vacated'({token, vacated: {requestId, pool, endpointId}}) {
+			const key = `${recordKeys.vacatedPrefix}${pool}/${endpointId}`;
+			run('confirm-vacated', async () => writeRecord(key, {
+				conditions: [{key: `${recordKeys.claimPrefix}pool/${pool}`, revision: token}],
+				puts: [{key, value: encodeRecord({requestId})}],
 			}));
 		},
 		'write-wave-status'({number, status, maintained}) {
--- a/packages/entry/src/jobs/follow-pool.ts
+++ b/packages/entry/src/jobs/follow-pool.ts
@@ -103,8 +103,10 @@
 		failed: createFailureLog(context.log, inboxPrefix),
 	});
 	const vacatePrefix = recordKeys.getVacatePoolPrefix(pool);
+	let requestKeys = new Set<string>();
 	const followVacates = (item: StoreItem) => {
 		const event = decodeVacateRequest(item);
+		requestKeys.add(item.key);
 		if (event !== undefined) {
 			context.pushEvent(event);
 		}
@@ -112,7 +114,11 @@
 
 	const stopVacates = followPrefix(context.store, {prefix: vacatePrefix, pauseMs: noPauseMs}, {
 		listed(items) {
-			for (const item of items) {
+			// What was withdrawn while the store's history was lost shows only by not being listed.
+			const listed = new Set(items.map(({key}) => key));
+			const withdrawn = [...requestKeys].filter(key => !listed.has(key));
+			requestKeys = listed;
+			for (const item of [...withdrawn.map(key => ({key, value: undefined, revision: 0})), ...items]) {
 				followVacates(item);
 			}
 		},
--- a/packages/entry/src/jobs/follow-records.ts
+++ b/packages/entry/src/jobs/follow-records.ts
@@ -189,7 +189,8 @@
 
 function decodeVacated(item: StoreItem): JobEvent | undefined {
 	const [pool, endpointId] = item.key.slice(recordKeys.vacatedPrefix.length).split('/');
-	return item.value === undefined || pool === undefined || endpointId === undefined ? undefined : {kind: 'endpoint-vacated', vacated: {pool, endpointId}};
+	const record = decodeRecord<{readonly requestId: string}>(item);
+	return record === undefined || pool === undefined || endpointId === undefined ? undefined : {kind: 'endpoint-vacated', vacated: {requestId: record.requestId, pool, endpointId}};
 }
 
 /** @internal */
--- a/packages/entry/src/jobs/job-records.ts
+++ b/packages/entry/src/jobs/job-records.ts
@@ -1,5 +1,5 @@
 import {
-	type Claim, type JobRecord, type Member, type PoolReport, type ProgressRecord, type Roster, type StoredJob, type VacateRequest,
+	type Claim, type JobRecord, type Member, type PoolReport, type ProgressRecord, type Roster, type StoredJob, type VacatedEndpoint, type VacateRequest,
 } from '@pistachiogauge/jobs';
 import {type StoreItem} from '@pistachiogauge/platform';
 
@@ -32,7 +32,7 @@
 export type WaveRecord = {readonly maintained: readonly string[]; readonly isDone: boolean};
 
 /** @internal */
-export function encodeRecord(record: JobRecord | ProgressRecord | Roster | PoolReport | VacateRequest | WaveRecord | Omit<Member, 'node'> | {readonly node: string; readonly incarnation: string} | Record<string, never>): string {
+export function encodeRecord(record: JobRecord | ProgressRecord | Roster | PoolReport | VacateRequest | Pick<VacatedEndpoint, 'requestId'> | WaveRecord | Omit<Member, 'node'> | {readonly node: string; readonly incarnation: string} | Record<string, never>): string {
 	return JSON.stringify(record);
 }
 
--- a/packages/jobs/src/evacuation/evacuation-filter.ts
+++ b/packages/jobs/src/evacuation/evacuation-filter.ts
@@ -39,6 +39,10 @@
 	name: 'evacuation',
 	handlers: {
 		'vacate-requested'({evacuation}, {request}) {
+			if (evacuation.requests.get(request.endpointId)?.requestId !== request.requestId) {
+				evacuation.confirmed.delete(request.endpointId);
+			}
+
 			evacuation.requests.set(request.endpointId, request);
 			return [];
 		},
@@ -112,7 +116,7 @@
 	return [
 		emitLog('info', 'endpoint empty', {endpoint: watch.id, pool: watch.pool, purpose: request.purpose}),
 		restartEvent({kind: 'endpoint-emptied', pool: watch.pool, endpointId: watch.id}),
-		emitEffect({kind: 'confirm-vacated', pool: watch.pool, endpointId: watch.id}),
+		emitEffect({kind: 'confirm-vacated', token: watch.token, vacated: {requestId: request.requestId, pool: watch.pool, endpointId: watch.id}}),
 	];
 }
 
--- a/packages/jobs/src/fleet/balance-pools.test.ts
+++ b/packages/jobs/src/fleet/balance-pools.test.ts
@@ -41,7 +41,7 @@
 	for (const endpointId of maintained) {
 		fleet.vacates.set(endpointId, {
 			request: {
-				pool: 'desk', endpointId, machine: endpointId.replace('endpoint-of-', ''), purpose: 'maintenance', dueAt: 0,
+				requestId: endpointId, pool: 'desk', endpointId, machine: endpointId.replace('endpoint-of-', ''), purpose: 'maintenance', dueAt: 0,
 			}, askedAt: 0,
 		});
 	}
--- a/packages/jobs/src/fleet/fleet-filter.ts
+++ b/packages/jobs/src/fleet/fleet-filter.ts
@@ -107,7 +107,10 @@
 			return [];
 		},
 		'endpoint-vacated'({fleet}, {vacated}) {
-			fleet.vacated.add(vacated.endpointId);
+			if (fleet.vacates.get(vacated.endpointId)?.request.requestId === vacated.requestId) {
+				fleet.vacated.add(vacated.endpointId);
+			}
+
 			return [];
 		},
 		tick: (state, _event, context) => state.fleet.token === undefined ? [] : runFleet(state, context),
--- a/packages/jobs/src/fleet/fleet-state.ts
+++ b/packages/jobs/src/fleet/fleet-state.ts
@@ -47,6 +47,8 @@
 	listAskedAt: number | undefined;
 	readonly waves: Map<number, WaveProgress>;
 	readonly vacates: Map<string, VacateState>;
+	/** Wishes made by this entry so far. */
+	requestCount: number;
 	/** Endpoints that their owner has reported as empty. */
 	readonly vacated: Set<string>;
 	readonly orders: Map<string, OpenOrder>;
@@ -78,6 +80,7 @@
 		listAskedAt: undefined,
 		waves: new Map(),
 		vacates: new Map(),
+		requestCount: 0,
 		vacated: new Set(),
 		orders: new Map(),
 		reports: new Map(),
--- a/packages/jobs/src/fleet/run-waves.ts
+++ b/packages/jobs/src/fleet/run-waves.ts
@@ -176,8 +176,9 @@
 	{machine, endpointId, purpose, dueAt}: {readonly machine: Machine; readonly endpointId: string; readonly purpose: 'maintenance' | 'move'; readonly dueAt: number},
 	context: DecisionContext,
 ): JobOutput[] {
+	fleet.requestCount += 1;
 	const request = {
-		pool: machine.pool, endpointId, machine: machine.name, purpose, dueAt,
+		requestId: `${fleet.token}-${fleet.requestCount}`, pool: machine.pool, endpointId, machine: machine.name, purpose, dueAt,
 	};
 	fleet.vacates.set(endpointId, {request, askedAt: context.now});
 	return [
--- a/packages/jobs/src/model/coordination.ts
+++ b/packages/jobs/src/model/coordination.ts
@@ -49,6 +49,8 @@
 
 /** A wish that an endpoint be empty, so that its machine can be ordered away. @public */
 export type VacateRequest = {
+	/** Differs for each request, so that an answer to a former one is not taken for an answer to this. */
+	readonly requestId: string;
 	readonly pool: string;
 	readonly endpointId: string;
 	readonly machine: string;
@@ -59,6 +61,7 @@
 
 /** The owner's answer to a request: the endpoint runs nothing and gets nothing new. @public */
 export type VacatedEndpoint = {
+	readonly requestId: string;
 	readonly pool: string;
 	readonly endpointId: string;
 };
--- a/packages/jobs/src/model/effects.ts
+++ b/packages/jobs/src/model/effects.ts
@@ -1,5 +1,5 @@
 import {type HandlerFailed} from '@pistachiogauge/chain';
-import {type PoolReport, type VacateRequest} from './coordination.js';
+import {type PoolReport, type VacateRequest, type VacatedEndpoint} from './coordination.js';
 import {type CallerAction, type MachineOrder} from './events.js';
 import {
 	type JobRecord, type JobStatus, type ProgressRecord,
@@ -47,7 +47,7 @@
 	| {readonly kind: 'publish-report'; readonly token: number; readonly report: PoolReport}
 	| {readonly kind: 'request-vacate'; readonly request: VacateRequest}
 	| {readonly kind: 'withdraw-vacate'; readonly pool: string; readonly endpointId: string}
-	| {readonly kind: 'confirm-vacated'; readonly pool: string; readonly endpointId: string}
+	| {readonly kind: 'confirm-vacated'; readonly token: number; readonly vacated: VacatedEndpoint}
 	| {readonly kind: 'write-wave-status'; readonly number: number; readonly status: WaveStatus; readonly maintained: readonly string[]};
 
 /** Address and incarnation that an order is meant for. @public */
