Maintain machines with long-running tasks only while no work waits

Change: an endpoint that runs nothing but long-running tasks is emptied while no work waits in its pool; only endpoints to be maintained count.

--- a/packages/jobs/src/fleet/run-waves.ts
+++ b/packages/jobs/src/fleet/run-waves.ts
@@ -121,8 +121,10 @@
 	const perPool = new Map<string, number>();
 	let pendingCount = 0;
 	for (const {request} of fleet.vacates.values()) {
-		perPool.set(request.pool, (perPool.get(request.pool) ?? 0) + 1);
-		pendingCount += request.purpose === 'maintenance' ? 1 : 0;
+		if (request.purpose === 'maintenance') {
+			perPool.set(request.pool, (perPool.get(request.pool) ?? 0) + 1);
+			pendingCount += 1;
+		}
 	}
 
 	const mayTakeBusy = isPressing(state, progress, rest, roundMs, context);
@@ -164,10 +166,10 @@
 	return rounds;
 }
 
-/** Whether a pool does without a machine at the moment: it is idle, and no work waits. */
+/** Whether a pool does without a machine at the moment: no work waits, and nothing runs there but tasks that have to be moved at some time. */
 function mayMissNow(fleet: FleetState, machine: Machine, endpointId: string): boolean {
 	const report = fleet.reports.get(machine.pool)?.report;
-	return report?.backlogMillis === 0 && report.idleEndpoints.includes(endpointId);
+	return report?.backlogMillis === 0 && (report.idleEndpoints.includes(endpointId) || report.servingEndpoints.includes(endpointId));
 }
 
 /** Asks a pool's owner to empty an endpoint. @internal */
--- a/packages/jobs/src/model/coordination.ts
+++ b/packages/jobs/src/model/coordination.ts
@@ -43,6 +43,8 @@
 	readonly usableEndpoints: readonly string[];
 	/** Endpoints with no task. */
 	readonly idleEndpoints: readonly string[];
+	/** Endpoints with long-running tasks and no others. */
+	readonly servingEndpoints: readonly string[];
 	/** Usable endpoints without long-running tasks, those with the least work first: the first to be given away. */
 	readonly releasableEndpoints: readonly string[];
 };
--- a/packages/jobs/src/reporting/reporting-filter.ts
+++ b/packages/jobs/src/reporting/reporting-filter.ts
@@ -109,6 +109,7 @@
 		endpointMinimum,
 		usableEndpoints: usable,
 		idleEndpoints: usable.filter(id => !busy.has(id)),
+		servingEndpoints: usable.filter(id => busy.has(id) && [...state.supervision.watches.get(id)?.runs.values() ?? []].every(run => run.isLongRunning)),
 		releasableEndpoints: listReleasable(state, usable),
 	};
 }
--- a/packages/jobs/src/testing.test-support.ts
+++ b/packages/jobs/src/testing.test-support.ts
@@ -63,7 +63,7 @@
 /** A report of a pool with nothing to do. @internal */
 export function createTestReport(pool: string, traits: Partial<PoolReport> = {}): PoolReport {
 	return {
-		pool, waiting: {}, hasWork: false, backlogMillis: 0, usedMillis: 0, neededMillis: 0, arrivingMillis: 0, endpointMinimum: 0, usableEndpoints: [], idleEndpoints: [], releasableEndpoints: [], ...traits,
+		pool, waiting: {}, hasWork: false, backlogMillis: 0, usedMillis: 0, neededMillis: 0, arrivingMillis: 0, endpointMinimum: 0, usableEndpoints: [], idleEndpoints: [], servingEndpoints: [], releasableEndpoints: [], ...traits,
 	};
 }
 
