Let an entry that held the fleet last order machines without waiting

After a common restart that last holder is mostly the same entry, whose process is gone.

Change: the entry that held the fleet last stands in a record that is written with each claim, on condition that the claimant has seen the newest; that entry is first in line, and gives orders at once. A record of the claim's own revision tells nothing, and the wait stays.

--- a/packages/entry/src/jobs/create-job-sinks.ts
+++ b/packages/entry/src/jobs/create-job-sinks.ts
@@ -129,7 +129,7 @@
 	}
 
 	return {
-		claim({name, expectedToken}) {
+		claim({name, expectedToken, lastHolderRevision}) {
 			run('claim', async () => {
 				const lease = session.getLease();
 				if (lease === undefined) {
@@ -140,9 +140,11 @@
 				}
 
 				const key = `${recordKeys.claimPrefix}${name}`;
+				const lastKey = `${recordKeys.lastHolderPrefix}${name}`;
+				const value = encodeRecord({node: parts.node, incarnation: parts.incarnation});
 				const result = await store.changeItems({
-					conditions: [{key, revision: expectedToken}],
-					puts: [{key, value: encodeRecord({node: parts.node, incarnation: parts.incarnation}), lease}],
+					conditions: [{key, revision: expectedToken}, ...(lastHolderRevision === undefined ? [] : [{key: lastKey, revision: lastHolderRevision}])],
+					puts: [{key, value, lease}, ...(lastHolderRevision === undefined ? [] : [{key: lastKey, value}])],
 				});
 				pushEvent({
 					kind: 'claim-answered', name, result: writeResults[result.kind], token: result.kind === 'applied' ? result.revision : 0,
--- a/packages/entry/src/jobs/follow-records.ts
+++ b/packages/entry/src/jobs/follow-records.ts
@@ -102,7 +102,17 @@
 		return {kind: 'member-changed', node, member};
 	}
 
+	const decodeLastHolder = (item: StoreItem): JobEvent | undefined => {
+		const holder = decodeRecord<{readonly node: string}>(item);
+		return holder === undefined
+			? undefined
+			: {
+				kind: 'last-holder-changed', name: item.key.slice(recordKeys.lastHolderPrefix.length), node: holder.node, revision: item.revision,
+			};
+	};
+
 	const decoders: Decoder[] = [
+		{prefix: recordKeys.lastHolderPrefix, decode: decodeLastHolder},
 		{prefix: recordKeys.entryPrefix, decode: changeMember},
 		{
 			prefix: recordKeys.claimPrefix,
@@ -117,6 +127,10 @@
 				context.loseRegistration();
 			}
 
+			for (const item of items.filter(each => each.key.startsWith(recordKeys.lastHolderPrefix))) {
+				decodeItem(decoders, item, context);
+			}
+
 			context.pushEvent({kind: 'members-listed', members});
 			context.pushEvent({kind: 'claims-listed', claims});
 		},
--- a/packages/entry/src/jobs/job-records.ts
+++ b/packages/entry/src/jobs/job-records.ts
@@ -24,6 +24,7 @@
 	reportPrefix: 'fleet/report/',
 	vacatePrefix: 'fleet/vacate/',
 	getVacatePoolPrefix: (pool: string) => `fleet/vacate/${pool}/`,
+	lastHolderPrefix: 'shared/last/',
 	vacatedPrefix: 'fleet/vacated/',
 	wavePrefix: 'fleet/wave/',
 } as const;
--- a/packages/jobs/src/authority/assign-claims.test.ts
+++ b/packages/jobs/src/authority/assign-claims.test.ts
@@ -17,6 +17,7 @@
 	readonly members: Readonly<Record<string, number>>;
 	readonly vacant: readonly string[];
 	readonly held?: ReadonlyArray<[string, Claim]>;
+	readonly last?: Readonly<Record<string, string>>;
 	readonly former?: ReadonlyArray<[string, Claim]>;
 	/** Who is first in line, by claim. */
 	readonly expected: Readonly<Record<string, string | undefined>>;
@@ -39,15 +40,22 @@
 	{
 		name: 'treats a restarted process as another', members: {a: 1, b: 1}, vacant: ['p1'], former: [createClaim('p1', 'b', 'former-life')], expected: {p1: 'a'},
 	},
+	{
+		// After a loss of power of all entries, the one that ordered machines before goes on without waiting for its own orders to be over.
+		name: 'gives a claim back to the entry that held it last', members: {a: 1, b: 1}, vacant: ['p1'], last: {p1: 'b'}, expected: {p1: 'b'},
+	},
+	{
+		name: 'leaves out a last holder that is not there', members: {a: 1, b: 1}, vacant: ['p1'], last: {p1: 'c'}, expected: {p1: 'a'},
+	},
 	{
 		name: 'names nobody without members', members: {}, vacant: ['p1'], expected: {p1: undefined},
 	},
 ];
 
 describe('assignClaims', () => {
-	it.each(cases)('$name', ({members, vacant, held = [], former = [], expected}) => {
+	it.each(cases)('$name', ({members, vacant, held = [], former = [], last = {}, expected}) => {
 		const assignment = assignClaims({
-			vacant, members: createMembers(members), claims: new Map(held), formerHolders: new Map(former),
+			vacant, members: createMembers(members), claims: new Map(held), formerHolders: new Map(former), lastHolders: new Map(Object.entries(last).map(([name, node]) => [name, {node}])),
 		});
 		expect(Object.fromEntries([...assignment].map(([name, order]) => [name, order[0]]))).toEqual(expected);
 	});
--- a/packages/jobs/src/authority/assign-claims.ts
+++ b/packages/jobs/src/authority/assign-claims.ts
@@ -7,6 +7,8 @@
 	readonly claims: ReadonlyMap<string, Claim>;
 	/** Last holders of vacant claims. */
 	readonly formerHolders: ReadonlyMap<string, Claim>;
+	/** Entries that held claims last, for claims that an entry can go on with in another life. */
+	readonly lastHolders: ReadonlyMap<string, {readonly node: string}>;
 };
 
 /**
@@ -17,7 +19,9 @@
 @returns Member nodes in the order in which they should try, by claim.
 @internal
 */
-export function assignClaims({vacant, members, claims, formerHolders}: AssignmentInput): Map<string, readonly string[]> {
+export function assignClaims({
+	vacant, members, claims, formerHolders, lastHolders,
+}: AssignmentInput): Map<string, readonly string[]> {
 	const counts = new Map<string, number>([...members.keys()].map(node => [node, 0]));
 	for (const {node} of claims.values()) {
 		counts.set(node, (counts.get(node) ?? 0) + 1);
@@ -29,7 +33,7 @@
 		const order = [...members.values()]
 			.map(member => ({
 				node: member.node,
-				rank: isSameProcess(member, former) ? -1 : ((counts.get(member.node) ?? 0) + 1) / member.weight,
+				rank: isSameProcess(member, former) || lastHolders.get(name)?.node === member.node ? -1 : ((counts.get(member.node) ?? 0) + 1) / member.weight,
 			}))
 			.sort((left, right) => left.rank - right.rank || compareTexts(left.node, right.node))
 			.map(({node}) => node);
--- a/packages/jobs/src/authority/authority-filter.ts
+++ b/packages/jobs/src/authority/authority-filter.ts
@@ -75,6 +75,13 @@
 		'claim-changed': ({authority}, {name, claim}, context) => claim === undefined
 			? removeClaim(authority, name, context)
 			: recordClaim(authority, claim, context),
+		'last-holder-changed'({authority}, {name, node, revision}) {
+			if (revision > (authority.lastHolders.get(name)?.revision ?? 0)) {
+				authority.lastHolders.set(name, {node, revision});
+			}
+
+			return [];
+		},
 		'claim-answered': settleClaim,
 		'claim-superseded'({authority}, {name, token}) {
 			return authority.own.get(name)?.token === token ? dropClaim(authority, name, 'another entry has claimed it') : [];
@@ -119,7 +126,7 @@
 	}
 
 	const assignment = assignClaims({
-		vacant, members, claims, formerHolders: authority.formerHolders,
+		vacant, members, claims, formerHolders: authority.formerHolders, lastHolders: authority.lastHolders,
 	});
 	for (const [name, order] of assignment) {
 		const turn = order.indexOf(node);
@@ -140,7 +147,9 @@
 	}
 
 	authority.asked.set(name, context.now);
-	return [emitEffect({kind: 'claim', name, expectedToken})];
+	return [emitEffect({
+		kind: 'claim', name, expectedToken, lastHolderRevision: name === fleetClaim ? authority.lastHolders.get(name)?.revision ?? 0 : undefined,
+	})];
 }
 
 function settleClaim({authority}: State, {name, result, token}: JobEventOf<'claim-answered'>, context: DecisionContext): JobOutput[] {
@@ -187,14 +196,18 @@
 		...lost,
 		emitLog('info', 'claim made', {name, token, at: context.wallTime}),
 		emitCount('claims_total'),
-		...startActing(name, token),
+		...startActing(authority, name, token),
 	];
 }
 
 /** What follows from a claim: a pool's records are read, the fleet's orders begin. */
-function startActing(name: string, token: number): JobOutput[] {
+function startActing(authority: AuthorityState, name: string, token: number): JobOutput[] {
 	if (name === fleetClaim) {
-		return [passEvent({kind: 'fleet-acquired', token})];
+		// The claim was made on condition that this record was the newest. One of the same revision was written with the claim, and tells nothing about who held it before.
+		const last = authority.lastHolders.get(name);
+		const isSameEntry = last?.node === authority.node && last.revision < token;
+		authority.lastHolders.set(name, {node: authority.node, revision: token});
+		return [passEvent({kind: 'fleet-acquired', token, isSameEntry})];
 	}
 
 	const pool = getClaimedPool(name);
--- a/packages/jobs/src/authority/authority-state.ts
+++ b/packages/jobs/src/authority/authority-state.ts
@@ -15,6 +15,8 @@
 	readonly claims: Map<string, Claim>;
 	/** Holders of claims that have ended, for as long as nobody holds them. */
 	readonly formerHolders: Map<string, Claim>;
+	/** Entry that held a claim last and the revision of that record, for claims whose next holder waits for orders of the last one to be over. */
+	readonly lastHolders: Map<string, {readonly node: string; readonly revision: number}>;
 	readonly vacantSince: Map<string, number>;
 	readonly own: Map<string, OwnClaim>;
 	/** When a claim was asked for, by name, while the answer is out. */
@@ -46,6 +48,7 @@
 		members: new Map(),
 		claims: new Map(),
 		formerHolders: new Map(),
+		lastHolders: new Map(),
 		vacantSince: new Map(),
 		own: new Map(),
 		asked: new Map(),
--- a/packages/jobs/src/fleet/fleet-filter.ts
+++ b/packages/jobs/src/fleet/fleet-filter.ts
@@ -26,10 +26,11 @@
 export const fleetFilter: JobFilter<State> = {
 	name: 'fleet',
 	handlers: {
-		'fleet-acquired'({fleet}, {token}, context) {
+		'fleet-acquired'({fleet}, {token, isSameEntry}, context) {
 			clearFleet(fleet);
 			fleet.token = token;
-			fleet.mayOrderFrom = context.now + fleet.orderLeaseMs + handoverSlackMs;
+			// Orders of a former life of this entry ended with its process.
+			fleet.mayOrderFrom = context.now + (isSameEntry ? 0 : fleet.orderLeaseMs + handoverSlackMs);
 			return [emitEffect({kind: 'follow-fleet', isFollowing: true})];
 		},
 		'fleet-lost'({fleet}) {
--- a/packages/jobs/src/model/effects.ts
+++ b/packages/jobs/src/model/effects.ts
@@ -28,7 +28,13 @@
 /** Calls to the store. @public */
 export type StoreEffect =
 	/** Claims a name; `expectedToken` is the token of a claim to be replaced, 0 for none. */
-	| {readonly kind: 'claim'; readonly name: string; readonly expectedToken: number}
+	| {
+		readonly kind: 'claim';
+		readonly name: string;
+		readonly expectedToken: number;
+		/** Revision of the record of the last holder, 0 for none; undefined where none is kept. */
+		readonly lastHolderRevision: number | undefined;
+	}
 	| {readonly kind: 'load-pool'; readonly pool: string; readonly token: number}
 	| {readonly kind: 'unload-pool'; readonly pool: string}
 	| {readonly kind: 'follow-fleet'; readonly isFollowing: boolean}
--- a/packages/jobs/src/model/events.ts
+++ b/packages/jobs/src/model/events.ts
@@ -67,6 +67,8 @@
 	| {readonly kind: 'member-changed'; readonly node: string; readonly member: Member | undefined}
 	| {readonly kind: 'claims-listed'; readonly claims: readonly Claim[]}
 	| {readonly kind: 'claim-changed'; readonly name: string; readonly claim: Claim | undefined}
+	/** Which entry held a claim last, as far as that is kept; `revision` is that of its record. */
+	| {readonly kind: 'last-holder-changed'; readonly name: string; readonly node: string; readonly revision: number}
 	| {readonly kind: 'claim-answered'; readonly name: string; readonly result: WriteResult; readonly token: number}
 	| {readonly kind: 'configuration-changed'; readonly configuration: Configuration}
 	| {readonly kind: 'endpoints-listed'; readonly endpoints: readonly Endpoint[]}
@@ -91,7 +93,8 @@
 	/** The same, where the claim still holds. */
 	| ({readonly kind: 'pool-loaded'} & PoolRecords)
 	| {readonly kind: 'pool-load-failed'; readonly pool: string; readonly token: number}
-	| {readonly kind: 'fleet-acquired'; readonly token: number}
+	/** `isSameEntry`: this entry held the claim last, in this life or a former one. */
+	| {readonly kind: 'fleet-acquired'; readonly token: number; readonly isSameEntry: boolean}
 	| {readonly kind: 'fleet-lost'}
 	/** An order or a record was turned down, as another holds the claim. */
 	| {readonly kind: 'claim-superseded'; readonly name: string; readonly token: number};
