--- a/packages/cli/src/launcher.test.ts
+++ b/packages/cli/src/launcher.test.ts
@@ -8,8 +8,12 @@
 
 /** Guards against binaries that npm cannot link, so that `npx` would ask the registry for a package of that name. */
 const launchers = [
-	{name: 'pistachiogauge', file: '../bin/pistachiogauge.js', args: ['--help'], expected: 'Usage'},
-	{name: 'pistachiogauge-entry', file: '../../entry/bin/pistachiogauge-entry.js', args: ['--help'], expected: 'pistachiogauge-entry'},
+	{
+		name: 'pistachiogauge', file: '../bin/pistachiogauge.js', args: ['--help'], expected: 'Usage',
+	},
+	{
+		name: 'pistachiogauge-entry', file: '../../entry/bin/pistachiogauge-entry.js', args: ['--help'], expected: 'pistachiogauge-entry',
+	},
 ];
 
 describe('launchers', () => {
--- a/packages/jobs/src/fleet/balance-pools.ts
+++ b/packages/jobs/src/fleet/balance-pools.ts
@@ -6,6 +6,7 @@
 import {type FleetState} from './fleet-state.js';
 import {mayOrder, orderMachine} from './order-machines.js';
 import {isSpare, requestVacate} from './run-waves.js';
+import {listBalances, logBalances, type PoolBalance} from './weigh-pools.js';
 
 /** Fewest machines that a pool keeps, so that one may be lost or maintained. */
 const machineMinimum = 2;
@@ -13,46 +14,23 @@
 const surplusMs = 1000;
 /** The same while a pool may soon be short: a machine that goes there at once comes two moves earlier than one that is turned off first. */
 const risingSurplusMs = 2500;
-/** Share of a pool's capacity in use from which it may soon be short. */
-const risingShare = 0.6;
 /** The same while no pool has had work to do for a while, as demand may begin anywhere. */
 const quietSurplusMs = 20_000;
+/** Share of a pool's capacity in use from which it may soon be short. */
+const risingShare = 0.6;
 /** Time in ms after the last work in any pool from which the fleet counts as quiet. */
 const quietAfterMs = 30_000;
-/** Age in ms of a report from which it is not acted on. */
-const reportAgeMs = 3000;
 /** Time in ms for which a machine that has come to a pool stays there. */
 const settleMs = 2500;
-/** Time in ms in which the endpoint of a machine that has come is registered and held; its first heartbeat and a watch's answer. */
-const joinMs = 1500;
 /** Share of a machine that must be short before another one comes. */
 const shortShare = 0.35;
-/** Factor of what is wanted at present up to which arriving work counts. */
-const arrivalLimit = 2;
-/** Time in ms between two log lines on the pools' balance; machines take longer than that to come. */
-const logPauseMs = 1000;
 /** Most machines asked for a pool at once; demand that lasts asks again. */
 const machinesAtOnce = 8;
-
 /** Most machines taken away at once while nothing is short; each is a move that may have to be undone. */
 const idleAtOnce = 12;
 
 type State = {readonly fleet: FleetState} & AuthorityView & ConfigurationView;
 
-/** What a pool has and wants, in thousandths of a core. */
-type PoolBalance = {
-	readonly pool: string;
-	readonly report: PoolReport;
-	readonly machines: readonly Machine[];
-	/** Machines on their way to it. */
-	readonly incoming: number;
-	readonly machineMillis: number;
-	/** Of usable machines that are not asked to leave, and of those on their way. */
-	readonly capacityMillis: number;
-	readonly presentMillis: number;
-	readonly wantedMillis: number;
-};
-
 /** Moves machines to the pools whose work waits, and off where there is nothing to do. @internal */
 export function balancePools(state: State, context: DecisionContext): JobOutput[] {
 	const {fleet} = state;
@@ -100,72 +78,6 @@
 	return outputs;
 }
 
-/** A line a pool and second with what the orders of that time rest on. */
-function logBalances(fleet: FleetState, balances: readonly PoolBalance[], {now}: DecisionContext): JobOutput[] {
-	if (now < fleet.balancesLoggedAt + logPauseMs) {
-		return [];
-	}
-
-	fleet.balancesLoggedAt = now;
-	return balances.map(({pool, report, machines, incoming, capacityMillis, wantedMillis}) => emitLog('info', 'pool weighed', {
-		pool,
-		machines: machines.length,
-		incoming,
-		idle: report.idleEndpoints.length,
-		capacityMillis,
-		wantedMillis: Math.round(wantedMillis),
-		usedMillis: report.usedMillis,
-		backlogMillis: report.backlogMillis,
-		neededMillis: report.neededMillis,
-		arrivingMillis: report.arrivingMillis,
-		reportAgeMs: Math.round(now - (fleet.reports.get(pool)?.seenAt ?? now)),
-		listAgeMs: Math.round(now - (fleet.listedAt ?? now)),
-	}));
-}
-
-function listBalances(state: State, context: DecisionContext): PoolBalance[] {
-	const {fleet} = state;
-	const balances: PoolBalance[] = [];
-	for (const {report, seenAt} of fleet.reports.values()) {
-		if (isSpare(state, report.pool) || context.now > seenAt + reportAgeMs) {
-			continue;
-		}
-
-		const machines = [...fleet.machines.values()].filter(machine => machine.pool === report.pool && machine.state !== 'down');
-		const machineMillis = Math.max(1, ...machines.map(machine => machine.room.cpuMillis), ...[...fleet.machines.values()].map(machine => machine.room.cpuMillis));
-		const incoming = [...fleet.orders.values()].filter(order => order.order === 'move' && order.pool === report.pool && fleet.machines.get(order.machine)?.pool !== report.pool).length
-			+ machines.filter(machine => machine.state !== 'up').length;
-		const presentMillis = machines
-			.filter(machine => isUsable(fleet, machine, report, context.now))
-			.reduce((sum, machine) => sum + machine.room.cpuMillis, 0);
-		balances.push({
-			pool: report.pool,
-			report,
-			machines,
-			incoming,
-			machineMillis,
-			capacityMillis: presentMillis + (incoming * machineMillis),
-			presentMillis,
-			wantedMillis: getWantedMillis(report),
-		});
-	}
-
-	return balances;
-}
-
-/** Whether tasks can be started on a machine: its endpoint takes orders, or is about to, and is not to be given away. Endpoints stay listed for seconds after their machine has left, so the owner's word counts only for machines that are there. */
-function isUsable(fleet: FleetState, {name, state, endpointId}: Machine, report: PoolReport, now: number): boolean {
-	return state === 'up' && endpointId !== undefined && fleet.vacates.get(endpointId)?.request.purpose !== 'move' && (report.usableEndpoints.includes(endpointId) || now < (fleet.settledAt.get(name) ?? 0) + joinMs);
-}
-
-/**
-What a pool wants: the room with which its jobs are in time, as far as there are tasks for it, or what arriving work will want by the time a machine has come. Arrivals count for at most twice what is there, as few of them tell little.
-*/
-function getWantedMillis({usedMillis, backlogMillis, neededMillis, arrivingMillis}: PoolReport): number {
-	const present = usedMillis + backlogMillis;
-	return Math.max(Math.min(present, neededMillis), Math.min(arrivingMillis, arrivalLimit * present));
-}
-
 function countMissing(fleet: FleetState, {report, wantedMillis, capacityMillis, machineMillis, machines, incoming}: PoolBalance): number {
 	const staying = machines.filter(machine => machine.state === 'moving' || (machine.state === 'up' && !isLeaving(fleet, machine))).length;
 	const arriving = incoming - machines.filter(machine => machine.state !== 'up').length;
--- a/packages/jobs/src/placement/placement-filter.ts
+++ b/packages/jobs/src/placement/placement-filter.ts
@@ -1,4 +1,4 @@
-import {emitEffect, restartEvent, type DecisionContext} from '@pistachiogauge/chain';
+import {restartEvent, type DecisionContext} from '@pistachiogauge/chain';
 import {type DirectoryView} from '../directory/index.js';
 import {type EvacuationView} from '../evacuation/index.js';
 import {
@@ -10,6 +10,7 @@
 import {takeRoom} from '../model/index.js';
 import {type ObservationView} from '../observation/index.js';
 import {getUsedRoom, type SupervisionView} from '../supervision/index.js';
+import {adviseStep} from './advise-step.js';
 import {chooseEndpoint, takeCandidate, type Candidate} from './choose-endpoint.js';
 import {
 	getOpenSteps, orderJobs, rankJob, type RankedJob,
@@ -22,10 +23,6 @@
 const searchPauseMs = 8;
 /** Time in ms after which a pool is searched again though nothing was told: endpoints that were avoided may be used again, and jobs rank by their age. */
 const searchAgainMs = 50;
-/** Endpoints asked about in one call for advice. */
-const adviceCount = 30;
-/** Time in ms after which unanswered advice is asked for again. */
-const adviceTimeoutMs = 2000;
 
 type State = {readonly placement: PlacementState} & LedgerView & SupervisionView & DirectoryView & EvacuationView & ObservationView;
 
@@ -277,37 +274,3 @@
 		}),
 	];
 }
-
-type Advised = {
-	readonly candidates: readonly Candidate[];
-	readonly tickets: ReadonlyMap<string, string> | undefined;
-	readonly outputs: JobOutput[];
-};
-
-/** Narrows the candidates to those that the queue's policy allows, and asks for advice where it is not known. */
-function adviseStep({placement}: State, step: Step, candidates: readonly Candidate[], context: DecisionContext): Advised {
-	const {record} = step.job;
-	if (record.advice === undefined) {
-		return {candidates, tickets: undefined, outputs: []};
-	}
-
-	const stepId = `${record.id}.${step.key}`;
-	const advice = placement.advice.get(stepId);
-	if (advice !== undefined && context.now < advice.validUntil) {
-		return {candidates: candidates.filter(({endpoint}) => advice.tickets.has(endpoint.id)), tickets: advice.tickets, outputs: []};
-	}
-
-	const askedAt = placement.adviceAsked.get(stepId);
-	if (askedAt !== undefined && context.now < askedAt + adviceTimeoutMs) {
-		return {candidates: [], tickets: undefined, outputs: []};
-	}
-
-	placement.adviceAsked.set(stepId, context.now);
-	return {
-		candidates: [],
-		tickets: undefined,
-		outputs: [emitEffect({
-			kind: 'ask-advice', pool: record.pool, stepId, endpointIds: candidates.slice(0, adviceCount).map(({endpoint}) => endpoint.id),
-		})],
-	};
-}
--- a/packages/jobs/src/supervision/supervision-filter.ts
+++ b/packages/jobs/src/supervision/supervision-filter.ts
@@ -1,25 +1,18 @@
-import {
-	emitEffect, passEvent, restartEvent, type DecisionContext,
-} from '@pistachiogauge/chain';
+import {passEvent, restartEvent, type DecisionContext} from '@pistachiogauge/chain';
 import {type DirectoryView} from '../directory/index.js';
-import {
-	emitCount, emitLog, type JobFilter, type JobOutput,
-} from '../filter.js';
-import {findTask, type LedgerView} from '../ledger/index.js';
-import {type JobEventOf} from '../model/index.js';
-import {getTarget, holdEndpoint, planNextHold} from './hold-endpoints.js';
-import {
-	estimateClock, getFormerLeaseEnd, hasLapsed, startDeadlineMs,
-} from './lease-clock.js';
+import {emitLog, type JobFilter, type JobOutput} from '../filter.js';
+import {type LedgerView} from '../ledger/index.js';
+import {holdEndpoint, planNextHold} from './hold-endpoints.js';
+import {getFormerLeaseEnd, hasLapsed} from './lease-clock.js';
 import {dropRuns, readHold, stopRun} from './read-hold.js';
 import {settleRefusal, settleStart} from './settle-refusals.js';
+import {startTask, suspectRun} from './start-task.js';
 import {
-	createRun, getWatch, type PoolWatch, type SupervisionState, type Watch,
+	getWatch, type PoolWatch, type SupervisionState, type Watch,
 } from './supervision-state.js';
 
 /** Pause in ms before a silent endpoint is asked again. */
 const silentPauseMs = 400;
-
 /** Time in ms without an answer after which an endpoint counts as silent on record; a lost answer is made up for before. */
 const silentNoteMs = 1000;
 
@@ -284,51 +277,3 @@
 		passEvent({kind: 'pool-surveyed', pool: pool.pool}),
 	];
 }
-
-function startTask(state: State, event: JobEventOf<'task-placed'>, context: DecisionContext): JobOutput[] {
-	const {endpointId, taskId, run, checkpoint, ticket} = event;
-	const watch = state.supervision.watches.get(endpointId);
-	const task = findTask(state.ledger.pools.get(event.pool), taskId);
-	const clock = watch === undefined ? undefined : estimateClock(watch, context.now);
-	if (watch === undefined || task === undefined || clock === undefined) {
-		return [{
-			kind: 'next', event: {
-				kind: 'run-dropped', pool: event.pool, taskId, run, endpointId, reason: 'not-started', checkpoint,
-			},
-		}];
-	}
-
-	const {spec, job} = task.step;
-	const deadlineMs = clock + startDeadlineMs;
-	watch.leaseDeadlineMs = Math.max(watch.leaseDeadlineMs, deadlineMs);
-	watch.runs.set(taskId, createRun(spec, {taskId, run}, {
-		phase: 'starting', startedAt: context.now, startDeadlineMs: deadlineMs, checkpoint,
-	}));
-	return [
-		emitEffect({
-			kind: 'start-task', target: getTarget(watch), taskId, run, payload: job.record.spec.payload, deadlineMs, checkpoint, ticket,
-		}),
-		emitCount('starts_total'),
-	];
-}
-
-/** Counts a run as one that may be at work, until its endpoint answers or its lease has run out. */
-function suspectRun(state: State, {
-	pool, endpointId, taskId, run,
-}: JobEventOf<'run-suspected'>, context: DecisionContext): JobOutput[] {
-	const watch = state.supervision.watches.get(endpointId);
-	const task = findTask(state.ledger.pools.get(pool), taskId);
-	if (watch?.pool !== pool || task === undefined || task.isDone) {
-		return [];
-	}
-
-	watch.runs.set(taskId, createRun(task.step.spec, {taskId, run}, {phase: 'unsure', isSuspected: true, startedAt: context.now}));
-	return [
-		emitLog('info', 'run may be at work', {
-			task: taskId, run, endpoint: endpointId, token: watch.token,
-		}),
-		passEvent({
-			kind: 'run-adopted', pool, taskId, run, endpointId,
-		}),
-	];
-}
