--- a/packages/entry/src/jobs/follow-records.ts
+++ b/packages/entry/src/jobs/follow-records.ts
@@ -6,7 +6,7 @@
 } from '@pistachiogauge/platform';
 import {type Logger} from '@pistachiogauge/telemetry';
 import {
-	createStoredJob, decodeClaim, decodeMember, decodeRecord, recordKeys, type WaveRecord,
+	decodeClaim, decodeMember, decodeRecord, recordKeys, type WaveRecord,
 } from './job-records.js';
 
 /** @internal */
--- /dev/null
+++ b/packages/jobs/src/reporting/reporting-filter.test.ts
@@ -0,0 +1,87 @@
+import {createRandomSource} from '@pistachiogauge/chain';
+import {describe, expect, it} from 'vitest';
+import {createJobsState} from '../jobs-state.js';
+import {createPoolLedger} from '../ledger/ledger-state.js';
+import {type PoolReport, type StepSpec} from '../model/index.js';
+import {
+	createTestEndpoint, createTestJob, createTestRun, createTestWatch,
+} from '../testing.test-support.js';
+import {reportingFilter} from './reporting-filter.js';
+
+const random = createRandomSource(1);
+const poolName = 'desk';
+
+type Input = {
+	readonly steps: ReadonlyArray<Partial<StepSpec>>;
+	/** Endpoints by the tasks that run there; a task's name begins with `long` where it runs until it is cancelled. */
+	readonly endpoints: Readonly<Record<string, readonly string[]>>;
+	/** Endpoints that do not answer. */
+	readonly silent?: readonly string[];
+};
+
+/** Reports that a pool's owner publishes, with the times at which it looks. */
+function listReports({steps, endpoints, silent = []}: Input, at: readonly number[]): Array<readonly [number, PoolReport]> {
+	const state = createJobsState({node: 'entry-1', incarnation: 'first', orderLeaseMs: 3000});
+	const pool = createPoolLedger({pool: poolName, token: 1, now: 0});
+	state.ledger.pools.set(poolName, pool);
+	if (steps.length > 0) {
+		const job = createTestJob('job', steps);
+		pool.jobs.set('job', job);
+		pool.active.add(job);
+	}
+
+	for (const [id, taskIds] of Object.entries(endpoints)) {
+		state.directory.endpoints.set(id, createTestEndpoint(id, poolName));
+		state.supervision.watches.set(id, createTestWatch(id, poolName, {
+			phase: silent.includes(id) ? 'silent' : 'held',
+			runs: new Map(taskIds.map(taskId => [taskId, createTestRun(taskId, {isLongRunning: taskId.startsWith('long')})])),
+		}));
+	}
+
+	const reports: Array<readonly [number, PoolReport]> = [];
+	for (const now of at) {
+		for (const output of reportingFilter.handlers.tick!(state, {kind: 'tick'}, {now, wallTime: now, random})) {
+			if (output.kind === 'sink' && output.effect.kind === 'publish-report') {
+				reports.push([now, output.effect.report]);
+			}
+		}
+	}
+
+	return reports;
+}
+
+const long: Partial<StepSpec> = {isLongRunning: true, count: 5, endpointLimit: 2};
+
+const contents: ReadonlyArray<{readonly name: string; readonly expected: Partial<PoolReport>} & Input> = [
+	{
+		name: 'the room of long-running tasks is needed', steps: [long], endpoints: {a: []}, expected: {neededMillis: 5000, backlogMillis: 5000},
+	},
+	{
+		name: 'they need as many endpoints as their limit asks for', steps: [long], endpoints: {a: []}, expected: {endpointMinimum: 3},
+	},
+	{
+		// Guards against endpoints whose machine has left that count as room.
+		name: 'silent endpoints are of no use', steps: [], endpoints: {a: [], b: []}, silent: ['b'], expected: {usableEndpoints: ['a'], releasableEndpoints: ['a']},
+	},
+	{
+		name: 'endpoints with the least work are given away first, those with long-running tasks never', steps: [], endpoints: {
+			a: ['one', 'two'], b: ['long'], c: ['three'], d: [],
+		}, expected: {releasableEndpoints: ['d', 'c', 'a']},
+	},
+];
+
+// Guards against a pool in which nothing changes that is not looked at, as its report is outdated.
+const times = [
+	{name: 'the same report is not sent at each look', at: [1000, 1200, 1400, 1900], expected: [1000]},
+	{name: 'but again after a second', at: [1000, 1500, 2000, 2500, 3000], expected: [1000, 2000, 3000]},
+] as const;
+
+describe('reportingFilter', () => {
+	it.each(contents)('$name', ({expected, ...input}) => {
+		expect(listReports(input, [1000])[0]?.[1]).toMatchObject(expected);
+	});
+
+	it.each(times)('$name', ({at, expected}) => {
+		expect(listReports({steps: [], endpoints: {a: []}}, at).map(([now]) => now)).toEqual(expected);
+	});
+});
