Move no serving task until a former owner's stops have ended

Ruled out: two stops by one owner (one a tick, fewer away than may be missed).

Change: serving tasks are moved 1.2 s after every endpoint of the roster has told what it runs, or has lapsed; from then on the former owner is fenced.

Failed first: evacuation-filter.test.ts, 2 of 5 cases.

--- /dev/null
+++ b/packages/jobs/src/evacuation/evacuation-filter.test.ts
@@ -0,0 +1,76 @@
+import {createRandomSource} from '@pistachiogauge/chain';
+import {describe, expect, it} from 'vitest';
+import {createJobsState} from '../jobs-state.js';
+import {createPoolLedger} from '../ledger/ledger-state.js';
+import {
+	createTestEndpoint, createTestJob, createTestRun, createTestWatch,
+} from '../testing.test-support.js';
+import {evacuationFilter} from './evacuation-filter.js';
+
+const random = createRandomSource(1);
+const poolName = 'desk';
+const surveyedAt = 10_000;
+
+type Input = {
+	readonly now: number;
+	readonly isLongRunning?: boolean;
+	/** Whether the pool's former owner is known to be fenced at all endpoints. */
+	readonly isSurveyed?: boolean;
+	/** Another task of the step is not at work. */
+	readonly isOtherAway?: boolean;
+};
+
+/** Tasks that are stopped so that an endpoint can be emptied for maintenance. */
+function listStops({
+	now, isLongRunning = true, isSurveyed = true, isOtherAway = false,
+}: Input): string[] {
+	const state = createJobsState({node: 'entry-1', incarnation: 'first', orderLeaseMs: 3000});
+	const pool = createPoolLedger({pool: poolName, token: 1, now: 0});
+	const job = createTestJob('job', [{
+		count: 2, isLongRunning, missLimit: 1, isCheckpointing: true, estimateMs: 5000,
+	}]);
+	pool.jobs.set('job', job);
+	pool.active.add(job);
+	state.ledger.pools.set(poolName, pool);
+	state.supervision.pools.set(poolName, {
+		pool: poolName, token: 1, acquiredAt: surveyedAt - 100, unsurveyed: new Set(), surveyedAt: isSurveyed ? surveyedAt : undefined,
+	});
+	for (const [index, id] of ['a', 'b'].entries()) {
+		const taskId = `job.0.0.${index}`;
+		const percent = isOtherAway && id === 'b' ? 10 : 100;
+		state.directory.endpoints.set(id, createTestEndpoint(id, poolName));
+		state.supervision.watches.set(id, createTestWatch(id, poolName, {
+			runs: new Map([[taskId, createTestRun(taskId, {
+				phase: 'running', isLongRunning, percent: isLongRunning ? percent : 10, startedAt: now - 1000, progressedAt: now,
+			})]]),
+		}));
+		job.steps.get('0.0')!.tasks[index]!.runs.set(1, id);
+	}
+
+	state.evacuation.requests.set('a', {
+		requestId: 'first', pool: poolName, endpointId: 'a', machine: 'machine-a', purpose: 'maintenance', dueAt: now + 5000,
+	});
+	return evacuationFilter.handlers.tick!(state, {kind: 'tick'}, {now, wallTime: now, random})
+		.flatMap(output => output.kind === 'first' && output.event.kind === 'run-stop-wanted' ? [output.event.taskId] : []);
+}
+
+// Guards against two serving tasks of a step that are away at once: a stop of the former owner takes up to 900 ms, and until then its task is listed as at work.
+const cases: ReadonlyArray<{readonly name: string; readonly expected: readonly string[]} & Input> = [
+	{name: 'a serving task is moved', now: surveyedAt + 1300, expected: ['job.0.0.0']},
+	{
+		name: 'not while another one of its step is away', now: surveyedAt + 1300, isOtherAway: true, expected: [],
+	},
+	{name: 'not while stops of the former owner may be under way', now: surveyedAt + 1000, expected: []},
+	{
+		name: 'not before the former owner is fenced everywhere', now: surveyedAt + 1300, isSurveyed: false, expected: [],
+	},
+	{
+		name: 'a task that ends by itself need not wait for that', now: surveyedAt + 100, isLongRunning: false, expected: ['job.0.0.0'],
+	},
+];
+
+describe('evacuationFilter', () => {
+	it.each(cases)('$name', ({expected, ...input}) => {
+		expect(listStops(input)).toEqual(expected);
+	});
+});
--- a/packages/jobs/src/evacuation/evacuation-filter.ts
+++ b/packages/jobs/src/evacuation/evacuation-filter.ts
@@ -25,6 +25,8 @@
 
 /** Time in ms that a task with a checkpoint may still need to be awaited rather than stopped; about what stop and restore take. */
 const awaitMs = 1200;
+/** Time in ms after which no stop of a former owner is under way: it takes 900 ms at most, and some for its answer's way. */
+const formerStopsMs = 1200;
 /** Percentage at which a long-running task is at work. */
 const atWorkPercent = 100;
 
@@ -75,7 +77,9 @@
 			continue;
 		}
 
-		const terms = {request, remainingMs: isDraining ? endpoint.remainingMs : undefined, wallTime: context.wallTime};
+		const terms = {
+			request, remainingMs: isDraining ? endpoint.remainingMs : undefined, now: context.now, wallTime: context.wallTime,
+		};
 		const {stops, isLongRunning} = stopRuns(state, watch, terms);
 		outputs.push(...stops, ...confirmEmpty(state, watch));
 		if (isLongRunning) {
@@ -107,7 +111,7 @@
 
 function confirmEmpty(state: State, watch: Readonly<Watch>): JobOutput[] {
 	const request = state.evacuation.requests.get(watch.id);
-	const isSurveyed = state.supervision.pools.get(watch.pool)?.isSurveyed === true;
+	const isSurveyed = state.supervision.pools.get(watch.pool)?.surveyedAt !== undefined;
 	if (request === undefined || watch.runs.size > 0 || watch.unrecordedEnds.size > 0 || !isSurveyed || state.evacuation.confirmed.has(watch.id)) {
 		return [];
 	}
@@ -123,6 +127,7 @@
 type StopTerms = {
 	readonly request: VacateRequest | undefined;
 	readonly remainingMs: number | undefined;
+	readonly now: number;
 	readonly wallTime: number;
 };
 
@@ -135,7 +140,9 @@
 	const {spec} = task.step;
 	const isDraining = terms.request === undefined;
 	if (spec.isLongRunning) {
-		return isDraining || countAway(state, task.step, run.taskId) < Math.max(1, spec.missLimit ?? 1);
+		// Until the former owner's stops have ended, their tasks are listed as at work.
+		const surveyedAt = state.supervision.pools.get(watch.pool)?.surveyedAt ?? Number.POSITIVE_INFINITY;
+		return isDraining || (terms.now > surveyedAt + formerStopsMs && countAway(state, task.step, run.taskId) < Math.max(1, spec.missLimit ?? 1));
 	}
 
 	const isOverdue = terms.request !== undefined && terms.wallTime > terms.request.dueAt;
--- a/packages/jobs/src/supervision/supervision-filter.ts
+++ b/packages/jobs/src/supervision/supervision-filter.ts
@@ -29,7 +29,7 @@
 		'pool-loaded'({supervision}, {pool, token, roster}, context) {
 			forgetPool(supervision, pool);
 			supervision.pools.set(pool, {
-				pool, token, acquiredAt: context.now, unsurveyed: new Set(roster.endpointIds), isSurveyed: false,
+				pool, token, acquiredAt: context.now, unsurveyed: new Set(roster.endpointIds), surveyedAt: undefined,
 			});
 			for (const id of roster.endpointIds) {
 				supervision.watches.set(id, createWatch({id, pool, address: ''}, token, context));
@@ -52,7 +52,7 @@
 		tick: (state, _event, context) => [
 			...followDirectory(state, context),
 			...[...state.supervision.watches.values()].flatMap(watch => checkWatch(state, watch, context)),
-			...[...state.supervision.pools.values()].flatMap(pool => checkSurvey(state, pool)),
+			...[...state.supervision.pools.values()].flatMap(pool => checkSurvey(state, pool, context.now)),
 		],
 		'hold-answered'(state, event, context) {
 			const watch = getWatch(state.supervision, event);
@@ -255,8 +255,8 @@
 /**
 The survey ends once every endpoint on the former owner's roster has told what it runs, or cannot run anything any more. Endpoints that came later had no tasks from it, as they were not on the roster.
 */
-function checkSurvey({supervision, directory}: State, pool: PoolWatch): JobOutput[] {
-	if (pool.isSurveyed || directory.listedAt === undefined) {
+function checkSurvey({supervision, directory}: State, pool: PoolWatch, now: number): JobOutput[] {
+	if (pool.surveyedAt !== undefined || directory.listedAt === undefined) {
 		return [];
 	}
 
@@ -271,7 +271,7 @@
 		return [];
 	}
 
-	pool.isSurveyed = true;
+	pool.surveyedAt = now;
 	return [
 		emitLog('info', 'pool surveyed', {pool: pool.pool, token: pool.token}),
 		passEvent({kind: 'pool-surveyed', pool: pool.pool}),
--- a/packages/jobs/src/supervision/supervision-state.ts
+++ b/packages/jobs/src/supervision/supervision-state.ts
@@ -88,7 +88,8 @@
 	readonly acquiredAt: number;
 	/** Endpoints on which a former owner may have started tasks, and which have not told what they run. */
 	readonly unsurveyed: Set<string>;
-	isSurveyed: boolean;
+	/** When the last of these had told, in monotonic ms: from then on no order of a former owner is carried out. */
+	surveyedAt: number | undefined;
 };
 
 /** @public */
