--- a/packages/entry/src/jobs/follow-pool.ts
+++ b/packages/entry/src/jobs/follow-pool.ts
@@ -106,7 +106,12 @@
 	let requestKeys = new Set<string>();
 	const followVacates = (item: StoreItem) => {
 		const event = decodeVacateRequest(item);
-		requestKeys.add(item.key);
+		if (item.value === undefined) {
+			requestKeys.delete(item.key);
+		} else {
+			requestKeys.add(item.key);
+		}
+
 		if (event !== undefined) {
 			context.pushEvent(event);
 		}
--- a/packages/entry/src/jobs/follow-records.ts
+++ b/packages/entry/src/jobs/follow-records.ts
@@ -102,15 +102,6 @@
 		return {kind: 'member-changed', node, member};
 	}
 
-	const decodeLastHolder = (item: StoreItem): JobEvent | undefined => {
-		const holder = decodeRecord<{readonly node: string}>(item);
-		return holder === undefined
-			? undefined
-			: {
-				kind: 'last-holder-changed', name: item.key.slice(recordKeys.lastHolderPrefix.length), node: holder.node, revision: item.revision,
-			};
-	};
-
 	const decoders: Decoder[] = [
 		{prefix: recordKeys.lastHolderPrefix, decode: decodeLastHolder},
 		{prefix: recordKeys.entryPrefix, decode: changeMember},
@@ -141,6 +132,15 @@
 	});
 }
 
+function decodeLastHolder(item: StoreItem): JobEvent | undefined {
+	const holder = decodeRecord<{readonly node: string}>(item);
+	return holder === undefined
+		? undefined
+		: {
+			kind: 'last-holder-changed', name: item.key.slice(recordKeys.lastHolderPrefix.length), node: holder.node, revision: item.revision,
+		};
+}
+
 /** Follows the list of endpoints. @internal */
 export function followEndpoints(context: FollowContext): StopFollowing {
 	function decode(item: StoreItem): Endpoint | undefined {
--- a/packages/jobs/src/fleet/balance-pools.ts
+++ b/packages/jobs/src/fleet/balance-pools.ts
@@ -78,9 +78,8 @@
 	return outputs;
 }
 
-function countMissing(fleet: FleetState, {report, wantedMillis, capacityMillis, machineMillis, machines, incoming}: PoolBalance): number {
+function countMissing(fleet: FleetState, {report, wantedMillis, capacityMillis, machineMillis, machines, arriving}: PoolBalance): number {
 	const staying = machines.filter(machine => machine.state === 'moving' || (machine.state === 'up' && !isLeaving(fleet, machine))).length;
-	const arriving = incoming - machines.filter(machine => machine.state !== 'up').length;
 	const missing = (wantedMillis - capacityMillis) / machineMillis;
 	return Math.max(
 		getMachineMinimum(report) - staying - arriving,
--- a/packages/jobs/src/fleet/weigh-pools.ts
+++ b/packages/jobs/src/fleet/weigh-pools.ts
@@ -22,7 +22,9 @@
 	readonly pool: string;
 	readonly report: PoolReport;
 	readonly machines: readonly Machine[];
-	/** Machines on their way to it. */
+	/** Machines ordered to it that the list still shows elsewhere. */
+	readonly arriving: number;
+	/** Machines on their way to it: those that arrive, and its own that are moving or under maintenance. */
 	readonly incoming: number;
 	readonly machineMillis: number;
 	/** Of usable machines that are not asked to leave, and of those on their way. */
@@ -35,15 +37,15 @@
 export function listBalances(state: State, context: DecisionContext): PoolBalance[] {
 	const {fleet} = state;
 	const balances: PoolBalance[] = [];
+	const machineMillis = Math.max(1, ...[...fleet.machines.values()].map(machine => machine.room.cpuMillis));
 	for (const {report, seenAt} of fleet.reports.values()) {
 		if (isSpare(state, report.pool) || context.now > seenAt + reportAgeMs) {
 			continue;
 		}
 
 		const machines = [...fleet.machines.values()].filter(machine => machine.pool === report.pool && machine.state !== 'down');
-		const machineMillis = Math.max(1, ...machines.map(machine => machine.room.cpuMillis), ...[...fleet.machines.values()].map(machine => machine.room.cpuMillis));
-		const incoming = [...fleet.orders.values()].filter(order => order.order === 'move' && order.pool === report.pool && fleet.machines.get(order.machine)?.pool !== report.pool).length
-			+ machines.filter(machine => machine.state !== 'up').length;
+		const arriving = [...fleet.orders.values()].filter(order => order.order === 'move' && order.pool === report.pool && fleet.machines.get(order.machine)?.pool !== report.pool).length;
+		const incoming = arriving + machines.filter(machine => machine.state !== 'up').length;
 		const presentMillis = machines
 			.filter(machine => isUsable(fleet, machine, report, context.now))
 			.reduce((sum, machine) => sum + machine.room.cpuMillis, 0);
@@ -51,6 +53,7 @@
 			pool: report.pool,
 			report,
 			machines,
+			arriving,
 			incoming,
 			machineMillis,
 			capacityMillis: presentMillis + (incoming * machineMillis),
--- a/packages/jobs/src/reporting/estimate-arrivals.ts
+++ b/packages/jobs/src/reporting/estimate-arrivals.ts
@@ -18,7 +18,7 @@
 /**
 Thousandths of a core that work keeps busy if it goes on arriving as it does.
 
-Arrivals of a few large jobs tell little about a rate. The sum of n arrivals varies by the root of the sum of their squares (a compound Poisson process), so that much is taken off.
+Arrivals of a few large jobs tell little about a rate. The sum of n arrivals varies by the root of the sum of their squares (a compound Poisson process), so a share of that is taken off.
 
 @internal
 */
--- a/packages/jobs/src/supervision/read-hold.ts
+++ b/packages/jobs/src/supervision/read-hold.ts
@@ -132,19 +132,18 @@
 
 	watch.strangers.delete(report.taskId);
 	const task = findTask(ledger, report.taskId);
-	const isWanted = task !== undefined && isActive(task.step.job) && !task.isDone;
-	const dropped = isWanted ? dropOutrun(state, task, report.run) : [];
-	if (isWanted && mayAdopt(task) && run === undefined) {
-		return [...dropped, ...adoptRun(watch, task, report, context)];
-	}
-
-	if (isWanted && run === undefined) {
-		// It counts as at work until it is gone.
-		return [...dropped, ...adoptRun(watch, task, report, context), ...stopRun(watch, watch.runs.get(report.taskId)!, context.now)];
+	if (task !== undefined && isActive(task.step.job) && !task.isDone && run === undefined) {
+		const outrun = findOutrun(state, task, report.run);
+		const outputs = [
+			...outrun.flatMap(({watch: formerWatch, run: suspected}) => dropRun(formerWatch, suspected, 'outrun')),
+			...adoptRun(watch, task, report, context),
+		];
+		const isWanted = task.runs.size === outrun.length || task.step.spec.mayDuplicate;
+		// One that is stopped counts as at work until it is gone.
+		return isWanted ? outputs : [...outputs, ...stopRun(watch, watch.runs.get(report.taskId)!, context.now)];
 	}
 
 	return [
-		...dropped,
 		emitLog('info', 'unwanted run stopped', {
 			task: report.taskId, run: report.run, endpoint: watch.id, token: watch.token,
 		}),
@@ -154,23 +153,18 @@
 	];
 }
 
-function mayAdopt(task: Task): boolean {
-	return task.runs.size === 0 || task.step.spec.mayDuplicate;
-}
-
-/** Drops runs that were only suspected to be at work: a later one was started once they were gone. */
-function dropOutrun({supervision}: State, task: Task, laterRun: number): JobOutput[] {
-	const outputs: JobOutput[] = [];
+/** Runs that are only suspected to be at work: a later one was started once they were gone. */
+function findOutrun({supervision}: State, task: Task, laterRun: number): Array<{readonly watch: Watch; readonly run: Run}> {
+	const outrun: Array<{readonly watch: Watch; readonly run: Run}> = [];
 	for (const [number, endpointId] of task.runs) {
 		const watch = supervision.watches.get(endpointId);
 		const run = watch?.runs.get(task.id);
 		if (watch !== undefined && run?.run === number && run.isSuspected && number < laterRun) {
-			task.runs.delete(number);
-			outputs.push(...dropRun(watch, run, 'outrun'));
+			outrun.push({watch, run});
 		}
 	}
 
-	return outputs;
+	return outrun;
 }
 
 function adoptRun(watch: Watch, task: Task, report: ReportedRun, context: DecisionContext): JobOutput[] {
