Adopt a later run on the endpoint where an earlier one was suspected

Found on reading the change again: a new owner that took over a suspected run dropped it when the same endpoint showed a later run of that task, stopped the later one and did not count it, so the task could be started a second time while it was still at work.

--- a/packages/jobs/src/supervision/read-hold.ts
+++ b/packages/jobs/src/supervision/read-hold.ts
@@ -132,7 +132,8 @@
 
 	watch.strangers.delete(report.taskId);
 	const task = findTask(ledger, report.taskId);
-	if (task !== undefined && isActive(task.step.job) && !task.isDone && run === undefined) {
+	const isReplaceable = run === undefined || (run.isSuspected && run.run < report.run);
+	if (task !== undefined && isActive(task.step.job) && !task.isDone && isReplaceable) {
 		const outrun = findOutrun(state, task, report.run);
 		const outputs = [
 			...outrun.flatMap(({watch: formerWatch, run: suspected}) => dropRun(formerWatch, suspected, 'outrun')),
--- a/packages/jobs/src/supervision/takeover.test.ts
+++ b/packages/jobs/src/supervision/takeover.test.ts
@@ -3,7 +3,7 @@
 import {applyJobEvent} from '../apply-job-event.js';
 import {createJobsState} from '../jobs-state.js';
 import {
-	type JobEffect, type JobEvent, type Roster, type StoredJob,
+	type JobEffect, type JobEvent, type ReportedRun, type Roster, type StoredJob,
 } from '../model/index.js';
 import {createTestEndpoint, createTestJob} from '../testing.test-support.js';
 
@@ -16,10 +16,12 @@
 	readonly roster: Roster;
 	/** Endpoints that are listed and answer. */
 	readonly answering: readonly string[];
+	/** What the endpoint named `back` says that it runs. */
+	readonly running?: readonly ReportedRun[];
 };
 
-/** Tasks of one job of four tasks that a new owner starts within the given time after it has read the pool. */
-function listStarts({roster, answering}: Input, forMs: number): string[] {
+/** Tasks of one job of four tasks that a new owner starts, and stops, within the given time after it has read the pool. */
+function listStarts({roster, answering, running = []}: Input, forMs: number): string[] {
 	const state = createJobsState({node: 'entry-1', incarnation: 'first', orderLeaseMs: 3000});
 	const starts: string[] = [];
 	const held = new Set<string>();
@@ -30,6 +32,10 @@
 				starts.push(effect.taskId.split('.').at(-1)!);
 			}
 
+			if (effect.kind === 'stop-task') {
+				starts.push(`stop ${effect.taskId}`);
+			}
+
 			if (effect.kind === 'save-progress') {
 				apply({
 					kind: 'progress-saved', pool: poolName, token: 7, saveId: effect.saveId, result: 'applied', revision: 10, found: undefined, isClaimLost: false,
@@ -64,7 +70,7 @@
 		for (const endpointId of [...held].filter(id => answering.includes(id))) {
 			held.delete(endpointId);
 			apply({
-				kind: 'hold-answered', endpointId, token: 7, clockMs: 1000 + now, bornAt: 1, running: [], ended: [],
+				kind: 'hold-answered', endpointId, token: 7, clockMs: 1000 + now, bornAt: 1, running: endpointId === 'back' ? running : [], ended: [],
 			}, now);
 		}
 	}
@@ -92,6 +98,12 @@
 	{
 		name: 'or once the endpoint answers and does not list it', roster: {endpointIds: ['answers'], silentRuns: {back: [{taskId: 'job.0.0.2', run: 1}]}}, answering: ['answers', 'back'], forMs: 500, expected: ['0', '1', '2', '3'],
 	},
+	{
+		// Guards against a run that is at work and counts as gone, as the record names an earlier one on the same endpoint.
+		name: 'but not if it runs a later start of it', roster: {endpointIds: ['answers'], silentRuns: {back: [{taskId: 'job.0.0.2', run: 1}]}}, answering: ['answers', 'back'], running: [{
+			taskId: 'job.0.0.2', run: 2, checkpoint: '', percent: 10, load: 0,
+		}], forMs: 500, expected: ['0', '1', '3'],
+	},
 ];
 
 describe('a takeover', () => {
