Act on no permission that ran out, judge progress on the endpoint's clock, settle unanswered moves

The machine was neither usable nor ordered until the fleet's claim changed hands. - Stalled and slow runs were judged by the owner's clock. An answer that waited while the owner was paused, or that came seconds late, had healthy runs stopped and started elsewhere. Progress is now timed on the endpoint's clock. - The right to order machines was checked on the monotonic clock only, which stands still while a machine is suspended, and an order could wait a second for a connection after the check. Both clocks are checked, and the time-out ends with the permission. An owner that was paused beyond its lease starts nothing and renews no lease until the store has confirmed it.

--- a/packages/bench/src/jobs/jobs-simulation.ts
+++ b/packages/bench/src/jobs/jobs-simulation.ts
@@ -309,7 +309,7 @@
 	function renewLease(entry: VirtualJobsEntry): void {
 		entry.leaseRenewedAt = queue.now;
 		if (entry.isRegistered) {
-			deliverLater(entry, {kind: 'session-renewed', validUntil: queue.now + leaseTtlMs});
+			deliverLater(entry, {kind: 'session-renewed', validUntil: queue.now + leaseTtlMs, wallValidUntil: startWallTime + queue.now + leaseTtlMs});
 			return;
 		}
 
--- a/packages/entry/src/jobs/jobs-process.ts
+++ b/packages/entry/src/jobs/jobs-process.ts
@@ -10,6 +10,7 @@
 import {createLineWriter, createLogger, createMetrics} from '@pistachiogauge/telemetry';
 import {createJobSinks} from './create-job-sinks.js';
 import {followConfigurationAndWaves, followMembersAndClaims, type FollowContext} from './follow-records.js';
+import {createPauseMeter} from './pause-meter.js';
 import {serveMetrics} from './serve-metrics.js';
 import {createSession} from './session.js';
 
@@ -62,6 +63,7 @@
 
 	const state = createJobsState({node, incarnation, orderLeaseMs: settings.orderLeaseMs});
 	const random = createRandomSource(randomInt(2 ** 31));
+	const measurePause = createPauseMeter({now: performance.now(), wallTime: Date.now()});
 	const connectionLimits = new Map([[settings.storeAddress, storeConnectionLimit]]);
 	if (settings.adviceAddress !== undefined) {
 		connectionLimits.set(settings.adviceAddress, adviceConnectionLimit);
@@ -85,8 +87,8 @@
 		handleOpened() {
 			pushEvent({kind: 'session-opened'});
 		},
-		handleRenewed(validUntil) {
-			pushEvent({kind: 'session-renewed', validUntil});
+		handleRenewed(validUntil, wallValidUntil) {
+			pushEvent({kind: 'session-renewed', validUntil, wallValidUntil});
 		},
 		handleLost(reason) {
 			log('warn', 'lease of store session lost', {reason});
@@ -152,7 +154,10 @@
 		applyEvent(event) {
 			eventCount += 1;
 			const context: DecisionContext = {now: performance.now(), wallTime: Date.now(), random};
-			return applyJobEvent(state, event, context);
+			const pausedMs = measurePause(context);
+			return pausedMs === undefined
+				? applyJobEvent(state, event, context)
+				: [...applyJobEvent(state, {kind: 'process-resumed', pausedMs}, context), ...applyJobEvent(state, event, context)];
 		},
 		sinks,
 		reportFailure(stage, error) {
--- a/packages/entry/src/jobs/session.ts
+++ b/packages/entry/src/jobs/session.ts
@@ -10,8 +10,8 @@
 	readonly weight: number;
 	readonly leaseMinMs: number;
 	readonly handleOpened: () => void;
-	/** Receives the time in monotonic ms until which the lease is certain to hold. */
-	readonly handleRenewed: (validUntil: number) => void;
+	/** Receives the time until which the lease is certain to hold, in monotonic ms and in Unix ms. */
+	readonly handleRenewed: (validUntil: number, wallValidUntil: number) => void;
 	readonly handleLost: (reason: string) => void;
 	readonly handleError: (error: unknown) => void;
 };
@@ -33,6 +33,10 @@
 /** Bounds of the random pause before a retry; it is random so that entries do not reconnect all at once. */
 const retryPausesMs = {min: 60, max: 300} as const;
 
+function readClocks(): {readonly now: number; readonly wallTime: number} {
+	return {now: performance.now(), wallTime: Date.now()};
+}
+
 /** @internal */
 export function createSession(options: SessionOptions): Session {
 	const {store, node, incarnation} = options;
@@ -40,7 +44,7 @@
 	const stopping = new AbortController();
 
 	async function openLease(): Promise<void> {
-		const requestedAt = performance.now();
+		const requestedAt = readClocks();
 		const granted = await store.createLease(Math.max(leaseTtlMs, options.leaseMinMs));
 		const result = await store.applyTransaction({
 			conditions: [],
@@ -51,12 +55,12 @@
 		}
 
 		lease = granted.lease;
-		options.handleRenewed(requestedAt + granted.ttlMs);
+		handleRenewed(requestedAt, granted.ttlMs);
 		options.handleOpened();
 	}
 
 	async function renewLease(heldLease: number): Promise<void> {
-		const requestedAt = performance.now();
+		const requestedAt = readClocks();
 		const renewal = await store.renewLease(heldLease);
 		if (lease !== heldLease) {
 			return;
@@ -67,7 +71,12 @@
 			return;
 		}
 
-		options.handleRenewed(requestedAt + renewal.ttlMs);
+		handleRenewed(requestedAt, renewal.ttlMs);
+	}
+
+	/** The lease runs from the arrival of the call, so counting from before it was sent is on the safe side. */
+	function handleRenewed({now, wallTime}: ReturnType<typeof readClocks>, ttlMs: number): void {
+		options.handleRenewed(now + ttlMs, wallTime + ttlMs);
 	}
 
 	function dropLease(reason: string): void {
--- a/packages/jobs/src/authority/authority-filter.ts
+++ b/packages/jobs/src/authority/authority-filter.ts
@@ -43,13 +43,30 @@
 			authority.sessionOpenedAt = context.now;
 			return [emitLog('info', 'store session opened', {})];
 		},
-		'session-renewed'({authority}, {validUntil}) {
+		'session-renewed'({authority}, {validUntil, wallValidUntil}, context) {
 			authority.validUntil = validUntil;
-			return [];
+			authority.wallValidUntil = wallValidUntil;
+			if (!authority.isUnconfirmed || !isLeaseCertain(authority, context)) {
+				return [];
+			}
+
+			authority.isUnconfirmed = false;
+			return [emitLog('info', 'lease of store session confirmed after pause', {claims: [...authority.heldClaims.keys()]})];
+		},
+		'process-resumed'({authority}, {pausedMs}, context) {
+			if (authority.isUnconfirmed || isLeaseCertain(authority, context)) {
+				return [];
+			}
+
+			// Another entry may hold the claims by now, and the store may not have reported it yet.
+			authority.isUnconfirmed = true;
+			return [emitLog('warn', 'lease of store session may have ended during pause', {pausedMs: Math.round(pausedMs), claims: [...authority.heldClaims.keys()]})];
 		},
 		'session-lost'({authority}) {
 			authority.sessionOpenedAt = undefined;
 			authority.validUntil = 0;
+			authority.wallValidUntil = 0;
+			authority.isUnconfirmed = false;
 			authority.claimRequestedAt.clear();
 			return [emitLog('warn', 'store session lost', {}), ...dropAllClaims(authority, 'store session lost')];
 		},
@@ -106,6 +123,11 @@
 	},
 };
 
+/** Whether the lease is certain to hold now, by both clocks. */
+function isLeaseCertain({validUntil, wallValidUntil}: AuthorityState, {now, wallTime}: DecisionContext): boolean {
+	return now < validUntil && wallTime < wallValidUntil;
+}
+
 function requestVacantClaims(authority: AuthorityState, context: DecisionContext): JobOutput[] {
 	const {sessionOpenedAt, members, claims, node, incarnation} = authority;
 	if (sessionOpenedAt === undefined || authority.isStopping || !authority.areMembersListed || !authority.areClaimsListed) {
--- a/packages/jobs/src/authority/authority-state.ts
+++ b/packages/jobs/src/authority/authority-state.ts
@@ -28,6 +28,10 @@
 	sessionOpenedAt: number | undefined;
 	/** Monotonic ms until which the lease is certain to hold. */
 	validUntil: number;
+	/** The same as Unix ms. A suspended process finds only its wall clock advanced, so both have to be in the future. */
+	wallValidUntil: number;
+	/** Whether the process was paused until after the end of its lease, and the store has not confirmed the lease since. */
+	isUnconfirmed: boolean;
 	isStopping: boolean;
 };
 
@@ -37,6 +41,8 @@
 		readonly node: string;
 		readonly heldClaims: ReadonlyMap<string, {readonly token: number}>;
 		readonly validUntil: number;
+		readonly wallValidUntil: number;
+		readonly isUnconfirmed: boolean;
 		readonly isStopping: boolean;
 	};
 };
@@ -58,6 +64,8 @@
 		areClaimsListed: false,
 		sessionOpenedAt: undefined,
 		validUntil: 0,
+		wallValidUntil: 0,
+		isUnconfirmed: false,
 		isStopping: false,
 	};
 }
--- a/packages/jobs/src/evacuation/evacuation-filter.test.ts
+++ b/packages/jobs/src/evacuation/evacuation-filter.test.ts
@@ -41,7 +41,7 @@
 		state.directory.endpoints.set(id, createTestEndpoint(id, poolName));
 		state.supervision.endpoints.set(id, createTestSupervisedEndpoint(id, poolName, {
 			runs: new Map([[taskId, createTestRun(taskId, {
-				phase: 'running', isLongRunning, percent: isLongRunning ? percent : 10, startedAt: now - 1000, progressedAt: now,
+				phase: 'running', isLongRunning, percent: isLongRunning ? percent : 10, startedAt: now - 1000, startedClockMs: now - 1000, progressedClockMs: now,
 			})]]),
 		}));
 		job.steps.get('0.0')!.tasks[index]!.runs.set(1, id);
--- a/packages/jobs/src/evacuation/evacuation-filter.ts
+++ b/packages/jobs/src/evacuation/evacuation-filter.ts
@@ -1,6 +1,7 @@
 import {
 	emitEffect, passEvent, restartEvent, type DecisionContext,
 } from '@pistachiogauge/chain';
+import {type AuthorityView} from '../authority/index.js';
 import {type DirectoryView} from '../directory/index.js';
 import {emitLog, type JobFilter, type JobOutput} from '../filter.js';
 import {findTask, type LedgerView, type Step} from '../ledger/index.js';
@@ -30,7 +31,7 @@
 /** Progress at which a long-running task is serving. */
 const servingPercent = 100;
 
-type State = {readonly evacuation: EvacuationState} & LedgerView & SupervisionView & DirectoryView;
+type State = {readonly evacuation: EvacuationState} & AuthorityView & LedgerView & SupervisionView & DirectoryView;
 
 /**
 Evacuates endpoints that are draining or whose machine is to be moved or maintained: long-running tasks are restarted elsewhere, with no more of a step unavailable at once than its limit allows, and other tasks are awaited.
@@ -69,6 +70,10 @@
 
 function evacuateEndpoints(state: State, _event: unknown, context: DecisionContext): JobOutput[] {
 	const outputs: JobOutput[] = [];
+	if (state.authority.isUnconfirmed) {
+		return outputs;
+	}
+
 	for (const endpoint of state.supervision.endpoints.values()) {
 		const request = state.evacuation.requests.get(endpoint.id);
 		const listed = state.directory.endpoints.get(endpoint.id);
@@ -146,7 +151,7 @@
 	}
 
 	const isOverdue = conditions.request !== undefined && conditions.wallTime > conditions.request.dueAt;
-	const elapsedMs = Math.max(1, run.progressedAt - run.startedAt);
+	const elapsedMs = Math.max(1, run.progressedClockMs - (run.startedClockMs ?? run.progressedClockMs));
 	const remainingWorkMs = run.percent > 0 ? (elapsedMs * (100 - run.percent)) / run.percent : spec.estimateMs;
 	const limitMs = conditions.remainingMs === undefined ? maxCompletionWaitMs : Math.min(maxCompletionWaitMs, conditions.remainingMs);
 	return isOverdue || (spec.isCheckpointing && remainingWorkMs > limitMs);
--- a/packages/jobs/src/fleet/balance-pools.ts
+++ b/packages/jobs/src/fleet/balance-pools.ts
@@ -4,7 +4,7 @@
 import {emitLog, type JobOutput} from '../filter.js';
 import {type Machine, type PoolReport} from '../model/index.js';
 import {type FleetState} from './fleet-state.js';
-import {canOrderMachines, orderMachine} from './order-machines.js';
+import {canOrderMachines, orderMachine, retryMoves} from './order-machines.js';
 import {isSparePool, requestEvacuation} from './run-waves.js';
 import {computeBalances, logBalances, type PoolBalance} from './compute-balances.js';
 
@@ -34,13 +34,13 @@
 /** Moves machines to pools that are short of them, and switches off machines that no pool needs. @internal */
 export function balancePools(state: State, context: DecisionContext): JobOutput[] {
 	const {fleet} = state;
-	if (fleet.listedAt === undefined || !canOrderMachines(state, context.now)) {
+	if (fleet.listedAt === undefined || !canOrderMachines(state, context)) {
 		return [];
 	}
 
 	const balances = computeBalances(state, context);
 	recordDemand(fleet, balances, context.now);
-	const outputs = logBalances(fleet, balances, context);
+	const outputs = [...logBalances(fleet, balances, context), ...retryMoves(state, context)];
 	// Pools that lack the most machines come first.
 	const shortages = balances
 		.map(balance => ({balance, missing: countMissingMachines(fleet, balance)}))
--- a/packages/jobs/src/fleet/fleet-filter.test.ts
+++ b/packages/jobs/src/fleet/fleet-filter.test.ts
@@ -15,11 +15,11 @@
 		applyJobEvent(state, {kind: 'last-holder-changed', name: 'fleet', ...lastHolder}, context);
 	}
 
-	applyJobEvent(state, {kind: 'session-renewed', validUntil: 100_000}, context);
+	applyJobEvent(state, {kind: 'session-renewed', validUntil: 100_000, wallValidUntil: 100_000}, context);
 	applyJobEvent(state, {
 		kind: 'claim-answered', name: 'fleet', result: 'applied', token: 9,
 	}, context);
-	return canOrderMachines(state, now);
+	return canOrderMachines(state, {now, wallTime: now});
 }
 
 // Guards against orders of two holders for one machine within the minimum time set by the platform, and against waiting when there is no other holder.
--- a/packages/jobs/src/fleet/order-machines.ts
+++ b/packages/jobs/src/fleet/order-machines.ts
@@ -15,8 +15,9 @@
 const orderCompletionTimeoutMs = 8000;
 
 /** Whether this entry may send orders to machines now. @internal */
-export function canOrderMachines({fleet, authority}: {readonly fleet: FleetState} & AuthorityView, now: number): boolean {
-	return fleet.token !== undefined && !authority.isStopping && now >= fleet.ordersAllowedFrom && now < authority.validUntil - leaseMarginMs;
+export function canOrderMachines({fleet, authority}: {readonly fleet: FleetState} & AuthorityView, {now, wallTime}: Pick<DecisionContext, 'now' | 'wallTime'>): boolean {
+	return fleet.token !== undefined && !authority.isStopping && now >= fleet.ordersAllowedFrom
+		&& now < authority.validUntil - leaseMarginMs && wallTime < authority.wallValidUntil - leaseMarginMs;
 }
 
 /** Sends an order, unless one for the same machine is open. @internal */
@@ -45,11 +46,30 @@
 			machine: machine.name, ...order, from: machine.pool, endpoint: machine.endpointId, token: fleet.token, listAgeMs: Math.round(context.now - (fleet.listedAt ?? 0)),
 		}),
 		emitEffect({
-			kind: 'order-machine', ...order, machine: machine.name, token: fleet.token!, validUntil: authority.validUntil - leaseMarginMs,
+			kind: 'order-machine',
+			...order,
+			machine: machine.name,
+			token: fleet.token!,
+			validUntil: authority.validUntil - leaseMarginMs,
+			wallValidUntil: authority.wallValidUntil - leaseMarginMs,
 		}),
 	];
 }
 
+/** Sends moves again whose outcome is unknown or that the service could not take. The service tells if a move has already been carried out. @internal */
+export function retryMoves(state: {readonly fleet: FleetState} & AuthorityView, context: DecisionContext): JobOutput[] {
+	const {fleet} = state;
+	const outputs: JobOutput[] = [];
+	for (const {machine: name, order, phase, pool} of fleet.orders.values()) {
+		const machine = fleet.machines.get(name);
+		if (order === 'move' && phase === 'retry' && machine?.state === 'up') {
+			outputs.push(...orderMachine(state, machine, {order, pool, wave: 0}, context));
+		}
+	}
+
+	return outputs;
+}
+
 /** Whether a machine is unavailable because of an order, or may be. @internal */
 export function hasOpenOrder(fleet: FleetState, machine: string): boolean {
 	return fleet.orders.has(machine);
@@ -76,14 +96,7 @@
 
 const answerHandlers: Readonly<Record<JobEventOf<'machine-order-answered'>['result'], AnswerHandler>> = {
 	accepted(fleet, openOrder, context) {
-		openOrder.phase = 'accepted';
-		openOrder.sentAt = context.now;
-		const wave = fleet.waves.get(openOrder.wave);
-		if (openOrder.order === 'maintain' && wave !== undefined) {
-			wave.maintained.add(openOrder.machine);
-			wave.hasUnwrittenStatus = true;
-		}
-
+		acceptOrder(fleet, openOrder, context);
 		return [];
 	},
 	fenced(fleet, openOrder) {
@@ -122,7 +135,15 @@
 			fleet.joinedPoolAt.set(machine.name, context.now);
 		}
 
-		if (openOrder?.phase !== 'accepted') {
+		if (openOrder === undefined) {
+			continue;
+		}
+
+		if (openOrder.phase !== 'accepted' && isShownAsCarriedOut(openOrder, machine)) {
+			acceptOrder(fleet, openOrder, context);
+		}
+
+		if (openOrder.phase !== 'accepted') {
 			continue;
 		}
 
@@ -141,6 +162,21 @@
 	}
 }
 
+/** Whether the machine list shows that an order was carried out although its answer was lost. */
+function isShownAsCarriedOut({order, pool}: OpenOrder, machine: Machine): boolean {
+	return order === 'move' ? machine.pool === pool : machine.state === 'maintenance';
+}
+
+function acceptOrder(fleet: FleetState, openOrder: OpenOrder, context: DecisionContext): void {
+	openOrder.phase = 'accepted';
+	openOrder.sentAt = context.now;
+	const wave = fleet.waves.get(openOrder.wave);
+	if (openOrder.order === 'maintain' && wave !== undefined) {
+		wave.maintained.add(openOrder.machine);
+		wave.hasUnwrittenStatus = true;
+	}
+}
+
 /** Lets orders that were not answered in time be sent again. @internal */
 export function expireOrders(fleet: FleetState, now: number): void {
 	for (const openOrder of fleet.orders.values()) {
--- a/packages/jobs/src/fleet/run-waves.ts
+++ b/packages/jobs/src/fleet/run-waves.ts
@@ -71,7 +71,7 @@
 			continue;
 		}
 
-		if (downCount < wave.downLimit && canOrderMachines(state, context.now) && isReadyForMaintenance(state, machine)) {
+		if (downCount < wave.downLimit && canOrderMachines(state, context) && isReadyForMaintenance(state, machine)) {
 			const ordered = orderMachine(state, machine, {order: 'maintain', pool: machine.pool, wave: wave.number}, context);
 			downCount += ordered.length > 0 ? 1 : 0;
 			outputs.push(...ordered);
--- a/packages/jobs/src/model/effects.ts
+++ b/packages/jobs/src/model/effects.ts
@@ -106,6 +106,8 @@
 		readonly wave: number;
 		/** Monotonic ms after which the order must not be sent. */
 		readonly validUntil: number;
+		/** Unix ms after which the order must not be sent. */
+		readonly wallValidUntil: number;
 	};
 
 /** @public */
--- a/packages/jobs/src/model/events.ts
+++ b/packages/jobs/src/model/events.ts
@@ -64,8 +64,10 @@
 	| {readonly kind: 'store-reached'}
 	/** The store does not answer this entry. */
 	| {readonly kind: 'store-lost'}
-	/** `validUntil`: monotonic ms until which the lease is certain to hold. */
-	| {readonly kind: 'session-renewed'; readonly validUntil: number}
+	/** The process was paused or suspended for the given time in ms. It comes before any event that was waiting meanwhile. */
+	| {readonly kind: 'process-resumed'; readonly pausedMs: number}
+	/** Time until which the lease is certain to hold: `validUntil` in monotonic ms, `wallValidUntil` in Unix ms. */
+	| {readonly kind: 'session-renewed'; readonly validUntil: number; readonly wallValidUntil: number}
 	| {readonly kind: 'members-listed'; readonly members: readonly Member[]}
 	| {readonly kind: 'member-changed'; readonly node: string; readonly member: Member | undefined}
 	| {readonly kind: 'claims-listed'; readonly claims: readonly Claim[]}
--- a/packages/jobs/src/observation/observation-filter.ts
+++ b/packages/jobs/src/observation/observation-filter.ts
@@ -13,7 +13,7 @@
 const failureLimit = 3;
 /** Time for which an endpoint that fails, stalls or is slow is avoided before it is tried again. */
 const avoidMs = 3000;
-/** A run without progress for this time counts as stalled. A busy endpoint is polled twice in this time, and the percentage of a run normally rises many times. */
+/** A run without progress for this time on the endpoint's clock counts as stalled. A busy endpoint is polled twice in this time, and the percentage of a run normally rises many times. */
 const stallTimeoutMs = 1600;
 /** Minimum age at which the progress of a run says something about its speed. */
 const minMeasuredAgeMs = 700;
@@ -74,6 +74,7 @@
 
 function checkEndpoint(state: State, supervised: Readonly<SupervisedEndpoint>, context: DecisionContext): JobOutput[] {
 	const pool = state.ledger.pools.get(supervised.pool);
+	const clockMs = supervised.clockMs ?? 0;
 	const slowRuns: Run[] = [];
 	let measuredCount = 0;
 	const outputs: JobOutput[] = [];
@@ -84,12 +85,12 @@
 		}
 
 		// At 100 percent no progress is left to report, only the end of the run.
-		if (run.percent < 100 && context.now > run.progressedAt + stallTimeoutMs) {
+		if (run.percent < 100 && clockMs > run.progressedClockMs + stallTimeoutMs) {
 			outputs.push(...moveRun(state, supervised, run, task, 'run stalled'));
 			continue;
 		}
 
-		const slowdown = estimateSlowdown(state, run, task, context.now);
+		const slowdown = estimateSlowdown(state, run, task, clockMs);
 		if (slowdown !== undefined) {
 			measuredCount += 1;
 			slowRuns.push(...(slowdown > minSlowdown ? [run] : []));
@@ -114,9 +115,9 @@
 }
 
 /** Ratio of the duration at the present speed to the expected one; undefined if it cannot be estimated. */
-function estimateSlowdown({observation}: State, run: Readonly<Run>, task: Task, now: number): number | undefined {
+function estimateSlowdown({observation}: State, run: Readonly<Run>, task: Task, clockMs: number): number | undefined {
 	const {estimateMs} = task.step.spec;
-	const ageMs = now - run.startedAt;
+	const ageMs = run.startedClockMs === undefined ? 0 : clockMs - run.startedClockMs;
 	if (estimateMs === 0 || ageMs < minMeasuredAgeMs) {
 		return undefined;
 	}
--- a/packages/jobs/src/placement/placement-filter.ts
+++ b/packages/jobs/src/placement/placement-filter.ts
@@ -1,4 +1,5 @@
 import {restartEvent, type DecisionContext} from '@pistachiogauge/chain';
+import {type AuthorityView} from '../authority/index.js';
 import {type DirectoryView} from '../directory/index.js';
 import {type EvacuationView} from '../evacuation/index.js';
 import {
@@ -24,7 +25,7 @@
 /** A pool is searched again after this time even if no change was reported: avoided endpoints may have become usable, and the rank of a job depends on its age. */
 const maxSearchIntervalMs = 50;
 
-type State = {readonly placement: PlacementState} & LedgerView & SupervisionView & DirectoryView & EvacuationView & ObservationView;
+type State = {readonly placement: PlacementState} & AuthorityView & LedgerView & SupervisionView & DirectoryView & EvacuationView & ObservationView;
 
 /**
 Chooses which tasks to start, and on which endpoints.
@@ -73,7 +74,8 @@
 	const pool = state.ledger.pools.get(poolName);
 	state.placement.duePools.delete(poolName);
 	state.placement.searchedAt.set(poolName, context.now);
-	if (pool === undefined || pool.activeJobs.size === 0) {
+	// Nothing is started while another entry may own the pool.
+	if (pool === undefined || pool.activeJobs.size === 0 || state.authority.isUnconfirmed) {
 		return [];
 	}
 
--- a/packages/jobs/src/supervision/apply-poll-answer.ts
+++ b/packages/jobs/src/supervision/apply-poll-answer.ts
@@ -171,7 +171,7 @@
 function adoptRun(endpoint: SupervisedEndpoint, task: Task, report: ReportedRun, context: DecisionContext): JobOutput[] {
 	const {spec} = task.step;
 	endpoint.runs.set(report.taskId, createRun(spec, report, {
-		phase: 'running', startedAt: context.now, confirmedClockMs: endpoint.clockMs, percent: report.percent, checkpoint: report.checkpoint, load: report.load,
+		phase: 'running', startedAt: context.now, startedClockMs: endpoint.clockMs, confirmedClockMs: endpoint.clockMs, percent: report.percent, checkpoint: report.checkpoint, load: report.load,
 	}));
 	return [
 		emitLog('info', 'run found on endpoint and adopted', {
@@ -184,8 +184,8 @@
 }
 
 function updateRun(endpoint: SupervisedEndpoint, run: Run, report: ReportedRun, context: DecisionContext): JobOutput[] {
-	if (report.percent > run.percent) {
-		run.progressedAt = context.now;
+	if (report.percent > run.percent || run.confirmedClockMs === undefined) {
+		run.progressedClockMs = endpoint.clockMs ?? 0;
 	}
 
 	run.percent = report.percent;
--- a/packages/jobs/src/supervision/start-task.ts
+++ b/packages/jobs/src/supervision/start-task.ts
@@ -26,7 +26,7 @@
 	const deadlineMs = clock + startValidityMs;
 	endpoint.leaseDeadlineMs = Math.max(endpoint.leaseDeadlineMs, deadlineMs);
 	endpoint.runs.set(taskId, createRun(spec, {taskId, run}, {
-		phase: 'starting', startedAt: context.now, startDeadlineMs: deadlineMs, checkpoint,
+		phase: 'starting', startedAt: context.now, startedClockMs: clock, startDeadlineMs: deadlineMs, checkpoint,
 	}));
 	return [
 		emitEffect({
--- a/packages/jobs/src/supervision/supervision-filter.ts
+++ b/packages/jobs/src/supervision/supervision-filter.ts
@@ -1,4 +1,5 @@
 import {passEvent, restartEvent, type DecisionContext} from '@pistachiogauge/chain';
+import {type AuthorityView} from '../authority/index.js';
 import {type DirectoryView} from '../directory/index.js';
 import {emitLog, type JobFilter, type JobOutput} from '../filter.js';
 import {type LedgerView} from '../ledger/index.js';
@@ -16,7 +17,7 @@
 /** Time without an answer after which an endpoint is recorded as silent; a single lost answer is compensated by the next poll before that. */
 const silentReportDelayMs = 1000;
 
-type State = {readonly supervision: SupervisionState} & LedgerView & DirectoryView;
+type State = {readonly supervision: SupervisionState} & LedgerView & DirectoryView & AuthorityView;
 
 /**
 Supervises the endpoints of the pools that this entry owns: renews their leases, tracks their runs and ends, and resolves the outcome of orders that were not answered.
@@ -80,7 +81,7 @@
 			scheduleNextPoll(endpoint, context.now);
 			return [
 				...outputs,
-				...(endpoint.unsavedEnds.size === 0 ? pollEndpoint(endpoint, context) : []),
+				...(endpoint.unsavedEnds.size === 0 ? pollEndpoint(state, endpoint, context) : []),
 				passEvent({kind: 'placement-due', pool: endpoint.pool}),
 			];
 		},
@@ -94,13 +95,13 @@
 			endpoint.nextPollAt = context.now + silentPollDelayMs;
 			return handleRefusal(endpoint, event.refusal, context);
 		},
-		'end-saved'({supervision}, {endpointId, number}, context) {
-			const endpoint = supervision.endpoints.get(endpointId);
+		'end-saved'(state, {endpointId, number}, context) {
+			const endpoint = state.supervision.endpoints.get(endpointId);
 			if (endpoint?.unsavedEnds.delete(number) !== true || endpoint.unsavedEnds.size > 0 || endpoint.phase !== 'answering') {
 				return [];
 			}
 
-			return pollEndpoint(endpoint, context);
+			return pollEndpoint(state, endpoint, context);
 		},
 		'task-placed': startTask,
 		'run-suspected': addSuspectedRun,
@@ -210,7 +211,8 @@
 	return outputs;
 }
 
-function checkEndpoint({supervision}: State, endpoint: SupervisedEndpoint, context: DecisionContext): JobOutput[] {
+function checkEndpoint(state: State, endpoint: SupervisedEndpoint, context: DecisionContext): JobOutput[] {
+	const {supervision} = state;
 	const outputs: JobOutput[] = [];
 	if (!endpoint.isListed && endpoint.phase === 'silent' && endpoint.runs.size === 0) {
 		// It has answered under the current token, so that only runs started by this entry can be running there.
@@ -238,7 +240,7 @@
 	}
 
 	if (!endpoint.isPollPending && context.now >= endpoint.nextPollAt && endpoint.address !== '') {
-		outputs.push(...pollEndpoint(endpoint, context));
+		outputs.push(...pollEndpoint(state, endpoint, context));
 	}
 
 	return outputs;
--- a/packages/jobs/src/supervision/supervision-state.ts
+++ b/packages/jobs/src/supervision/supervision-state.ts
@@ -21,13 +21,15 @@
 	isSuspected: boolean;
 	/** Monotonic ms. */
 	readonly startedAt: number;
+	/** The endpoint's clock when the start was sent, as estimated, or when the run was adopted; undefined for a suspected run. */
+	readonly startedClockMs: number | undefined;
 	/** Deadline of the start on the endpoint's clock. The endpoint refuses the start as late afterwards. */
 	readonly startDeadlineMs: number;
 	/** The endpoint's clock when it confirmed the run; undefined before that. */
 	confirmedClockMs: number | undefined;
 	percent: number;
-	/** When the percentage last rose, in monotonic ms. */
-	progressedAt: number;
+	/** The endpoint's clock when the percentage last rose, or when the run was first listed. The clock of this entry would not do, as answers may wait while this entry or the endpoint is paused. */
+	progressedClockMs: number;
 	checkpoint: string;
 	/** Tail latency in ms for a serving task, CPU usage in thousandths of a core for any other. */
 	load: number;
@@ -133,7 +135,8 @@
 		startDeadlineMs: 0,
 		confirmedClockMs: undefined,
 		percent: 0,
-		progressedAt: known.startedAt,
+		startedClockMs: undefined,
+		progressedClockMs: known.startedClockMs ?? 0,
 		checkpoint: '',
 		load: 0,
 		pacePercent: 100,
