Let a damaged record, an oversized job or an unexpected error cost only itself

Cause: records of other entries were trusted after JSON.parse. A record that is null, or one of another version, threw in the callback of a watch: the rest of the batch was lost for good, as the watch had moved on, and a report without a list made every later tick of the fleet's filter fail. A job of a few bytes with 10^9 tasks or occurrences due was accepted and would have exhausted each owner's memory in turn. An error in a callback of a library ended the process.

Unexpected errors are logged and counted.

--- a/packages/entry/src/entry-process.ts
+++ b/packages/entry/src/entry-process.ts
@@ -9,6 +9,7 @@
 import {verifyBundle, type EntrySettings} from '@pistachiogauge/settings';
 import {createStoreClient} from '@pistachiogauge/store';
 import {createLogger, createMetrics} from '@pistachiogauge/telemetry';
+import {containErrors} from './contain-errors.js';
 import {createIdempotencyKey} from './create-idempotency-key.js';
 import {createSinks} from './create-sinks.js';
 import {createInstanceListClient} from './instance-list-client.js';
@@ -118,6 +119,7 @@
 	let tickTimer: NodeJS.Timeout;
 	return {
 		async start() {
+			containErrors(process, {log, count});
 			await callers.start();
 			await peers.start();
 			tickTimer = setInterval(() => {
--- a/packages/entry/src/jobs/create-job-sinks.ts
+++ b/packages/entry/src/jobs/create-job-sinks.ts
@@ -1,6 +1,6 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {
-	rosterRecordKey, type JobEffect, type JobEffectOf, type PoolReport, type ProgressRecord,
+	rosterRecordKey, type JobEffect, type JobEffectOf,
 } from '@pistachiogauge/jobs';
 import {
 	encodeWaveStatus, type TransactionResult, type StoreTransaction,
@@ -171,7 +171,12 @@
 		'read-progress'({requestId, pool, jobId}) {
 			runCall('read-progress', async () => {
 				const item = await store.readItem(recordKeys.getProgressKey(pool, jobId));
-				const progress = item === undefined ? undefined : decodeRecord<ProgressRecord>(item);
+				const progress = item === undefined ? undefined : decodeRecord('progress', item);
+				if (item !== undefined && progress === undefined) {
+					// The job exists, so the caller must not be told otherwise.
+					throw new Error(`the progress of the job cannot be decoded: ${item.key}, revision ${item.revision}`);
+				}
+
 				pushEvent({
 					kind: 'progress-read', requestId, result: progress === undefined ? 'absent' : 'found', progress,
 				});
@@ -193,7 +198,7 @@
 		'read-report'({requestId, pool}) {
 			runCall('read-report', async () => {
 				const item = await store.readItem(`${recordKeys.reportPrefix}${pool}`);
-				const report = item === undefined ? undefined : decodeRecord<PoolReport>(item);
+				const report = item === undefined ? undefined : decodeRecord('report', item);
 				pushEvent({
 					kind: 'report-read', requestId, result: report === undefined ? 'absent' : 'found', report,
 				});
--- a/packages/entry/src/jobs/follow-pool.ts
+++ b/packages/entry/src/jobs/follow-pool.ts
@@ -1,5 +1,5 @@
 import {
-	type EndedJob, type JobRecord, type ProgressRecord, type Roster, type StoredJob,
+	type EndedJob, type StoredJob,
 } from '@pistachiogauge/jobs';
 import {followPrefix, type StoreItem} from '@pistachiogauge/platform';
 import {
@@ -18,7 +18,7 @@
 		{
 			prefix: jobPrefix,
 			decode(item) {
-				const job = decodeRecord<JobRecord>(item);
+				const job = decodeRecord('job', item);
 				return job === undefined ? undefined : {kind: 'job-recorded', stored: createStoredJob(job, item.revision)};
 			},
 		},
@@ -45,27 +45,37 @@
 		const cancelled = new Set(items.filter(item => item.key.startsWith(cancelPrefix)).map(item => item.key.slice(cancelPrefix.length)));
 		const jobs: StoredJob[] = [];
 		for (const item of items.filter(each => each.key.startsWith(jobPrefix))) {
-			const job = decodeRecord<JobRecord>(item);
+			const job = decodeRecord('job', item);
 			if (job === undefined) {
 				context.log('error', 'job record ignored, as it cannot be decoded', {key: item.key, revision: item.revision});
 				continue;
 			}
 
 			const progressItem = progressItems.get(job.id);
-			const record = progressItem === undefined ? undefined : decodeRecord<ProgressRecord>(progressItem);
+			const record = progressItem === undefined ? undefined : decodeRecord('progress', progressItem);
+			if (progressItem !== undefined && record === undefined) {
+				// Without its progress, tasks of the job that have run would run again.
+				context.log('error', 'job ignored, as its progress cannot be decoded', {key: progressItem.key, revision: progressItem.revision});
+				continue;
+			}
+
 			jobs.push({...createStoredJob(job, progressItem?.revision ?? item.revision), ...(record !== undefined && {progress: record}), isCancelled: cancelled.has(job.id)});
 		}
 
 		const ended = new Map<string, EndedJob>();
 		for (const [jobId, item] of progressItems) {
-			const record = decodeRecord<ProgressRecord>(item);
+			const record = decodeRecord('progress', item);
 			if (record?.endedAt !== undefined) {
 				ended.set(jobId, {queue: record.queue, status: record.status, endedAt: record.endedAt});
 			}
 		}
 
 		const rosterItem = stateRange.items.find(item => item.key === recordKeys.getRosterKey(pool));
-		const roster = rosterItem === undefined ? undefined : decodeRecord<Roster>(rosterItem);
+		const roster = rosterItem === undefined ? undefined : decodeRecord('roster', rosterItem);
+		if (rosterItem !== undefined && roster === undefined) {
+			throw new Error(`the roster cannot be decoded: ${rosterItem.key}, revision ${rosterItem.revision}`);
+		}
+
 		context.pushEvent({
 			kind: 'pool-read',
 			pool,
--- a/packages/entry/src/jobs/follow-records.ts
+++ b/packages/entry/src/jobs/follow-records.ts
@@ -1,12 +1,12 @@
 import {
-	type Endpoint, type JobEvent, type PoolReport, type EvacuationRequest,
+	type Endpoint, type JobEvent,
 } from '@pistachiogauge/jobs';
 import {
 	configurationKey, decodeConfiguration, decodeEndpoint, decodeWave, endpointPrefix, followPrefix, wavePrefix, type StoreClient, type StoreItem,
 } from '@pistachiogauge/platform';
 import {type Logger} from '@pistachiogauge/telemetry';
 import {
-	decodeClaim, decodeMember, decodeRecord, recordKeys, type WaveRecord,
+	decodeClaim, decodeMember, decodeRecord, recordKeys,
 } from './job-records.js';
 
 /** @internal */
@@ -133,7 +133,7 @@
 }
 
 function decodeLastHolder(item: StoreItem): JobEvent | undefined {
-	const holder = decodeRecord<{readonly node: string}>(item);
+	const holder = decodeRecord('holder', item);
 	return holder === undefined
 		? undefined
 		: {
@@ -172,7 +172,7 @@
 		{
 			prefix: recordKeys.reportPrefix,
 			decode(item) {
-				const report = decodeRecord<PoolReport>(item);
+				const report = decodeRecord('report', item);
 				return report === undefined ? undefined : {kind: 'report-changed', report};
 			},
 		},
@@ -181,7 +181,7 @@
 		{
 			prefix: recordKeys.wavePrefix,
 			decode(item) {
-				const record = decodeRecord<WaveRecord>(item);
+				const record = decodeRecord('wave', item);
 				return record === undefined ? undefined : {kind: 'wave-progress-read', number: Number(item.key.slice(recordKeys.wavePrefix.length)), ...record};
 			},
 		},
@@ -203,17 +203,21 @@
 
 function decodeEvacuated(item: StoreItem): JobEvent | undefined {
 	const [pool, endpointId] = item.key.slice(recordKeys.evacuatedPrefix.length).split('/');
-	const record = decodeRecord<{readonly requestId: string}>(item);
+	const record = decodeRecord('evacuated', item);
 	return record === undefined || pool === undefined || endpointId === undefined ? undefined : {kind: 'endpoint-evacuated', evacuated: {requestId: record.requestId, pool, endpointId}};
 }
 
 /** @internal */
 export function decodeEvacuationRequest(item: StoreItem): JobEvent | undefined {
 	const [pool, endpointId] = item.key.slice(recordKeys.evacuationPrefix.length).split('/');
-	const request = decodeRecord<EvacuationRequest>(item);
+	const request = decodeRecord('evacuationRequest', item);
 	if (pool === undefined || endpointId === undefined) {
 		return undefined;
 	}
 
-	return request === undefined ? {kind: 'evacuation-withdrawn', pool, endpointId} : {kind: 'evacuation-requested', request};
+	if (item.value === undefined) {
+		return {kind: 'evacuation-withdrawn', pool, endpointId};
+	}
+
+	return request === undefined ? undefined : {kind: 'evacuation-requested', request};
 }
--- a/packages/entry/src/jobs/job-records.ts
+++ b/packages/entry/src/jobs/job-records.ts
@@ -2,6 +2,7 @@
 	type Claim, type JobRecord, type Member, type PoolReport, type ProgressRecord, type Roster, type StoredJob, type EvacuatedEndpoint, type EvacuationRequest,
 } from '@pistachiogauge/jobs';
 import {type StoreItem} from '@pistachiogauge/platform';
+import {recordSchemas} from './record-schemas.js';
 
 /**
 Keys of the project's own records in the platform's store. Records that one reader needs together share a prefix, so that one watch covers them.
@@ -37,34 +38,45 @@
 	return JSON.stringify(record);
 }
 
-/**
-Decodes one of the project's own records.
-
-Only entries of this project write under these keys, so the record is trusted to have the type that belongs to its key. Text that is not JSON gives undefined.
+/** Type of the record that belongs to each schema. */
+type RecordTypes = {
+	readonly member: Omit<Member, 'node'>;
+	readonly holder: {readonly node: string; readonly incarnation: string};
+	readonly job: JobRecord;
+	readonly progress: ProgressRecord;
+	readonly roster: Roster;
+	readonly report: PoolReport;
+	readonly evacuationRequest: EvacuationRequest;
+	readonly evacuated: Pick<EvacuatedEndpoint, 'requestId'>;
+	readonly wave: WaveRecord;
+};
 
-@internal
-*/
-export function decodeRecord<Record>(item: StoreItem): Record | undefined {
+/** Decodes one of the project's own records. @returns Undefined when it was deleted, is not JSON, or does not match the schema. @internal */
+export function decodeRecord<Kind extends keyof RecordTypes>(kind: Kind, item: StoreItem): RecordTypes[Kind] | undefined {
 	if (item.value === undefined) {
 		return undefined;
 	}
 
+	let json: unknown;
 	try {
-		return JSON.parse(item.value) as Record;
+		json = JSON.parse(item.value);
 	} catch {
 		return undefined;
 	}
+
+	const parsed = recordSchemas[kind].safeParse(json);
+	return parsed.success ? parsed.data as RecordTypes[Kind] : undefined;
 }
 
 /** @internal */
 export function decodeMember(item: StoreItem): Member | undefined {
-	const record = decodeRecord<Omit<Member, 'node'>>(item);
+	const record = decodeRecord('member', item);
 	return record === undefined ? undefined : {...record, node: item.key.slice(recordKeys.entryPrefix.length)};
 }
 
 /** @internal */
 export function decodeClaim(item: StoreItem): Claim | undefined {
-	const record = decodeRecord<{readonly node: string; readonly incarnation: string}>(item);
+	const record = decodeRecord('holder', item);
 	return record === undefined ? undefined : {...record, name: item.key.slice(recordKeys.claimPrefix.length), token: item.revision};
 }
 
--- a/packages/entry/src/jobs/jobs-process.ts
+++ b/packages/entry/src/jobs/jobs-process.ts
@@ -8,6 +8,7 @@
 	createEndpointOrderClient, createHttpClient, createIngress, createMachineServiceClient, createStoreClient, type CallerRequest, type HttpClient, type PlatformSettings,
 } from '@pistachiogauge/platform';
 import {createLineWriter, createLogger, createMetrics} from '@pistachiogauge/telemetry';
+import {containErrors} from '../contain-errors.js';
 import {createJobSinks} from './create-job-sinks.js';
 import {followConfigurationAndWaves, followMembersAndClaims, type FollowContext} from './follow-records.js';
 import {createPauseMeter} from './pause-meter.js';
@@ -206,6 +207,7 @@
 
 	return {
 		async start() {
+			containErrors(process, {log, count});
 			log('info', 'entry starts', {
 				front: settings.callerAddress, ready: settings.readinessAddress, store: settings.storeAddress, zone: settings.zone, cpuShare: settings.cpuShare,
 			});
--- /dev/null
+++ b/packages/entry/src/jobs/record-schemas.ts
@@ -0,0 +1,79 @@
+import {z} from 'zod';
+
+/**
+Schemas of the project's own records in the platform's store.
+
+A record may come from an entry of another version, or be damaged. Lists that a later version has added are empty in records of an earlier one; a record that lacks anything else is ignored by its reader.
+*/
+
+const count = z.number().int().nonnegative();
+const resources = z.object({cpuMillis: z.number().nonnegative(), memoryMb: z.number().nonnegative(), gpus: z.number().nonnegative()});
+const runId = z.object({taskId: z.string(), run: count});
+const names = z.array(z.string()).default([]);
+
+const step = z.object({
+	count,
+	room: resources,
+	estimateMs: z.number().nonnegative(),
+	after: z.array(count),
+	isCheckpointing: z.boolean(),
+	isGang: z.boolean(),
+	isSameRack: z.boolean(),
+	requiredLabel: z.string().optional(),
+	dataRack: z.string().optional(),
+	endpointLimit: z.number().positive().optional(),
+	mayDuplicate: z.boolean(),
+	isLongRunning: z.boolean(),
+	image: z.string(),
+	tailTargetMs: z.number().optional(),
+	isFiller: z.boolean(),
+	missLimit: z.number().optional(),
+});
+
+/** By kind of record. @internal */
+export const recordSchemas = {
+	member: z.object({incarnation: z.string(), weight: z.number().positive()}),
+	holder: z.object({node: z.string(), incarnation: z.string()}),
+	job: z.object({
+		id: z.string(),
+		queue: z.string(),
+		pool: z.string(),
+		spec: z.object({
+			payload: z.string(), steps: z.array(step).min(1), repeatCount: count, startAtMs: z.number(), intervalMs: z.number(),
+		}),
+		priority: z.number(),
+		attempts: z.number(),
+		stretch: z.number(),
+		latencyTargetMs: z.number(),
+		advice: z.object({decideMs: z.number(), eachMs: z.number(), validMs: z.number()}).optional(),
+		acceptedAt: z.number(),
+	}),
+	progress: z.object({
+		queue: z.string(),
+		status: z.enum(['queued', 'running', 'done', 'failed', 'cancelled']),
+		steps: z.record(z.string(), z.string()),
+		failedRuns: z.record(z.string(), z.array(count)).optional(),
+		lastRun: count,
+		endedAt: z.number().optional(),
+	}),
+	roster: z.object({endpointIds: z.array(z.string()), silentRuns: z.record(z.string(), z.array(runId)).optional()}),
+	report: z.object({
+		pool: z.string(),
+		waiting: z.record(z.string(), count),
+		backlogMillis: z.number(),
+		hasWork: z.boolean(),
+		usedMillis: z.number(),
+		neededMillis: z.number(),
+		arrivingMillis: z.number(),
+		endpointMinimum: count,
+		usableEndpoints: names,
+		idleEndpoints: names,
+		servingEndpoints: names,
+		releasableEndpoints: names,
+	}),
+	evacuationRequest: z.object({
+		requestId: z.string(), pool: z.string(), endpointId: z.string(), machine: z.string(), purpose: z.enum(['maintenance', 'move']), dueAt: z.number(),
+	}),
+	evacuated: z.object({requestId: z.string()}),
+	wave: z.object({maintained: names, isDone: z.boolean()}),
+} as const;
--- a/packages/jobs/src/ledger/restore-job.ts
+++ b/packages/jobs/src/ledger/restore-job.ts
@@ -51,17 +51,32 @@
 	job.lastRun = Math.max(job.lastRun + skippedRunNumbers, token);
 }
 
+/** Maximum number of open tasks of a job up to which further occurrences are created; others that are due wait. A recurring job whose start lies far in the past has them all due at once. */
+const maxOpenTasks = 20_000;
+
 /** Creates the steps of occurrences that have become due. @returns Whether there were any. @internal */
 export function createOccurrences(job: Job, {now, wallTime}: {readonly now: number; readonly wallTime: number}): boolean {
 	const countBefore = job.createdOccurrences;
-	while (isActive(job) && job.createdOccurrences < getOccurrenceCount(job) && wallTime >= getDueAt(job, job.createdOccurrences)) {
+	const isDue = () => isActive(job) && job.createdOccurrences < getOccurrenceCount(job) && wallTime >= getDueAt(job, job.createdOccurrences);
+	let openTaskCount = isDue() ? countOpenTasks(job) : 0;
+	while (isDue() && openTaskCount < maxOpenTasks) {
 		createOccurrence(job, job.createdOccurrences, now);
 		job.createdOccurrences += 1;
+		openTaskCount += job.record.spec.steps.reduce((sum, step) => sum + step.count, 0);
 	}
 
 	return job.createdOccurrences > countBefore;
 }
 
+function countOpenTasks(job: Job): number {
+	let count = 0;
+	for (const step of job.steps.values()) {
+		count += step.tasks.length - step.doneCount;
+	}
+
+	return count;
+}
+
 /** Returns how many times the steps of a job run in total. @internal */
 export function getOccurrenceCount(job: Job): number {
 	return Math.max(1, job.record.spec.repeatCount);
