Keep machines for a pool's first burst, count all arriving work, let limits grow with the fleet

The rate of arriving work was measured by what is left of each job, half of it for tasks that run, so a pool that kept up with its burst seemed to have half of it. Machines were taken from idle pools first, just before their burst.

Change: a pool keeps as many machines as the operators gave it until its first burst, for a minute at most; work that waits elsewhere may borrow them, and they come back when it is done. The history is stored for the next holder of the fleet. Arrivals are kept with the whole of their work. At most 20% and 30% of the fleet's machines are evacuated at once, instead of 8 and 12.

Tests: four cases of balance-pools, one of reporting-filter that failed before.

--- a/packages/entry/src/jobs/create-job-sinks.ts
+++ b/packages/entry/src/jobs/create-job-sinks.ts
@@ -247,6 +247,19 @@
 				puts: [{key, value: encodeRecord({requestId})}],
 			}));
 		},
+		'write-demand-history'({history}) {
+			runCall('write-demand-history', async () => {
+				const result = await store.applyTransaction({
+					conditions: createFleetConditions(),
+					puts: [{key: recordKeys.demandHistoryKey, value: encodeRecord({history})}],
+				});
+				if (result.kind !== 'applied') {
+					await delay(retryPauseMs);
+				}
+
+				pushEvent({kind: 'demand-history-written', result: writeResults[result.kind]});
+			}, {kind: 'demand-history-written', result: 'unknown'});
+		},
 		'write-wave-status'({number, status, maintained}) {
 			runCall('write-wave-status', async () => {
 				const result = await store.applyTransaction({
--- a/packages/entry/src/jobs/follow-records.ts
+++ b/packages/entry/src/jobs/follow-records.ts
@@ -176,6 +176,13 @@
 				return report === undefined ? undefined : {kind: 'report-changed', report};
 			},
 		},
+		{
+			prefix: recordKeys.demandHistoryKey,
+			decode(item) {
+				const record = decodeRecord('demandHistory', item);
+				return record === undefined ? undefined : {kind: 'demand-history-read', ...record};
+			},
+		},
 		{prefix: recordKeys.evacuatedPrefix, decode: decodeEvacuated},
 		{prefix: recordKeys.evacuationPrefix, decode: decodeEvacuationRequest},
 		{
--- a/packages/entry/src/jobs/job-records.ts
+++ b/packages/entry/src/jobs/job-records.ts
@@ -1,5 +1,5 @@
 import {
-	type Claim, type JobRecord, type Member, type PoolReport, type ProgressRecord, type Roster, type StoredJob, type EvacuatedEndpoint, type EvacuationRequest,
+	type Claim, type JobRecord, type Member, type PoolDemandHistory, type PoolReport, type ProgressRecord, type Roster, type StoredJob, type EvacuatedEndpoint, type EvacuationRequest,
 } from '@pistachiogauge/jobs';
 import {type StoreItem} from '@pistachiogauge/platform';
 import {recordSchemas} from './record-schemas.js';
@@ -28,13 +28,17 @@
 	lastHolderPrefix: 'shared/last/',
 	evacuatedPrefix: 'fleet/vacated/',
 	wavePrefix: 'fleet/wave/',
+	demandHistoryKey: 'fleet/demand',
 } as const;
 
 /** Progress of a wave, stored for the next holder of the fleet claim. @internal */
 export type WaveRecord = {readonly maintained: readonly string[]; readonly isDone: boolean};
 
+/** What the holders of the fleet claim have learned of the pools' demand. @internal */
+export type DemandHistoryRecord = {readonly history: readonly PoolDemandHistory[]};
+
 /** @internal */
-export function encodeRecord(record: JobRecord | ProgressRecord | Roster | PoolReport | EvacuationRequest | Pick<EvacuatedEndpoint, 'requestId'> | WaveRecord | Omit<Member, 'node'> | {readonly node: string; readonly incarnation: string} | Record<string, never>): string {
+export function encodeRecord(record: DemandHistoryRecord | JobRecord | ProgressRecord | Roster | PoolReport | EvacuationRequest | Pick<EvacuatedEndpoint, 'requestId'> | WaveRecord | Omit<Member, 'node'> | {readonly node: string; readonly incarnation: string} | Record<string, never>): string {
 	return JSON.stringify(record);
 }
 
@@ -49,6 +53,7 @@
 	readonly evacuationRequest: EvacuationRequest;
 	readonly evacuated: Pick<EvacuatedEndpoint, 'requestId'>;
 	readonly wave: WaveRecord;
+	readonly demandHistory: DemandHistoryRecord;
 };
 
 /** Decodes one of the project's own records. @returns Undefined when it was deleted, is not JSON, or does not match the schema. @internal */
--- a/packages/entry/src/jobs/record-schemas.ts
+++ b/packages/entry/src/jobs/record-schemas.ts
@@ -76,4 +76,9 @@
 	}),
 	evacuated: z.object({requestId: z.string()}),
 	wave: z.object({maintained: names, isDone: z.boolean()}),
+	demandHistory: z.object({
+		history: z.array(z.object({
+			pool: z.string(), assignedMachines: count, since: z.number(), hasPeaked: z.boolean(),
+		})).default([]),
+	}),
 } as const;
--- a/packages/jobs/src/fleet/balance-pools.test.ts
+++ b/packages/jobs/src/fleet/balance-pools.test.ts
@@ -22,11 +22,13 @@
 	readonly reports: readonly PoolReport[];
 	/** Times in ms at which the pools are balanced; the reports stay the same. */
 	readonly at: readonly number[];
+	/** Pools whose first burst is still to come; that of all others is over. */
+	readonly awaitingPeak?: readonly string[];
 	/** Endpoints that are being evacuated for maintenance. */
 	readonly maintained?: readonly string[];
 };
 
-function createFleet({machines, reports, maintained = []}: Input): FleetState {
+function createFleet({machines, reports, maintained = [], awaitingPeak = []}: Input): FleetState {
 	const fleet = createFleetState(3000);
 	fleet.token = 7;
 	fleet.listedAt = 0;
@@ -34,6 +36,12 @@
 		fleet.machines.set(machine.name, machine);
 	}
 
+	for (const {pool} of reports) {
+		fleet.demandHistory.set(pool, {
+			pool, assignedMachines: 3, since: 5000, hasPeaked: !awaitingPeak.includes(pool),
+		});
+	}
+
 	for (const report of reports) {
 		fleet.reports.set(report.pool, {report, seenAt: 0});
 	}
@@ -103,6 +111,26 @@
 			hasWork: true, usableEndpoints: getEndpointIds(desk), idleEndpoints: getEndpointIds(desk), releasableEndpoints: getEndpointIds(desk),
 		})], at: [5000, 6100], expected: ['evacuate endpoint-of-desk-1'],
 	},
+	{
+		// Load pattern: the first burst of a pool, for which machines that are switched off come two seconds too late.
+		name: 'a pool keeps its machines until its first burst', awaitingPeak: ['desk'], machines: desk, reports: [createTestReport('desk', {
+			hasWork: true, usableEndpoints: getEndpointIds(desk), idleEndpoints: getEndpointIds(desk), releasableEndpoints: getEndpointIds(desk),
+		})], at: [5000, 6100, 60_000], expected: [],
+	},
+	{
+		name: 'a pool without any burst for a minute releases a machine', awaitingPeak: ['desk'], machines: desk, reports: [createTestReport('desk', {
+			hasWork: true, usableEndpoints: getEndpointIds(desk), idleEndpoints: getEndpointIds(desk), releasableEndpoints: getEndpointIds(desk),
+		})], at: [5000, 30_000, 55_000, 66_000], expected: ['evacuate endpoint-of-desk-1'],
+	},
+	{
+		name: 'work that waits in another pool gets a machine that is kept for a first burst', awaitingPeak: ['notify'], machines: [...desk, ...notify], reports: [busyDesk, quietNotify], at: [5000], expected: ['evacuate endpoint-of-notify-1'],
+	},
+	{
+		name: 'a pool that has given away machines of its reserve gets them back when no work waits', awaitingPeak: ['notify'], machines: [...desk, ...notify.slice(0, 2), ...off], reports: [
+			createTestReport('desk', {hasWork: true, usedMillis: 30_000, neededMillis: 30_000, usableEndpoints: getEndpointIds(desk)}),
+			createTestReport('notify', {usableEndpoints: getEndpointIds(notify.slice(0, 2))}),
+		], at: [5000], expected: ['off-1>notify'],
+	},
 	{
 		// Guards against switching off machines just before another pool needs them, which moves them twice.
 		name: 'spare capacity is kept for a while when another pool may soon be short of machines', machines: [...desk, ...notify], reports: [
--- a/packages/jobs/src/fleet/balance-pools.ts
+++ b/packages/jobs/src/fleet/balance-pools.ts
@@ -7,6 +7,7 @@
 import {canOrderMachines, orderMachine, retryMoves} from './order-machines.js';
 import {isSparePool, requestEvacuation} from './run-waves.js';
 import {computeBalances, logBalances, type PoolBalance} from './compute-balances.js';
+import {getReserve, recordDemandHistory} from './demand-history.js';
 
 /** Minimum number of machines in a pool, so that one may be lost or maintained. */
 const minMachines = 2;
@@ -24,10 +25,13 @@
 const minStayMs = 2500;
 /** Shortage, as a share of a machine, from which another machine is ordered. */
 const minShortageShare = 0.35;
-/** Maximum number of machines requested for a pool at once; lasting demand requests more later. */
-const maxMachinesAtOnce = 8;
-/** Maximum number of surplus machines taken away at once while no pool is short; each is a move that may have to be undone. */
-const maxSurplusAtOnce = 12;
+/** Maximum number of machines that are being evacuated for pools that are short of machines. */
+const shortageLimit: ShareLimit = {share: 0.2, min: 8};
+/** Maximum number of machines that are being evacuated while no pool is short; each is a move that may have to be undone. */
+const surplusLimit: ShareLimit = {share: 0.3, min: 12};
+
+/** A limit that grows with the fleet: a share of its machines, but not less than `min`. */
+type ShareLimit = {readonly share: number; readonly min: number};
 
 type State = {readonly fleet: FleetState} & AuthorityView & ConfigurationView;
 
@@ -40,7 +44,7 @@
 
 	const balances = computeBalances(state, context);
 	recordDemand(fleet, balances, context.now);
-	const outputs = [...logBalances(fleet, balances, context), ...retryMoves(state, context)];
+	const outputs = [...logBalances(fleet, balances, context), ...recordDemandHistory(fleet, balances, context), ...retryMoves(state, context)];
 	// Pools that lack the most machines come first.
 	const shortages = balances
 		.map(balance => ({balance, missing: countMissingMachines(fleet, balance)}))
@@ -60,7 +64,7 @@
 		...[...fleet.machines.values()].filter(machine => isSparePool(state, machine.pool) && machine.state === 'up'),
 	].filter(machine => !fleet.orders.has(machine.name));
 	for (const {balance, missing} of shortages) {
-		let remainingCount = Math.min(missing, maxMachinesAtOnce);
+		let remainingCount = Math.min(missing, computeLimit(fleet, shortageLimit));
 		for (const machine of availableMachines.splice(0, remainingCount)) {
 			if (machine.pool !== balance.pool) {
 				remainingCount -= 1;
@@ -68,16 +72,33 @@
 			}
 		}
 
-		outputs.push(...requestSurplusMachines(state, balances.filter(other => other !== balance), remainingCount, 0, context));
+		outputs.push(...requestSurplusMachines(state, sortByReserve(fleet, balances.filter(other => other !== balance), context.wallTime), remainingCount, 0, context));
 	}
 
 	if (shortages.length === 0) {
-		outputs.push(...turnOffMachines(state, availableMachines, context), ...requestSurplusMachines(state, balances, maxSurplusAtOnce, getSurplusDelayMs(fleet, balances, context.now), context));
+		outputs.push(...restoreReserves(state, balances, availableMachines, context), ...turnOffMachines(state, availableMachines, context), ...requestSurplusMachines(state, balances, computeLimit(fleet, surplusLimit), getSurplusDelayMs(fleet, balances, context.now), context));
+	}
+
+	return outputs;
+}
+
+/** Gives pools that lack machines of their reserve evacuated machines and such that are switched off, and removes these from `availableMachines`. */
+function restoreReserves(state: State, balances: readonly PoolBalance[], availableMachines: Machine[], context: DecisionContext): JobOutput[] {
+	const outputs: JobOutput[] = [];
+	for (const {pool, machines, arrivingCount} of balances) {
+		const missing = getReserve(state.fleet, pool, context.wallTime) - machines.length - arrivingCount;
+		for (const machine of missing > 0 ? availableMachines.splice(0, missing) : []) {
+			outputs.push(...orderMachine(state, machine, {order: 'move', pool, wave: 0}, context));
+		}
 	}
 
 	return outputs;
 }
 
+function computeLimit({machines}: FleetState, {share, min}: ShareLimit): number {
+	return Math.max(min, Math.ceil(machines.size * share));
+}
+
 function countMissingMachines(fleet: FleetState, {report, wantedMillis, capacityMillis, machineMillis, machines, arrivingCount}: PoolBalance): number {
 	const staying = machines.filter(machine => machine.state === 'moving' || (machine.state === 'up' && !isAboutToLeave(fleet, machine))).length;
 	const missing = (wantedMillis - capacityMillis) / machineMillis;
@@ -127,6 +148,11 @@
 	return balances.some(({wantedMillis, capacityMillis}) => wantedMillis > capacityMillis * risingUtilization) ? risingSurplusDelayMs : surplusDelayMs;
 }
 
+/** Sorts the pools that keep a reserve after all others. */
+function sortByReserve(fleet: FleetState, balances: readonly PoolBalance[], wallTime: number): PoolBalance[] {
+	return [...balances].sort((left, right) => getReserve(fleet, left.pool, wallTime) - getReserve(fleet, right.pool, wallTime));
+}
+
 /** Requests the evacuation of machines of pools that have had spare capacity for the given time, in the order in which the pool's owner would release them. */
 function requestSurplusMachines(state: State, balances: readonly PoolBalance[], count: number, delayMs: number, context: DecisionContext): JobOutput[] {
 	const {fleet} = state;
@@ -140,7 +166,8 @@
 		const staying = machines.filter(machine => machine.state === 'up' && !isAboutToLeave(fleet, machine));
 		let spareCount = Math.min(
 			Math.floor((capacityMillis - Math.max(report.usedMillis, wantedMillis)) / machineMillis),
-			staying.length - getMinMachines(report),
+			// Without a delay the machines are for work that is waiting in another pool, so the reserve is given away as well.
+			staying.length - Math.max(getMinMachines(report), delayMs > 0 ? getReserve(fleet, pool, context.wallTime) : 0),
 		);
 		const byEndpoint = new Map(staying.map(machine => [machine.endpointId, machine]));
 		for (const endpointId of report.releasableEndpoints) {
--- a/packages/jobs/src/fleet/fleet-filter.ts
+++ b/packages/jobs/src/fleet/fleet-filter.ts
@@ -3,6 +3,7 @@
 import {type ConfigurationView} from '../configuration/index.js';
 import {emitLog, type JobFilter, type JobOutput} from '../filter.js';
 import {balancePools} from './balance-pools.js';
+import {writeDemandHistory} from './demand-history.js';
 import {type FleetState} from './fleet-state.js';
 import {expireOrders, handleOrderAnswer, updateFromMachineList} from './order-machines.js';
 import {runWaves, withdrawEvacuations} from './run-waves.js';
@@ -96,6 +97,18 @@
 
 			return [];
 		},
+		'demand-history-read'({fleet}, {history}) {
+			for (const each of history) {
+				const hasPeaked = each.hasPeaked || fleet.demandHistory.get(each.pool)?.hasPeaked === true;
+				fleet.demandHistory.set(each.pool, {...each, hasPeaked});
+			}
+
+			return [];
+		},
+		'demand-history-written'({fleet}, {result}) {
+			fleet.hasUnwrittenHistory ||= result !== 'applied';
+			return [];
+		},
 		'report-changed'({fleet}, {report}, context) {
 			fleet.reports.set(report.pool, {report, seenAt: context.now});
 			return [];
@@ -125,6 +138,7 @@
 		...requestMachineList(fleet, context),
 		...runWaves(state, context),
 		...balancePools(state, context),
+		...writeDemandHistory(fleet),
 		...(fleet.listedAt === undefined ? [] : withdrawEvacuations(state, context.now)),
 	];
 }
@@ -150,6 +164,8 @@
 	fleet.reports.clear();
 	fleet.lastFullAt.clear();
 	fleet.lastWorkAt = undefined;
+	fleet.demandHistory.clear();
+	fleet.hasUnwrittenHistory = false;
 	fleet.listedAt = undefined;
 	fleet.listRequestedAt = undefined;
 	for (const wave of fleet.waves.values()) {
--- a/packages/jobs/src/fleet/fleet-state.ts
+++ b/packages/jobs/src/fleet/fleet-state.ts
@@ -1,5 +1,5 @@
 import {
-	type EvacuationRequest, type Machine, type MachineOrder, type PoolReport, type Wave,
+	type EvacuationRequest, type Machine, type MachineOrder, type PoolDemandHistory, type PoolReport, type Wave,
 } from '../model/index.js';
 
 /** A wave and its progress. @public */
@@ -63,6 +63,10 @@
 	readonly lastFullAt: Map<string, number>;
 	/** When any pool last had work other than long-running tasks, in monotonic ms. */
 	lastWorkAt: number | undefined;
+	/** What is known about the demand of each pool, from this holder of the fleet's claim or an earlier one. */
+	readonly demandHistory: Map<string, PoolDemandHistory>;
+	/** Whether the stored history is out of date. */
+	hasUnwrittenHistory: boolean;
 	/** Whether any pool needs more machines than it has and is about to get. */
 	hasShortage: boolean;
 	/** Pools whose work waits for machines, including machines that are already on their way. */
@@ -91,6 +95,8 @@
 		joinedPoolAt: new Map(),
 		lastFullAt: new Map(),
 		lastWorkAt: undefined,
+		demandHistory: new Map(),
+		hasUnwrittenHistory: false,
 		hasShortage: false,
 		poolsAwaitingMachines: new Set(),
 		balancesLoggedAt: 0,
--- a/packages/jobs/src/model/coordination.ts
+++ b/packages/jobs/src/model/coordination.ts
@@ -49,6 +49,17 @@
 	readonly releasableEndpoints: readonly string[];
 };
 
+/** What is known about the demand of a pool. @public */
+export type PoolDemandHistory = {
+	readonly pool: string;
+	/** Machines in the pool at the first work in any pool: as many as the operators have given it. */
+	readonly assignedMachines: number;
+	/** Unix ms of the first work in any pool. */
+	readonly since: number;
+	/** Whether the pool has had a burst of work. */
+	readonly hasPeaked: boolean;
+};
+
 /** Asks a pool's owner to evacuate an endpoint, so that its machine can be moved or maintained. @public */
 export type EvacuationRequest = {
 	/** Unique to each request, so that an answer to an earlier one is not mistaken for an answer to this one. */
--- a/packages/jobs/src/model/effects.ts
+++ b/packages/jobs/src/model/effects.ts
@@ -1,6 +1,6 @@
 import {type HandlerFailed} from '@pistachiogauge/chain';
 import {
-	type PoolReport, type Roster, type EvacuationRequest, type EvacuatedEndpoint,
+	type PoolDemandHistory, type PoolReport, type Roster, type EvacuationRequest, type EvacuatedEndpoint,
 } from './coordination.js';
 import {type CallerAction, type MachineOrder} from './events.js';
 import {
@@ -58,6 +58,7 @@
 	| {readonly kind: 'request-evacuation'; readonly request: EvacuationRequest}
 	| {readonly kind: 'withdraw-evacuation'; readonly pool: string; readonly endpointId: string}
 	| {readonly kind: 'confirm-evacuation'; readonly token: number; readonly evacuated: EvacuatedEndpoint}
+	| {readonly kind: 'write-demand-history'; readonly history: readonly PoolDemandHistory[]}
 	| {readonly kind: 'write-wave-status'; readonly number: number; readonly status: WaveStatus; readonly maintained: readonly string[]};
 
 /** Endpoint that an order is addressed to, and the fencing token it is given under. @public */
--- a/packages/jobs/src/model/events.ts
+++ b/packages/jobs/src/model/events.ts
@@ -1,6 +1,6 @@
 import {type Configuration} from './configuration.js';
 import {
-	type Claim, type Member, type PoolReport, type Roster, type RunId, type EvacuationRequest, type EvacuatedEndpoint,
+	type Claim, type Member, type PoolDemandHistory, type PoolReport, type Roster, type RunId, type EvacuationRequest, type EvacuatedEndpoint,
 } from './coordination.js';
 import {type Endpoint, type ReportedEnd, type ReportedRun} from './endpoint.js';
 import {
@@ -207,6 +207,9 @@
 	/** The machine service's answer to an order. */
 	| {readonly kind: 'machine-order-answered'; readonly machine: string; readonly order: MachineOrder; readonly result: 'accepted' | 'fenced' | 'busy' | 'not-in-wave' | 'invalid' | 'limited' | 'unknown'}
 	| {readonly kind: 'wave-status-written'; readonly number: number; readonly result: WriteResult}
+	/** What an earlier holder of the fleet's claim has learned. */
+	| {readonly kind: 'demand-history-read'; readonly history: readonly PoolDemandHistory[]}
+	| {readonly kind: 'demand-history-written'; readonly result: WriteResult}
 	| {readonly kind: 'report-changed'; readonly report: PoolReport}
 	| {readonly kind: 'evacuation-requested'; readonly request: EvacuationRequest}
 	| {readonly kind: 'evacuation-withdrawn'; readonly pool: string; readonly endpointId: string}
--- a/packages/jobs/src/placement/order-jobs.ts
+++ b/packages/jobs/src/placement/order-jobs.ts
@@ -34,6 +34,8 @@
 	readonly remainingCriticalPathMs: number;
 	/** Remaining work, in thousandths of a core times ms. */
 	readonly remainingWork: number;
+	/** Work of all steps, done or not, in thousandths of a core times ms. */
+	readonly totalWork: number;
 	/** Slack of the job when it was accepted. */
 	readonly initialSlackMs: number;
 };
@@ -93,7 +95,7 @@
 	const {record} = job;
 	if (record.spec.steps.some(step => step.isLongRunning)) {
 		return {
-			job, objectiveStatus: 'serving', slackMs: 0, dueInMs: 0, remainingCriticalPathMs: 0, remainingWork: 0, initialSlackMs: 0,
+			job, objectiveStatus: 'serving', slackMs: 0, dueInMs: 0, remainingCriticalPathMs: 0, remainingWork: 0, totalWork: 0, initialSlackMs: 0,
 		};
 	}
 
@@ -103,7 +105,12 @@
 	const remainingCriticalPathMs = computeCriticalPathMs(job, step => step.doneCount === step.tasks.length) * factor;
 	const objectiveMs = (record.stretch * criticalPathMs) + record.latencyTargetMs;
 	const common = {
-		job, dueInMs: objectiveMs - ageMs, remainingCriticalPathMs, remainingWork: computeRemainingWork(job) * factor, initialSlackMs: objectiveMs - criticalPathMs,
+		job,
+		dueInMs: objectiveMs - ageMs,
+		remainingCriticalPathMs,
+		remainingWork: computeRemainingWork(job) * factor,
+		totalWork: computeTotalWork(job) * factor,
+		initialSlackMs: objectiveMs - criticalPathMs,
 	};
 	const slackMs = common.dueInMs - remainingCriticalPathMs;
 	if (slackMs >= 0) {
@@ -114,6 +121,10 @@
 	return {...common, objectiveStatus: lateSlackMs >= 0 ? 'late' : 'hopeless', slackMs: lateSlackMs};
 }
 
+function computeTotalWork({record: {spec}}: Job): number {
+	return spec.steps.reduce((sum, step) => sum + (step.count * step.room.cpuMillis * step.estimateMs), 0);
+}
+
 function computeRemainingWork(job: Job): number {
 	let work = 0;
 	for (const step of job.steps.values()) {
--- a/packages/jobs/src/reporting/estimate-arrivals.ts
+++ b/packages/jobs/src/reporting/estimate-arrivals.ts
@@ -1,13 +1,16 @@
 /** Windows over which arriving work is measured: the short one detects the start of a burst, the long one gives a better estimate of its rate. */
 const windowsMs = [400, 1200] as const;
 
+/** Age up to which an arrival is measured. @internal */
+export const arrivalWindowMs = Math.max(...windowsMs);
+
 /** Slack from which a job can wait for a machine and still meet its objective: the time in which a machine is moved, and some time for its tasks. Machines for such jobs are requested once the jobs have arrived. */
 const slackLimitMs = 2500;
 
 /** Share of the standard deviation that is subtracted: a machine that arrives a second late costs about twice as much as one that is moved for nothing. */
 const spreadShare = 0.5;
 
-/** Work of a job that has arrived, in thousandths of a core times ms, and its age. @internal */
+/** Work of a job as it arrived, in thousandths of a core times ms, and its age. Work that has been done since counts as well: otherwise the rate of arrival would seem to fall as soon as a pool keeps up with it. @internal */
 export type Arrival = {
 	readonly work: number;
 	readonly ageMs: number;
--- a/packages/jobs/src/reporting/reporting-filter.test.ts
+++ b/packages/jobs/src/reporting/reporting-filter.test.ts
@@ -17,10 +17,12 @@
 	readonly endpoints: Readonly<Record<string, readonly string[]>>;
 	/** Endpoints that do not answer. */
 	readonly silent?: readonly string[];
+	/** When the job ends in ms. */
+	readonly endsAt?: number;
 };
 
 /** Lists the reports that a pool's owner publishes on ticks at the given times, with these times. */
-function listReports({steps, endpoints, silent = []}: Input, at: readonly number[]): Array<readonly [number, PoolReport]> {
+function listReports({steps, endpoints, silent = [], endsAt = Number.POSITIVE_INFINITY}: Input, at: readonly number[]): Array<readonly [number, PoolReport]> {
 	const state = createJobsState({node: 'entry-1', incarnation: 'first', orderLeaseMs: 3000});
 	const pool = createPoolLedger({pool: poolName, token: 1, now: 0});
 	state.ledger.pools.set(poolName, pool);
@@ -40,6 +42,10 @@
 
 	const reports: Array<readonly [number, PoolReport]> = [];
 	for (const now of at) {
+		if (now >= endsAt) {
+			pool.activeJobs.clear();
+		}
+
 		for (const output of reportingFilter.handlers.tick!(state, {kind: 'tick'}, {now, wallTime: now, random})) {
 			if (output.kind === 'sink' && output.effect.kind === 'publish-report') {
 				reports.push([now, output.effect.report]);
@@ -70,6 +76,12 @@
 	},
 ];
 
+// Load pattern: a burst that a pool keeps up with. Its work starts at once, so that little of it is left to be counted.
+const arrivals = [
+	{name: 'a job that has just arrived', endsAt: 1000, at: [300]},
+	{name: 'a job that has ended since', endsAt: 400, at: [300, 500]},
+] as const;
+
 // Guards against a pool being ignored because its report has not changed and is treated as outdated.
 const times = [
 	{name: 'an unchanged report is not published on every tick', at: [1000, 1200, 1400, 1900], expected: [1000]},
@@ -81,6 +93,11 @@
 		expect(listReports(input, [1000])[0]?.[1]).toMatchObject(expected);
 	});
 
+	it.each(arrivals)('counts the whole work of $name as arriving', ({at, endsAt}) => {
+		// One core for 600 ms, of which half counts, over the longer window.
+		expect(listReports({steps: [{estimateMs: 600}], endpoints: {a: []}, endsAt}, at).at(-1)?.[1].arrivingMillis).toBeGreaterThanOrEqual(250);
+	});
+
 	it.each(times)('$name', ({at, expected}) => {
 		expect(listReports({steps: [], endpoints: {a: []}}, at).map(([now]) => now)).toEqual(expected);
 	});
--- a/packages/jobs/src/reporting/reporting-filter.ts
+++ b/packages/jobs/src/reporting/reporting-filter.ts
@@ -8,14 +8,22 @@
 import {type ObservationView} from '../observation/index.js';
 import {rankByMeasuredDurations, type RankedJob} from '../placement/index.js';
 import {type SupervisionView} from '../supervision/index.js';
-import {estimateArrivingMillis, type Arrival} from './estimate-arrivals.js';
+import {arrivalWindowMs, estimateArrivingMillis, type Arrival} from './estimate-arrivals.js';
 
-/** The last report of each pool that this entry owns. @public */
-export type ReportingState = {readonly reports: Map<string, {readonly text: string; readonly sentAt: number}>};
+/** @public */
+export type ReportingState = {
+	/** The last report of each pool that this entry owns. */
+	readonly reports: Map<string, {readonly text: string; readonly sentAt: number}>;
+	/** Recent arrivals of each pool by job, also of jobs that have ended since. */
+	readonly arrivals: Map<string, Map<string, RecentArrival>>;
+};
+
+/** Work of a job as it arrived. */
+type RecentArrival = Omit<Arrival, 'ageMs'> & {readonly at: number};
 
 /** @public */
 export function createReportingState(): ReportingState {
-	return {reports: new Map()};
+	return {reports: new Map(), arrivals: new Map()};
 }
 
 /** Minimum interval between two reports of a pool; demand in a pool rises within a second, and machines take longer to arrive. */
@@ -39,6 +47,7 @@
 	handlers: {
 		'pool-lost'({reporting}, {pool}) {
 			reporting.reports.delete(pool);
+			reporting.arrivals.delete(pool);
 			return [];
 		},
 		tick: (state, _event, context) => [...state.ledger.pools.values()].flatMap(pool => publishReport(state, pool, context)),
@@ -78,7 +87,7 @@
 	let hasWork = false;
 	let neededMillis = 0;
 	let endpointMinimum = 0;
-	const arrivals: Arrival[] = [];
+	const arrivals = getRecentArrivals(state.reporting, pool.pool, now);
 	for (const job of pool.activeJobs) {
 		if (job.status === 'queued') {
 			waiting[job.record.queue] = (waiting[job.record.queue] ?? 0) + 1;
@@ -89,12 +98,14 @@
 		hasWork ||= load.hasWork;
 		// No machines are requested for jobs that are too late to be of use; they run on the capacity that there is.
 		const rank = rankByMeasuredDurations(state, job, now);
-		const {objectiveStatus, remainingWork} = rank;
+		const {objectiveStatus} = rank;
 		neededMillis += load.servingMillis + computeNeededMillis(rank);
 		endpointMinimum = Math.max(endpointMinimum, load.endpointMinimum);
 		backlogMillis += objectiveStatus === 'hopeless' ? 0 : load.backlogMillis;
 		// The age counts from acceptance, as all jobs are new to this entry after a takeover.
-		arrivals.push({work: remainingWork, ageMs: now - job.acceptedAt, initialSlackMs: rank.initialSlackMs});
+		if (now < job.acceptedAt + arrivalWindowMs && !arrivals.has(job.record.id)) {
+			arrivals.set(job.record.id, {work: rank.totalWork, at: job.acceptedAt, initialSlackMs: rank.initialSlackMs});
+		}
 	}
 
 	const usable = listUsableEndpoints(state, pool, now);
@@ -105,7 +116,7 @@
 		backlogMillis,
 		usedMillis,
 		neededMillis: Math.round(neededMillis),
-		arrivingMillis: Math.round(estimateArrivingMillis(arrivals)),
+		arrivingMillis: Math.round(estimateArrivingMillis([...arrivals.values()].map(({at, ...arrival}) => ({...arrival, ageMs: now - at})))),
 		endpointMinimum,
 		usableEndpoints: usable,
 		idleEndpoints: usable.filter(id => !busy.has(id)),
@@ -114,6 +125,19 @@
 	};
 }
 
+/** Returns the arrivals of a pool that are recent enough to be measured. */
+function getRecentArrivals({arrivals}: ReportingState, pool: string, now: number): Map<string, RecentArrival> {
+	const recent = arrivals.get(pool) ?? new Map<string, RecentArrival>();
+	arrivals.set(pool, recent);
+	for (const [jobId, {at}] of recent) {
+		if (now >= at + arrivalWindowMs) {
+			recent.delete(jobId);
+		}
+	}
+
+	return recent;
+}
+
 /** Lists ready endpoints that answer this entry and are not avoided. */
 function listUsableEndpoints({directory, supervision, observation}: State, pool: Readonly<PoolLedger>, now: number): string[] {
 	return [...directory.endpoints.values()]
