Answer a repeated submission from memory when the store cannot tell

Cause: with the store out of reach, or refusing a write, every submission was refused as not accepted, also one that this entry had accepted before or whose answer was lost, so a caller was told that its job never runs while it ran. Change: an entry remembers for a minute what it has answered, knows the jobs of its own pools, and answers accepted or undecided. An entry that has seen neither still refuses; it cannot know.

The tests of owners share one harness.

--- a/packages/jobs/src/authority/paused-process.test.ts
+++ b/packages/jobs/src/authority/paused-process.test.ts
@@ -1,13 +1,9 @@
-import {createRandomSource} from '@pistachiogauge/chain';
 import {describe, expect, it} from 'vitest';
-import {applyJobEvent} from '../apply-job-event.js';
-import {createJobsState} from '../jobs-state.js';
-import {type JobEvent} from '../model/index.js';
+import {type JobEffect, type JobEvent} from '../model/index.js';
 import {
-	createTestEndpoint, createTestJob, createTestMachine, createTestReport,
+	createStoredTestJob, createTestJob, createTestMachine, createTestOwner, createTestPollAnswer, createTestReport,
 } from '../testing.test-support.js';
 
-const random = createRandomSource(1);
 const pool = 'desk';
 /** When the lease ends that the entry holds before the pause, on both clocks. */
 const leaseEnd = 1500;
@@ -15,27 +11,26 @@
 type Clocks = {readonly now: number; readonly wallTime: number};
 type Action = 'start' | 'renewal' | 'machine order';
 
+function getAction(effect: JobEffect): Action | undefined {
+	if (effect.kind === 'poll-endpoint') {
+		return effect.deadlineMs === undefined ? undefined : 'renewal';
+	}
+
+	const actions: Partial<Record<JobEffect['kind'], Action>> = {'start-task': 'start', 'order-machine': 'machine order'};
+	return actions[effect.kind];
+}
+
 /** Lists what an entry that owns a pool and the fleet does after a pause, when a new job is waiting and a pool lacks machines. */
 function listActions({resumed, confirmedUntil}: {readonly resumed: Clocks; readonly confirmedUntil?: Clocks}): Action[] {
-	const state = createJobsState({node: 'entry-1', incarnation: 'first', orderLeaseMs: 3000});
+	const owner = createTestOwner({roster: {endpointIds: ['e1']}, endpoints: ['e1'], jobs: []});
 	const actions = new Set<Action>();
 	let isPaused = false;
-	const apply = (event: JobEvent, clocks: Clocks) => {
-		for (const effect of applyJobEvent(state, event, {...clocks, random})) {
-			if (effect.kind === 'save-progress') {
-				apply({
-					kind: 'progress-saved', pool, token: 7, saveId: effect.saveId, result: 'applied', revision: 10, presentRevisions: undefined, isClaimLost: false,
-				}, clocks);
-			}
-
-			const action: Action | undefined = effect.kind === 'start-task' ? 'start' : (effect.kind === 'order-machine' ? 'machine order' : undefined);
+	const apply = (event: JobEvent, {now, wallTime}: Clocks) => {
+		for (const effect of owner.apply(event, now, wallTime)) {
+			const action = getAction(effect);
 			if (isPaused && action !== undefined) {
 				actions.add(action);
 			}
-
-			if (isPaused && effect.kind === 'poll-endpoint' && effect.deadlineMs !== undefined) {
-				actions.add('renewal');
-			}
 		}
 	};
 
@@ -45,15 +40,6 @@
 		}
 	};
 
-	const {record} = createTestJob('job', [{count: 1}]);
-	const stored = {
-		job: record, progress: {
-			queue: record.queue, status: 'queued' as const, steps: {}, lastRun: 0,
-		}, revision: 5, isCancelled: false,
-	};
-	const pollAnswered: JobEvent = {
-		kind: 'poll-answered', endpointId: 'e1', token: 7, clockMs: 1000, startedAt: 1, running: [], ended: [],
-	};
 	const before = {now: 0, wallTime: 0};
 	applyAll([
 		{
@@ -65,21 +51,14 @@
 		},
 		{kind: 'session-opened'},
 		{kind: 'session-renewed', validUntil: leaseEnd, wallValidUntil: leaseEnd},
-		{kind: 'endpoints-listed', endpoints: [createTestEndpoint('e1', pool, {startedAt: 1})]},
 		{
 			kind: 'last-holder-changed', name: 'fleet', node: 'entry-1', revision: 4,
 		},
 		{
 			kind: 'claim-answered', name: 'fleet', result: 'applied', token: 9,
 		},
-		{
-			kind: 'claim-answered', name: `pool/${pool}`, result: 'applied', token: 7,
-		},
-		{
-			kind: 'pool-read', pool, token: 7, jobs: [], ended: new Map(), roster: {endpointIds: ['e1']}, rosterRevision: 4,
-		},
 		{kind: 'tick'},
-		pollAnswered,
+		createTestPollAnswer('e1', 1000),
 		{kind: 'tick'},
 		{kind: 'machines-listed', machines: [createTestMachine('m1', pool, {endpointId: 'e1'}), createTestMachine('m2', 'off', {endpointId: undefined})]},
 	], before);
@@ -87,13 +66,13 @@
 	applyAll([
 		{kind: 'process-resumed', pausedMs: 1000},
 		...(confirmedUntil === undefined ? [] : [{kind: 'session-renewed', validUntil: confirmedUntil.now, wallValidUntil: confirmedUntil.wallTime} as const]),
-		{...pollAnswered, clockMs: 1100},
+		createTestPollAnswer('e1', 1100),
 		{
 			kind: 'report-changed', report: createTestReport(pool, {
 				hasWork: true, usedMillis: 16_000, backlogMillis: 20_000, neededMillis: 36_000, usableEndpoints: ['e1'],
 			}),
 		},
-		{kind: 'job-recorded', stored},
+		{kind: 'job-recorded', stored: createStoredTestJob(createTestJob('job', [{count: 1}]))},
 	], resumed);
 	apply({kind: 'tick'}, {now: resumed.now + 60, wallTime: resumed.wallTime + 60});
 	return [...actions].sort();
--- a/packages/jobs/src/intake/intake-filter.ts
+++ b/packages/jobs/src/intake/intake-filter.ts
@@ -17,20 +17,28 @@
 	readonly receivedAt: number;
 };
 
+/** What this entry has answered to the submission of a job. */
+type Submission = {readonly answer: 'accepted' | 'undecided'; readonly at: number};
+
 /** @public */
 export type IntakeState = {
 	readonly pendingRequests: Map<string, PendingRequest>;
+	/** Recent submissions that were not refused, by job. The same job may be submitted again, and must not be refused as not accepted then. */
+	readonly recentSubmissions: Map<string, Submission>;
 	isStoreReached: boolean;
 };
 
 type State = {readonly intake: IntakeState} & ConfigurationView & LedgerView;
 
+/** Time for which a submission is remembered; callers repeat one within seconds. */
+const submissionMemoryMs = 60_000;
+
 /** Retry time sent with a refusal when the store cannot be reached; meanwhile the load balancer routes the caller to another entry. */
 const storeRetryAfterMs = 1000;
 
 /** @public */
 export function createIntakeState(): IntakeState {
-	return {pendingRequests: new Map(), isStoreReached: false};
+	return {pendingRequests: new Map(), recentSubmissions: new Map(), isStoreReached: false};
 }
 
 type ActionHandler = (state: State, request: JobEventOf<'caller-requested'>, queue: Queue, wallTime: number) => JobOutput[];
@@ -91,6 +99,16 @@
 			}
 
 			if (!state.intake.isStoreReached) {
+				const known = action === 'submit' ? findSubmission(state, jobId, queue.pool, context.now) : undefined;
+				if (known !== undefined) {
+					return [
+						createAnswer(requestId, action, knownSubmissionAnswers[known]),
+						emitLog('info', 'repeated submission answered from memory', {
+							request: requestId, job: jobId, queue: queue.name, answer: known,
+						}),
+					];
+				}
+
 				return [
 					createAnswer(requestId, action, {kind: 'refused', reason: 'the store is out of reach', retryAfterMs: storeRetryAfterMs}),
 					emitCount(`requests_total{action="${action}",answer="refused"}`),
@@ -165,13 +183,48 @@
 	},
 };
 
-function answerPendingRequest(state: State, requestId: string, now: number, answer: CallerAnswer): JobOutput[] {
+const knownSubmissionAnswers: Readonly<Record<Submission['answer'], CallerAnswer>> = {
+	accepted: {kind: 'accepted'},
+	undecided: {kind: 'undecided', reason: 'the store has not answered an earlier request for this job'},
+};
+
+/** Finds out from memory what became of earlier submissions of a job. @returns Undefined when this entry knows of none. */
+function findSubmission({intake, ledger}: State, jobId: string, pool: string, now: number): Submission['answer'] | undefined {
+	const owned = ledger.pools.get(pool);
+	if (owned?.jobs.has(jobId) === true || owned?.endedJobs.has(jobId) === true) {
+		return 'accepted';
+	}
+
+	const submission = intake.recentSubmissions.get(jobId);
+	return submission === undefined || now > submission.at + submissionMemoryMs ? undefined : submission.answer;
+}
+
+/** Records the answer to a submission, and forgets those that are too old to be repeated. The map is in the order of their times. */
+function recordSubmission({recentSubmissions}: IntakeState, jobId: string, submission: Submission): void {
+	recentSubmissions.delete(jobId);
+	recentSubmissions.set(jobId, submission);
+	for (const [oldJobId, {at}] of recentSubmissions) {
+		if (submission.at <= at + submissionMemoryMs) {
+			break;
+		}
+
+		recentSubmissions.delete(oldJobId);
+	}
+}
+
+function answerPendingRequest(state: State, requestId: string, now: number, storeAnswer: CallerAnswer): JobOutput[] {
 	const request = state.intake.pendingRequests.get(requestId);
 	if (request === undefined) {
 		return [];
 	}
 
 	state.intake.pendingRequests.delete(requestId);
+	const known = request.action === 'submit' && storeAnswer.kind === 'refused' ? findSubmission(state, request.jobId, request.queue.pool, now) : undefined;
+	const answer = known === undefined ? storeAnswer : knownSubmissionAnswers[known];
+	if (request.action === 'submit' && (answer.kind === 'accepted' || answer.kind === 'undecided')) {
+		recordSubmission(state.intake, request.jobId, {answer: answer.kind, at: now});
+	}
+
 	const tookMs = now - request.receivedAt;
 	return [
 		createAnswer(requestId, request.action, answer),
--- a/packages/jobs/src/observation/observation-filter.test.ts
+++ b/packages/jobs/src/observation/observation-filter.test.ts
@@ -1,23 +1,19 @@
-import {createRandomSource} from '@pistachiogauge/chain';
 import {describe, expect, it} from 'vitest';
-import {applyJobEvent} from '../apply-job-event.js';
-import {createJobsState} from '../jobs-state.js';
-import {type ReportedRun} from '../model/index.js';
-import {createTestEndpoint, createTestJob} from '../testing.test-support.js';
-
-const random = createRandomSource(1);
-const pool = 'desk';
+import {type JobEvent, type ReportedRun, type RunId} from '../model/index.js';
+import {
+	createStoredTestJob, createTestJob, createTestOwner, createTestPollAnswer,
+} from '../testing.test-support.js';
 
 /** An answer of the endpoint: when it reaches the owner, and the endpoint's clock and the percentage of each run in it. */
 type Answer = {readonly at: number; readonly clockMs: number; readonly percents: readonly number[]};
 
 /** Lists the runs that the owner stops, while two tasks of one second each run on the only endpoint from 100 ms on. */
 function listStops(answers: readonly Answer[]): string[] {
-	const state = createJobsState({node: 'entry-1', incarnation: 'first', orderLeaseMs: 3000});
+	const owner = createTestOwner({roster: {endpointIds: ['e1']}, endpoints: ['e1'], jobs: [createStoredTestJob(createTestJob('job', [{count: 2}]))]});
+	const runs: RunId[] = [];
 	const stops: string[] = [];
-	const runs: Array<{taskId: string; run: number}> = [];
-	const apply = (event: Parameters<typeof applyJobEvent>[1], now: number) => {
-		for (const effect of applyJobEvent(state, event, {now, wallTime: now, random})) {
+	const apply = (event: JobEvent, now: number) => {
+		for (const effect of owner.apply(event, now)) {
 			if (effect.kind === 'start-task') {
 				runs.push({taskId: effect.taskId, run: effect.run});
 			}
@@ -25,38 +21,16 @@
 			if (effect.kind === 'stop-task') {
 				stops.push(effect.taskId.split('.').at(-1)!);
 			}
-
-			if (effect.kind === 'save-progress') {
-				apply({
-					kind: 'progress-saved', pool, token: 7, saveId: effect.saveId, result: 'applied', revision: 10, presentRevisions: undefined, isClaimLost: false,
-				}, now);
-			}
 		}
 	};
 
 	const answer = ({at, clockMs, percents}: Answer) => {
 		const running: ReportedRun[] = percents.map((percent, index) => ({
-			taskId: runs[index]!.taskId, run: runs[index]!.run, checkpoint: '', percent, load: 1000,
+			...runs[index]!, checkpoint: '', percent, load: 1000,
 		}));
-		apply({
-			kind: 'poll-answered', endpointId: 'e1', token: 7, clockMs, startedAt: 1, running, ended: [],
-		}, at);
+		apply({...createTestPollAnswer('e1', clockMs), running}, at);
 	};
 
-	apply({kind: 'endpoints-listed', endpoints: [createTestEndpoint('e1', pool, {startedAt: 1})]}, 0);
-	apply({
-		kind: 'claim-changed', name: `pool/${pool}`, claim: {
-			name: `pool/${pool}`, node: 'entry-1', incarnation: 'first', token: 7,
-		},
-	}, 0);
-	const {record} = createTestJob('job', [{count: 2}]);
-	apply({
-		kind: 'pool-read', pool, token: 7, ended: new Map(), roster: {endpointIds: ['e1']}, rosterRevision: 4, jobs: [{
-			job: record, progress: {
-				queue: record.queue, status: 'queued', steps: {}, lastRun: 0,
-			}, revision: 5, isCancelled: false,
-		}],
-	}, 0);
 	apply({kind: 'tick'}, 25);
 	answer({at: 50, clockMs: 1050, percents: []});
 	apply({kind: 'tick'}, 75);
--- a/packages/jobs/src/testing.test-support.ts
+++ b/packages/jobs/src/testing.test-support.ts
@@ -1,8 +1,11 @@
+import {createRandomSource} from '@pistachiogauge/chain';
+import {applyJobEvent} from './apply-job-event.js';
+import {createJobsState, type JobsState} from './jobs-state.js';
 import {restoreJob} from './ledger/restore-job.js';
 import {type Job} from './ledger/index.js';
 import {createRun, type Run, type SupervisedEndpoint} from './supervision/supervision-state.js';
 import {
-	type Endpoint, type JobRecord, type Machine, type PoolReport, type StepSpec,
+	type Endpoint, type JobEffect, type JobEvent, type JobRecord, type Machine, type PoolReport, type Roster, type StepSpec, type StoredJob,
 } from './model/index.js';
 
 const defaultStep: StepSpec = {
@@ -106,3 +109,51 @@
 export function createTestRun(taskId: string, traits: Partial<Run> = {}): Run {
 	return createRun(createStepSpec(), {taskId, run: 1}, {phase: 'starting', startedAt: 0, ...traits});
 }
+
+/** Creates the stored record of a job whose tasks have not run. @internal */
+export function createStoredTestJob(job: Job): StoredJob {
+	return {
+		job: job.record, progress: {
+			queue: job.record.queue, status: 'queued', steps: {}, lastRun: 0,
+		}, revision: 5, isCancelled: false,
+	};
+}
+
+/** An entry that owns the pool `desk` with token 7; its writes to the store are applied at once. @internal */
+export type TestOwner = {
+	readonly state: JobsState;
+	/** Applies an event at a time in ms, which both clocks show unless the wall time is given, and returns all effects. */
+	apply(event: JobEvent, now: number, wallTime?: number): JobEffect[];
+};
+
+/** Creates an entry that has just loaded its pool. @internal */
+export function createTestOwner({roster, endpoints, jobs}: {
+	readonly roster: Roster;
+	/** Listed endpoints. */
+	readonly endpoints: readonly string[];
+	readonly jobs: readonly StoredJob[];
+}): TestOwner {
+	const pool = 'desk';
+	const random = createRandomSource(1);
+	const state = createJobsState({node: 'entry-1', incarnation: 'first', orderLeaseMs: 3000});
+	const apply = (event: JobEvent, now: number, wallTime = now): JobEffect[] => applyJobEvent(state, event, {now, wallTime, random}).flatMap(effect => effect.kind === 'save-progress'
+		? [effect, ...apply({
+			kind: 'progress-saved', pool, token: 7, saveId: effect.saveId, result: 'applied', revision: 10, presentRevisions: undefined, isClaimLost: false,
+		}, now, wallTime)]
+		: [effect]);
+	apply({kind: 'endpoints-listed', endpoints: endpoints.map(id => createTestEndpoint(id, pool, {startedAt: 1}))}, 0);
+	apply({
+		kind: 'claim-answered', name: `pool/${pool}`, result: 'applied', token: 7,
+	}, 0);
+	apply({
+		kind: 'pool-read', pool, token: 7, jobs, ended: new Map(), roster, rosterRevision: 4,
+	}, 0);
+	return {state, apply};
+}
+
+/** Creates the answer of an endpoint of the pool `desk` that runs nothing. @internal */
+export function createTestPollAnswer(endpointId: string, clockMs: number): Extract<JobEvent, {kind: 'poll-answered'}> {
+	return {
+		kind: 'poll-answered', endpointId, token: 7, clockMs, startedAt: 1, running: [], ended: [],
+	};
+}
