Predict durations from measurements, and judge endpoints by more than one step

Change: a line through the logarithms of estimates and durations, by queue; tasks of a step that has been measured take what its other tasks take. An endpoint counts as slow when runs of two steps are slow on it.

--- a/packages/jobs/src/observation/index.ts
+++ b/packages/jobs/src/observation/index.ts
@@ -1,2 +1,4 @@
 export {observationFilter} from './observation-filter.js';
-export {createObservationState, type ObservationState, type ObservationView} from './observation-state.js';
+export {
+	createDurationPredictor, createObservationState, type ObservationState, type ObservationView,
+} from './observation-state.js';
--- a/packages/jobs/src/observation/observation-filter.test.ts
+++ b/packages/jobs/src/observation/observation-filter.test.ts
@@ -69,6 +69,14 @@
 			{at: 2950, clockMs: 1950, percents: [34, 34]},
 		], stops: [],
 	},
+	{
+		// Load pattern: callers whose estimates are off by orders of magnitude.
+		name: 'runs of one step that take many times their estimate are left alone', answers: [
+			{at: 1100, clockMs: 2100, percents: [12, 12]},
+			{at: 2100, clockMs: 3100, percents: [25, 25]},
+			{at: 3100, clockMs: 4100, percents: [37, 37]},
+		], stops: [],
+	},
 	{
 		name: 'an instance that was suspended has not stalled', answers: [
 			{at: 600, clockMs: 1600, percents: [50, 50]},
--- a/packages/jobs/src/observation/observation-filter.ts
+++ b/packages/jobs/src/observation/observation-filter.ts
@@ -2,12 +2,15 @@
 import {
 	emitCount, emitLog, type JobFilter, type JobOutput,
 } from '../filter.js';
-import {findTask, type LedgerView, type Task} from '../ledger/index.js';
+import {
+	findTask, type LedgerView, type Step, type Task,
+} from '../ledger/index.js';
 import {type JobEventOf} from '../model/index.js';
 import {type Run, type SupervisionView, type SupervisedEndpoint} from '../supervision/index.js';
-import {getEndpointHealth, type ObservationState} from './observation-state.js';
+import {createDurationModel, recordDuration} from './duration-model.js';
+import {getEndpointHealth, predictUnmeasuredMs, type ObservationState} from './observation-state.js';
 
-/** Weight of the newest measurement in the exponential moving means. */
+/** Weight of the newest measurement in the exponential moving mean of an endpoint's speed. */
 const smoothingFactor = 0.1;
 /** Number of consecutive failures from which an endpoint is avoided. Jobs fail by themselves in 3 of 100 cases, so three failures in a row are not by chance. */
 const failureLimit = 3;
@@ -19,8 +22,10 @@
 const minMeasuredAgeMs = 700;
 /** Ratio of extrapolated to expected duration above which a run is slow. Durations vary by half, and estimates are off by less than this factor. */
 const minSlowdown = 3;
-/** Minimum number of slow runs for an endpoint to count as slow. */
-const minSlowRuns = 2;
+/** Minimum number of steps whose runs are slow for an endpoint to count as slow. Tasks of one step take equally long, so that slow runs of one step say as little as a single one. */
+const minSlowSteps = 2;
+/** Percentage from which the progress of a run says how long it will take. */
+const minMeasuredPercent = 10;
 
 type State = {readonly observation: ObservationState} & SupervisionView & LedgerView;
 
@@ -60,22 +65,30 @@
 	observation.lastFailedEndpoints.delete(end.taskId);
 	health.failuresInRow = 0;
 	const step = findTask(state.ledger.pools.get(pool), end.taskId)?.step;
-	if (step === undefined || !wasExpected || step.spec.estimateMs === 0 || step.spec.isLongRunning) {
+	if (step === undefined || !wasExpected || step.spec.isLongRunning) {
 		return [];
 	}
 
 	const {queue} = step.job.record;
-	const factor = observation.estimateFactors.get(queue) ?? 1;
-	const measured = Math.min(10, tookMs / step.spec.estimateMs);
-	observation.estimateFactors.set(queue, factor + (smoothingFactor * (measured - factor)));
-	health.slowness += smoothingFactor * ((measured / Math.max(factor, 0.01)) - health.slowness);
+	health.slowness += smoothingFactor * ((Math.min(10, tookMs / predictUnmeasuredMs(state, queue, step.spec))) - health.slowness);
+	const model = observation.durationModels.get(queue) ?? createDurationModel();
+	observation.durationModels.set(queue, model);
+	recordDuration(model, step.spec.estimateMs, tookMs);
+	recordStepDuration(observation, step, tookMs);
 	return [];
 }
 
+/** Records a measured duration of a task as that of its step. */
+function recordStepDuration({stepDurations}: ObservationState, step: Step, durationMs: number): void {
+	const known = stepDurations.get(step);
+	stepDurations.set(step, known === undefined ? durationMs : (known + durationMs) / 2);
+}
+
 function checkEndpoint(state: State, supervised: Readonly<SupervisedEndpoint>, context: DecisionContext): JobOutput[] {
 	const pool = state.ledger.pools.get(supervised.pool);
 	const clockMs = supervised.clockMs ?? 0;
 	const slowRuns: Run[] = [];
+	const slowSteps = new Set<Step>();
 	let measuredCount = 0;
 	const outputs: JobOutput[] = [];
 	for (const run of supervised.runs.values()) {
@@ -90,10 +103,17 @@
 			continue;
 		}
 
-		const slowdown = estimateSlowdown(state, run, task, clockMs);
-		if (slowdown !== undefined) {
-			measuredCount += 1;
-			slowRuns.push(...(slowdown > minSlowdown ? [run] : []));
+		const durationMs = estimateDurationMs(run, task, clockMs);
+		if (durationMs === undefined) {
+			continue;
+		}
+
+		measuredCount += 1;
+		if (durationMs > minSlowdown * predictUnmeasuredMs(state, task.step.job.record.queue, task.step.spec)) {
+			slowRuns.push(run);
+			slowSteps.add(task.step);
+		} else if (run.percent >= minMeasuredPercent) {
+			recordStepDuration(state.observation, task.step, durationMs);
 		}
 	}
 
@@ -101,7 +121,7 @@
 		return [...avoidEndpoint(state, supervised.id, 'runs stalled', context), ...outputs];
 	}
 
-	if (slowRuns.length < minSlowRuns || slowRuns.length * 2 <= measuredCount) {
+	if (slowSteps.size < minSlowSteps || slowRuns.length * 2 <= measuredCount) {
 		return [];
 	}
 
@@ -114,17 +134,11 @@
 	];
 }
 
-/** Ratio of the duration at the present speed to the expected one; undefined if it cannot be estimated. */
-function estimateSlowdown({observation}: State, run: Readonly<Run>, task: Task, clockMs: number): number | undefined {
-	const {estimateMs} = task.step.spec;
+/** Estimates the duration in ms of a run at its present speed; undefined if that is not known yet. */
+function estimateDurationMs(run: Readonly<Run>, task: Task, clockMs: number): number | undefined {
 	const ageMs = run.startedClockMs === undefined ? 0 : clockMs - run.startedClockMs;
-	if (estimateMs === 0 || ageMs < minMeasuredAgeMs) {
-		return undefined;
-	}
-
-	const factor = observation.estimateFactors.get(task.step.job.record.queue) ?? 1;
 	// A resumed run starts at the percentage of the run before, so its age says little about its speed.
-	return task.checkpoint === '' ? (ageMs * 100) / Math.max(1, run.percent) / (estimateMs * factor) : undefined;
+	return ageMs < minMeasuredAgeMs || task.checkpoint !== '' ? undefined : (ageMs * 100) / Math.max(1, run.percent);
 }
 
 function moveRun({observation}: State, supervised: Readonly<SupervisedEndpoint>, run: Readonly<Run>, task: Task, reason: string): JobOutput[] {
--- a/packages/jobs/src/observation/observation-state.ts
+++ b/packages/jobs/src/observation/observation-state.ts
@@ -1,3 +1,7 @@
+import {type Step} from '../ledger/index.js';
+import {type StepSpec} from '../model/index.js';
+import {predictDurationMs, type DurationModel} from './duration-model.js';
+
 /** Health of an endpoint, as observed from its runs. @public */
 export type EndpointHealth = {
 	/** Number of consecutive failures. */
@@ -11,8 +15,10 @@
 /** Observations from runs. @public */
 export type ObservationState = {
 	readonly endpoints: Map<string, EndpointHealth>;
-	/** Moving mean of the ratio of measured to estimated task durations, by queue. */
-	readonly estimateFactors: Map<string, number>;
+	/** Durations of tasks against their estimates, by queue. */
+	readonly durationModels: Map<string, DurationModel>;
+	/** Durations of tasks of the same step, in ms: tasks of a step differ less from each other than from those of other jobs. */
+	readonly stepDurations: WeakMap<Step, number>;
 	/** Endpoint on which each task last failed, stalled or was slow, by task. */
 	readonly lastFailedEndpoints: Map<string, string>;
 };
@@ -21,14 +27,17 @@
 export type ObservationView = {
 	readonly observation: {
 		readonly endpoints: ReadonlyMap<string, Readonly<EndpointHealth>>;
-		readonly estimateFactors: ReadonlyMap<string, number>;
+		readonly durationModels: ReadonlyMap<string, Readonly<DurationModel>>;
+		readonly stepDurations: Pick<WeakMap<Step, number>, 'get'>;
 		readonly lastFailedEndpoints: ReadonlyMap<string, string>;
 	};
 };
 
 /** @public */
 export function createObservationState(): ObservationState {
-	return {endpoints: new Map(), estimateFactors: new Map(), lastFailedEndpoints: new Map()};
+	return {
+		endpoints: new Map(), durationModels: new Map(), stepDurations: new WeakMap(), lastFailedEndpoints: new Map(),
+	};
 }
 
 /** Returns the health of an endpoint; one without observations counts as healthy. @internal */
@@ -42,3 +51,13 @@
 	state.endpoints.set(endpointId, health);
 	return health;
 }
+
+/** Predicts the duration in ms of a task of a step that has not been measured. @internal */
+export function predictUnmeasuredMs({observation}: ObservationView, queue: string, spec: StepSpec): number {
+	return predictDurationMs(observation.durationModels.get(queue), spec.estimateMs);
+}
+
+/** Returns a function that predicts the duration in ms of a task of a queue's job from its step, or from the step's specification while there is no step. @public */
+export function createDurationPredictor(state: ObservationView, queue: string): (spec: StepSpec, step: Step | undefined) => number {
+	return (spec, step) => (step === undefined ? undefined : state.observation.stepDurations.get(step)) ?? predictUnmeasuredMs(state, queue, spec);
+}
--- a/packages/jobs/src/placement/order-jobs.ts
+++ b/packages/jobs/src/placement/order-jobs.ts
@@ -1,4 +1,5 @@
 import {isStepReady, type Job, type Step} from '../ledger/index.js';
+import {type StepSpec} from '../model/index.js';
 
 /**
 Status of a job with respect to its latency objective, in scheduling order.
@@ -40,8 +41,8 @@
 	readonly initialSlackMs: number;
 };
 
-/** Returns the ratio of measured to estimated durations of a queue's tasks. @internal */
-export type EstimateFactorLookup = (queue: string) => number;
+/** Predicts the duration in ms of a step's tasks; the step itself is missing before its occurrence is due. @internal */
+export type DurationPredictor = (spec: StepSpec, step: Step | undefined) => number;
 
 /**
 Orders jobs for placement: by status, then priority, then least slack.
@@ -51,8 +52,8 @@
 @param capacityMillis - Thousandths of a core that the pool has.
 @internal
 */
-export function orderJobs(jobs: Iterable<Job>, getFactor: EstimateFactorLookup, capacityMillis: number, now: number): RankedJob[] {
-	const ranked = [...jobs].map(job => rankJob(job, getFactor(job.record.queue), now));
+export function orderJobs(jobs: Iterable<Job>, createPredictor: (queue: string) => DurationPredictor, capacityMillis: number, now: number): RankedJob[] {
+	const ranked = [...jobs].map(job => rankJob(job, createPredictor(job.record.queue), now));
 	displaceJobs(ranked.filter(({objectiveStatus}) => objectiveStatus === 'timely'), capacityMillis);
 	return ranked.sort((left, right) => objectiveStatusOrder[left.objectiveStatus] - objectiveStatusOrder[right.objectiveStatus]
 		|| left.job.record.priority - right.job.record.priority
@@ -91,7 +92,7 @@
 }
 
 /** Ranks a single job by itself. @internal */
-export function rankJob(job: Job, factor: number, now: number): RankedJob {
+export function rankJob(job: Job, predict: DurationPredictor, now: number): RankedJob {
 	const {record} = job;
 	if (record.spec.steps.some(step => step.isLongRunning)) {
 		return {
@@ -101,15 +102,15 @@
 
 	// Each occurrence is due at a time of its own, so a recurring job counts from the time at which the latest of its open tasks became ready.
 	const ageMs = now - (record.spec.repeatCount === 0 ? job.acceptedAt : findLatestDue(job));
-	const criticalPathMs = computeCriticalPathMs(job, () => false) * factor;
-	const remainingCriticalPathMs = computeCriticalPathMs(job, step => step.doneCount === step.tasks.length) * factor;
+	const criticalPathMs = computeCriticalPathMs(job, predict, () => false);
+	const remainingCriticalPathMs = computeCriticalPathMs(job, predict, step => step.doneCount === step.tasks.length);
 	const objectiveMs = (record.stretch * criticalPathMs) + record.latencyTargetMs;
 	const common = {
 		job,
 		dueInMs: objectiveMs - ageMs,
 		remainingCriticalPathMs,
-		remainingWork: computeRemainingWork(job) * factor,
-		totalWork: computeTotalWork(job) * factor,
+		remainingWork: computeRemainingWork(job, predict),
+		totalWork: computeTotalWork(job, predict),
 		initialSlackMs: objectiveMs - criticalPathMs,
 	};
 	const slackMs = common.dueInMs - remainingCriticalPathMs;
@@ -121,14 +122,14 @@
 	return {...common, objectiveStatus: lateSlackMs >= 0 ? 'late' : 'hopeless', slackMs: lateSlackMs};
 }
 
-function computeTotalWork({record: {spec}}: Job): number {
-	return spec.steps.reduce((sum, step) => sum + (step.count * step.room.cpuMillis * step.estimateMs), 0);
+function computeTotalWork(job: Job, predict: DurationPredictor): number {
+	return job.record.spec.steps.reduce((sum, spec, index) => sum + (spec.count * spec.room.cpuMillis * predict(spec, findLatestStep(job, index))), 0);
 }
 
-function computeRemainingWork(job: Job): number {
+function computeRemainingWork(job: Job, predict: DurationPredictor): number {
 	let work = 0;
 	for (const step of job.steps.values()) {
-		const taskWork = step.spec.room.cpuMillis * step.spec.estimateMs;
+		const taskWork = step.spec.room.cpuMillis * predict(step.spec, step);
 		for (const task of step.tasks) {
 			if (!task.isDone) {
 				work += taskWork * (task.runs.size > 0 ? runningWorkShare : 1);
@@ -152,15 +153,19 @@
 	return latest;
 }
 
-/** Estimated duration of the critical path through the steps of the job's latest occurrence, without those that are done. */
-function computeCriticalPathMs(job: Job, isDone: (step: Step) => boolean): number {
-	const occurrence = Math.max(0, job.createdOccurrences - 1);
+/** Finds a step of the job's latest occurrence. */
+function findLatestStep(job: Job, index: number): Step | undefined {
+	return job.steps.get(`${Math.max(0, job.createdOccurrences - 1)}.${index}`);
+}
+
+/** Predicted duration of the critical path through the steps of the job's latest occurrence, without those that are done. */
+function computeCriticalPathMs(job: Job, predict: DurationPredictor, isDone: (step: Step) => boolean): number {
 	const {steps} = job.record.spec;
 	const ends: number[] = [];
 	for (const [index, spec] of steps.entries()) {
 		const before = Math.max(0, ...spec.after.map(number => ends[number] ?? 0));
-		const step = job.steps.get(`${occurrence}.${index}`);
-		ends.push(before + (step !== undefined && isDone(step) ? 0 : spec.estimateMs));
+		const step = findLatestStep(job, index);
+		ends.push(before + (step !== undefined && isDone(step) ? 0 : predict(spec, step)));
 	}
 
 	return Math.max(0, ...ends);
--- a/packages/jobs/src/placement/placement-filter.ts
+++ b/packages/jobs/src/placement/placement-filter.ts
@@ -9,7 +9,7 @@
 	type Job, type LedgerView, type PoolLedger, type Step, type Task,
 } from '../ledger/index.js';
 import {subtractResources} from '../model/index.js';
-import {type ObservationView} from '../observation/index.js';
+import {createDurationPredictor, type ObservationView} from '../observation/index.js';
 import {getUsedResources, type SupervisionView} from '../supervision/index.js';
 import {applyAdvice} from './apply-advice.js';
 import {chooseEndpoint, reserveCandidate, type Candidate} from './choose-endpoint.js';
@@ -91,7 +91,7 @@
 
 	const outputs: JobOutput[] = [emitCount('placement_searches_total')];
 	let unplacedStepCount = 0;
-	for (const {job} of orderJobs(waiting, queue => state.observation.estimateFactors.get(queue) ?? 1, sumCapacityMillis(candidates), context.now)) {
+	for (const {job} of orderJobs(waiting, queue => createDurationPredictor(state, queue), sumCapacityMillis(candidates), context.now)) {
 		if (job.isAwaitingSurvey) {
 			continue;
 		}
@@ -116,8 +116,8 @@
 }
 
 /** Ranks a job by the durations measured so far. @internal */
-export function rankByMeasuredDurations({observation}: ObservationView, job: Job, now: number): RankedJob {
-	return rankJob(job, observation.estimateFactors.get(job.record.queue) ?? 1, now);
+export function rankByMeasuredDurations(state: ObservationView, job: Job, now: number): RankedJob {
+	return rankJob(job, createDurationPredictor(state, job.record.queue), now);
 }
 
 function hasPendingTasks(steps: Iterable<Step>): boolean {
