--- a/packages/jobs/src/model/resources.ts
+++ b/packages/jobs/src/model/resources.ts
@@ -6,6 +6,11 @@
 	readonly gpus: number;
 };
 
+/** Adds component by component. @public */
+export function addResources(left: Resources, right: Resources): Resources {
+	return {cpuMillis: left.cpuMillis + right.cpuMillis, memoryMb: left.memoryMb + right.memoryMb, gpus: left.gpus + right.gpus};
+}
+
 /** Subtracts component by component; a component is negative when more is taken than there is. @public */
 export function subtractResources(left: Resources, right: Resources): Resources {
 	return {cpuMillis: left.cpuMillis - right.cpuMillis, memoryMb: left.memoryMb - right.memoryMb, gpus: left.gpus - right.gpus};
--- a/packages/jobs/src/observation/index.ts
+++ b/packages/jobs/src/observation/index.ts
@@ -1,4 +1,3 @@
+export {getJobEstimate, type JobEstimate} from './estimate-job.js';
 export {observationFilter} from './observation-filter.js';
-export {
-	createDurationPredictor, createObservationState, type ObservationState, type ObservationView,
-} from './observation-state.js';
+export {createObservationState, type ObservationState, type ObservationView} from './observation-state.js';
--- a/packages/jobs/src/observation/observation-state.ts
+++ b/packages/jobs/src/observation/observation-state.ts
@@ -1,6 +1,7 @@
-import {type Step} from '../ledger/index.js';
+import {type Job, type Step} from '../ledger/index.js';
 import {type StepSpec} from '../model/index.js';
 import {predictDurationMs, type DurationModel} from './duration-model.js';
+import {type CachedEstimate} from './estimate-job.js';
 
 /** Health of an endpoint, as observed from its runs. @public */
 export type EndpointHealth = {
@@ -19,6 +20,8 @@
 	readonly durationModels: Map<string, DurationModel>;
 	/** Durations of tasks of the same step, in ms: tasks of a step differ less from each other than from those of other jobs. */
 	readonly stepDurations: WeakMap<Step, number>;
+	/** Cache of `getJobEstimate`. */
+	readonly jobEstimates: WeakMap<Job, CachedEstimate>;
 	/** Endpoint on which each task last failed, stalled or was slow, by task. */
 	readonly lastFailedEndpoints: Map<string, string>;
 };
@@ -29,6 +32,7 @@
 		readonly endpoints: ReadonlyMap<string, Readonly<EndpointHealth>>;
 		readonly durationModels: ReadonlyMap<string, Readonly<DurationModel>>;
 		readonly stepDurations: Pick<WeakMap<Step, number>, 'get'>;
+		readonly jobEstimates: WeakMap<Job, CachedEstimate>;
 		readonly lastFailedEndpoints: ReadonlyMap<string, string>;
 	};
 };
@@ -36,7 +40,7 @@
 /** @public */
 export function createObservationState(): ObservationState {
 	return {
-		endpoints: new Map(), durationModels: new Map(), stepDurations: new WeakMap(), lastFailedEndpoints: new Map(),
+		endpoints: new Map(), durationModels: new Map(), stepDurations: new WeakMap(), jobEstimates: new WeakMap(), lastFailedEndpoints: new Map(),
 	};
 }
 
--- a/packages/jobs/src/placement/choose-endpoint.ts
+++ b/packages/jobs/src/placement/choose-endpoint.ts
@@ -27,14 +27,14 @@
 /**
 Chooses the endpoint on which a task will run.
 
+@param counts - Runs of the task's step by endpoint.
 @param avoid - Endpoint on which the task failed last; chosen only if there is no other.
 @returns Undefined if no endpoint has the resources.
 @internal
 */
-export function chooseEndpoint(candidates: readonly Candidate[], task: Task, avoid: string | undefined): Candidate | undefined {
+export function chooseEndpoint(candidates: readonly Candidate[], task: Task, counts: ReadonlyMap<string, number>, avoid: string | undefined): Candidate | undefined {
 	const {step} = task;
 	const taken = getTakenResources(step);
-	const counts = countRunsByEndpoint(step);
 	let best: Candidate | undefined;
 	let bestCost = Number.POSITIVE_INFINITY;
 	for (const candidate of candidates) {
@@ -92,13 +92,19 @@
 	return rackCost + slowCost + freeShare;
 }
 
-function countRunsByEndpoint(step: Step): Map<string, number> {
+/** Counts the runs of a step by endpoint. @internal */
+export function countRunsByEndpoint(step: Step): Map<string, number> {
 	const counts = new Map<string, number>();
 	for (const task of step.tasks) {
 		for (const endpointId of task.runs.values()) {
-			counts.set(endpointId, (counts.get(endpointId) ?? 0) + 1);
+			addCount(counts, endpointId);
 		}
 	}
 
 	return counts;
 }
+
+/** Counts another run on an endpoint. @internal */
+export function addCount(counts: Map<string, number>, endpointId: string): void {
+	counts.set(endpointId, (counts.get(endpointId) ?? 0) + 1);
+}
--- a/packages/jobs/src/placement/order-jobs.test.ts
+++ b/packages/jobs/src/placement/order-jobs.test.ts
@@ -1,9 +1,10 @@
 import {describe, expect, it} from 'vitest';
 import {createTestJob} from '../testing.test-support.js';
-import {orderJobs, rankJob, type DurationPredictor} from './order-jobs.js';
+import {type Job} from '../ledger/index.js';
+import {estimateJob} from '../observation/estimate-job.js';
+import {orderJobs, rankJob} from './order-jobs.js';
 
-const predictEstimate: DurationPredictor = spec => spec.estimateMs;
-const createPredictor = () => predictEstimate;
+const getEstimate = (job: Job) => estimateJob(job, spec => spec.estimateMs);
 
 /** Simulates a pool that runs one job at a time in the given order, and counts the jobs that finish within their objective. */
 function countTimely(order: ReadonlyArray<{readonly dueInMs: number; readonly remainingWork: number}>, capacityMillis: number): number {
@@ -26,8 +27,8 @@
 	])('serves more in time than least slack first: $name', ({counts}) => {
 		const capacityMillis = 16_000;
 		const jobs = counts.map((count, index) => createTestJob(`job-${index}`, [{count}]));
-		const leastSlack = jobs.map(job => rankJob(job, predictEstimate, 0)).sort((left, right) => left.slackMs - right.slackMs || right.remainingWork - left.remainingWork);
-		const ordered = orderJobs(jobs, createPredictor, capacityMillis, 0);
+		const leastSlack = jobs.map(job => rankJob(job, getEstimate(job), 0)).sort((left, right) => left.slackMs - right.slackMs || right.remainingWork - left.remainingWork);
+		const ordered = orderJobs(jobs, getEstimate, capacityMillis, 0);
 		expect(countTimely(ordered, capacityMillis)).toBeGreaterThanOrEqual(countTimely(leastSlack, capacityMillis));
 		const timely = ordered.filter(({objectiveStatus}) => objectiveStatus === 'timely');
 		expect(countTimely(timely, capacityMillis)).toBe(timely.length);
@@ -35,7 +36,7 @@
 
 	it('displaces no job while there is capacity for all', () => {
 		const jobs = [1, 2, 3].map(count => createTestJob(`job-${count}`, [{count}]));
-		expect(orderJobs(jobs, createPredictor, 16_000, 0).map(({objectiveStatus}) => objectiveStatus)).toEqual(['timely', 'timely', 'timely']);
+		expect(orderJobs(jobs, getEstimate, 16_000, 0).map(({objectiveStatus}) => objectiveStatus)).toEqual(['timely', 'timely', 'timely']);
 	});
 
 	// Load pattern: short jobs arrive beside long-running ones. Hopeless jobs must not take resources from jobs that can finish in time.
@@ -59,6 +60,7 @@
 			name: 'a chain with slack', steps: [{estimateMs: 1000}, {estimateMs: 1000, after: [0]}], now: 1500, objectiveStatus: 'timely',
 		},
 	] as const)('$name is $objectiveStatus', ({steps, now, objectiveStatus}) => {
-		expect(rankJob(createTestJob('job', steps), predictEstimate, now).objectiveStatus).toBe(objectiveStatus);
+		const job = createTestJob('job', steps);
+		expect(rankJob(job, getEstimate(job), now).objectiveStatus).toBe(objectiveStatus);
 	});
 });
--- a/packages/jobs/src/placement/order-jobs.ts
+++ b/packages/jobs/src/placement/order-jobs.ts
@@ -1,5 +1,5 @@
 import {isStepReady, type Job, type Step} from '../ledger/index.js';
-import {type StepSpec} from '../model/index.js';
+import {type JobEstimate} from '../observation/index.js';
 
 /**
 Status of a job with respect to its latency objective, in scheduling order.
@@ -20,8 +20,6 @@
 
 /** Multiple of the objective up to which a late job is worth something. */
 const lateFactor = 3;
-/** Average share of a task's work that remains while it runs. */
-const runningWorkShare = 0.5;
 
 /** @internal */
 export type RankedJob = {
@@ -41,9 +39,6 @@
 	readonly initialSlackMs: number;
 };
 
-/** Predicts the duration in ms of a step's tasks; the step itself is missing before its occurrence is due. @internal */
-export type DurationPredictor = (spec: StepSpec, step: Step | undefined) => number;
-
 /**
 Orders jobs for placement: by status, then priority, then least slack.
 
@@ -52,8 +47,8 @@
 @param capacityMillis - Thousandths of a core that the pool has.
 @internal
 */
-export function orderJobs(jobs: Iterable<Job>, createPredictor: (queue: string) => DurationPredictor, capacityMillis: number, now: number): RankedJob[] {
-	const ranked = [...jobs].map(job => rankJob(job, createPredictor(job.record.queue), now));
+export function orderJobs(jobs: Iterable<Job>, getEstimate: (job: Job) => JobEstimate, capacityMillis: number, now: number): RankedJob[] {
+	const ranked = [...jobs].map(job => rankJob(job, getEstimate(job), now));
 	displaceJobs(ranked.filter(({objectiveStatus}) => objectiveStatus === 'timely'), capacityMillis);
 	return ranked.sort((left, right) => objectiveStatusOrder[left.objectiveStatus] - objectiveStatusOrder[right.objectiveStatus]
 		|| left.job.record.priority - right.job.record.priority
@@ -92,7 +87,7 @@
 }
 
 /** Ranks a single job by itself. @internal */
-export function rankJob(job: Job, predict: DurationPredictor, now: number): RankedJob {
+export function rankJob(job: Job, estimate: JobEstimate, now: number): RankedJob {
 	const {record} = job;
 	if (record.spec.steps.some(step => step.isLongRunning)) {
 		return {
@@ -102,15 +97,14 @@
 
 	// Each occurrence is due at a time of its own, so a recurring job counts from the time at which the latest of its open tasks became ready.
 	const ageMs = now - (record.spec.repeatCount === 0 ? job.acceptedAt : findLatestDue(job));
-	const criticalPathMs = computeCriticalPathMs(job, predict, () => false);
-	const remainingCriticalPathMs = computeCriticalPathMs(job, predict, step => step.doneCount === step.tasks.length);
+	const {criticalPathMs, remainingCriticalPathMs, remainingWork, totalWork} = estimate;
 	const objectiveMs = (record.stretch * criticalPathMs) + record.latencyTargetMs;
 	const common = {
 		job,
 		dueInMs: objectiveMs - ageMs,
 		remainingCriticalPathMs,
-		remainingWork: computeRemainingWork(job, predict),
-		totalWork: computeTotalWork(job, predict),
+		remainingWork,
+		totalWork,
 		initialSlackMs: objectiveMs - criticalPathMs,
 	};
 	const slackMs = common.dueInMs - remainingCriticalPathMs;
@@ -122,24 +116,6 @@
 	return {...common, objectiveStatus: lateSlackMs >= 0 ? 'late' : 'hopeless', slackMs: lateSlackMs};
 }
 
-function computeTotalWork(job: Job, predict: DurationPredictor): number {
-	return job.record.spec.steps.reduce((sum, spec, index) => sum + (spec.count * spec.room.cpuMillis * predict(spec, findLatestStep(job, index))), 0);
-}
-
-function computeRemainingWork(job: Job, predict: DurationPredictor): number {
-	let work = 0;
-	for (const step of job.steps.values()) {
-		const taskWork = step.spec.room.cpuMillis * predict(step.spec, step);
-		for (const task of step.tasks) {
-			if (!task.isDone) {
-				work += taskWork * (task.runs.size > 0 ? runningWorkShare : 1);
-			}
-		}
-	}
-
-	return work;
-}
-
 function findLatestDue(job: Job): number {
 	let latest = job.firstSeenAt;
 	for (const step of job.steps.values()) {
@@ -153,24 +129,6 @@
 	return latest;
 }
 
-/** Finds a step of the job's latest occurrence. */
-function findLatestStep(job: Job, index: number): Step | undefined {
-	return job.steps.get(`${Math.max(0, job.createdOccurrences - 1)}.${index}`);
-}
-
-/** Predicted duration of the critical path through the steps of the job's latest occurrence, without those that are done. */
-function computeCriticalPathMs(job: Job, predict: DurationPredictor, isDone: (step: Step) => boolean): number {
-	const {steps} = job.record.spec;
-	const ends: number[] = [];
-	for (const [index, spec] of steps.entries()) {
-		const before = Math.max(0, ...spec.after.map(number => ends[number] ?? 0));
-		const step = findLatestStep(job, index);
-		ends.push(before + (step !== undefined && isDone(step) ? 0 : predict(spec, step)));
-	}
-
-	return Math.max(0, ...ends);
-}
-
 /** Lists the unfinished steps of a job whose dependencies are done. @internal */
 export function listReadySteps(job: Job): Step[] {
 	return [...job.steps.values()].filter(step => step.doneCount < step.tasks.length && isStepReady(step));
--- a/packages/jobs/src/placement/placement-filter.ts
+++ b/packages/jobs/src/placement/placement-filter.ts
@@ -9,10 +9,12 @@
 	type Job, type LedgerView, type PoolLedger, type Step, type Task,
 } from '../ledger/index.js';
 import {subtractResources} from '../model/index.js';
-import {createDurationPredictor, type ObservationView} from '../observation/index.js';
-import {getUsedResources, type SupervisionView} from '../supervision/index.js';
+import {getJobEstimate, type ObservationView} from '../observation/index.js';
+import {type SupervisionView} from '../supervision/index.js';
 import {applyAdvice} from './apply-advice.js';
-import {chooseEndpoint, reserveCandidate, type Candidate} from './choose-endpoint.js';
+import {
+	addCount, chooseEndpoint, countRunsByEndpoint, reserveCandidate, type Candidate,
+} from './choose-endpoint.js';
 import {
 	listReadySteps, orderJobs, rankJob, type RankedJob,
 } from './order-jobs.js';
@@ -91,7 +93,7 @@
 
 	const outputs: JobOutput[] = [emitCount('placement_searches_total')];
 	let unplacedStepCount = 0;
-	for (const {job} of orderJobs(waiting, queue => createDurationPredictor(state, queue), sumCapacityMillis(candidates), context.now)) {
+	for (const {job} of orderJobs(waiting, job => getJobEstimate(state, job, context.now), sumCapacityMillis(candidates), context.now)) {
 		if (job.isAwaitingSurvey) {
 			continue;
 		}
@@ -117,7 +119,7 @@
 
 /** Ranks a job by the durations measured so far. @internal */
 export function rankByMeasuredDurations(state: ObservationView, job: Job, now: number): RankedJob {
-	return rankJob(job, createDurationPredictor(state, job.record.queue), now);
+	return rankJob(job, getJobEstimate(state, job, now), now);
 }
 
 function hasPendingTasks(steps: Iterable<Step>): boolean {
@@ -149,12 +151,12 @@
 			continue;
 		}
 
-		const runs = [...supervised.runs.values()];
+		const {resources, fillerCount, servingCount} = supervised.usage;
 		const candidate: Candidate = {
 			endpoint,
-			free: subtractResources(endpoint.capacity, getUsedResources(supervised)),
-			fillerCount: runs.filter(run => run.isFiller).length,
-			servingCount: runs.filter(run => run.isLongRunning && !run.isFiller).length,
+			free: subtractResources(endpoint.capacity, resources),
+			fillerCount,
+			servingCount,
 			slowness: health?.slowness ?? 1,
 		};
 		for (const step of placement.reservedSteps.get(supervised.id)?.values() ?? []) {
@@ -177,16 +179,18 @@
 	}
 
 	const run = step.job.lastRun + 1;
+	const counts = countRunsByEndpoint(step);
 	for (const task of step.tasks) {
 		if (!isPending(task)) {
 			continue;
 		}
 
-		const chosen = chooseEndpoint(advised.candidates, task, state.observation.lastFailedEndpoints.get(task.id));
+		const chosen = chooseEndpoint(advised.candidates, task, counts, state.observation.lastFailedEndpoints.get(task.id));
 		if (chosen === undefined) {
 			return {outputs: placed, isIncomplete: true};
 		}
 
+		addCount(counts, chosen.endpoint.id);
 		placed.push(...placeTask(state, {
 			task, run, chosen, ticket: advised.tickets?.get(chosen.endpoint.id),
 		}));
@@ -212,12 +216,14 @@
 		// All members resume from the same checkpoint; that of any member is valid for the whole gang.
 		const checkpoint = step.tasks.map(task => task.checkpoint).sort().at(-1) ?? '';
 		const placed: JobOutput[] = [];
+		const counts = countRunsByEndpoint(step);
 		for (const task of step.tasks) {
-			const chosen = chooseEndpoint(group, task, undefined);
+			const chosen = chooseEndpoint(group, task, counts, undefined);
 			if (chosen === undefined) {
 				break;
 			}
 
+			addCount(counts, chosen.endpoint.id);
 			placed.push(...placeTask(state, {
 				task, run, chosen, ticket: advised.tickets?.get(chosen.endpoint.id), checkpoint,
 			}));
--- a/packages/jobs/src/reporting/estimate-arrivals.test.ts
+++ b/packages/jobs/src/reporting/estimate-arrivals.test.ts
@@ -17,6 +17,10 @@
 	{
 		name: 'the first 300 ms of a burst', arrivals: listArrivals({work: 10_000_000, gapMs: 50, spanMs: 300}), least: 100_000, most: 200_000,
 	},
+	{
+		// Load pattern: a rate that rises from nothing to 80 jobs a second within a second. Machines that are ordered for the mean of the last second come when twice as many are needed.
+		name: 'a rate that is still rising', arrivals: Array.from({length: 40}, (_, index) => ({work: 10_000_000, ageMs: 1000 * (1 - Math.sqrt((index + 1) / 40)), initialSlackMs: 1200})), least: 800_000, most: 1_200_000,
+	},
 	{
 		name: 'many jobs that can wait for a machine', arrivals: listArrivals({
 			work: 10_000_000, gapMs: 50, spanMs: 2000, initialSlackMs: 3000,
--- a/packages/jobs/src/supervision/apply-poll-answer.ts
+++ b/packages/jobs/src/supervision/apply-poll-answer.ts
@@ -8,7 +8,7 @@
 } from '../model/index.js';
 import {getOrderTarget} from './poll-endpoint.js';
 import {
-	createRun, type Run, type SupervisedEndpoint, type SupervisedPool, type SupervisionState,
+	addRun, createRun, removeRun, type Run, type SupervisedEndpoint, type SupervisedPool, type SupervisionState,
 } from './supervision-state.js';
 
 /**
@@ -65,7 +65,7 @@
 
 /** Drops a run once it is certain that it is not running. @internal */
 export function dropRun(endpoint: SupervisedEndpoint, run: Run, reason: RunDropReason): JobOutput[] {
-	endpoint.runs.delete(run.taskId);
+	removeRun(endpoint, run.taskId);
 	return [
 		emitLog(reason === 'not-started' ? 'debug' : 'info', 'run confirmed not running', {
 			task: run.taskId, run: run.run, endpoint: endpoint.id, reason, phase: run.phase, percent: run.percent, token: endpoint.token,
@@ -104,7 +104,7 @@
 		const run = endpoint.runs.get(end.taskId);
 		const wasExpected = run?.run === end.run;
 		if (wasExpected) {
-			endpoint.runs.delete(end.taskId);
+			removeRun(endpoint, end.taskId);
 		}
 
 		outputs.push(passEvent({
@@ -170,7 +170,7 @@
 
 function adoptRun(endpoint: SupervisedEndpoint, task: Task, report: ReportedRun, context: DecisionContext): JobOutput[] {
 	const {spec} = task.step;
-	endpoint.runs.set(report.taskId, createRun(spec, report, {
+	addRun(endpoint, createRun(spec, report, {
 		phase: 'running', startedAt: context.now, startedClockMs: endpoint.clockMs, confirmedClockMs: endpoint.clockMs, percent: report.percent, checkpoint: report.checkpoint, load: report.load,
 	}));
 	return [
--- a/packages/jobs/src/supervision/start-task.ts
+++ b/packages/jobs/src/supervision/start-task.ts
@@ -4,7 +4,7 @@
 import {type JobEventOf} from '../model/index.js';
 import {getOrderTarget} from './poll-endpoint.js';
 import {estimateClock, startValidityMs} from './lease-clock.js';
-import {createRun, type SupervisionState} from './supervision-state.js';
+import {addRun, createRun, type SupervisionState} from './supervision-state.js';
 
 type State = {readonly supervision: SupervisionState} & LedgerView;
 
@@ -25,7 +25,7 @@
 	const {spec, job} = task.step;
 	const deadlineMs = clock + startValidityMs;
 	endpoint.leaseDeadlineMs = Math.max(endpoint.leaseDeadlineMs, deadlineMs);
-	endpoint.runs.set(taskId, createRun(spec, {taskId, run}, {
+	addRun(endpoint, createRun(spec, {taskId, run}, {
 		phase: 'starting', startedAt: context.now, startedClockMs: clock, startDeadlineMs: deadlineMs, checkpoint,
 	}));
 	return [
@@ -46,7 +46,7 @@
 		return [];
 	}
 
-	endpoint.runs.set(taskId, createRun(task.step.spec, {taskId, run}, {phase: 'unconfirmed', isSuspected: true, startedAt: context.now}));
+	addRun(endpoint, createRun(task.step.spec, {taskId, run}, {phase: 'unconfirmed', isSuspected: true, startedAt: context.now}));
 	return [
 		emitLog('info', 'run may still be running on silent endpoint', {
 			task: taskId, run, endpoint: endpointId, token: endpoint.token,
--- a/packages/jobs/src/supervision/supervision-filter.ts
+++ b/packages/jobs/src/supervision/supervision-filter.ts
@@ -9,7 +9,7 @@
 import {handleRefusal, handleStartRefusal} from './handle-refusals.js';
 import {addSuspectedRun, startTask} from './start-task.js';
 import {
-	findEndpoint, type SupervisedEndpoint, type SupervisedPool, type SupervisionState,
+	findEndpoint, noUsage, type SupervisedEndpoint, type SupervisedPool, type SupervisionState,
 } from './supervision-state.js';
 
 /** Delay before the next poll of an endpoint that did not answer or refused the last one. */
@@ -159,6 +159,7 @@
 		isPollPending: false,
 		nextPollAt: context.now,
 		runs: new Map(),
+		usage: noUsage,
 		startsPausedUntil: 0,
 		areRunsKnown: false,
 		reportedRunCount: undefined,
--- a/packages/jobs/src/supervision/supervision-state.ts
+++ b/packages/jobs/src/supervision/supervision-state.ts
@@ -1,4 +1,6 @@
-import {type Resources, type RunId, type StepSpec} from '../model/index.js';
+import {
+	addResources, subtractResources, type Resources, type RunId, type StepSpec,
+} from '../model/index.js';
 
 /** @public */
 export type RunPhase =
@@ -49,6 +51,14 @@
 	/** Its lease has expired, so that nothing can be running there. */
 	| 'expired';
 
+/** What the runs of an endpoint occupy. Filler tasks occupy memory and GPUs only, as they use the CPU time that others leave. @public */
+export type EndpointUsage = {
+	readonly resources: Resources;
+	readonly fillerCount: number;
+	/** Number of long-running runs that are not fillers. */
+	readonly servingCount: number;
+};
+
 /** What this entry knows about an endpoint of a pool that it owns. @public */
 export type SupervisedEndpoint = {
 	readonly id: string;
@@ -74,7 +84,10 @@
 	readonly unsavedEnds: Set<number>;
 	isPollPending: boolean;
 	nextPollAt: number;
+	/** By task id. Changed by `addRun` and `removeRun` only. */
 	readonly runs: Map<string, Run>;
+	/** What the runs occupy. */
+	usage: EndpointUsage;
 	/** Monotonic ms before which no task is placed there. */
 	startsPausedUntil: number;
 	/** Whether its runs are known: it has answered under the current token, or the previous owner recorded them. */
@@ -145,16 +158,37 @@
 	};
 }
 
-/** Sums the resources used by the endpoint's runs. Filler tasks count with memory and GPUs only. @public */
-export function getUsedResources(endpoint: Readonly<SupervisedEndpoint>): Resources {
-	let cpuMillis = 0;
-	let memoryMb = 0;
-	let gpus = 0;
-	for (const run of endpoint.runs.values()) {
-		cpuMillis += run.isFiller ? 0 : run.resources.cpuMillis;
-		memoryMb += run.resources.memoryMb;
-		gpus += run.resources.gpus;
+/** Usage of an endpoint without runs. @internal */
+export const noUsage: EndpointUsage = {resources: {cpuMillis: 0, memoryMb: 0, gpus: 0}, fillerCount: 0, servingCount: 0};
+
+/** Adds a run to its endpoint; it replaces another run of the same task. @internal */
+export function addRun(endpoint: SupervisedEndpoint, run: Run): void {
+	removeRun(endpoint, run.taskId);
+	endpoint.runs.set(run.taskId, run);
+	endpoint.usage = addUsage(endpoint.usage, run);
+}
+
+/** Removes the run of a task from its endpoint, if there is one. @internal */
+export function removeRun(endpoint: SupervisedEndpoint, taskId: string): void {
+	const run = endpoint.runs.get(taskId);
+	if (run === undefined) {
+		return;
 	}
 
-	return {cpuMillis, memoryMb, gpus};
+	endpoint.runs.delete(taskId);
+	const {resources, fillerCount, servingCount} = addUsage(noUsage, run);
+	endpoint.usage = {
+		resources: subtractResources(endpoint.usage.resources, resources),
+		fillerCount: endpoint.usage.fillerCount - fillerCount,
+		servingCount: endpoint.usage.servingCount - servingCount,
+	};
+}
+
+/** Adds what a run occupies. @internal */
+export function addUsage({resources, fillerCount, servingCount}: EndpointUsage, run: Readonly<Run>): EndpointUsage {
+	return {
+		resources: addResources(resources, run.isFiller ? {...run.resources, cpuMillis: 0} : run.resources),
+		fillerCount: fillerCount + (run.isFiller ? 1 : 0),
+		servingCount: servingCount + (run.isLongRunning && !run.isFiller ? 1 : 0),
+	};
 }
--- a/packages/jobs/src/testing.test-support.ts
+++ b/packages/jobs/src/testing.test-support.ts
@@ -3,7 +3,9 @@
 import {createJobsState, type JobsState} from './jobs-state.js';
 import {restoreJob} from './ledger/restore-job.js';
 import {type Job} from './ledger/index.js';
-import {createRun, type Run, type SupervisedEndpoint} from './supervision/supervision-state.js';
+import {
+	addUsage, createRun, noUsage, type Run, type SupervisedEndpoint,
+} from './supervision/supervision-state.js';
 import {
 	type Endpoint, type JobEffect, type JobEvent, type JobRecord, type Machine, type PoolReport, type Roster, type StepSpec, type StoredJob,
 } from './model/index.js';
@@ -96,6 +98,7 @@
 		isPollPending: false,
 		nextPollAt: 0,
 		runs: new Map(),
+		usage: [...traits.runs?.values() ?? []].reduce((usage, run) => addUsage(usage, run), noUsage),
 		startsPausedUntil: 0,
 		areRunsKnown: true,
 		reportedRunCount: undefined,
