Size pools by memory where it runs short before CPU

Cause: reports counted CPU only. Change: used, waiting, needed and arriving amounts are the CPU that goes with the memory where that is more. Test: one case of reporting-filter that failed before.

--- a/packages/jobs/src/model/coordination.ts
+++ b/packages/jobs/src/model/coordination.ts
@@ -25,6 +25,7 @@
 /** Load and demand of a pool, published by its owner several times a second. @public */
 export type PoolReport = {
 	readonly pool: string;
+	// Where the pool runs short of memory first, the amounts below are the CPU of the endpoints that have the memory.
 	/** Number of accepted jobs without a started task, by queue. */
 	readonly waiting: Readonly<Record<string, number>>;
 	/** Thousandths of a core requested by tasks that are ready but not running. */
--- a/packages/jobs/src/reporting/reporting-filter.test.ts
+++ b/packages/jobs/src/reporting/reporting-filter.test.ts
@@ -62,6 +62,10 @@
 	{
 		name: 'resources of long-running tasks count as needed', steps: [long], endpoints: {a: []}, expected: {neededMillis: 5000, backlogMillis: 5000},
 	},
+	{
+		// Load pattern: tasks that fill the memory of their endpoints while CPU is left. An endpoint has 16 cores and 64,000 MB.
+		name: 'a pool whose memory is used up first needs the CPU that goes with it', steps: [{...long, room: {cpuMillis: 1000, memoryMb: 12_000, gpus: 0}}], endpoints: {a: []}, expected: {neededMillis: 15_000, backlogMillis: 15_000},
+	},
 	{
 		name: 'long-running tasks need as many endpoints as their limit per endpoint requires', steps: [long], endpoints: {a: []}, expected: {endpointMinimum: 3},
 	},
--- a/packages/jobs/src/reporting/reporting-filter.ts
+++ b/packages/jobs/src/reporting/reporting-filter.ts
@@ -19,7 +19,7 @@
 };
 
 /** Work of a job as it arrived. */
-type RecentArrival = Omit<Arrival, 'ageMs'> & {readonly at: number};
+type RecentArrival = Omit<Arrival, 'ageMs'> & {readonly at: number; readonly memoryMbPerMilli: number};
 
 /** @public */
 export function createReportingState(): ReportingState {
@@ -70,22 +70,31 @@
 	return [emitEffect({kind: 'publish-report', token: pool.token, report})];
 }
 
+/** An amount of CPU and memory; memory may be what a pool runs short of first. */
+type Load = {readonly cpuMillis: number; readonly memoryMb: number};
+
 /** Contribution of one job to a report. */
 type JobLoad = {
-	readonly usedMillis: number;
-	readonly backlogMillis: number;
-	readonly servingMillis: number;
+	readonly used: Load;
+	readonly backlog: Load;
+	readonly serving: Load;
 	readonly endpointMinimum: number;
 	readonly hasWork: boolean;
 };
 
+const noLoad: Load = {cpuMillis: 0, memoryMb: 0};
+
+function addLoad(left: Load, right: Load, factor = 1): Load {
+	return {cpuMillis: left.cpuMillis + (right.cpuMillis * factor), memoryMb: left.memoryMb + (right.memoryMb * factor)};
+}
+
 function createReport(state: State, pool: Readonly<PoolLedger>, now: number): PoolReport {
 	const waiting: Record<string, number> = {};
 	const busy = new Set<string>();
-	let backlogMillis = 0;
-	let usedMillis = 0;
+	let backlog = noLoad;
+	let used = noLoad;
 	let hasWork = false;
-	let neededMillis = 0;
+	let needed = noLoad;
 	let endpointMinimum = 0;
 	const arrivals = getRecentArrivals(state.reporting, pool.pool, now);
 	for (const job of pool.activeJobs) {
@@ -94,29 +103,37 @@
 		}
 
 		const load = measureLoad(job, busy);
-		usedMillis += load.usedMillis;
+		used = addLoad(used, load.used);
 		hasWork ||= load.hasWork;
 		// No machines are requested for jobs that are too late to be of use; they run on the capacity that there is.
 		const rank = rankByMeasuredDurations(state, job, now);
 		const {objectiveStatus} = rank;
-		neededMillis += load.servingMillis + computeNeededMillis(rank);
+		const memoryMbPerMilli = computeMemoryPerMilli(job);
+		const neededMillis = computeNeededMillis(rank);
+		needed = addLoad(addLoad(needed, load.serving), {cpuMillis: neededMillis, memoryMb: neededMillis * memoryMbPerMilli});
 		endpointMinimum = Math.max(endpointMinimum, load.endpointMinimum);
-		backlogMillis += objectiveStatus === 'hopeless' ? 0 : load.backlogMillis;
+		backlog = objectiveStatus === 'hopeless' ? backlog : addLoad(backlog, load.backlog);
 		// The age counts from acceptance, as all jobs are new to this entry after a takeover.
 		if (now < job.acceptedAt + arrivalWindowMs && !arrivals.has(job.record.id)) {
-			arrivals.set(job.record.id, {work: rank.totalWork, at: job.acceptedAt, initialSlackMs: rank.initialSlackMs});
+			arrivals.set(job.record.id, {
+				work: rank.totalWork, memoryMbPerMilli, at: job.acceptedAt, initialSlackMs: rank.initialSlackMs,
+			});
 		}
 	}
 
 	const usable = listUsableEndpoints(state, pool, now);
+	const millisPerMb = computeMillisPerMb(state, usable);
+	const toMillis = ({cpuMillis, memoryMb}: Load) => Math.round(Math.max(cpuMillis, memoryMb * millisPerMb));
+	const estimateArriving = (getFactor: (arrival: RecentArrival) => number) => estimateArrivingMillis([...arrivals.values()].map(arrival => ({work: arrival.work * getFactor(arrival), ageMs: now - arrival.at, initialSlackMs: arrival.initialSlackMs})));
+	const usedMillis = toMillis(used);
 	return {
 		pool: pool.pool,
 		waiting,
 		hasWork,
-		backlogMillis,
+		backlogMillis: toMillis(addLoad(used, backlog)) - usedMillis,
 		usedMillis,
-		neededMillis: Math.round(neededMillis),
-		arrivingMillis: Math.round(estimateArrivingMillis([...arrivals.values()].map(({at, ...arrival}) => ({...arrival, ageMs: now - at})))),
+		neededMillis: toMillis(needed),
+		arrivingMillis: Math.round(Math.max(estimateArriving(() => 1), estimateArriving(({memoryMbPerMilli}) => memoryMbPerMilli * millisPerMb))),
 		endpointMinimum,
 		usableEndpoints: usable,
 		idleEndpoints: usable.filter(id => !busy.has(id)),
@@ -125,6 +142,31 @@
 	};
 }
 
+/** Memory that the tasks of a job take for each thousandth of a core. */
+function computeMemoryPerMilli({record: {spec}}: Job): number {
+	let cpuMillis = 0;
+	let memoryMb = 0;
+	for (const {count, room, isFiller} of spec.steps) {
+		cpuMillis += isFiller ? 0 : count * room.cpuMillis;
+		memoryMb += isFiller ? 0 : count * room.memoryMb;
+	}
+
+	return cpuMillis === 0 ? 0 : memoryMb / cpuMillis;
+}
+
+/** Thousandths of a core that the pool's endpoints have for each MB of memory. */
+function computeMillisPerMb({directory}: State, usable: readonly string[]): number {
+	let cpuMillis = 0;
+	let memoryMb = 0;
+	for (const id of usable) {
+		const capacity = directory.endpoints.get(id)?.capacity;
+		cpuMillis += capacity?.cpuMillis ?? 0;
+		memoryMb += capacity?.memoryMb ?? 0;
+	}
+
+	return memoryMb === 0 ? 0 : cpuMillis / memoryMb;
+}
+
 /** Returns the arrivals of a pool that are recent enough to be measured. */
 function getRecentArrivals({arrivals}: ReportingState, pool: string, now: number): Map<string, RecentArrival> {
 	const recent = arrivals.get(pool) ?? new Map<string, RecentArrival>();
@@ -166,35 +208,38 @@
 	return remainingWork / Math.max(1, remainingCriticalPathMs, leftMs * usableTimeShare);
 }
 
-/** Measures the load of a job, and adds the endpoints that run its tasks to `busy`. */
+/** Measures the load of a job, and adds the endpoints that run its tasks to `busy`. Filler tasks are no load, as they use what others leave. */
 function measureLoad(job: Job, busy: Set<string>): JobLoad {
-	let usedMillis = 0;
-	let backlogMillis = 0;
-	let servingMillis = 0;
+	let used = noLoad;
+	let backlog = noLoad;
+	let serving = noLoad;
 	let endpointMinimum = 0;
 	let hasWork = false;
 	for (const step of job.steps.values()) {
 		const isReady = isStepReady(step);
-		const cpuMillis = step.spec.isFiller ? 0 : step.spec.room.cpuMillis;
-		hasWork ||= !step.spec.isLongRunning;
-		if (step.spec.isLongRunning) {
-			servingMillis += cpuMillis * step.tasks.length;
-			endpointMinimum = Math.max(endpointMinimum, Math.ceil(step.tasks.length / (step.spec.endpointLimit ?? step.tasks.length)));
-		}
-
-		for (const task of step.tasks) {
+		const {spec, tasks} = step;
+		hasWork ||= !spec.isLongRunning;
+		let runCount = 0;
+		let waitingCount = 0;
+		for (const task of tasks) {
 			for (const endpointId of task.runs.values()) {
 				busy.add(endpointId);
-				usedMillis += cpuMillis;
+				runCount += 1;
 			}
 
-			if (isReady && !task.isDone && task.runs.size === 0) {
-				backlogMillis += cpuMillis;
-			}
+			waitingCount += isReady && !task.isDone && task.runs.size === 0 ? 1 : 0;
+		}
+
+		const load = spec.isFiller ? noLoad : spec.room;
+		used = addLoad(used, load, runCount);
+		backlog = addLoad(backlog, load, waitingCount);
+		if (spec.isLongRunning) {
+			serving = addLoad(serving, load, tasks.length);
+			endpointMinimum = Math.max(endpointMinimum, Math.ceil(tasks.length / (spec.endpointLimit ?? tasks.length)));
 		}
 	}
 
 	return {
-		usedMillis, backlogMillis, servingMillis, endpointMinimum, hasWork,
+		used, backlog, serving, endpointMinimum, hasWork,
 	};
 }
