Move long-running tasks from the beginning of a wave, and see at once when they serve

A job of 19 long-running tasks, of which one may be missed, stood on three machines of the wave. Its tasks were moved one after the other from 4.9 s to 30 s, 1.4 s each, of which up to 1 s was the long poll that told of a new run's progress only when it timed out. The machines were not evacuated before, as other tasks ran there too, and idle ones came first.

Change: polls wait 200 ms while a long-running task starts up; machines with long-running tasks are evacuated first and from the beginning, if no work waits. The report in an older case of run-waves listed the same endpoint as releasable and as serving; it no longer does.

--- a/packages/jobs/src/evacuation/evacuation-filter.ts
+++ b/packages/jobs/src/evacuation/evacuation-filter.ts
@@ -6,7 +6,9 @@
 import {emitLog, type JobFilter, type JobOutput} from '../filter.js';
 import {findTask, type LedgerView, type Step} from '../ledger/index.js';
 import {type EvacuationRequest} from '../model/index.js';
-import {type Run, type SupervisedEndpoint, type SupervisionView} from '../supervision/index.js';
+import {
+	servingPercent, type Run, type SupervisedEndpoint, type SupervisionView,
+} from '../supervision/index.js';
 
 /** @public */
 export type EvacuationState = {
@@ -28,8 +30,6 @@
 const maxCompletionWaitMs = 1200;
 /** Time after the survey within which a stop of a previous owner may still be in progress: it takes 900 ms at most, plus the network delay of its answer. */
 const previousOwnerStopsMs = 1200;
-/** Progress at which a long-running task is serving. */
-const servingPercent = 100;
 
 type State = {readonly evacuation: EvacuationState} & AuthorityView & LedgerView & SupervisionView & DirectoryView;
 
--- a/packages/jobs/src/fleet/run-waves.test.ts
+++ b/packages/jobs/src/fleet/run-waves.test.ts
@@ -91,7 +91,17 @@
 	},
 	{
 		// Guards against leaving machines with long-running tasks to the end of a wave: another entry took over the fleet claim just then.
-		name: 'a machine that runs only long-running tasks is evacuated while no work waits', machines: desk, report: {...busy, servingEndpoints: [ids[1]!]}, atMs: 1000, expected: ['evacuate endpoint-of-desk-2'],
+		name: 'a machine that runs only long-running tasks is evacuated while no work waits', machines: desk, report: {...busy, servingEndpoints: [ids[1]!], releasableEndpoints: [ids[0]!, ids[2]!]}, atMs: 1000, expected: ['evacuate endpoint-of-desk-2'],
+	},
+	{
+		// Guards against a wave that ends late: nineteen tasks of which only one may be missed are moved one after the other, which takes most of it.
+		name: 'a machine with long-running and other tasks is evacuated from the beginning', machines: desk, report: {...busy, releasableEndpoints: [ids[0]!, ids[1]!]}, atMs: 1000, expected: ['evacuate endpoint-of-desk-3'],
+	},
+	{
+		name: 'a machine with long-running tasks goes before an idle one', machines: desk, report: {...busy, idleEndpoints: [ids[0]!], releasableEndpoints: [ids[0]!, ids[1]!]}, atMs: 1000, expected: ['evacuate endpoint-of-desk-3'],
+	},
+	{
+		name: 'a machine with long-running tasks is left alone while work waits and there is time', machines: desk, report: {...busy, backlogMillis: 5000, releasableEndpoints: [ids[0]!, ids[1]!]}, atMs: 1000, expected: [],
 	},
 	{
 		// Guards against evacuations for moves that used up the limit on evacuations for maintenance.
--- a/packages/jobs/src/fleet/run-waves.ts
+++ b/packages/jobs/src/fleet/run-waves.ts
@@ -2,7 +2,7 @@
 import {type AuthorityView} from '../authority/index.js';
 import {type ConfigurationView} from '../configuration/index.js';
 import {emitLog, type JobOutput} from '../filter.js';
-import {type Machine} from '../model/index.js';
+import {type Machine, type PoolReport} from '../model/index.js';
 import {type FleetState, type WaveProgress} from './fleet-state.js';
 import {canOrderMachines, hasOpenOrder, orderMachine} from './order-machines.js';
 
@@ -78,17 +78,18 @@
 		}
 	}
 
-	return [...outputs, ...evacuateNext(state, progress, sortByImpact(fleet, remaining), context)];
+	return [...outputs, ...evacuateNext(state, progress, sortByUrgency(fleet, remaining), context)];
 }
 
-/** Sorts machines by the impact of evacuating them: dispensable ones (see `isDispensable`) first, then those of pools whose work does not wait for machines. */
-function sortByImpact(fleet: FleetState, machines: readonly Machine[]): Machine[] {
-	const rank = (machine: Machine) => {
-		if (machine.endpointId !== undefined && isDispensable(fleet, machine, machine.endpointId)) {
-			return 0;
+/** Sorts machines by when their evacuation should begin: dispensable ones (see `isDispensable`) first, and of these the ones with long-running tasks, which are moved one after the other; machines of pools whose work waits for machines last. */
+function sortByUrgency(fleet: FleetState, machines: readonly Machine[]): Machine[] {
+	const rank = ({pool, endpointId}: Machine) => {
+		const report = fleet.reports.get(pool)?.report;
+		if (report !== undefined && endpointId !== undefined && isDispensable(report, endpointId)) {
+			return hasLongRunningTasks(report, endpointId) ? 0 : 1;
 		}
 
-		return fleet.poolsAwaitingMachines.has(machine.pool) ? 2 : 1;
+		return fleet.poolsAwaitingMachines.has(pool) ? 3 : 2;
 	};
 
 	return [...machines].sort((left, right) => rank(left) - rank(right));
@@ -136,7 +137,7 @@
 
 		const size = [...fleet.machines.values()].filter(other => other.pool === pool).length;
 		const limit = Math.max(1, Math.floor(size * maxEvacuatedPoolShare));
-		if ((countsByPool.get(pool) ?? 0) >= limit || pendingEvacuationCount >= wave.downLimit * 2 || (!canTakeBusy && !isDispensable(fleet, machine, endpointId))) {
+		if ((countsByPool.get(pool) ?? 0) >= limit || pendingEvacuationCount >= wave.downLimit * 2 || (!canTakeBusy && !isDispensableMachine(fleet, pool, endpointId))) {
 			continue;
 		}
 
@@ -166,10 +167,18 @@
 	return rounds;
 }
 
-/** Whether a pool can do without a machine at present: no work waits, and the machine runs nothing but long-running tasks, which have to be moved at some time anyway. */
-function isDispensable(fleet: FleetState, machine: Machine, endpointId: string): boolean {
-	const report = fleet.reports.get(machine.pool)?.report;
-	return report?.backlogMillis === 0 && (report.idleEndpoints.includes(endpointId) || report.servingEndpoints.includes(endpointId));
+function isDispensableMachine(fleet: FleetState, pool: string, endpointId: string): boolean {
+	const report = fleet.reports.get(pool)?.report;
+	return report !== undefined && isDispensable(report, endpointId);
+}
+
+/** Whether a pool can do without an endpoint at present: no work waits, and the endpoint is idle or has long-running tasks, which have to be moved at some time anyway. Its other tasks end by themselves meanwhile. */
+function isDispensable(report: PoolReport, endpointId: string): boolean {
+	return report.backlogMillis === 0 && (report.idleEndpoints.includes(endpointId) || hasLongRunningTasks(report, endpointId));
+}
+
+function hasLongRunningTasks({usableEndpoints, releasableEndpoints}: PoolReport, endpointId: string): boolean {
+	return usableEndpoints.includes(endpointId) && !releasableEndpoints.includes(endpointId);
 }
 
 /** Asks a pool's owner to evacuate an endpoint. @internal */
--- a/packages/jobs/src/observation/estimate-job.ts
+++ b/packages/jobs/src/observation/estimate-job.ts
@@ -29,7 +29,7 @@
 export function getJobEstimate(state: ObservationView, job: Job, now: number): JobEstimate {
 	const {jobEstimates} = state.observation;
 	const cached = jobEstimates.get(job);
-	if (cached !== undefined && cached.version === job.version && now < cached.computedAt + estimateLifetimeMs) {
+	if (cached?.version === job.version && now < cached.computedAt + estimateLifetimeMs) {
 		return cached.estimate;
 	}
 
--- a/packages/jobs/src/supervision/poll-endpoint.ts
+++ b/packages/jobs/src/supervision/poll-endpoint.ts
@@ -3,10 +3,12 @@
 import {type JobOutput} from '../filter.js';
 import {type OrderTarget} from '../model/index.js';
 import {estimateClock, leaseMs} from './lease-clock.js';
-import {type SupervisedEndpoint} from './supervision-state.js';
+import {servingPercent, type SupervisedEndpoint} from './supervision-state.js';
 
 /** Long-poll timeout for an endpoint with runs: a sixth of the lease, so that one lost answer does not let the lease expire. */
 const busyWaitMs = 1000;
+/** Long-poll timeout for an endpoint with a long-running task that is starting up: the next one is moved once it is serving, and an endpoint answers early only when a run ends. */
+const startupWaitMs = 200;
 /** Long-poll timeout for an endpoint without runs; endpoints allow 2 s at most. */
 const idleWaitMs = 2000;
 /** Delay before the next poll while some of the endpoint's ends are not saved in the store. */
@@ -54,5 +56,9 @@
 		return 0;
 	}
 
-	return endpoint.runs.size > 0 ? busyWaitMs : idleWaitMs;
+	if (endpoint.runs.size === 0) {
+		return idleWaitMs;
+	}
+
+	return [...endpoint.runs.values()].some(run => run.isLongRunning && run.percent < servingPercent) ? startupWaitMs : busyWaitMs;
 }
--- a/packages/jobs/src/supervision/supervision-state.ts
+++ b/packages/jobs/src/supervision/supervision-state.ts
@@ -2,6 +2,9 @@
 	addResources, subtractResources, type Resources, type RunId, type StepSpec,
 } from '../model/index.js';
 
+/** Progress at which a long-running task is serving. @public */
+export const servingPercent = 100;
+
 /** @public */
 export type RunPhase =
 	/** The start has been sent, and its answer is awaited. */
--- a/packages/jobs/src/testing.test-support.ts
+++ b/packages/jobs/src/testing.test-support.ts
@@ -81,6 +81,11 @@
 
 /** Creates the state of a supervised endpoint that answers and has no runs. @internal */
 export function createTestSupervisedEndpoint(id: string, pool: string, traits: Partial<SupervisedEndpoint> = {}): SupervisedEndpoint {
+	let usage = noUsage;
+	for (const run of traits.runs?.values() ?? []) {
+		usage = addUsage(usage, run);
+	}
+
 	return {
 		id,
 		pool,
@@ -98,7 +103,7 @@
 		isPollPending: false,
 		nextPollAt: 0,
 		runs: new Map(),
-		usage: [...traits.runs?.values() ?? []].reduce((usage, run) => addUsage(usage, run), noUsage),
+		usage,
 		startsPausedUntil: 0,
 		areRunsKnown: true,
 		reportedRunCount: undefined,
