Let a new holder of the fleet order machines at once that the former one did not

Cause: a new holder waited 3.3 s before its first order, since the former one may have ordered the same machine just before. Change: a holder writes the machines that it is about to order into a record before it sends the orders; its successor reads the record and waits only with these. A record of another holder than the last one, and one that may be incomplete, is not trusted; a holder takes over what it inherits. An order whose record could not be written is not sent.

--- a/packages/entry/src/jobs/create-job-sinks.ts
+++ b/packages/entry/src/jobs/create-job-sinks.ts
@@ -7,6 +7,7 @@
 } from '@pistachiogauge/platform';
 import {type SinkTable} from '@pistachiogauge/pipeline';
 import {createOrderSinks, type CallRunner} from './create-order-sinks.js';
+import {createOrderJournal} from './order-journal.js';
 import {followPool} from './follow-pool.js';
 import {
 	followEndpoints, followFleetRecords, type StopFollowing,
@@ -23,6 +24,9 @@
 	applied: 'applied', conflict: 'conflict', refused: 'refused', unknown: 'unknown', 'lease-gone': 'refused',
 };
 
+/** Time in ms for which a machine order stays on record beyond the minimum time between orders of two holders: the time until the next holder reads it counts as well. */
+const orderKeepMarginMs = 2000;
+
 /** Creates the sinks that carry out the effects of the jobs chain. @internal */
 export function createJobSinks(dependencies: JobSinkDependencies): SinkTable<JobEffect> {
 	const {store, session, pushEvent, metrics, log} = dependencies;
@@ -47,6 +51,18 @@
 		return [{key: `${recordKeys.claimPrefix}fleet`, revision: token}];
 	}
 
+	const orderJournal = createOrderJournal({
+		keepMs: dependencies.state.fleet.orderLeaseMs + orderKeepMarginMs,
+		getNow: () => performance.now(),
+		async writeMachines(machines) {
+			const {token = 0, inheritedOrders} = dependencies.state.fleet;
+			// A record with the token 0 is taken for incomplete.
+			const record = {token: inheritedOrders === undefined ? 0 : token, machines: [...new Set([...machines, ...inheritedOrders ?? []])]};
+			const result = await store.applyTransaction({conditions: createFleetConditions(), puts: [{key: recordKeys.recentOrdersKey, value: encodeRecord(record)}]});
+			return result.kind;
+		},
+	});
+
 	/** Watches the list of endpoints only while this entry owns a pool. */
 	function updateEndpointFollower(): void {
 		const shouldFollow = stopsByPool.size > 0;
@@ -247,6 +263,11 @@
 				puts: [{key, value: encodeRecord({requestId})}],
 			}));
 		},
+		'carry-over-orders'() {
+			runCall('carry-over-orders', async () => {
+				await orderJournal.carryOver();
+			});
+		},
 		'write-demand-history'({history}) {
 			runCall('write-demand-history', async () => {
 				const result = await store.applyTransaction({
@@ -273,7 +294,7 @@
 				pushEvent({kind: 'wave-status-written', number, result: writeResults[result.kind]});
 			}, {kind: 'wave-status-written', number, result: 'unknown'});
 		},
-		...createOrderSinks(dependencies, runCall),
+		...createOrderSinks({...dependencies, orderJournal}, runCall),
 		'answer-caller'({requestId, answer}) {
 			dependencies.ingress.answerCaller(requestId, answer);
 		},
--- a/packages/entry/src/jobs/create-order-sinks.ts
+++ b/packages/entry/src/jobs/create-order-sinks.ts
@@ -2,11 +2,12 @@
 import {requestAdvice} from '@pistachiogauge/platform';
 import {type SinkTable} from '@pistachiogauge/pipeline';
 import {type JobSinkDependencies} from './job-sink-dependencies.js';
+import {type OrderJournal} from './order-journal.js';
 
 /** Runs a call that publishes its result as an event; `failureEvent` is published when the call throws. @internal */
 export type CallRunner = (name: string, call: () => Promise<void>, failureEvent?: JobEvent) => void;
 
-type OrderSinkDependencies = Pick<JobSinkDependencies, 'endpoints' | 'machineService' | 'adviceAddress' | 'http' | 'pushEvent'>;
+type OrderSinkDependencies = Pick<JobSinkDependencies, 'state' | 'endpoints' | 'machineService' | 'adviceAddress' | 'http' | 'pushEvent'> & {readonly orderJournal: OrderJournal};
 
 /** Creates the sinks for orders to endpoints and machines, and for requests for advice. @internal */
 export function createOrderSinks(dependencies: OrderSinkDependencies, runCall: CallRunner): Pick<SinkTable<JobEffect>, OrderEffect['kind']> {
@@ -49,10 +50,19 @@
 			}, {kind: 'machine-list-failed'});
 		},
 		'order-machine'(effect) {
+			const {machine, order} = effect;
 			runCall('order-machine', async () => {
+				const recorded = await dependencies.orderJournal.recordOrder(machine);
+				if (recorded !== 'applied' || dependencies.state.fleet.token !== effect.token) {
+					pushEvent({
+						kind: 'machine-order-answered', machine, order, result: recorded === 'conflict' ? 'fenced' : 'limited',
+					});
+					return;
+				}
+
 				pushEvent(dependencies.machineService === undefined
 					? {
-						kind: 'machine-order-answered', machine: effect.machine, order: effect.order, result: 'invalid',
+						kind: 'machine-order-answered', machine, order, result: 'invalid',
 					}
 					: await dependencies.machineService.orderMachine(effect));
 			});
--- a/packages/entry/src/jobs/follow-records.ts
+++ b/packages/entry/src/jobs/follow-records.ts
@@ -183,6 +183,13 @@
 				return record === undefined ? undefined : {kind: 'demand-history-read', ...record};
 			},
 		},
+		{
+			prefix: recordKeys.recentOrdersKey,
+			decode(item) {
+				const record = decodeRecord('recentOrders', item);
+				return record === undefined ? undefined : {kind: 'recent-orders-read', ...record};
+			},
+		},
 		{prefix: recordKeys.evacuatedPrefix, decode: decodeEvacuated},
 		{prefix: recordKeys.evacuationPrefix, decode: decodeEvacuationRequest},
 		{
--- a/packages/entry/src/jobs/job-records.ts
+++ b/packages/entry/src/jobs/job-records.ts
@@ -29,6 +29,7 @@
 	evacuatedPrefix: 'fleet/vacated/',
 	wavePrefix: 'fleet/wave/',
 	demandHistoryKey: 'fleet/demand',
+	recentOrdersKey: 'fleet/orders',
 } as const;
 
 /** Progress of a wave, stored for the next holder of the fleet claim. @internal */
@@ -37,8 +38,11 @@
 /** What the holders of the fleet claim have learned of the pools' demand. @internal */
 export type DemandHistoryRecord = {readonly history: readonly PoolDemandHistory[]};
 
+/** Machines that a holder of the fleet claim may have ordered in the last seconds, and its token. @internal */
+export type RecentOrdersRecord = {readonly token: number; readonly machines: readonly string[]};
+
 /** @internal */
-export function encodeRecord(record: DemandHistoryRecord | JobRecord | ProgressRecord | Roster | PoolReport | EvacuationRequest | Pick<EvacuatedEndpoint, 'requestId'> | WaveRecord | Omit<Member, 'node'> | {readonly node: string; readonly incarnation: string} | Record<string, never>): string {
+export function encodeRecord(record: DemandHistoryRecord | RecentOrdersRecord | JobRecord | ProgressRecord | Roster | PoolReport | EvacuationRequest | Pick<EvacuatedEndpoint, 'requestId'> | WaveRecord | Omit<Member, 'node'> | {readonly node: string; readonly incarnation: string} | Record<string, never>): string {
 	return JSON.stringify(record);
 }
 
@@ -54,6 +58,7 @@
 	readonly evacuated: Pick<EvacuatedEndpoint, 'requestId'>;
 	readonly wave: WaveRecord;
 	readonly demandHistory: DemandHistoryRecord;
+	readonly recentOrders: RecentOrdersRecord;
 };
 
 /** Decodes one of the project's own records. @returns Undefined when it was deleted, is not JSON, or does not match the schema. @internal */
--- a/packages/entry/src/jobs/record-schemas.ts
+++ b/packages/entry/src/jobs/record-schemas.ts
@@ -76,6 +76,7 @@
 	}),
 	evacuated: z.object({requestId: z.string()}),
 	wave: z.object({maintained: names, isDone: z.boolean()}),
+	recentOrders: z.object({token: count, machines: z.array(z.string())}),
 	demandHistory: z.object({
 		history: z.array(z.object({
 			pool: z.string(), assignedMachines: count, since: z.number(), hasPeaked: z.boolean(),
--- a/packages/jobs/src/authority/authority-filter.ts
+++ b/packages/jobs/src/authority/authority-filter.ts
@@ -226,9 +226,11 @@
 	if (name === fleetClaim) {
 		// The claim was made on the condition that this record had not changed. A record with the claim's own revision was written together with it and says nothing about the holder before.
 		const last = authority.lastHolders.get(name);
-		const isSameEntry = last?.node === authority.node && last.revision < token;
+		const previous = last !== undefined && last.revision < token ? last : undefined;
 		authority.lastHolders.set(name, {node: authority.node, revision: token});
-		return [passEvent({kind: 'fleet-acquired', token, isSameEntry})];
+		return [passEvent({
+			kind: 'fleet-acquired', token, isSameEntry: previous?.node === authority.node, previousToken: previous?.revision,
+		})];
 	}
 
 	const pool = getClaimedPool(name);
--- a/packages/jobs/src/fleet/balance-pools.ts
+++ b/packages/jobs/src/fleet/balance-pools.ts
@@ -4,7 +4,9 @@
 import {emitLog, type JobOutput} from '../filter.js';
 import {type Machine, type PoolReport} from '../model/index.js';
 import {type FleetState} from './fleet-state.js';
-import {canOrderMachines, orderMachine, retryMoves} from './order-machines.js';
+import {
+	canOrderMachines, mayBeOrderedElsewhere, orderMachine, retryMoves,
+} from './order-machines.js';
 import {isSparePool, requestEvacuation} from './run-waves.js';
 import {computeBalances, logBalances, type PoolBalance} from './compute-balances.js';
 import {getReserve, recordDemandHistory} from './demand-history.js';
@@ -62,7 +64,7 @@
 	const availableMachines = [
 		...evacuated.map(({request}) => fleet.machines.get(request.machine)).filter(machine => machine !== undefined),
 		...[...fleet.machines.values()].filter(machine => isSparePool(state, machine.pool) && machine.state === 'up'),
-	].filter(machine => !fleet.orders.has(machine.name));
+	].filter(machine => !fleet.orders.has(machine.name) && !mayBeOrderedElsewhere(fleet, machine.name, context.now));
 	for (const {balance, missing} of shortages) {
 		let remainingCount = Math.min(missing, computeLimit(fleet, shortageLimit));
 		for (const machine of availableMachines.splice(0, remainingCount)) {
--- a/packages/jobs/src/fleet/fleet-filter.test.ts
+++ b/packages/jobs/src/fleet/fleet-filter.test.ts
@@ -2,7 +2,7 @@
 import {describe, expect, it} from 'vitest';
 import {applyJobEvent} from '../apply-job-event.js';
 import {createJobsState} from '../jobs-state.js';
-import {canOrderMachines} from './order-machines.js';
+import {canOrderMachines, mayBeOrderedElsewhere} from './order-machines.js';
 
 const random = createRandomSource(1);
 const orderLeaseMs = 3000;
@@ -49,3 +49,49 @@
 		expect(canOrderAt(lastHolder, now)).toBe(expected);
 	});
 });
+
+// Guards against seconds without any order after each loss of the holder, and against ordering a machine that the previous holder has just ordered.
+const takeovers = [
+	{
+		name: 'no record has been read', record: undefined, orderable: {},
+	},
+	{
+		name: 'the record of the previous holder names a machine', record: {token: 4, machines: ['a']}, orderable: {b: 100},
+	},
+	{
+		name: 'the previous holder has ordered none', record: {token: 4, machines: []}, orderable: {a: 100, b: 100},
+	},
+	{
+		name: 'the record is that of an earlier holder', record: {token: 3, machines: []}, orderable: {},
+	},
+	{
+		name: 'the record is incomplete', record: {token: 0, machines: []}, orderable: {},
+	},
+] as const;
+
+describe('a new holder that reads which machines were ordered last', () => {
+	it.each(takeovers)('orders the others at once: $name', ({record, orderable}) => {
+		const state = createJobsState({node: 'entry-1', incarnation: 'second', orderLeaseMs});
+		const apply = (event: Parameters<typeof applyJobEvent>[1], now: number) => applyJobEvent(state, event, {now, wallTime: now, random});
+		apply({
+			kind: 'last-holder-changed', name: 'fleet', node: 'entry-2', revision: 4,
+		}, 0);
+		apply({kind: 'session-renewed', validUntil: 100_000, wallValidUntil: 100_000}, 0);
+		apply({
+			kind: 'claim-answered', name: 'fleet', result: 'applied', token: 9,
+		}, 0);
+		const carried = record === undefined ? [] : apply({kind: 'recent-orders-read', ...record}, 50).filter(({kind}) => kind === 'carry-over-orders');
+		expect(carried).toHaveLength(record?.token === 4 ? 1 : 0);
+		const seen: Record<string, number> = {};
+		for (const now of [100, 3200, 3400]) {
+			apply({kind: 'tick'}, now);
+			for (const machine of ['a', 'b']) {
+				if (canOrderMachines(state, {now, wallTime: now}) && !mayBeOrderedElsewhere(state.fleet, machine, now)) {
+					seen[machine] ??= now;
+				}
+			}
+		}
+
+		expect(seen).toEqual({a: 3400, b: 3400, ...orderable});
+	});
+});
--- a/packages/jobs/src/fleet/fleet-filter.ts
+++ b/packages/jobs/src/fleet/fleet-filter.ts
@@ -27,11 +27,13 @@
 export const fleetFilter: JobFilter<State> = {
 	name: 'fleet',
 	handlers: {
-		'fleet-acquired'({fleet}, {token, isSameEntry}, context) {
+		'fleet-acquired'({fleet}, {token, isSameEntry, previousToken}, context) {
 			clearFleet(fleet);
 			fleet.token = token;
+			fleet.previousToken = previousToken;
+			fleet.inheritedUntil = context.now + fleet.orderLeaseMs + handoverMarginMs;
 			// An earlier process of this entry is gone, so it cannot send any more orders.
-			fleet.ordersAllowedFrom = context.now + (isSameEntry ? 0 : fleet.orderLeaseMs + handoverMarginMs);
+			fleet.ordersAllowedFrom = isSameEntry ? context.now : fleet.inheritedUntil;
 			return [emitEffect({kind: 'follow-fleet', isFollowing: true})];
 		},
 		'fleet-lost'({fleet}) {
@@ -97,6 +99,7 @@
 
 			return [];
 		},
+		'recent-orders-read': ({fleet}, {token, machines}) => inheritOrders(fleet, token, machines),
 		'demand-history-read'({fleet}, {history}) {
 			for (const each of history) {
 				const hasPeaked = each.hasPeaked || fleet.demandHistory.get(each.pool)?.hasPeaked === true;
@@ -131,8 +134,25 @@
 	},
 };
 
+/** Accepts the record of recent orders if it was written by the previous holder. An entry of an earlier version writes none, so that any record found may be older. */
+function inheritOrders(fleet: FleetState, token: number, machines: readonly string[]): JobOutput[] {
+	if (fleet.token === undefined || fleet.inheritedOrders !== undefined || token !== fleet.previousToken) {
+		return [];
+	}
+
+	fleet.inheritedOrders = new Set(machines);
+	return [
+		emitLog('info', 'recent machine orders of previous holder read', {token: fleet.token, previousToken: token, machines}),
+		emitEffect({kind: 'carry-over-orders'}),
+	];
+}
+
 function runFleet(state: State, context: DecisionContext): JobOutput[] {
 	const {fleet} = state;
+	if (context.now >= fleet.inheritedUntil && fleet.inheritedOrders?.size !== 0) {
+		fleet.inheritedOrders = new Set();
+	}
+
 	expireOrders(fleet, context.now);
 	return [
 		...requestMachineList(fleet, context),
@@ -157,6 +177,8 @@
 /** Discards what is left of an earlier term as holder; waves belong to the operator and stay. */
 function clearFleet(fleet: FleetState): void {
 	fleet.token = undefined;
+	fleet.previousToken = undefined;
+	fleet.inheritedOrders = undefined;
 	fleet.machines.clear();
 	fleet.orders.clear();
 	fleet.evacuations.clear();
--- a/packages/jobs/src/fleet/fleet-state.ts
+++ b/packages/jobs/src/fleet/fleet-state.ts
@@ -42,8 +42,14 @@
 	readonly orderLeaseMs: number;
 	/** Fencing token of the fleet's claim while this entry holds it. */
 	token: number | undefined;
-	/** Monotonic ms before which no order is sent, as the previous holder may still send some. */
+	/** Monotonic ms before which no order is sent, as the previous holder may still send some, but to machines that it is known not to have ordered. */
 	ordersAllowedFrom: number;
+	/** Token of the previous holder; undefined if there is none or it is not known. */
+	previousToken: number | undefined;
+	/** Machines that the previous holder may have ordered in its last seconds; undefined while that is not known. */
+	inheritedOrders: ReadonlySet<string> | undefined;
+	/** Monotonic ms from which none of these orders counts any more. */
+	inheritedUntil: number;
 	readonly machines: Map<string, Machine>;
 	/** When the machine list was last read, in monotonic ms. */
 	listedAt: number | undefined;
@@ -83,6 +89,9 @@
 		orderLeaseMs,
 		token: undefined,
 		ordersAllowedFrom: 0,
+		previousToken: undefined,
+		inheritedOrders: undefined,
+		inheritedUntil: 0,
 		machines: new Map(),
 		listedAt: undefined,
 		listRequestedAt: undefined,
--- a/packages/jobs/src/fleet/order-machines.ts
+++ b/packages/jobs/src/fleet/order-machines.ts
@@ -14,12 +14,17 @@
 /** An accepted order counts as complete after this time even if the machine list never showed the machine as unavailable; several times the duration of an order. */
 const orderCompletionTimeoutMs = 8000;
 
-/** Whether this entry may send orders to machines now. @internal */
+/** Whether this entry may send orders to machines now, except to those for which `mayBeOrderedElsewhere` holds. @internal */
 export function canOrderMachines({fleet, authority}: {readonly fleet: FleetState} & AuthorityView, {now, wallTime}: Pick<DecisionContext, 'now' | 'wallTime'>): boolean {
-	return fleet.token !== undefined && !authority.isStopping && now >= fleet.ordersAllowedFrom
+	return fleet.token !== undefined && !authority.isStopping && (now >= fleet.ordersAllowedFrom || fleet.inheritedOrders !== undefined)
 		&& now < authority.validUntil - leaseMarginMs && wallTime < authority.wallValidUntil - leaseMarginMs;
 }
 
+/** Whether the previous holder may have ordered a machine so recently that it must not be ordered yet. @internal */
+export function mayBeOrderedElsewhere({ordersAllowedFrom, inheritedOrders}: FleetState, machine: string, now: number): boolean {
+	return now < ordersAllowedFrom && inheritedOrders?.has(machine) !== false;
+}
+
 /** Sends an order, unless one for the same machine is open. @internal */
 export function orderMachine(
 	state: {readonly fleet: FleetState} & AuthorityView,
@@ -29,7 +34,7 @@
 ): JobOutput[] {
 	const {fleet, authority} = state;
 	const openOrder = fleet.orders.get(machine.name);
-	if (openOrder !== undefined && openOrder.phase !== 'retry') {
+	if ((openOrder !== undefined && openOrder.phase !== 'retry') || mayBeOrderedElsewhere(fleet, machine.name, context.now)) {
 		return [];
 	}
 
--- a/packages/jobs/src/model/effects.ts
+++ b/packages/jobs/src/model/effects.ts
@@ -58,6 +58,8 @@
 	| {readonly kind: 'request-evacuation'; readonly request: EvacuationRequest}
 	| {readonly kind: 'withdraw-evacuation'; readonly pool: string; readonly endpointId: string}
 	| {readonly kind: 'confirm-evacuation'; readonly token: number; readonly evacuated: EvacuatedEndpoint}
+	/** Takes the machines that the previous holder may have ordered over into the record of this one. */
+	| {readonly kind: 'carry-over-orders'}
 	| {readonly kind: 'write-demand-history'; readonly history: readonly PoolDemandHistory[]}
 	| {readonly kind: 'write-wave-status'; readonly number: number; readonly status: WaveStatus; readonly maintained: readonly string[]};
 
--- a/packages/jobs/src/model/events.ts
+++ b/packages/jobs/src/model/events.ts
@@ -99,7 +99,7 @@
 	| ({readonly kind: 'pool-loaded'} & PoolRecords)
 	| {readonly kind: 'pool-load-failed'; readonly pool: string; readonly token: number}
 	/** `isSameEntry`: this entry was also the last holder of the claim, in this process or an earlier one. */
-	| {readonly kind: 'fleet-acquired'; readonly token: number; readonly isSameEntry: boolean}
+	| {readonly kind: 'fleet-acquired'; readonly token: number; readonly isSameEntry: boolean; readonly previousToken: number | undefined}
 	| {readonly kind: 'fleet-lost'}
 	/** An order or a write was rejected because another entry holds the claim. */
 	| {readonly kind: 'claim-superseded'; readonly name: string; readonly token: number};
@@ -207,6 +207,8 @@
 	/** The machine service's answer to an order. */
 	| {readonly kind: 'machine-order-answered'; readonly machine: string; readonly order: MachineOrder; readonly result: 'accepted' | 'fenced' | 'busy' | 'not-in-wave' | 'invalid' | 'limited' | 'unknown'}
 	| {readonly kind: 'wave-status-written'; readonly number: number; readonly result: WriteResult}
+	/** Machines that the holder with the given token may have ordered in its last seconds. */
+	| {readonly kind: 'recent-orders-read'; readonly token: number; readonly machines: readonly string[]}
 	/** What an earlier holder of the fleet's claim has learned. */
 	| {readonly kind: 'demand-history-read'; readonly history: readonly PoolDemandHistory[]}
 	| {readonly kind: 'demand-history-written'; readonly result: WriteResult}
