--- a/packages/entry/src/jobs/create-job-sinks.ts
+++ b/packages/entry/src/jobs/create-job-sinks.ts
@@ -265,7 +265,7 @@
 		},
 		'carry-over-orders'() {
 			runCall('carry-over-orders', async () => {
-				await orderJournal.carryOver();
+				await orderJournal.writeRecord();
 			});
 		},
 		'write-demand-history'({history}) {
--- a/packages/entry/src/jobs/order-journal.ts
+++ b/packages/entry/src/jobs/order-journal.ts
@@ -4,8 +4,8 @@
 export type OrderJournal = {
 	/** Resolves when a record that names the machine has been written, or could not be. */
 	recordOrder(machine: string): Promise<TransactionResult['kind']>;
-	/** Writes the record for the machines that the previous holder has ordered. */
-	carryOver(): Promise<TransactionResult['kind']>;
+	/** Writes the record anew, with the machines that the previous holder has ordered. */
+	writeRecord(): Promise<TransactionResult['kind']>;
 };
 
 /** @internal */
@@ -59,6 +59,6 @@
 			recordedAt.set(machine, getNow());
 			return write();
 		},
-		carryOver: write,
+		writeRecord: write,
 	};
 }
--- a/packages/jobs/src/reporting/reporting-filter.ts
+++ b/packages/jobs/src/reporting/reporting-filter.ts
@@ -123,16 +123,16 @@
 
 	const usable = listUsableEndpoints(state, pool, now);
 	const millisPerMb = computeMillisPerMb(state, usable);
-	const toMillis = ({cpuMillis, memoryMb}: Load) => Math.round(Math.max(cpuMillis, memoryMb * millisPerMb));
+	const computeMillis = ({cpuMillis, memoryMb}: Load) => Math.round(Math.max(cpuMillis, memoryMb * millisPerMb));
 	const estimateArriving = (getFactor: (arrival: RecentArrival) => number) => estimateArrivingMillis([...arrivals.values()].map(arrival => ({work: arrival.work * getFactor(arrival), ageMs: now - arrival.at, initialSlackMs: arrival.initialSlackMs})));
-	const usedMillis = toMillis(used);
+	const usedMillis = computeMillis(used);
 	return {
 		pool: pool.pool,
 		waiting,
 		hasWork,
-		backlogMillis: toMillis(addLoad(used, backlog)) - usedMillis,
+		backlogMillis: computeMillis(addLoad(used, backlog)) - usedMillis,
 		usedMillis,
-		neededMillis: toMillis(needed),
+		neededMillis: computeMillis(needed),
 		arrivingMillis: Math.round(Math.max(estimateArriving(() => 1), estimateArriving(({memoryMbPerMilli}) => memoryMbPerMilli * millisPerMb))),
 		endpointMinimum,
 		usableEndpoints: usable,
