Write a record in order, and renew evacuations that are not confirmed

One way was found: a record writer sent a newer change of a record while the older one was still unanswered, so that the store could apply them in either order.

Change: changes of one record are sent one after the other; a request that has not been confirmed for 6 s is sent again under another id, for maintenance if its machine is in a wave.

--- a/packages/entry/src/jobs/record-writer.test.ts
+++ b/packages/entry/src/jobs/record-writer.test.ts
@@ -57,15 +57,46 @@
 	},
 ] as const;
 
-describe('createRecordWriter', () => {
-	beforeEach(() => {
-		vi.useFakeTimers();
-	});
-	afterEach(() => {
-		vi.useRealTimers();
-	});
+beforeEach(() => {
+	vi.useFakeTimers();
+});
+afterEach(() => {
+	vi.useRealTimers();
+});
 
+describe('createRecordWriter', () => {
 	it.each(cases)('$name', async ({requests, storeResults, expected}) => {
 		expect(await listWrites(requests, storeResults)).toEqual(expected);
 	});
 });
+
+describe('two writes of the same record', () => {
+	// Guards against a request that was applied before the withdrawal of the one before it, and is deleted with it.
+	it.each([
+		{
+			name: 'the first is still unanswered', elapsedMs: 0, sent: ['request'], after: ['request', 'withdraw'],
+		},
+		{
+			name: 'the first has been answered', elapsedMs: 100, sent: ['request', 'withdraw'], after: ['request', 'withdraw'],
+		},
+	])('are sent one after the other: $name', async ({elapsedMs, sent, after}) => {
+		const writes: string[] = [];
+		const writeRecord = createRecordWriter({
+			async applyTransaction(transaction) {
+				writes.push(Object.keys(transactions).find(name => transactions[name] === transaction)!);
+				await new Promise(resolve => {
+					setTimeout(resolve, 50);
+				});
+				return results.applied!;
+			},
+		}, () => undefined);
+		const pending = [writeRecord('record', transactions.request!)];
+		await vi.advanceTimersByTimeAsync(elapsedMs);
+		pending.push(writeRecord('record', transactions.withdraw!));
+		await vi.advanceTimersByTimeAsync(0);
+		expect(writes).toEqual(sent);
+		await vi.advanceTimersByTimeAsync(200);
+		await Promise.all(pending);
+		expect(writes).toEqual(after);
+	});
+});
--- a/packages/entry/src/jobs/record-writer.ts
+++ b/packages/entry/src/jobs/record-writer.ts
@@ -1,4 +1,4 @@
-import {type StoreTransaction, type StoreClient} from '@pistachiogauge/platform';
+import {type StoreClient, type StoreTransaction, type TransactionResult} from '@pistachiogauge/platform';
 import {type JobSinkDependencies} from './job-sink-dependencies.js';
 
 /** Pause before a failed write is retried. @internal */
@@ -9,16 +9,40 @@
 /** Retries a write until the store accepts it, a newer change of the record replaces it, or its condition no longer holds. @internal */
 export type RecordWriter = (key: string, transaction: StoreTransaction) => Promise<void>;
 
-/** Creates a writer for records whose writes are idempotent. @internal */
+/**
+Creates a writer for records whose writes are idempotent.
+
+Writes of the same record are sent one after the other: the answers of two that are on their way at the same time say nothing about their order, and the older one may be applied last.
+
+@internal
+*/
 export function createRecordWriter(store: Pick<StoreClient, 'applyTransaction'>, log: JobSinkDependencies['log']): RecordWriter {
 	/** The latest transaction of each record that is being written. */
 	const latestTransactions = new Map<string, StoreTransaction>();
+	const lastAttempts = new Map<string, Promise<unknown>>();
+
+	async function applyInOrder(key: string, transaction: StoreTransaction): Promise<TransactionResult | undefined> {
+		const previous = lastAttempts.get(key);
+		const attempt = (async () => {
+			await previous?.catch(() => undefined);
+			return latestTransactions.get(key) === transaction ? store.applyTransaction(transaction) : undefined;
+		})();
+		lastAttempts.set(key, attempt);
+		try {
+			return await attempt;
+		} finally {
+			if (lastAttempts.get(key) === attempt) {
+				lastAttempts.delete(key);
+			}
+		}
+	}
+
 	return async (key, transaction) => {
 		latestTransactions.set(key, transaction);
 		for (let attempt = 1; latestTransactions.get(key) === transaction; attempt++) {
 			// eslint-disable-next-line no-await-in-loop
-			const result = await store.applyTransaction(transaction);
-			if (result.kind === 'applied' || result.kind === 'conflict') {
+			const result = await applyInOrder(key, transaction);
+			if (result === undefined || result.kind === 'applied' || result.kind === 'conflict') {
 				if (latestTransactions.get(key) === transaction) {
 					latestTransactions.delete(key);
 				}
--- a/packages/jobs/src/fleet/fleet-filter.ts
+++ b/packages/jobs/src/fleet/fleet-filter.ts
@@ -6,7 +6,7 @@
 import {writeDemandHistory} from './demand-history.js';
 import {type FleetState} from './fleet-state.js';
 import {expireOrders, handleOrderAnswer, updateFromMachineList} from './order-machines.js';
-import {runWaves, withdrawEvacuations} from './run-waves.js';
+import {runWaves, updateEvacuations} from './run-waves.js';
 
 /** Time between two reads of the machine list while orders, evacuations or waves are open. */
 const busyListIntervalMs = 400;
@@ -159,7 +159,7 @@
 		...runWaves(state, context),
 		...balancePools(state, context),
 		...writeDemandHistory(fleet),
-		...(fleet.listedAt === undefined ? [] : withdrawEvacuations(state, context.now)),
+		...(fleet.listedAt === undefined ? [] : updateEvacuations(state, context)),
 	];
 }
 
--- a/packages/jobs/src/fleet/run-waves.test.ts
+++ b/packages/jobs/src/fleet/run-waves.test.ts
@@ -3,7 +3,7 @@
 import {type Machine, type PoolReport} from '../model/index.js';
 import {createTestMachine, createTestReport} from '../testing.test-support.js';
 import {createFleetState} from './fleet-state.js';
-import {runWaves} from './run-waves.js';
+import {runWaves, updateEvacuations} from './run-waves.js';
 
 const random = createRandomSource(1);
 const authority = {
@@ -114,3 +114,61 @@
 		expect(listDecisions(input)).toEqual(expected);
 	});
 });
+
+// Guards against a machine that is never maintained, as its evacuation was requested for a move that is no longer wanted, or as a request or a confirmation was lost.
+const renewals: ReadonlyArray<{readonly name: string; readonly purpose: 'maintenance' | 'move'; readonly isEvacuated: boolean; readonly ageMs: number; readonly isInWave: boolean; readonly expected: readonly string[]}> = [
+	{
+		name: 'a recent request is left alone', purpose: 'maintenance', isEvacuated: false, ageMs: 3000, isInWave: true, expected: [],
+	},
+	{
+		name: 'a request that has not been confirmed is repeated', purpose: 'maintenance', isEvacuated: false, ageMs: 6100, isInWave: true, expected: ['maintenance 7-1'],
+	},
+	{
+		name: 'an evacuation for a move becomes one for maintenance', purpose: 'move', isEvacuated: false, ageMs: 6100, isInWave: true, expected: ['maintenance 7-1'],
+	},
+	{
+		name: 'a confirmed evacuation is left alone', purpose: 'move', isEvacuated: true, ageMs: 6100, isInWave: true, expected: [],
+	},
+	{
+		name: 'an evacuation for a move that takes too long is withdrawn', purpose: 'move', isEvacuated: false, ageMs: 6100, isInWave: false, expected: ['withdraw'],
+	},
+];
+
+describe('updateEvacuations', () => {
+	it.each(renewals)('$name', ({purpose, isEvacuated, ageMs, isInWave, expected}) => {
+		const fleet = createFleetState(3000);
+		const [machine] = desk;
+		const endpointId = machine!.endpointId!;
+		fleet.token = 7;
+		fleet.machines.set(machine!.name, machine!);
+		fleet.evacuations.set(endpointId, {
+			request: {
+				requestId: '4-9', pool: 'desk', endpointId, machine: machine!.name, purpose, dueAt: 9000,
+			}, requestedAt: 0,
+		});
+		if (isEvacuated) {
+			fleet.evacuatedIds.add(endpointId);
+		}
+
+		if (isInWave) {
+			fleet.waves.set(1, {
+				wave: {
+					number: 1, machines: [machine!.name], durationMs, downLimit: 4,
+				}, seenAt: 0, maintained: new Set(), status: 'running', hasUnwrittenStatus: false, isWritingStatus: false,
+			});
+		}
+
+		const decisions: string[] = [];
+		for (const output of updateEvacuations({fleet, authority, configuration}, {now: ageMs, wallTime: ageMs, random})) {
+			if (output.kind === 'sink' && output.effect.kind === 'request-evacuation') {
+				decisions.push(`${output.effect.request.purpose} ${output.effect.request.requestId}`);
+			}
+
+			if (output.kind === 'sink' && output.effect.kind === 'withdraw-evacuation') {
+				decisions.push('withdraw');
+			}
+		}
+
+		expect(decisions).toEqual(expected);
+	});
+});
--- a/packages/jobs/src/fleet/run-waves.ts
+++ b/packages/jobs/src/fleet/run-waves.ts
@@ -203,21 +203,32 @@
 /** An evacuation for a move is withdrawn after this time, and the machine stays in its pool; most tasks end within it. */
 const moveEvacuationTimeoutMs = 4000;
 
-/** Withdraws evacuations whose machine has been moved or maintained, or no longer needs to be. @internal */
-export function withdrawEvacuations(state: State, now: number): JobOutput[] {
+/** An evacuation that has not been confirmed is requested again after this time, as the request or the confirmation may have been lost. */
+const evacuationRenewalMs = 6000;
+
+/** Withdraws evacuations whose machine has been moved or maintained, or no longer needs to be, and renews those that are not confirmed. @internal */
+export function updateEvacuations(state: State, context: DecisionContext): JobOutput[] {
 	const {fleet} = state;
+	const {now} = context;
 	const outputs: JobOutput[] = [];
-	const endpointIds = new Set([...fleet.machines.values()].map(machine => machine.endpointId));
+	const machines = new Map([...fleet.machines.values()].map(machine => [machine.endpointId, machine]));
 	for (const [endpointId, {request, requestedAt}] of fleet.evacuations) {
+		const machine = machines.get(endpointId);
 		const isMoving = request.purpose === 'move' && (fleet.evacuatedIds.has(endpointId) || (now < requestedAt + moveEvacuationTimeoutMs && !fleet.poolsAwaitingMachines.has(request.pool)));
-		const isWanted = isMoving || [...fleet.waves.values()].some(({wave, maintained}) => wave.machines.includes(request.machine) && !maintained.has(request.machine));
-		if (endpointIds.has(endpointId) && (isWanted || hasOpenOrder(fleet, request.machine))) {
+		const isInWave = [...fleet.waves.values()].some(({wave, maintained}) => wave.machines.includes(request.machine) && !maintained.has(request.machine));
+		if (machine === undefined || !(isMoving || isInWave || hasOpenOrder(fleet, request.machine))) {
+			fleet.evacuations.delete(endpointId);
+			fleet.evacuatedIds.delete(endpointId);
+			outputs.push(emitEffect({kind: 'withdraw-evacuation', pool: request.pool, endpointId}));
 			continue;
 		}
 
-		fleet.evacuations.delete(endpointId);
-		fleet.evacuatedIds.delete(endpointId);
-		outputs.push(emitEffect({kind: 'withdraw-evacuation', pool: request.pool, endpointId}));
+		if (isInWave && !fleet.evacuatedIds.has(endpointId) && now > requestedAt + evacuationRenewalMs) {
+			const dueAt = request.purpose === 'maintenance' ? request.dueAt : context.wallTime + taskGraceMs;
+			outputs.push(...requestEvacuation(fleet, {
+				machine, endpointId, purpose: 'maintenance', dueAt,
+			}, context));
+		}
 	}
 
 	return outputs;
