Count a saved end for the life of the endpoint that listed it

Cause: ends are numbered anew when an endpoint restarts under its id. An end of its former life that was saved late counted for the new end of the same number, which was then acknowledged, and deleted by the endpoint, before it was saved: after a takeover just then its task would have run again. Test: saved-ends (the case of the restarted endpoint failed before: the number was removed).

--- a/packages/jobs/src/ledger/ledger-filter.ts
+++ b/packages/jobs/src/ledger/ledger-filter.ts
@@ -202,21 +202,29 @@
 	return [];
 }
 
-function recordEnd({ledger}: State, {pool: name, endpointId, end}: JobEventOf<'run-ended'>, context: DecisionContext): JobOutput[] {
+function recordEnd({ledger}: State, {
+	pool: name, endpointId, endpointStartedAt, end,
+}: JobEventOf<'run-ended'>, context: DecisionContext): JobOutput[] {
 	const pool = ledger.pools.get(name);
 	const task = findTask(pool, end.taskId);
 	if (pool === undefined || task === undefined) {
 		// The job has ended or is unknown, so there is nothing to save.
-		return [restartEvent({kind: 'end-saved', endpointId, number: end.number})];
+		return [restartEvent({
+			kind: 'end-saved', endpointId, endpointStartedAt, number: end.number,
+		})];
 	}
 
 	const {job} = task.step;
 	const outputs = applyEnd(pool, task, endpointId, end, context);
 	const isSaved = job.version <= job.savedVersion;
 	if (isSaved) {
-		outputs.push(restartEvent({kind: 'end-saved', endpointId, number: end.number}));
+		outputs.push(restartEvent({
+			kind: 'end-saved', endpointId, endpointStartedAt, number: end.number,
+		}));
 	} else {
-		job.unsavedEnds.push({endpointId, number: end.number, version: job.version});
+		job.unsavedEnds.push({
+			endpointId, endpointStartedAt, number: end.number, version: job.version,
+		});
 	}
 
 	return [...outputs, ...saveIfUrgent(pool, context), passEvent({kind: 'placement-due', pool: name})];
--- a/packages/jobs/src/ledger/ledger-state.ts
+++ b/packages/jobs/src/ledger/ledger-state.ts
@@ -29,7 +29,7 @@
 };
 
 /** An end that is acknowledged to its endpoint, which then deletes it, once the saved record of the job includes it. */
-type UnsavedEnd = {readonly endpointId: string; readonly number: number; readonly version: number};
+type UnsavedEnd = {readonly endpointId: string; readonly endpointStartedAt: number; readonly number: number; readonly version: number};
 
 /** @public */
 export type Job = {
--- a/packages/jobs/src/ledger/save-progress.ts
+++ b/packages/jobs/src/ledger/save-progress.ts
@@ -126,7 +126,9 @@
 
 		const savedEnds = job.unsavedEnds.filter(end => end.version <= version);
 		job.unsavedEnds = job.unsavedEnds.filter(end => end.version > version);
-		outputs.push(...savedEnds.map(({endpointId, number}) => restartEvent({kind: 'end-saved', endpointId, number} as const)));
+		outputs.push(...savedEnds.map(({endpointId, endpointStartedAt, number}) => restartEvent({
+			kind: 'end-saved', endpointId, endpointStartedAt, number,
+		} as const)));
 	}
 
 	if (roster !== undefined) {
--- a/packages/jobs/src/model/events.ts
+++ b/packages/jobs/src/model/events.ts
@@ -156,7 +156,7 @@
 	/** A run that a previous owner started. */
 	| {readonly kind: 'run-adopted'; readonly pool: string; readonly taskId: string; readonly run: number; readonly endpointId: string}
 	/** `wasExpected`: supervision knew the run; `tookMs` is 0 otherwise. */
-	| {readonly kind: 'run-ended'; readonly pool: string; readonly endpointId: string; readonly end: ReportedEnd; readonly wasExpected: boolean; readonly tookMs: number}
+	| {readonly kind: 'run-ended'; readonly pool: string; readonly endpointId: string; readonly endpointStartedAt: number; readonly end: ReportedEnd; readonly wasExpected: boolean; readonly tookMs: number}
 	/** A run that is certain not to be running, and whose end the endpoint will not list. */
 	| {readonly kind: 'run-dropped'; readonly pool: string; readonly taskId: string; readonly run: number; readonly endpointId: string; readonly reason: RunDropReason; readonly checkpoint: string}
 	/** Every endpoint on which a previous owner may have started tasks has reported its runs, or can no longer run any. */
@@ -171,7 +171,7 @@
 	/** An endpoint that has left the directory and on which nothing can run any more. */
 	| {readonly kind: 'endpoint-forgotten'; readonly pool: string; readonly endpointId: string}
 	/** The end with this number is in the store, so the endpoint may delete it. */
-	| {readonly kind: 'end-saved'; readonly endpointId: string; readonly number: number}
+	| {readonly kind: 'end-saved'; readonly endpointId: string; readonly endpointStartedAt: number; readonly number: number}
 	/** Something has changed that may allow a task to start. */
 	| {readonly kind: 'placement-due'; readonly pool: string};
 
--- a/packages/jobs/src/supervision/supervision-filter.ts
+++ b/packages/jobs/src/supervision/supervision-filter.ts
@@ -95,9 +95,10 @@
 			endpoint.nextPollAt = context.now + silentPollDelayMs;
 			return handleRefusal(endpoint, event.refusal, context);
 		},
-		'end-saved'(state, {endpointId, number}, context) {
+		'end-saved'(state, {endpointId, endpointStartedAt, number}, context) {
 			const endpoint = state.supervision.endpoints.get(endpointId);
-			if (endpoint?.unsavedEnds.delete(number) !== true || endpoint.unsavedEnds.size > 0 || endpoint.phase !== 'answering') {
+			// An endpoint that has restarted numbers its ends anew.
+			if (endpoint?.startedAt !== endpointStartedAt || !endpoint.unsavedEnds.delete(number) || endpoint.unsavedEnds.size > 0 || endpoint.phase !== 'answering') {
 				return [];
 			}
 
