Explain a request from the entries' logs

pistachiogauge explain ID FILE prints the log lines that tell of a request, job, task, endpoint or machine, of any number of entries, in the order of their time. A request leads to its job, a job to what happened to its endpoints while they ran its tasks.

--- a/packages/cli/src/command-input.ts
+++ b/packages/cli/src/command-input.ts
@@ -18,12 +18,12 @@
 	return value;
 }
 
-/** @internal */
-export function readText(file: string): string {
+/** Reads a file, by its path or its descriptor. @internal */
+export function readText(file: string | number): string {
 	try {
 		return readFileSync(file, 'utf8');
 	} catch (error) {
-		throw new CliError(2, `cannot read ${file}`, {cause: error});
+		throw new CliError(2, `cannot read ${file === 0 ? 'the standard input' : file}`, {cause: error});
 	}
 }
 
--- a/packages/cli/src/commands.ts
+++ b/packages/cli/src/commands.ts
@@ -1,6 +1,7 @@
 import {auditCommands} from './audit-commands.js';
 import {bundleCommands} from './bundle-commands.js';
 import {type Command} from './command.js';
+import {logCommands} from './log-commands.js';
 import {poolCommands} from './pool-commands.js';
 import {statusCommands} from './status-commands.js';
 
@@ -10,4 +11,5 @@
 	...poolCommands,
 	...bundleCommands,
 	...auditCommands,
+	...logCommands,
 ];
--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -5,4 +5,5 @@
 */
 export {callEntry, type CallOptions} from './call-entry.js';
 export {CliError} from './cli-error.js';
+export {explainLogs, type Explanation, type LogRecord} from './explain-logs.js';
 export {runCommandLine, type CommandExitCode, type CommandOutput} from './run-command-line.js';
--- a/packages/cli/src/run-command-line.test.ts
+++ b/packages/cli/src/run-command-line.test.ts
@@ -25,6 +25,7 @@
 	newer: join(folder, 'newer.ini'),
 	broken: join(folder, 'broken.ini'),
 	signed: join(folder, 'signed.json'),
+	log: join(folder, 'entries.log'),
 	missing: join(folder, 'missing'),
 };
 
@@ -71,6 +72,9 @@
 	writeFileSync(files.newer, bundleText(9, 2));
 	writeFileSync(files.broken, '[bundle]\nversion = x\n');
 	writeFileSync(files.signed, JSON.stringify(signBundle(bundleText(8, 1), 'ana', keys.privateKey)));
+	writeFileSync(files.log, `${JSON.stringify({
+		time: '2026-12-04T10:00:00.000Z', level: 'info', message: 'job ended', entry: 'e1', job: 'j1', status: 'done',
+	})}\n`);
 	server = createServer((request, response) => {
 		const chunks: Uint8Array[] = [];
 		request.on('data', (chunk: Uint8Array) => chunks.push(chunk));
@@ -135,6 +139,9 @@
 	{line: 'audit', code: 1, text: /ana\?\[2J[\s\S]*record 3 was altered/u},
 	{line: 'audit --since 2h --pool p', code: 1, text: /record 3 was altered/u},
 	{line: 'audit --since soon', code: 2, text: /--since: expected a time/u},
+	{line: 'explain j1 {log}', code: 0, text: /e1\s+job ended\s+job=j1 status=done/u},
+	{line: 'explain j2 {log}', code: 1, text: /No line tells of it/u},
+	{line: 'explain j1 {missing}', code: 2, text: /cannot read/u},
 	{line: 'status --since 2h', code: 2, text: /unknown option --since/u},
 	{line: 'status --entry nowhere', code: 2, text: /--entry: expected an IP number and port/u},
 	{line: 'status --entry 127.0.0.1:1', code: 1, text: /no answer from 127\.0\.0\.1:1; whether the command took effect is unknown/u},
