Tell a pool's first burst by its assigned machines

Change: the demand is compared with the machines that the operators gave the pool. Test: demand-history, of which one case failed before.

--- a/packages/jobs/src/fleet/demand-history.ts
+++ b/packages/jobs/src/fleet/demand-history.ts
@@ -3,7 +3,7 @@
 import {type PoolBalance} from './compute-balances.js';
 import {type FleetState} from './fleet-state.js';
 
-/** Share of a pool's capacity from which its demand counts as a peak. */
+/** Share of the capacity of a pool's assigned machines from which its demand counts as a peak. Its usable capacity would not do, as that is low after a takeover until all endpoints have answered. */
 const peakUtilization = 0.5;
 /** Time after the first work in any pool for which a reserve is kept in pools without a peak. */
 const reserveMs = 60_000;
@@ -18,7 +18,7 @@
 export function recordDemandHistory(fleet: FleetState, balances: readonly PoolBalance[], {now, wallTime}: DecisionContext): JobOutput[] {
 	const outputs: JobOutput[] = [];
 	const hasWork = balances.some(({report}) => report.hasWork);
-	for (const {pool, report, machines, wantedMillis, capacityMillis, machineMillis} of balances) {
+	for (const {pool, report, machines, wantedMillis, machineMillis} of balances) {
 		const known = fleet.demandHistory.get(pool);
 		if (known === undefined && hasWork) {
 			fleet.demandHistory.set(pool, {
@@ -28,12 +28,12 @@
 		}
 
 		const demandMillis = Math.max(report.usedMillis, wantedMillis);
-		if (known?.hasPeaked === false && demandMillis > machineMillis && demandMillis >= capacityMillis * peakUtilization) {
+		if (known?.hasPeaked === false && demandMillis > machineMillis && demandMillis >= known.assignedMachines * machineMillis * peakUtilization) {
 			fleet.demandHistory.set(pool, {...known, hasPeaked: true});
 			fleet.hasUnwrittenHistory = true;
 			// The burst has only begun, and its demand varies.
 			fleet.lastFullAt.set(pool, now);
-			outputs.push(emitLog('info', 'first burst of pool seen', {pool, demandMillis: Math.round(demandMillis), capacityMillis}));
+			outputs.push(emitLog('info', 'first burst of pool seen', {pool, demandMillis: Math.round(demandMillis), assignedMachines: known.assignedMachines}));
 		}
 	}
 
