Wait for no endpoint that a former owner has evacuated, and start nothing there

Change: a new owner reads the confirmations. An endpoint with one that does not answer, or is not listed, is gone; on one that answers nothing is started until the request is withdrawn. The holder of the fleet keeps both records for 7 s after a machine has left.

Tests: takeover (two new cases failed before), updateEvacuations (two of four failed before).

--- a/packages/entry/src/jobs/follow-pool.ts
+++ b/packages/entry/src/jobs/follow-pool.ts
@@ -40,6 +40,9 @@
 	async function loadPool(items: readonly StoreItem[]): Promise<void> {
 		// This entry holds the claim, so nobody else changes these records; jobs that arrive after the inbox was listed still have their initial progress.
 		const stateRange = await context.store.listItems(recordKeys.getStatePrefix(pool));
+		const evacuatedPrefix = recordKeys.getEvacuatedPoolPrefix(pool);
+		const {items: evacuated} = await context.store.listItems(evacuatedPrefix);
+		const evacuatedEndpointIds = evacuated.filter(item => decodeRecord('evacuated', item) !== undefined).map(item => item.key.slice(evacuatedPrefix.length));
 		const progressPrefix = recordKeys.getProgressKey(pool, '');
 		const progressItems = new Map(stateRange.items.filter(item => item.key.startsWith(progressPrefix)).map(item => [item.key.slice(progressPrefix.length), item]));
 		const cancelled = new Set(items.filter(item => item.key.startsWith(cancelPrefix)).map(item => item.key.slice(cancelPrefix.length)));
@@ -84,8 +87,10 @@
 			ended,
 			roster: roster ?? {endpointIds: []},
 			rosterRevision: rosterItem?.revision ?? 0,
+			evacuatedEndpointIds,
 		});
 		isLoaded = true;
+		withdrawMissingEvacuations(evacuatedEndpointIds);
 		const deferredItems = itemsBeforeLoad;
 		itemsBeforeLoad = [];
 		for (const item of deferredItems) {
@@ -93,6 +98,26 @@
 		}
 	}
 
+	const evacuationPrefix = recordKeys.getEvacuationPoolPrefix(pool);
+	/** Keys of the evacuation requests; undefined until they have been listed. */
+	let evacuationKeys: Set<string> | undefined;
+	let loadedEvacuatedIds: readonly string[] = [];
+
+	/** Withdraws evacuations that were confirmed when the pool was loaded and are not requested any more: both records are deleted together, and this may have happened before the requests were listed. */
+	function withdrawMissingEvacuations(evacuatedIds: readonly string[]): void {
+		if (evacuationKeys === undefined) {
+			loadedEvacuatedIds = evacuatedIds;
+			return;
+		}
+
+		loadedEvacuatedIds = [];
+		for (const endpointId of evacuatedIds) {
+			if (!evacuationKeys.has(`${evacuationPrefix}${endpointId}`)) {
+				context.pushEvent({kind: 'evacuation-withdrawn', pool, endpointId});
+			}
+		}
+	}
+
 	const stopInbox = followPrefix(context.store, {prefix: inboxPrefix, pauseMs: noPauseMs}, {
 		handleItems(items) {
 			if (isLoaded) {
@@ -112,14 +137,12 @@
 		handleChange: handleInboxItem,
 		handleError: createFailureLogger(context.log, inboxPrefix),
 	});
-	const evacuationPrefix = recordKeys.getEvacuationPoolPrefix(pool);
-	let evacuationKeys = new Set<string>();
 	const handleEvacuationItem = (item: StoreItem) => {
 		const event = decodeEvacuationRequest(item);
 		if (item.value === undefined) {
-			evacuationKeys.delete(item.key);
+			evacuationKeys?.delete(item.key);
 		} else {
-			evacuationKeys.add(item.key);
+			evacuationKeys?.add(item.key);
 		}
 
 		if (event !== undefined) {
@@ -131,11 +154,13 @@
 		handleItems(items) {
 			// A request that was withdrawn during a gap in the watch is noticed only because it is missing from the new list.
 			const listed = new Set(items.map(({key}) => key));
-			const withdrawn = [...evacuationKeys].filter(key => !listed.has(key));
+			const withdrawn = [...evacuationKeys ?? []].filter(key => !listed.has(key));
 			evacuationKeys = listed;
 			for (const item of [...withdrawn.map(key => ({key, value: undefined, revision: 0})), ...items]) {
 				handleEvacuationItem(item);
 			}
+
+			withdrawMissingEvacuations(loadedEvacuatedIds);
 		},
 		handleChange: handleEvacuationItem,
 		handleError: createFailureLogger(context.log, evacuationPrefix),
--- a/packages/entry/src/jobs/job-records.ts
+++ b/packages/entry/src/jobs/job-records.ts
@@ -27,6 +27,7 @@
 	getEvacuationPoolPrefix: (pool: string) => `fleet/vacate/${pool}/`,
 	lastHolderPrefix: 'shared/last/',
 	evacuatedPrefix: 'fleet/vacated/',
+	getEvacuatedPoolPrefix: (pool: string) => `fleet/vacated/${pool}/`,
 	wavePrefix: 'fleet/wave/',
 	demandHistoryKey: 'fleet/demand',
 	recentOrdersKey: 'fleet/orders',
--- a/packages/jobs/src/evacuation/evacuation-filter.test.ts
+++ b/packages/jobs/src/evacuation/evacuation-filter.test.ts
@@ -33,7 +33,7 @@
 	pool.activeJobs.add(job);
 	state.ledger.pools.set(poolName, pool);
 	state.supervision.pools.set(poolName, {
-		pool: poolName, token: 1, acquiredAt: surveyedAt - 100, unsurveyedIds: new Set(), surveyedAt: isSurveyed ? surveyedAt : undefined,
+		pool: poolName, token: 1, acquiredAt: surveyedAt - 100, unsurveyedIds: new Set(), evacuatedIds: new Set(), surveyedAt: isSurveyed ? surveyedAt : undefined,
 	});
 	for (const [index, id] of ['a', 'b'].entries()) {
 		const taskId = `job.0.0.${index}`;
--- a/packages/jobs/src/fleet/fleet-filter.ts
+++ b/packages/jobs/src/fleet/fleet-filter.ts
@@ -183,6 +183,7 @@
 	fleet.orders.clear();
 	fleet.evacuations.clear();
 	fleet.evacuatedIds.clear();
+	fleet.departedEndpoints.clear();
 	fleet.reports.clear();
 	fleet.lastFullAt.clear();
 	fleet.lastWorkAt = undefined;
--- a/packages/jobs/src/fleet/fleet-state.ts
+++ b/packages/jobs/src/fleet/fleet-state.ts
@@ -61,6 +61,8 @@
 	evacuationCount: number;
 	/** Endpoints whose evacuation the pool's owner has confirmed. */
 	readonly evacuatedIds: Set<string>;
+	/** Evacuated endpoints whose machine has left them, with their pool and when that was seen, in monotonic ms. */
+	readonly departedEndpoints: Map<string, {readonly pool: string; readonly seenAt: number}>;
 	readonly orders: Map<string, OpenOrder>;
 	readonly reports: Map<string, {readonly report: PoolReport; readonly seenAt: number}>;
 	/** When each machine last joined its pool or got a new endpoint, in monotonic ms. */
@@ -99,6 +101,7 @@
 		evacuations: new Map(),
 		evacuationCount: 0,
 		evacuatedIds: new Set(),
+		departedEndpoints: new Map(),
 		orders: new Map(),
 		reports: new Map(),
 		joinedPoolAt: new Map(),
--- a/packages/jobs/src/fleet/run-waves.test.ts
+++ b/packages/jobs/src/fleet/run-waves.test.ts
@@ -172,3 +172,25 @@
 		expect(decisions).toEqual(expected);
 	});
 });
+
+// Guards against a takeover that waits for the leases of endpoints whose machines have left, as their evacuation is forgotten before the roster.
+describe('the records of an evacuated endpoint whose machine has left', () => {
+	it.each([
+		{name: 'at once', atMs: [100], withdrawn: 0},
+		{name: 'within seven seconds', atMs: [100, 7000], withdrawn: 0},
+		{name: 'later', atMs: [100, 7200], withdrawn: 1},
+		{name: 'only once', atMs: [100, 7200, 7300], withdrawn: 1},
+	])('are withdrawn late: $name', ({atMs, withdrawn}) => {
+		const fleet = createFleetState(3000);
+		fleet.token = 7;
+		fleet.evacuations.set('e1', {
+			request: {
+				requestId: '7-1', pool: 'desk', endpointId: 'e1', machine: 'desk-1', purpose: 'move', dueAt: 0,
+			}, requestedAt: 0,
+		});
+		fleet.evacuatedIds.add('e1');
+		const outputs = atMs.flatMap(now => updateEvacuations({fleet, authority, configuration}, {now, wallTime: now, random}));
+		expect(outputs.filter(output => output.kind === 'sink' && output.effect.kind === 'withdraw-evacuation')).toHaveLength(withdrawn);
+		expect(fleet.evacuations.size).toBe(0);
+	});
+});
--- a/packages/jobs/src/fleet/run-waves.ts
+++ b/packages/jobs/src/fleet/run-waves.ts
@@ -206,6 +206,9 @@
 /** An evacuation that has not been confirmed is requested again after this time, as the request or the confirmation may have been lost. */
 const evacuationRenewalMs = 6000;
 
+/** The records of an evacuated endpoint stay for this time after its machine has left it: they tell a new owner of the pool, whose roster may still name the endpoint, that nothing runs there. A roster is written within a second, and a takeover without the store's help takes some more. */
+const departureRecordMs = 7000;
+
 /** Withdraws evacuations whose machine has been moved or maintained, or no longer needs to be, and renews those that are not confirmed. @internal */
 export function updateEvacuations(state: State, context: DecisionContext): JobOutput[] {
 	const {fleet} = state;
@@ -217,8 +220,14 @@
 		const isMoving = request.purpose === 'move' && (fleet.evacuatedIds.has(endpointId) || (now < requestedAt + moveEvacuationTimeoutMs && !fleet.poolsAwaitingMachines.has(request.pool)));
 		const isInWave = [...fleet.waves.values()].some(({wave, maintained}) => wave.machines.includes(request.machine) && !maintained.has(request.machine));
 		if (machine === undefined || !(isMoving || isInWave || hasOpenOrder(fleet, request.machine))) {
+			const isDeparted = machine === undefined && fleet.evacuatedIds.has(endpointId);
 			fleet.evacuations.delete(endpointId);
 			fleet.evacuatedIds.delete(endpointId);
+			if (isDeparted) {
+				fleet.departedEndpoints.set(endpointId, {pool: request.pool, seenAt: now});
+				continue;
+			}
+
 			outputs.push(emitEffect({kind: 'withdraw-evacuation', pool: request.pool, endpointId}));
 			continue;
 		}
@@ -231,5 +240,12 @@
 		}
 	}
 
+	for (const [endpointId, {pool, seenAt}] of fleet.departedEndpoints) {
+		if (now > seenAt + departureRecordMs) {
+			fleet.departedEndpoints.delete(endpointId);
+			outputs.push(emitEffect({kind: 'withdraw-evacuation', pool, endpointId}));
+		}
+	}
+
 	return outputs;
 }
--- a/packages/jobs/src/ledger/ledger-filter.ts
+++ b/packages/jobs/src/ledger/ledger-filter.ts
@@ -120,13 +120,15 @@
 };
 
 function loadPool({ledger}: State, {
-	pool: name, token, jobs, ended, roster, rosterRevision,
+	pool: name, token, jobs, ended, roster, rosterRevision, evacuatedEndpointIds,
 }: JobEventOf<'pool-loaded'>, context: DecisionContext): JobOutput[] {
 	const pool: PoolLedger = {
 		...createPoolLedger({pool: name, token, now: context.now}),
 		endedJobs: new Map(ended),
 		rosterRevision,
-		rosterEndpointIds: new Set(roster.endpointIds),
+		// The machines of evacuated endpoints may be ordered away at any time.
+		rosterEndpointIds: new Set(roster.endpointIds.filter(id => !evacuatedEndpointIds.includes(id))),
+		evacuatedEndpointIds: new Set(evacuatedEndpointIds),
 		savedRoster: roster,
 		silentRuns: new Map(Object.entries(roster.silentRuns ?? {})),
 		nextPurgeAt: context.now + purgeIntervalMs,
--- a/packages/jobs/src/model/events.ts
+++ b/packages/jobs/src/model/events.ts
@@ -88,6 +88,8 @@
 	readonly ended: ReadonlyMap<string, EndedJob>;
 	readonly roster: Roster;
 	readonly rosterRevision: number;
+	/** Endpoints that an owner of the pool has confirmed to be evacuated: they run nothing, and no task is started there until the request is withdrawn. */
+	readonly evacuatedEndpointIds: readonly string[];
 };
 
 /** Ownership of pools and of the fleet. @public */
--- a/packages/jobs/src/supervision/supervision-filter.ts
+++ b/packages/jobs/src/supervision/supervision-filter.ts
@@ -27,10 +27,12 @@
 export const supervisionFilter: JobFilter<State> = {
 	name: 'supervision',
 	handlers: {
-		'pool-loaded'({supervision}, {pool, token, roster}, context) {
+		'pool-loaded'({supervision}, {
+			pool, token, roster, evacuatedEndpointIds,
+		}, context) {
 			removePool(supervision, pool);
 			supervision.pools.set(pool, {
-				pool, token, acquiredAt: context.now, unsurveyedIds: new Set(roster.endpointIds), surveyedAt: undefined,
+				pool, token, acquiredAt: context.now, unsurveyedIds: new Set(roster.endpointIds), evacuatedIds: new Set(evacuatedEndpointIds), surveyedAt: undefined,
 			});
 			for (const id of roster.endpointIds) {
 				supervision.endpoints.set(id, createSupervisedEndpoint({id, pool, address: ''}, token, context));
@@ -92,6 +94,7 @@
 			}
 
 			endpoint.isPollPending = false;
+			endpoint.hasFailedPoll = true;
 			endpoint.nextPollAt = context.now + silentPollDelayMs;
 			return handleRefusal(endpoint, event.refusal, context);
 		},
@@ -158,6 +161,7 @@
 		lastProcessedEnd: 0,
 		unsavedEnds: new Set(),
 		isPollPending: false,
+		hasFailedPoll: false,
 		nextPollAt: context.now,
 		runs: new Map(),
 		usage: noUsage,
@@ -266,7 +270,8 @@
 
 	for (const id of pool.unsurveyedIds) {
 		const endpoint = supervision.endpoints.get(id);
-		if (endpoint === undefined || endpoint.phase === 'answering' || endpoint.phase === 'expired') {
+		const isGone = pool.evacuatedIds.has(id) && (endpoint?.hasFailedPoll === true || endpoint?.isListed === false);
+		if (endpoint === undefined || isGone || endpoint.phase === 'answering' || endpoint.phase === 'expired') {
 			pool.unsurveyedIds.delete(id);
 		}
 	}
--- a/packages/jobs/src/supervision/supervision-state.ts
+++ b/packages/jobs/src/supervision/supervision-state.ts
@@ -86,6 +86,8 @@
 	/** Numbers of processed ends that are not saved in the store. */
 	readonly unsavedEnds: Set<number>;
 	isPollPending: boolean;
+	/** Whether a poll has not been answered, or was refused. */
+	hasFailedPoll: boolean;
 	nextPollAt: number;
 	/** By task id. Changed by `addRun` and `removeRun` only. */
 	readonly runs: Map<string, Run>;
@@ -110,7 +112,9 @@
 	readonly acquiredAt: number;
 	/** Endpoints on which a previous owner may have started tasks and that have not reported their runs yet. */
 	readonly unsurveyedIds: Set<string>;
-	/** When the last of these endpoints reported, in monotonic ms. From then on no order of a previous owner is carried out. */
+	/** Endpoints that a previous owner has evacuated. One that does not answer is gone with its machine, and is not waited for. */
+	readonly evacuatedIds: ReadonlySet<string>;
+	/** When the last endpoint that is waited for reported, in monotonic ms. From then on no order of a previous owner is carried out. */
 	surveyedAt: number | undefined;
 };
 
--- a/packages/jobs/src/supervision/takeover.test.ts
+++ b/packages/jobs/src/supervision/takeover.test.ts
@@ -11,17 +11,23 @@
 const poolName = 'desk';
 /** Longest time that a lease of a previous owner can last on an endpoint that does not answer. */
 const previousLeaseMs = 6400;
+/** Time after which a poll without an answer has failed. */
+const orderTimeoutMs = 700;
 
 type Input = {
 	readonly roster: Roster;
 	/** Endpoints that are listed and answer. */
 	readonly answering: readonly string[];
+	/** Endpoints that the previous owner has evacuated. */
+	readonly evacuated?: readonly string[];
 	/** Runs that the endpoint named `recovered` lists. */
 	readonly running?: readonly ReportedRun[];
 };
 
 /** Lists the starts and stops of a new owner within the given time after it has loaded a pool with one job of four tasks. */
-function listStarts({roster, answering, running = []}: Input, forMs: number): string[] {
+function listStarts({
+	roster, answering, evacuated = [], running = [],
+}: Input, forMs: number): string[] {
 	const state = createJobsState({node: 'entry-1', incarnation: 'first', orderLeaseMs: 3000});
 	const starts: string[] = [];
 	const polled = new Set<string>();
@@ -63,10 +69,17 @@
 		}, revision: 5, isCancelled: false,
 	};
 	apply({
-		kind: 'pool-read', pool: poolName, token: 7, jobs: [stored], ended: new Map(), roster, rosterRevision: 4,
+		kind: 'pool-read', pool: poolName, token: 7, jobs: [stored], ended: new Map(), roster, rosterRevision: 4, evacuatedEndpointIds: evacuated,
 	}, 0);
 	for (let now = 25; now <= forMs; now += 25) {
 		apply({kind: 'tick'}, now);
+		for (const endpointId of [...polled].filter(id => !answering.includes(id) && now % orderTimeoutMs === 0)) {
+			polled.delete(endpointId);
+			apply({
+				kind: 'poll-refused', endpointId, token: 7, refusal: 'no-answer',
+			}, now);
+		}
+
 		for (const endpointId of [...polled].filter(id => answering.includes(id))) {
 			polled.delete(endpointId);
 			apply({
@@ -90,6 +103,14 @@
 		name: 'an unreachable endpoint on the roster runs nothing once its lease has expired',
 		roster: {endpointIds: ['healthy', 'unreachable']}, answering: ['healthy'], forMs: previousLeaseMs + 300, expected: ['0', '1', '2', '3'],
 	},
+	{
+		// Guards against waiting for endpoints whose machines have left, when the previous owner could not write its roster any more.
+		name: 'an evacuated endpoint that does not answer runs nothing', roster: {endpointIds: ['gone', 'healthy']}, answering: ['healthy'], evacuated: ['gone'], forMs: 1500, expected: ['0', '1', '2', '3'],
+	},
+	{
+		// Guards against tasks on an endpoint whose machine is about to be ordered away.
+		name: 'no task is started on an evacuated endpoint', roster: {endpointIds: ['evacuated']}, answering: ['evacuated'], evacuated: ['evacuated'], forMs: 1500, expected: [],
+	},
 	{
 		name: 'only the recorded runs of an endpoint that was unreachable before are waited for',
 		roster: {endpointIds: ['healthy'], silentRuns: {unreachable: [{taskId: 'job.0.0.2', run: 1}]}}, answering: ['healthy'], forMs: previousLeaseMs - 300, expected: ['0', '1', '3'],
--- a/packages/jobs/src/testing.test-support.ts
+++ b/packages/jobs/src/testing.test-support.ts
@@ -101,6 +101,7 @@
 		lastProcessedEnd: 0,
 		unsavedEnds: new Set(),
 		isPollPending: false,
+		hasFailedPoll: false,
 		nextPollAt: 0,
 		runs: new Map(),
 		usage,
@@ -154,7 +155,7 @@
 		kind: 'claim-answered', name: `pool/${pool}`, result: 'applied', token: 7,
 	}, 0);
 	apply({
-		kind: 'pool-read', pool, token: 7, jobs, ended: new Map(), roster, rosterRevision: 4,
+		kind: 'pool-read', pool, token: 7, jobs, ended: new Map(), roster, rosterRevision: 4, evacuatedEndpointIds: [],
 	}, 0);
 	return {state, apply};
 }
