--- a/packages/jobs/src/reporting/reporting-filter.ts
+++ b/packages/jobs/src/reporting/reporting-filter.ts
@@ -1,14 +1,15 @@
 import {emitEffect, type DecisionContext} from '@pistachiogauge/chain';
 import {type DirectoryView} from '../directory/index.js';
 import {type JobFilter, type JobOutput} from '../filter.js';
-import {
-	isStepReady, type Job, type LedgerView, type PoolLedger,
-} from '../ledger/index.js';
+import {type LedgerView, type PoolLedger} from '../ledger/index.js';
 import {type PoolReport} from '../model/index.js';
 import {type ObservationView} from '../observation/index.js';
 import {rankByMeasuredDurations, type RankedJob} from '../placement/index.js';
 import {type SupervisionView} from '../supervision/index.js';
 import {arrivalWindowMs, estimateArrivingMillis, type Arrival} from './estimate-arrivals.js';
+import {
+	addLoad, computeMemoryPerMilli, measureLoad, noLoad, type Load,
+} from './measure-load.js';
 
 /** @public */
 export type ReportingState = {
@@ -70,24 +71,6 @@
 	return [emitEffect({kind: 'publish-report', token: pool.token, report})];
 }
 
-/** An amount of CPU and memory; memory may be what a pool runs short of first. */
-type Load = {readonly cpuMillis: number; readonly memoryMb: number};
-
-/** Contribution of one job to a report. */
-type JobLoad = {
-	readonly used: Load;
-	readonly backlog: Load;
-	readonly serving: Load;
-	readonly endpointMinimum: number;
-	readonly hasWork: boolean;
-};
-
-const noLoad: Load = {cpuMillis: 0, memoryMb: 0};
-
-function addLoad(left: Load, right: Load, factor = 1): Load {
-	return {cpuMillis: left.cpuMillis + (right.cpuMillis * factor), memoryMb: left.memoryMb + (right.memoryMb * factor)};
-}
-
 function createReport(state: State, pool: Readonly<PoolLedger>, now: number): PoolReport {
 	const waiting: Record<string, number> = {};
 	const busy = new Set<string>();
@@ -142,18 +125,6 @@
 	};
 }
 
-/** Memory that the tasks of a job take for each thousandth of a core. */
-function computeMemoryPerMilli({record: {spec}}: Job): number {
-	let cpuMillis = 0;
-	let memoryMb = 0;
-	for (const {count, room, isFiller} of spec.steps) {
-		cpuMillis += isFiller ? 0 : count * room.cpuMillis;
-		memoryMb += isFiller ? 0 : count * room.memoryMb;
-	}
-
-	return cpuMillis === 0 ? 0 : memoryMb / cpuMillis;
-}
-
 /** Thousandths of a core that the pool's endpoints have for each MB of memory. */
 function computeMillisPerMb({directory}: State, usable: readonly string[]): number {
 	let cpuMillis = 0;
@@ -207,39 +178,3 @@
 	const leftMs = objectiveStatus === 'late' ? slackMs + remainingCriticalPathMs : dueInMs;
 	return remainingWork / Math.max(1, remainingCriticalPathMs, leftMs * usableTimeShare);
 }
-
-/** Measures the load of a job, and adds the endpoints that run its tasks to `busy`. Filler tasks are no load, as they use what others leave. */
-function measureLoad(job: Job, busy: Set<string>): JobLoad {
-	let used = noLoad;
-	let backlog = noLoad;
-	let serving = noLoad;
-	let endpointMinimum = 0;
-	let hasWork = false;
-	for (const step of job.steps.values()) {
-		const isReady = isStepReady(step);
-		const {spec, tasks} = step;
-		hasWork ||= !spec.isLongRunning;
-		let runCount = 0;
-		let waitingCount = 0;
-		for (const task of tasks) {
-			for (const endpointId of task.runs.values()) {
-				busy.add(endpointId);
-				runCount += 1;
-			}
-
-			waitingCount += isReady && !task.isDone && task.runs.size === 0 ? 1 : 0;
-		}
-
-		const load = spec.isFiller ? noLoad : spec.room;
-		used = addLoad(used, load, runCount);
-		backlog = addLoad(backlog, load, waitingCount);
-		if (spec.isLongRunning) {
-			serving = addLoad(serving, load, tasks.length);
-			endpointMinimum = Math.max(endpointMinimum, Math.ceil(tasks.length / (spec.endpointLimit ?? tasks.length)));
-		}
-	}
-
-	return {
-		used, backlog, serving, endpointMinimum, hasWork,
-	};
-}
