Let a new holder move machines at once, and hand on what was measured of durations

Change: the first list of a holder says nothing about arrivals. A pool's report carries its duration models, which the next owner reads with the pool's records. A holder whose predecessor left no record of orders writes its own when the wait is over, not only with its first order.

--- a/packages/bench/src/jobs/virtual-job-store.ts
+++ b/packages/bench/src/jobs/virtual-job-store.ts
@@ -147,6 +147,7 @@
 				roster: rosters.get(pool)?.record ?? {endpointIds: []},
 				rosterRevision: rosters.get(pool)?.revision ?? 0,
 				evacuatedEndpointIds: [],
+				durationModels: {},
 			};
 		},
 		listInbox(pool) {
--- a/packages/entry/src/jobs/damaged-records.test.ts
+++ b/packages/entry/src/jobs/damaged-records.test.ts
@@ -47,6 +47,7 @@
 	let watchCount = 0;
 	const store = {
 		listItems: async (prefix: string) => ({items: prefix.startsWith('state/') ? [] : items, revision: 1}),
+		readItem: async () => undefined,
 		async watchItems() {
 			watchCount += 1;
 			return watchCount === 1 ? {items: items.map(item => ({...item, revision: 2})), revision: 2} : new Promise<undefined>(() => {/* Waits for a change that does not come. */});
--- a/packages/entry/src/jobs/follow-pool.test.ts
+++ b/packages/entry/src/jobs/follow-pool.test.ts
@@ -31,6 +31,7 @@
 			await delay(prefix === 'fleet/vacate/desk/' && isListedLate ? 60 : 0);
 			return {items: itemsByPrefix.get(prefix) ?? [], revision: 3};
 		},
+		readItem: async () => undefined,
 		watchItems: async () => new Promise<undefined>(() => {/* Waits for a change that does not come. */}),
 	} as unknown as StoreClient;
 	const describeEvent: Partial<Record<JobEvent['kind'], (event: never) => string>> = {
--- a/packages/entry/src/jobs/follow-pool.ts
+++ b/packages/entry/src/jobs/follow-pool.ts
@@ -39,13 +39,17 @@
 
 	async function loadPool(items: readonly StoreItem[]): Promise<void> {
 		// This entry holds the claim, so nobody else changes these records; jobs that arrive after the inbox was listed still have their initial progress.
-		const stateRange = await context.store.listItems(recordKeys.getStatePrefix(pool));
 		const evacuatedPrefix = recordKeys.getEvacuatedPoolPrefix(pool);
-		const {items: evacuated} = await context.store.listItems(evacuatedPrefix);
+		const [stateRange, {items: evacuated}, reportItem] = await Promise.all([
+			context.store.listItems(recordKeys.getStatePrefix(pool)),
+			context.store.listItems(evacuatedPrefix),
+			context.store.readItem(`${recordKeys.reportPrefix}${pool}`),
+		]);
 		const evacuatedEndpointIds = evacuated.filter(item => decodeRecord('evacuated', item) !== undefined).map(item => item.key.slice(evacuatedPrefix.length));
 		const progressPrefix = recordKeys.getProgressKey(pool, '');
 		const progressItems = new Map(stateRange.items.filter(item => item.key.startsWith(progressPrefix)).map(item => [item.key.slice(progressPrefix.length), item]));
 		const cancelled = new Set(items.filter(item => item.key.startsWith(cancelPrefix)).map(item => item.key.slice(cancelPrefix.length)));
+		const report = reportItem === undefined ? undefined : decodeRecord('report', reportItem);
 		const jobs: StoredJob[] = [];
 		for (const item of items.filter(each => each.key.startsWith(jobPrefix))) {
 			const job = decodeRecord('job', item);
@@ -88,6 +92,7 @@
 			roster: roster ?? {endpointIds: []},
 			rosterRevision: rosterItem?.revision ?? 0,
 			evacuatedEndpointIds,
+			durationModels: report?.durationModels ?? {},
 		});
 		isLoaded = true;
 		withdrawMissingEvacuations(evacuatedEndpointIds);
--- a/packages/entry/src/jobs/record-schemas.ts
+++ b/packages/entry/src/jobs/record-schemas.ts
@@ -70,6 +70,9 @@
 		idleEndpoints: names,
 		servingEndpoints: names,
 		releasableEndpoints: names,
+		durationModels: z.record(z.string(), z.object({
+			count, meanLogEstimate: z.number(), meanLogDuration: z.number(), variance: z.number().nonnegative(), covariance: z.number(),
+		})).default({}),
 	}),
 	evacuationRequest: z.object({
 		requestId: z.string(), pool: z.string(), endpointId: z.string(), machine: z.string(), purpose: z.enum(['maintenance', 'move']), dueAt: z.number(),
--- a/packages/jobs/src/fleet/fleet-filter.ts
+++ b/packages/jobs/src/fleet/fleet-filter.ts
@@ -147,14 +147,22 @@
 	];
 }
 
-function runFleet(state: State, context: DecisionContext): JobOutput[] {
-	const {fleet} = state;
-	if (context.now >= fleet.inheritedUntil && fleet.inheritedOrders?.size !== 0) {
-		fleet.inheritedOrders = new Set();
+/** Forgets what the previous holder may have ordered once it no longer counts. Until it was known, this holder's own record was incomplete, so it is written anew. */
+function expireInheritedOrders(fleet: FleetState, now: number): JobOutput[] {
+	if (now < fleet.inheritedUntil || fleet.inheritedOrders?.size === 0) {
+		return [];
 	}
 
+	const wasKnown = fleet.inheritedOrders !== undefined;
+	fleet.inheritedOrders = new Set();
+	return wasKnown ? [] : [emitEffect({kind: 'carry-over-orders'})];
+}
+
+function runFleet(state: State, context: DecisionContext): JobOutput[] {
+	const {fleet} = state;
 	expireOrders(fleet, context.now);
 	return [
+		...expireInheritedOrders(fleet, context.now),
 		...requestMachineList(fleet, context),
 		...runWaves(state, context),
 		...balancePools(state, context),
--- a/packages/jobs/src/fleet/order-machines.ts
+++ b/packages/jobs/src/fleet/order-machines.ts
@@ -136,7 +136,9 @@
 	for (const machine of machines) {
 		const openOrder = fleet.orders.get(machine.name);
 		const before = fleet.machines.get(machine.name);
-		if (before?.pool !== machine.pool || before.endpointId !== machine.endpointId) {
+		const hasMoved = before?.pool !== machine.pool || before.endpointId !== machine.endpointId;
+		// The first list of a new holder does not tell when machines joined their pools; most did so long ago.
+		if (hasMoved && fleet.listedAt !== undefined) {
 			fleet.joinedPoolAt.set(machine.name, context.now);
 		}
 
--- a/packages/jobs/src/model/coordination.ts
+++ b/packages/jobs/src/model/coordination.ts
@@ -1,3 +1,4 @@
+import {type DurationModel} from './duration-model.js';
 /** A running entry, as registered under its lease. @public */
 export type Member = {
 	readonly node: string;
@@ -48,6 +49,8 @@
 	readonly servingEndpoints: readonly string[];
 	/** Usable endpoints without long-running tasks, least loaded first; the pool releases them in this order. */
 	readonly releasableEndpoints: readonly string[];
+	/** Durations of tasks against their estimates by queue, for the pool's next owner. */
+	readonly durationModels: Readonly<Record<string, DurationModel>>;
 };
 
 /** What is known about the demand of a pool. @public */
--- a/packages/jobs/src/model/events.ts
+++ b/packages/jobs/src/model/events.ts
@@ -1,3 +1,4 @@
+import {type DurationModel} from './duration-model.js';
 import {type Configuration} from './configuration.js';
 import {
 	type Claim, type Member, type PoolDemandHistory, type PoolReport, type Roster, type RunId, type EvacuationRequest, type EvacuatedEndpoint,
@@ -90,6 +91,8 @@
 	readonly rosterRevision: number;
 	/** Endpoints that an owner of the pool has confirmed to be evacuated: they run nothing, and no task is started there until the request is withdrawn. */
 	readonly evacuatedEndpointIds: readonly string[];
+	/** What the previous owner has measured, by queue. */
+	readonly durationModels: Readonly<Record<string, DurationModel>>;
 };
 
 /** Ownership of pools and of the fleet. @public */
--- a/packages/jobs/src/model/index.ts
+++ b/packages/jobs/src/model/index.ts
@@ -1,3 +1,4 @@
+export type * from './duration-model.js';
 export * from './resources.js';
 export * from './job.js';
 export type * from './configuration.js';
--- a/packages/jobs/src/observation/observation-filter.ts
+++ b/packages/jobs/src/observation/observation-filter.ts
@@ -37,6 +37,16 @@
 export const observationFilter: JobFilter<State> = {
 	name: 'observation',
 	handlers: {
+		'pool-loaded'({observation}, {durationModels}) {
+			for (const [queue, model] of Object.entries(durationModels)) {
+				// What this entry has measured itself may be newer.
+				if (!observation.durationModels.has(queue)) {
+					observation.durationModels.set(queue, {...model});
+				}
+			}
+
+			return [];
+		},
 		'run-ended': recordRunEnd,
 		'poll-answered'(state, {endpointId}, context) {
 			const supervised = state.supervision.endpoints.get(endpointId);
--- a/packages/jobs/src/observation/observation-state.ts
+++ b/packages/jobs/src/observation/observation-state.ts
@@ -1,6 +1,6 @@
 import {type Job, type Step} from '../ledger/index.js';
-import {type StepSpec} from '../model/index.js';
-import {predictDurationMs, type DurationModel} from './duration-model.js';
+import {type DurationModel, type StepSpec} from '../model/index.js';
+import {predictDurationMs} from './duration-model.js';
 import {type CachedEstimate} from './estimate-job.js';
 
 /** Health of an endpoint, as observed from its runs. @public */
--- a/packages/jobs/src/reporting/reporting-filter.ts
+++ b/packages/jobs/src/reporting/reporting-filter.ts
@@ -2,7 +2,7 @@
 import {type DirectoryView} from '../directory/index.js';
 import {type JobFilter, type JobOutput} from '../filter.js';
 import {type LedgerView, type PoolLedger} from '../ledger/index.js';
-import {type PoolReport} from '../model/index.js';
+import {type DurationModel, type PoolReport} from '../model/index.js';
 import {type ObservationView} from '../observation/index.js';
 import {rankByMeasuredDurations, type RankedJob} from '../placement/index.js';
 import {type SupervisionView} from '../supervision/index.js';
@@ -122,6 +122,32 @@
 		idleEndpoints: usable.filter(id => !busy.has(id)),
 		servingEndpoints: usable.filter(id => busy.has(id) && [...state.supervision.endpoints.get(id)?.runs.values() ?? []].every(run => run.isLongRunning)),
 		releasableEndpoints: listReleasableEndpoints(state, usable),
+		durationModels: getDurationModels(state, pool),
+	};
+}
+
+/** Returns what was measured of the queues whose jobs are active, so that a new owner ranks them as this one does. */
+function getDurationModels({observation}: State, pool: Readonly<PoolLedger>): Record<string, DurationModel> {
+	const models: Record<string, DurationModel> = {};
+	for (const {record: {queue}} of pool.activeJobs) {
+		const model = observation.durationModels.get(queue);
+		if (model !== undefined && models[queue] === undefined) {
+			models[queue] = roundModel(model);
+		}
+	}
+
+	return models;
+}
+
+/** Rounds a model, as its last digits say nothing and take space in each report. */
+function roundModel({count, ...moments}: DurationModel): DurationModel {
+	const round = (value: number) => Math.round(value * 1000) / 1000;
+	return {
+		count,
+		meanLogEstimate: round(moments.meanLogEstimate),
+		meanLogDuration: round(moments.meanLogDuration),
+		variance: round(moments.variance),
+		covariance: round(moments.covariance),
 	};
 }
 
--- a/packages/jobs/src/testing.test-support.ts
+++ b/packages/jobs/src/testing.test-support.ts
@@ -7,7 +7,7 @@
 	addUsage, createRun, noUsage, type Run, type SupervisedEndpoint,
 } from './supervision/supervision-state.js';
 import {
-	type Endpoint, type JobEffect, type JobEvent, type JobRecord, type Machine, type PoolReport, type Roster, type StepSpec, type StoredJob,
+	type DurationModel, type Endpoint, type JobEffect, type JobEvent, type JobRecord, type Machine, type PoolReport, type Roster, type StepSpec, type StoredJob,
 } from './model/index.js';
 
 const defaultStep: StepSpec = {
@@ -68,7 +68,7 @@
 /** Creates the report of a pool without work. @internal */
 export function createTestReport(pool: string, traits: Partial<PoolReport> = {}): PoolReport {
 	return {
-		pool, waiting: {}, hasWork: false, backlogMillis: 0, usedMillis: 0, neededMillis: 0, arrivingMillis: 0, endpointMinimum: 0, usableEndpoints: [], idleEndpoints: [], servingEndpoints: [], releasableEndpoints: [], ...traits,
+		pool, waiting: {}, hasWork: false, backlogMillis: 0, usedMillis: 0, neededMillis: 0, arrivingMillis: 0, endpointMinimum: 0, usableEndpoints: [], idleEndpoints: [], servingEndpoints: [], releasableEndpoints: [], durationModels: {}, ...traits,
 	};
 }
 
@@ -136,11 +136,14 @@
 };
 
 /** Creates an entry that has just loaded its pool. @internal */
-export function createTestOwner({roster, endpoints, jobs}: {
+export function createTestOwner({
+	roster, endpoints, jobs, durationModels = {},
+}: {
 	readonly roster: Roster;
 	/** Listed endpoints. */
 	readonly endpoints: readonly string[];
 	readonly jobs: readonly StoredJob[];
+	readonly durationModels?: Readonly<Record<string, DurationModel>>;
 }): TestOwner {
 	const pool = 'desk';
 	const random = createRandomSource(1);
@@ -155,7 +158,7 @@
 		kind: 'claim-answered', name: `pool/${pool}`, result: 'applied', token: 7,
 	}, 0);
 	apply({
-		kind: 'pool-read', pool, token: 7, jobs, ended: new Map(), roster, rosterRevision: 4, evacuatedEndpointIds: [],
+		kind: 'pool-read', pool, token: 7, jobs, ended: new Map(), roster, rosterRevision: 4, evacuatedEndpointIds: [], durationModels,
 	}, 0);
 	return {state, apply};
 }
