Order an evacuated machine only while it is on the evacuated endpoint

Change: the machine has to be on the endpoint whose evacuation was confirmed. Test: one case of balance-pools that failed before.

--- a/packages/jobs/src/fleet/balance-pools.test.ts
+++ b/packages/jobs/src/fleet/balance-pools.test.ts
@@ -207,6 +207,23 @@
 		expect(listDecisions(input)).toEqual(expected);
 	});
 
+	// Guards against a new holder that orders a machine away from its present tasks, as the records of its former endpoint's evacuation are still there.
+	it.each([
+		{name: 'its endpoint has been evacuated', endpointId: 'endpoint-of-desk-1', orders: ['desk-1']},
+		{name: 'a former endpoint of it has been evacuated', endpointId: 'former', orders: []},
+	])('orders an evacuated machine only if it is still there: $name', ({endpointId, orders}) => {
+		const fleet = createFleet({machines: [...desk, ...off], reports: [createTestReport('desk', {usableEndpoints: getEndpointIds(desk)})], at: []});
+		fleet.evacuations.set(endpointId, {
+			request: {
+				requestId: '4-1', pool: 'desk', endpointId, machine: 'desk-1', purpose: 'move', dueAt: 0,
+			}, requestedAt: 0,
+		});
+		fleet.evacuatedIds.add(endpointId);
+		const ordered = balancePools({fleet, authority, configuration}, {now: 100, wallTime: 100, random})
+			.flatMap(output => output.kind === 'sink' && output.effect.kind === 'order-machine' ? [output.effect.machine] : []);
+		expect(ordered).toEqual(orders);
+	});
+
 	it('sends no order before the previous holder must have stopped, nor after its own lease', () => {
 		const fleet = createFleet({machines: [...desk, ...off], reports: [busyDesk], at: []});
 		fleet.ordersAllowedFrom = 6000;
--- a/packages/jobs/src/fleet/balance-pools.ts
+++ b/packages/jobs/src/fleet/balance-pools.ts
@@ -60,9 +60,8 @@
 		}
 	}
 
-	const evacuated = [...fleet.evacuations.values()].filter(({request}) => request.purpose === 'move' && fleet.evacuatedIds.has(request.endpointId));
 	const availableMachines = [
-		...evacuated.map(({request}) => fleet.machines.get(request.machine)).filter(machine => machine !== undefined),
+		...listEvacuatedMachines(fleet),
 		...[...fleet.machines.values()].filter(machine => isSparePool(state, machine.pool) && machine.state === 'up'),
 	].filter(machine => !fleet.orders.has(machine.name) && !mayBeOrderedElsewhere(fleet, machine.name, context.now));
 	for (const {balance, missing} of shortages) {
@@ -84,6 +83,19 @@
 	return outputs;
 }
 
+/** Lists machines that have been evacuated for a move. One that has left the evacuated endpoint since, and may run tasks elsewhere, is not among them: its records are kept for some seconds. */
+function listEvacuatedMachines(fleet: FleetState): Machine[] {
+	const machines: Machine[] = [];
+	for (const {request: {purpose, machine: name, endpointId}} of fleet.evacuations.values()) {
+		const machine = fleet.machines.get(name);
+		if (purpose === 'move' && fleet.evacuatedIds.has(endpointId) && machine?.endpointId === endpointId) {
+			machines.push(machine);
+		}
+	}
+
+	return machines;
+}
+
 /** Gives pools that lack machines of their reserve evacuated machines and such that are switched off, and removes these from `availableMachines`. */
 function restoreReserves(state: State, balances: readonly PoolBalance[], availableMachines: Machine[], context: DecisionContext): JobOutput[] {
 	const outputs: JobOutput[] = [];
