--- a/packages/entry/src/jobs/create-job-sinks.ts
+++ b/packages/entry/src/jobs/create-job-sinks.ts
@@ -1,28 +1,20 @@
-import {setTimeout as delay} from 'node:timers/promises';
 import {
 	rosterRecordKey, type JobEffect, type JobEffectOf,
 } from '@pistachiogauge/jobs';
-import {
-	encodeWaveStatus, type TransactionResult, type StoreTransaction,
-} from '@pistachiogauge/platform';
+import {type StoreTransaction} from '@pistachiogauge/platform';
 import {type SinkTable} from '@pistachiogauge/pipeline';
+import {createFleetSinks} from './create-fleet-sinks.js';
 import {createOrderSinks, type CallRunner} from './create-order-sinks.js';
 import {createOrderJournal} from './order-journal.js';
 import {followPool} from './follow-pool.js';
 import {
 	followEndpoints, followFleetRecords, type StopFollowing,
 } from './follow-records.js';
-import {createRecordWriter, retryPauseMs} from './record-writer.js';
 import {
 	createInitialProgress, createStoredJob, decodeRecord, encodeRecord, recordKeys,
 } from './job-records.js';
 import {type JobSinkDependencies} from './job-sink-dependencies.js';
-
-type WriteResult = 'applied' | 'conflict' | 'refused' | 'unknown';
-
-const writeResults: Readonly<Record<TransactionResult['kind'], WriteResult>> = {
-	applied: 'applied', conflict: 'conflict', refused: 'refused', unknown: 'unknown', 'lease-gone': 'refused',
-};
+import {writeResults} from './write-results.js';
 
 /** Time in ms for which a machine order stays on record beyond the minimum time between orders of two holders: the time until the next holder reads it counts as well. */
 const orderKeepMarginMs = 2000;
@@ -44,8 +36,6 @@
 		});
 	};
 
-	const writeRecord = createRecordWriter(store, log);
-
 	function createFleetConditions(): StoreTransaction['conditions'] {
 		const token = dependencies.state.fleet.token ?? 0;
 		return [{key: `${recordKeys.claimPrefix}fleet`, revision: token}];
@@ -244,56 +234,7 @@
 				});
 			});
 		},
-		'request-evacuation'({request}) {
-			const key = `${recordKeys.evacuationPrefix}${request.pool}/${request.endpointId}`;
-			runCall('request-evacuation', async () => writeRecord(key, {conditions: createFleetConditions(), puts: [{key, value: encodeRecord(request)}]}));
-		},
-		'withdraw-evacuation'({pool, endpointId}) {
-			const key = `${recordKeys.evacuationPrefix}${pool}/${endpointId}`;
-			runCall('withdraw-evacuation', async () => writeRecord(key, {
-				conditions: createFleetConditions(),
-				puts: [],
-				deletes: [key, `${recordKeys.evacuatedPrefix}${pool}/${endpointId}`],
-			}));
-		},
-		'confirm-evacuation'({token, evacuated: {requestId, pool, endpointId}}) {
-			const key = `${recordKeys.evacuatedPrefix}${pool}/${endpointId}`;
-			runCall('confirm-evacuation', async () => writeRecord(key, {
-				conditions: [{key: `${recordKeys.claimPrefix}pool/${pool}`, revision: token}],
-				puts: [{key, value: encodeRecord({requestId})}],
-			}));
-		},
-		'carry-over-orders'() {
-			runCall('carry-over-orders', async () => {
-				await orderJournal.writeRecord();
-			});
-		},
-		'write-demand-history'({history}) {
-			runCall('write-demand-history', async () => {
-				const result = await store.applyTransaction({
-					conditions: createFleetConditions(),
-					puts: [{key: recordKeys.demandHistoryKey, value: encodeRecord({history})}],
-				});
-				if (result.kind !== 'applied') {
-					await delay(retryPauseMs);
-				}
-
-				pushEvent({kind: 'demand-history-written', result: writeResults[result.kind]});
-			}, {kind: 'demand-history-written', result: 'unknown'});
-		},
-		'write-wave-status'({number, status, maintained}) {
-			runCall('write-wave-status', async () => {
-				const result = await store.applyTransaction({
-					conditions: createFleetConditions(),
-					puts: [encodeWaveStatus(number, status), {key: `${recordKeys.wavePrefix}${number}`, value: encodeRecord({maintained, isDone: status === 'done'})}],
-				});
-				if (result.kind !== 'applied') {
-					await delay(retryPauseMs);
-				}
-
-				pushEvent({kind: 'wave-status-written', number, result: writeResults[result.kind]});
-			}, {kind: 'wave-status-written', number, result: 'unknown'});
-		},
+		...createFleetSinks(dependencies, {runCall, orderJournal, createFleetConditions}),
 		...createOrderSinks({...dependencies, orderJournal}, runCall),
 		'answer-caller'({requestId, answer}) {
 			dependencies.ingress.answerCaller(requestId, answer);
