--- a/packages/cli/src/explain-logs.ts
+++ b/packages/cli/src/explain-logs.ts
@@ -48,7 +48,7 @@
 	}
 
 	const selected = ids.size === 1 ? direct : lines.filter(line => [...ids].some(each => line.includes(each))).map(line => parseRecord(line));
-	const records = sortByTime(selected.filter(record => record !== undefined).filter(record => [...ids].some(each => mentions(record, each))));
+	const records = sortByTime(selected.filter(record => record !== undefined).filter(record => [...ids].some(each => isAbout(record, each))));
 	const stays = listStays(records);
 	const related = stays.size === 0
 		? []
@@ -74,12 +74,12 @@
 }
 
 /** Whether a value of a record is the id, or the id of a part, such as a task of a job. */
-function mentions(value: unknown, id: string): boolean {
+function isAbout(value: unknown, id: string): boolean {
 	if (typeof value === 'string') {
 		return value === id || value.startsWith(`${id}.`);
 	}
 
-	return typeof value === 'object' && value !== null && Object.values(value).some(part => mentions(part, id));
+	return typeof value === 'object' && value !== null && Object.values(value).some(part => isAbout(part, id));
 }
 
 function sortByTime(records: readonly LogRecord[]): LogRecord[] {
