--- a/packages/bench/src/jobs/jobs-simulation.ts
+++ b/packages/bench/src/jobs/jobs-simulation.ts
@@ -1,27 +1,15 @@
 import {createRandomSource, type RandomSource} from '@pistachiogauge/chain';
 import {
-	applyJobEvent, createJobsState, type CallerAnswer, type Configuration, type Endpoint, type JobEffect, type JobEffectOf, type JobEvent, type JobsState, type JobSpec, type Machine, type Member,
+	applyJobEvent, createJobsState, type CallerAnswer, type Configuration, type Endpoint, type JobEffect, type JobEvent, type JobSpec, type Member,
 } from '@pistachiogauge/jobs';
 import {createEventQueue, type EventQueue} from '../virtual/event-queue.js';
 import {startWallTime} from '../virtual/virtual-clock.js';
+import {createVirtualSinks} from './create-virtual-sinks.js';
 import {createJobInvariantChecker, type JobInvariantChecker} from './job-invariant-checker.js';
+import {type VirtualJobsEntry} from './virtual-jobs-entry.js';
 import {createVirtualTaskEndpoint, type TaskBehaviour, type VirtualTaskEndpoint} from './virtual-task-endpoint.js';
 import {createVirtualJobStore, type VirtualJobStore} from './virtual-job-store.js';
 
-/** An entry of the simulation. */
-export type VirtualJobsEntry = {
-	readonly node: string;
-	incarnation: string;
-	state: JobsState;
-	isUp: boolean;
-	/** Whether calls of this entry reach the store. */
-	isStoreReachable: boolean;
-	/** Virtual time in ms until which the entry is paused. */
-	pausedUntil: number;
-	leaseRenewedAt: number;
-	isRegistered: boolean;
-};
-
 /** A simulation of entries, endpoints, machines and the store in virtual time. */
 export type JobsSimulation = {
 	readonly queue: EventQueue;
@@ -60,7 +48,6 @@
 const renewMs = 500;
 /** Bounds of the delay of one call, one answer and one watch event. */
 const callDelayMs = {min: 1, max: 6} as const;
-const callTimeoutMs = 700;
 
 /** Creates a simulation with a queue `jobs-POOL` for each pool. */
 export function createJobsSimulation({
@@ -128,144 +115,9 @@
 		}
 	}
 
-	/** Runs a call to the store after a delay; gives the `failed` answer if the store cannot be reached. */
-	function callStore(entry: VirtualJobsEntry, failed: JobEvent | undefined, run: () => JobEvent | undefined): void {
-		queue.add(chooseDelayMs(), () => {
-			const answer = isStoreAvailable(entry) ? run() : failed;
-			if (answer !== undefined) {
-				deliverLater(entry, answer);
-			}
-		});
-	}
-
-	/** Sends an order to an endpoint; a late order gets no answer and takes effect seconds later. */
-	function callEndpoint(entry: VirtualJobsEntry, endpointId: string, lost: JobEvent, run: (endpoint: VirtualTaskEndpoint) => JobEvent | undefined): void {
-		const isLate = random.getFraction() < simulation.lateOrderShare;
-		queue.add(isLate ? 2000 + (random.getFraction() * 10_000) : chooseDelayMs(), () => {
-			const endpoint = endpoints.get(endpointId);
-			const answer = endpoint?.isReachable === true || (isLate && endpoint !== undefined) ? run(endpoint) : lost;
-			if (!isLate && answer !== undefined) {
-				deliverLater(entry, answer, answer === lost ? callTimeoutMs : chooseDelayMs());
-			}
-		});
-		if (isLate) {
-			deliverLater(entry, lost, callTimeoutMs);
-		}
-	}
-
-	const sinks: {readonly [Kind in JobEffect['kind']]?: (entry: VirtualJobsEntry, effect: JobEffectOf<Kind>) => void} = {
-		claim(entry, effect) {
-			callStore(entry, {
-				kind: 'claim-answered', name: effect.name, result: 'refused', token: 0,
-			}, () => {
-				if (!entry.isRegistered) {
-					return {
-						kind: 'claim-answered', name: effect.name, result: 'refused', token: 0,
-					};
-				}
-
-				const {answer, changes} = store.claim(effect, getMember(entry));
-				publish(changes);
-				return answer;
-			});
-		},
-		'load-pool'(entry, {pool, token}) {
-			deliverLater(entry, {kind: 'endpoints-listed', endpoints: listEndpoints()});
-			callStore(entry, {kind: 'pool-load-failed', pool, token}, () => {
-				// Changes recorded while the answer is in transit arrive through the watch after it.
-				queue.add(2 * callDelayMs.max, () => {
-					for (const event of store.listInbox(pool)) {
-						deliverLater(entry, event);
-					}
-				});
-				return store.loadPool(pool, token);
-			});
-		},
-		'store-job'(entry, {requestId, job}) {
-			callStore(entry, {kind: 'job-stored', requestId, result: 'refused'}, () => {
-				const {isNew, changes} = store.storeJob(job);
-				publish(changes);
-				return {kind: 'job-stored', requestId, result: isNew ? 'applied' : 'conflict'};
-			});
-		},
-		'read-progress'(entry, {requestId, jobId}) {
-			callStore(entry, {
-				kind: 'progress-read', requestId, result: 'failed', progress: undefined,
-			}, () => {
-				const progress = store.getProgress(jobId);
-				return {
-					kind: 'progress-read', requestId, result: progress === undefined ? 'absent' : 'found', progress,
-				};
-			});
-		},
-		'store-cancel'(entry, {requestId, pool, jobId}) {
-			callStore(entry, {kind: 'cancel-stored', requestId, result: 'refused'}, () => {
-				publish(store.storeCancel(pool, jobId));
-				return {kind: 'cancel-stored', requestId, result: 'applied'};
-			});
-		},
-		'save-progress'(entry, effect) {
-			callStore(entry, {
-				kind: 'progress-saved', pool: effect.pool, token: effect.token, saveId: effect.saveId, result: 'unknown', revision: 0, presentRevisions: undefined, isClaimLost: false,
-			}, () => store.saveProgress(effect));
-		},
-		'poll-endpoint'(entry, effect) {
-			const {endpointId, token} = effect.target;
-			const {incarnation} = entry;
-			callEndpoint(entry, endpointId, {
-				kind: 'poll-refused', endpointId, token, refusal: 'no-answer',
-			}, endpoint => {
-				endpoint.poll(effect, event => {
-					const isAnswerDelivered = endpoint.isReachable;
-					queue.add(isAnswerDelivered ? chooseDelayMs() : callTimeoutMs, () => {
-						deliver(entry, isAnswerDelivered
-							? event
-							: {
-								kind: 'poll-refused', endpointId, token, refusal: 'no-answer',
-							}, incarnation);
-					});
-				});
-				return undefined;
-			});
-		},
-		'start-task'(entry, effect) {
-			const {endpointId, token} = effect.target;
-			const refused = {
-				kind: 'start-refused', endpointId, token, taskId: effect.taskId, run: effect.run,
-			} as const;
-			callEndpoint(entry, endpointId, {...refused, refusal: 'no-answer'}, endpoint => {
-				const answer = endpoint.startTask(effect, entry.node);
-				return typeof answer === 'number'
-					? {
-						kind: 'start-answered', endpointId, token, taskId: effect.taskId, run: effect.run, clockMs: answer,
-					}
-					: {...refused, refusal: answer};
-			});
-		},
-		'stop-task'(entry, effect) {
-			const {endpointId, token} = effect.target;
-			const stopped = {
-				kind: 'stop-answered', endpointId, token, taskId: effect.taskId, run: effect.run,
-			} as const;
-			callEndpoint(entry, endpointId, {...stopped, refusal: 'no-answer'}, endpoint => ({...stopped, refusal: endpoint.stopTask(effect)}));
-		},
-		'list-machines'(entry) {
-			const machines: Machine[] = listEndpoints().map(endpoint => ({
-				name: `machine-of-${endpoint.id}`, pool: endpoint.pool, state: 'up', zone: endpoint.zone, labels: endpoint.labels, capacity: endpoint.capacity, endpointId: endpoint.id,
-			}));
-			deliverLater(entry, {kind: 'machines-listed', machines});
-		},
-		'answer-caller'(_entry, {requestId, answer}) {
-			answers.set(requestId, answer);
-			checker.recordAnswer(requestId, answer);
-		},
-		log(entry, {message, fields}) {
-			onLine?.(`${queue.now.toFixed(1)} ${entry.node} ${message} ${JSON.stringify(fields)}`);
-		},
-		'handler-failed'(_entry, {filter, eventKind, error}) {
-			checker.reportViolation('handler-failed', `${filter} on ${eventKind}: ${error instanceof Error ? error.stack : String(error)}`);
-		},
-	};
+	const sinks = createVirtualSinks({
+		queue, random, store, endpoints, checker, answers, onLine, maxCallDelayMs: callDelayMs.max, chooseDelayMs, getLateOrderShare: () => simulation.lateOrderShare, isStoreAvailable, getMember, listEndpoints, deliver, deliverLater, publish,
+	});
 
 	function getMember({node, incarnation}: VirtualJobsEntry): Member {
 		return {node, incarnation, weight: 1};
--- a/packages/bench/src/jobs/run-jobs-soak.ts
+++ b/packages/bench/src/jobs/run-jobs-soak.ts
@@ -1,5 +1,6 @@
 import {type JobSpec, type StepSpec} from '@pistachiogauge/jobs';
-import {createJobsSimulation, type JobsSimulation, type VirtualJobsEntry} from './jobs-simulation.js';
+import {createJobsSimulation, type JobsSimulation} from './jobs-simulation.js';
+import {type VirtualJobsEntry} from './virtual-jobs-entry.js';
 import {type JobInvariantViolation} from './job-invariant-checker.js';
 
 /** Result of one randomised run. */
--- a/packages/cli/src/explain-logs.ts
+++ b/packages/cli/src/explain-logs.ts
@@ -24,7 +24,13 @@
 
 /** Lines about an endpoint that matter to a job whose tasks run there. */
 const endpointMessages: ReadonlySet<string> = new Set([
-	'endpoint stopped answering', 'endpoint restarted', 'lease of endpoint expired', 'endpoint excluded from placement for a while', 'another endpoint answers at the address', 'evacuation of endpoint completed', 'supervised endpoint no longer listed in its pool',
+	'endpoint stopped answering',
+	'endpoint restarted',
+	'lease of endpoint expired',
+	'endpoint excluded from placement for a while',
+	'another endpoint answers at the address',
+	'evacuation of endpoint completed',
+	'supervised endpoint no longer listed in its pool',
 ]);
 /** Messages after which a task no longer runs on the endpoint that it was placed on. */
 const endMessages: ReadonlySet<string> = new Set(['run confirmed not running', 'run of task failed', 'job ended']);
--- a/packages/entry/src/jobs/create-order-sinks.ts
+++ b/packages/entry/src/jobs/create-order-sinks.ts
@@ -53,6 +53,7 @@
 			const {machine, order} = effect;
 			runCall('order-machine', async () => {
 				const recorded = await dependencies.orderJournal.recordOrder(machine);
+				// Without a record the next holder would not know of the order, so it is not sent; `limited` makes the decisions try it again.
 				if (recorded !== 'applied' || dependencies.state.fleet.token !== effect.token) {
 					pushEvent({
 						kind: 'machine-order-answered', machine, order, result: recorded === 'conflict' ? 'fenced' : 'limited',
--- a/packages/entry/src/jobs/record-schemas.ts
+++ b/packages/entry/src/jobs/record-schemas.ts
@@ -9,7 +9,8 @@
 const count = z.number().int().nonnegative();
 const resources = z.object({cpuMillis: z.number().nonnegative(), memoryMb: z.number().nonnegative(), gpus: z.number().nonnegative()});
 const runId = z.object({taskId: z.string(), run: count});
-const names = z.array(z.string()).default([]);
+/** A list of names that earlier versions did not write. */
+const addedNames = z.array(z.string()).default([]);
 
 const step = z.object({
 	count,
@@ -66,10 +67,10 @@
 		neededMillis: z.number(),
 		arrivingMillis: z.number(),
 		endpointMinimum: count,
-		usableEndpoints: names,
-		idleEndpoints: names,
-		servingEndpoints: names,
-		releasableEndpoints: names,
+		usableEndpoints: addedNames,
+		idleEndpoints: addedNames,
+		servingEndpoints: addedNames,
+		releasableEndpoints: addedNames,
 		durationModels: z.record(z.string(), z.object({
 			count, meanLogEstimate: z.number(), meanLogDuration: z.number(), variance: z.number().nonnegative(), covariance: z.number(),
 		})).default({}),
@@ -78,7 +79,7 @@
 		requestId: z.string(), pool: z.string(), endpointId: z.string(), machine: z.string(), purpose: z.enum(['maintenance', 'move']), dueAt: z.number(),
 	}),
 	evacuated: z.object({requestId: z.string()}),
-	wave: z.object({maintained: names, isDone: z.boolean()}),
+	wave: z.object({maintained: addedNames, isDone: z.boolean()}),
 	recentOrders: z.object({token: count, machines: z.array(z.string())}),
 	demandHistory: z.object({
 		history: z.array(z.object({
--- a/packages/entry/src/jobs/session.ts
+++ b/packages/entry/src/jobs/session.ts
@@ -55,7 +55,7 @@
 		}
 
 		lease = granted.lease;
-		handleRenewed(requestedAt, granted.ttlMs);
+		reportRenewal(requestedAt, granted.ttlMs);
 		options.handleOpened();
 	}
 
@@ -71,11 +71,11 @@
 			return;
 		}
 
-		handleRenewed(requestedAt, renewal.ttlMs);
+		reportRenewal(requestedAt, renewal.ttlMs);
 	}
 
 	/** The lease runs from the arrival of the call, so counting from before it was sent is on the safe side. */
-	function handleRenewed({now, wallTime}: ReturnType<typeof readClocks>, ttlMs: number): void {
+	function reportRenewal({now, wallTime}: ReturnType<typeof readClocks>, ttlMs: number): void {
 		options.handleRenewed(now + ttlMs, wallTime + ttlMs);
 	}
 
