Keep the records of an evacuation that was requested again

An endpoint whose machine was missing from one machine list (a malformed row) counts as departed, and its evacuation records are deleted seven seconds later, also when the machine is back and is evacuated again: the pool's owner would place tasks on it and the machine be ordered with them. Found on reading the diff; the test fails without the change. The line acts only for an endpoint that returns within seven seconds.

--- a/packages/jobs/src/fleet/run-waves.test.ts
+++ b/packages/jobs/src/fleet/run-waves.test.ts
@@ -3,7 +3,7 @@
 import {type Machine, type PoolReport} from '../model/index.js';
 import {createTestMachine, createTestReport} from '../testing.test-support.js';
 import {createFleetState} from './fleet-state.js';
-import {runWaves, updateEvacuations} from './run-waves.js';
+import {requestEvacuation, runWaves, updateEvacuations} from './run-waves.js';
 
 const random = createRandomSource(1);
 const authority = {
@@ -193,4 +193,19 @@
 		expect(outputs.filter(output => output.kind === 'sink' && output.effect.kind === 'withdraw-evacuation')).toHaveLength(withdrawn);
 		expect(fleet.evacuations.size).toBe(0);
 	});
+
+	// Guards against an evacuation whose records are deleted under it: its pool's owner would place tasks again, and the machine would be ordered with them.
+	it('are kept when the machine is back and is evacuated again', () => {
+		const fleet = createFleetState(3000);
+		const [machine] = desk;
+		const endpointId = machine!.endpointId!;
+		fleet.token = 7;
+		fleet.machines.set(machine!.name, machine!);
+		fleet.departedEndpoints.set(endpointId, {pool: 'desk', seenAt: 0});
+		const request = requestEvacuation(fleet, {
+			machine: machine!, endpointId, purpose: 'move', dueAt: 9000,
+		}, {now: 5000, wallTime: 5000, random});
+		const outputs = [...request, ...updateEvacuations({fleet, authority, configuration}, {now: 7200, wallTime: 7200, random})];
+		expect(outputs.filter(output => output.kind === 'sink' && output.effect.kind === 'withdraw-evacuation')).toEqual([]);
+	});
 });
--- a/packages/jobs/src/fleet/run-waves.ts
+++ b/packages/jobs/src/fleet/run-waves.ts
@@ -192,6 +192,8 @@
 		requestId: `${fleet.token}-${fleet.evacuationCount}`, pool: machine.pool, endpointId, machine: machine.name, purpose, dueAt,
 	};
 	fleet.evacuations.set(endpointId, {request, requestedAt: context.now});
+	// Its machine is back, and the records belong to the new request.
+	fleet.departedEndpoints.delete(endpointId);
 	return [
 		emitLog('info', 'evacuation of endpoint requested', {
 			endpoint: endpointId, machine: machine.name, pool: machine.pool, purpose,
