--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -13,6 +13,7 @@
 	const installation = await startInstallation({
 		folder,
 		entryCount: 4,
+		recordsLeases: true,
 		workers: Array.from({length: 5}, (_, index) => ({id: `i-a${index + 1}`, labels: ['a', `r1-${index + 1}`]})),
 		queues: [{
 			Name: 'syncs', Prefix: '/syncs/', TargetLatencyMs: 2500, Stretch: 2.2,
--- a/review/lib/installation.mjs
+++ b/review/lib/installation.mjs
@@ -27,7 +27,7 @@
 @param options.adviseStep - Returns the ids of the workers that may run a step, from those asked for.
 */
 export async function startInstallation({
-	folder, entryCount, workers, queues, admissionCheck = true, adviseStep, mayAnswer, lateMs,
+	folder, entryCount, workers, queues, admissionCheck = true, adviseStep, mayAnswer, lateMs, recordsLeases = false,
 }) {
 	const startedAt = performance.now();
 	const events = [];
@@ -49,6 +49,10 @@
 	};
 
 	const store = createStoreStandin();
+	const recordLease = fields => {
+		record('lease', {...fields, node: store.nodeByRevision.get(fields.token)});
+	};
+
 	const service = 'desk';
 	store.write('op/config', {
 		Version: 7,
@@ -62,6 +66,7 @@
 	});
 	const standins = workers.map(worker => createWorkerStandin({
 		service, zone: 'zone-a', capacity: {Cpu: 16_000, MemMb: 65_536}, isGuarding: admissionCheck, mayAnswer, lateMs, ...worker, store, record, getStep,
+		...(recordsLeases && {recordLease}),
 	}));
 	await Promise.all(standins.map(async worker => worker.start()));
 
--- a/review/lib/worker-standin.mjs
+++ b/review/lib/worker-standin.mjs
@@ -18,7 +18,7 @@
 */
 export function createWorkerStandin({
 	id, service, zone, labels, capacity, isGuarding = true, stopMs = 300, store, record, getStep,
-	mayAnswer = () => 'answer', lateMs = () => 3000,
+	mayAnswer = () => 'answer', lateMs = () => 3000, recordLease,
 }) {
 	const born = Date.now();
 	const bornAt = performance.now();
@@ -73,6 +73,9 @@
 		}
 
 		deadline = limited;
+		recordLease?.({
+			worker: id, token, deadline, clock: getClock(),
+		});
 		clearTimeout(leaseTimer);
 		leaseTimer = setTimeout(() => {
 			for (const task of runs.keys()) {
