Log the token and the session's rest with each start, and what a takeover waited for

Cause: the log lines of a start do not tell whether the owner still had its claim, and those of a takeover do not tell which endpoints it gave up on.

Change: `task placed` has the fencing token and `sessionLeftMs`, `all runs in pool accounted for after takeover` has `waitedMs` and the endpoints that were unreachable until their leases expired, and a new line `runs on silent endpoint recorded` tells what goes on the roster, with the number of ends that are not saved.

--- a/packages/jobs/src/placement/placement-filter.ts
+++ b/packages/jobs/src/placement/placement-filter.ts
@@ -196,7 +196,7 @@
 		addCount(counts, chosen.endpoint.id);
 		placed.push(...placeTask(state, {
 			task, run, chosen, ticket: advised.tickets?.get(chosen.endpoint.id),
-		}));
+		}, context));
 	}
 
 	return {outputs: placed, isIncomplete: false};
@@ -229,7 +229,7 @@
 			addCount(counts, chosen.endpoint.id);
 			placed.push(...placeTask(state, {
 				task, run, chosen, ticket: advised.tickets?.get(chosen.endpoint.id), checkpoint,
-			}));
+			}, context));
 		}
 
 		if (step.tasks.every(task => task.runs.has(run))) {
@@ -264,13 +264,13 @@
 	return [...[...racks.values()].sort((left, right) => sumFreeMillis(right) - sumFreeMillis(left)), candidates];
 }
 
-function placeTask({placement}: State, {task, run, chosen, ticket, checkpoint = task.checkpoint}: {
+function placeTask({placement, authority, supervision}: State, {task, run, chosen, ticket, checkpoint = task.checkpoint}: {
 	readonly task: Task;
 	readonly run: number;
 	readonly chosen: Candidate;
 	readonly ticket: string | undefined;
 	readonly checkpoint?: string;
-}): JobOutput[] {
+}, context: DecisionContext): JobOutput[] {
 	reserveCandidate(chosen, task.step);
 	// Lets the rest of this search count the run; the ledger records it when the event arrives there.
 	task.runs.set(run, chosen.endpoint.id);
@@ -278,7 +278,14 @@
 	placement.reservedSteps.set(chosen.endpoint.id, reserved.set(task.id, task.step));
 	return [
 		emitLog('info', 'task placed', {
-			job: task.step.job.record.id, task: task.id, run, endpoint: chosen.endpoint.id, freeMillis: chosen.free.cpuMillis, hasCheckpoint: checkpoint !== '',
+			job: task.step.job.record.id,
+			task: task.id,
+			run,
+			endpoint: chosen.endpoint.id,
+			freeMillis: chosen.free.cpuMillis,
+			hasCheckpoint: checkpoint !== '',
+			token: supervision.endpoints.get(chosen.endpoint.id)?.token,
+			sessionLeftMs: Math.round(authority.validUntil - context.now),
 		}),
 		restartEvent({
 			kind: 'task-placed', pool: task.step.job.record.pool, taskId: task.id, run, endpointId: chosen.endpoint.id, checkpoint, ticket,
--- a/packages/jobs/src/supervision/supervision-filter.ts
+++ b/packages/jobs/src/supervision/supervision-filter.ts
@@ -240,7 +240,9 @@
 	const isReportDue = endpoint.silentSince === undefined || context.now > endpoint.silentSince + silentReportDelayMs;
 	if (endpoint.phase !== 'answering' && endpoint.areRunsKnown && isReportDue && endpoint.reportedRunCount !== endpoint.runs.size) {
 		endpoint.reportedRunCount = endpoint.runs.size;
-		outputs.push(passEvent({
+		outputs.push(emitLog('info', 'runs on silent endpoint recorded', {
+			endpoint: endpoint.id, pool: endpoint.pool, token: endpoint.token, runs: endpoint.runs.size, unsavedEnds: endpoint.unsavedEnds.size,
+		}), passEvent({
 			kind: 'endpoint-silent', pool: endpoint.pool, endpointId: endpoint.id, runs: [...endpoint.runs.values()].map(({taskId, run}) => ({taskId, run})),
 		}));
 	}
@@ -282,7 +284,14 @@
 
 	pool.surveyedAt = now;
 	return [
-		emitLog('info', 'all runs in pool accounted for after takeover', {pool: pool.pool, token: pool.token}),
+		emitLog('info', 'all runs in pool accounted for after takeover', {
+			pool: pool.pool, token: pool.token, waitedMs: Math.round(now - pool.acquiredAt), unreachable: listExpiredEndpoints(supervision, pool.pool),
+		}),
 		passEvent({kind: 'pool-surveyed', pool: pool.pool}),
 	];
 }
+
+/** Lists the endpoints of a pool that have not answered until their leases expired. */
+function listExpiredEndpoints(supervision: SupervisionState, pool: string): string[] {
+	return [...supervision.endpoints.values()].filter(endpoint => endpoint.pool === pool && endpoint.phase === 'expired').map(({id}) => id);
+}
