Cut entries and endpoints off together in the soak of jobs

Cause: the soak had no cut that takes an owner and endpoints together, so it could not show a task that runs twice under a cut-off owner and its successor.

--- a/packages/bench/src/jobs/create-virtual-sinks.ts
+++ b/packages/bench/src/jobs/create-virtual-sinks.ts
@@ -7,6 +7,7 @@
 import {type VirtualJobsEntry} from './virtual-jobs-entry.js';
 import {type VirtualTaskEndpoint} from './virtual-task-endpoint.js';
 import {type VirtualJobStore} from './virtual-job-store.js';
+import {type VirtualNetwork} from './virtual-network.js';
 
 /** Sinks for the effects that have one in the simulation; each is also given the entry whose effect it is. */
 export type VirtualSinks = {readonly [Kind in JobEffect['kind']]?: (entry: VirtualJobsEntry, effect: JobEffectOf<Kind>) => void};
@@ -15,6 +16,7 @@
 	readonly queue: EventQueue;
 	readonly random: RandomSource;
 	readonly store: VirtualJobStore;
+	readonly network: VirtualNetwork;
 	readonly endpoints: ReadonlyMap<string, VirtualTaskEndpoint>;
 	readonly checker: JobInvariantChecker;
 	/** Answers to callers by request, filled by the sinks. */
@@ -40,7 +42,7 @@
 
 /** Creates the sinks that carry out the effects of the simulation's entries on the virtual store, endpoints and callers. */
 export function createVirtualSinks({
-	queue, random, store, endpoints, checker, answers, onLine, maxCallDelayMs, chooseDelayMs, getLateOrderShare, isStoreAvailable, getMember, listEndpoints, deliver, deliverLater, publish,
+	queue, random, store, network, endpoints, checker, answers, onLine, maxCallDelayMs, chooseDelayMs, getLateOrderShare, isStoreAvailable, getMember, listEndpoints, deliver, deliverLater, publish,
 }: VirtualSinkTools): VirtualSinks {
 	/** Runs a call to the store after a delay; gives the `failed` answer if the store cannot be reached. */
 	function callStore(entry: VirtualJobsEntry, failed: JobEvent | undefined, run: () => JobEvent | undefined): void {
@@ -57,7 +59,9 @@
 		const isLate = random.getFraction() < getLateOrderShare();
 		queue.add(isLate ? 2000 + (random.getFraction() * 10_000) : chooseDelayMs(), () => {
 			const endpoint = endpoints.get(endpointId);
-			const answer = endpoint?.isReachable === true || (isLate && endpoint !== undefined) ? run(endpoint) : lost;
+			const isArriving = endpoint !== undefined && (isLate || endpoint.isReachable) && network.canDeliver(entry.node, endpointId);
+			const result = isArriving ? run(endpoint) : lost;
+			const answer = result === undefined || network.canDeliver(endpointId, entry.node) ? result : lost;
 			if (!isLate && answer !== undefined) {
 				deliverLater(entry, answer, answer === lost ? callTimeoutMs : chooseDelayMs());
 			}
@@ -130,7 +134,7 @@
 				kind: 'poll-refused', endpointId, token, refusal: 'no-answer',
 			}, endpoint => {
 				endpoint.poll(effect, event => {
-					const isAnswerDelivered = endpoint.isReachable;
+					const isAnswerDelivered = endpoint.isReachable && network.canDeliver(endpointId, entry.node);
 					queue.add(isAnswerDelivered ? chooseDelayMs() : callTimeoutMs, () => {
 						deliver(entry, isAnswerDelivered
 							? event
--- a/packages/bench/src/jobs/jobs-simulation.ts
+++ b/packages/bench/src/jobs/jobs-simulation.ts
@@ -9,6 +9,7 @@
 import {type VirtualJobsEntry} from './virtual-jobs-entry.js';
 import {createVirtualTaskEndpoint, type TaskBehaviour, type VirtualTaskEndpoint} from './virtual-task-endpoint.js';
 import {createVirtualJobStore, type VirtualJobStore} from './virtual-job-store.js';
+import {createVirtualNetwork, storeNode, type VirtualNetwork} from './virtual-network.js';
 
 /** A simulation of entries, endpoints, machines and the store in virtual time. */
 export type JobsSimulation = {
@@ -17,6 +18,7 @@
 	readonly entries: readonly VirtualJobsEntry[];
 	readonly endpoints: Map<string, VirtualTaskEndpoint>;
 	readonly store: VirtualJobStore;
+	readonly network: VirtualNetwork;
 	readonly checker: JobInvariantChecker;
 	readonly answers: Map<string, CallerAnswer>;
 	/** Share of orders to endpoints that get no answer and take effect seconds later. */
@@ -56,6 +58,7 @@
 	const queue = createEventQueue();
 	const random = createRandomSource(seed);
 	const store = createVirtualJobStore();
+	const network = createVirtualNetwork();
 	const endpoints = new Map<string, VirtualTaskEndpoint>();
 	const behaviours = new Map<string, Partial<TaskBehaviour>>();
 	const answers = new Map<string, CallerAnswer>();
@@ -102,7 +105,7 @@
 		});
 	}
 
-	const isStoreAvailable = (entry: VirtualJobsEntry) => simulation.isStoreUp && entry.isStoreReachable;
+	const isStoreAvailable = (entry: VirtualJobsEntry) => simulation.isStoreUp && entry.isStoreReachable && network.canDeliver(entry.node, storeNode) && network.canDeliver(storeNode, entry.node);
 
 	/** Delivers changes to all entries that reach the store; the others get the full state once they reach it again. */
 	function publish(changes: readonly JobEvent[]): void {
@@ -116,7 +119,7 @@
 	}
 
 	const sinks = createVirtualSinks({
-		queue, random, store, endpoints, checker, answers, onLine, maxCallDelayMs: callDelayMs.max, chooseDelayMs, getLateOrderShare: () => simulation.lateOrderShare, isStoreAvailable, getMember, listEndpoints, deliver, deliverLater, publish,
+		queue, random, store, network, endpoints, checker, answers, onLine, maxCallDelayMs: callDelayMs.max, chooseDelayMs, getLateOrderShare: () => simulation.lateOrderShare, isStoreAvailable, getMember, listEndpoints, deliver, deliverLater, publish,
 	});
 
 	function getMember({node, incarnation}: VirtualJobsEntry): Member {
@@ -220,6 +223,7 @@
 		entries,
 		endpoints,
 		store,
+		network,
 		checker,
 		answers,
 		lateOrderShare: 0,
--- a/packages/bench/src/jobs/run-jobs-soak.ts
+++ b/packages/bench/src/jobs/run-jobs-soak.ts
@@ -1,5 +1,6 @@
 import {type JobSpec, type StepSpec} from '@pistachiogauge/jobs';
 import {createJobsSimulation, type JobsSimulation} from './jobs-simulation.js';
+import {type CutDirection} from './virtual-network.js';
 import {type VirtualJobsEntry} from './virtual-jobs-entry.js';
 import {type JobInvariantViolation} from './job-invariant-checker.js';
 
@@ -21,6 +22,8 @@
 	readonly onLine?: (line: string) => void;
 };
 
+const cutDirections: readonly CutDirection[] = ['both', 'both', 'inbound', 'outbound'];
+
 type FaultInjector = (simulation: JobsSimulation) => void;
 
 const pools = {desk: 3, notify: 3};
@@ -94,6 +97,21 @@
 			});
 		}
 	},
+	split(simulation) {
+		const entries = listRunningEntries(simulation).filter(() => simulation.random.getInteger(2) === 0);
+		const endpoints = [...simulation.endpoints.values()].filter(() => simulation.random.getInteger(3) === 0);
+		const cut = {
+			nodes: new Set([...entries.map(({node}) => node), ...endpoints.map(({registration}) => registration.id)]),
+			direction: chooseItem(simulation, cutDirections)!,
+		};
+		simulation.network.startCut(cut);
+		simulation.queue.add(5000 + simulation.random.getInteger(7000), () => {
+			simulation.network.endCut(cut);
+			for (const entry of entries) {
+				simulation.reconnectStore(entry);
+			}
+		});
+	},
 	'orders-late'(simulation) {
 		simulation.lateOrderShare = 0.15;
 		simulation.queue.add(chooseDurationMs(simulation, 5000), () => {
