Add a seeded soak of jobs with real entry processes

Cause: no run with real processes cuts an owner and an endpoint off together, so rule TWICE broke at the operators' only. Change: stand-ins of the platform's store, endpoints, machine service and clients, a plan drawn from the seed, faults and checks.

--- /dev/null
+++ b/packages/bench/src/jobs-processes/checks/index.ts
@@ -0,0 +1,33 @@
+/**
+Checks of the platform's rules over what clients, endpoints and the store saw during a run.
+
+@packageDocumentation
+*/
+import {type Observation} from '@pistachiogauge/platform/standins';
+import {checkLost, checkMixed} from './check-answers.js';
+import {
+	checkBudget, checkExit, checkLimit, checkOrder, checkRefused, checkUnasked,
+} from './check-starts.js';
+import {checkTwice} from './check-twice.js';
+import {createRunRecord, type RunRecord} from './run-record.js';
+import {type Rule, type Violation} from './violation.js';
+
+export {type Rule, type Violation} from './violation.js';
+
+const checks: Readonly<Record<Rule, (record: RunRecord) => Violation[]>> = {
+	TWICE: checkTwice,
+	ORDER: checkOrder,
+	BUDGET: checkBudget,
+	UNASKED: checkUnasked,
+	REFUSED: checkRefused,
+	LIMIT: checkLimit,
+	MIXED: checkMixed,
+	LOST: checkLost,
+	EXIT: checkExit,
+};
+
+/** Lists the broken rules of a run in order of their times. */
+export function listViolations(observations: readonly Observation[], attemptsByQueue: ReadonlyMap<string, number>): Violation[] {
+	const record = createRunRecord(observations, attemptsByQueue);
+	return Object.values(checks).flatMap(check => check(record)).sort((first, second) => first.at - second.at);
+}
--- /dev/null
+++ b/packages/bench/src/jobs-processes/installation.ts
@@ -0,0 +1,173 @@
+import {
+	createWriteStream, mkdtempSync, writeFileSync, type WriteStream,
+} from 'node:fs';
+import {request as sendRequest} from 'node:http';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import {setTimeout as delay} from 'node:timers/promises';
+import {createRandomSource, type RandomSource} from '@pistachiogauge/decisions';
+import {
+	createCallerStandin, createEndpointStandin, createLinks, createMachineServiceStandin, createStoreStandin, encodeConfiguration, encodeEntrySettings, readinessPath,
+	type CallerStandin, type EndpointStandin, type Links, type Observation, type Observe, type StoreStandin,
+} from '@pistachiogauge/platform/standins';
+import {createEntryProcesses, findFreePorts, type EntryProcesses} from './entry-processes.js';
+import {findPlannedTask} from './planned-tasks.js';
+import {drawBetween, type RunPlan} from './run-plan.js';
+
+/** Entry processes and the stand-ins around them. */
+export type Installation = {
+	readonly plan: RunPlan;
+	/** For what depends on the order of events and so is not part of the plan. */
+	readonly random: RandomSource;
+	readonly links: Links;
+	readonly store: StoreStandin;
+	readonly endpoints: readonly EndpointStandin[];
+	readonly callers: ReadonlyMap<string, CallerStandin>;
+	readonly processes: EntryProcesses;
+	readonly observations: readonly Observation[];
+	/** Folder of the settings, the entries' logs and the record of the run. */
+	readonly logFolder: string;
+	readonly observe: Observe;
+	getNowMs(): number;
+	startEntry(entry: string): void;
+	/** The entry that gave the newest orders to a pool's endpoints. */
+	findOwner(service: string): string | undefined;
+	/** @throws Error if the entries do not become ready. */
+	waitUntilReady(): Promise<void>;
+	/** Ends the entries and closes the stand-ins and the record. */
+	close(): Promise<void>;
+};
+
+type Entry = {readonly settingsPath: string; readonly readinessPort: number};
+
+const endpointCapacity = {cpuMillis: 6000, memoryMb: 16_384};
+const readyTimeoutMs = 20_000;
+const probeTimeoutMs = 1000;
+/** Time that a process which ended by itself stays down. */
+const restartMs = 500;
+const lateOrderMs = {min: 2000, max: 12_000};
+const lateWriteMs = {min: 500, max: 8000};
+
+export async function startInstallation(plan: RunPlan): Promise<Installation> {
+	const startedAt = performance.now();
+	const random = createRandomSource(plan.seed + 1_000_000);
+	const logFolder = mkdtempSync(path.join(tmpdir(), `process-soak-${plan.seed}-`));
+	const recordFile = createWriteStream(path.join(logFolder, 'record.jsonl'));
+	const observations: Observation[] = [];
+	const getNowMs = (): number => Math.round(performance.now() - startedAt);
+	const observe: Observe = unstamped => {
+		const observation = {at: getNowMs(), ...unstamped} as Observation;
+		observations.push(observation);
+		recordFile.write(`${JSON.stringify(observation)}\n`);
+	};
+
+	const links = createLinks();
+	const store = createStoreStandin({links, observe, getLateMs: () => drawBetween(random, lateWriteMs.min, lateWriteMs.max)});
+	const configuration = encodeConfiguration(plan.queues, plan.isGuarding);
+	store.write(configuration.key, configuration.value);
+	const jobs = new Map(plan.jobs.map(({job}) => [job.jobId, job]));
+	const endpoints = plan.endpoints.map(({id, service, clockRate}, index) => createEndpointStandin({
+		id, service, clockRate, store, links, observe, rack: `r1-${index}`, capacity: endpointCapacity, isGuarding: plan.isGuarding,
+		findTask: taskId => findPlannedTask(jobs, taskId), getLateMs: () => drawBetween(random, lateOrderMs.min, lateOrderMs.max),
+	}));
+	await Promise.all(endpoints.map(async endpoint => endpoint.start()));
+	const machineService = createMachineServiceStandin(endpoints);
+	const machineServiceAddress = await machineService.listen();
+
+	const entries = new Map<string, Entry>();
+	const callers = new Map<string, CallerStandin>();
+	let isClosing = false;
+	const processes = createEntryProcesses({
+		logFolder,
+		onStart(entry, pid) {
+			observe({kind: 'entry-started', entry, pid});
+		},
+		onExit(entry, pid, isOwnEnd) {
+			if (isClosing) {
+				return;
+			}
+
+			observe({
+				kind: 'entry-exited', entry, pid, isOwnEnd,
+			});
+			if (isOwnEnd) {
+				setTimeout(startEntry, restartMs, entry);
+			}
+		},
+	});
+
+	function startEntry(entry: string): void {
+		const known = entries.get(entry);
+		if (known !== undefined && !isClosing && !processes.isRunning(entry)) {
+			processes.start(entry, known.settingsPath);
+		}
+	}
+
+	for (const entry of plan.entries) {
+		// eslint-disable-next-line no-await-in-loop
+		const [callerPort = 0, readinessPort = 0, controlPort = 0] = await findFreePorts(3);
+		const settingsPath = path.join(logFolder, `${entry}.conf`);
+		writeFileSync(settingsPath, encodeEntrySettings({
+			entry, callerPort, readinessPort, controlPort, machineServiceAddress,
+			// eslint-disable-next-line no-await-in-loop
+			storeAddress: await store.listen(entry),
+		}));
+		entries.set(entry, {settingsPath, readinessPort});
+		callers.set(entry, createCallerStandin(callerPort));
+		startEntry(entry);
+	}
+
+	return {
+		plan, random, links, store, endpoints, callers, processes, observations, logFolder, observe, getNowMs, startEntry,
+		findOwner(service) {
+			const tokens = endpoints.filter(endpoint => endpoint.service === service).map(endpoint => endpoint.getHighestToken());
+			return store.findWriter(Math.max(0, ...tokens));
+		},
+		async waitUntilReady() {
+			const ports = [...entries.values()].map(({readinessPort}) => readinessPort);
+			const giveUpAt = performance.now() + readyTimeoutMs;
+			// eslint-disable-next-line no-await-in-loop
+			while (!(await Promise.all(ports.map(async port => isReady(port)))).every(Boolean)) {
+				if (performance.now() > giveUpAt) {
+					throw new Error(`the entries are not ready after ${readyTimeoutMs} ms; their logs are in ${logFolder}`);
+				}
+
+				// eslint-disable-next-line no-await-in-loop
+				await delay(100);
+			}
+		},
+		async close() {
+			isClosing = true;
+			processes.killAll();
+			for (const part of [...callers.values(), ...endpoints, machineService, store]) {
+				part.close();
+			}
+
+			await closeFile(recordFile);
+		},
+	};
+}
+
+async function closeFile(file: WriteStream): Promise<void> {
+	await new Promise<void>(resolve => {
+		file.end(resolve);
+	});
+}
+
+async function isReady(port: number): Promise<boolean> {
+	return new Promise(resolve => {
+		const message = sendRequest({
+			host: '127.0.0.1', port, path: readinessPath, timeout: probeTimeoutMs, agent: false,
+		}, response => {
+			response.resume();
+			resolve(response.statusCode === 200);
+		});
+		message.on('timeout', () => {
+			message.destroy();
+		});
+		message.on('error', () => {
+			resolve(false);
+		});
+		message.end();
+	});
+}
--- /dev/null
+++ b/packages/bench/src/jobs-processes/run-process-soak.ts
@@ -0,0 +1,77 @@
+import {rmSync} from 'node:fs';
+import {setTimeout as delay} from 'node:timers/promises';
+import {type Observation} from '@pistachiogauge/platform/standins';
+import {listViolations, type Violation} from './checks/index.js';
+import {startFault} from './faults.js';
+import {startInstallation, type Installation} from './installation.js';
+import {playLoad, requestFinalStates} from './load.js';
+import {createRunPlan} from './run-plan.js';
+
+/** Result of one run with entry processes. */
+export type ProcessSoakResult = {
+	readonly seed: number;
+	readonly violations: readonly Violation[];
+	readonly startCount: number;
+	readonly jobCount: number;
+	readonly faultCount: number;
+	/** Folder of the entries' logs and the record. */
+	readonly logFolder: string;
+};
+
+export type ProcessSoakOptions = {
+	readonly seed: number;
+	/** Length of the load and the faults in ms; the start and the time to recover come on top. */
+	readonly durationMs: number;
+	/** Keeps the logs of runs that break no rule as well. */
+	readonly keepsLogs: boolean;
+};
+
+/** Jobs have to end within this time after the faults. */
+const finishMs = 14_000;
+/** The claims are spread among the entries before the load begins. */
+const warmUpMs = 2000;
+
+/** Plays one run; the same seed gives the same jobs and faults, but not the same timing. */
+export async function runProcessSoak({seed, durationMs, keepsLogs}: ProcessSoakOptions): Promise<ProcessSoakResult> {
+	const plan = createRunPlan(seed, durationMs);
+	const installation = await startInstallation(plan);
+	try {
+		await installation.waitUntilReady();
+		await delay(warmUpMs);
+		const [accepted] = await Promise.all([playLoad(installation), playFaults(installation)]);
+		await delay(finishMs);
+		await requestFinalStates(installation, accepted);
+	} finally {
+		await installation.close();
+	}
+
+	const {observations, logFolder} = installation;
+	const violations = listViolations(observations, new Map(plan.queues.map(({queue, attempts}) => [queue, attempts])));
+	if (violations.length === 0 && !keepsLogs) {
+		rmSync(logFolder, {recursive: true, force: true});
+	}
+
+	return {
+		seed, violations, logFolder, startCount: countOf(observations, 'run-started'), jobCount: installation.plan.jobs.length, faultCount: plan.faults.length,
+	};
+}
+
+function countOf(observations: readonly Observation[], kind: Observation['kind']): number {
+	return observations.filter(observation => observation.kind === kind).length;
+}
+
+async function playFaults(installation: Installation): Promise<void> {
+	const {plan, observe, startEntry} = installation;
+	await Promise.all(plan.faults.map(async (fault, index) => {
+		await delay(fault.atMs);
+		const end = startFault(installation, fault, index + 1);
+		await delay(fault.durationMs);
+		end();
+	}));
+	await delay(plan.durationMs - Math.max(0, ...plan.faults.map(({atMs, durationMs}) => atMs + durationMs)));
+	for (const entry of plan.entries) {
+		startEntry(entry);
+	}
+
+	observe({kind: 'faults-over'});
+}
--- /dev/null
+++ b/packages/bench/src/process-soak-main.ts
@@ -0,0 +1,73 @@
+import {cac} from 'cac';
+import {runProcessSoak, type ProcessSoakResult} from './jobs-processes/run-process-soak.js';
+
+const usageExitCode = 2;
+const interruptExitCode = 130;
+/** Further violations of a run are in its record. */
+const printedViolationCount = 5;
+
+/** Parses a seed or a range of seeds, such as `5` or `1..20`; returns undefined if the text is malformed. */
+function parseSeeds(text: unknown): readonly number[] | undefined {
+	const match = /^(?<first>\d{1,9})(?:\.\.(?<last>\d{1,9}))?$/u.exec(String(text));
+	const first = Number(match?.groups?.first);
+	const last = Number(match?.groups?.last ?? first);
+	return match === null || last < first ? undefined : Array.from({length: last - first + 1}, (_, index) => first + index);
+}
+
+function printResult({
+	seed, violations, startCount, jobCount, faultCount, logFolder,
+}: ProcessSoakResult, seconds: number): void {
+	const counts = `${jobCount} jobs, ${startCount} starts, ${faultCount} faults`;
+	if (violations.length === 0) {
+		process.stdout.write(`seed ${seed}: all rules kept (${counts})\n`);
+		return;
+	}
+
+	const rules = [...new Set(violations.map(({rule}) => rule))].map(rule => `${rule} ${violations.filter(violation => violation.rule === rule).length}`);
+	process.stdout.write(`seed ${seed}: broken: ${rules.join(', ')} (${counts})\n`);
+	for (const {rule, at, message} of violations.slice(0, printedViolationCount)) {
+		process.stdout.write(`  ${rule} at ${at} ms: ${message}\n`);
+	}
+
+	process.stdout.write(`  logs: ${logFolder}\n  repeat: npm run process-soak -- --seed ${seed} --seconds ${seconds}\n`);
+}
+
+async function runSeeds(seeds: readonly number[], seconds: number, keepsLogs: boolean): Promise<number> {
+	let brokenCount = 0;
+	for (const seed of seeds) {
+		// eslint-disable-next-line no-await-in-loop
+		const result = await runProcessSoak({seed, durationMs: seconds * 1000, keepsLogs});
+		printResult(result, seconds);
+		brokenCount += result.violations.length > 0 ? 1 : 0;
+	}
+
+	process.stdout.write(`${seeds.length} seeds of ${seconds} s: ${brokenCount} broke a rule\n`);
+	return brokenCount > 0 ? 1 : 0;
+}
+
+for (const signal of ['SIGINT', 'SIGTERM'] as const) {
+	// The exit handler of a run ends its processes.
+	process.on(signal, () => {
+		process.exit(interruptExitCode);
+	});
+}
+
+const program = cac('process-soak');
+program
+	.command('', 'Runs jobs with real entry processes and seeded faults, and checks the platform\'s rules')
+	.option('--seed <N>', 'one seed')
+	.option('--seeds <A..B>', 'range of seeds, one after the other')
+	.option('--seconds <S>', 'length of the load and the faults of each run', {default: 40})
+	.option('--keep-logs', 'keeps the logs of runs that break no rule')
+	.action(async (options: {readonly seed?: unknown; readonly seeds?: unknown; readonly seconds: unknown; readonly keepLogs?: boolean}) => {
+		const seeds = parseSeeds(options.seed ?? options.seeds ?? 1);
+		const seconds = Number(options.seconds);
+		if (seeds === undefined || !Number.isInteger(seconds) || seconds < 1) {
+			process.stderr.write('--seed takes a whole number, --seeds A..B, --seconds a whole number from 1\n');
+			process.exit(usageExitCode);
+		}
+
+		process.exit(await runSeeds(seeds, seconds, options.keepLogs === true));
+	});
+program.help();
+program.parse();
