End an owner's orders 8.5 s after the store last confirmed its claim

Cause: an owner that got no answer from the store went on starting tasks and renewing leases without end, and its successor took the leases on endpoints that it did not reach as expired 6.37 s after its own load. The fencing token does not help there, as the successor does not reach the endpoint. A renewed session proves nothing either: the store may remove the keys while their lease goes on.

Change: a claim is confirmed by each write that is applied on condition of its record (the claim itself, saves, reports), counted from before the call is sent. Starts and lease renewals end 8.5 s after the last confirmation on both clocks; after a pause beyond the session's lease they wait for a confirmation that was requested since. The successor waits 8.5 s x 1.02 + 0.25 s. A report that conflicts shows at once that the claim is lost. Leases of former owners are counted from the takeover, also for endpoints that are listed later.

--- a/packages/bench/src/jobs/create-virtual-sinks.ts
+++ b/packages/bench/src/jobs/create-virtual-sinks.ts
@@ -3,6 +3,7 @@
 	type CallerAnswer, type Endpoint, type JobEffect, type JobEffectOf, type JobEvent, type Machine, type Member,
 } from '@pistachiogauge/jobs';
 import {type EventQueue} from '../virtual/event-queue.js';
+import {startWallTime} from '../virtual/virtual-clock.js';
 import {type JobInvariantChecker} from './job-invariant-checker.js';
 import {type VirtualJobsEntry} from './virtual-jobs-entry.js';
 import {type VirtualTaskEndpoint} from './virtual-task-endpoint.js';
@@ -54,6 +55,13 @@
 		});
 	}
 
+	/** Tells an entry that the store has carried out a call that it sent at the given time under its claim. */
+	function confirmClaim(entry: VirtualJobsEntry, name: string, token: number, sentAt: number): void {
+		deliverLater(entry, {
+			kind: 'claim-confirmed', name, token, requestedAt: {now: sentAt, wallTime: startWallTime + sentAt},
+		}, maxCallDelayMs);
+	}
+
 	/** Sends an order to an endpoint; a late order gets no answer and takes effect seconds later. */
 	function callEndpoint(entry: VirtualJobsEntry, endpointId: string, lost: JobEvent, run: (endpoint: VirtualTaskEndpoint) => JobEvent | undefined): void {
 		const isLate = random.getFraction() < getLateOrderShare();
@@ -73,6 +81,7 @@
 
 	return {
 		claim(entry, effect) {
+			const sentAt = queue.now;
 			callStore(entry, {
 				kind: 'claim-answered', name: effect.name, result: 'refused', token: 0,
 			}, () => {
@@ -84,6 +93,10 @@
 
 				const {answer, changes} = store.claim(effect, getMember(entry));
 				publish(changes);
+				if (answer.kind === 'claim-answered' && answer.result === 'applied') {
+					confirmClaim(entry, effect.name, answer.token, sentAt);
+				}
+
 				return answer;
 			});
 		},
@@ -123,9 +136,29 @@
 			});
 		},
 		'save-progress'(entry, effect) {
+			const sentAt = queue.now;
 			callStore(entry, {
 				kind: 'progress-saved', pool: effect.pool, token: effect.token, saveId: effect.saveId, result: 'unknown', revision: 0, presentRevisions: undefined, isClaimLost: false,
-			}, () => store.saveProgress(effect));
+			}, () => {
+				const answer = store.saveProgress(effect);
+				if (answer.kind === 'progress-saved' && answer.result === 'applied') {
+					confirmClaim(entry, `pool/${effect.pool}`, effect.token, sentAt);
+				}
+
+				return answer;
+			});
+		},
+		'publish-report'(entry, {token, report}) {
+			const sentAt = queue.now;
+			const name = `pool/${report.pool}`;
+			callStore(entry, undefined, () => {
+				if (store.claims.get(name)?.token !== token) {
+					return {kind: 'claim-superseded', name, token};
+				}
+
+				confirmClaim(entry, name, token, sentAt);
+				return undefined;
+			});
 		},
 		'poll-endpoint'(entry, effect) {
 			const {endpointId, token} = effect.target;
--- a/packages/entry/src/jobs/create-job-sinks.ts
+++ b/packages/entry/src/jobs/create-job-sinks.ts
@@ -1,5 +1,5 @@
 import {
-	rosterRecordKey, type JobEffect, type JobEffectOf,
+	poolClaimPrefix, rosterRecordKey, type JobEffect, type JobEffectOf,
 } from '@pistachiogauge/jobs';
 import {type StoreTransaction} from '@pistachiogauge/platform';
 import {type SinkTable} from '@pistachiogauge/pipeline';
@@ -14,6 +14,7 @@
 	createInitialProgress, createStoredJob, decodeRecord, encodeRecord, recordKeys,
 } from './job-records.js';
 import {type JobSinkDependencies} from './job-sink-dependencies.js';
+import {readClocks} from './read-clocks.js';
 import {writeResults} from './write-results.js';
 
 /** Time in ms for which a machine order stays on record beyond the minimum time between orders of two holders: the time until the next holder reads it counts as well. */
@@ -93,7 +94,9 @@
 	async function saveProgress({
 		pool, token, saveId, records, roster,
 	}: JobEffectOf<'save-progress'>): Promise<void> {
-		const claimKey = `${recordKeys.claimPrefix}pool/${pool}`;
+		const claimName = `${poolClaimPrefix}${pool}`;
+		const claimKey = `${recordKeys.claimPrefix}${claimName}`;
+		const requestedAt = readClocks();
 		const rosterKey = recordKeys.getRosterKey(pool);
 		const result = await store.applyTransaction({
 			conditions: [
@@ -108,6 +111,12 @@
 			// The job record is not needed once the job has ended; the progress record is kept for callers.
 			deletes: records.filter(({progress}) => progress.endedAt !== undefined).map(({jobId}) => recordKeys.getJobKey(pool, jobId)),
 		});
+		if (result.kind === 'applied') {
+			pushEvent({
+				kind: 'claim-confirmed', name: claimName, token, requestedAt,
+			});
+		}
+
 		const revisions = result.kind === 'conflict' ? result.revisions : undefined;
 		const presentRevisions = new Map<string, number>();
 		for (const {jobId} of records) {
@@ -148,13 +157,20 @@
 				const key = `${recordKeys.claimPrefix}${name}`;
 				const lastKey = `${recordKeys.lastHolderPrefix}${name}`;
 				const value = encodeRecord({node: dependencies.node, incarnation: dependencies.incarnation});
+				const requestedAt = readClocks();
 				const result = await store.applyTransaction({
 					conditions: [{key, revision: expectedToken}, ...(lastHolderRevision === undefined ? [] : [{key: lastKey, revision: lastHolderRevision}])],
 					puts: [{key, value, lease}, ...(lastHolderRevision === undefined ? [] : [{key: lastKey, value}])],
 				});
+				const token = result.kind === 'applied' ? result.revision : 0;
 				pushEvent({
-					kind: 'claim-answered', name, result: writeResults[result.kind], token: result.kind === 'applied' ? result.revision : 0,
+					kind: 'claim-answered', name, result: writeResults[result.kind], token,
 				});
+				if (result.kind === 'applied') {
+					pushEvent({
+						kind: 'claim-confirmed', name, token, requestedAt,
+					});
+				}
 			});
 		},
 		'load-pool'({pool, token}) {
@@ -228,10 +244,22 @@
 		},
 		'publish-report'({token, report}) {
 			runCall('publish-report', async () => {
-				await store.applyTransaction({
-					conditions: [{key: `${recordKeys.claimPrefix}pool/${report.pool}`, revision: token}],
+				const name = `${poolClaimPrefix}${report.pool}`;
+				const requestedAt = readClocks();
+				const result = await store.applyTransaction({
+					conditions: [{key: `${recordKeys.claimPrefix}${name}`, revision: token}],
 					puts: [{key: `${recordKeys.reportPrefix}${report.pool}`, value: encodeRecord(report)}],
 				});
+				if (result.kind === 'applied') {
+					pushEvent({
+						kind: 'claim-confirmed', name, token, requestedAt,
+					});
+				}
+
+				// The claim's record is the only condition.
+				if (result.kind === 'conflict') {
+					pushEvent({kind: 'claim-superseded', name, token});
+				}
 			});
 		},
 		...createFleetSinks(dependencies, {runCall, orderJournal, createFleetConditions}),
--- a/packages/entry/src/jobs/jobs-process.ts
+++ b/packages/entry/src/jobs/jobs-process.ts
@@ -12,6 +12,7 @@
 import {createJobSinks} from './create-job-sinks.js';
 import {followConfigurationAndWaves, followMembersAndClaims, type FollowContext} from './follow-records.js';
 import {createPauseMeter} from './pause-meter.js';
+import {readClocks} from './read-clocks.js';
 import {serveMetrics} from './serve-metrics.js';
 import {createSession} from './session.js';
 
@@ -64,7 +65,7 @@
 
 	const state = createJobsState({node, incarnation, orderLeaseMs: settings.orderLeaseMs});
 	const random = createRandomSource(randomInt(2 ** 31));
-	const measurePause = createPauseMeter({now: performance.now(), wallTime: Date.now()});
+	const measurePause = createPauseMeter(readClocks());
 	const connectionLimits = new Map([[settings.storeAddress, storeConnectionLimit]]);
 	if (settings.adviceAddress !== undefined) {
 		connectionLimits.set(settings.adviceAddress, adviceConnectionLimit);
@@ -154,7 +155,7 @@
 	const pipeline = createPipeline<JobEvent, JobEffect>({
 		applyEvent(event) {
 			eventCount += 1;
-			const context: DecisionContext = {now: performance.now(), wallTime: Date.now(), random};
+			const context: DecisionContext = {...readClocks(), random};
 			const pausedMs = measurePause(context);
 			return pausedMs === undefined
 				? applyJobEvent(state, event, context)
--- a/packages/entry/src/jobs/pause-meter.ts
+++ b/packages/entry/src/jobs/pause-meter.ts
@@ -1,6 +1,4 @@
-import {type DecisionContext} from '@pistachiogauge/chain';
-
-type Clocks = Pick<DecisionContext, 'now' | 'wallTime'>;
+import {type Clocks} from '@pistachiogauge/jobs';
 
 /** Time without any event that counts as a pause; a tick is due every 25 ms, and a busy loop falls behind by less. */
 const minPauseMs = 500;
--- a/packages/entry/src/jobs/session.ts
+++ b/packages/entry/src/jobs/session.ts
@@ -1,6 +1,7 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {type StoreClient} from '@pistachiogauge/platform';
 import {encodeRecord, recordKeys} from './job-records.js';
+import {readClocks} from './read-clocks.js';
 
 /** @internal */
 export type SessionOptions = {
@@ -33,10 +34,6 @@
 /** Bounds of the random pause before a retry; it is random so that entries do not reconnect all at once. */
 const retryPausesMs = {min: 60, max: 300} as const;
 
-function readClocks(): {readonly now: number; readonly wallTime: number} {
-	return {now: performance.now(), wallTime: Date.now()};
-}
-
 /** @internal */
 export function createSession(options: SessionOptions): Session {
 	const {store, node, incarnation} = options;
--- a/packages/jobs/src/authority/authority-filter.ts
+++ b/packages/jobs/src/authority/authority-filter.ts
@@ -7,17 +7,9 @@
 import {
 	fleetClaim, poolClaimPrefix, type Claim, type JobEventOf,
 } from '../model/index.js';
-import {assignClaims} from './assign-claims.js';
 import {type AuthorityState} from './authority-state.js';
+import {delayClaimRequest, requestVacantClaims} from './request-claims.js';
 
-/** Time for the other entries to register after a common start; machines start within 300 ms of each other. */
-const startupGraceMs = 500;
-/** Delay between the attempts of two successive members at a vacant claim; several round trips to the store. */
-const claimStaggerMs = 300;
-/** An unanswered claim is retried after this time. */
-const claimTimeoutMs = 1500;
-/** Delay before a failed claim is retried; by then the watch on the store has usually reported who made it, as that takes a few round trips. */
-const claimRetryDelayMs = 250;
 /** Delay before records of a pool that could not be read are read again. */
 const loadRetryDelayMs = 200;
 
@@ -26,7 +18,7 @@
 /**
 Decides for which pools this entry acts.
 
-A claim is a record in the store that is created under the entry's lease by compare-and-swap. Its revision is the fencing token: it increases with each claim, and endpoints reject orders with a lower one, so a previous owner that has not noticed its loss cannot do any harm.
+A claim is a record in the store that is created under the entry's lease by compare-and-swap. Its revision is the fencing token: it increases with each claim, and endpoints reject orders with a lower one. Endpoints that the new owner does not reach may still take orders of a previous owner that has not noticed its loss, until its permission ends (see `getPermittedMs`).
 
 @public
 */
@@ -43,30 +35,28 @@
 			authority.sessionOpenedAt = context.now;
 			return [emitLog('info', 'store session opened', {})];
 		},
-		'session-renewed'({authority}, {validUntil, wallValidUntil}, context) {
+		'session-renewed'({authority}, {validUntil, wallValidUntil}) {
 			authority.validUntil = validUntil;
 			authority.wallValidUntil = wallValidUntil;
-			if (!authority.isUnconfirmed || !isLeaseCertain(authority, context)) {
-				return [];
-			}
-
-			authority.isUnconfirmed = false;
-			return [emitLog('info', 'lease of store session confirmed after pause', {claims: [...authority.heldClaims.keys()]})];
+			return [];
 		},
 		'process-resumed'({authority}, {pausedMs}, context) {
-			if (authority.isUnconfirmed || isLeaseCertain(authority, context)) {
+			if (isLeaseCertain(authority, context)) {
 				return [];
 			}
 
 			// Another entry may hold the claims by now, and the store may not have reported it yet.
-			authority.isUnconfirmed = true;
+			authority.resumedAt = context.now;
+			for (const heldClaim of authority.heldClaims.values()) {
+				heldClaim.confirmedAt = undefined;
+			}
+
 			return [emitLog('warn', 'lease of store session may have ended during pause', {pausedMs: Math.round(pausedMs), claims: [...authority.heldClaims.keys()]})];
 		},
 		'session-lost'({authority}) {
 			authority.sessionOpenedAt = undefined;
 			authority.validUntil = 0;
 			authority.wallValidUntil = 0;
-			authority.isUnconfirmed = false;
 			authority.claimRequestedAt.clear();
 			return [emitLog('warn', 'store session lost', {}), ...dropAllClaims(authority, 'store session lost')];
 		},
@@ -100,6 +90,7 @@
 			return [];
 		},
 		'claim-answered': handleClaimAnswer,
+		'claim-confirmed': confirmClaim,
 		'claim-superseded'({authority}, {name, token}) {
 			return authority.heldClaims.get(name)?.token === token ? dropClaim(authority, name, 'another entry has claimed it') : [];
 		},
@@ -128,55 +119,9 @@
 	return now < validUntil && wallTime < wallValidUntil;
 }
 
-function requestVacantClaims(authority: AuthorityState, context: DecisionContext): JobOutput[] {
-	const {sessionOpenedAt, members, claims, node, incarnation} = authority;
-	if (sessionOpenedAt === undefined || authority.isStopping || !authority.areMembersListed || !authority.areClaimsListed) {
-		return [];
-	}
-
-	const outputs: JobOutput[] = [];
-	for (const claim of claims.values()) {
-		// The claim record names this entry, but nobody acts on it: it was made by an earlier process of this entry, or by this process, which has since dropped the claim (for example on `claim-superseded`) while the record stayed.
-		if (claim.node === node && (claim.incarnation !== incarnation || !authority.heldClaims.has(claim.name))) {
-			outputs.push(...requestClaim(authority, claim.name, claim.token, context));
-		}
-	}
-
-	const vacant = authority.claimNames.filter(name => !claims.has(name));
-	if (vacant.length === 0 || context.now < sessionOpenedAt + startupGraceMs) {
-		return outputs;
-	}
-
-	const assignment = assignClaims({
-		vacant, members, claims, endedClaims: authority.endedClaims, lastHolders: authority.lastHolders,
-	});
-	for (const [name, order] of assignment) {
-		const position = order.indexOf(node);
-		const since = authority.vacantSince.get(name) ?? context.now;
-		authority.vacantSince.set(name, since);
-		if (position !== -1 && context.now >= since + (position * claimStaggerMs)) {
-			outputs.push(...requestClaim(authority, name, 0, context));
-		}
-	}
-
-	return outputs;
-}
-
-function requestClaim(authority: AuthorityState, name: string, expectedToken: number, context: DecisionContext): JobOutput[] {
-	const requestedAt = authority.claimRequestedAt.get(name);
-	if (requestedAt !== undefined && context.now < requestedAt + claimTimeoutMs) {
-		return [];
-	}
-
-	authority.claimRequestedAt.set(name, context.now);
-	return [emitEffect({
-		kind: 'claim', name, expectedToken, lastHolderRevision: name === fleetClaim ? authority.lastHolders.get(name)?.revision ?? 0 : undefined,
-	})];
-}
-
 function handleClaimAnswer({authority}: State, {name, result, token}: JobEventOf<'claim-answered'>, context: DecisionContext): JobOutput[] {
 	if (result !== 'applied') {
-		authority.claimRequestedAt.set(name, context.now - claimTimeoutMs + claimRetryDelayMs);
+		delayClaimRequest(authority, name, context.now);
 		// If an unanswered claim was made after all, the watch on the store reports it.
 		return [emitLog('info', 'claim not acquired', {name, result})];
 	}
@@ -187,6 +132,17 @@
 	}, context);
 }
 
+function confirmClaim({authority}: State, {name, token, requestedAt}: JobEventOf<'claim-confirmed'>): JobOutput[] {
+	const heldClaim = authority.heldClaims.get(name);
+	if (heldClaim?.token !== token || requestedAt.now < authority.resumedAt || requestedAt.now < (heldClaim.confirmedAt?.now ?? Number.NEGATIVE_INFINITY)) {
+		return [];
+	}
+
+	const isFirst = heldClaim.confirmedAt === undefined;
+	heldClaim.confirmedAt = requestedAt;
+	return isFirst ? [emitLog('info', 'claim confirmed by store', {name, token})] : [];
+}
+
 function replaceClaims(authority: AuthorityState, claims: readonly Claim[], context: DecisionContext): JobOutput[] {
 	authority.areClaimsListed = true;
 	const listed = new Set(claims.map(claim => claim.name));
@@ -212,7 +168,7 @@
 		return [...lost, emitLog('info', 'claim found in store', {name, holder: claim.node, token})];
 	}
 
-	authority.heldClaims.set(name, {token, loadRetryAt: undefined});
+	authority.heldClaims.set(name, {token, confirmedAt: undefined, loadRetryAt: undefined});
 	return [
 		...lost,
 		emitLog('info', 'claim acquired', {name, token, at: context.wallTime}),
--- a/packages/jobs/src/authority/authority-state.ts
+++ b/packages/jobs/src/authority/authority-state.ts
@@ -1,8 +1,10 @@
-import {type Claim, type Member} from '../model/index.js';
+import {type Claim, type Clocks, type Member} from '../model/index.js';
 
 /** A claim that this entry holds. @internal */
 export type HeldClaim = {
 	readonly token: number;
+	/** Both clocks when the last call was sent whose answer confirmed that the claim is in the store; undefined if none has confirmed it yet, or since a pause of the process. */
+	confirmedAt: Clocks | undefined;
 	/** When loading the pool's records is retried after a failure, in monotonic ms; undefined if none is due. */
 	loadRetryAt: number | undefined;
 };
@@ -30,8 +32,8 @@
 	validUntil: number;
 	/** The same as Unix ms. A suspended process finds only its wall clock advanced, so both have to be in the future. */
 	wallValidUntil: number;
-	/** Whether the process was paused until after the end of its lease, and the store has not confirmed the lease since. */
-	isUnconfirmed: boolean;
+	/** When the process was last resumed after a pause that may have lasted beyond its lease, in monotonic ms. Answers to earlier calls confirm no claim. */
+	resumedAt: number;
 	isStopping: boolean;
 };
 
@@ -39,10 +41,9 @@
 export type AuthorityView = {
 	readonly authority: {
 		readonly node: string;
-		readonly heldClaims: ReadonlyMap<string, {readonly token: number}>;
+		readonly heldClaims: ReadonlyMap<string, Readonly<Pick<HeldClaim, 'token' | 'confirmedAt'>>>;
 		readonly validUntil: number;
 		readonly wallValidUntil: number;
-		readonly isUnconfirmed: boolean;
 		readonly isStopping: boolean;
 	};
 };
@@ -65,7 +66,7 @@
 		sessionOpenedAt: undefined,
 		validUntil: 0,
 		wallValidUntil: 0,
-		isUnconfirmed: false,
+		resumedAt: Number.NEGATIVE_INFINITY,
 		isStopping: false,
 	};
 }
--- /dev/null
+++ b/packages/jobs/src/authority/cut-off-owner.test.ts
@@ -0,0 +1,73 @@
+import {describe, expect, it} from 'vitest';
+import {type Clocks} from '../model/index.js';
+import {
+	createStoredTestJob, createTestJob, createTestOwner, createTestPollAnswer,
+} from '../testing.test-support.js';
+import {orderPermissionMs} from './order-permission.js';
+
+const endpointClockAtStart = 1000;
+
+type Input = {
+	/** When the job arrives. */
+	readonly at: Clocks;
+	/** When the call was sent that last confirmed the claim; 0 is the time of the claim itself. */
+	readonly confirmedAt?: number;
+};
+
+/** Lists the orders to an endpoint that an owner gives in the second after a job has arrived, with the latest deadline on the endpoint's clock. */
+function listOrders({at, confirmedAt}: Input): {readonly kinds: readonly string[]; readonly lastDeadlineMs: number} {
+	const owner = createTestOwner({roster: {endpointIds: ['e1']}, endpoints: ['e1'], jobs: []});
+	owner.confirmsClaim = false;
+	owner.apply({kind: 'tick'}, 0);
+	owner.apply(createTestPollAnswer('e1', endpointClockAtStart), 0);
+	if (confirmedAt !== undefined) {
+		owner.apply({
+			kind: 'claim-confirmed', name: 'pool/desk', token: 7, requestedAt: {now: confirmedAt, wallTime: confirmedAt},
+		}, confirmedAt + 50);
+	}
+
+	const kinds = new Set<string>();
+	let lastDeadlineMs = 0;
+	const advance = (elapsedMs: number, event: Parameters<typeof owner.apply>[0]) => {
+		for (const effect of owner.apply(event, at.now + elapsedMs, at.wallTime + elapsedMs)) {
+			if ((effect.kind === 'start-task' || effect.kind === 'poll-endpoint') && effect.deadlineMs !== undefined) {
+				kinds.add(effect.kind);
+				lastDeadlineMs = Math.max(lastDeadlineMs, effect.deadlineMs);
+			}
+		}
+	};
+
+	advance(0, {kind: 'job-recorded', stored: createStoredTestJob(createTestJob('job', [{count: 1}]))});
+	for (let elapsedMs = 25; elapsedMs < 1000; elapsedMs += 25) {
+		advance(elapsedMs, createTestPollAnswer('e1', endpointClockAtStart + at.now + elapsedMs));
+		advance(elapsedMs, {kind: 'tick'});
+	}
+
+	return {kinds: [...kinds].sort(), lastDeadlineMs};
+}
+
+const all = ['poll-endpoint', 'start-task'];
+
+// Guards against tasks that run twice: an owner that is cut off from the store went on starting tasks and renewing leases on endpoints that its successor could not reach, beyond the time for which the successor waits.
+const cases: ReadonlyArray<{readonly name: string; readonly expected: readonly string[]} & Input> = [
+	{name: 'starts and renews while the store confirms its claim', at: {now: 100, wallTime: 100}, expected: all},
+	{name: 'starts and renews during an outage of the store', at: {now: 5000, wallTime: 5000}, expected: all},
+	{name: 'starts nothing that its permission does not cover', at: {now: orderPermissionMs - 600, wallTime: orderPermissionMs - 600}, expected: ['poll-endpoint']},
+	{name: 'gives no orders after its permission has ended', at: {now: orderPermissionMs, wallTime: orderPermissionMs}, expected: []},
+	{name: 'gives no orders after its permission has ended by the wall clock only, as the machine was suspended', at: {now: 100, wallTime: orderPermissionMs}, expected: []},
+	{
+		name: 'starts and renews after a later confirmation', at: {now: orderPermissionMs, wallTime: orderPermissionMs}, confirmedAt: 5000, expected: all,
+	},
+	{
+		name: 'counts its permission from when the confirmation was requested', at: {now: orderPermissionMs + 5000, wallTime: orderPermissionMs + 5000}, confirmedAt: 5000, expected: [],
+	},
+];
+
+describe('an owner that the store no longer confirms', () => {
+	it.each(cases)('$name: $expected', ({expected, at, confirmedAt = 0}) => {
+		const {kinds, lastDeadlineMs} = listOrders({at, confirmedAt});
+		expect(kinds).toEqual(expected);
+		// The successor takes all leases as expired this long after its claim, which is later than the last confirmation.
+		expect(lastDeadlineMs).toBeLessThanOrEqual(endpointClockAtStart + confirmedAt + orderPermissionMs);
+	});
+});
--- a/packages/jobs/src/evacuation/evacuation-filter.ts
+++ b/packages/jobs/src/evacuation/evacuation-filter.ts
@@ -1,7 +1,7 @@
 import {
 	emitEffect, passEvent, restartEvent, type DecisionContext,
 } from '@pistachiogauge/chain';
-import {type AuthorityView} from '../authority/index.js';
+import {getPermittedMs, type AuthorityView} from '../authority/index.js';
 import {type DirectoryView} from '../directory/index.js';
 import {emitLog, type JobFilter, type JobOutput} from '../filter.js';
 import {findTask, type LedgerView, type Step} from '../ledger/index.js';
@@ -70,15 +70,11 @@
 
 function evacuateEndpoints(state: State, _event: unknown, context: DecisionContext): JobOutput[] {
 	const outputs: JobOutput[] = [];
-	if (state.authority.isUnconfirmed) {
-		return outputs;
-	}
-
 	for (const endpoint of state.supervision.endpoints.values()) {
 		const request = state.evacuation.requests.get(endpoint.id);
 		const listed = state.directory.endpoints.get(endpoint.id);
 		const isDraining = listed?.state === 'draining';
-		if ((request === undefined && !isDraining) || endpoint.phase !== 'answering') {
+		if ((request === undefined && !isDraining) || endpoint.phase !== 'answering' || getPermittedMs(state, endpoint.pool, context) === 0) {
 			continue;
 		}
 
--- a/packages/jobs/src/model/coordination.ts
+++ b/packages/jobs/src/model/coordination.ts
@@ -1,4 +1,7 @@
 import {type DurationModel} from './duration-model.js';
+/** Readings of an entry's clocks at one time: monotonic and Unix ms. A suspended process finds only its wall clock advanced. @public */
+export type Clocks = {readonly now: number; readonly wallTime: number};
+
 /** A running entry, as registered under its lease. @public */
 export type Member = {
 	readonly node: string;
--- a/packages/jobs/src/model/events.ts
+++ b/packages/jobs/src/model/events.ts
@@ -1,7 +1,7 @@
 import {type DurationModel} from './duration-model.js';
 import {type Configuration} from './configuration.js';
 import {
-	type Claim, type Member, type PoolDemandHistory, type PoolReport, type Roster, type RunId, type EvacuationRequest, type EvacuatedEndpoint,
+	type Claim, type Clocks, type Member, type PoolDemandHistory, type PoolReport, type Roster, type RunId, type EvacuationRequest, type EvacuatedEndpoint,
 } from './coordination.js';
 import {type Endpoint, type ReportedEnd, type ReportedRun} from './endpoint.js';
 import {
@@ -67,7 +67,7 @@
 	| {readonly kind: 'store-lost'}
 	/** The process was paused or suspended for the given time in ms. It comes before any event that was waiting meanwhile. */
 	| {readonly kind: 'process-resumed'; readonly pausedMs: number}
-	/** Time until which the lease is certain to hold: `validUntil` in monotonic ms, `wallValidUntil` in Unix ms. */
+	/** Time until which the lease is certain to hold; it says nothing about the records under it, which the store may have removed: `validUntil` in monotonic ms, `wallValidUntil` in Unix ms. */
 	| {readonly kind: 'session-renewed'; readonly validUntil: number; readonly wallValidUntil: number}
 	| {readonly kind: 'members-listed'; readonly members: readonly Member[]}
 	| {readonly kind: 'member-changed'; readonly node: string; readonly member: Member | undefined}
@@ -76,6 +76,8 @@
 	/** The entry that held a claim last, for claims for which that is stored; `revision` is that of its record. */
 	| {readonly kind: 'last-holder-changed'; readonly name: string; readonly node: string; readonly revision: number}
 	| {readonly kind: 'claim-answered'; readonly name: string; readonly result: WriteResult; readonly token: number}
+	/** The store has carried out a call on the condition that the claim's record is unchanged; the clocks were read before the call was sent. */
+	| {readonly kind: 'claim-confirmed'; readonly name: string; readonly token: number; readonly requestedAt: Clocks}
 	| {readonly kind: 'configuration-changed'; readonly configuration: Configuration}
 	| {readonly kind: 'endpoints-listed'; readonly endpoints: readonly Endpoint[]}
 	| {readonly kind: 'endpoint-changed'; readonly endpoint: Endpoint}
--- a/packages/jobs/src/placement/placement-filter.test.ts
+++ b/packages/jobs/src/placement/placement-filter.test.ts
@@ -3,7 +3,9 @@
 import {createJobsState} from '../jobs-state.js';
 import {createPoolLedger} from '../ledger/ledger-state.js';
 import {type JobEvent} from '../model/index.js';
-import {createTestEndpoint, createTestJob, createTestSupervisedEndpoint} from '../testing.test-support.js';
+import {
+	createTestEndpoint, createTestJob, createTestSupervisedEndpoint, holdTestClaim,
+} from '../testing.test-support.js';
 import {placementFilter} from './placement-filter.js';
 
 const random = createRandomSource(1);
@@ -14,6 +16,7 @@
 	const state = createJobsState({node: 'entry-1', incarnation: 'first', orderLeaseMs: 3000});
 	const pool = createPoolLedger({pool: poolName, token: 1, now: 0});
 	state.ledger.pools.set(poolName, pool);
+	holdTestClaim(state, poolName, 0);
 	const job = createTestJob('job', [{room: {cpuMillis: 64_000, memoryMb: 1, gpus: 0}}]);
 	pool.jobs.set('job', job);
 	pool.activeJobs.add(job);
--- a/packages/jobs/src/placement/placement-filter.ts
+++ b/packages/jobs/src/placement/placement-filter.ts
@@ -1,5 +1,5 @@
 import {restartEvent, type DecisionContext} from '@pistachiogauge/chain';
-import {type AuthorityView} from '../authority/index.js';
+import {getPermittedMs, type AuthorityView} from '../authority/index.js';
 import {type DirectoryView} from '../directory/index.js';
 import {type EvacuationView} from '../evacuation/index.js';
 import {
@@ -10,7 +10,7 @@
 } from '../ledger/index.js';
 import {subtractResources} from '../model/index.js';
 import {getJobEstimate, type ObservationView} from '../observation/index.js';
-import {type SupervisionView} from '../supervision/index.js';
+import {startValidityMs, type SupervisionView} from '../supervision/index.js';
 import {applyAdvice} from './apply-advice.js';
 import {
 	addCount, chooseEndpoint, countRunsByEndpoint, reserveCandidate, type Candidate,
@@ -79,8 +79,8 @@
 	const pool = state.ledger.pools.get(poolName);
 	state.placement.duePools.delete(poolName);
 	state.placement.searchedAt.set(poolName, context.now);
-	// Nothing is started while another entry may own the pool.
-	if (pool === undefined || pool.activeJobs.size === 0 || state.authority.isUnconfirmed) {
+	// A start is valid for some time after it is sent, which has to end with this entry's permission.
+	if (pool === undefined || pool.activeJobs.size === 0 || getPermittedMs(state, poolName, context) < startValidityMs) {
 		return [];
 	}
 
@@ -286,6 +286,7 @@
 			hasCheckpoint: checkpoint !== '',
 			token: supervision.endpoints.get(chosen.endpoint.id)?.token,
 			sessionLeftMs: Math.round(authority.validUntil - context.now),
+			permittedMs: getPermittedMs({authority}, task.step.job.record.pool, context),
 		}),
 		restartEvent({
 			kind: 'task-placed', pool: task.step.job.record.pool, taskId: task.id, run, endpointId: chosen.endpoint.id, checkpoint, ticket,
--- /dev/null
+++ b/packages/jobs/src/supervision/check-endpoint.ts
@@ -0,0 +1,58 @@
+import {passEvent, type DecisionContext} from '@pistachiogauge/chain';
+import {type AuthorityView} from '../authority/index.js';
+import {emitLog, type JobOutput} from '../filter.js';
+import {dropRuns} from './apply-poll-answer.js';
+import {hasLeaseExpired} from './lease-clock.js';
+import {pollEndpoint} from './poll-endpoint.js';
+import {type SupervisedEndpoint, type SupervisionState} from './supervision-state.js';
+
+/** Time without an answer after which an endpoint is recorded as silent; a single lost answer is compensated by the next poll before that. */
+const silentReportDelayMs = 1000;
+
+type State = {readonly supervision: SupervisionState} & AuthorityView;
+
+/** Does what is due for an endpoint: drops its runs when its lease has expired, records it as silent, polls it, or ends its supervision. @internal */
+export function checkEndpoint(state: State, endpoint: SupervisedEndpoint, context: DecisionContext): JobOutput[] {
+	const {supervision} = state;
+	const outputs: JobOutput[] = [];
+	if (!endpoint.isListed && endpoint.phase === 'silent' && endpoint.runs.size === 0) {
+		// It has answered under the current token, so that only runs started by this entry can be running there.
+		return removeEndpoint(supervision, endpoint);
+	}
+
+	if (endpoint.phase !== 'answering' && hasLeaseExpired(endpoint, context.now)) {
+		outputs.push(...dropRuns(endpoint, 'lease-expired'));
+		if (!endpoint.isListed && !endpoint.isPollPending) {
+			return [...outputs, ...removeEndpoint(supervision, endpoint)];
+		}
+
+		if (endpoint.phase !== 'expired') {
+			endpoint.phase = 'expired';
+			outputs.push(emitLog('warn', 'lease of endpoint expired', {endpoint: endpoint.id, pool: endpoint.pool, silentMs: Math.round(context.now - (endpoint.silentSince ?? context.now))}));
+		}
+	}
+
+	const isReportDue = endpoint.silentSince === undefined || context.now > endpoint.silentSince + silentReportDelayMs;
+	if (endpoint.phase !== 'answering' && endpoint.areRunsKnown && isReportDue && endpoint.reportedRunCount !== endpoint.runs.size) {
+		endpoint.reportedRunCount = endpoint.runs.size;
+		outputs.push(emitLog('info', 'runs on silent endpoint recorded', {
+			endpoint: endpoint.id, pool: endpoint.pool, token: endpoint.token, runs: endpoint.runs.size, unsavedEnds: endpoint.unsavedEnds.size,
+		}), passEvent({
+			kind: 'endpoint-silent', pool: endpoint.pool, endpointId: endpoint.id, runs: [...endpoint.runs.values()].map(({taskId, run}) => ({taskId, run})),
+		}));
+	}
+
+	if (!endpoint.isPollPending && context.now >= endpoint.nextPollAt && endpoint.address !== '') {
+		outputs.push(...pollEndpoint(state, endpoint, context));
+	}
+
+	return outputs;
+}
+
+function removeEndpoint(supervision: SupervisionState, endpoint: SupervisedEndpoint): JobOutput[] {
+	supervision.endpoints.delete(endpoint.id);
+	return [
+		emitLog('info', 'supervision of endpoint ended', {endpoint: endpoint.id, pool: endpoint.pool, phase: endpoint.phase}),
+		passEvent({kind: 'endpoint-forgotten', pool: endpoint.pool, endpointId: endpoint.id}),
+	];
+}
--- a/packages/jobs/src/supervision/index.ts
+++ b/packages/jobs/src/supervision/index.ts
@@ -3,4 +3,4 @@
 	createSupervisionState, servingPercent, type EndpointUsage, type Run, type SupervisedEndpoint, type SupervisionState, type SupervisionView,
 } from './supervision-state.js';
 export {getOrderTarget} from './poll-endpoint.js';
-export {leaseMs} from './lease-clock.js';
+export {leaseMs, startValidityMs} from './lease-clock.js';
--- a/packages/jobs/src/supervision/lease-clock.ts
+++ b/packages/jobs/src/supervision/lease-clock.ts
@@ -1,3 +1,4 @@
+import {orderPermissionMs} from '../authority/index.js';
 import {type SupervisedEndpoint} from './supervision-state.js';
 
 /** Clock readings and deadlines from which the expiry of an endpoint's lease is computed. @internal */
@@ -31,7 +32,7 @@
 	return minClockMs > times.leaseDeadlineMs + expirySlackMs && now > times.previousLeaseExpiresAt;
 }
 
-/** Returns the time at which every lease that a previous owner granted before `now` has expired. @internal */
+/** Returns the time at which every lease of a previous owner has expired, for an entry that has held the claim since before `now`: the previous owner may not know of its loss and grant leases up to the end of its permission. @internal */
 export function getPreviousLeaseExpiry(now: number): number {
-	return now + (leaseMs * slowClockFactor) + expirySlackMs;
+	return now + (orderPermissionMs * slowClockFactor) + expirySlackMs;
 }
--- a/packages/jobs/src/supervision/poll-endpoint.ts
+++ b/packages/jobs/src/supervision/poll-endpoint.ts
@@ -1,5 +1,5 @@
 import {emitEffect, type DecisionContext} from '@pistachiogauge/chain';
-import {type AuthorityView} from '../authority/index.js';
+import {getPermittedMs, type AuthorityView} from '../authority/index.js';
 import {type JobOutput} from '../filter.js';
 import {type OrderTarget} from '../model/index.js';
 import {estimateClock, leaseMs} from './lease-clock.js';
@@ -30,14 +30,15 @@
 }
 
 /** Starts a long poll of an endpoint, unless one is pending: it lists the endpoint's runs and ends and renews its lease. @internal */
-export function pollEndpoint({authority}: AuthorityView, endpoint: SupervisedEndpoint, context: DecisionContext): JobOutput[] {
+export function pollEndpoint(state: AuthorityView, endpoint: SupervisedEndpoint, context: DecisionContext): JobOutput[] {
 	if (endpoint.isPollPending) {
 		return [];
 	}
 
 	const clock = estimateClock(endpoint, context.now);
-	// The lease of an endpoint that does not answer is not extended: otherwise its tasks could not be started elsewhere for as long as it is polled. Neither is any lease while another entry may own the pool.
-	const deadlineMs = clock === undefined || endpoint.phase !== 'answering' || authority.isUnconfirmed ? undefined : clock + leaseMs;
+	const permittedMs = getPermittedMs(state, endpoint.pool, context);
+	// The lease of an endpoint that does not answer is not extended: otherwise its tasks could not be started elsewhere for as long as it is polled. No lease lasts longer than this entry's permission, as the next owner waits that long.
+	const deadlineMs = clock === undefined || endpoint.phase !== 'answering' || permittedMs === 0 ? undefined : clock + Math.min(leaseMs, permittedMs);
 	endpoint.isPollPending = true;
 	endpoint.leaseDeadlineMs = Math.max(endpoint.leaseDeadlineMs, deadlineMs ?? 0);
 	return [emitEffect({
--- a/packages/jobs/src/supervision/supervision-filter.ts
+++ b/packages/jobs/src/supervision/supervision-filter.ts
@@ -4,7 +4,9 @@
 import {emitLog, type JobFilter, type JobOutput} from '../filter.js';
 import {type LedgerView} from '../ledger/index.js';
 import {pollEndpoint, scheduleNextPoll} from './poll-endpoint.js';
-import {getPreviousLeaseExpiry, hasLeaseExpired} from './lease-clock.js';
+import {checkEndpoint} from './check-endpoint.js';
+import {checkSurvey} from './check-survey.js';
+import {getPreviousLeaseExpiry} from './lease-clock.js';
 import {applyPollAnswer, dropRuns, stopRun} from './apply-poll-answer.js';
 import {handleRefusal, handleStartRefusal} from './handle-refusals.js';
 import {addSuspectedRun, startTask} from './start-task.js';
@@ -14,8 +16,6 @@
 
 /** Delay before the next poll of an endpoint that did not answer or refused the last one. */
 const silentPollDelayMs = 400;
-/** Time without an answer after which an endpoint is recorded as silent; a single lost answer is compensated by the next poll before that. */
-const silentReportDelayMs = 1000;
 
 type State = {readonly supervision: SupervisionState} & LedgerView & DirectoryView & AuthorityView;
 
@@ -31,16 +31,17 @@
 			pool, token, roster, evacuatedEndpointIds,
 		}, context) {
 			removePool(supervision, pool);
-			supervision.pools.set(pool, {
+			const supervisedPool: SupervisedPool = {
 				pool, token, acquiredAt: context.now, unsurveyedIds: new Set(roster.endpointIds), evacuatedIds: new Set(evacuatedEndpointIds), surveyedAt: undefined,
-			});
+			};
+			supervision.pools.set(pool, supervisedPool);
 			for (const id of roster.endpointIds) {
-				supervision.endpoints.set(id, createSupervisedEndpoint({id, pool, address: ''}, token, context));
+				supervision.endpoints.set(id, createSupervisedEndpoint({id, address: ''}, supervisedPool, context));
 			}
 
 			const outputs: JobOutput[] = [];
 			for (const [endpointId, runs] of Object.entries(roster.silentRuns ?? {})) {
-				supervision.endpoints.set(endpointId, {...createSupervisedEndpoint({id: endpointId, pool, address: ''}, token, context), areRunsKnown: true, reportedRunCount: runs.length});
+				supervision.endpoints.set(endpointId, {...createSupervisedEndpoint({id: endpointId, address: ''}, supervisedPool, context), areRunsKnown: true, reportedRunCount: runs.length});
 				outputs.push(...runs.map(run => restartEvent({
 					kind: 'run-suspected', pool, endpointId, ...run,
 				})));
@@ -145,19 +146,20 @@
 	},
 };
 
-function createSupervisedEndpoint({id, pool, address}: {readonly id: string; readonly pool: string; readonly address: string}, token: number, context: DecisionContext): SupervisedEndpoint {
+function createSupervisedEndpoint({id, address}: {readonly id: string; readonly address: string}, {pool, token, acquiredAt}: SupervisedPool, context: DecisionContext): SupervisedEndpoint {
+	const previousLeaseExpiresAt = getPreviousLeaseExpiry(acquiredAt);
 	return {
 		id,
 		pool,
 		token,
 		address,
 		isListed: address !== '',
-		phase: 'new',
+		phase: context.now > previousLeaseExpiresAt ? 'expired' : 'new',
 		startedAt: undefined,
 		clockMs: undefined,
 		clockReadAt: 0,
 		leaseDeadlineMs: 0,
-		previousLeaseExpiresAt: getPreviousLeaseExpiry(context.now),
+		previousLeaseExpiresAt,
 		lastProcessedEnd: 0,
 		unsavedEnds: new Set(),
 		isPollPending: false,
@@ -202,7 +204,7 @@
 
 		const endpoint = supervision.endpoints.get(listed.id);
 		if (endpoint?.pool !== listed.pool) {
-			supervision.endpoints.set(listed.id, createSupervisedEndpoint(listed, pool.token, context));
+			supervision.endpoints.set(listed.id, createSupervisedEndpoint(listed, pool, context));
 			continue;
 		}
 
@@ -210,88 +212,9 @@
 		if (endpoint.startedAt !== undefined && listed.startedAt > endpoint.startedAt) {
 			// The endpoint has restarted under the same id: none of its previous runs is left.
 			outputs.push(emitLog('warn', 'endpoint restarted', {endpoint: endpoint.id, bornAt: listed.startedAt, before: endpoint.startedAt}), ...dropRuns(endpoint, 'endpoint-restarted'));
-			supervision.endpoints.set(listed.id, createSupervisedEndpoint(listed, pool.token, context));
+			supervision.endpoints.set(listed.id, createSupervisedEndpoint(listed, pool, context));
 		}
 	}
 
 	return outputs;
 }
-
-function checkEndpoint(state: State, endpoint: SupervisedEndpoint, context: DecisionContext): JobOutput[] {
-	const {supervision} = state;
-	const outputs: JobOutput[] = [];
-	if (!endpoint.isListed && endpoint.phase === 'silent' && endpoint.runs.size === 0) {
-		// It has answered under the current token, so that only runs started by this entry can be running there.
-		return removeEndpoint(supervision, endpoint);
-	}
-
-	if (endpoint.phase !== 'answering' && hasLeaseExpired(endpoint, context.now)) {
-		outputs.push(...dropRuns(endpoint, 'lease-expired'));
-		if (!endpoint.isListed && !endpoint.isPollPending) {
-			return [...outputs, ...removeEndpoint(supervision, endpoint)];
-		}
-
-		if (endpoint.phase !== 'expired') {
-			endpoint.phase = 'expired';
-			outputs.push(emitLog('warn', 'lease of endpoint expired', {endpoint: endpoint.id, pool: endpoint.pool, silentMs: Math.round(context.now - (endpoint.silentSince ?? context.now))}));
-		}
-	}
-
-	const isReportDue = endpoint.silentSince === undefined || context.now > endpoint.silentSince + silentReportDelayMs;
-	if (endpoint.phase !== 'answering' && endpoint.areRunsKnown && isReportDue && endpoint.reportedRunCount !== endpoint.runs.size) {
-		endpoint.reportedRunCount = endpoint.runs.size;
-		outputs.push(emitLog('info', 'runs on silent endpoint recorded', {
-			endpoint: endpoint.id, pool: endpoint.pool, token: endpoint.token, runs: endpoint.runs.size, unsavedEnds: endpoint.unsavedEnds.size,
-		}), passEvent({
-			kind: 'endpoint-silent', pool: endpoint.pool, endpointId: endpoint.id, runs: [...endpoint.runs.values()].map(({taskId, run}) => ({taskId, run})),
-		}));
-	}
-
-	if (!endpoint.isPollPending && context.now >= endpoint.nextPollAt && endpoint.address !== '') {
-		outputs.push(...pollEndpoint(state, endpoint, context));
-	}
-
-	return outputs;
-}
-
-function removeEndpoint(supervision: SupervisionState, endpoint: SupervisedEndpoint): JobOutput[] {
-	supervision.endpoints.delete(endpoint.id);
-	return [
-		emitLog('info', 'supervision of endpoint ended', {endpoint: endpoint.id, pool: endpoint.pool, phase: endpoint.phase}),
-		passEvent({kind: 'endpoint-forgotten', pool: endpoint.pool, endpointId: endpoint.id}),
-	];
-}
-
-/**
-Ends the survey of a pool once every endpoint on the previous owner's roster has reported its runs or cannot run anything any more. Endpoints that joined later are not waited for: the previous owner starts no task on an endpoint that is not on its roster.
-*/
-function checkSurvey({supervision, directory}: State, pool: SupervisedPool, now: number): JobOutput[] {
-	if (pool.surveyedAt !== undefined || directory.listedAt === undefined) {
-		return [];
-	}
-
-	for (const id of pool.unsurveyedIds) {
-		const endpoint = supervision.endpoints.get(id);
-		const isGone = pool.evacuatedIds.has(id) && (endpoint?.hasFailedPoll === true || endpoint?.isListed === false);
-		if (endpoint === undefined || isGone || endpoint.phase === 'answering' || endpoint.phase === 'expired') {
-			pool.unsurveyedIds.delete(id);
-		}
-	}
-
-	if (pool.unsurveyedIds.size > 0) {
-		return [];
-	}
-
-	pool.surveyedAt = now;
-	return [
-		emitLog('info', 'all runs in pool accounted for after takeover', {
-			pool: pool.pool, token: pool.token, waitedMs: Math.round(now - pool.acquiredAt), unreachable: listExpiredEndpoints(supervision, pool.pool),
-		}),
-		passEvent({kind: 'pool-surveyed', pool: pool.pool}),
-	];
-}
-
-/** Lists the endpoints of a pool that have not answered until their leases expired. */
-function listExpiredEndpoints(supervision: SupervisionState, pool: string): string[] {
-	return [...supervision.endpoints.values()].filter(endpoint => endpoint.pool === pool && endpoint.phase === 'expired').map(({id}) => id);
-}
--- a/packages/jobs/src/supervision/supervision-state.ts
+++ b/packages/jobs/src/supervision/supervision-state.ts
@@ -45,7 +45,7 @@
 
 /** @public */
 export type SupervisionPhase =
-	/** It has not answered under the current fencing token. */
+	/** It has not answered under the current fencing token, and leases of a previous owner may hold there. */
 	| 'new'
 	/** It answers polls, which renew its lease. */
 	| 'answering'
--- a/packages/jobs/src/testing.test-support.ts
+++ b/packages/jobs/src/testing.test-support.ts
@@ -58,6 +58,11 @@
 	}, {now: 0, wallTime: 0});
 }
 
+/** Lets the state hold the claim on a pool, confirmed by the store at the given time in ms. @internal */
+export function holdTestClaim({authority}: Pick<JobsState, 'authority'>, pool: string, confirmedAtMs: number): void {
+	authority.heldClaims.set(`pool/${pool}`, {token: 1, confirmedAt: {now: confirmedAtMs, wallTime: confirmedAtMs}, loadRetryAt: undefined});
+}
+
 /** Creates a machine with 16 cores. @internal */
 export function createTestMachine(name: string, pool: string, traits: Partial<Machine> = {}): Machine {
 	return {
@@ -131,6 +136,8 @@
 /** An entry that owns the pool `desk` with token 7; its writes to the store are applied at once. @internal */
 export type TestOwner = {
 	readonly state: JobsState;
+	/** Whether the store confirms the claim when the entry writes under it; true unless a test sets it. */
+	confirmsClaim: boolean;
 	/** Applies an event at a time in ms, which both clocks show unless the wall time is given, and returns all effects. */
 	apply(event: JobEvent, now: number, wallTime?: number): JobEffect[];
 };
@@ -148,19 +155,34 @@
 	const pool = 'desk';
 	const random = createRandomSource(1);
 	const state = createJobsState({node: 'entry-1', incarnation: 'first', orderLeaseMs: 3000});
-	const apply = (event: JobEvent, now: number, wallTime = now): JobEffect[] => applyJobEvent(state, event, {now, wallTime, random}).flatMap(effect => effect.kind === 'save-progress'
-		? [effect, ...apply({
-			kind: 'progress-saved', pool, token: 7, saveId: effect.saveId, result: 'applied', revision: 10, presentRevisions: undefined, isClaimLost: false,
-		}, now, wallTime)]
-		: [effect]);
+	const apply = (event: JobEvent, now: number, wallTime = now): JobEffect[] => applyJobEvent(state, event, {now, wallTime, random}).flatMap(effect => {
+		const answers: JobEvent[] = [];
+		if (effect.kind === 'save-progress') {
+			answers.push({
+				kind: 'progress-saved', pool, token: 7, saveId: effect.saveId, result: 'applied', revision: 10, presentRevisions: undefined, isClaimLost: false,
+			});
+		}
+
+		if (owner.confirmsClaim && (effect.kind === 'save-progress' || effect.kind === 'publish-report')) {
+			answers.push({
+				kind: 'claim-confirmed', name: `pool/${pool}`, token: 7, requestedAt: {now, wallTime},
+			});
+		}
+
+		return [effect, ...answers.flatMap(answer => apply(answer, now, wallTime))];
+	});
+	const owner: TestOwner = {state, confirmsClaim: true, apply};
 	apply({kind: 'endpoints-listed', endpoints: endpoints.map(id => createTestEndpoint(id, pool, {startedAt: 1}))}, 0);
 	apply({
 		kind: 'claim-answered', name: `pool/${pool}`, result: 'applied', token: 7,
 	}, 0);
+	apply({
+		kind: 'claim-confirmed', name: `pool/${pool}`, token: 7, requestedAt: {now: 0, wallTime: 0},
+	}, 0);
 	apply({
 		kind: 'pool-read', pool, token: 7, jobs, ended: new Map(), roster, rosterRevision: 4, evacuatedEndpointIds: [], durationModels,
 	}, 0);
-	return {state, apply};
+	return owner;
 }
 
 /** Creates the answer of an endpoint of the pool `desk` that runs nothing. @internal */
