Take a lease as expired only if the claim is confirmed after its end

What callers saw: a task that ran on an endpoint beyond a cut ran a second time on an endpoint that the former owner still reached.

Cause: an owner that is cut off judges by its own clock that the leases of endpoints that do not answer have expired, and starts their tasks again. Its successor has adopted these runs and renews the leases.

Change: a lease counts as expired if it had ended when the last call was sent that confirmed the claim. If a decision waits for it, the owner reads the claim's record at once (new effect `confirm-claim`), repeated each 250 ms.

Why it works: if the claim is confirmed after the lease has ended, no other owner can have renewed it before.

--- a/packages/bench/src/jobs/create-virtual-sinks.ts
+++ b/packages/bench/src/jobs/create-virtual-sinks.ts
@@ -62,6 +62,19 @@
 		}, maxCallDelayMs);
 	}
 
+	/** Makes a call on condition that the claim holds, and tells the entry whether it does. */
+	function checkClaim(entry: VirtualJobsEntry, name: string, token: number): void {
+		const sentAt = queue.now;
+		callStore(entry, undefined, () => {
+			if (store.claims.get(name)?.token !== token) {
+				return {kind: 'claim-superseded', name, token};
+			}
+
+			confirmClaim(entry, name, token, sentAt);
+			return undefined;
+		});
+	}
+
 	/** Sends an order to an endpoint; a late order gets no answer and takes effect seconds later. */
 	function callEndpoint(entry: VirtualJobsEntry, endpointId: string, lost: JobEvent, run: (endpoint: VirtualTaskEndpoint) => JobEvent | undefined): void {
 		const isLate = random.getFraction() < getLateOrderShare();
@@ -149,16 +162,10 @@
 			});
 		},
 		'publish-report'(entry, {token, report}) {
-			const sentAt = queue.now;
-			const name = `pool/${report.pool}`;
-			callStore(entry, undefined, () => {
-				if (store.claims.get(name)?.token !== token) {
-					return {kind: 'claim-superseded', name, token};
-				}
-
-				confirmClaim(entry, name, token, sentAt);
-				return undefined;
-			});
+			checkClaim(entry, `pool/${report.pool}`, token);
+		},
+		'confirm-claim'(entry, {name, token}) {
+			checkClaim(entry, name, token);
 		},
 		'poll-endpoint'(entry, effect) {
 			const {endpointId, token} = effect.target;
--- a/packages/entry/src/jobs/create-job-sinks.ts
+++ b/packages/entry/src/jobs/create-job-sinks.ts
@@ -173,6 +173,17 @@
 				}
 			});
 		},
+		'confirm-claim'({name, token}) {
+			runCall('confirm-claim', async () => {
+				const requestedAt = readClocks();
+				const item = await store.readItem(`${recordKeys.claimPrefix}${name}`);
+				pushEvent(item?.revision === token
+					? {
+						kind: 'claim-confirmed', name, token, requestedAt,
+					}
+					: {kind: 'claim-superseded', name, token});
+			});
+		},
 		'load-pool'({pool, token}) {
 			stopsByPool.get(pool)?.();
 			stopsByPool.set(pool, followPool(dependencies.followContext, pool, token));
--- a/packages/jobs/src/authority/authority-filter.ts
+++ b/packages/jobs/src/authority/authority-filter.ts
@@ -10,6 +10,8 @@
 import {type AuthorityState} from './authority-state.js';
 import {delayClaimRequest, requestVacantClaims} from './request-claims.js';
 
+/** An unanswered request for a confirmation is repeated after this time. */
+const confirmationRetryMs = 250;
 /** Delay before records of a pool that could not be read are read again. */
 const loadRetryDelayMs = 200;
 
@@ -91,6 +93,7 @@
 		},
 		'claim-answered': handleClaimAnswer,
 		'claim-confirmed': confirmClaim,
+		'claim-confirmation-due': requestConfirmation,
 		'claim-superseded'({authority}, {name, token}) {
 			return authority.heldClaims.get(name)?.token === token ? dropClaim(authority, name, 'another entry has claimed it') : [];
 		},
@@ -140,7 +143,24 @@
 
 	const isFirst = heldClaim.confirmedAt === undefined;
 	heldClaim.confirmedAt = requestedAt;
-	return isFirst ? [emitLog('info', 'claim confirmed by store', {name, token})] : [];
+	const outputs: JobOutput[] = isFirst ? [emitLog('info', 'claim confirmed by store', {name, token})] : [];
+	if (heldClaim.confirmationRequestedAt !== undefined && requestedAt.now >= heldClaim.confirmationRequestedAt) {
+		heldClaim.confirmationRequestedAt = undefined;
+		outputs.push(passEvent({kind: 'placement-due', pool: getClaimedPool(name)}));
+	}
+
+	return outputs;
+}
+
+function requestConfirmation({authority}: State, {pool}: JobEventOf<'claim-confirmation-due'>, context: DecisionContext): JobOutput[] {
+	const name = `${poolClaimPrefix}${pool}`;
+	const heldClaim = authority.heldClaims.get(name);
+	if (heldClaim === undefined || context.now < (heldClaim.confirmationRequestedAt ?? Number.NEGATIVE_INFINITY) + confirmationRetryMs) {
+		return [];
+	}
+
+	heldClaim.confirmationRequestedAt = context.now;
+	return [emitEffect({kind: 'confirm-claim', name, token: heldClaim.token})];
 }
 
 function replaceClaims(authority: AuthorityState, claims: readonly Claim[], context: DecisionContext): JobOutput[] {
@@ -168,7 +188,9 @@
 		return [...lost, emitLog('info', 'claim found in store', {name, holder: claim.node, token})];
 	}
 
-	authority.heldClaims.set(name, {token, confirmedAt: undefined, loadRetryAt: undefined});
+	authority.heldClaims.set(name, {
+		token, confirmedAt: undefined, confirmationRequestedAt: undefined, loadRetryAt: undefined,
+	});
 	return [
 		...lost,
 		emitLog('info', 'claim acquired', {name, token, at: context.wallTime}),
--- a/packages/jobs/src/authority/authority-state.ts
+++ b/packages/jobs/src/authority/authority-state.ts
@@ -5,6 +5,8 @@
 	readonly token: number;
 	/** Both clocks when the last call was sent whose answer confirmed that the claim is in the store; undefined if none has confirmed it yet, or since a pause of the process. */
 	confirmedAt: Clocks | undefined;
+	/** When a confirmation was requested for a decision that waits for it, in monotonic ms; undefined if none waits. */
+	confirmationRequestedAt: number | undefined;
 	/** When loading the pool's records is retried after a failure, in monotonic ms; undefined if none is due. */
 	loadRetryAt: number | undefined;
 };
--- a/packages/jobs/src/authority/order-permission.ts
+++ b/packages/jobs/src/authority/order-permission.ts
@@ -27,3 +27,8 @@
 	const elapsedMs = Math.max(now - confirmedAt.now, wallTime - confirmedAt.wallTime);
 	return Math.max(0, Math.floor(orderPermissionMs - elapsedMs));
 }
+
+/** Returns the last time at which this entry is known to have held the claim on a pool, in monotonic ms. @public */
+export function getConfirmedAt({authority}: AuthorityView, pool: string): number {
+	return authority.heldClaims.get(`${poolClaimPrefix}${pool}`)?.confirmedAt?.now ?? Number.NEGATIVE_INFINITY;
+}
--- a/packages/jobs/src/model/effects.ts
+++ b/packages/jobs/src/model/effects.ts
@@ -35,6 +35,8 @@
 		/** Revision of the record of the last holder, 0 for none; undefined for claims without such a record. */
 		readonly lastHolderRevision: number | undefined;
 	}
+	/** Reads the claim's record and confirms the claim, or reports its loss. */
+	| {readonly kind: 'confirm-claim'; readonly name: string; readonly token: number}
 	| {readonly kind: 'load-pool'; readonly pool: string; readonly token: number}
 	| {readonly kind: 'unload-pool'; readonly pool: string}
 	/** Starts or stops watching the records that the holder of the fleet's claim needs. */
--- a/packages/jobs/src/model/events.ts
+++ b/packages/jobs/src/model/events.ts
@@ -179,6 +179,8 @@
 	| {readonly kind: 'endpoint-forgotten'; readonly pool: string; readonly endpointId: string}
 	/** The end with this number is in the store, so the endpoint may delete it. */
 	| {readonly kind: 'end-saved'; readonly endpointId: string; readonly endpointStartedAt: number; readonly number: number}
+	/** A decision needs the store's confirmation that this entry holds the claim on the pool now. */
+	| {readonly kind: 'claim-confirmation-due'; readonly pool: string}
 	/** Something has changed that may allow a task to start. */
 	| {readonly kind: 'placement-due'; readonly pool: string};
 
--- a/packages/jobs/src/supervision/check-endpoint.ts
+++ b/packages/jobs/src/supervision/check-endpoint.ts
@@ -1,5 +1,5 @@
-import {passEvent, type DecisionContext} from '@pistachiogauge/chain';
-import {type AuthorityView} from '../authority/index.js';
+import {passEvent, restartEvent, type DecisionContext} from '@pistachiogauge/chain';
+import {getConfirmedAt, type AuthorityView} from '../authority/index.js';
 import {emitLog, type JobOutput} from '../filter.js';
 import {dropRuns} from './apply-poll-answer.js';
 import {hasLeaseExpired} from './lease-clock.js';
@@ -20,7 +20,13 @@
 		return removeEndpoint(supervision, endpoint);
 	}
 
-	if (endpoint.phase !== 'answering' && hasLeaseExpired(endpoint, context.now)) {
+	const confirmedAt = getConfirmedAt(state, endpoint.pool);
+	if (endpoint.phase !== 'answering' && endpoint.phase !== 'expired' && hasLeaseExpired(endpoint, context.now) && !hasLeaseExpired(endpoint, confirmedAt)) {
+		// If this entry has lost the claim meanwhile, the next owner may have renewed the lease.
+		outputs.push(restartEvent({kind: 'claim-confirmation-due', pool: endpoint.pool}));
+	}
+
+	if (endpoint.phase !== 'answering' && hasLeaseExpired(endpoint, confirmedAt)) {
 		outputs.push(...dropRuns(endpoint, 'lease-expired'));
 		if (!endpoint.isListed && !endpoint.isPollPending) {
 			return [...outputs, ...removeEndpoint(supervision, endpoint)];
--- a/packages/jobs/src/supervision/takeover.test.ts
+++ b/packages/jobs/src/supervision/takeover.test.ts
@@ -5,7 +5,7 @@
 import {
 	type JobEffect, type JobEvent, type ReportedRun, type Roster, type StoredJob,
 } from '../model/index.js';
-import {createTestEndpoint, createTestJob} from '../testing.test-support.js';
+import {createTestEndpoint, createTestJob, listTestConfirmations} from '../testing.test-support.js';
 
 const random = createRandomSource(1);
 const poolName = 'desk';
@@ -48,10 +48,8 @@
 				}, now);
 			}
 
-			if (effect.kind === 'publish-report') {
-				apply({
-					kind: 'claim-confirmed', name: `pool/${poolName}`, token: 7, requestedAt: {now, wallTime: now},
-				}, now);
+			for (const confirmation of listTestConfirmations(effect, 7, {now, wallTime: now})) {
+				apply(confirmation, now);
 			}
 
 			if (effect.kind === 'poll-endpoint') {
--- a/packages/jobs/src/testing.test-support.ts
+++ b/packages/jobs/src/testing.test-support.ts
@@ -7,7 +7,7 @@
 	addUsage, createRun, noUsage, type Run, type SupervisedEndpoint,
 } from './supervision/supervision-state.js';
 import {
-	type DurationModel, type Endpoint, type JobEffect, type JobEvent, type JobRecord, type Machine, type PoolReport, type Roster, type StepSpec, type StoredJob,
+	type Clocks, type DurationModel, type Endpoint, type JobEffect, type JobEvent, type JobRecord, type Machine, type PoolReport, type Roster, type StepSpec, type StoredJob,
 } from './model/index.js';
 
 const defaultStep: StepSpec = {
@@ -60,7 +60,19 @@
 
 /** Lets the state hold the claim on a pool, confirmed by the store at the given time in ms. @internal */
 export function holdTestClaim({authority}: Pick<JobsState, 'authority'>, pool: string, confirmedAtMs: number): void {
-	authority.heldClaims.set(`pool/${pool}`, {token: 1, confirmedAt: {now: confirmedAtMs, wallTime: confirmedAtMs}, loadRetryAt: undefined});
+	authority.heldClaims.set(`pool/${pool}`, {
+		token: 1, confirmedAt: {now: confirmedAtMs, wallTime: confirmedAtMs}, confirmationRequestedAt: undefined, loadRetryAt: undefined,
+	});
+}
+
+/** Lists what the store tells the owner of the pool `desk` about its claim when it carries out an effect at the given time. @internal */
+export function listTestConfirmations({kind}: JobEffect, token: number, requestedAt: Clocks): JobEvent[] {
+	const isConditional = kind === 'save-progress' || kind === 'publish-report' || kind === 'confirm-claim';
+	return isConditional
+		? [{
+			kind: 'claim-confirmed', name: 'pool/desk', token, requestedAt,
+		}]
+		: [];
 }
 
 /** Creates a machine with 16 cores. @internal */
@@ -163,10 +175,8 @@
 			});
 		}
 
-		if (owner.confirmsClaim && (effect.kind === 'save-progress' || effect.kind === 'publish-report')) {
-			answers.push({
-				kind: 'claim-confirmed', name: `pool/${pool}`, token: 7, requestedAt: {now, wallTime},
-			});
+		if (owner.confirmsClaim) {
+			answers.push(...listTestConfirmations(effect, 7, {now, wallTime}));
 		}
 
 		return [effect, ...answers.flatMap(answer => apply(answer, now, wallTime))];
