--- a/packages/jobs/src/ledger/silent-ends.test.ts
+++ b/packages/jobs/src/ledger/silent-ends.test.ts
@@ -217,27 +217,27 @@
 // Guards against a task that is started again after it has ended as done: a new owner did so at once, while an endpoint that did not answer held the end and listed it later.
 const cases: readonly Case[] = [
 	{
-		name: 'a save of the end is on its way, and the endpoint has other runs', jobCount: 2, doneCount: 1, isListed: true, outcome: 'lost',
+		name: 'with other runs, while the end is being saved', jobCount: 2, doneCount: 1, isListed: true, outcome: 'lost',
 	},
 	{
-		name: 'a save of the end is on its way, and the endpoint has no other run', jobCount: 1, doneCount: 1, isListed: true, outcome: 'lost',
+		name: 'without another run, while the end is being saved', jobCount: 1, doneCount: 1, isListed: true, outcome: 'lost',
 	},
 	{
-		name: 'a save of the end is on its way, and the endpoint has left the directory', jobCount: 1, doneCount: 1, isListed: false, outcome: 'lost',
+		name: 'no longer listed, while the end is being saved', jobCount: 1, doneCount: 1, isListed: false, outcome: 'lost',
 	},
 	{
-		name: 'more jobs have changed than the save of the roster can hold', jobCount: 12, doneCount: 10, isListed: true, outcome: 'refused',
+		name: 'with ends of more jobs than one save can hold', jobCount: 12, doneCount: 10, isListed: true, outcome: 'refused',
 	},
 	{
-		name: 'the save of the roster holds the end as well', jobCount: 2, doneCount: 1, isListed: true, outcome: 'refused',
+		name: 'with an end that is saved with the roster', jobCount: 2, doneCount: 1, isListed: true, outcome: 'refused',
 	},
 	{
-		name: 'the end was saved before', jobCount: 2, doneCount: 1, isListed: true, outcome: 'applied',
+		name: 'with an end that was saved before', jobCount: 2, doneCount: 1, isListed: true, outcome: 'applied',
 	},
 ];
 
 describe('a takeover', () => {
-	it.each(cases)('starts no task whose end a silent endpoint may hold: $name', input => {
+	it.each(cases)('does not restart a task that ended on a silent endpoint, $name', input => {
 		expect(listStartedJobs(input)).toEqual(['waiting']);
 	});
 });
--- a/packages/jobs/src/supervision/takeover-races.test.ts
+++ b/packages/jobs/src/supervision/takeover-races.test.ts
@@ -119,7 +119,7 @@
 	},
 	{
 		// Guards against a survey that ends while an endpoint holds ends that did not fit in its first answer.
-		name: 'the end of the task is beyond a full answer, and the next answer is lost',
+		name: 'its end is beyond a full answer and the next is lost',
 		roster: {endpointIds: ['full', 'healthy']},
 		endpoints: {
 			full(poll) {
@@ -131,14 +131,14 @@
 	},
 	{
 		// Guards against a survey that ends while ends are put off because an earlier one belongs to an unknown job.
-		name: 'the end of the task is listed after one of an unknown job',
+		name: 'its end is listed after one of an unknown job',
 		roster: {endpointIds: ['rejoined', 'healthy']},
 		endpoints: {rejoined: () => ({ended: [createEnd(1, 'unknown.0.0.0'), createEnd(2, run.taskId)], running: []}), healthy: idle},
 		expected: [],
 	},
 	{
 		// Guards against a run that is dropped as not listed while its end is put off.
-		name: 'a known run ends after one of an unknown job',
+		name: 'its run ends after one of an unknown job',
 		roster: {endpointIds: ['rejoined', 'healthy']},
 		endpoints: {
 			rejoined: poll => poll === 1 ? {ended: [], running: [run]} : {ended: [createEnd(1, 'unknown.0.0.0'), createEnd(2, run.taskId)], running: []},
@@ -148,7 +148,7 @@
 	},
 	{
 		// Guards against a takeover that does not wait for an endpoint that was used again after its evacuation was withdrawn, as the confirmation was written late.
-		name: 'a silent endpoint is named as evacuated by a confirmation without a request',
+		name: 'a confirmed evacuation was withdrawn',
 		roster: {endpointIds: ['healthy', 'unreachable']},
 		endpoints: {healthy: idle, unreachable: silent},
 		evacuated: ['unreachable'],
@@ -157,7 +157,7 @@
 	},
 	{
 		// Guards against tasks on an endpoint that the next owner will not wait for.
-		name: 'the only endpoint is evacuated, and a save of the roster is refused',
+		name: 'a refused roster holds an evacuated endpoint',
 		roster: {endpointIds: ['evacuated']},
 		endpoints: {evacuated: idle},
 		evacuated: ['evacuated'],
