Start a job only once the claim is confirmed after the owner learned of it

What callers saw: a task of a job that was accepted around a takeover could run twice.

Cause: a new owner holds back the jobs that it has loaded until all endpoints of the roster are accounted for, but not jobs that are stored afterwards. A former owner that reaches the store again, and has not heard of its loss, learns of such a job as well, or stores it itself, and starts it on an endpoint that the new owner does not reach.

Change: a job waits for a confirmation that was requested after the owner learned of it, which costs a read of the claim's record, one at a time.

Why it works: the claim held after the job was stored, so the next owner loads the job and holds it back.

--- a/packages/jobs/src/placement/placement-filter.ts
+++ b/packages/jobs/src/placement/placement-filter.ts
@@ -1,5 +1,5 @@
 import {restartEvent, type DecisionContext} from '@pistachiogauge/chain';
-import {getPermittedMs, type AuthorityView} from '../authority/index.js';
+import {getConfirmedAt, getPermittedMs, type AuthorityView} from '../authority/index.js';
 import {type DirectoryView} from '../directory/index.js';
 import {type EvacuationView} from '../evacuation/index.js';
 import {
@@ -95,8 +95,15 @@
 	}
 
 	const outputs: JobOutput[] = [emitCount('placement_searches_total')];
+	const confirmedAt = getConfirmedAt(state, poolName);
+	// A job that was stored after another entry had claimed the pool is not held back there by a survey of this entry's endpoints.
+	const confirmed = waiting.filter(job => job.firstSeenAt <= confirmedAt);
+	if (confirmed.length < waiting.length) {
+		outputs.push(restartEvent({kind: 'claim-confirmation-due', pool: poolName}));
+	}
+
 	let unplacedStepCount = 0;
-	for (const {job} of orderJobs(waiting, job => getJobEstimate(state, job, context.now), sumCapacityMillis(candidates), context.now)) {
+	for (const {job} of orderJobs(confirmed, job => getJobEstimate(state, job, context.now), sumCapacityMillis(candidates), context.now)) {
 		if (job.isAwaitingSurvey) {
 			continue;
 		}
--- a/packages/jobs/src/supervision/takeover-jobs.test.ts
+++ b/packages/jobs/src/supervision/takeover-jobs.test.ts
@@ -3,7 +3,9 @@
 import {applyJobEvent} from '../apply-job-event.js';
 import {createJobsState} from '../jobs-state.js';
 import {type JobEvent, type StoredJob} from '../model/index.js';
-import {createStoredTestJob, createTestEndpoint, createTestJob} from '../testing.test-support.js';
+import {
+	createStoredTestJob, createTestEndpoint, createTestJob, listTestConfirmations,
+} from '../testing.test-support.js';
 
 const random = createRandomSource(1);
 const pool = 'desk';
@@ -49,6 +51,8 @@
 				startCount += 1;
 			}
 
+			const isApplied = now < cutAt || token === newOwner.token;
+			due.push(...listTestConfirmations(effect, token, {now, wallTime: now}).filter(() => isApplied).map(event => ({at: now + 50, event})));
 			if (effect.kind === 'poll-endpoint') {
 				const {endpointId} = effect.target;
 				due.push(endpointId === reachableId
@@ -65,7 +69,6 @@
 			}
 
 			if (effect.kind === 'save-progress') {
-				const isApplied = now < cutAt || token === newOwner.token;
 				due.push({
 					at: now + 50, event: {
 						kind: 'progress-saved', pool, token, saveId: effect.saveId, result: isApplied ? 'applied' : 'unknown', revision: 10, presentRevisions: undefined, isClaimLost: false,
