Wait for all ends of an endpoint before its missing runs count as gone

A task could run again after its end as done.

Cause: an answer lists 500 ends at most, and ends are put off while one before them belongs to a job that is not known yet. The survey after a takeover ended with the first answer all the same, and with ends put off, runs that had ended were dropped as not listed. Their tasks were started again, and the ends processed afterwards.

Change: an endpoint counts as surveyed, and its missing runs as gone, only after an answer that holds all its ends and of which all could be processed.

--- a/packages/jobs/src/supervision/apply-poll-answer.ts
+++ b/packages/jobs/src/supervision/apply-poll-answer.ts
@@ -17,7 +17,7 @@
 const unknownRunGraceMs = 3000;
 /** Delay before a stop is sent again for a run that is still listed. */
 const stopRetryDelayMs = 500;
-/** Maximum number of ends in one answer. A run that is missing from a full answer may have ended. */
+/** Maximum number of ends in one answer; the endpoint lists the others once these are acknowledged. */
 const maxEndsPerAnswer = 500;
 
 type State = {readonly supervision: SupervisionState} & LedgerView;
@@ -51,7 +51,9 @@
 		outputs.push(...applyReportedRun(state, pool, endpoint, report, context));
 	}
 
-	if (answer.ended.length < maxEndsPerAnswer) {
+	// A run that is missing from the list may have an end that is not processed yet.
+	endpoint.areEndsComplete = answer.ended.length < maxEndsPerAnswer && answer.ended.every(({number}) => number <= endpoint.lastProcessedEnd);
+	if (endpoint.areEndsComplete) {
 		outputs.push(...dropMissingRuns(endpoint, reported, answer.clockMs));
 	}
 
--- a/packages/jobs/src/supervision/check-survey.ts
+++ b/packages/jobs/src/supervision/check-survey.ts
@@ -6,7 +6,7 @@
 type State = {readonly supervision: SupervisionState} & DirectoryView;
 
 /**
-Ends the survey of a pool once every endpoint on the previous owner's roster has reported its runs or cannot run anything any more. Endpoints that joined later are not waited for: the previous owner starts no task on an endpoint that is not on its roster.
+Ends the survey of a pool once every endpoint on the previous owner's roster has reported its runs and all its ends, or cannot run anything any more. Endpoints that joined later are not waited for: the previous owner starts no task on an endpoint that is not on its roster.
 
 @internal
 */
@@ -18,7 +18,7 @@
 	for (const id of pool.unsurveyedIds) {
 		const endpoint = supervision.endpoints.get(id);
 		const isGone = pool.evacuatedIds.has(id) && (endpoint?.hasFailedPoll === true || endpoint?.isListed === false);
-		if (endpoint === undefined || isGone || endpoint.phase === 'answering' || endpoint.phase === 'expired') {
+		if (endpoint === undefined || isGone || endpoint.phase === 'expired' || (endpoint.phase === 'answering' && endpoint.areEndsComplete)) {
 			pool.unsurveyedIds.delete(id);
 		}
 	}
--- a/packages/jobs/src/supervision/supervision-filter.ts
+++ b/packages/jobs/src/supervision/supervision-filter.ts
@@ -162,6 +162,7 @@
 		previousLeaseExpiresAt,
 		lastProcessedEnd: 0,
 		unsavedEnds: new Map(),
+		areEndsComplete: false,
 		isPollPending: false,
 		hasFailedPoll: false,
 		nextPollAt: context.now,
--- a/packages/jobs/src/supervision/supervision-state.ts
+++ b/packages/jobs/src/supervision/supervision-state.ts
@@ -85,6 +85,8 @@
 	lastProcessedEnd: number;
 	/** Runs whose ends are processed and not saved in the store, by number of the end. */
 	readonly unsavedEnds: Map<number, RunId>;
+	/** Whether its last answer listed all ends that it holds, and all of them were processed. */
+	areEndsComplete: boolean;
 	isPollPending: boolean;
 	/** Whether a poll has not been answered, or was refused. */
 	hasFailedPoll: boolean;
--- a/packages/jobs/src/testing.test-support.ts
+++ b/packages/jobs/src/testing.test-support.ts
@@ -117,6 +117,7 @@
 		previousLeaseExpiresAt: 0,
 		lastProcessedEnd: 0,
 		unsavedEnds: new Map(),
+		areEndsComplete: true,
 		isPollPending: false,
 		hasFailedPoll: false,
 		nextPollAt: 0,
