Start nothing on an evacuated endpoint after a save of the roster

A task could run twice after a takeover.

Cause: a refused save of the roster brought back all endpoints of the saved one, and an applied one all endpoints that it names, evacuated ones included. The next owner does not wait for endpoints that have been evacuated.

Change: evacuated endpoints are left out in both places.

Tests: 'a refused roster holds an evacuated endpoint' in takeover-races.test.ts failed before.

--- a/packages/jobs/src/ledger/save-progress.ts
+++ b/packages/jobs/src/ledger/save-progress.ts
@@ -83,7 +83,7 @@
 	conflict: handleConflict,
 	refused(pool, save, event, context) {
 		if (save.roster !== undefined && !pool.isRosterSaveUnknown) {
-			pool.rosterEndpointIds = new Set(pool.savedRoster.endpointIds);
+			pool.rosterEndpointIds = listUsableEndpoints(pool, pool.savedRoster);
 		}
 
 		return scheduleRetry(pool, save, event, context);
@@ -132,7 +132,7 @@
 	}
 
 	if (roster !== undefined) {
-		pool.rosterEndpointIds = new Set(roster.endpointIds);
+		pool.rosterEndpointIds = listUsableEndpoints(pool, roster);
 		pool.savedRoster = roster;
 		pool.isRosterSaveUnknown = false;
 		pool.rosterRevision = revision;
@@ -147,6 +147,11 @@
 	return outputs;
 }
 
+/** Lists the endpoints of a roster on which tasks may be started. The next owner does not wait for those that have been evacuated. */
+function listUsableEndpoints(pool: PoolLedger, roster: Roster): Set<string> {
+	return new Set(roster.endpointIds.filter(id => !pool.evacuatedEndpointIds.has(id)));
+}
+
 /** Whether a job has ended since it was last saved. */
 function hasUnsavedEnd(pool: PoolLedger, jobId: string): boolean {
 	const job = pool.jobs.get(jobId);
