Take an evacuation as confirmed only if its request still stands

A task could run twice after a takeover.

Cause: an owner's confirmation of an evacuation is written on condition of its claim only and tried again until it is applied, so that it may land after the request was withdrawn and tasks were started on the endpoint again. The next owner took the confirmation as it was and did not wait for the endpoint.

Change: at a load, a confirmation counts only if a request with the same id stands. The requests are read only where there are confirmations.

--- a/packages/entry/src/jobs/follow-pool.ts
+++ b/packages/entry/src/jobs/follow-pool.ts
@@ -45,7 +45,7 @@
 			context.store.listItems(evacuatedPrefix),
 			context.store.readItem(`${recordKeys.reportPrefix}${pool}`),
 		]);
-		const evacuatedEndpointIds = evacuated.filter(item => decodeRecord('evacuated', item) !== undefined).map(item => item.key.slice(evacuatedPrefix.length));
+		const evacuatedEndpointIds = await listConfirmedEvacuations(evacuated, evacuatedPrefix);
 		const progressPrefix = recordKeys.getProgressKey(pool, '');
 		const progressItems = new Map(stateRange.items.filter(item => item.key.startsWith(progressPrefix)).map(item => [item.key.slice(progressPrefix.length), item]));
 		const cancelled = new Set(items.filter(item => item.key.startsWith(cancelPrefix)).map(item => item.key.slice(cancelPrefix.length)));
@@ -103,6 +103,21 @@
 		}
 	}
 
+	/** Lists the endpoints whose evacuation is confirmed and still requested. A confirmation may be written late, after its request was withdrawn and tasks were started there again. */
+	async function listConfirmedEvacuations(evacuated: readonly StoreItem[], evacuatedPrefix: string): Promise<string[]> {
+		if (evacuated.length === 0) {
+			return [];
+		}
+
+		const {items: requests} = await context.store.listItems(evacuationPrefix);
+		const requestIds = new Map(requests.map(item => [item.key.slice(evacuationPrefix.length), decodeRecord('evacuationRequest', item)?.requestId]));
+		return evacuated.flatMap(item => {
+			const endpointId = item.key.slice(evacuatedPrefix.length);
+			const confirmation = decodeRecord('evacuated', item);
+			return confirmation !== undefined && confirmation.requestId === requestIds.get(endpointId) ? [endpointId] : [];
+		});
+	}
+
 	const evacuationPrefix = recordKeys.getEvacuationPoolPrefix(pool);
 	/** Keys of the evacuation requests; undefined until they have been listed. */
 	let evacuationKeys: Set<string> | undefined;
