Count machines that the previous holder ordered in a wave's limit

More machines of a wave could be down for maintenance at once than its limit allows.

Cause: a new holder of the fleet's claim waits with the machines that its predecessor has ordered, and orders others at once. It counts only machines that the list shows as down, and the list may have been read before the last orders were carried out.

Change: machines that the previous holder may have ordered count as down until its orders are over.

--- a/packages/jobs/src/fleet/inherited-orders.test.ts
+++ b/packages/jobs/src/fleet/inherited-orders.test.ts
@@ -6,7 +6,7 @@
 
 const random = createRandomSource(1);
 const authority = {
-	node: 'entry-1', heldClaims: new Map(), validUntil: 1_000_000, wallValidUntil: 1_000_000, isUnconfirmed: false, isStopping: false,
+	node: 'entry-1', heldClaims: new Map(), validUntil: 1_000_000, wallValidUntil: 1_000_000, isStopping: false,
 };
 const configuration = {
 	current: {
--- a/packages/jobs/src/fleet/run-waves.ts
+++ b/packages/jobs/src/fleet/run-waves.ts
@@ -4,7 +4,9 @@
 import {emitLog, type JobOutput} from '../filter.js';
 import {type Machine, type PoolReport} from '../model/index.js';
 import {type FleetState, type WaveProgress} from './fleet-state.js';
-import {canOrderMachines, hasOpenOrder, orderMachine} from './order-machines.js';
+import {
+	canOrderMachines, hasOpenOrder, mayBeOrderedElsewhere, orderMachine,
+} from './order-machines.js';
 
 /** Maximum share of a pool that is evacuated at once, so that the other machines can carry its work. */
 const maxEvacuatedPoolShare = 0.34;
@@ -63,7 +65,8 @@
 		}));
 	}
 
-	let downCount = wave.machines.filter(name => hasOpenOrder(fleet, name) || (fleet.machines.get(name)?.state ?? 'up') === 'maintenance').length;
+	// A machine that the previous holder has ordered may go down after the list was read.
+	let downCount = wave.machines.filter(name => hasOpenOrder(fleet, name) || mayBeOrderedElsewhere(fleet, name, context.now) || (fleet.machines.get(name)?.state ?? 'up') === 'maintenance').length;
 	// While a pool is short of machines, a wave that has time left leaves those that are switched off to it.
 	const canWait = fleet.hasShortage && !isDeadlineNear(state, progress, remaining, idleRoundMs, context);
 	for (const machine of remaining) {
