--- a/packages/bench/src/jobs/run-jobs-soak.test.ts
+++ b/packages/bench/src/jobs/run-jobs-soak.test.ts
@@ -1,5 +1,6 @@
 import {describe, expect, it} from 'vitest';
-import {jobFaults, runJobsSoak} from './run-jobs-soak.js';
+import {jobFaults} from './inject-fault.js';
+import {runJobsSoak} from './run-jobs-soak.js';
 
 /** Seeds that once failed, each with the cause of the failure. */
 const seeds = [
