--- a/packages/bench/src/jobs/jobs-simulation.ts
+++ b/packages/bench/src/jobs/jobs-simulation.ts
@@ -130,7 +130,7 @@
 		delivery,
 		callStore,
 		chooseDelayMs,
-		describeStarter: (entry, pool, token) => ({
+		describeSender: (entry, pool, token) => ({
 			node: entry.node, isOwner: store.claims.get(`${poolClaimPrefix}${pool}`)?.token === token, isInTouch: queue.now > entry.disturbedAt + contactMs,
 		}),
 		getLateOrderShare: () => simulation.lateOrderShare,
--- a/packages/bench/src/jobs/virtual-task-endpoint.ts
+++ b/packages/bench/src/jobs/virtual-task-endpoint.ts
@@ -11,13 +11,13 @@
 	readonly startedAt: number;
 	/** Virtual time in ms at which the run ends by itself; infinite for a long-running task. */
 	readonly endsAt: number;
-	readonly starter: RunStarter;
+	readonly starter: OrderSender;
 };
 
-/** The entry that started a run. */
-export type RunStarter = {
+/** The entry that sent an order, at the time when the order arrived. */
+export type OrderSender = {
 	readonly node: string;
-	/** Whether it held the claim on the pool when the start arrived. */
+	/** Whether it held the claim on the pool. */
 	readonly isOwner: boolean;
 	/** Whether it had reached the store, and the store it, for some seconds. */
 	readonly isInTouch: boolean;
@@ -50,8 +50,10 @@
 	isUp: boolean;
 	/** Whether orders and answers get through. */
 	isReachable: boolean;
-	poll(order: JobEffectOf<'poll-endpoint'>, answer: (event: JobEvent) => void): void;
-	startTask(order: JobEffectOf<'start-task'>, starter: RunStarter): OrderRefusal | number;
+	/** The order that last extended the lease, in virtual ms. */
+	lastRenewal: {readonly sender: OrderSender; readonly at: number} | undefined;
+	poll(order: JobEffectOf<'poll-endpoint'>, sender: OrderSender, answer: (event: JobEvent) => void): void;
+	startTask(order: JobEffectOf<'start-task'>, sender: OrderSender): OrderRefusal | number;
 	stopTask(order: JobEffectOf<'stop-task'>): OrderRefusal | undefined;
 	crash(): void;
 };
@@ -115,10 +117,11 @@
 		}
 	}
 
-	function extendLease(requestedDeadlineMs: number): void {
+	function extendLease(requestedDeadlineMs: number, sender: OrderSender): void {
 		const newDeadlineMs = Math.min(requestedDeadlineMs, getClockMs() + maxLeaseMs);
 		if (newDeadlineMs > leaseDeadlineMs) {
 			leaseDeadlineMs = newDeadlineMs;
+			endpoint.lastRenewal = {sender, at: queue.now};
 			queue.add(((newDeadlineMs - getClockMs()) / clockRate) + 2, expireLease);
 		}
 	}
@@ -157,7 +160,8 @@
 		runs,
 		isUp: true,
 		isReachable: true,
-		poll(order, answer) {
+		lastRenewal: undefined,
+		poll(order, sender, answer) {
 			const refusal = checkOrder(order);
 			if (refusal !== undefined) {
 				answer({
@@ -166,7 +170,7 @@
 				return;
 			}
 
-			extendLease(order.deadlineMs ?? 0);
+			extendLease(order.deadlineMs ?? 0, sender);
 			for (const end of unacknowledgedEnds.filter(({number}) => number <= order.lastSavedEnd)) {
 				observer.recordAcknowledgedEnd(endpoint, end);
 			}
@@ -201,13 +205,13 @@
 			answerPendingPoll = answerOnce;
 			queue.add(order.waitMs, answerOnce);
 		},
-		startTask(order, starter) {
+		startTask(order, sender) {
 			const refusal = checkOrder(order);
 			if (refusal !== undefined) {
 				return refusal;
 			}
 
-			extendLease(order.deadlineMs);
+			extendLease(order.deadlineMs, sender);
 			if (order.deadlineMs <= getClockMs()) {
 				return 'late';
 			}
@@ -228,7 +232,7 @@
 			}
 
 			const run: VirtualRun = {
-				taskId: order.taskId, run: order.run, resources, startedAt: queue.now, endsAt: queue.now + behaviour.durationMs, starter,
+				taskId: order.taskId, run: order.run, resources, startedAt: queue.now, endsAt: queue.now + behaviour.durationMs, starter: sender,
 			};
 			runs.set(order.taskId, run);
 			observer.recordStart(endpoint, run);
