Show that endpoints stay out of use after an unanswered save of the roster

Cause: saveProgress compares the wanted roster with the last confirmed one. If a save of another roster was not answered and the wanted one is the confirmed one again, nothing is saved, and rosterEndpointIds keeps leaving the endpoints out: no task of the pool starts until the roster changes for another reason.

Change: a case in split.test.ts: all endpoints are cut off for 3 s while writes are not answered.

--- a/packages/bench/src/jobs/split.test.ts
+++ b/packages/bench/src/jobs/split.test.ts
@@ -100,4 +100,27 @@
 		expect(simulation.checker.violations).toEqual([]);
 		expect(jobs.filter(id => simulation.store.getProgress(id)?.status !== 'done')).toEqual([]);
 	});
+
+	// Guards against endpoints that stay out of use because the roster in memory equals the one that was last confirmed, and so is not saved again.
+	it('an owner uses endpoints again that return while a save of the roster without them is unanswered', () => {
+		const simulation = createJobsSimulation({
+			seed, entryCount: 3, pools: {desk: 3}, endpointCapacity,
+		});
+		simulation.runFor(settleMs);
+		const [entry] = simulation.entries;
+		simulation.submitJob(entry!, queue, createSpec(500), {durationMs: 500});
+		simulation.runFor(3000);
+		const cut = {nodes: new Set(simulation.endpoints.keys()), direction: 'both'} as const;
+		simulation.network.startCut(cut);
+		simulation.unansweredWriteShare = 1;
+		simulation.runFor(3000);
+		simulation.network.endCut(cut);
+		simulation.runFor(4000);
+		simulation.unansweredWriteShare = 0;
+		simulation.runFor(6000);
+		const job = simulation.submitJob(entry!, queue, createSpec(500), {durationMs: 500});
+		simulation.runFor(20_000);
+		expect(simulation.checker.violations).toEqual([]);
+		expect(simulation.store.getProgress(job)?.status).toBe('done');
+	});
 });
