Show that a restarted endpoint's unseen ends are acknowledged

Cause: a poll carries the last saved end of the endpoint's life that the owner knows. If answers are lost but requests arrive, the next life under the same id, which numbers its ends anew, deletes ends that nobody has seen, and their tasks start again.

Change: a case in split.test.ts; the log of the soak names cuts, removed records and starts and ends of endpoints.

--- a/packages/bench/src/jobs/inject-fault.ts
+++ b/packages/bench/src/jobs/inject-fault.ts
@@ -1,6 +1,7 @@
 import {type JobsSimulation} from './jobs-simulation.js';
 import {type VirtualJobsEntry} from './virtual-jobs-entry.js';
 import {type CutDirection} from './virtual-network.js';
+import {muteWatches} from './virtual-watches.js';
 
 type FaultInjector = (simulation: JobsSimulation) => void;
 
@@ -43,8 +44,10 @@
 /** Cuts the named nodes off from the store and all others for some seconds; they reach each other. */
 function startSplit(simulation: JobsSimulation, nodes: ReadonlySet<string>): void {
 	const cut = {nodes, direction: chooseItem(simulation, cutDirections)!};
+	const durationMs = splitMs.min + simulation.random.getInteger(splitMs.max - splitMs.min);
+	simulation.logFault(`cut ${cut.direction} of ${[...nodes].join(', ')} for ${durationMs} ms`);
 	simulation.network.startCut(cut);
-	simulation.queue.add(splitMs.min + simulation.random.getInteger(splitMs.max - splitMs.min), () => {
+	simulation.queue.add(durationMs, () => {
 		simulation.network.endCut(cut);
 	});
 }
@@ -122,15 +125,17 @@
 
 		const lease = holder.session?.getLease();
 		if (lease !== undefined && simulation.random.getInteger(2) === 0) {
+			simulation.logFault(`lease of ${holder.node} ended`);
 			simulation.store.endLease(lease);
 		} else {
+			simulation.logFault(`records of ${holder.node} removed`);
 			simulation.store.revokeRecords(holder.node);
 		}
 	},
 	'watch-deaf'(simulation) {
 		const entry = chooseItem(simulation, listRunningEntries(simulation));
 		if (entry !== undefined) {
-			simulation.muteWatches(entry, 1000 + simulation.random.getInteger(5000));
+			muteWatches(entry, simulation.queue.now + 1000 + simulation.random.getInteger(5000));
 		}
 	},
 	'writes-unanswered'(simulation) {
--- a/packages/bench/src/jobs/jobs-simulation.ts
+++ b/packages/bench/src/jobs/jobs-simulation.ts
@@ -15,7 +15,7 @@
 import {createVirtualRegistry} from './virtual-registry.js';
 import {startVirtualSession} from './virtual-session.js';
 import {createVirtualTaskEndpoint, type TaskBehaviour, type VirtualTaskEndpoint} from './virtual-task-endpoint.js';
-import {createVirtualWatches} from './virtual-watches.js';
+import {createVirtualWatches, loseWatchHistory} from './virtual-watches.js';
 
 /** A simulation of entries, endpoints, machines and the store in virtual time. */
 export type JobsSimulation = {
@@ -39,12 +39,12 @@
 	crashEndpoint(endpoint: VirtualTaskEndpoint, downMs: number): void;
 	/** Crashes an endpoint that comes back under the same id and has forgotten everything. */
 	restartEndpoint(endpoint: VirtualTaskEndpoint, downMs: number): void;
-	/** Keeps an entry's watches from delivering anything for a time, although its calls work. */
-	muteWatches(entry: VirtualJobsEntry, durationMs: number): void;
 	/** Lets an entry reach the store again; its watches then deliver what it has missed. */
 	reconnectStore(entry: VirtualJobsEntry): void;
 	/** Makes all watches lose their history, so that every entry lists the full state again. */
 	loseWatchHistory(): void;
+	/** Writes a line about a fault to the log. */
+	logFault(text: string): void;
 	runFor(ms: number): void;
 };
 
@@ -81,7 +81,6 @@
 	const answers = new Map<string, CallerAnswer>();
 	let requestCount = 0;
 	let incarnationCount = 0;
-	const configuration = createConfiguration(Object.keys(pools));
 	const checker = createJobInvariantChecker(queue);
 	const chooseDelayMs = () => callDelayMs.min + (random.getFraction() * (callDelayMs.max - callDelayMs.min));
 	const entries = Array.from({length: entryCount}, (_unused, index) => createVirtualJobsEntry(`entry-${index + 1}`, createJobsState({node: '', incarnation: '', orderLeaseMs})));
@@ -94,6 +93,10 @@
 			}
 		},
 	});
+	const logFault = (text: string) => {
+		onLine?.(`${queue.now.toFixed(1)} fault ${text}`);
+	};
+
 	const canReachStore = (entry: VirtualJobsEntry, direction: 'request' | 'answer') => entry.isStoreReachable
 		&& (direction === 'request' ? network.canDeliver(entry.node, storeNode) : network.canDeliver(storeNode, entry.node));
 	const canCallStore = (entry: VirtualJobsEntry) => simulation.isStoreUp && canReachStore(entry, 'request') && canReachStore(entry, 'answer');
@@ -146,7 +149,7 @@
 		entry.pausedUntil = 0;
 		entry.lastEventAt = queue.now;
 		entry.storeAnsweredAt = Number.NEGATIVE_INFINITY;
-		delivery.deliver(entry, {kind: 'configuration-changed', configuration});
+		delivery.deliver(entry, {kind: 'configuration-changed', configuration: createConfiguration(Object.keys(pools))});
 		watches.start(entry);
 		entry.session = startVirtualSession(entry, {
 			queue, random, store, delivery, callStore,
@@ -175,8 +178,7 @@
 		}
 
 		for (const entry of entries) {
-			const isConnected = network.canDeliver(entry.node, storeNode) && network.canDeliver(storeNode, entry.node);
-			if (!isConnected || queue.now < entry.watch.deafUntil || simulation.unansweredWriteShare > 0) {
+			if (network.isCutOff(entry.node, storeNode) || queue.now < entry.watch.deafUntil || simulation.unansweredWriteShare > 0) {
 				entry.disturbedAt = queue.now;
 			}
 		}
@@ -196,6 +198,7 @@
 		endpoint.isReachable = endpoints.get(registration.id)?.isReachable ?? true;
 		endpoints.set(registration.id, endpoint);
 		registry.sendHeartbeat(endpoint);
+		logFault(`${registration.id} starts`);
 	}
 
 	let endpointCount = 0;
@@ -209,6 +212,7 @@
 	}
 
 	function stopEndpoint(endpoint: VirtualTaskEndpoint): void {
+		logFault(`${endpoint.registration.id} ends`);
 		checker.recordCrash(endpoint);
 		endpoint.crash();
 	}
@@ -264,19 +268,16 @@
 		},
 		reconnectStore(entry) {
 			entry.isStoreReachable = true;
-			watches.loseHistory(entry);
+			loseWatchHistory(entry);
 			watches.resume(entry);
 		},
 		loseWatchHistory() {
 			for (const entry of entries) {
-				watches.loseHistory(entry);
+				loseWatchHistory(entry);
 				watches.resume(entry);
 			}
 		},
-		muteWatches(entry, durationMs) {
-			entry.watch.deafUntil = Math.max(entry.watch.deafUntil, queue.now + durationMs);
-			watches.loseHistory(entry);
-		},
+		logFault,
 		runFor(ms) {
 			queue.runUntil(queue.now + ms);
 		},
--- a/packages/bench/src/jobs/run-jobs-soak.ts
+++ b/packages/bench/src/jobs/run-jobs-soak.ts
@@ -89,7 +89,7 @@
 
 		if (simulation.random.getInteger(stepsPerFault) === 0) {
 			const fault = chooseItem(simulation, options.faults) ?? '';
-			options.onLine?.(`${simulation.queue.now.toFixed(1)} fault ${fault}`);
+			simulation.logFault(fault);
 			injectFault(simulation, fault);
 		}
 
--- a/packages/bench/src/jobs/split.test.ts
+++ b/packages/bench/src/jobs/split.test.ts
@@ -123,4 +123,29 @@
 		expect(simulation.checker.violations).toEqual([]);
 		expect(simulation.store.getProgress(job)?.status).toBe('done');
 	});
+
+	// Guards against an acknowledgement that reaches the next life of its endpoint, whose ends are numbered anew.
+	it('does not acknowledge unseen ends of an endpoint that has restarted and whose answers are lost', () => {
+		const simulation = createJobsSimulation({
+			seed, entryCount: 3, pools: {desk: 1}, endpointCapacity,
+		});
+		simulation.runFor(settleMs);
+		const [entry] = simulation.entries;
+		const [endpoint] = simulation.endpoints.values();
+		for (let count = 0; count < 4; count++) {
+			simulation.submitJob(entry!, queue, createSpec(300), {durationMs: 300});
+		}
+
+		simulation.runFor(2000);
+		const cut = {nodes: new Set([endpoint!.registration.id]), direction: 'outbound'} as const;
+		simulation.network.startCut(cut);
+		simulation.restartEndpoint(endpoint!, 200);
+		simulation.runFor(300);
+		const job = simulation.submitJob(entry!, queue, createSpec(300), {durationMs: 300});
+		simulation.runFor(8000);
+		simulation.network.endCut(cut);
+		simulation.runFor(10_000);
+		expect(simulation.checker.violations).toEqual([]);
+		expect(simulation.store.getProgress(job)?.status).toBe('done');
+	});
 });
--- a/packages/bench/src/jobs/virtual-network.ts
+++ b/packages/bench/src/jobs/virtual-network.ts
@@ -11,6 +11,8 @@
 export type VirtualNetwork = {
 	/** Whether a message that is sent now arrives. */
 	canDeliver(from: string, to: string): boolean;
+	/** Whether messages between two nodes are lost in either direction. */
+	isCutOff(left: string, right: string): boolean;
 	/** Starts a cut. Cuts may overlap: a message has to pass all of them. */
 	startCut(cut: NetworkCut): void;
 	endCut(cut: NetworkCut): void;
@@ -22,17 +24,21 @@
 /** Creates a network without cuts. */
 export function createVirtualNetwork(): VirtualNetwork {
 	const cuts = new Set<NetworkCut>();
-	return {
-		canDeliver(from, to) {
-			for (const {nodes, direction} of cuts) {
-				const isOutbound = nodes.has(from);
-				if (isOutbound !== nodes.has(to) && (direction === 'both' || (direction === 'outbound') === isOutbound)) {
-					return false;
-				}
+
+	function canDeliver(from: string, to: string): boolean {
+		for (const {nodes, direction} of cuts) {
+			const isOutbound = nodes.has(from);
+			if (isOutbound !== nodes.has(to) && (direction === 'both' || (direction === 'outbound') === isOutbound)) {
+				return false;
 			}
+		}
 
-			return true;
-		},
+		return true;
+	}
+
+	return {
+		canDeliver,
+		isCutOff: (left, right) => !canDeliver(left, right) || !canDeliver(right, left),
 		startCut(cut) {
 			cuts.add(cut);
 		},
--- a/packages/bench/src/jobs/virtual-watches.ts
+++ b/packages/bench/src/jobs/virtual-watches.ts
@@ -8,8 +8,6 @@
 export type VirtualWatches = {
 	/** Delivers changes of the store to the entries whose watches work; the others get them later. */
 	publish(changes: readonly JobEvent[]): void;
-	/** Makes an entry's watches list the full state, as after a start or when the store has discarded its history. */
-	loseHistory(entry: VirtualJobsEntry): void;
 	/** Resumes interrupted watches of an entry at once if the store can be reached. */
 	resume(entry: VirtualJobsEntry): void;
 	/** Starts the watches of an entry's present incarnation. */
@@ -39,6 +37,18 @@
 	'members-listed': ({node, incarnation}, {members}) => !members.some(member => member.node === node && member.incarnation === incarnation),
 };
 
+/** Makes an entry's watches list the full state, as after a start or when the store has discarded its history. */
+export function loseWatchHistory({watch}: VirtualJobsEntry): void {
+	watch.missed ??= [];
+	watch.isHistoryLost = true;
+}
+
+/** Keeps an entry's watches from delivering anything until a virtual time in ms, although its calls work; then they list the full state. */
+export function muteWatches(entry: VirtualJobsEntry, until: number): void {
+	entry.watch.deafUntil = Math.max(entry.watch.deafUntil, until);
+	loseWatchHistory(entry);
+}
+
 /** Creates the watches of all entries. */
 export function createVirtualWatches({
 	queue, random, entries, delivery, chooseDelayMs, canCallStore, listState,
@@ -92,15 +102,10 @@
 				}
 			}
 		},
-		loseHistory({watch}) {
-			watch.missed ??= [];
-			watch.isHistoryLost = true;
-		},
 		resume,
 		start(entry) {
 			const {incarnation} = entry;
-			entry.watch.missed = [];
-			entry.watch.isHistoryLost = true;
+			loseWatchHistory(entry);
 			const retry = () => {
 				if (entry.isUp && entry.incarnation === incarnation) {
 					delivery.runInProcess(entry, () => {
