--- a/packages/bench/src/jobs/virtual-job-store.ts
+++ b/packages/bench/src/jobs/virtual-job-store.ts
@@ -5,7 +5,8 @@
 /** Records of jobs in the simulated store of the platform. */
 export type VirtualJobStore = {
 	readonly claims: ReadonlyMap<string, Claim>;
-	readonly members: ReadonlyMap<string, Member>;
+	/** Lists the events of a full listing of registrations and claims. */
+	listMembersAndClaims(): readonly JobEvent[];
 	/** Creates a lease that expires at a virtual time in ms. */
 	createLease(expiresAt: number): number;
 	/** Returns whether the lease still exists. */
@@ -78,7 +79,7 @@
 
 	return {
 		claims,
-		members,
+		listMembersAndClaims: () => [{kind: 'members-listed', members: [...members.values()]}, {kind: 'claims-listed', claims: [...claims.values()]}],
 		createLease(expiresAt) {
 			revision += 1;
 			leases.set(revision, expiresAt);
