Acknowledge no ends to an endpoint that does not answer

A task that had ended as done ran again after its endpoint had restarted.

Cause: a poll acknowledges the ends up to the last saved one of the endpoint's life that the owner knows. If the endpoint restarts under its id and its answers are lost while requests arrive, it numbers its ends anew and deletes ends that nobody has seen.

Change: a poll acknowledges ends only while the endpoint answers. A restart ends the pending poll, so the next one acknowledges nothing.

--- a/packages/jobs/src/supervision/poll-endpoint.ts
+++ b/packages/jobs/src/supervision/poll-endpoint.ts
@@ -41,8 +41,10 @@
 	const deadlineMs = clock === undefined || endpoint.phase !== 'answering' || permittedMs === 0 ? undefined : clock + Math.min(leaseMs, permittedMs);
 	endpoint.isPollPending = true;
 	endpoint.leaseDeadlineMs = Math.max(endpoint.leaseDeadlineMs, deadlineMs ?? 0);
+	// An endpoint that does not answer may have restarted. It numbers its ends anew then, and would delete ends that nobody has seen.
+	const lastSavedEnd = endpoint.phase === 'answering' ? getLastSavedEnd(endpoint) : 0;
 	return [emitEffect({
-		kind: 'poll-endpoint', target: getOrderTarget(endpoint), lastSavedEnd: getLastSavedEnd(endpoint), deadlineMs, waitMs: getWaitMs(endpoint),
+		kind: 'poll-endpoint', target: getOrderTarget(endpoint), lastSavedEnd, deadlineMs, waitMs: getWaitMs(endpoint),
 	})];
 }
 
