--- a/xo.config.js
+++ b/xo.config.js
@@ -17,8 +17,8 @@
 		},
 	},
 	{
-		// Vitest is a development dependency of the workspace.
-		files: ['**/*.test.ts'],
+		// Vitest and fast-check are development dependencies of the workspace.
+		files: ['**/*.test.ts', '**/*.test-support.ts'],
 		rules: {
 			'import-x/no-extraneous-dependencies': 'off',
 			'n/no-extraneous-import': 'off',
