Report ignored records by a counter and a limited number of lines

An odd registration left no trace: its line was at the level debug, which the process does not write, and there was no counter. Other records gave a line each time they were written.

records_ignored_total{source} counts each one, and at most five lines in 10 s are logged for each kind. The project's records are read by the same means as the platform's. An id that cannot be a job's is refused: 'a.b' was accepted and its tasks were never told apart.

--- a/packages/entry/src/jobs/create-order-sinks.ts
+++ b/packages/entry/src/jobs/create-order-sinks.ts
@@ -1,8 +1,10 @@
+import {setTimeout as delay} from 'node:timers/promises';
 import {type JobEffect, type JobEvent, type OrderEffect} from '@pistachiogauge/jobs';
 import {requestAdvice} from '@pistachiogauge/platform';
 import {type SinkTable} from '@pistachiogauge/pipeline';
 import {type JobSinkDependencies} from './job-sink-dependencies.js';
 import {type OrderJournal} from './order-journal.js';
+import {retryPauseMs} from './record-writer.js';
 
 /** Runs a call that publishes its result as an event; `failureEvent` is published when the call throws. @internal */
 export type CallRunner = (name: string, call: () => Promise<void>, failureEvent?: JobEvent) => void;
@@ -46,6 +48,11 @@
 		'list-machines'() {
 			runCall('list-machines', async () => {
 				const machines = await dependencies.machineService?.listMachines();
+				if (machines === undefined) {
+					// The decisions ask again at once, and the service limits the calls of all entries together.
+					await delay(retryPauseMs);
+				}
+
 				pushEvent(machines === undefined ? {kind: 'machine-list-failed'} : {kind: 'machines-listed', machines});
 			}, {kind: 'machine-list-failed'});
 		},
--- a/packages/entry/src/jobs/damaged-records.test.ts
+++ b/packages/entry/src/jobs/damaged-records.test.ts
@@ -1,10 +1,10 @@
 import fc from 'fast-check';
 import {describe, expect, it} from 'vitest';
 import {type JobEvent} from '@pistachiogauge/jobs';
-import {type StoreClient, type StoreItem} from '@pistachiogauge/platform';
+import {parseJson, type StoreClient, type StoreItem} from '@pistachiogauge/platform';
 import {followPool} from './follow-pool.js';
 import {
-	followFleetRecords, followMembersAndClaims, type FollowContext, type StopFollowing,
+	followEndpoints, followFleetRecords, followMembersAndClaims, type FollowContext, type StopFollowing,
 } from './follow-records.js';
 
 type Follower = {
@@ -63,6 +63,7 @@
 				errors.push(`${level} ${message} ${String(fields.error)}`);
 			}
 		},
+		reportIgnoredItem: () => undefined,
 		node: 'entry-1',
 		incarnation: 'first',
 		handleRegistrationLost: () => undefined,
@@ -96,3 +97,28 @@
 		}), {seed: 1, numRuns: 40});
 	});
 });
+
+const registration = '{"Service":"desk","Address":"10.0.0.1:80","Zone":"a","State":"ready","Capacity":{"Cpu":16000,"MemMb":64000},"Labels":["a","r1"],"RemainingMs":900,"born":1700000000000}';
+const values = registration.match(/(?<=[:[,])(?:"[^"]*"(?!:)|\d+)/gu)!;
+const oddTexts = ['1e400', '1e308', '-1', '0.5', 'null', '""', '"http"', '[]', '{}', '[[[[1]]]]', '{"__proto__":{"a":1}}', `"${'x'.repeat(20_000)}"`, 'NaN', '', '9007199254740993', '"10.0.0.1:70000"'];
+const registrations = fc.oneof(fc.tuple(fc.constantFrom(...values), fc.constantFrom(...oddTexts)).map(([value, text]) => registration.replace(value, text)), fc.json(), fc.string());
+const endpointKeys = ['servers/b', 'servers/', 'servers/a/b', 'servers/\uD800', 'servers/__proto__'];
+
+// Guards against an odd registration that takes the endpoints beside it out of use.
+it('an odd registration costs only itself', async () => {
+	const follower: Follower = {
+		name: 'endpoints', follow: followEndpoints, damagedKeys: [], intact: ['', ''], expected: 'endpoints-listed',
+	};
+	await fc.assert(fc.asyncProperty(fc.array(fc.tuple(fc.constantFrom(...endpointKeys), registrations), {minLength: 1, maxLength: 5}), async odd => {
+		const items = [['servers/a', registration] as const, ...odd, ['servers/z', registration] as const].map(([key, value]) => ({key, value, revision: 1}));
+		const {events, errors} = await followItems(follower, items);
+		expect(errors).toEqual([]);
+		const listed = events.find(event => event.kind === 'endpoints-listed');
+		const ids = listed?.endpoints.map(({id}) => id);
+		expect(ids?.[0]).toBe('a');
+		expect(ids?.at(-1)).toBe('z');
+		for (const endpoint of listed?.endpoints ?? []) {
+			expect(parseJson(JSON.stringify(endpoint))).toEqual(endpoint);
+		}
+	}), {seed: 1, numRuns: 200});
+});
--- a/packages/entry/src/jobs/follow-pool.test.ts
+++ b/packages/entry/src/jobs/follow-pool.test.ts
@@ -46,6 +46,7 @@
 			events.push(...(text === undefined ? [] : [text]));
 		},
 		log() {/* Not needed. */},
+		reportIgnoredItem() {/* Not needed. */},
 		node: 'e1',
 		incarnation: 'first',
 		handleRegistrationLost() {/* Not needed. */},
--- a/packages/entry/src/jobs/follow-records.ts
+++ b/packages/entry/src/jobs/follow-records.ts
@@ -8,12 +8,14 @@
 import {
 	decodeClaim, decodeMember, decodeRecord, recordKeys,
 } from './job-records.js';
+import {type IgnoredItemReporter} from './report-ignored-items.js';
 
 /** @internal */
 export type FollowContext = {
 	readonly store: StoreClient;
 	readonly pushEvent: (event: JobEvent) => void;
 	readonly log: Logger;
+	readonly reportIgnoredItem: IgnoredItemReporter;
 	readonly node: string;
 	readonly incarnation: string;
 	/** Called when the entry's registration is missing or belongs to another incarnation. */
@@ -39,7 +41,7 @@
 /** Decodes the items whose key starts with `prefix`. @internal */
 export type RecordDecoder = {readonly prefix: string; readonly decode: (item: StoreItem) => JobEvent | undefined};
 
-/** Publishes an item as an event; an item that cannot be decoded is logged and left out. @internal */
+/** Publishes an item as an event; an item that cannot be decoded is reported and left out. @internal */
 export function publishItem(decoders: readonly RecordDecoder[], item: StoreItem, context: FollowContext): void {
 	const decoder = decoders.find(({prefix}) => item.key.startsWith(prefix));
 	const event = decoder?.decode(item);
@@ -49,7 +51,7 @@
 	}
 
 	if (decoder !== undefined && item.value !== undefined) {
-		context.log('warn', 'record ignored, as it cannot be decoded', {key: item.key, revision: item.revision});
+		context.reportIgnoredItem(item);
 	}
 }
 
@@ -146,7 +148,7 @@
 	function decode(item: StoreItem): Endpoint | undefined {
 		const endpoint = decodeEndpoint(item.key, item.value);
 		if (endpoint === undefined) {
-			context.log('debug', 'endpoint record ignored, as it cannot be decoded', {key: item.key, revision: item.revision});
+			context.reportIgnoredItem(item);
 		}
 
 		return endpoint;
--- a/packages/entry/src/jobs/job-records.ts
+++ b/packages/entry/src/jobs/job-records.ts
@@ -1,7 +1,7 @@
 import {
 	type Claim, type JobRecord, type Member, type PoolDemandHistory, type PoolReport, type ProgressRecord, type Roster, type StoredJob, type EvacuatedEndpoint, type EvacuationRequest,
 } from '@pistachiogauge/jobs';
-import {type StoreItem} from '@pistachiogauge/platform';
+import {decodeValue, parseJson, type StoreItem} from '@pistachiogauge/platform';
 import {recordSchemas} from './record-schemas.js';
 
 /**
@@ -68,15 +68,7 @@
 		return undefined;
 	}
 
-	let json: unknown;
-	try {
-		json = JSON.parse(item.value);
-	} catch {
-		return undefined;
-	}
-
-	const parsed = recordSchemas[kind].safeParse(json);
-	return parsed.success ? parsed.data as RecordTypes[Kind] : undefined;
+	return decodeValue(recordSchemas[kind], parseJson(item.value)) as RecordTypes[Kind] | undefined;
 }
 
 /** @internal */
--- a/packages/entry/src/jobs/jobs-process.ts
+++ b/packages/entry/src/jobs/jobs-process.ts
@@ -5,13 +5,14 @@
 } from '@pistachiogauge/jobs';
 import {createPipeline} from '@pistachiogauge/pipeline';
 import {
-	createEndpointOrderClient, createHttpClient, createIngress, createMachineServiceClient, createStoreClient, type CallerRequest, type HttpClient, type PlatformSettings,
+	createEndpointOrderClient, createHttpClient, createIngress, createMachineServiceClient, createStoreClient, isJobId, type CallerRequest, type HttpClient, type PlatformSettings,
 } from '@pistachiogauge/platform';
 import {createLineWriter, createLogger, createMetrics} from '@pistachiogauge/telemetry';
 import {containErrors} from '../contain-errors.js';
 import {createJobSinks} from './create-job-sinks.js';
 import {followConfigurationAndWaves, followMembersAndClaims, type FollowContext} from './follow-records.js';
 import {createPauseMeter} from './pause-meter.js';
+import {createIgnoredItemReporter} from './report-ignored-items.js';
 import {serveMetrics} from './serve-metrics.js';
 import {createSession} from './session.js';
 
@@ -108,6 +109,7 @@
 			}
 		},
 		log,
+		reportIgnoredItem: createIgnoredItemReporter({log, count, getNow: () => performance.now()}),
 		node,
 		incarnation,
 		handleRegistrationLost() {
@@ -130,8 +132,9 @@
 	function receiveRequest({requestId, action, host, path, spec}: CallerRequest): void {
 		const {current} = state.configuration;
 		const match = current === undefined ? undefined : findQueue(current, host, path);
+		const jobId = match?.remainingPath ?? '';
 		pushEvent({
-			kind: 'caller-requested', requestId, action, queue: match?.queue.name ?? '', jobId: match?.remainingPath ?? '', spec,
+			kind: 'caller-requested', requestId, action, queue: match?.queue.name ?? '', jobId, spec: isJobId(jobId) ? spec : undefined,
 		});
 	}
 
--- a/packages/entry/src/jobs/record-schemas.ts
+++ b/packages/entry/src/jobs/record-schemas.ts
@@ -1,3 +1,4 @@
+import {createTableSchema} from '@pistachiogauge/platform';
 import {z} from 'zod';
 
 /**
@@ -52,15 +53,15 @@
 	progress: z.object({
 		queue: z.string(),
 		status: z.enum(['queued', 'running', 'done', 'failed', 'cancelled']),
-		steps: z.record(z.string(), z.string()),
-		failedRuns: z.record(z.string(), z.array(count)).optional(),
+		steps: createTableSchema(z.string()),
+		failedRuns: createTableSchema(z.array(count)).optional(),
 		lastRun: count,
 		endedAt: z.number().optional(),
 	}),
-	roster: z.object({endpointIds: z.array(z.string()), silentRuns: z.record(z.string(), z.array(runId)).optional()}),
+	roster: z.object({endpointIds: z.array(z.string()), silentRuns: createTableSchema(z.array(runId)).optional()}),
 	report: z.object({
 		pool: z.string(),
-		waiting: z.record(z.string(), count),
+		waiting: createTableSchema(count),
 		backlogMillis: z.number(),
 		hasWork: z.boolean(),
 		usedMillis: z.number(),
@@ -71,7 +72,7 @@
 		idleEndpoints: addedNames,
 		servingEndpoints: addedNames,
 		releasableEndpoints: addedNames,
-		durationModels: z.record(z.string(), z.object({
+		durationModels: createTableSchema(z.object({
 			count, meanLogEstimate: z.number(), meanLogDuration: z.number(), variance: z.number().nonnegative(), covariance: z.number(),
 		})).default({}),
 	}),
