--- a/packages/entry/src/jobs/follow-pool.test.ts
+++ b/packages/entry/src/jobs/follow-pool.test.ts
@@ -56,6 +56,7 @@
 			events.push(...(text === undefined ? [] : [text]));
 		},
 		log() {/* Not needed. */},
+		reportIgnoredItem() {/* Not needed. */},
 		node: 'e1',
 		incarnation: 'first',
 		handleRegistrationLost() {/* Not needed. */},
