--- a/packages/bench/src/jobs-processes/checks/check-twice.ts
+++ b/packages/bench/src/jobs-processes/checks/check-twice.ts
@@ -12,13 +12,13 @@
 	const {at} = second.start;
 	if (first.endedAt > at) {
 		return {
-			rule: 'TWICE', at, message: `two runs at once of ${taskId}: ${describeRun(first)}, ${describeRun(second)}`,
+			rule: 'twice', at, message: `two runs at once of ${taskId}: ${describeRun(first)}, ${describeRun(second)}`,
 		};
 	}
 
 	return first.outcome === 'done' && first.acknowledgedAt < Number.POSITIVE_INFINITY
 		? {
-			rule: 'TWICE', at, message: `start of ${taskId} after its end: ${describeRun(first)} done at ${first.endedAt} ms and acknowledged at ${first.acknowledgedAt} ms, ${describeRun(second)}`,
+			rule: 'twice', at, message: `start of ${taskId} after its end: ${describeRun(first)} done at ${first.endedAt} ms and acknowledged at ${first.acknowledgedAt} ms, ${describeRun(second)}`,
 		}
 		: undefined;
 }
@@ -29,7 +29,7 @@
 	const acknowledgedAt = Math.min(Number.POSITIVE_INFINITY, ...earlier.filter(({outcome}) => outcome === 'done').map(end => end.acknowledgedAt));
 	const isKnown = at > Math.min(acknowledgedAt, shownDoneAt) + noticeMs;
 	return isKnown && !isLate && record.isInTouch(entry, at)
-		? {rule: 'TWICE', at, message: `start of ${taskId} over ${noticeMs} ms after its end was known: ${describeRun(run)}`}
+		? {rule: 'twice', at, message: `start of ${taskId} over ${noticeMs} ms after its end was known: ${describeRun(run)}`}
 		: undefined;
 }
 
--- a/packages/bench/src/jobs-processes/faults.ts
+++ b/packages/bench/src/jobs-processes/faults.ts
@@ -1,5 +1,7 @@
 import {cutGroup, type LinkRule} from '@pistachiogauge/platform/standins';
-import {type EntryTarget, type FaultKind, type FaultPlan, type FaultPlanOf} from './fault-plan.js';
+import {
+	type EntryTarget, type FaultKind, type FaultPlan, type FaultPlanOf,
+} from './fault-plan.js';
 import {type Installation} from './installation.js';
 
 /** A fault under way: whom it disturbs, and how it ends. */
@@ -71,6 +73,12 @@
 			installation.store.pauseLeases();
 		}
 
+		if (state === 'reset') {
+			for (const name of names) {
+				installation.store.resetConnections(name);
+			}
+		}
+
 		return {
 			participants: [store],
 			end() {
--- a/packages/bench/src/jobs-processes/load.ts
+++ b/packages/bench/src/jobs-processes/load.ts
@@ -13,6 +13,8 @@
 /** States are asked for of this many of the newest jobs, most of which have ended. */
 const askedJobCount = 60;
 const finalConcurrency = 8;
+const unknownJobShare = 0.03;
+const unknownJobId = 'f'.repeat(16);
 
 function isFinal({status}: CallerAnswer): boolean {
 	return status !== 0 && status < 500 && status !== 429;
@@ -112,7 +114,8 @@
 	const stateTimer = setInterval(() => {
 		const recent = accepted.slice(-askedJobCount);
 		if (recent.length > 0) {
-			void requestState(installation, recent[random.getInteger(recent.length)]!, false);
+			const job = recent[random.getInteger(recent.length)]!;
+			void requestState(installation, random.getFraction() < unknownJobShare ? {...job, jobId: unknownJobId} : job, false);
 		}
 	}, stateIntervalMs);
 	const waitingTimer = setInterval(() => {
--- a/packages/bench/src/process-soak-main.ts
+++ b/packages/bench/src/process-soak-main.ts
@@ -23,10 +23,10 @@
 		return;
 	}
 
-	const rules = [...new Set(violations.map(({rule}) => rule))].map(rule => `${rule} ${violations.filter(violation => violation.rule === rule).length}`);
+	const rules = [...new Set(violations.map(({rule}) => rule))].map(rule => `${rule.toUpperCase()} ${violations.filter(violation => violation.rule === rule).length}`);
 	process.stdout.write(`seed ${seed}: broken: ${rules.join(', ')} (${counts})\n`);
 	for (const {rule, at, message} of violations.slice(0, printedViolationCount)) {
-		process.stdout.write(`  ${rule} at ${at} ms: ${message}\n`);
+		process.stdout.write(`  ${rule.toUpperCase()} at ${at} ms: ${message}\n`);
 	}
 
 	process.stdout.write(`  logs: ${logFolder}\n  repeat: npm run process-soak -- --seed ${seed} --seconds ${seconds}\n`);
