--- /dev/null
+++ b/packages/bench/src/jobs-processes/run-plan.test.ts
@@ -0,0 +1,65 @@
+import {describe, expect, test} from 'vitest';
+import {readEntryCommand} from './entry-processes.js';
+import {faultKinds, type FaultPlan} from './fault-plan.js';
+import {findPlannedTask, listTaskIds} from './planned-tasks.js';
+import {createRunPlan} from './run-plan.js';
+
+const seeds = Array.from({length: 50}, (_, index) => index + 1);
+const durationMs = 40_000;
+const plans = seeds.map(seed => createRunPlan(seed, durationMs));
+const faults = plans.flatMap(plan => plan.faults);
+const jobs = plans.flatMap(plan => plan.jobs);
+
+describe('plan of a run', () => {
+	const startsBefore = (fault: FaultPlan | undefined, atMs: number): boolean => fault !== undefined && fault.atMs < atMs;
+	test.each([
+		{title: 'the same seed gives the same plan', holds: () => JSON.stringify(createRunPlan(7, durationMs)) === JSON.stringify(plans[6])},
+		{title: 'other seeds give other plans', holds: () => new Set(plans.map(plan => JSON.stringify(plan.jobs))).size === seeds.length},
+		{title: 'all faults end within the duration', holds: () => faults.every(fault => fault.atMs + fault.durationMs <= durationMs)},
+		{title: 'some faults overlap', holds: () => plans.some(plan => plan.faults.some((fault, index) => startsBefore(plan.faults[index + 1], fault.atMs + fault.durationMs)))},
+		{title: 'clocks are up to 2% slow', holds: () => plans.flatMap(plan => plan.endpoints).every(({clockRate}) => clockRate > 0.98 && clockRate <= 1)},
+		{title: 'steps wait for earlier ones', holds: () => jobs.some(({job}) => job.steps.length > 2) && jobs.every(({job}) => job.steps.every((step, index) => step.after.every(number => number < index)))},
+		{title: 'some endpoints do not guard their capacity', holds: () => new Set(plans.map(plan => plan.isGuarding)).size === 2},
+		{title: 'some jobs are cancelled and submitted again', holds: () => [jobs.map(job => job.cancelAfterMs), jobs.map(job => job.repeatAfterMs)].every(times => times.some(time => time !== undefined))},
+		{title: 'some jobs are long-running', holds: () => jobs.some(({job}) => job.steps[0]!.isLongRunning)},
+	])('$title', ({holds}) => {
+		expect(holds()).toBe(true);
+	});
+
+	test.each(faultKinds.map(kind => ({kind})))('draws $kind in 50 seeds', ({kind}) => {
+		expect(faults.some(fault => fault.kind === kind)).toBe(true);
+	});
+
+	test.each(['kept', 'taken', 'taken-and-lease-ended'].map(keys => ({keys})))('draws cuts of an owner and endpoints with keys $keys', ({keys}) => {
+		expect(faults.some(fault => fault.kind === 'group-cut' && fault.target.kind === 'owner' && fault.keys === keys)).toBe(true);
+	});
+});
+
+describe('planned tasks', () => {
+	const {job} = jobs[0]!;
+	const known = new Map([[job.jobId, job]]);
+
+	test.each([
+		{taskId: listTaskIds(job, 0).at(-1)!, isKnown: true},
+		{taskId: `${job.jobId}.0.0.${job.steps[0]!.taskCount}`, isKnown: false},
+		{taskId: `${job.jobId}.0.9.0`, isKnown: false},
+		{taskId: `${job.jobId}.1.0.0`, isKnown: false},
+		{taskId: 'f.0.0.0', isKnown: false},
+		{taskId: '', isKnown: false},
+	])('$taskId', ({taskId, isKnown}) => {
+		expect(findPlannedTask(known, taskId) !== undefined).toBe(isKnown);
+	});
+});
+
+describe('command of the entries', () => {
+	test.each([
+		{text: '[roles.entry]\nrun = "node --a target/x.js jobs"\n', command: ['node', '--a', 'target/x.js', 'jobs']},
+		{text: '[roles.entry]\non = "front"\n', command: undefined},
+	])('of $text', ({text, command}) => {
+		if (command === undefined) {
+			expect(() => readEntryCommand(text)).toThrow('has no line');
+		} else {
+			expect(readEntryCommand(text)).toEqual(command);
+		}
+	});
+});
--- a/packages/bench/src/jobs-processes/run-process-soak.ts
+++ b/packages/bench/src/jobs-processes/run-process-soak.ts
@@ -2,6 +2,7 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {type Observation} from '@pistachiogauge/platform/standins';
 import {listViolations, type Violation} from './checks/index.js';
+import {type FaultKind} from './fault-plan.js';
 import {startFault} from './faults.js';
 import {startInstallation, type Installation} from './installation.js';
 import {playLoad, requestFinalStates} from './load.js';
@@ -22,6 +23,8 @@
 	readonly seed: number;
 	/** Length of the load and the faults in ms; the start and the time to recover come on top. */
 	readonly durationMs: number;
+	/** Kinds of faults that are played; the others are left out of the plan. */
+	readonly faultKinds: readonly FaultKind[];
 	/** Keeps the logs of runs that break no rule as well. */
 	readonly keepsLogs: boolean;
 };
@@ -32,8 +35,11 @@
 const warmUpMs = 2000;
 
 /** Plays one run; the same seed gives the same jobs and faults, but not the same timing. */
-export async function runProcessSoak({seed, durationMs, keepsLogs}: ProcessSoakOptions): Promise<ProcessSoakResult> {
-	const plan = createRunPlan(seed, durationMs);
+export async function runProcessSoak({
+	seed, durationMs, faultKinds, keepsLogs,
+}: ProcessSoakOptions): Promise<ProcessSoakResult> {
+	const drawnPlan = createRunPlan(seed, durationMs);
+	const plan = {...drawnPlan, faults: drawnPlan.faults.filter(({kind}) => faultKinds.includes(kind))};
 	const installation = await startInstallation(plan);
 	try {
 		await installation.waitUntilReady();
--- a/packages/bench/src/process-soak-main.ts
+++ b/packages/bench/src/process-soak-main.ts
@@ -1,5 +1,6 @@
 import {cac} from 'cac';
-import {runProcessSoak, type ProcessSoakResult} from './jobs-processes/run-process-soak.js';
+import {faultKinds, type FaultKind} from './jobs-processes/fault-plan.js';
+import {runProcessSoak, type ProcessSoakOptions, type ProcessSoakResult} from './jobs-processes/run-process-soak.js';
 
 const usageExitCode = 2;
 const interruptExitCode = 130;
@@ -32,11 +33,19 @@
 	process.stdout.write(`  logs: ${logFolder}\n  repeat: npm run process-soak -- --seed ${seed} --seconds ${seconds}\n`);
 }
 
-async function runSeeds(seeds: readonly number[], seconds: number, keepsLogs: boolean): Promise<number> {
+/** Parses a list of faults, `all` or `none`; returns undefined if one of them is unknown. */
+function parseFaults(text: string): readonly FaultKind[] | undefined {
+	const lists: Readonly<Record<string, readonly FaultKind[]>> = {all: faultKinds, none: []};
+	const names = text.split(',');
+	const kinds = faultKinds.filter(kind => names.includes(kind));
+	return lists[text] ?? (kinds.length === names.length ? kinds : undefined);
+}
+
+async function runSeeds(seeds: readonly number[], seconds: number, options: Pick<ProcessSoakOptions, 'faultKinds' | 'keepsLogs'>): Promise<number> {
 	let brokenCount = 0;
 	for (const seed of seeds) {
 		// eslint-disable-next-line no-await-in-loop
-		const result = await runProcessSoak({seed, durationMs: seconds * 1000, keepsLogs});
+		const result = await runProcessSoak({seed, durationMs: seconds * 1000, ...options});
 		printResult(result, seconds);
 		brokenCount += result.violations.length > 0 ? 1 : 0;
 	}
@@ -58,16 +67,18 @@
 	.option('--seed <N>', 'one seed')
 	.option('--seeds <A..B>', 'range of seeds, one after the other')
 	.option('--seconds <S>', 'length of the load and the faults of each run', {default: 40})
+	.option('--faults <LIST>', `all, none, or faults joined by commas: ${faultKinds.join(', ')}`, {default: 'all'})
 	.option('--keep-logs', 'keeps the logs of runs that break no rule')
-	.action(async (options: {readonly seed?: unknown; readonly seeds?: unknown; readonly seconds: unknown; readonly keepLogs?: boolean}) => {
+	.action(async (options: {readonly seed?: unknown; readonly seeds?: unknown; readonly seconds: unknown; readonly faults: string; readonly keepLogs?: boolean}) => {
 		const seeds = parseSeeds(options.seed ?? options.seeds ?? 1);
 		const seconds = Number(options.seconds);
-		if (seeds === undefined || !Number.isInteger(seconds) || seconds < 1) {
-			process.stderr.write('--seed takes a whole number, --seeds A..B, --seconds a whole number from 1\n');
+		const faults = parseFaults(options.faults);
+		if (seeds === undefined || faults === undefined || !Number.isInteger(seconds) || seconds < 1) {
+			process.stderr.write('--seed takes a whole number, --seeds A..B, --seconds a whole number from 1, --faults all, none or names of faults\n');
 			process.exit(usageExitCode);
 		}
 
-		process.exit(await runSeeds(seeds, seconds, options.keepLogs === true));
+		process.exit(await runSeeds(seeds, seconds, {faultKinds: faults, keepsLogs: options.keepLogs === true}));
 	});
 program.help();
 program.parse();
