--- a/packages/bench/src/jobs-processes/checks/checks.test.ts
+++ b/packages/bench/src/jobs-processes/checks/checks.test.ts
@@ -94,9 +94,17 @@
 	},
 	{title: 'copies that the step allows', rules: [], observations: [submit(200, duplicable), start(1000, 'e1', 1), start(1200, 'e2', 2)]},
 	{title: 'a start after an acknowledged end', rules: ['twice'], observations: [submit(), ...doneFirst, start(1700, 'e2', 2)]},
-	{title: 'a start after an end that is acknowledged later', rules: ['twice'], observations: [submit(), start(1000, 'e1', 1), end(1500, 'e1'), start(1700, 'e2', 2), acknowledge(1800, 'e1')]},
+	{
+		title: 'a start after an end that is acknowledged later',
+		rules: ['twice'],
+		observations: [submit(), start(1000, 'e1', 1), end(1500, 'e1'), start(1700, 'e2', 2), acknowledge(1800, 'e1')],
+	},
 	{title: 'a start after an end that is never acknowledged', rules: [], observations: [submit(), start(1000, 'e1', 1), end(1500, 'e1'), start(1700, 'e2', 2)]},
-	{title: 'a start after an acknowledgement of earlier ends only', rules: [], observations: [submit(), start(1000, 'e1', 1), end(1500, 'e1', 'done', {number: 2}), acknowledge(1600, 'e1', 1), start(1700, 'e2', 2)]},
+	{
+		title: 'a start after an acknowledgement of earlier ends only',
+		rules: [],
+		observations: [submit(), start(1000, 'e1', 1), end(1500, 'e1', 'done', {number: 2}), acknowledge(1600, 'e1', 1), start(1700, 'e2', 2)],
+	},
 	{
 		title: 'a lease that lapsed between the end and its acknowledgement', rules: [], observations: [submit(), start(1000, 'e1', 1), end(1500, 'e1'), {
 			at: 1550, kind: 'lease-lapsed', endpoint: 'e1', bornAt: 1,
@@ -114,12 +122,20 @@
 	},
 	{title: 'a copy soon after the acknowledged end', rules: [], observations: [submit(200, duplicable), ...doneFirst, start(2500, 'e2', 2)]},
 	{title: 'a copy over a second after the acknowledged end', rules: ['twice'], observations: [submit(200, duplicable), ...doneFirst, start(2700, 'e2', 2)]},
-	{title: 'a copy over a second after the job was shown as done', rules: ['twice'], observations: [submit(200, duplicable), start(1000, 'e1', 1), end(1500, 'e1'), show(1600, 200, 'done'), start(2700, 'e2', 2)]},
+	{
+		title: 'a copy over a second after the job was shown as done',
+		rules: ['twice'],
+		observations: [submit(200, duplicable), start(1000, 'e1', 1), end(1500, 'e1'), show(1600, 200, 'done'), start(2700, 'e2', 2)],
+	},
 	{title: 'such a copy by an entry that is not in touch', rules: [], observations: [submit(200, duplicable), ...disturb(900, 1000, ['front-1']), ...doneFirst, start(2700, 'e2', 2)]},
 
 	{title: 'a step after the one that it waits for', rules: [], observations: [submit(200, chained), ...doneFirst, start(1700, 'e1', 1, {taskId: second})]},
 	{title: 'a step before the one that it waits for is done', rules: ['order'], observations: [submit(200, chained), start(1000, 'e1', 1), start(1200, 'e1', 1, {taskId: second})]},
-	{title: 'a step after the one that it waits for failed', rules: ['order'], observations: [submit(200, chained), start(1000, 'e1', 1), end(1500, 'e1', 'failed'), start(1700, 'e1', 1, {taskId: second})]},
+	{
+		title: 'a step after the one that it waits for failed',
+		rules: ['order'],
+		observations: [submit(200, chained), start(1000, 'e1', 1), end(1500, 'e1', 'failed'), start(1700, 'e1', 1, {taskId: second})],
+	},
 
 	{title: 'a start after the last failure allowed', rules: ['budget'], observations: [submit(), ...failedTwice, acknowledge(2600, 'e2'), start(3000, 'e1', 3)]},
 	{title: 'a start after a failure that is not acknowledged', rules: [], observations: [submit(), ...failedTwice, start(3000, 'e1', 3)]},
@@ -154,7 +170,11 @@
 	{title: 'a job that stays queued after the faults', rules: ['lost'], observations: [submit(), faultsOver, show(20_000, 200, 'queued')]},
 	{title: 'a job that still runs after the faults', rules: [], observations: [submit(), faultsOver, start(18_000, 'e1', 1), show(20_000, 200, 'running')]},
 	{title: 'a job without an answer after the faults', rules: ['lost'], observations: [submit(), faultsOver, show(20_000, 0)]},
-	{title: 'a long-running task that is not restarted', rules: ['lost'], observations: [submit(200, longRunning), start(1000, 'e1', 1), end(1500, 'e1', 'lapsed'), faultsOver, show(20_000, 200, 'running')]},
+	{
+		title: 'a long-running task that is not restarted',
+		rules: ['lost'],
+		observations: [submit(200, longRunning), start(1000, 'e1', 1), end(1500, 'e1', 'lapsed'), faultsOver, show(20_000, 200, 'running')],
+	},
 	{
 		title: 'a process that ends by itself', rules: ['exit'], observations: [{
 			at: 900, kind: 'entry-exited', entry: 'front-1', pid: 1, isOwnEnd: true,
--- a/packages/bench/src/jobs-processes/run-plan.test.ts
+++ b/packages/bench/src/jobs-processes/run-plan.test.ts
@@ -16,11 +16,20 @@
 		{title: 'the same seed gives the same plan', holds: () => JSON.stringify(createRunPlan(7, durationMs)) === JSON.stringify(plans[6])},
 		{title: 'other seeds give other plans', holds: () => new Set(plans.map(plan => JSON.stringify(plan.jobs))).size === seeds.length},
 		{title: 'all faults end within the duration', holds: () => faults.every(fault => fault.atMs + fault.durationMs <= durationMs)},
-		{title: 'some faults overlap', holds: () => plans.some(plan => plan.faults.some((fault, index) => startsBefore(plan.faults[index + 1], fault.atMs + fault.durationMs)))},
+		{
+			title: 'some faults overlap',
+			holds: () => plans.some(plan => plan.faults.some((fault, index) => startsBefore(plan.faults[index + 1], fault.atMs + fault.durationMs))),
+		},
 		{title: 'clocks are up to 2% slow', holds: () => plans.flatMap(plan => plan.endpoints).every(({clockRate}) => clockRate > 0.98 && clockRate <= 1)},
-		{title: 'steps wait for earlier ones', holds: () => jobs.some(({job}) => job.steps.length > 2) && jobs.every(({job}) => job.steps.every((step, index) => step.after.every(number => number < index)))},
+		{
+			title: 'steps wait for earlier ones',
+			holds: () => jobs.some(({job}) => job.steps.length > 2) && jobs.every(({job}) => job.steps.every((step, index) => step.after.every(number => number < index))),
+		},
 		{title: 'some endpoints do not guard their capacity', holds: () => new Set(plans.map(plan => plan.isGuarding)).size === 2},
-		{title: 'some jobs are cancelled and submitted again', holds: () => [jobs.map(job => job.cancelAfterMs), jobs.map(job => job.repeatAfterMs)].every(times => times.some(time => time !== undefined))},
+		{
+			title: 'some jobs are cancelled and submitted again',
+			holds: () => [jobs.map(job => job.cancelAfterMs), jobs.map(job => job.repeatAfterMs)].every(times => times.some(time => time !== undefined)),
+		},
 		{title: 'some jobs are long-running', holds: () => jobs.some(({job}) => job.steps[0]!.isLongRunning)},
 	])('$title', ({holds}) => {
 		expect(holds()).toBe(true);
