--- a/packages/bench/src/jobs-processes/installation.ts
+++ b/packages/bench/src/jobs-processes/installation.ts
@@ -11,6 +11,7 @@
 	type CallerStandin, type EndpointStandin, type Links, type Observation, type Observe, type StoreStandin,
 } from '@pistachiogauge/platform/standins';
 import {createEntryProcesses, findFreePorts, type EntryProcesses} from './entry-processes.js';
+import {recordFile, writePlan} from './kept-record.js';
 import {findPlannedTask} from './planned-tasks.js';
 import {drawBetween, type RunPlan} from './run-plan.js';
 
@@ -55,13 +56,14 @@
 	const startedAt = performance.now();
 	const random = createRandomSource(plan.seed + 1_000_000);
 	const logFolder = mkdtempSync(path.join(tmpdir(), `process-soak-${plan.seed}-`));
-	const recordFile = createWriteStream(path.join(logFolder, 'record.jsonl'));
+	writePlan(logFolder, plan);
+	const record = createWriteStream(path.join(logFolder, recordFile));
 	const observations: Observation[] = [];
 	const getNowMs = (): number => Math.round(performance.now() - startedAt);
 	const observe: Observe = unstamped => {
 		const observation: Observation = {at: getNowMs(), ...unstamped};
 		observations.push(observation);
-		recordFile.write(`${JSON.stringify(observation)}\n`);
+		record.write(`${JSON.stringify(observation)}\n`);
 	};
 
 	const stopWatchingDelay = watchEventLoop(observe);
@@ -151,7 +153,7 @@
 				part.close();
 			}
 
-			await closeFile(recordFile);
+			await closeFile(record);
 		},
 	};
 }
--- a/packages/bench/src/jobs-processes/run-process-soak.ts
+++ b/packages/bench/src/jobs-processes/run-process-soak.ts
@@ -1,10 +1,11 @@
 import {rmSync} from 'node:fs';
 import {setTimeout as delay} from 'node:timers/promises';
 import {type Observation} from '@pistachiogauge/platform/standins';
-import {listViolations, type Violation} from './checks/index.js';
+import {type Violation} from './checks/index.js';
 import {type FaultKind} from './fault-plan.js';
 import {startFault} from './faults.js';
 import {startInstallation, type Installation} from './installation.js';
+import {checkObservations} from './kept-record.js';
 import {playLoad, requestFinalStates} from './load.js';
 import {createRunPlan} from './run-plan.js';
 
@@ -52,7 +53,7 @@
 	}
 
 	const {observations, logFolder} = installation;
-	const violations = listViolations(observations, new Map(plan.queues.map(({queue, attempts}) => [queue, attempts])));
+	const violations = checkObservations(plan, observations);
 	if (violations.length === 0 && !keepsLogs) {
 		rmSync(logFolder, {recursive: true, force: true});
 	}
--- a/packages/bench/src/process-soak-main.ts
+++ b/packages/bench/src/process-soak-main.ts
@@ -1,5 +1,7 @@
 import {cac} from 'cac';
 import {faultKinds, type FaultKind} from './jobs-processes/fault-plan.js';
+import {checkKeptRecord} from './jobs-processes/kept-record.js';
+import {type Violation} from './jobs-processes/checks/index.js';
 import {runProcessSoak, type ProcessSoakOptions, type ProcessSoakResult} from './jobs-processes/run-process-soak.js';
 
 const usageExitCode = 2;
@@ -15,6 +17,12 @@
 	return match === null || last < first ? undefined : Array.from({length: last - first + 1}, (_, index) => first + index);
 }
 
+function printViolations(violations: readonly Violation[]): void {
+	for (const {rule, at, message} of violations) {
+		process.stdout.write(`  ${rule.toUpperCase()} at ${at} ms: ${message}\n`);
+	}
+}
+
 function printResult({
 	seed, violations, startCount, jobCount, faultCount, logFolder,
 }: ProcessSoakResult, seconds: number): void {
@@ -26,11 +34,9 @@
 
 	const rules = [...new Set(violations.map(({rule}) => rule))].map(rule => `${rule.toUpperCase()} ${violations.filter(violation => violation.rule === rule).length}`);
 	process.stdout.write(`seed ${seed}: broken: ${rules.join(', ')} (${counts})\n`);
-	for (const {rule, at, message} of violations.slice(0, printedViolationCount)) {
-		process.stdout.write(`  ${rule.toUpperCase()} at ${at} ms: ${message}\n`);
-	}
+	printViolations(violations.slice(0, printedViolationCount));
 
-	process.stdout.write(`  logs: ${logFolder}\n  repeat: npm run process-soak -- --seed ${seed} --seconds ${seconds}\n`);
+	process.stdout.write(`  logs: ${logFolder}\n  all: npm run process-soak -- --record ${logFolder}\n  repeat: npm run process-soak -- --seed ${seed} --seconds ${seconds}\n`);
 }
 
 /** Parses a list of faults, `all` or `none`; returns undefined if one of them is unknown. */
@@ -68,8 +74,15 @@
 	.option('--seeds <A..B>', 'range of seeds, one after the other')
 	.option('--seconds <S>', 'length of the load and the faults of each run', {default: 40})
 	.option('--faults <LIST>', `all, none, or faults joined by commas: ${faultKinds.join(', ')}`, {default: 'all'})
+	.option('--record <FOLDER>', 'checks the kept record of a run again and prints all that it broke')
 	.option('--keep-logs', 'keeps the logs of runs that break no rule')
-	.action(async (options: {readonly seed?: unknown; readonly seeds?: unknown; readonly seconds: unknown; readonly faults: string; readonly keepLogs?: boolean}) => {
+	.action(async (options: {readonly seed?: unknown; readonly seeds?: unknown; readonly seconds: unknown; readonly faults: string; readonly record?: string; readonly keepLogs?: boolean}) => {
+		if (options.record !== undefined) {
+			const violations = checkKeptRecord(options.record);
+			printViolations(violations);
+			process.exit(violations.length > 0 ? 1 : 0);
+		}
+
 		const seeds = parseSeeds(options.seed ?? options.seeds ?? 1);
 		const seconds = Number(options.seconds);
 		const faults = parseFaults(options.faults);
