--- a/packages/bench/src/jobs-processes/entry-processes.ts
+++ b/packages/bench/src/jobs-processes/entry-processes.ts
@@ -18,6 +18,8 @@
 };
 
 type EntryProcessesOptions = {
+	/** Program and its parameters. */
+	readonly command: readonly string[];
 	readonly logFolder: string;
 	readonly onStart: (entry: string, pid: number | undefined) => void;
 	/** `isOwnEnd` tells that no signal ended the process. */
@@ -40,8 +42,15 @@
 	return command.split(' ');
 }
 
-export function createEntryProcesses({logFolder, onStart, onExit}: EntryProcessesOptions): EntryProcesses {
-	const [program = 'node', ...parameters] = readEntryCommand(readFileSync(path.join(repositoryFolder, 'deploy/system.toml'), 'utf8'));
+/** Loads the command of the entries from the deploy file of this repository. */
+export function loadEntryCommand(): readonly string[] {
+	return readEntryCommand(readFileSync(path.join(repositoryFolder, 'deploy/system.toml'), 'utf8'));
+}
+
+export function createEntryProcesses({
+	command, logFolder, onStart, onExit,
+}: EntryProcessesOptions): EntryProcesses {
+	const [program = 'node', ...parameters] = command;
 	const children = new Map<string, ChildProcess>();
 	/** Processes that were told to end. */
 	const ended = new WeakSet<ChildProcess>();
@@ -49,6 +58,7 @@
 	const killAll = (): void => {
 		for (const child of children.values()) {
 			if (isRunning(child)) {
+				ended.add(child);
 				child.kill('SIGKILL');
 			}
 		}
--- a/packages/bench/src/jobs-processes/installation.ts
+++ b/packages/bench/src/jobs-processes/installation.ts
@@ -10,7 +10,9 @@
 	createCallerStandin, createEndpointStandin, createLinks, createMachineServiceStandin, createStoreStandin, encodeConfiguration, encodeEntrySettings, readinessPath,
 	type CallerStandin, type EndpointStandin, type Links, type Observation, type Observe, type StoreStandin,
 } from '@pistachiogauge/platform/standins';
-import {createEntryProcesses, findFreePorts, type EntryProcesses} from './entry-processes.js';
+import {
+	createEntryProcesses, findFreePorts, loadEntryCommand, type EntryProcesses,
+} from './entry-processes.js';
 import {recordFile, writePlan} from './kept-record.js';
 import {findPlannedTask} from './planned-tasks.js';
 import {drawBetween, type RunPlan} from './run-plan.js';
@@ -84,6 +86,7 @@
 	const callers = new Map<string, CallerStandin>();
 	let isClosing = false;
 	const processes = createEntryProcesses({
+		command: loadEntryCommand(),
 		logFolder,
 		onStart(entry, pid) {
 			observe({kind: 'entry-started', entry, pid});
