--- a/packages/bench/src/jobs-processes/entry-processes.ts
+++ b/packages/bench/src/jobs-processes/entry-processes.ts
@@ -31,6 +31,8 @@
 const firstPort = 20_000;
 const portCount = 12_000;
 const usedPorts = new Set<number>();
+/** Loopback address of the entries. Each process that runs a soak has its own, so that none takes another's ports while an entry is down. */
+export const entryHost = `127.1.${Math.floor(process.pid / 254) % 256}.${(process.pid % 254) + 1}`;
 
 /** Reads the command of the entries' role in the deploy file. */
 export function readEntryCommand(deployText: string): readonly string[] {
@@ -110,7 +112,7 @@
 		server.on('error', () => {
 			resolve(false);
 		});
-		server.listen(port, '127.0.0.1', () => {
+		server.listen(port, entryHost, () => {
 			server.close(() => {
 				resolve(true);
 			});
@@ -118,7 +120,7 @@
 	});
 }
 
-/** Finds free ports on the loopback address, which an entry keeps over its restarts. */
+/** Finds free ports, which an entry keeps over its restarts. */
 export async function findFreePorts(count: number): Promise<number[]> {
 	const ports: number[] = [];
 	while (ports.length < count) {
--- a/packages/bench/src/jobs-processes/installation.ts
+++ b/packages/bench/src/jobs-processes/installation.ts
@@ -11,7 +11,7 @@
 	type CallerStandin, type EndpointStandin, type Links, type Observation, type Observe, type StoreStandin,
 } from '@pistachiogauge/platform/standins';
 import {
-	createEntryProcesses, findFreePorts, loadEntryCommand, type EntryProcesses,
+	createEntryProcesses, entryHost, findFreePorts, loadEntryCommand, type EntryProcesses,
 } from './entry-processes.js';
 import {recordFile, writePlan} from './kept-record.js';
 import {findPlannedTask} from './planned-tasks.js';
@@ -117,12 +117,12 @@
 		const [callerPort = 0, readinessPort = 0, controlPort = 0] = await findFreePorts(3);
 		const settingsPath = path.join(logFolder, `${entry}.conf`);
 		writeFileSync(settingsPath, encodeEntrySettings({
-			entry, callerPort, readinessPort, controlPort, machineServiceAddress,
+			entry, host: entryHost, callerPort, readinessPort, controlPort, machineServiceAddress,
 			// eslint-disable-next-line no-await-in-loop
 			storeAddress: await store.listen(entry),
 		}));
 		entries.set(entry, {settingsPath, readinessPort});
-		callers.set(entry, createCallerStandin(callerPort));
+		callers.set(entry, createCallerStandin(entryHost, callerPort));
 		startEntry(entry);
 	}
 
@@ -192,7 +192,7 @@
 async function isReady(port: number): Promise<boolean> {
 	return new Promise(resolve => {
 		const message = sendRequest({
-			host: '127.0.0.1', port, path: readinessPath, timeout: probeTimeoutMs, agent: false,
+			host: entryHost, port, path: readinessPath, timeout: probeTimeoutMs, agent: false,
 		}, response => {
 			response.resume();
 			resolve(response.statusCode === 200);
--- a/packages/bench/src/jobs-processes/run-process-soak.ts
+++ b/packages/bench/src/jobs-processes/run-process-soak.ts
@@ -14,7 +14,10 @@
 	readonly seed: number;
 	readonly violations: readonly Violation[];
 	readonly startCount: number;
-	readonly jobCount: number;
+	/** Jobs that the entries accepted. */
+	readonly acceptedCount: number;
+	/** Times that a client was shown the state of a job. */
+	readonly stateCount: number;
 	readonly faultCount: number;
 	/** Folder of the entries' logs and the record. */
 	readonly logFolder: string;
@@ -59,10 +62,19 @@
 	}
 
 	return {
-		seed, violations, logFolder, startCount: countOf(observations, 'run-started'), jobCount: installation.plan.jobs.length, faultCount: plan.faults.length,
+		seed, violations, logFolder, startCount: countOf(observations, 'run-started'), acceptedCount: countAccepted(observations), stateCount: countStates(observations), faultCount: plan.faults.length,
 	};
 }
 
+function countAccepted(observations: readonly Observation[]): number {
+	const jobIds = observations.flatMap(observation => observation.kind === 'submit-answered' && observation.status === 200 ? [observation.job.jobId] : []);
+	return new Set(jobIds).size;
+}
+
+function countStates(observations: readonly Observation[]): number {
+	return observations.filter(observation => observation.kind === 'state-answered' && observation.status === 200).length;
+}
+
 function countOf(observations: readonly Observation[], kind: Observation['kind']): number {
 	return observations.filter(observation => observation.kind === kind).length;
 }
--- a/packages/bench/src/process-soak-main.ts
+++ b/packages/bench/src/process-soak-main.ts
@@ -24,9 +24,9 @@
 }
 
 function printResult({
-	seed, violations, startCount, jobCount, faultCount, logFolder,
+	seed, violations, startCount, acceptedCount, stateCount, faultCount, logFolder,
 }: ProcessSoakResult, seconds: number): void {
-	const counts = `${jobCount} jobs, ${startCount} starts, ${faultCount} faults`;
+	const counts = `${acceptedCount} jobs accepted, ${stateCount} states shown, ${startCount} starts, ${faultCount} faults`;
 	if (violations.length === 0) {
 		process.stdout.write(`seed ${seed}: all rules kept (${counts})\n`);
 		return;
@@ -50,13 +50,18 @@
 async function runSeeds(seeds: readonly number[], seconds: number, options: Pick<ProcessSoakOptions, 'faultKinds' | 'keepsLogs'>): Promise<number> {
 	let brokenCount = 0;
 	for (const seed of seeds) {
-		// eslint-disable-next-line no-await-in-loop
-		const result = await runProcessSoak({seed, durationMs: seconds * 1000, ...options});
-		printResult(result, seconds);
-		brokenCount += result.violations.length > 0 ? 1 : 0;
+		try {
+			// eslint-disable-next-line no-await-in-loop
+			const result = await runProcessSoak({seed, durationMs: seconds * 1000, ...options});
+			printResult(result, seconds);
+			brokenCount += result.violations.length > 0 ? 1 : 0;
+		} catch (error) {
+			process.stdout.write(`seed ${seed}: could not run: ${error instanceof Error ? error.message : String(error)}\n`);
+			brokenCount += 1;
+		}
 	}
 
-	process.stdout.write(`${seeds.length} seeds of ${seconds} s: ${brokenCount} broke a rule\n`);
+	process.stdout.write(`${seeds.length} seeds of ${seconds} s: ${brokenCount} broke a rule or could not run\n`);
 	return brokenCount > 0 ? 1 : 0;
 }
 
