--- a/packages/bench/src/jobs-processes/run-process-soak.ts
+++ b/packages/bench/src/jobs-processes/run-process-soak.ts
@@ -62,7 +62,13 @@
 	}
 
 	return {
-		seed, violations, logFolder, startCount: countOf(observations, 'run-started'), acceptedCount: countAccepted(observations), stateCount: countStates(observations), faultCount: plan.faults.length,
+		seed,
+		violations,
+		logFolder,
+		startCount: countOf(observations, 'run-started'),
+		acceptedCount: countAccepted(observations),
+		stateCount: countStates(observations),
+		faultCount: plan.faults.length,
 	};
 }
 
