Do not count jobs with a delayed start as waiting

Change: such a job is exempt until 5 s after the start was carried out or rejected, and counts again from then on.

--- a/packages/bench/src/jobs-processes/checks/check-answers.ts
+++ b/packages/bench/src/jobs-processes/checks/check-answers.ts
@@ -1,5 +1,8 @@
+import {type ObservationOf} from '@pistachiogauge/platform/standins';
 import {listTaskIds} from '../planned-tasks.js';
-import {listOf, type JobRecord, type RunRecord} from './run-record.js';
+import {
+	groupBy, listOf, type JobRecord, type RunRecord,
+} from './run-record.js';
 import {type Violation} from './violation.js';
 
 const visibleMs = 3000;
@@ -42,14 +45,20 @@
 	});
 }
 
+/** Whether the client may be told that a job has begun because a start of it went unanswered; this holds until the start has been carried out, or rejected, and some time after. */
+function isStartDelayed(delays: ReadonlyArray<ObservationOf<'start-delayed'>>, sentAt: number, at: number): boolean {
+	return delays.some(delay => delay.at <= at && delay.at + delay.lateMs + visibleMs + waitingLagMs > sentAt);
+}
+
 function checkWaiting({observations, jobs, isInTouch}: RunRecord): Violation[] {
+	const delays = groupBy(listOf(observations, 'start-delayed'), ({taskId}) => taskId.split('.')[0] ?? '');
 	return listOf(observations, 'waiting-answered').flatMap(({at, sentAt, queue, entry, status, waiting}): Violation[] => {
 		if (status !== 200 || !isInTouch(entry, sentAt) || !isInTouch(entry, at)) {
 			return [];
 		}
 
 		const waitingJobs = [...jobs.values()].filter(job => job.job.queue === queue && job.acceptedAt + visibleMs + waitingLagMs < sentAt && job.cancelSentAt > at
-			&& [...job.runs.values()].flat().every(({start}) => start.at > at));
+			&& [...job.runs.values()].flat().every(({start}) => start.at > at) && !isStartDelayed(delays.get(job.job.jobId) ?? [], sentAt, at));
 		return waiting !== undefined && waiting * 2 >= waitingJobs.length
 			? []
 			: [{rule: 'mixed', at, message: `${entry} gives ${waiting} waiting jobs of ${queue}, but ${waitingJobs.length} have waited for over ${visibleMs + waitingLagMs} ms`}];
--- a/packages/bench/src/jobs-processes/checks/checks.test.ts
+++ b/packages/bench/src/jobs-processes/checks/checks.test.ts
@@ -62,6 +62,12 @@
 	};
 }
 
+function delay(at: number, lateMs: number): Observation {
+	return {
+		at, kind: 'start-delayed', endpoint: 'e1', taskId: first, run: 1, lateMs,
+	};
+}
+
 function disturb(startedAt: number, endedAt: number, participants: readonly string[], number = 1): Observation[] {
 	return [
 		{
@@ -161,6 +167,9 @@
 	{title: 'too few waiting jobs, soon after they came', rules: [], observations: [submit(), countWaiting(5000, 0)]},
 	{title: 'too few waiting jobs at an entry that is not in touch', rules: [], observations: [submit(), ...disturb(2000, 2300, ['front-1']), countWaiting(5200, 0)]},
 
+	{title: 'too few waiting jobs while a start is delayed', rules: [], observations: [submit(), delay(1000, 6000), countWaiting(6900, 0), countWaiting(11_900, 0)]},
+	{title: 'too few waiting jobs after a delayed start did not take place', rules: ['mixed'], observations: [submit(), delay(1000, 6000), countWaiting(12_100, 0)]},
+
 	{title: 'an accepted job that is not known', rules: ['lost'], observations: [submit(), show(3200, 410)]},
 	{title: 'an accepted job that is not known yet', rules: [], observations: [submit(), show(3000, 410)]},
 	{title: 'a cancelled job that is not known', rules: [], observations: [submit(), cancel(1000), show(3200, 410)]},
--- a/packages/bench/src/jobs-processes/checks/run-record.ts
+++ b/packages/bench/src/jobs-processes/checks/run-record.ts
@@ -161,7 +161,8 @@
 	return Math.min(Number.POSITIVE_INFINITY, ...observations.map(({at}) => at));
 }
 
-function groupBy<Item>(items: readonly Item[], getKey: (item: Item) => string): Map<string, Item[]> {
+/** Groups items by a key, each group in the order of the items. */
+export function groupBy<Item>(items: readonly Item[], getKey: (item: Item) => string): Map<string, Item[]> {
 	const groups = new Map<string, Item[]>();
 	for (const item of items) {
 		const group = groups.get(getKey(item));
