--- a/packages/bench/src/jobs-processes/installation.ts
+++ b/packages/bench/src/jobs-processes/installation.ts
@@ -79,7 +79,7 @@
 		findTask: taskId => findPlannedTask(jobs, taskId), getLateMs: () => drawBetween(random, lateOrderMs.min, lateOrderMs.max),
 	}));
 	await Promise.all(endpoints.map(async endpoint => endpoint.start()));
-	const machineService = createMachineServiceStandin(endpoints);
+	const machineService = createMachineServiceStandin();
 	const machineServiceAddress = await machineService.listen();
 
 	const entries = new Map<string, Entry>();
