Save a roster again until the store has answered

What callers saw: jobs that stayed queued beside idle endpoints (LOST).

Cause: the wanted roster is compared with the last confirmed one. If a save of another roster was not answered and the wanted one equals the confirmed one again, nothing was saved, and the endpoints that the unanswered one left out stayed out of use until the roster changed.

Change: after an unanswered save the roster is saved until an answer tells which one is in the store.

--- a/packages/jobs/src/ledger/save-progress.test.ts
+++ b/packages/jobs/src/ledger/save-progress.test.ts
@@ -7,7 +7,6 @@
 import {handleSaveResult, saveProgress} from './save-progress.js';
 
 const random = createRandomSource(1);
-const roster: Roster = {endpointIds: ['e1']};
 
 type Step =
 	/** Jobs change that have not ended. */
@@ -15,6 +14,8 @@
 	/** Jobs end. */
 	| {readonly kind: 'end'; readonly jobs: readonly number[]}
 	| {readonly kind: 'answer'; readonly save: number; readonly result: JobEventOf<'progress-saved'>['result']}
+	/** The wanted roster changes. */
+	| {readonly kind: 'list'; readonly endpointIds: readonly string[]}
 	| {readonly kind: 'wait'; readonly ms: number};
 
 /** Lists the saves of a pool with 60 jobs as text: the numbers of the jobs, and `roster` if it is part of the save. */
@@ -28,6 +29,7 @@
 
 	const saves: string[] = [];
 	let now = 0;
+	let roster: Roster = {endpointIds: ['e1']};
 	const save = () => {
 		for (const output of saveProgress(pool, roster, {now, wallTime: now, random})) {
 			if (output.kind === 'sink' && output.effect.kind === 'save-progress') {
@@ -38,16 +40,32 @@
 	};
 
 	for (const step of steps) {
-		if (step.kind === 'wait') {
-			now += step.ms;
-		} else if (step.kind === 'answer') {
-			handleSaveResult(pool, {
-				kind: 'progress-saved', pool: 'desk', token: 7, saveId: [...pool.pendingSaves.keys()][step.save]!, result: step.result, revision: 9, presentRevisions: undefined, isClaimLost: false,
-			}, {now, wallTime: now, random});
-		} else {
-			for (const index of step.jobs) {
-				jobs[index]!.status = step.kind === 'end' ? 'done' : 'running';
-				markUnsaved(pool, jobs[index]!, now);
+		switch (step.kind) {
+			case 'wait': {
+				now += step.ms;
+
+				break;
+			}
+
+			case 'list': {
+				roster = {endpointIds: step.endpointIds};
+
+				break;
+			}
+
+			case 'answer': {
+				handleSaveResult(pool, {
+					kind: 'progress-saved', pool: 'desk', token: 7, saveId: [...pool.pendingSaves.keys()][step.save]!, result: step.result, revision: 9, presentRevisions: undefined, isClaimLost: false,
+				}, {now, wallTime: now, random});
+
+				break;
+			}
+
+			default: {
+				for (const index of step.jobs) {
+					jobs[index]!.status = step.kind === 'end' ? 'done' : 'running';
+					markUnsaved(pool, jobs[index]!, now);
+				}
 			}
 		}
 
@@ -76,6 +94,12 @@
 	{
 		name: 'a refused save is tried again after a pause', steps: [{kind: 'wait', ms: 100}, {kind: 'change', jobs: range(1, 9)}, {kind: 'answer', save: 1, result: 'refused'}, {kind: 'wait', ms: 100}, {kind: 'wait', ms: 60}], expected: ['roster', range(1, 9).join(' '), range(1, 9).join(' ')],
 	},
+	{
+		// Guards against endpoints that stay out of use because a save without them was not answered and the wanted roster is the known one again.
+		name: 'a roster whose save was not answered is saved again, even if it is the one known before', steps: [
+			{kind: 'wait', ms: 100}, {kind: 'answer', save: 0, result: 'applied'}, {kind: 'list', endpointIds: []}, {kind: 'list', endpointIds: ['e1']}, {kind: 'answer', save: 0, result: 'unknown'}, {kind: 'wait', ms: 200},
+		], expected: ['roster', 'roster', 'roster'],
+	},
 ];
 
 describe('saveProgress', () => {
--- a/packages/jobs/src/ledger/save-progress.ts
+++ b/packages/jobs/src/ledger/save-progress.ts
@@ -24,7 +24,8 @@
 /** Saves unsaved changes. A job is in one save at a time, as the next one needs the revision of its record. @internal */
 export function saveProgress(pool: PoolLedger, roster: Roster | undefined, context: DecisionContext): JobOutput[] {
 	const isRosterPending = [...pool.pendingSaves.values()].some(save => save.roster !== undefined);
-	const isRosterOutdated = roster !== undefined && !isRosterPending && JSON.stringify(roster) !== JSON.stringify(pool.savedRoster);
+	// After an unanswered save the roster in the store may be either one.
+	const isRosterOutdated = roster !== undefined && !isRosterPending && (pool.isRosterSaveUnknown || JSON.stringify(roster) !== JSON.stringify(pool.savedRoster));
 	if (pool.pendingSaves.size >= maxPendingSaves || context.now < pool.saveRetryAt || (pool.unsavedJobs.size === 0 && !isRosterOutdated)) {
 		return [];
 	}
