--- a/packages/jobs/src/ledger/save-progress.test.ts
+++ b/packages/jobs/src/ledger/save-progress.test.ts
@@ -39,36 +39,34 @@
 		}
 	};
 
-	for (const step of steps) {
-		switch (step.kind) {
-			case 'wait': {
-				now += step.ms;
-
-				break;
-			}
-
-			case 'list': {
-				roster = {endpointIds: step.endpointIds};
-
-				break;
-			}
-
-			case 'answer': {
-				handleSaveResult(pool, {
-					kind: 'progress-saved', pool: 'desk', token: 7, saveId: [...pool.pendingSaves.keys()][step.save]!, result: step.result, revision: 9, presentRevisions: undefined, isClaimLost: false,
-				}, {now, wallTime: now, random});
-
-				break;
-			}
-
-			default: {
-				for (const index of step.jobs) {
-					jobs[index]!.status = step.kind === 'end' ? 'done' : 'running';
-					markUnsaved(pool, jobs[index]!, now);
-				}
-			}
+	const changeJobs = (indexes: readonly number[], status: 'done' | 'running') => {
+		for (const index of indexes) {
+			jobs[index]!.status = status;
+			markUnsaved(pool, jobs[index]!, now);
 		}
+	};
 
+	const stepHandlers: {readonly [Kind in Step['kind']]: (step: Extract<Step, {kind: Kind}>) => void} = {
+		change({jobs: indexes}) {
+			changeJobs(indexes, 'running');
+		},
+		end({jobs: indexes}) {
+			changeJobs(indexes, 'done');
+		},
+		answer({save: index, result}) {
+			handleSaveResult(pool, {
+				kind: 'progress-saved', pool: 'desk', token: 7, saveId: [...pool.pendingSaves.keys()][index]!, result, revision: 9, presentRevisions: undefined, isClaimLost: false,
+			}, {now, wallTime: now, random});
+		},
+		list({endpointIds}) {
+			roster = {endpointIds};
+		},
+		wait({ms}) {
+			now += ms;
+		},
+	};
+	for (const step of steps) {
+		stepHandlers[step.kind](step as never);
 		save();
 	}
 
