Start tasks on a restarted endpoint only once the claim is confirmed

A former owner could start a task on an endpoint that has restarted, while its successor runs it elsewhere.

Cause: the successor's token stops a former owner on the endpoints that have answered the successor, but an endpoint that restarts forgets it. Within its permission the former owner, if it reaches the endpoint first, drops its runs and starts them again.

Change: an endpoint gets tasks once the claim has been confirmed by a call that was sent after the first answer of the endpoint's process under the token. The list of candidates has a file of its own.

Tests: 'starts nothing on an endpoint that has restarted since' in cut-off-owner.test.ts failed before ('poll-endpoint', 'start-task').

--- a/packages/jobs/src/authority/cut-off-owner.test.ts
+++ b/packages/jobs/src/authority/cut-off-owner.test.ts
@@ -10,12 +10,14 @@
 type Input = {
 	/** When the endpoint lists that the only task was stopped, so that it has to be started again. */
 	readonly at: Clocks;
+	/** Whether the endpoint has restarted instead, and has forgotten the tokens that it had seen. */
+	readonly hasRestarted?: boolean;
 	/** When the call was sent that last confirmed the claim; 0 is the time of the claim itself. */
 	readonly confirmedAt?: number;
 };
 
 /** Lists the orders that an owner gives to an endpoint in the second after a task of it was stopped, with the latest deadline on the endpoint's clock. */
-function listOrders({at, confirmedAt}: Input): {readonly kinds: readonly string[]; readonly lastDeadlineMs: number} {
+function listOrders({at, hasRestarted = false, confirmedAt}: Input): {readonly kinds: readonly string[]; readonly lastDeadlineMs: number} {
 	const owner = createTestOwner({roster: {endpointIds: ['e1']}, endpoints: ['e1'], jobs: [createStoredTestJob(createTestJob('job', [{count: 1}]))]});
 	owner.confirmsClaim = false;
 	owner.apply({kind: 'tick'}, 0);
@@ -46,7 +48,8 @@
 	};
 
 	for (let elapsedMs = 0; elapsedMs < 1000; elapsedMs += 25) {
-		advance(elapsedMs, {...createTestPollAnswer('e1', endpointClockAtStart + at.now + elapsedMs), ended});
+		const answer = createTestPollAnswer('e1', endpointClockAtStart + at.now + elapsedMs);
+		advance(elapsedMs, hasRestarted ? {...answer, startedAt: 2} : {...answer, ended});
 		advance(elapsedMs, {kind: 'tick'});
 	}
 
@@ -59,6 +62,9 @@
 const cases: ReadonlyArray<{readonly name: string; readonly expected: readonly string[]} & Input> = [
 	{name: 'starts and renews while the store confirms its claim', at: {now: 100, wallTime: 100}, expected: all},
 	{name: 'starts and renews during an outage of the store', at: {now: 5000, wallTime: 5000}, expected: all},
+	{
+		name: 'starts nothing on an endpoint that has restarted since', at: {now: 5000, wallTime: 5000}, hasRestarted: true, expected: ['poll-endpoint'],
+	},
 	{name: 'starts nothing that its permission does not cover', at: {now: orderPermissionMs - 600, wallTime: orderPermissionMs - 600}, expected: ['poll-endpoint']},
 	{name: 'gives no orders after its permission has ended', at: {now: orderPermissionMs, wallTime: orderPermissionMs}, expected: []},
 	{name: 'gives no orders after its permission has ended by the wall clock only, as the machine was suspended', at: {now: 100, wallTime: orderPermissionMs}, expected: []},
@@ -71,8 +77,8 @@
 ];
 
 describe('an owner that the store no longer confirms', () => {
-	it.each(cases)('$name: $expected', ({expected, at, confirmedAt = 0}) => {
-		const {kinds, lastDeadlineMs} = listOrders({at, confirmedAt});
+	it.each(cases)('$name: $expected', ({expected, confirmedAt = 0, ...input}) => {
+		const {kinds, lastDeadlineMs} = listOrders({...input, confirmedAt});
 		expect(kinds).toEqual(expected);
 		// The successor takes all leases as expired this long after its claim, which is later than the last confirmation.
 		expect(lastDeadlineMs).toBeLessThanOrEqual(endpointClockAtStart + confirmedAt + orderPermissionMs);
--- a/packages/jobs/src/placement/placement-filter.ts
+++ b/packages/jobs/src/placement/placement-filter.ts
@@ -6,15 +6,15 @@
 	emitCount, emitLog, type JobFilter, type JobOutput,
 } from '../filter.js';
 import {
-	type Job, type LedgerView, type PoolLedger, type Step, type Task,
+	type Job, type LedgerView, type Step, type Task,
 } from '../ledger/index.js';
-import {subtractResources} from '../model/index.js';
 import {getJobEstimate, type ObservationView} from '../observation/index.js';
 import {startValidityMs, type SupervisionView} from '../supervision/index.js';
 import {applyAdvice} from './apply-advice.js';
 import {
 	addCount, chooseEndpoint, countRunsByEndpoint, reserveCandidate, type Candidate,
 } from './choose-endpoint.js';
+import {listCandidates} from './list-candidates.js';
 import {
 	listReadySteps, orderJobs, rankJob, type RankedJob,
 } from './order-jobs.js';
@@ -89,28 +89,31 @@
 		return [];
 	}
 
-	const candidates = listCandidates(state, pool, context);
-	if (candidates.length === 0) {
-		return [];
-	}
-
-	const outputs: JobOutput[] = [emitCount('placement_searches_total')];
 	const confirmedAt = getConfirmedAt(state, poolName);
+	const candidates = listCandidates(state, pool, context);
+	// A restarted endpoint has forgotten the token of a later owner. Only a confirmation since then tells that there is none.
+	const usable = candidates.filter(({endpoint}) => state.supervision.endpoints.get(endpoint.id)!.answeredSince <= confirmedAt);
 	// A job that was stored after another entry had claimed the pool is not held back there by a survey of this entry's endpoints.
 	const confirmed = waiting.filter(job => job.firstSeenAt <= confirmedAt);
-	if (confirmed.length < waiting.length) {
+	const outputs: JobOutput[] = [];
+	if (usable.length < candidates.length || (confirmed.length < waiting.length && candidates.length > 0)) {
 		outputs.push(restartEvent({kind: 'claim-confirmation-due', pool: poolName}));
 	}
 
+	if (usable.length === 0) {
+		return outputs;
+	}
+
+	outputs.push(emitCount('placement_searches_total'));
 	let unplacedStepCount = 0;
-	for (const {job} of orderJobs(confirmed, job => getJobEstimate(state, job, context.now), sumCapacityMillis(candidates), context.now)) {
+	for (const {job} of orderJobs(confirmed, job => getJobEstimate(state, job, context.now), sumCapacityMillis(usable), context.now)) {
 		if (job.isAwaitingSurvey) {
 			continue;
 		}
 
 		for (const step of listReadySteps(job)) {
 			const place = step.spec.isGang ? placeGang : placeStep;
-			const {outputs: placed, isIncomplete} = place(state, step, candidates, context);
+			const {outputs: placed, isIncomplete} = place(state, step, usable, context);
 			outputs.push(...placed);
 			unplacedStepCount += isIncomplete ? 1 : 0;
 		}
@@ -146,39 +149,6 @@
 	return !task.isDone && task.runs.size === 0;
 }
 
-function listCandidates({
-	supervision, directory, evacuation, placement, observation,
-}: State, pool: Readonly<PoolLedger>, context: DecisionContext): Candidate[] {
-	const candidates: Candidate[] = [];
-	for (const supervised of supervision.endpoints.values()) {
-		const endpoint = directory.endpoints.get(supervised.id);
-		if (supervised.pool !== pool.pool || supervised.phase !== 'answering' || endpoint?.state !== 'ready' || !pool.rosterEndpointIds.has(supervised.id)) {
-			continue;
-		}
-
-		const health = observation.endpoints.get(supervised.id);
-		if (context.now < supervised.startsPausedUntil || context.now < (health?.avoidUntil ?? 0) || evacuation.requests.has(supervised.id)) {
-			continue;
-		}
-
-		const {resources, fillerCount, servingCount} = supervised.usage;
-		const candidate: Candidate = {
-			endpoint,
-			free: subtractResources(endpoint.capacity, resources),
-			fillerCount,
-			servingCount,
-			slowness: health?.slowness ?? 1,
-		};
-		for (const step of placement.reservedSteps.get(supervised.id)?.values() ?? []) {
-			reserveCandidate(candidate, step);
-		}
-
-		candidates.push(candidate);
-	}
-
-	return candidates;
-}
-
 type PlacementResult = {readonly outputs: JobOutput[]; readonly isIncomplete: boolean};
 
 function placeStep(state: State, step: Step, candidates: readonly Candidate[], context: DecisionContext): PlacementResult {
--- a/packages/jobs/src/supervision/apply-poll-answer.ts
+++ b/packages/jobs/src/supervision/apply-poll-answer.ts
@@ -38,7 +38,11 @@
 		endpoint.clockMs = undefined;
 	}
 
-	endpoint.startedAt = answer.startedAt;
+	if (endpoint.startedAt !== answer.startedAt) {
+		endpoint.startedAt = answer.startedAt;
+		endpoint.answeredSince = context.now;
+	}
+
 	if (endpoint.clockMs === undefined || answer.clockMs >= endpoint.clockMs) {
 		endpoint.clockMs = answer.clockMs;
 		endpoint.clockReadAt = context.now;
--- a/packages/jobs/src/supervision/supervision-filter.ts
+++ b/packages/jobs/src/supervision/supervision-filter.ts
@@ -156,6 +156,7 @@
 		isListed: address !== '',
 		phase: context.now > previousLeaseExpiresAt ? 'expired' : 'new',
 		startedAt: undefined,
+		answeredSince: Number.POSITIVE_INFINITY,
 		clockMs: undefined,
 		clockReadAt: 0,
 		leaseDeadlineMs: 0,
--- a/packages/jobs/src/supervision/supervision-state.ts
+++ b/packages/jobs/src/supervision/supervision-state.ts
@@ -73,6 +73,8 @@
 	phase: SupervisionPhase;
 	/** Unix ms at which the process of the endpoint started; undefined until it has answered. */
 	startedAt: number | undefined;
+	/** When that process answered under the current token for the first time, in monotonic ms. */
+	answeredSince: number;
 	/** The endpoint's clock as last read, at `clockReadAt`. */
 	clockMs: number | undefined;
 	/** Monotonic ms of this entry at which the endpoint's clock was at least `clockMs`. */
