Start nothing on an endpoint that lists runs of unknown size

What callers saw: a new owner started more tasks on an endpoint than it had room for (LIMIT, where endpoints do not check that themselves).

Cause: runs that a new owner stops, as their job has ended or they are unwanted, and runs of jobs that it does not know yet, are not counted in what the endpoint has free.

Change: an endpoint gets no tasks while its last answer lists a run that is not accounted for.

Tests: 'the only endpoint still lists a run of a job that has ended' in takeover-races.test.ts failed before.

--- a/packages/jobs/src/placement/list-candidates.ts
+++ b/packages/jobs/src/placement/list-candidates.ts
@@ -17,7 +17,7 @@
 	const candidates: Candidate[] = [];
 	for (const supervised of supervision.endpoints.values()) {
 		const endpoint = directory.endpoints.get(supervised.id);
-		if (supervised.pool !== pool.pool || supervised.phase !== 'answering' || endpoint?.state !== 'ready' || !pool.rosterEndpointIds.has(supervised.id)) {
+		if (supervised.hasUnknownUsage || supervised.pool !== pool.pool || supervised.phase !== 'answering' || endpoint?.state !== 'ready' || !pool.rosterEndpointIds.has(supervised.id)) {
 			continue;
 		}
 
--- a/packages/jobs/src/supervision/apply-poll-answer.ts
+++ b/packages/jobs/src/supervision/apply-poll-answer.ts
@@ -55,6 +55,8 @@
 		outputs.push(...applyReportedRun(state, pool, endpoint, report, context));
 	}
 
+	endpoint.hasUnknownUsage = answer.running.some(({taskId}) => !endpoint.runs.has(taskId));
+
 	// A run that is missing from the list may have an end that is not processed yet.
 	endpoint.areEndsComplete = answer.ended.length < maxEndsPerAnswer && answer.ended.every(({number}) => number <= endpoint.lastProcessedEnd);
 	if (endpoint.areEndsComplete) {
--- a/packages/jobs/src/supervision/supervision-filter.ts
+++ b/packages/jobs/src/supervision/supervision-filter.ts
@@ -164,6 +164,7 @@
 		lastProcessedEnd: 0,
 		unsavedEnds: new Map(),
 		areEndsComplete: false,
+		hasUnknownUsage: false,
 		isPollPending: false,
 		hasFailedPoll: false,
 		nextPollAt: context.now,
--- a/packages/jobs/src/supervision/supervision-state.ts
+++ b/packages/jobs/src/supervision/supervision-state.ts
@@ -89,6 +89,8 @@
 	readonly unsavedEnds: Map<number, RunId>;
 	/** Whether its last answer listed all ends that it holds, and all of them were processed. */
 	areEndsComplete: boolean;
+	/** Whether its last answer listed runs that are not among `runs`, so that what they occupy is not known. */
+	hasUnknownUsage: boolean;
 	isPollPending: boolean;
 	/** Whether a poll has not been answered, or was refused. */
 	hasFailedPoll: boolean;
--- a/packages/jobs/src/supervision/takeover-races.test.ts
+++ b/packages/jobs/src/supervision/takeover-races.test.ts
@@ -146,6 +146,19 @@
 		},
 		expected: [],
 	},
+	{
+		// Guards against more tasks on an endpoint than it has room for: a run of a job that was cancelled before the takeover still occupies it.
+		name: 'the only endpoint still lists a run of a job that has ended',
+		roster: {endpointIds: ['busy']},
+		endpoints: {busy: () => ({ended: [], running: [{...run, taskId: 'old.0.0.0'}]})},
+		expected: [],
+	},
+	{
+		name: 'the run of a job that has ended is gone',
+		roster: {endpointIds: ['busy']},
+		endpoints: {busy: poll => poll < 3 ? {ended: [], running: [{...run, taskId: 'old.0.0.0'}]} : {ended: [], running: []}},
+		expected: [run.taskId],
+	},
 	{
 		// Guards against tasks on an endpoint that the next owner will not wait for.
 		name: 'a refused roster holds an evacuated endpoint',
--- a/packages/jobs/src/testing.test-support.ts
+++ b/packages/jobs/src/testing.test-support.ts
@@ -119,6 +119,7 @@
 		lastProcessedEnd: 0,
 		unsavedEnds: new Map(),
 		areEndsComplete: true,
+		hasUnknownUsage: false,
 		isPollPending: false,
 		hasFailedPoll: false,
 		nextPollAt: 0,
