Count a job as begun only once a run of it is confirmed

What callers saw: `Waiting` left out jobs whose starts never arrived (MIXED), and their state was `running`.

Cause: a job became `running` when its first start was about to be sent.

Change: it becomes `running` when an endpoint has answered a start of it or lists a run or an end of it.

--- a/packages/jobs/src/ledger/ledger-filter.ts
+++ b/packages/jobs/src/ledger/ledger-filter.ts
@@ -59,6 +59,7 @@
 		},
 		'task-placed': recordRun,
 		'run-adopted': recordRun,
+		'run-confirmed': recordBegin,
 		'run-ended': recordEnd,
 		'run-dropped'({ledger}, {
 			pool: name, taskId, run, endpointId, checkpoint,
@@ -186,17 +187,23 @@
 	return [`${step.count}x${step.room.cpuMillis}m/${step.room.memoryMb}MB`, `${step.estimateMs}ms`, ...traits, ...limits].join(' ');
 }
 
-function recordRun({ledger}: State, {pool: name, taskId, run, endpointId}: {readonly pool: string; readonly taskId: string; readonly run: number; readonly endpointId: string}, context: DecisionContext): JobOutput[] {
+function recordRun({ledger}: State, {pool: name, taskId, run, endpointId}: {readonly pool: string; readonly taskId: string; readonly run: number; readonly endpointId: string}): JobOutput[] {
 	const pool = ledger.pools.get(name);
 	const task = findTask(pool, taskId);
 	if (pool === undefined || task === undefined) {
 		return [];
 	}
 
-	const {job} = task.step;
 	task.runs.set(run, endpointId);
-	job.lastRun = Math.max(job.lastRun, run);
-	if (job.status === 'queued') {
+	task.step.job.lastRun = Math.max(task.step.job.lastRun, run);
+	return [];
+}
+
+/** Records that a task of a job has begun. A start that is only sent may never arrive. */
+function recordBegin({ledger}: {readonly ledger: LedgerState}, {pool: name, taskId}: {readonly pool: string; readonly taskId: string}, context: DecisionContext): JobOutput[] {
+	const pool = ledger.pools.get(name);
+	const job = findTask(pool, taskId)?.step.job;
+	if (pool !== undefined && job?.status === 'queued') {
 		job.status = 'running';
 		markUnsaved(pool, job, context.now);
 	}
@@ -217,6 +224,7 @@
 	}
 
 	const {job} = task.step;
+	recordBegin({ledger}, {pool: name, taskId: end.taskId}, context);
 	const outputs = applyEnd(pool, task, endpointId, end, context);
 	const isSaved = job.version <= job.savedVersion;
 	if (isSaved) {
--- a/packages/jobs/src/model/events.ts
+++ b/packages/jobs/src/model/events.ts
@@ -160,6 +160,8 @@
 		readonly checkpoint: string;
 		readonly ticket: string | undefined;
 	}
+	/** An endpoint has confirmed a run for the first time. */
+	| {readonly kind: 'run-confirmed'; readonly pool: string; readonly taskId: string}
 	/** A run that a previous owner started. */
 	| {readonly kind: 'run-adopted'; readonly pool: string; readonly taskId: string; readonly run: number; readonly endpointId: string}
 	/** `wasExpected`: supervision knew the run; `tookMs` is 0 otherwise. */
--- a/packages/jobs/src/supervision/apply-poll-answer.ts
+++ b/packages/jobs/src/supervision/apply-poll-answer.ts
@@ -188,10 +188,12 @@
 		passEvent({
 			kind: 'run-adopted', pool: endpoint.pool, taskId: report.taskId, run: report.run, endpointId: endpoint.id,
 		}),
+		passEvent({kind: 'run-confirmed', pool: endpoint.pool, taskId: report.taskId}),
 	];
 }
 
 function updateRun(endpoint: SupervisedEndpoint, run: Run, report: ReportedRun, context: DecisionContext): JobOutput[] {
+	const isFirst = run.confirmedClockMs === undefined;
 	if (report.percent > run.percent || run.confirmedClockMs === undefined) {
 		run.progressedClockMs = endpoint.clockMs ?? 0;
 	}
@@ -205,7 +207,10 @@
 		run.phase = 'running';
 	}
 
-	return run.phase === 'stopping' && context.now > run.stopRequestedAt + stopRetryDelayMs ? stopRun(endpoint, run, context.now) : [];
+	return [
+		...(isFirst ? [passEvent({kind: 'run-confirmed', pool: endpoint.pool, taskId: run.taskId} as const)] : []),
+		...(run.phase === 'stopping' && context.now > run.stopRequestedAt + stopRetryDelayMs ? stopRun(endpoint, run, context.now) : []),
+	];
 }
 
 /** Drops runs that the endpoint does not list: they either never started or are gone. */
--- a/packages/jobs/src/supervision/supervision-filter.ts
+++ b/packages/jobs/src/supervision/supervision-filter.ts
@@ -112,13 +112,15 @@
 		'run-suspected': addSuspectedRun,
 		'start-answered'({supervision}, event) {
 			const {taskId, run, clockMs} = event;
-			const placed = findEndpoint(supervision, event)?.runs.get(taskId);
-			if (placed?.run === run) {
-				placed.confirmedClockMs = clockMs;
-				placed.phase = placed.phase === 'starting' || placed.phase === 'unconfirmed' ? 'running' : placed.phase;
+			const endpoint = findEndpoint(supervision, event);
+			const placed = endpoint?.runs.get(taskId);
+			if (endpoint === undefined || placed?.run !== run) {
+				return [];
 			}
 
-			return [];
+			placed.confirmedClockMs = clockMs;
+			placed.phase = placed.phase === 'starting' || placed.phase === 'unconfirmed' ? 'running' : placed.phase;
+			return [passEvent({kind: 'run-confirmed', pool: endpoint.pool, taskId})];
 		},
 		'start-refused': ({supervision}, event, context) => handleStartRefusal(supervision, event, context),
 		'run-stop-requested'({supervision}, {pool, taskId, reason}, context) {
