Show endpoints that stay out of use after a roster's save

Cause: a save of a roster takes the endpoints that it leaves out from use. If it conflicts, because of the record of a job in it, and the wanted roster is the known one again, nothing is saved; the same holds if an evacuation that the load found is withdrawn before the first save.

--- a/packages/jobs/src/ledger/save-progress.test.ts
+++ b/packages/jobs/src/ledger/save-progress.test.ts
@@ -100,6 +100,12 @@
 			{kind: 'wait', ms: 100}, {kind: 'answer', save: 0, result: 'applied'}, {kind: 'list', endpointIds: []}, {kind: 'list', endpointIds: ['e1']}, {kind: 'answer', save: 0, result: 'unknown'}, {kind: 'wait', ms: 200},
 		], expected: ['roster', 'roster', 'roster'],
 	},
+	{
+		// Guards against endpoints that stay out of use because the record of a job in the same save had another revision.
+		name: 'a roster whose save conflicted is saved again, even if it is the one known before', steps: [
+			{kind: 'wait', ms: 100}, {kind: 'answer', save: 0, result: 'applied'}, {kind: 'list', endpointIds: []}, {kind: 'list', endpointIds: ['e1']}, {kind: 'answer', save: 0, result: 'conflict'}, {kind: 'wait', ms: 200},
+		], expected: ['roster', 'roster', 'roster'],
+	},
 ];
 
 describe('saveProgress', () => {
