Tell the processes of a restarted endpoint apart

Cause: when the directory listed a later process, all runs were dropped, also those whose start had reached it; an answer of the former process that came late counted as another restart; a deadline on the former clock gives the new process a lease of up to 10 s, which was not counted; the note that the endpoint was recorded as silent was lost with its replacement, so that it stayed out of use; a run and an unsaved end of one task on the roster were both waited for.

Change: a listed restart leads to a poll, whose answer tells which runs are left; starts that are on their way are kept; late answers of a former process are ignored once the directory lists the present one; leases of a restarted endpoint count as running for 10 s on the slow clock; one run of a task is recorded for a silent endpoint, and a new owner takes the last.

In reborn-endpoint.test.ts a task of the first life is started again after an answer of the second, and the late answer comes one tick later. The successor's wait of 8.9 s does not cover a lease of 10 s that a stale deadline gives to a restarted endpoint right before a takeover; this is open.

--- a/packages/jobs/src/supervision/apply-poll-answer.ts
+++ b/packages/jobs/src/supervision/apply-poll-answer.ts
@@ -1,4 +1,5 @@
 import {emitEffect, passEvent, type DecisionContext} from '@pistachiogauge/chain';
+import {type DirectoryView} from '../directory/index.js';
 import {emitLog, type JobOutput} from '../filter.js';
 import {
 	findTask, isActive, type LedgerView, type Task,
@@ -6,6 +7,7 @@
 import {
 	type JobEventOf, type ReportedEnd, type ReportedRun, type RunDropReason,
 } from '../model/index.js';
+import {getRestartedLeaseExpiry} from './lease-clock.js';
 import {getOrderTarget} from './poll-endpoint.js';
 import {
 	addRun, createRun, removeRun, type Run, type SupervisedEndpoint, type SupervisedPool, type SupervisionState,
@@ -20,26 +22,28 @@
 /** Maximum number of ends in one answer; the endpoint lists the others once these are acknowledged. */
 const maxEndsPerAnswer = 500;
 
-type State = {readonly supervision: SupervisionState} & LedgerView;
+type State = {readonly supervision: SupervisionState} & LedgerView & DirectoryView;
 type PollAnswer = JobEventOf<'poll-answered'>;
 
 /** Applies the answer to a poll: the endpoint's process start, clock, ends and runs. @internal */
 export function applyPollAnswer(state: State, endpoint: SupervisedEndpoint, answer: PollAnswer, context: DecisionContext): JobOutput[] {
 	const pool = state.supervision.pools.get(endpoint.pool)!;
+	if (answer.startedAt < (endpoint.startedAt ?? 0) && state.directory.endpoints.get(endpoint.id)?.startedAt === endpoint.startedAt) {
+		// A late answer of a process before the one that the directory lists.
+		return [];
+	}
+
 	const outputs: JobOutput[] = [];
 	if (endpoint.startedAt !== undefined && endpoint.startedAt !== answer.startedAt) {
 		outputs.push(
 			emitLog('warn', 'endpoint restarted', {endpoint: endpoint.id, bornAt: answer.startedAt, before: endpoint.startedAt}),
-			...dropRuns(endpoint, 'endpoint-restarted'),
+			...restartEndpoint(endpoint, answer, context),
 		);
-		endpoint.lastProcessedEnd = 0;
-		endpoint.unsavedEnds.clear();
-		endpoint.leaseDeadlineMs = 0;
-		endpoint.clockMs = undefined;
 	}
 
 	if (endpoint.startedAt !== answer.startedAt) {
 		endpoint.startedAt = answer.startedAt;
+		endpoint.isRestartListed = false;
 		endpoint.answeredSince = context.now;
 	}
 
@@ -71,6 +75,27 @@
 	return [...endpoint.runs.values()].flatMap(run => dropRun(endpoint, run, reason));
 }
 
+/** Begins with a new process of an endpoint: the runs of the former one are gone, but a start that was on its way may have reached the new one. */
+function restartEndpoint(endpoint: SupervisedEndpoint, {running}: PollAnswer, {now}: DecisionContext): JobOutput[] {
+	const outputs: JobOutput[] = [];
+	for (const run of endpoint.runs.values()) {
+		if (run.phase !== 'starting' && !running.some(({taskId, run: number}) => taskId === run.taskId && number === run.run)) {
+			outputs.push(...dropRun(endpoint, run, 'endpoint-restarted'));
+			continue;
+		}
+
+		// Times on the former clock mean nothing on the new one.
+		Object.assign(run, {startDeadlineMs: 0, confirmedClockMs: undefined, progressedClockMs: 0});
+	}
+
+	endpoint.lastProcessedEnd = 0;
+	endpoint.unsavedEnds.clear();
+	endpoint.leaseDeadlineMs = 0;
+	endpoint.previousLeaseExpiresAt = Math.max(endpoint.previousLeaseExpiresAt, getRestartedLeaseExpiry(now));
+	endpoint.clockMs = undefined;
+	return outputs;
+}
+
 /** Drops a run once it is certain that it is not running. @internal */
 export function dropRun(endpoint: SupervisedEndpoint, run: Run, reason: RunDropReason): JobOutput[] {
 	removeRun(endpoint, run.taskId);
--- a/packages/jobs/src/supervision/check-endpoint.ts
+++ b/packages/jobs/src/supervision/check-endpoint.ts
@@ -40,7 +40,10 @@
 
 	const isReportDue = endpoint.silentSince === undefined || context.now > endpoint.silentSince + silentReportDelayMs;
 	// A task whose end is not saved would be started again by the next owner, and the endpoint may list the end later.
-	const unsettled = [...[...endpoint.runs.values()].map(({taskId, run}) => ({taskId, run})), ...endpoint.unsavedEnds.values()];
+	const unsettled = [
+		...[...endpoint.runs.values()].map(({taskId, run}) => ({taskId, run})),
+		...[...endpoint.unsavedEnds.values()].filter(({taskId}) => !endpoint.runs.has(taskId)),
+	];
 	if (endpoint.phase !== 'answering' && endpoint.areRunsKnown && isReportDue && endpoint.reportedRunCount !== unsettled.length) {
 		endpoint.reportedRunCount = unsettled.length;
 		outputs.push(emitLog('info', 'runs on silent endpoint recorded', {
--- a/packages/jobs/src/supervision/lease-clock.ts
+++ b/packages/jobs/src/supervision/lease-clock.ts
@@ -10,6 +10,8 @@
 It must cover the loss of all entries at once: a restart of 3 s, the expiry of their claims and the survey of the pool by the next owner. The maximum is 10 s, and work on an unreachable rack is restarted elsewhere only after the lease has expired.
 */
 export const leaseMs = 6000;
+/** Longest lease that an endpoint grants, whatever deadline an order names. */
+const maxLeaseMs = 10_000;
 /** How long a start is valid, equal to the timeout of its answer; the endpoint refuses it as late afterwards. A start must not take effect seconds later, and its task is not placed again while the start is valid. */
 export const startValidityMs = 700;
 /** Largest factor by which an endpoint's clock may run slower than the clock of this entry. */
@@ -36,3 +38,8 @@
 export function getPreviousLeaseExpiry(now: number): number {
 	return now + (orderPermissionMs * slowClockFactor) + expirySlackMs;
 }
+
+/** Returns the time at which a lease has expired that an endpoint may have granted at `now` for the deadline of an order that was meant for its process before a restart, whose clock was ahead. @internal */
+export function getRestartedLeaseExpiry(now: number): number {
+	return now + (maxLeaseMs * slowClockFactor) + expirySlackMs;
+}
--- a/packages/jobs/src/supervision/reborn-endpoint.test.ts
+++ b/packages/jobs/src/supervision/reborn-endpoint.test.ts
@@ -79,7 +79,18 @@
 		name: 'nothing is heard of the second life', storedAt: 2100, steps: [], expected: ['reborn'],
 	},
 	{
-		name: 'the run belongs to the first life', storedAt: 1000, steps: [listed], expected: ['reborn', 'spare'],
+		name: 'the run belongs to the first life',
+		storedAt: 1000,
+		steps: [
+			{
+				at: 1100, event: run => ({
+					kind: 'start-answered', endpointId: 'reborn', token: 7, taskId, run, clockMs: firstClockMs + 1100,
+				}),
+			},
+			listed,
+			{at: 2300, event: () => createAnswer('second', 2300)},
+		],
+		expected: ['reborn', 'reborn'],
 	},
 	{
 		// Guards against a run of the second life that counts as gone when the directory lists that life.
@@ -105,8 +116,8 @@
 		steps: [
 			listed,
 			{at: 2225, event: () => createAnswer('second', 2225)},
-			{at: 2300, event: run => createAnswer('second', 2300, [createRun(run)])},
-			{at: 2350, event: () => createAnswer('first', 1975)},
+			{at: 2350, event: run => createAnswer('second', 2350, [createRun(run)])},
+			{at: 2400, event: () => createAnswer('first', 1975)},
 		],
 		expected: ['reborn'],
 	},
--- a/packages/jobs/src/supervision/supervision-filter.ts
+++ b/packages/jobs/src/supervision/supervision-filter.ts
@@ -42,7 +42,9 @@
 			const outputs: JobOutput[] = [];
 			for (const [endpointId, runs] of Object.entries(roster.silentRuns ?? {})) {
 				supervision.endpoints.set(endpointId, {...createSupervisedEndpoint({id: endpointId, address: ''}, supervisedPool, context), areRunsKnown: true, reportedRunCount: runs.length});
-				outputs.push(...runs.map(run => restartEvent({
+				// At most one run of a task can still be running there; an earlier one has an unsaved end.
+				const lastRuns = new Map([...runs].sort((left, right) => left.run - right.run).map(run => [run.taskId, run]));
+				outputs.push(...[...lastRuns.values()].map(run => restartEvent({
 					kind: 'run-suspected', pool, endpointId, ...run,
 				})));
 			}
@@ -159,6 +161,7 @@
 		phase: context.now > previousLeaseExpiresAt ? 'expired' : 'new',
 		startedAt: undefined,
 		answeredSince: Number.POSITIVE_INFINITY,
+		isRestartListed: false,
 		clockMs: undefined,
 		clockReadAt: 0,
 		leaseDeadlineMs: 0,
@@ -209,15 +212,18 @@
 
 		const endpoint = supervision.endpoints.get(listed.id);
 		if (endpoint?.pool !== listed.pool) {
+			// The pool of a process never changes, so this is another one.
+			outputs.push(...(endpoint === undefined ? [] : dropRuns(endpoint, 'endpoint-restarted')));
 			supervision.endpoints.set(listed.id, createSupervisedEndpoint(listed, pool, context));
 			continue;
 		}
 
 		endpoint.address = listed.address;
-		if (endpoint.startedAt !== undefined && listed.startedAt > endpoint.startedAt) {
-			// The endpoint has restarted under the same id: none of its previous runs is left.
-			outputs.push(emitLog('warn', 'endpoint restarted', {endpoint: endpoint.id, bornAt: listed.startedAt, before: endpoint.startedAt}), ...dropRuns(endpoint, 'endpoint-restarted'));
-			supervision.endpoints.set(listed.id, createSupervisedEndpoint(listed, pool, context));
+		if (endpoint.startedAt !== undefined && listed.startedAt > endpoint.startedAt && !endpoint.isRestartListed) {
+			// Its answer tells which runs are left: a start that was on its way may have reached the new process.
+			endpoint.isRestartListed = true;
+			endpoint.isPollPending = false;
+			endpoint.nextPollAt = context.now;
 		}
 	}
 
--- a/packages/jobs/src/supervision/supervision-state.ts
+++ b/packages/jobs/src/supervision/supervision-state.ts
@@ -29,7 +29,7 @@
 	/** The endpoint's clock when the start was sent, as estimated, or when the run was adopted; undefined for a suspected run. */
 	readonly startedClockMs: number | undefined;
 	/** Deadline of the start on the endpoint's clock. The endpoint refuses the start as late afterwards. */
-	readonly startDeadlineMs: number;
+	startDeadlineMs: number;
 	/** The endpoint's clock when it confirmed the run; undefined before that. */
 	confirmedClockMs: number | undefined;
 	percent: number;
@@ -75,14 +75,16 @@
 	startedAt: number | undefined;
 	/** When that process answered under the current token for the first time, in monotonic ms. */
 	answeredSince: number;
+	/** Whether the directory lists a later process of the endpoint that has not answered yet. */
+	isRestartListed: boolean;
 	/** The endpoint's clock as last read, at `clockReadAt`. */
 	clockMs: number | undefined;
 	/** Monotonic ms of this entry at which the endpoint's clock was at least `clockMs`. */
 	clockReadAt: number;
 	/** Latest deadline sent with any order, on the endpoint's clock. */
 	leaseDeadlineMs: number;
-	/** Monotonic ms after which every lease granted by a previous owner has expired; the only known limit until the endpoint has answered. */
-	readonly previousLeaseExpiresAt: number;
+	/** Monotonic ms after which every lease has expired that was granted by a previous owner, or for an order to a process before a restart; the only known limit until the endpoint has answered. */
+	previousLeaseExpiresAt: number;
 	/** Number of the last end that was processed. */
 	lastProcessedEnd: number;
 	/** Runs whose ends are processed and not saved in the store, by number of the end. */
--- a/packages/jobs/src/testing.test-support.ts
+++ b/packages/jobs/src/testing.test-support.ts
@@ -61,7 +61,7 @@
 /** Lets the state hold the claim on a pool, confirmed by the store at the given time in ms. @internal */
 export function holdTestClaim({authority}: Pick<JobsState, 'authority'>, pool: string, confirmedAtMs: number): void {
 	authority.heldClaims.set(`pool/${pool}`, {
-		token: 1, confirmedAt: {now: confirmedAtMs, wallTime: confirmedAtMs}, confirmationRequestedAt: undefined, loadRetryAt: undefined,
+		token: 1, confirmedAt: {now: confirmedAtMs, wallTime: confirmedAtMs}, confirmationRequestedAt: undefined, isLoaded: true, loadRetryAt: undefined,
 	});
 }
 
@@ -112,6 +112,7 @@
 		phase: 'answering',
 		startedAt: 0,
 		answeredSince: 0,
+		isRestartListed: false,
 		clockMs: 0,
 		clockReadAt: 0,
 		leaseDeadlineMs: 0,
