Save the roster again while listed endpoints are out of use

Cause: endpoints that a save leaves out are out of use from its beginning. After a conflict, or an evacuation that is withdrawn right after the load, the wanted roster equals the known one, so nothing was saved and they stayed out (LOST).

Change: a roster is saved as long as it names endpoints that are not in use.

Tests: 'a roster whose save conflicted' in save-progress.test.ts and 'right after the load' in withdrawn-evacuation.test.ts failed before.

--- a/packages/jobs/src/ledger/save-progress.ts
+++ b/packages/jobs/src/ledger/save-progress.ts
@@ -24,8 +24,7 @@
 /** Saves unsaved changes. A job is in one save at a time, as the next one needs the revision of its record. @internal */
 export function saveProgress(pool: PoolLedger, roster: Roster | undefined, context: DecisionContext): JobOutput[] {
 	const isRosterPending = [...pool.pendingSaves.values()].some(save => save.roster !== undefined);
-	// After an unanswered save the roster in the store may be either one.
-	const isRosterOutdated = roster !== undefined && !isRosterPending && (pool.isRosterSaveUnknown || JSON.stringify(roster) !== JSON.stringify(pool.savedRoster));
+	const isRosterOutdated = roster !== undefined && !isRosterPending && isSaveNeeded(pool, roster);
 	if (pool.pendingSaves.size >= maxPendingSaves || context.now < pool.saveRetryAt || (pool.unsavedJobs.size === 0 && !isRosterOutdated)) {
 		return [];
 	}
@@ -51,6 +50,13 @@
 	return outputs;
 }
 
+/** Whether a roster is to be saved: it differs from the one in the store, that one is not known after an unanswered save, or endpoints were left out while a save without them was under way. */
+function isSaveNeeded(pool: PoolLedger, roster: Roster): boolean {
+	return pool.isRosterSaveUnknown
+		|| JSON.stringify(roster) !== JSON.stringify(pool.savedRoster)
+		|| roster.endpointIds.some(id => !pool.rosterEndpointIds.has(id));
+}
+
 function startSave(pool: PoolLedger, jobs: readonly Job[], roster: Roster | undefined): JobOutput {
 	const saveId = pool.nextSaveId;
 	pool.nextSaveId += 1;
