Load a pool once under a claim, and renew its confirmation by a read

Cause: if the inbox watch lost its history during a load, a second load ran, and the later one could replace progress that was recorded meanwhile; a job that the load left out, as its progress cannot be decoded, came back as a new one at the next listing. A store that refuses writes and answers reads confirmed nothing, so that the owner's orders ended after 8.5 s.

Change: only the last load is published, and a loaded pool is not loaded again under its claim; jobs that were left out stay out; a confirmation older than 2.5 s is renewed by a read of the claim's record, also after a pause.

--- a/packages/entry/src/jobs/follow-pool.ts
+++ b/packages/entry/src/jobs/follow-pool.ts
@@ -12,6 +12,10 @@
 	const inboxPrefix = recordKeys.getInboxPrefix(pool);
 	let isLoaded = false;
 	let itemsBeforeLoad: StoreItem[] = [];
+	/** Number of loads begun; only the last one counts. */
+	let loadCount = 0;
+	/** Jobs left out of the load. They must not be taken for new ones later. */
+	const ignoredJobIds = new Set<string>();
 	const jobPrefix = recordKeys.getJobKey(pool, '');
 	const cancelPrefix = recordKeys.getCancelKey(pool, '');
 	const decoders: RecordDecoder[] = [
@@ -19,7 +23,7 @@
 			prefix: jobPrefix,
 			decode(item) {
 				const job = decodeRecord('job', item);
-				return job === undefined ? undefined : {kind: 'job-recorded', stored: createStoredJob(job, item.revision)};
+				return job === undefined || ignoredJobIds.has(job.id) ? undefined : {kind: 'job-recorded', stored: createStoredJob(job, item.revision)};
 			},
 		},
 		{
@@ -38,6 +42,8 @@
 	}
 
 	async function loadPool(items: readonly StoreItem[]): Promise<void> {
+		loadCount += 1;
+		const load = loadCount;
 		// This entry holds the claim, so nobody else changes these records; jobs that arrive after the inbox was listed still have their initial progress.
 		const evacuatedPrefix = recordKeys.getEvacuatedPoolPrefix(pool);
 		const [stateRange, {items: evacuated}, reportItem] = await Promise.all([
@@ -62,6 +68,7 @@
 			const record = progressItem === undefined ? undefined : decodeRecord('progress', progressItem);
 			if (progressItem !== undefined && record === undefined) {
 				// Without its progress, tasks of the job that have run would run again.
+				ignoredJobIds.add(job.id);
 				context.log('error', 'job ignored, as its progress cannot be decoded', {key: progressItem.key, revision: progressItem.revision});
 				continue;
 			}
@@ -83,6 +90,10 @@
 			throw new Error(`the roster cannot be decoded: ${rosterItem.key}, revision ${rosterItem.revision}`);
 		}
 
+		if (load !== loadCount) {
+			return;
+		}
+
 		context.pushEvent({
 			kind: 'pool-read',
 			pool,
--- a/packages/jobs/src/authority/authority-filter.ts
+++ b/packages/jobs/src/authority/authority-filter.ts
@@ -10,6 +10,8 @@
 import {type AuthorityState} from './authority-state.js';
 import {delayClaimRequest, requestVacantClaims} from './request-claims.js';
 
+/** Age from which a confirmation is renewed by a read of the claim's record; the owner of a pool writes a report each second. */
+const confirmationMaxAgeMs = 2500;
 /** An unanswered request for a confirmation is repeated after this time. */
 const confirmationRetryMs = 250;
 /** Delay before records of a pool that could not be read are read again. */
@@ -27,7 +29,7 @@
 export const authorityFilter: JobFilter<State> = {
 	name: 'authority',
 	handlers: {
-		tick: ({authority}, _event, context) => [...requestVacantClaims(authority, context), ...retryLoads(authority, context)],
+		tick: (state, _event, context) => [...requestVacantClaims(state.authority, context), ...retryLoads(state.authority, context), ...renewConfirmations(state, context)],
 		'configuration-changed'({authority}, {configuration}) {
 			const pools = new Set([...configuration.pools.map(pool => pool.name), ...configuration.queues.map(queue => queue.pool)]);
 			authority.claimNames = [fleetClaim, ...[...pools].map(pool => `${poolClaimPrefix}${pool}`)];
@@ -98,8 +100,13 @@
 			return authority.heldClaims.get(name)?.token === token ? dropClaim(authority, name, 'another entry has claimed it') : [];
 		},
 		'pool-read'({authority}, event) {
-			const isCurrent = authority.heldClaims.get(`${poolClaimPrefix}${event.pool}`)?.token === event.token;
-			return isCurrent ? [passEvent({...event, kind: 'pool-loaded'})] : [];
+			const heldClaim = authority.heldClaims.get(`${poolClaimPrefix}${event.pool}`);
+			if (heldClaim?.token !== event.token || heldClaim.isLoaded) {
+				return [];
+			}
+
+			heldClaim.isLoaded = true;
+			return [passEvent({...event, kind: 'pool-loaded'})];
 		},
 		'pool-load-failed'({authority}, {pool, token}, context) {
 			const heldClaim = authority.heldClaims.get(`${poolClaimPrefix}${pool}`);
@@ -152,6 +159,13 @@
 	return outputs;
 }
 
+/** Requests confirmations of claims that no write has confirmed for some time, as when the store refuses writes, or since a pause. */
+function renewConfirmations(state: State, context: DecisionContext): JobOutput[] {
+	return [...state.authority.heldClaims]
+		.filter(([name, {confirmedAt}]) => name !== fleetClaim && context.now > (confirmedAt?.now ?? Number.NEGATIVE_INFINITY) + confirmationMaxAgeMs)
+		.flatMap(([name]) => requestConfirmation(state, {kind: 'claim-confirmation-due', pool: getClaimedPool(name)}, context));
+}
+
 function requestConfirmation({authority}: State, {pool}: JobEventOf<'claim-confirmation-due'>, context: DecisionContext): JobOutput[] {
 	const name = `${poolClaimPrefix}${pool}`;
 	const heldClaim = authority.heldClaims.get(name);
@@ -189,7 +203,7 @@
 	}
 
 	authority.heldClaims.set(name, {
-		token, confirmedAt: undefined, confirmationRequestedAt: undefined, loadRetryAt: undefined,
+		token, confirmedAt: undefined, confirmationRequestedAt: undefined, isLoaded: false, loadRetryAt: undefined,
 	});
 	return [
 		...lost,
--- a/packages/jobs/src/authority/authority-state.ts
+++ b/packages/jobs/src/authority/authority-state.ts
@@ -7,6 +7,8 @@
 	confirmedAt: Clocks | undefined;
 	/** When a confirmation was requested for a decision that waits for it, in monotonic ms; undefined if none waits. */
 	confirmationRequestedAt: number | undefined;
+	/** Whether the pool's records have been loaded. Another load under the same claim would undo what was recorded since. */
+	isLoaded: boolean;
 	/** When loading the pool's records is retried after a failure, in monotonic ms; undefined if none is due. */
 	loadRetryAt: number | undefined;
 };
