--- a/packages/jobs/src/supervision/check-endpoint.ts
+++ b/packages/jobs/src/supervision/check-endpoint.ts
@@ -38,19 +38,8 @@
 		}
 	}
 
-	const isReportDue = endpoint.silentSince === undefined || context.now > endpoint.silentSince + silentReportDelayMs;
-	// A task whose end is not saved would be started again by the next owner, and the endpoint may list the end later.
-	const unsettled = [
-		...[...endpoint.runs.values()].map(({taskId, run}) => ({taskId, run})),
-		...[...endpoint.unsavedEnds.values()].filter(({taskId}) => !endpoint.runs.has(taskId)),
-	];
-	if (endpoint.phase !== 'answering' && endpoint.areRunsKnown && isReportDue && endpoint.reportedRunCount !== unsettled.length) {
-		endpoint.reportedRunCount = unsettled.length;
-		outputs.push(emitLog('info', 'runs on silent endpoint recorded', {
-			endpoint: endpoint.id, pool: endpoint.pool, token: endpoint.token, runs: endpoint.runs.size, unsavedEnds: endpoint.unsavedEnds.size,
-		}), passEvent({
-			kind: 'endpoint-silent', pool: endpoint.pool, endpointId: endpoint.id, runs: unsettled,
-		}));
+	if (endpoint.phase !== 'answering' && endpoint.areRunsKnown) {
+		outputs.push(...recordSilence(endpoint, context));
 	}
 
 	if (!endpoint.isPollPending && context.now >= endpoint.nextPollAt && endpoint.address !== '') {
@@ -60,6 +49,29 @@
 	return outputs;
 }
 
+/** Records the runs of an endpoint that has been silent for some time, and again when they change. */
+function recordSilence(endpoint: SupervisedEndpoint, {now}: DecisionContext): JobOutput[] {
+	// A task whose end is not saved would be started again by the next owner, and the endpoint may list the end later.
+	const unsettled = [
+		...[...endpoint.runs.values()].map(({taskId, run}) => ({taskId, run})),
+		...[...endpoint.unsavedEnds.values()].filter(({taskId}) => !endpoint.runs.has(taskId)),
+	];
+	const isDue = endpoint.silentSince === undefined || now > endpoint.silentSince + silentReportDelayMs;
+	if (!isDue || endpoint.reportedRunCount === unsettled.length) {
+		return [];
+	}
+
+	endpoint.reportedRunCount = unsettled.length;
+	return [
+		emitLog('info', 'runs on silent endpoint recorded', {
+			endpoint: endpoint.id, pool: endpoint.pool, token: endpoint.token, runs: endpoint.runs.size, unsavedEnds: endpoint.unsavedEnds.size,
+		}),
+		passEvent({
+			kind: 'endpoint-silent', pool: endpoint.pool, endpointId: endpoint.id, runs: unsettled,
+		}),
+	];
+}
+
 function removeEndpoint(supervision: SupervisionState, endpoint: SupervisedEndpoint): JobOutput[] {
 	supervision.endpoints.delete(endpoint.id);
 	return [
