Keep what a previous owner did of an occurrence that is not due yet

Callers saw a task of a timed job run twice: an owner whose clock is ahead starts an occurrence; the next owner has not created it, acknowledges its end without keeping it, and starts the task again when it is due by its own clock.

Cause: steps of an occurrence existed only from its due time by the clock of the present owner, so whatever endpoints or records said of it before had nothing to be noted on. The same cause on four related paths: a run that is listed was stopped as unwanted; a run that is recorded for a silent endpoint was ignored, so that the task could start beside it; the saved marks of such an occurrence were dropped with the next save; and a job whose last occurrence was done before it was due never ended.

Change: an end, a run or a saved mark creates the steps of its occurrence. They are ready only once the occurrence is due by this entry's clock, so nothing is started early, and a job ends when its last occurrence becomes due with all tasks done.

--- a/packages/jobs/src/ledger/apply-end.ts
+++ b/packages/jobs/src/ledger/apply-end.ts
@@ -90,7 +90,12 @@
 	}
 
 	markUnsaved(pool, step.job, context.now);
-	return isComplete(step.job) ? [...outputs, ...endJob(pool, step.job, 'done', context)] : outputs;
+	return [...outputs, ...endCompleteJob(pool, step.job, context)];
+}
+
+/** Ends a job if all its tasks are done. @internal */
+export function endCompleteJob(pool: PoolLedger, job: Job, context: DecisionContext): JobOutput[] {
+	return isComplete(job) ? endJob(pool, job, 'done', context) : [];
 }
 
 function recordFailure(pool: PoolLedger, task: Task, end: ReportedEnd, context: DecisionContext): JobOutput[] {
--- a/packages/jobs/src/ledger/ledger-filter.ts
+++ b/packages/jobs/src/ledger/ledger-filter.ts
@@ -6,11 +6,15 @@
 import {
 	type JobEventOf, type Roster, type StepSpec, type StoredJob,
 } from '../model/index.js';
-import {applyEnd, endJob, markUnsaved} from './apply-end.js';
 import {
-	createPoolLedger, findTask, isActive, type LedgerState, type PoolLedger,
+	applyEnd, endCompleteJob, endJob, markUnsaved,
+} from './apply-end.js';
+import {
+	createPoolLedger, findTask, isActive, type LedgerState, type PoolLedger, type Task,
 } from './ledger-state.js';
-import {createOccurrences, markTakenOver, restoreJob} from './restore-job.js';
+import {
+	createOccurrences, createReportedOccurrence, markTakenOver, restoreJob,
+} from './restore-job.js';
 import {handleSaveResult, saveProgress} from './save-progress.js';
 
 /** How long an ended job is kept: callers may query it for 120 s, plus 30 s for clock differences and late retries. */
@@ -57,6 +61,10 @@
 				? []
 				: [...endJob(pool, job, 'cancelled', context), ...saveIfUrgent(pool, context), passEvent({kind: 'placement-due', pool: name})];
 		},
+		'occurrence-reported'({ledger}, {pool, taskId}, context) {
+			findReportedTask(ledger.pools.get(pool), taskId, context);
+			return [];
+		},
 		'task-placed': recordRun,
 		'run-adopted': recordRun,
 		'run-confirmed': recordBegin,
@@ -143,9 +151,17 @@
 		markTakenOver(job, token);
 	}
 
-	return [emitLog('info', 'records of pool loaded', {
-		pool: name, token, jobs: pool.jobs.size, active: pool.activeJobs.size, roster: roster.endpointIds.length, silent: pool.silentRuns.size,
-	})];
+	for (const {taskId} of Object.values(roster.silentRuns ?? {}).flat()) {
+		findReportedTask(pool, taskId, context);
+	}
+
+	return [
+		emitLog('info', 'records of pool loaded', {
+			pool: name, token, jobs: pool.jobs.size, active: pool.activeJobs.size, roster: roster.endpointIds.length, silent: pool.silentRuns.size,
+		}),
+		// A previous owner does not end a job whose last occurrence was completed before it was due by its clock.
+		...[...pool.activeJobs].flatMap(job => endCompleteJob(pool, job, context)),
+	];
 }
 
 function addJob(pool: PoolLedger | undefined, stored: StoredJob, context: DecisionContext): JobOutput[] {
@@ -215,7 +231,7 @@
 	pool: name, endpointId, endpointStartedAt, end,
 }: JobEventOf<'run-ended'>, context: DecisionContext): JobOutput[] {
 	const pool = ledger.pools.get(name);
-	const task = findTask(pool, end.taskId);
+	const task = findReportedTask(pool, end.taskId, context);
 	if (pool === undefined || task === undefined) {
 		// The job has ended or is unknown, so there is nothing to save.
 		return [restartEvent({
@@ -240,18 +256,32 @@
 	return [...outputs, ...saveIfUrgent(pool, context), passEvent({kind: 'placement-due', pool: name})];
 }
 
+/** Finds a task that an endpoint reports a run or an end of; its occurrence is created if it is not due yet by this entry's clock. */
+function findReportedTask(pool: PoolLedger | undefined, taskId: string, context: DecisionContext): Task | undefined {
+	const [jobId = '', occurrence] = taskId.split('.');
+	const job = pool?.jobs.get(jobId);
+	if (job !== undefined) {
+		createReportedOccurrence(job, Number(occurrence), context);
+	}
+
+	return findTask(pool, taskId);
+}
+
 /** Saves at once if callers wait for a change; other changes are saved on the next tick. */
 function saveIfUrgent(pool: PoolLedger, context: DecisionContext): JobOutput[] {
 	return pool.isSaveUrgent ? saveProgress(pool, undefined, context) : [];
 }
 
 function createDueOccurrences(pool: PoolLedger, context: DecisionContext): JobOutput[] {
-	let isDue = false;
+	const outputs: JobOutput[] = [];
 	for (const job of pool.activeJobs) {
-		isDue = createOccurrences(job, context) || isDue;
+		if (createOccurrences(job, context)) {
+			// A previous owner whose clock was ahead may have completed the last one.
+			outputs.push(...endCompleteJob(pool, job, context), passEvent({kind: 'placement-due', pool: pool.pool}));
+		}
 	}
 
-	return isDue ? [passEvent({kind: 'placement-due', pool: pool.pool})] : [];
+	return outputs;
 }
 
 /** Creates the roster of endpoints that may run tasks: those listed for the pool, and those on the saved roster unless it is certain that they run nothing. */
--- a/packages/jobs/src/ledger/ledger-state.ts
+++ b/packages/jobs/src/ledger/ledger-state.ts
@@ -42,7 +42,7 @@
 	revision: number;
 	/** By `occurrence.step`. */
 	steps: Map<string, Step>;
-	/** Number of occurrences whose steps have been created. */
+	/** Number of occurrences that have become due by this entry's clock. Steps of others are created only if a previous owner has started them. */
 	createdOccurrences: number;
 	lastRun: number;
 	/** Progress as read from the store, from which steps are restored. */
@@ -144,9 +144,9 @@
 	return job.status === 'queued' || job.status === 'running';
 }
 
-/** Whether all steps that a step depends on are done. @public */
+/** Whether a step is due and all steps that it depends on are done. @public */
 export function isStepReady(step: Step): boolean {
-	return step.spec.after.every(index => {
+	return step.occurrence < step.job.createdOccurrences && step.spec.after.every(index => {
 		const before = step.job.steps.get(`${step.occurrence}.${index}`);
 		return before !== undefined && before.doneCount === before.tasks.length;
 	});
--- a/packages/jobs/src/ledger/restore-job.ts
+++ b/packages/jobs/src/ledger/restore-job.ts
@@ -34,6 +34,11 @@
 	}
 
 	createOccurrences(job, times);
+	for (const key of [...Object.keys(progress.steps), ...Object.keys(progress.failedRuns ?? {})]) {
+		// A previous owner whose clock was ahead has saved it. The next save would drop it with its occurrence.
+		createReportedOccurrence(job, Number(key.split('.', 1)[0]), times);
+	}
+
 	return job;
 }
 
@@ -60,7 +65,10 @@
 	const isDue = () => isActive(job) && job.createdOccurrences < getOccurrenceCount(job) && wallTime >= getDueAt(job, job.createdOccurrences);
 	let openTaskCount = isDue() ? countOpenTasks(job) : 0;
 	while (isDue() && openTaskCount < maxOpenTasks) {
-		createOccurrence(job, job.createdOccurrences, now);
+		if (!job.steps.has(`${job.createdOccurrences}.0`)) {
+			createOccurrence(job, job.createdOccurrences, now);
+		}
+
 		job.createdOccurrences += 1;
 		openTaskCount += job.record.spec.steps.reduce((sum, step) => sum + step.count, 0);
 	}
@@ -68,6 +76,17 @@
 	return job.createdOccurrences > countBefore;
 }
 
+/**
+Creates the steps of an occurrence that a previous owner has started and that is not due yet by this entry's clock. Its tasks are not started before it is due.
+
+@internal
+*/
+export function createReportedOccurrence(job: Job, occurrence: number, {now}: {readonly now: number}): void {
+	if (isActive(job) && occurrence < getOccurrenceCount(job) && !job.steps.has(`${occurrence}.0`)) {
+		createOccurrence(job, occurrence, now);
+	}
+}
+
 function countOpenTasks(job: Job): number {
 	let count = 0;
 	for (const step of job.steps.values()) {
--- a/packages/jobs/src/model/events.ts
+++ b/packages/jobs/src/model/events.ts
@@ -164,6 +164,8 @@
 	| {readonly kind: 'run-confirmed'; readonly pool: string; readonly taskId: string}
 	/** A run that a previous owner started. */
 	| {readonly kind: 'run-adopted'; readonly pool: string; readonly taskId: string; readonly run: number; readonly endpointId: string}
+	/** An endpoint lists a run of an occurrence that is not due yet by this entry's clock. */
+	| {readonly kind: 'occurrence-reported'; readonly pool: string; readonly taskId: string}
 	/** `wasExpected`: supervision knew the run; `tookMs` is 0 otherwise. */
 	| {readonly kind: 'run-ended'; readonly pool: string; readonly endpointId: string; readonly endpointStartedAt: number; readonly end: ReportedEnd; readonly wasExpected: boolean; readonly tookMs: number}
 	/** A run that is certain not to be running, and whose end the endpoint will not list. */
--- a/packages/jobs/src/supervision/apply-poll-answer.ts
+++ b/packages/jobs/src/supervision/apply-poll-answer.ts
@@ -154,17 +154,13 @@
 		return updateRun(endpoint, run, report, context);
 	}
 
-	const ledger = state.ledger.pools.get(endpoint.pool);
-	const jobId = report.taskId.split('.', 1)[0]!;
-	const firstSeenAt = endpoint.unknownRunsSeenAt.get(report.taskId) ?? context.now;
-	const isUnknown = ledger?.jobs.has(jobId) !== true && ledger?.endedJobs.has(jobId) !== true;
-	if (isUnknown && context.now < Math.max(firstSeenAt, pool.acquiredAt) + unknownRunGraceMs) {
-		endpoint.unknownRunsSeenAt.set(report.taskId, firstSeenAt);
-		return [];
+	const deferred = deferUnknownRun(state, pool, endpoint, report, context);
+	if (deferred !== undefined) {
+		return deferred;
 	}
 
 	endpoint.unknownRunsSeenAt.delete(report.taskId);
-	const task = findTask(ledger, report.taskId);
+	const task = findTask(state.ledger.pools.get(endpoint.pool), report.taskId);
 	const isReplaceable = run === undefined || (run.isSuspected && run.run < report.run);
 	if (task !== undefined && isActive(task.step.job) && !task.isDone && isReplaceable) {
 		const superseded = findSupersededRuns(state, task, report.run);
@@ -187,6 +183,26 @@
 	];
 }
 
+/** Leaves a listed run alone for now whose job or occurrence this entry does not know yet. @returns Undefined if the run is to be decided on now. */
+function deferUnknownRun({ledger}: State, pool: SupervisedPool, endpoint: SupervisedEndpoint, {taskId}: ReportedRun, {now}: DecisionContext): JobOutput[] | undefined {
+	const poolLedger = ledger.pools.get(endpoint.pool);
+	const jobId = taskId.split('.', 1)[0]!;
+	const job = poolLedger?.jobs.get(jobId);
+	const firstSeenAt = endpoint.unknownRunsSeenAt.get(taskId);
+	if (job === undefined && poolLedger?.endedJobs.has(jobId) !== true && now < Math.max(firstSeenAt ?? now, pool.acquiredAt) + unknownRunGraceMs) {
+		endpoint.unknownRunsSeenAt.set(taskId, firstSeenAt ?? now);
+		return [];
+	}
+
+	if (job !== undefined && isActive(job) && findTask(poolLedger, taskId) === undefined && firstSeenAt === undefined) {
+		// A previous owner whose clock was ahead may have started an occurrence that is not due yet by this entry's clock.
+		endpoint.unknownRunsSeenAt.set(taskId, now);
+		return [passEvent({kind: 'occurrence-reported', pool: endpoint.pool, taskId})];
+	}
+
+	return undefined;
+}
+
 /** Finds the suspected runs of a task that a listed run supersedes: the listed one has a higher number, so it was started after they were gone. */
 function findSupersededRuns({supervision}: State, task: Task, laterRun: number): Array<{readonly endpoint: SupervisedEndpoint; readonly run: Run}> {
 	const superseded: Array<{readonly endpoint: SupervisedEndpoint; readonly run: Run}> = [];
