Count the longer lease of a restarted endpoint across a takeover

Callers could see a task run twice: an endpoint starts again under its id, and an order for its former process, whose clock was ahead, grants the new one a lease of up to 10 s. The owner that sees the restart counts that lease; the next owner waits 8.92 s and starts the task elsewhere.

Change: an owner starts tasks on a restarted endpoint only once the claim was confirmed 1.53 s after the last order that can have granted such a lease, so that the wait of any later owner covers it. An endpoint that was silent for over 2.3 s is used at once, as silent endpoints get no deadlines. A new owner that may not have seen a restart counts 10 s from the endpoint's first answer within its wait.

Considered: a wait of 10.45 s for all takeovers, which would hold back every task on a rack that is lost together with its owner.

--- a/packages/jobs/src/placement/placement-filter.ts
+++ b/packages/jobs/src/placement/placement-filter.ts
@@ -92,11 +92,12 @@
 	const confirmedAt = getConfirmedAt(state, poolName);
 	const candidates = listCandidates(state, pool, context);
 	// A restarted endpoint has forgotten the token of a later owner. Only a confirmation since then tells that there is none.
-	const usable = candidates.filter(({endpoint}) => state.supervision.endpoints.get(endpoint.id)!.answeredSince <= confirmedAt);
+	const getStartableSince = ({endpoint}: Candidate) => state.supervision.endpoints.get(endpoint.id)!.startableSince;
+	const usable = candidates.filter(candidate => getStartableSince(candidate) <= confirmedAt);
 	// A job that was stored after another entry had claimed the pool is not held back there by a survey of this entry's endpoints.
 	const confirmed = waiting.filter(job => job.firstSeenAt <= confirmedAt);
 	const outputs: JobOutput[] = [];
-	if (usable.length < candidates.length || (confirmed.length < waiting.length && candidates.length > 0)) {
+	if (candidates.some(candidate => getStartableSince(candidate) > confirmedAt && getStartableSince(candidate) <= context.now) || (confirmed.length < waiting.length && candidates.length > 0)) {
 		outputs.push(restartEvent({kind: 'claim-confirmation-due', pool: poolName}));
 	}
 
--- a/packages/jobs/src/supervision/apply-poll-answer.ts
+++ b/packages/jobs/src/supervision/apply-poll-answer.ts
@@ -7,7 +7,7 @@
 import {
 	type JobEventOf, type ReportedEnd, type ReportedRun, type RunDropReason,
 } from '../model/index.js';
-import {getRestartedLeaseExpiry} from './lease-clock.js';
+import {getRestartedLeaseExpiry, getRestartedStartTime, startValidityMs} from './lease-clock.js';
 import {getOrderTarget} from './poll-endpoint.js';
 import {
 	addRun, createRun, removeRun, type Run, type SupervisedEndpoint, type SupervisedPool, type SupervisionState,
@@ -42,9 +42,7 @@
 	}
 
 	if (endpoint.startedAt !== answer.startedAt) {
-		endpoint.startedAt = answer.startedAt;
-		endpoint.isRestartListed = false;
-		endpoint.answeredSince = context.now;
+		acceptProcess(endpoint, answer.startedAt, context);
 	}
 
 	if (endpoint.clockMs === undefined || answer.clockMs >= endpoint.clockMs) {
@@ -96,6 +94,21 @@
 	return outputs;
 }
 
+/** Records which process of an endpoint answers. It may have been granted a lease by an order that was meant for a process before it. */
+function acceptProcess(endpoint: SupervisedEndpoint, startedAt: number, {now}: DecisionContext): void {
+	const isFirst = endpoint.startedAt === undefined;
+	if (isFirst && now < endpoint.previousLeaseExpiresAt) {
+		// The previous owner may not have noticed a restart.
+		endpoint.previousLeaseExpiresAt = getRestartedLeaseExpiry(now);
+	}
+
+	endpoint.startedAt = startedAt;
+	endpoint.isRestartListed = false;
+	// No order with a deadline is sent to a silent endpoint, and a start that was sent before is given up once it is no longer valid.
+	const lastGrantAt = Math.min(now, (endpoint.silentSince ?? now) + startValidityMs);
+	endpoint.startableSince = isFirst ? now : Math.max(now, getRestartedStartTime(lastGrantAt));
+}
+
 /** Drops a run once it is certain that it is not running. @internal */
 export function dropRun(endpoint: SupervisedEndpoint, run: Run, reason: RunDropReason): JobOutput[] {
 	removeRun(endpoint, run.taskId);
--- a/packages/jobs/src/supervision/lease-clock.ts
+++ b/packages/jobs/src/supervision/lease-clock.ts
@@ -43,3 +43,8 @@
 export function getRestartedLeaseExpiry(now: number): number {
 	return now + (maxLeaseMs * slowClockFactor) + expirySlackMs;
 }
+
+/** Returns the time from which the claim has to be confirmed before a task is started on an endpoint that has restarted: a next owner that loads the pool later waits beyond every lease that the endpoint was granted until `lastGrantAt`. @internal */
+export function getRestartedStartTime(lastGrantAt: number): number {
+	return lastGrantAt + getRestartedLeaseExpiry(0) - getPreviousLeaseExpiry(0);
+}
--- a/packages/jobs/src/supervision/supervision-filter.ts
+++ b/packages/jobs/src/supervision/supervision-filter.ts
@@ -160,7 +160,7 @@
 		isListed: address !== '',
 		phase: context.now > previousLeaseExpiresAt ? 'expired' : 'new',
 		startedAt: undefined,
-		answeredSince: Number.POSITIVE_INFINITY,
+		startableSince: Number.POSITIVE_INFINITY,
 		isRestartListed: false,
 		clockMs: undefined,
 		clockReadAt: 0,
--- a/packages/jobs/src/supervision/supervision-state.ts
+++ b/packages/jobs/src/supervision/supervision-state.ts
@@ -73,8 +73,8 @@
 	phase: SupervisionPhase;
 	/** Unix ms at which the process of the endpoint started; undefined until it has answered. */
 	startedAt: number | undefined;
-	/** When that process answered under the current token for the first time, in monotonic ms. */
-	answeredSince: number;
+	/** Tasks are started there only once the claim was confirmed by a call sent after this time, in monotonic ms: the first answer of that process, or later if the endpoint has restarted. */
+	startableSince: number;
 	/** Whether the directory lists a later process of the endpoint that has not answered yet. */
 	isRestartListed: boolean;
 	/** The endpoint's clock as last read, at `clockReadAt`. */
--- a/packages/jobs/src/testing.test-support.ts
+++ b/packages/jobs/src/testing.test-support.ts
@@ -111,7 +111,7 @@
 		isListed: true,
 		phase: 'answering',
 		startedAt: 0,
-		answeredSince: 0,
+		startableSince: 0,
 		isRestartListed: false,
 		clockMs: 0,
 		clockReadAt: 0,
