Ask the advice service about every endpoint that may be needed

Cause: advice was requested for the first 30 candidates, which come in the same order each time, and what was said of them was forgotten with the tickets. Endpoints beyond the first 30 were never asked about, nor were those that joined or got room while tickets were valid; allowed endpoints of two calls were never joined, so that a gang spread over them could not start; each step had a call of its own, 50 at once for 50 jobs, where the service handles one at a time and takes 32; and the advice on a step was kept for the life of the owner.

Change: what was said of an endpoint holds until its process restarts; only tickets expire. A step that cannot be started with valid tickets asks for renewals for allowed endpoints with room, or else about endpoints with room of which nothing is known, best first. An entry has at most two calls open, so that they go out in the order of the jobs. Advice goes with its step, and a ticket that an endpoint refuses counts as expired. An answer with odd rows bars nothing. Placing of a step is a file of its own; a gang is chosen on copies and needs no rollback.

Evidence: all 9 cases of step-advice.test.ts fail on (among them calls open at once 50, questions about one barred endpoint 4) and pass now.

--- a/packages/jobs/src/model/events.ts
+++ b/packages/jobs/src/model/events.ts
@@ -147,7 +147,16 @@
 	| {readonly kind: 'start-refused'; readonly endpointId: string; readonly token: number; readonly taskId: string; readonly run: number; readonly refusal: OrderRefusal}
 	| {readonly kind: 'stop-answered'; readonly endpointId: string; readonly token: number; readonly taskId: string; readonly run: number; readonly refusal: OrderRefusal | undefined}
 	| {readonly kind: 'pace-answered'; readonly endpointId: string; readonly token: number; readonly taskId: string; readonly run: number; readonly percent: number; readonly refusal: OrderRefusal | undefined}
-	| {readonly kind: 'advice-answered'; readonly pool: string; readonly stepId: string; readonly tickets: ReadonlyMap<string, string> | undefined; readonly validMs: number};
+	| {
+		readonly kind: 'advice-answered';
+		readonly pool: string;
+		readonly stepId: string;
+		/** By endpoint that may run the step; undefined if the call failed. */
+		readonly tickets: ReadonlyMap<string, string> | undefined;
+		readonly validMs: number;
+		/** Whether all of the answer could be read, so that the other endpoints in the call may not run the step. */
+		readonly isComplete: boolean;
+	};
 
 /** Runs of tasks and the endpoints they run on, exchanged between filters. @public */
 export type RunEvent =
--- a/packages/jobs/src/placement/choose-endpoint.ts
+++ b/packages/jobs/src/placement/choose-endpoint.ts
@@ -52,6 +52,17 @@
 	return best;
 }
 
+/** Lists the candidates that can take a task of a step, the best first. @internal */
+export function listRunnableCandidates(candidates: readonly Candidate[], step: Step): Candidate[] {
+	const taken = getTakenResources(step);
+	const counts = countRunsByEndpoint(step);
+	return candidates
+		.filter(candidate => canRun(candidate, step, taken, counts))
+		.map(candidate => ({candidate, cost: computeCost(candidate, step, taken, counts)}))
+		.sort((left, right) => left.cost - right.cost)
+		.map(({candidate}) => candidate);
+}
+
 /** Takes a task's resources from a candidate, and counts the task as a run there. @internal */
 export function reserveCandidate(candidate: Candidate, step: Step): void {
 	candidate.free = subtractResources(candidate.free, getTakenResources(step));
--- a/packages/jobs/src/placement/placement-filter.ts
+++ b/packages/jobs/src/placement/placement-filter.ts
@@ -2,23 +2,20 @@
 import {getConfirmedAt, getPermittedMs, type AuthorityView} from '../authority/index.js';
 import {type DirectoryView} from '../directory/index.js';
 import {type EvacuationView} from '../evacuation/index.js';
+import {emitCount, type JobFilter, type JobOutput} from '../filter.js';
 import {
-	emitCount, emitLog, type JobFilter, type JobOutput,
-} from '../filter.js';
-import {
-	type Job, type LedgerView, type Step, type Task,
+	findTask, type Job, type LedgerView, type Step,
 } from '../ledger/index.js';
 import {getJobEstimate, type ObservationView} from '../observation/index.js';
 import {startValidityMs, type SupervisionView} from '../supervision/index.js';
-import {applyAdvice} from './apply-advice.js';
-import {
-	addCount, chooseEndpoint, countRunsByEndpoint, reserveCandidate, type Candidate,
-} from './choose-endpoint.js';
+import {type Candidate} from './choose-endpoint.js';
 import {listCandidates} from './list-candidates.js';
 import {
 	listReadySteps, orderJobs, rankJob, type RankedJob,
 } from './order-jobs.js';
+import {isPending, placeGang, placeStep} from './place-step.js';
 import {type PlacementState} from './placement-state.js';
+import {expireTicket, recordAdvice, removeUnusedAdvice} from './step-advice.js';
 
 /** The search ends after the job in which the number of steps with tasks that fit on no endpoint reaches this limit; steps of later jobs are rarely much smaller. */
 const maxUnplacedSteps = 24;
@@ -57,16 +54,21 @@
 			placement.reservedSteps.get(endpointId)?.delete(taskId);
 			return [];
 		},
-		'advice-answered'(state, {pool, stepId, tickets, validMs}, context) {
-			state.placement.adviceRequestedAt.delete(stepId);
-			if (tickets === undefined) {
-				return [];
+		'advice-answered': (state, event, context) => [
+			...recordAdvice(state, event, context),
+			...placeTasks(state, event.pool, context),
+		],
+		'start-refused'(state, {endpointId, taskId, refusal}, context) {
+			const pool = state.supervision.endpoints.get(endpointId)?.pool;
+			const task = pool === undefined ? undefined : findTask(state.ledger.pools.get(pool), taskId);
+			if (refusal === 'no-ticket' && task !== undefined) {
+				expireTicket(state, task.step, endpointId, context);
 			}
 
-			state.placement.advice.set(stepId, {tickets, validUntil: context.now + validMs});
-			return placeTasks(state, pool, context);
+			return [];
 		},
 		tick(state, _event, context) {
+			removeUnusedAdvice(state);
 			const {duePools, searchedAt} = state.placement;
 			return [...state.ledger.pools.keys()]
 				.filter(pool => duePools.has(pool) || context.now >= (searchedAt.get(pool) ?? 0) + maxSearchIntervalMs)
@@ -145,129 +147,3 @@
 
 	return false;
 }
-
-function isPending(task: Task): boolean {
-	return !task.isDone && task.runs.size === 0;
-}
-
-type PlacementResult = {readonly outputs: JobOutput[]; readonly isIncomplete: boolean};
-
-function placeStep(state: State, step: Step, candidates: readonly Candidate[], context: DecisionContext): PlacementResult {
-	const placed: JobOutput[] = [];
-	const advised = applyAdvice(state, step, candidates, context);
-	if (advised.outputs.length > 0) {
-		return {outputs: advised.outputs, isIncomplete: false};
-	}
-
-	const run = step.job.lastRun + 1;
-	const counts = countRunsByEndpoint(step);
-	for (const task of step.tasks) {
-		if (!isPending(task)) {
-			continue;
-		}
-
-		const chosen = chooseEndpoint(advised.candidates, task, counts, state.observation.lastFailedEndpoints.get(task.id));
-		if (chosen === undefined) {
-			return {outputs: placed, isIncomplete: true};
-		}
-
-		addCount(counts, chosen.endpoint.id);
-		placed.push(...placeTask(state, {
-			task, run, chosen, ticket: advised.tickets?.get(chosen.endpoint.id),
-		}, context));
-	}
-
-	return {outputs: placed, isIncomplete: false};
-}
-
-/** Places either all tasks of a gang or none, as they cannot progress without each other. */
-function placeGang(state: State, step: Step, candidates: readonly Candidate[], context: DecisionContext): PlacementResult {
-	if (!step.tasks.every(task => isPending(task))) {
-		return {outputs: [], isIncomplete: false};
-	}
-
-	const advised = applyAdvice(state, step, candidates, context);
-	if (advised.outputs.length > 0) {
-		return {outputs: advised.outputs, isIncomplete: false};
-	}
-
-	for (const group of groupByRack(advised.candidates, step)) {
-		const before = group.map(candidate => ({...candidate}));
-		const run = step.job.lastRun + 1;
-		// All members resume from the same checkpoint; that of any member is valid for the whole gang.
-		const checkpoint = step.tasks.map(task => task.checkpoint).sort().at(-1) ?? '';
-		const placed: JobOutput[] = [];
-		const counts = countRunsByEndpoint(step);
-		for (const task of step.tasks) {
-			const chosen = chooseEndpoint(group, task, counts, undefined);
-			if (chosen === undefined) {
-				break;
-			}
-
-			addCount(counts, chosen.endpoint.id);
-			placed.push(...placeTask(state, {
-				task, run, chosen, ticket: advised.tickets?.get(chosen.endpoint.id), checkpoint,
-			}, context));
-		}
-
-		if (step.tasks.every(task => task.runs.has(run))) {
-			return {outputs: placed, isIncomplete: false};
-		}
-
-		for (const task of step.tasks) {
-			state.placement.reservedSteps.get(task.runs.get(run) ?? '')?.delete(task.id);
-			task.runs.delete(run);
-		}
-
-		for (const [index, candidate] of group.entries()) {
-			Object.assign(candidate, before[index]);
-		}
-	}
-
-	return {outputs: [], isIncomplete: true};
-}
-
-/** Groups the candidates by rack, the rack with the most free CPU first; all candidates together come last. */
-function groupByRack(candidates: readonly Candidate[], step: Step): ReadonlyArray<readonly Candidate[]> {
-	if (!step.spec.isSameRack) {
-		return [candidates];
-	}
-
-	const racks = new Map<string, Candidate[]>();
-	for (const candidate of candidates) {
-		racks.set(candidate.endpoint.rack, [...(racks.get(candidate.endpoint.rack) ?? []), candidate]);
-	}
-
-	const sumFreeMillis = (group: readonly Candidate[]) => group.reduce((sum, candidate) => sum + candidate.free.cpuMillis, 0);
-	return [...[...racks.values()].sort((left, right) => sumFreeMillis(right) - sumFreeMillis(left)), candidates];
-}
-
-function placeTask({placement, authority, supervision}: State, {task, run, chosen, ticket, checkpoint = task.checkpoint}: {
-	readonly task: Task;
-	readonly run: number;
-	readonly chosen: Candidate;
-	readonly ticket: string | undefined;
-	readonly checkpoint?: string;
-}, context: DecisionContext): JobOutput[] {
-	reserveCandidate(chosen, task.step);
-	// Lets the rest of this search count the run; the ledger records it when the event arrives there.
-	task.runs.set(run, chosen.endpoint.id);
-	const reserved = placement.reservedSteps.get(chosen.endpoint.id) ?? new Map<string, Step>();
-	placement.reservedSteps.set(chosen.endpoint.id, reserved.set(task.id, task.step));
-	return [
-		emitLog('info', 'task placed', {
-			job: task.step.job.record.id,
-			task: task.id,
-			run,
-			endpoint: chosen.endpoint.id,
-			freeMillis: chosen.free.cpuMillis,
-			hasCheckpoint: checkpoint !== '',
-			token: supervision.endpoints.get(chosen.endpoint.id)?.token,
-			sessionLeftMs: Math.round(authority.validUntil - context.now),
-			permittedMs: getPermittedMs({authority}, task.step.job.record.pool, context),
-		}),
-		restartEvent({
-			kind: 'task-placed', pool: task.step.job.record.pool, taskId: task.id, run, endpointId: chosen.endpoint.id, checkpoint, ticket,
-		}),
-	];
-}
