Try every waiting step in a search for tasks to start

It needs no trouble: any caller with a wrong label stopped a pool's work, and the logs did not tell why jobs waited.

Cause: the bound on the number of unplaced steps took all later steps for as large as the earlier ones.

Change: a search goes through all jobs. A demand (resources and label) that fits nowhere rules out every step that asks for as much or more; steps that are blocked by their limit, as a gang or by advice are tried ten in a search and otherwise every 250 ms. Jobs that no endpoint could take even without runs are neither ranked nor counted as work that displaces others, and weigh a tenth in the interval of searches. The reasons for which jobs wait are counted, and logged once in 5 s for those that wait for over 3 s.

Evidence: in waiting-jobs.test.ts 5 of the 8 kinds of waiting jobs keep ordinary ones from starting on, the log line is missing, and a job is displaced by work that no endpoint can take; all 17 cases pass now.

--- a/packages/jobs/src/placement/place-step.ts
+++ b/packages/jobs/src/placement/place-step.ts
@@ -7,9 +7,10 @@
 import {
 	addCount, chooseEndpoint, countRunsByEndpoint, listRunnableCandidates, reserveCandidate, type Candidate,
 } from './choose-endpoint.js';
-import {type PlacementState} from './placement-state.js';
+import {recordUnplacedStep, type PlacementSearch} from './placement-search.js';
+import {type PlacementState, type WaitReason} from './placement-state.js';
 import {
-	getTicket, listAllowedCandidates, listTicketedCandidates, requestAdvice,
+	canRequestAdvice, getTicket, listAllowedCandidates, listTicketedCandidates, requestAdvice,
 } from './step-advice.js';
 
 /** Minimum number of endpoints whose tickets are renewed together, so that one that falls silent does not cost another call. */
@@ -17,8 +18,8 @@
 
 type State = {readonly placement: PlacementState} & AuthorityView & SupervisionView & ObservationView;
 
-/** What became of a step in a search for tasks to start. @internal */
-export type PlacementResult = {readonly outputs: JobOutput[]; readonly isIncomplete: boolean};
+/** What became of a step in a search for tasks to start; the reason is that of its tasks that still wait. @internal */
+export type PlacementResult = {readonly outputs: JobOutput[]; readonly waitReason: WaitReason | undefined};
 
 /** Whether a task waits for a start. @internal */
 export function isPending(task: Task): boolean {
@@ -26,7 +27,8 @@
 }
 
 /** Places the pending tasks of a step, as many as the candidates can take. @internal */
-export function placeStep(state: State, step: Step, candidates: readonly Candidate[], context: DecisionContext): PlacementResult {
+export function placeStep(state: State, step: Step, search: PlacementSearch, context: DecisionContext): PlacementResult {
+	const {candidates} = search;
 	const placed: JobOutput[] = [];
 	const ticketed = listTicketedCandidates(state, step, candidates, context);
 	const run = step.job.lastRun + 1;
@@ -38,18 +40,21 @@
 
 		const chosen = chooseEndpoint(ticketed, task, counts, state.observation.lastFailedEndpoints.get(task.id));
 		if (chosen === undefined) {
-			return {outputs: [...placed, ...requestStepAdvice(state, step, candidates, context)], isIncomplete: true};
+			return {
+				outputs: [...placed, ...requestStepAdvice(state, step, candidates, context)],
+				waitReason: recordUnplacedStep(state.placement, search, step, context),
+			};
 		}
 
 		addCount(counts, chosen.endpoint.id);
 		placed.push(...placeTask(state, {task, run, chosen}, context));
 	}
 
-	return {outputs: placed, isIncomplete: false};
+	return {outputs: placed, waitReason: undefined};
 }
 
 function requestStepAdvice(state: State, step: Step, candidates: readonly Candidate[], context: DecisionContext): JobOutput[] {
-	if (step.job.record.advice === undefined) {
+	if (!canRequestAdvice(state, step, context)) {
 		return [];
 	}
 
@@ -59,14 +64,18 @@
 }
 
 /** Places either all tasks of a gang or none, as they cannot progress without each other. @internal */
-export function placeGang(state: State, step: Step, candidates: readonly Candidate[], context: DecisionContext): PlacementResult {
+export function placeGang(state: State, step: Step, search: PlacementSearch, context: DecisionContext): PlacementResult {
+	const {candidates} = search;
 	if (!step.tasks.every(task => isPending(task))) {
-		return {outputs: [], isIncomplete: false};
+		return {outputs: [], waitReason: undefined};
 	}
 
 	const places = chooseGangEndpoints(listTicketedCandidates(state, step, candidates, context), step);
 	if (places === undefined) {
-		return {outputs: requestGangAdvice(state, step, candidates, context), isIncomplete: true};
+		return {
+			outputs: requestGangAdvice(state, step, candidates, context),
+			waitReason: recordUnplacedStep(state.placement, search, step, context),
+		};
 	}
 
 	const run = step.job.lastRun + 1;
@@ -75,12 +84,12 @@
 	const outputs = step.tasks.flatMap((task, index) => placeTask(state, {
 		task, run, chosen: places[index]!, checkpoint,
 	}, context));
-	return {outputs, isIncomplete: false};
+	return {outputs, waitReason: undefined};
 }
 
 /** Requests tickets for all members of a gang at once if its policy is known to allow enough endpoints, so that all are valid together; otherwise asks about others. */
 function requestGangAdvice(state: State, step: Step, candidates: readonly Candidate[], context: DecisionContext): JobOutput[] {
-	if (step.job.record.advice === undefined) {
+	if (!canRequestAdvice(state, step, context)) {
 		return [];
 	}
 
--- a/packages/jobs/src/placement/placement-filter.ts
+++ b/packages/jobs/src/placement/placement-filter.ts
@@ -4,7 +4,7 @@
 import {type EvacuationView} from '../evacuation/index.js';
 import {emitCount, type JobFilter, type JobOutput} from '../filter.js';
 import {
-	findTask, type Job, type LedgerView, type Step,
+	findTask, isStepReady, type Job, type LedgerView, type Step,
 } from '../ledger/index.js';
 import {getJobEstimate, type ObservationView} from '../observation/index.js';
 import {startValidityMs, type SupervisionView} from '../supervision/index.js';
@@ -13,16 +13,23 @@
 import {
 	listReadySteps, orderJobs, rankJob, type RankedJob,
 } from './order-jobs.js';
-import {isPending, placeGang, placeStep} from './place-step.js';
+import {
+	isPending, placeGang, placeStep, type PlacementResult,
+} from './place-step.js';
+import {
+	createPlacementSearch, getKnownWaitReason, isAttainable, recordWaitingJob, reportWaitingJobs, type PlacementSearch,
+} from './placement-search.js';
 import {type PlacementState} from './placement-state.js';
-import {expireTicket, recordAdvice, removeUnusedAdvice} from './step-advice.js';
+import {
+	expireTicket, isBarredEverywhere, recordAdvice, removeUnusedAdvice,
+} from './step-advice.js';
 
-/** The search ends after the job in which the number of steps with tasks that fit on no endpoint reaches this limit; steps of later jobs are rarely much smaller. */
-const maxUnplacedSteps = 24;
 /** Minimum time between two searches of a pool for tasks to start. In a burst a run ends every few ms, a search takes about 1 ms, and tasks last hundreds of ms. */
 const minSearchIntervalMs = 8;
-/** Addition to that interval for each job of the pool, as a search ranks them all. A task that starts some ms later costs less than an owner that has no processor time left to start any. */
-const searchIntervalPerJobMs = 0.05;
+/** Addition to that interval for each job that is ranked. A task that starts some ms later costs less than an owner that has no processor time left to start any. */
+const searchIntervalPerRankedJobMs = 0.05;
+/** The same for each job that no endpoint can take, which is not ranked. */
+const searchIntervalPerUnattainableJobMs = 0.005;
 /** A pool is searched again after this time even if no change was reported: avoided endpoints may have become usable, and the rank of a job depends on its age. */
 const maxSearchIntervalMs = 50;
 
@@ -38,8 +45,8 @@
 	handlers: {
 		'placement-due'(state, {pool}, context) {
 			const lastSearchAt = state.placement.searchedAt.get(pool) ?? Number.NEGATIVE_INFINITY;
-			const jobCount = state.ledger.pools.get(pool)?.activeJobs.size ?? 0;
-			if (context.now >= lastSearchAt + minSearchIntervalMs + (searchIntervalPerJobMs * jobCount)) {
+			const {ranked, unattainable} = state.placement.searchSizes.get(pool) ?? {ranked: 0, unattainable: 0};
+			if (context.now >= lastSearchAt + minSearchIntervalMs + (searchIntervalPerRankedJobMs * ranked) + (searchIntervalPerUnattainableJobMs * unattainable)) {
 				return placeTasks(state, pool, context);
 			}
 
@@ -103,30 +110,77 @@
 		outputs.push(restartEvent({kind: 'claim-confirmation-due', pool: poolName}));
 	}
 
-	if (usable.length === 0) {
-		return outputs;
+	const search = createPlacementSearch(usable);
+	if (usable.length > 0) {
+		outputs.push(emitCount('placement_searches_total'), ...placeJobs(state, poolName, search, confirmed, context));
+	}
+
+	for (const job of usable.length > 0 ? waiting : []) {
+		if (job.firstSeenAt > confirmedAt) {
+			recordWaitingJob(search, job, 'claim');
+		}
 	}
 
-	outputs.push(emitCount('placement_searches_total'));
-	let unplacedStepCount = 0;
-	for (const {job} of orderJobs(confirmed, job => getJobEstimate(state, job, context.now), sumCapacityMillis(usable), context.now)) {
+	return [...outputs, ...reportWaitingJobs(state.placement, poolName, search, context)];
+}
+
+/** Places the tasks of the waiting jobs in the order of their ranks. Jobs that no endpoint can take are left out, as they would displace others. */
+function placeJobs(state: State, pool: string, search: PlacementSearch, waiting: readonly Job[], context: DecisionContext): JobOutput[] {
+	const attainable = waiting.filter(job => hasAttainableStep(state, search, job));
+	state.placement.searchSizes.set(pool, {ranked: attainable.length, unattainable: waiting.length - attainable.length});
+	const outputs: JobOutput[] = [];
+	for (const {job} of orderJobs(attainable, job => getJobEstimate(state, job, context.now), sumCapacityMillis(search.candidates), context.now)) {
 		if (job.isAwaitingSurvey) {
+			recordWaitingJob(search, job, 'survey');
 			continue;
 		}
 
 		for (const step of listReadySteps(job)) {
-			const place = step.spec.isGang ? placeGang : placeStep;
-			const {outputs: placed, isIncomplete} = place(state, step, usable, context);
+			const {outputs: placed, waitReason} = tryStep(state, search, step, context);
 			outputs.push(...placed);
-			unplacedStepCount += isIncomplete ? 1 : 0;
+			if (waitReason !== undefined) {
+				recordWaitingJob(search, job, waitReason);
+			}
 		}
+	}
 
-		if (unplacedStepCount >= maxUnplacedSteps) {
-			break;
+	return outputs;
+}
+
+/** Whether an endpoint could take a task of one of the job's ready steps if it had no runs; if not, the job waits for another endpoint. */
+function hasAttainableStep(state: State, search: PlacementSearch, job: Job): boolean {
+	let hasReadyStep = false;
+	for (const step of job.steps.values()) {
+		if (step.doneCount === step.tasks.length || !isStepReady(step)) {
+			continue;
 		}
+
+		if (isAttainable(search, step) && !isBarredEverywhere(state, step, search.candidates)) {
+			return true;
+		}
+
+		hasReadyStep = true;
 	}
 
-	return outputs;
+	if (!hasReadyStep) {
+		return true;
+	}
+
+	recordWaitingJob(search, job, 'no-endpoint');
+	return false;
+}
+
+function tryStep(state: State, search: PlacementSearch, step: Step, context: DecisionContext): PlacementResult {
+	if (!step.tasks.some(task => isPending(task))) {
+		return {outputs: [], waitReason: undefined};
+	}
+
+	const knownReason = getKnownWaitReason(state.placement, search, step, context);
+	if (knownReason !== undefined) {
+		return {outputs: [], waitReason: knownReason};
+	}
+
+	return step.spec.isGang ? placeGang(state, step, search, context) : placeStep(state, step, search, context);
 }
 
 function sumCapacityMillis(candidates: readonly Candidate[]): number {
--- a/packages/jobs/src/placement/placement-state.ts
+++ b/packages/jobs/src/placement/placement-state.ts
@@ -22,21 +22,42 @@
 	retryAt: number;
 };
 
+/**
+Why a job has tasks that wait for a start.
+
+- `claim`: the store has not confirmed the claim since this entry learned of the job.
+- `survey`: a previous owner may have started them.
+- `no-endpoint`: no endpoint that is in use has the label, or the resources even without any run.
+- `no-room`: no endpoint has the resources now.
+- `endpoint-limit`: all endpoints with room have as many tasks of the step as its limit allows.
+- `gang`: not all members have room.
+- `advice`: no endpoint with room is known to be allowed.
+
+@public
+*/
+export type WaitReason = 'claim' | 'survey' | 'no-endpoint' | 'no-room' | 'endpoint-limit' | 'gang' | 'advice';
+
 /** @public */
 export type PlacementState = {
 	/** Steps of tasks that have been placed but whose runs are not supervised yet, by endpoint and task. */
 	readonly reservedSteps: Map<string, Map<string, Step>>;
 	/** When each pool was last searched for tasks to start, in monotonic ms. */
 	readonly searchedAt: Map<string, number>;
+	/** Number of jobs that were ranked in the last search of each pool, and of those that no endpoint could take. */
+	readonly searchSizes: Map<string, {readonly ranked: number; readonly unattainable: number}>;
 	/** Pools that have changed since their last search. */
 	readonly duePools: Set<string>;
 	/** By step id, for steps that are not done. */
 	readonly advice: Map<string, StepAdvice>;
+	/** When a step was last tried in vain for another reason than its demand, and why. */
+	readonly blockedSteps: WeakMap<Step, {readonly at: number; readonly reason: WaitReason}>;
+	/** When the waiting jobs of each pool were last logged, in monotonic ms. */
+	readonly waitLoggedAt: Map<string, number>;
 };
 
 /** @public */
 export function createPlacementState(): PlacementState {
 	return {
-		reservedSteps: new Map(), searchedAt: new Map(), duePools: new Set(), advice: new Map(),
+		reservedSteps: new Map(), searchedAt: new Map(), searchSizes: new Map(), duePools: new Set(), advice: new Map(), blockedSteps: new WeakMap(), waitLoggedAt: new Map(),
 	};
 }
--- a/packages/jobs/src/placement/step-advice.ts
+++ b/packages/jobs/src/placement/step-advice.ts
@@ -46,27 +46,29 @@
 	return advice === undefined ? [] : candidates.filter(candidate => findTicket(advice, candidate) !== undefined);
 }
 
+/** Whether advice on a step may be requested now: its queue requires it, no call about the step is open, and few calls are. @internal */
+export function canRequestAdvice({placement}: State, step: Step, {now}: DecisionContext): boolean {
+	const advice = placement.advice.get(getStepId(step));
+	return step.job.record.advice !== undefined && advice?.requested === undefined && now >= (advice?.retryAt ?? now) && countPendingCalls(placement) < maxPendingCalls;
+}
+
 /**
 Requests advice for a step whose tasks cannot all be started on the endpoints with valid tickets.
 
 @param renewable - Endpoints that may run the step and whose tickets are worth renewing.
 @param others - Endpoints that have room for the step, best first; those that it is known not to be allowed on are left out.
-@returns Nothing if there is nothing to ask about, or if other calls have to be answered first.
+@returns Nothing if there is nothing to ask about.
 @internal
 */
 export function requestAdvice({placement}: State, step: Step, {renewable, others}: {readonly renewable: readonly Candidate[]; readonly others: readonly Candidate[]}, {now}: DecisionContext): JobOutput[] {
 	const {record} = step.job;
 	const stepId = getStepId(step);
 	const advice: StepAdvice = placement.advice.get(stepId) ?? {
-		step, tickets: new Map(), barred: new Map(), requested: undefined, retryAt: 0,
+		step, tickets: new Map(), barred: new Map(), requested: undefined, retryAt: now,
 	};
-	if (record.advice === undefined || advice.requested !== undefined || now < advice.retryAt || countPendingCalls(placement) >= maxPendingCalls) {
-		return [];
-	}
-
 	const expired = renewable.filter(candidate => (findTicket(advice, candidate)?.validUntil ?? now) <= now);
-	const unknown = others.filter(candidate => findTicket(advice, candidate) === undefined && advice.barred.get(candidate.endpoint.id) !== candidate.endpoint.startedAt);
-	const callSize = Math.min(expired.length > 0 ? maxEndpointsPerCall : getUsualCallSize(advice), Math.max(1, Math.floor(maxNamingMs / Math.max(1, record.advice.eachMs))));
+	const unknown = others.filter(candidate => findTicket(advice, candidate) === undefined && !isBarred(advice, candidate));
+	const callSize = Math.min(expired.length > 0 ? maxEndpointsPerCall : getUsualCallSize(advice), Math.max(1, Math.floor(maxNamingMs / Math.max(1, record.advice?.eachMs ?? 0))));
 	const named = (expired.length > 0 ? expired : unknown).slice(0, callSize);
 	if (named.length === 0) {
 		return [];
@@ -82,6 +84,16 @@
 	];
 }
 
+/** Whether a step is known not to be allowed on any of the candidates. @internal */
+export function isBarredEverywhere({placement}: State, step: Step, candidates: readonly Candidate[]): boolean {
+	if (step.job.record.advice === undefined) {
+		return false;
+	}
+
+	const advice = placement.advice.get(getStepId(step));
+	return advice !== undefined && candidates.every(candidate => isBarred(advice, candidate));
+}
+
 /** Records which endpoints may run a step and which may not. @internal */
 export function recordAdvice({placement}: State, {
 	pool, stepId, tickets, validMs, isComplete,
@@ -93,6 +105,7 @@
 	}
 
 	advice.requested = undefined;
+	placement.blockedSteps.delete(advice.step);
 	advice.retryAt = isComplete ? now : now + retryDelayMs;
 	if (tickets === undefined) {
 		return [emitCount('advice_requests_failed_total')];
@@ -140,6 +153,10 @@
 	return ticket?.startedAt === endpoint.startedAt ? ticket : undefined;
 }
 
+function isBarred({barred}: StepAdvice, {endpoint}: Candidate): boolean {
+	return barred.get(endpoint.id) === endpoint.startedAt;
+}
+
 function countPendingCalls(placement: PlacementState): number {
 	let count = 0;
 	for (const {requested} of placement.advice.values()) {
