Keep what is known of a run apart from whether it is wanted

Each job that was cancelled while its start was unanswered, and the start lost, took away room for good; such an endpoint was never reported as evacuated either.

Cause: the phase of a run said both what was known (starting, unconfirmed, running) and what was wanted (stopping). A stop wrote over the fact that the start was never confirmed, so nothing dropped the run.

Change: the phase says what is known, `stopRequestedAt` whether the run is to be stopped. A run that is stopped before its start is answered goes on to unconfirmed, and is dropped once an answer with a clock beyond the start's deadline does not list it; until then it keeps its room. The same holds for a run that a previous owner suspected on a silent endpoint and whose job is cancelled before the endpoint answers, which was kept for good as well.

--- a/packages/jobs/src/evacuation/evacuation-filter.ts
+++ b/packages/jobs/src/evacuation/evacuation-filter.ts
@@ -7,7 +7,7 @@
 import {findTask, type LedgerView, type Step} from '../ledger/index.js';
 import {type EvacuationRequest} from '../model/index.js';
 import {
-	servingPercent, type Run, type SupervisedEndpoint, type SupervisionView,
+	isInProgress, servingPercent, type Run, type SupervisedEndpoint, type SupervisionView,
 } from '../supervision/index.js';
 
 /** @public */
@@ -95,7 +95,7 @@
 function stopRuns(state: State, endpoint: Readonly<SupervisedEndpoint>, conditions: StopConditions): {readonly stops: JobOutput[]; readonly isLongRunning: boolean} {
 	const stops: JobOutput[] = [];
 	for (const run of endpoint.runs.values()) {
-		if (run.phase !== 'running' || !mayStop(state, endpoint, run, conditions)) {
+		if (!isInProgress(run) || !mayStop(state, endpoint, run, conditions)) {
 			continue;
 		}
 
@@ -164,7 +164,7 @@
 		const isServing = [...task.runs].some(([number, endpointId]) => {
 			const endpoint = supervision.endpoints.get(endpointId);
 			const run = endpoint?.runs.get(task.id);
-			return endpoint?.phase === 'answering' && run?.run === number && run.phase === 'running' && run.percent >= servingPercent;
+			return endpoint?.phase === 'answering' && run?.run === number && isInProgress(run) && run.percent >= servingPercent;
 		});
 		count += isServing ? 0 : 1;
 	}
--- a/packages/jobs/src/observation/observation-filter.ts
+++ b/packages/jobs/src/observation/observation-filter.ts
@@ -6,7 +6,9 @@
 	findTask, type LedgerView, type Step, type Task,
 } from '../ledger/index.js';
 import {type JobEventOf} from '../model/index.js';
-import {type Run, type SupervisionView, type SupervisedEndpoint} from '../supervision/index.js';
+import {
+	isInProgress, type Run, type SupervisionView, type SupervisedEndpoint,
+} from '../supervision/index.js';
 import {createDurationModel, recordDuration} from './duration-model.js';
 import {getEndpointHealth, predictUnmeasuredMs, type ObservationState} from './observation-state.js';
 
@@ -103,7 +105,7 @@
 	const outputs: JobOutput[] = [];
 	for (const run of supervised.runs.values()) {
 		const task = findTask(pool, run.taskId);
-		if (run.phase !== 'running' || run.isLongRunning || run.isFiller || task === undefined || task.step.spec.isGang) {
+		if (!isInProgress(run) || run.isLongRunning || run.isFiller || task === undefined || task.step.spec.isGang) {
 			continue;
 		}
 
--- a/packages/jobs/src/pacing/pacing-filter.ts
+++ b/packages/jobs/src/pacing/pacing-filter.ts
@@ -2,7 +2,7 @@
 import {emitLog, type JobFilter, type JobOutput} from '../filter.js';
 import {findTask, type LedgerView} from '../ledger/index.js';
 import {
-	getOrderTarget, type Run, type SupervisionView, type SupervisedEndpoint,
+	getOrderTarget, isInProgress, type Run, type SupervisionView, type SupervisedEndpoint,
 } from '../supervision/index.js';
 
 /** CPU limit of the filler tasks on an endpoint. @public */
@@ -66,7 +66,7 @@
 };
 
 function updatePace(state: State, supervised: Readonly<SupervisedEndpoint>, context: DecisionContext): JobOutput[] {
-	const fillers = [...supervised.runs.values()].filter(run => run.isFiller && run.phase === 'running');
+	const fillers = [...supervised.runs.values()].filter(run => run.isFiller && isInProgress(run));
 	if (fillers.length === 0) {
 		return [];
 	}
--- a/packages/jobs/src/supervision/apply-poll-answer.ts
+++ b/packages/jobs/src/supervision/apply-poll-answer.ts
@@ -114,7 +114,7 @@
 	removeRun(endpoint, run.taskId);
 	return [
 		emitLog(reason === 'not-started' ? 'debug' : 'info', 'run confirmed not running', {
-			task: run.taskId, run: run.run, endpoint: endpoint.id, reason, phase: run.phase, percent: run.percent, token: endpoint.token,
+			task: run.taskId, run: run.run, endpoint: endpoint.id, reason, phase: run.phase, isStopRequested: run.stopRequestedAt !== undefined, percent: run.percent, token: endpoint.token,
 		}),
 		passEvent({
 			kind: 'run-dropped', pool: endpoint.pool, taskId: run.taskId, run: run.run, endpointId: endpoint.id, reason, checkpoint: run.checkpoint,
@@ -124,7 +124,6 @@
 
 /** Tells an endpoint to stop a run. @internal */
 export function stopRun(endpoint: SupervisedEndpoint, run: Run, now: number): JobOutput[] {
-	run.phase = 'stopping';
 	run.stopRequestedAt = now;
 	return [emitEffect({
 		kind: 'stop-task', target: getOrderTarget(endpoint), taskId: run.taskId, run: run.run,
@@ -257,13 +256,11 @@
 	run.checkpoint = report.checkpoint;
 	run.confirmedClockMs ??= endpoint.clockMs;
 	run.isSuspected = false;
-	if (run.phase === 'starting' || run.phase === 'unconfirmed') {
-		run.phase = 'running';
-	}
+	run.phase = 'running';
 
 	return [
 		...(isFirst ? [passEvent({kind: 'run-confirmed', pool: endpoint.pool, taskId: run.taskId} as const)] : []),
-		...(run.phase === 'stopping' && context.now > run.stopRequestedAt + stopRetryDelayMs ? stopRun(endpoint, run, context.now) : []),
+		...(run.stopRequestedAt !== undefined && context.now > run.stopRequestedAt + stopRetryDelayMs ? stopRun(endpoint, run, context.now) : []),
 	];
 }
 
--- a/packages/jobs/src/supervision/supervision-filter.ts
+++ b/packages/jobs/src/supervision/supervision-filter.ts
@@ -121,7 +121,7 @@
 			}
 
 			placed.confirmedClockMs = clockMs;
-			placed.phase = placed.phase === 'starting' || placed.phase === 'unconfirmed' ? 'running' : placed.phase;
+			placed.phase = 'running';
 			return [passEvent({kind: 'run-confirmed', pool: endpoint.pool, taskId})];
 		},
 		'start-refused': ({supervision}, event, context) => handleStartRefusal(supervision, event, context),
@@ -129,7 +129,7 @@
 			const outputs: JobOutput[] = [];
 			for (const endpoint of supervision.endpoints.values()) {
 				const run = endpoint.pool === pool ? endpoint.runs.get(taskId) : undefined;
-				if (run !== undefined && run.phase !== 'stopping') {
+				if (run !== undefined && run.stopRequestedAt === undefined) {
 					outputs.push(
 						emitLog('info', 'stop of run requested', {
 							task: taskId, run: run.run, endpoint: endpoint.id, reason, percent: run.percent, token: endpoint.token,
--- a/packages/jobs/src/supervision/supervision-state.ts
+++ b/packages/jobs/src/supervision/supervision-state.ts
@@ -5,14 +5,13 @@
 /** Progress at which a long-running task is serving. @public */
 export const servingPercent = 100;
 
-/** @public */
+/** What is known about a run, whether it is wanted or not. @public */
 export type RunPhase =
 	/** The start has been sent, and its answer is awaited. */
 	| 'starting'
 	/** The start was not answered in time, and may still be carried out. */
 	| 'unconfirmed'
-	| 'running'
-	| 'stopping';
+	| 'running';
 
 /** A run of a task on an endpoint. It occupies resources until it is certain that it is not running. @public */
 export type Run = {
@@ -40,7 +39,8 @@
 	load: number;
 	/** Percentage of full speed that the run is throttled to. */
 	pacePercent: number;
-	stopRequestedAt: number;
+	/** When the endpoint was last told to stop it, in monotonic ms; undefined while it is wanted. */
+	stopRequestedAt: number | undefined;
 };
 
 /** @public */
@@ -168,11 +168,16 @@
 		checkpoint: '',
 		load: 0,
 		pacePercent: 100,
-		stopRequestedAt: 0,
+		stopRequestedAt: undefined,
 		...known,
 	};
 }
 
+/** Whether a run is known to be running and is not to be stopped. @public */
+export function isInProgress({phase, stopRequestedAt}: Readonly<Run>): boolean {
+	return phase === 'running' && stopRequestedAt === undefined;
+}
+
 /** Usage of an endpoint without runs. @internal */
 export const noUsage: EndpointUsage = {resources: {cpuMillis: 0, memoryMb: 0, gpus: 0}, fillerCount: 0, servingCount: 0};
 
