Send a maintenance order again at the limit of its wave

Operators saw a wave with a limit of one machine stop until the holder of the fleet changed, once the machine service had refused an order or its answer was lost.

An open order says that a machine may be down; the wave asked it also whether another order may be sent, so that the machine counted against its own order.

Change: an order that is sent again counts already and needs no place of its own in the limit.

Evidence: 2 of the 3 new cases of run-waves.test.ts fail before; the third, no other machine while an order at the limit awaits its answer, holds before and after.

--- a/packages/jobs/src/fleet/run-waves.test.ts
+++ b/packages/jobs/src/fleet/run-waves.test.ts
@@ -2,7 +2,7 @@
 import {describe, expect, it} from 'vitest';
 import {type Machine, type PoolReport} from '../model/index.js';
 import {createTestMachine, createTestReport} from '../testing.test-support.js';
-import {createFleetState} from './fleet-state.js';
+import {createFleetState, type OpenOrder} from './fleet-state.js';
 import {requestEvacuation, runWaves, updateEvacuations} from './run-waves.js';
 
 const random = createRandomSource(1);
@@ -25,11 +25,14 @@
 	readonly hasShortage?: boolean;
 	/** Endpoints that are being evacuated for a move to another pool. */
 	readonly leaving?: readonly string[];
+	/** Phases of maintenance orders that have been sent 2 s before, by machine. */
+	readonly ordered?: ReadonlyMap<string, OpenOrder['phase']>;
+	readonly downLimit?: number;
 };
 
 /** Lists the decisions of a wave over all machines as text: `maintain machine` and `evacuate endpoint`. */
 function listDecisions({
-	machines, report, atMs, hasShortage = false, leaving = [],
+	machines, report, atMs, hasShortage = false, leaving = [], ordered = new Map(), downLimit = 4,
 }: Input): string[] {
 	const fleet = createFleetState(3000);
 	fleet.token = 7;
@@ -47,10 +50,16 @@
 		});
 	}
 
+	for (const [machine, phase] of ordered) {
+		fleet.orders.set(machine, {
+			order: 'maintain', machine, pool: 'off', wave: 1, sentAt: atMs - 2000, endpointId: undefined, phase, wasSeenUnavailable: false,
+		});
+	}
+
 	fleet.reports.set('desk', {report, seenAt: atMs});
 	fleet.waves.set(1, {
 		wave: {
-			number: 1, machines: machines.map(({name}) => name), durationMs, downLimit: 4,
+			number: 1, machines: machines.map(({name}) => name), durationMs, downLimit,
 		}, seenAt: 0, maintained: new Set(), status: 'running', hasUnwrittenStatus: false, isWritingStatus: false,
 	});
 	const decisions: string[] = [];
@@ -103,6 +112,16 @@
 	{
 		name: 'a machine with long-running tasks is left alone while work waits and there is time', machines: desk, report: {...busy, backlogMillis: 5000, releasableEndpoints: [ids[0]!, ids[1]!]}, atMs: 1000, expected: [],
 	},
+	{
+		// Guards against a wave that never ends: a machine whose order was refused or not answered counted against its own order.
+		name: 'an order that was not carried out is sent again at the limit', machines: off, report: busy, atMs: 3000, downLimit: 1, ordered: new Map([['off-1', 'retry']]), expected: ['maintain off-1'],
+	},
+	{
+		name: 'a machine whose order is sent again counts against the other orders', machines: off, report: busy, atMs: 3000, downLimit: 1, ordered: new Map([['off-2', 'retry']]), expected: ['maintain off-2'],
+	},
+	{
+		name: 'no other machine is ordered while an order at the limit awaits its answer', machines: off, report: busy, atMs: 3000, downLimit: 1, ordered: new Map([['off-1', 'sent']]), expected: [],
+	},
 	{
 		// Guards against evacuations for moves that used up the limit on evacuations for maintenance.
 		name: 'machines that are being moved to another pool do not count', machines: desk, report: {...busy, idleEndpoints: [ids[2]!]}, atMs: 1000, leaving: [ids[0]!], expected: ['evacuate endpoint-of-desk-3'],
--- a/packages/jobs/src/fleet/run-waves.ts
+++ b/packages/jobs/src/fleet/run-waves.ts
@@ -74,9 +74,11 @@
 			continue;
 		}
 
-		if (downCount < wave.downLimit && canOrderMachines(state, context) && isReadyForMaintenance(state, machine)) {
+		// An order that is sent again because it may not have been carried out counts already.
+		const isCounted = hasOpenOrder(fleet, machine.name);
+		if ((isCounted || downCount < wave.downLimit) && canOrderMachines(state, context) && isReadyForMaintenance(state, machine)) {
 			const ordered = orderMachine(state, machine, {order: 'maintain', pool: machine.pool, wave: wave.number}, context);
-			downCount += ordered.length > 0 ? 1 : 0;
+			downCount += ordered.length > 0 && !isCounted ? 1 : 0;
 			outputs.push(...ordered);
 		}
 	}
