Play odd labels, wide limits, early cancellations and advice in the soak of jobs

The new invariant `idle` fails if nothing of a job runs for 3 s in calm though an endpoint has room twice over.

`--loads none` leaves them out. The seeds of run-jobs-soak.test.ts are played without them, so that their traces stay the same; `advice-lost` is among all faults.

--- a/packages/bench/src/jobs-soak-main.ts
+++ b/packages/bench/src/jobs-soak-main.ts
@@ -1,5 +1,6 @@
 import {cac} from 'cac';
 import {jobFaults} from './jobs/inject-fault.js';
+import {jobLoads} from './jobs/job-loads.js';
 import {runJobsSoak} from './jobs/run-jobs-soak.js';
 
 const usageExitCode = 2;
@@ -16,22 +17,33 @@
 	readonly range: {readonly first: number; readonly last: number};
 	readonly steps: number;
 	readonly faults: readonly string[];
+	readonly loads: readonly string[];
 	readonly isKeptGoing: boolean;
 	readonly onLine: ((line: string) => void) | undefined;
 };
 
+/** Parses a list of names; `all` means all that are known, `none` none. Returns undefined if a name is not known. */
+function parseNames(text: string, known: readonly string[]): readonly string[] | undefined {
+	const names = {all: known, none: []}[text] ?? text.split(',');
+	return names.every(name => known.includes(name)) ? names : undefined;
+}
+
+function formatNames(option: string, names: readonly string[], known: readonly string[]): string {
+	return names === known ? '' : ` --${option} ${names.join(',') || 'none'}`;
+}
+
 /** Runs one seed and reports what failed. @returns Whether all promises were kept. */
 function runSeed(seed: number, {
-	range, steps, faults, onLine,
+	range, steps, faults, loads, onLine,
 }: SoakOptions): boolean {
 	const {violations, unfinishedJobIds, acceptedCount, startCount} = runJobsSoak({
-		seed, steps, faults, onLine,
+		seed, steps, faults, loads, onLine,
 	});
 	const [violation] = violations;
 	if (violation !== undefined || unfinishedJobIds.length > 0) {
 		const failure = violation === undefined ? `not ended: ${unfinishedJobIds.join(', ')}` : `${violation.invariant} at ${violation.at.toFixed(1)} ms: ${violation.message}`;
 		process.stdout.write(`seed ${seed}: ${failure}\n`);
-		process.stdout.write(`repeat: npm run jobs-soak -- --seeds ${seed} --steps ${steps}${faults === jobFaults ? '' : ` --faults ${faults.join(',')}`}\n`);
+		process.stdout.write(`repeat: npm run jobs-soak -- --seeds ${seed} --steps ${steps}${formatNames('faults', faults, jobFaults)}${formatNames('loads', loads, jobLoads)}\n`);
 		return false;
 	}
 
@@ -68,15 +80,16 @@
 	.option('--seeds <A..B>', 'seeds to run', {default: '1..20'})
 	.option('--steps <N>', 'steps of each run', {default: 300})
 	.option('--faults <LIST>', `faults, joined by commas: ${jobFaults.join(', ')}`, {default: 'all'})
+	.option('--loads <LIST>', `shapes of load beside ordinary jobs: ${jobLoads.join(', ')}`, {default: 'all'})
 	.option('--keep-going', 'goes on after a seed that fails')
 	.option('--print <PATTERN>', 'prints lines of the log that match')
-	.action((options: {readonly print?: string; readonly keepGoing?: boolean; readonly seeds: unknown; readonly steps: unknown; readonly faults: string}) => {
+	.action((options: {readonly print?: string; readonly keepGoing?: boolean; readonly seeds: unknown; readonly steps: unknown; readonly faults: string; readonly loads: string}) => {
 		const range = parseRange(options.seeds);
 		const steps = Number(options.steps);
-		const faults = options.faults === 'all' ? jobFaults : options.faults.split(',');
-		const unknown = faults.filter(fault => !jobFaults.includes(fault));
-		if (range === undefined || !Number.isInteger(steps) || steps < 1 || unknown.length > 0) {
-			process.stderr.write(`--seeds takes A or A..B, --steps a whole number from 1, --faults a list of ${jobFaults.join(', ')}${unknown.length > 0 ? `; unknown: ${unknown.join(', ')}` : ''}\n`);
+		const faults = parseNames(options.faults, jobFaults);
+		const loads = parseNames(options.loads, jobLoads);
+		if (range === undefined || !Number.isInteger(steps) || steps < 1 || faults === undefined || loads === undefined) {
+			process.stderr.write(`--seeds takes A or A..B, --steps a whole number from 1, --faults a list of ${jobFaults.join(', ')}, --loads a list of ${jobLoads.join(', ')}\n`);
 			process.exit(usageExitCode);
 		}
 
@@ -90,7 +103,7 @@
 			};
 
 		process.exit(runSeeds({
-			range, steps, faults, isKeptGoing: options.keepGoing === true, onLine,
+			range, steps, faults, loads, isKeptGoing: options.keepGoing === true, onLine,
 		}));
 	});
 program.help();
--- a/packages/bench/src/jobs/create-configuration.ts
+++ b/packages/bench/src/jobs/create-configuration.ts
@@ -1,12 +1,22 @@
 import {type Configuration} from '@pistachiogauge/jobs';
+import {virtualAdvicePolicy} from './virtual-advice-service.js';
 
-/** Creates a configuration with a queue `jobs-POOL` for each pool. */
+const commonQueue = {
+	host: 'jobs.example', priority: 0, attempts: 2, stretch: 1.6, latencyTargetMs: 600,
+} as const;
+
+/** Creates a configuration with a queue `jobs-POOL` for each pool, and one `advised-POOL` that requires advice. */
 export function createConfiguration(pools: readonly string[]): Configuration {
 	return {
 		version: 1,
-		queues: pools.map(pool => ({
-			name: `jobs-${pool}`, host: 'jobs.example', prefix: `/${pool}/`, pool, priority: 0, attempts: 2, stretch: 1.6, latencyTargetMs: 600, advice: undefined,
-		})),
+		queues: pools.flatMap(pool => [
+			{
+				...commonQueue, name: `jobs-${pool}`, prefix: `/${pool}/`, pool, advice: undefined,
+			},
+			{
+				...commonQueue, name: `advised-${pool}`, prefix: `/advised/${pool}/`, pool, advice: virtualAdvicePolicy,
+			},
+		]),
 		pools: pools.map(name => ({name, isSpare: false})),
 		limits: {
 			headerBytes: 16_384, bodyBytes: 262_144, headerTimeoutMs: 3000, idleTimeoutMs: 15_000,
--- a/packages/bench/src/jobs/create-virtual-sinks.ts
+++ b/packages/bench/src/jobs/create-virtual-sinks.ts
@@ -7,6 +7,7 @@
 import {createOrderSinks, type OrderSinkTools} from './create-order-sinks.js';
 import {type EventDelivery} from './event-delivery.js';
 import {type JobInvariantChecker} from './job-invariant-checker.js';
+import {type VirtualAdviceService} from './virtual-advice-service.js';
 import {type VirtualJobsEntry} from './virtual-jobs-entry.js';
 import {type VirtualJobStore} from './virtual-job-store.js';
 
@@ -24,6 +25,7 @@
 	readonly delivery: EventDelivery;
 	readonly callStore: StoreCaller;
 	readonly listEndpoints: () => Endpoint[];
+	readonly advice: VirtualAdviceService;
 };
 
 /** Time after which the inbox of a loaded pool is delivered again: changes recorded while the answer was on its way arrive through the watch after it. */
@@ -32,7 +34,7 @@
 /** Creates the sinks that carry out the effects of the simulation's entries on the virtual store, endpoints and callers. */
 export function createVirtualSinks(tools: VirtualSinkTools): VirtualSinks {
 	const {
-		queue, store, checker, answers, onLine, delivery, callStore, listEndpoints,
+		queue, store, checker, answers, onLine, delivery, callStore, listEndpoints, advice,
 	} = tools;
 
 	/** Calls the store and delivers the events that the answer or the failure gives. */
@@ -167,6 +169,12 @@
 				createEvents: (isHeld, requestedAt) => [isHeld ? createConfirmation(name, token, requestedAt) : {kind: 'claim-superseded', name, token}],
 			});
 		},
+		'ask-advice'(entry, effect) {
+			const {incarnation} = entry;
+			advice.ask(entry.node, effect, event => {
+				delivery.deliver(entry, event, incarnation);
+			});
+		},
 		'list-machines'(entry) {
 			const machines: Machine[] = listEndpoints().map(endpoint => ({
 				name: `machine-of-${endpoint.id}`, pool: endpoint.pool, state: 'up', zone: endpoint.zone, labels: endpoint.labels, capacity: endpoint.capacity, endpointId: endpoint.id,
--- /dev/null
+++ b/packages/bench/src/jobs/find-idle-jobs.ts
@@ -0,0 +1,39 @@
+import {
+	formatTaskId, hasCapacityFor, subtractResources, type StepSpec,
+} from '@pistachiogauge/jobs';
+import {type JobsSimulation} from './jobs-simulation.js';
+import {type VirtualTaskEndpoint} from './virtual-task-endpoint.js';
+
+/** Lists the accepted jobs of which nothing runs although an endpoint has room twice over for a task whose turn has come. */
+export function findIdleJobs(simulation: JobsSimulation, jobIds: Iterable<string>): string[] {
+	const endpoints = [...simulation.endpoints.values()].filter(({isUp, isReachable}) => isUp && isReachable);
+	const busyJobIds = new Set(endpoints.flatMap(({runs}) => [...runs.keys()]).map(taskId => taskId.split('.', 1)[0]!));
+	return [...jobIds].filter(jobId => {
+		const stored = simulation.store.getStoredJob(jobId);
+		if (stored === undefined || stored.isCancelled || stored.progress.endedAt !== undefined || busyJobIds.has(jobId)) {
+			return false;
+		}
+
+		const {steps} = stored.job.spec;
+		return steps.some((step, index) => isTurnOf(simulation, jobId, steps, index) && endpoints.some(endpoint => endpoint.registration.pool === stored.job.pool
+			&& hasRoomTwice(endpoint, step)
+			&& (stored.job.advice === undefined || simulation.advice.mayRun(`${jobId}.0.${index}`, endpoint.registration.id))));
+	});
+}
+
+/** Whether a step is not done and all steps that it depends on are. */
+function isTurnOf(simulation: JobsSimulation, jobId: string, steps: readonly StepSpec[], index: number): boolean {
+	const isDone = (step: number) => Array.from({length: steps[step]!.count}, (_unused, task) => formatTaskId({
+		jobId, occurrence: 0, step, index: task,
+	})).every(taskId => simulation.checker.isTaskDone(taskId));
+	return !isDone(index) && steps[index]!.after.every(step => isDone(step));
+}
+
+function hasRoomTwice({registration, runs}: VirtualTaskEndpoint, {room, requiredLabel}: StepSpec): boolean {
+	let free = registration.capacity;
+	for (const {resources} of runs.values()) {
+		free = subtractResources(free, resources);
+	}
+
+	return (requiredLabel === undefined || registration.labels.includes(requiredLabel)) && hasCapacityFor(subtractResources(free, room), room);
+}
--- a/packages/bench/src/jobs/inject-fault.ts
+++ b/packages/bench/src/jobs/inject-fault.ts
@@ -144,6 +144,12 @@
 			simulation.unansweredWriteShare = 0;
 		});
 	},
+	'advice-lost'(simulation) {
+		simulation.advice.lostShare = 0.5;
+		simulation.queue.add(chooseDurationMs(simulation, 5000), () => {
+			simulation.advice.lostShare = 0;
+		});
+	},
 	'endpoint-reborn'(simulation) {
 		const endpoint = chooseItem(simulation, [...simulation.endpoints.values()].filter(each => each.isUp));
 		if (endpoint !== undefined) {
--- a/packages/bench/src/jobs/job-invariant-checker.ts
+++ b/packages/bench/src/jobs/job-invariant-checker.ts
@@ -14,9 +14,10 @@
 - `budget`: a task starts after it has used up its attempts.
 - `unasked`: a task starts that nobody submitted, or an entry in touch starts one whose job was cancelled.
 - `refused`: a task starts although its job was refused.
+- `idle`: nothing of a job runs for 3 s in calm, though an endpoint has room twice over.
 - `handler-failed`: a handler of an entry threw an error.
 */
-export type JobInvariantName = 'twice' | 'order' | 'budget' | 'unasked' | 'refused' | 'handler-failed';
+export type JobInvariantName = 'twice' | 'order' | 'budget' | 'unasked' | 'refused' | 'idle' | 'handler-failed';
 
 /** @internal */
 export type JobInvariantViolation = {readonly invariant: JobInvariantName; readonly at: number; readonly message: string};
--- /dev/null
+++ b/packages/bench/src/jobs/job-loads.ts
@@ -0,0 +1,78 @@
+import {type JobSpec, type StepSpec} from '@pistachiogauge/jobs';
+import {chooseItem, listRunningEntries} from './inject-fault.js';
+import {type JobsSimulation} from './jobs-simulation.js';
+
+/** A job of a randomised run. */
+export type SoakJob = {
+	readonly jobId: string;
+	readonly queueName: string;
+	/** Whether it may run or wait until it is cancelled, as it is long-running or no endpoint may be able to run it. */
+	readonly isEndless: boolean;
+};
+
+type LoadCreator = (simulation: JobsSimulation, pool: string) => SoakJob[];
+
+/** Time after its submission in which a caller cancels a job early. */
+const quickCancelMs = 100;
+const roomyStep: StepSpec = {
+	count: 1,
+	room: {cpuMillis: 20, memoryMb: 10, gpus: 0},
+	estimateMs: 800,
+	after: [],
+	isCheckpointing: false,
+	isGang: false,
+	isSameRack: false,
+	requiredLabel: undefined,
+	dataRack: undefined,
+	endpointLimit: undefined,
+	mayDuplicate: false,
+	isLongRunning: false,
+	image: '',
+	tailTargetMs: undefined,
+	isFiller: false,
+	missLimit: undefined,
+};
+
+/** Submits jobs of one step at an entry. */
+function submitJobs(simulation: JobsSimulation, queueName: string, count: number, traits: Partial<StepSpec>, isEndless = traits.isLongRunning === true): SoakJob[] {
+	const entry = chooseItem(simulation, listRunningEntries(simulation));
+	if (entry === undefined) {
+		return [];
+	}
+
+	const spec: JobSpec = {
+		payload: '', steps: [{...roomyStep, ...traits}], repeatCount: 0, startAtMs: 0, intervalMs: 0,
+	};
+	return Array.from({length: count}, () => ({
+		jobId: simulation.submitJob(entry, queueName, spec, {durationMs: traits.isLongRunning === true ? Number.POSITIVE_INFINITY : 800}), queueName, isEndless,
+	}));
+}
+
+/** Shapes of load that a mix of ordinary jobs does not have. */
+const loadCreators: Readonly<Record<string, LoadCreator>> = {
+	'absent-label': (simulation, pool) => submitJobs(simulation, `jobs-${pool}`, 8, {isLongRunning: simulation.random.getInteger(2) === 0, requiredLabel: 'absent'}, true),
+	'too-wide': (simulation, pool) => submitJobs(simulation, `jobs-${pool}`, 8, {count: 60, endpointLimit: 1, isLongRunning: true}),
+	'rare-label': (simulation, pool) => submitJobs(simulation, `jobs-${pool}`, 4, {isLongRunning: simulation.random.getInteger(2) === 0, requiredLabel: 'rack-1'}, true),
+	'cancelled-early'(simulation, pool) {
+		const jobs = submitJobs(simulation, `jobs-${pool}`, 3, {count: 6, room: {cpuMillis: 1500, memoryMb: 400, gpus: 0}});
+		for (const {jobId, queueName} of jobs) {
+			simulation.queue.add(quickCancelMs, () => {
+				const entry = chooseItem(simulation, listRunningEntries(simulation));
+				if (entry !== undefined) {
+					simulation.cancelJob(entry, queueName, jobId);
+				}
+			});
+		}
+
+		return jobs;
+	},
+	advised: (simulation, pool) => submitJobs(simulation, `advised-${pool}`, 1 + simulation.random.getInteger(6), {count: 1 + simulation.random.getInteger(2), isLongRunning: simulation.random.getInteger(3) === 0}, true),
+};
+
+/** Names of the loads that the command line accepts. */
+export const jobLoads: readonly string[] = Object.keys(loadCreators);
+
+/** Submits the jobs of the load with a given name to a pool; an unknown name submits none. */
+export function submitLoad(simulation: JobsSimulation, load: string, pool: string): SoakJob[] {
+	return loadCreators[load]?.(simulation, pool) ?? [];
+}
--- a/packages/bench/src/jobs/jobs-simulation.ts
+++ b/packages/bench/src/jobs/jobs-simulation.ts
@@ -9,6 +9,7 @@
 import {createVirtualSinks} from './create-virtual-sinks.js';
 import {createEventDelivery} from './event-delivery.js';
 import {createJobInvariantChecker, type JobInvariantChecker} from './job-invariant-checker.js';
+import {createVirtualAdviceService, type VirtualAdviceService} from './virtual-advice-service.js';
 import {createVirtualJobStore, type VirtualJobStore} from './virtual-job-store.js';
 import {createVirtualJobsEntry, type VirtualJobsEntry} from './virtual-jobs-entry.js';
 import {createVirtualNetwork, storeNode, type VirtualNetwork} from './virtual-network.js';
@@ -26,6 +27,7 @@
 	readonly store: VirtualJobStore;
 	readonly network: VirtualNetwork;
 	readonly checker: JobInvariantChecker;
+	readonly advice: VirtualAdviceService;
 	readonly answers: Map<string, CallerAnswer>;
 	/** Share of orders to endpoints that get no answer and take effect seconds later. */
 	lateOrderShare: number;
@@ -69,7 +71,7 @@
 /** Bounds of the delay of one call, one answer and one watch event. */
 const callDelayMs = {min: 1, max: 6} as const;
 
-/** Creates a simulation with a queue `jobs-POOL` for each pool. */
+/** Creates a simulation with a queue `jobs-POOL` for each pool, and one `advised-POOL` that requires advice. */
 export function createJobsSimulation({
 	seed, entryCount, pools, endpointCapacity, onLine,
 }: JobsSimulationOptions): JobsSimulation {
@@ -82,6 +84,10 @@
 	let requestCount = 0;
 	let incarnationCount = 0;
 	const checker = createJobInvariantChecker(queue);
+	const advice = createVirtualAdviceService(queue, random, id => {
+		const endpoint = endpoints.get(id);
+		return endpoint?.isUp === true ? endpoint.registration : undefined;
+	});
 	const chooseDelayMs = () => callDelayMs.min + (random.getFraction() * (callDelayMs.max - callDelayMs.min));
 	const entries = Array.from({length: entryCount}, (_unused, index) => createVirtualJobsEntry(`entry-${index + 1}`, createJobsState({node: '', incarnation: '', orderLeaseMs})));
 	const delivery = createEventDelivery({
@@ -137,6 +143,7 @@
 		}),
 		getLateOrderShare: () => simulation.lateOrderShare,
 		listEndpoints: registry.listEndpoints,
+		advice,
 	});
 
 	function startEntry(entry: VirtualJobsEntry): void {
@@ -186,13 +193,13 @@
 	}
 
 	const getBehaviour = (taskId: string): TaskBehaviour => ({
-		resources: checker.getStep(taskId)?.room ?? endpointCapacity, isFiller: false, durationMs: 800, isFailing: false, ...behaviours.get(taskId.split('.', 1)[0]!),
+		resources: checker.getStep(taskId)?.room ?? endpointCapacity, isFiller: false, durationMs: 800, isFailing: false, isAdvised: false, ...behaviours.get(taskId.split('.', 1)[0]!),
 	});
 
 	/** Starts the process of an endpoint, which knows nothing of an earlier one under the same id. */
 	function startEndpoint(registration: Omit<Endpoint, 'startedAt'>): void {
 		const endpoint = createVirtualTaskEndpoint(queue, {...registration, startedAt: startWallTime + Math.ceil(queue.now)}, {
-			clockRate: 1 / (1 + (maxClockSlowness * random.getInteger(3) / 2)), getBehaviour, observer: checker,
+			clockRate: 1 / (1 + (maxClockSlowness * random.getInteger(3) / 2)), getBehaviour, advice, observer: checker,
 		});
 		endpoint.isReachable = endpoints.get(registration.id)?.isReachable ?? true;
 		endpoints.set(registration.id, endpoint);
@@ -224,6 +231,7 @@
 		store,
 		network,
 		checker,
+		advice,
 		answers,
 		lateOrderShare: 0,
 		unansweredWriteShare: 0,
@@ -232,7 +240,7 @@
 			requestCount += 1;
 			const jobId = requestCount.toString(16).padStart(16, '0');
 			const requestId = `submit-${jobId}`;
-			behaviours.set(jobId, behaviour);
+			behaviours.set(jobId, {isAdvised: queueName.startsWith('advised-'), ...behaviour});
 			checker.recordJob(jobId, requestId, spec);
 			delivery.deliverLater(entry, {
 				kind: 'caller-requested', requestId, action: 'submit', queue: queueName, jobId, spec,
--- a/packages/bench/src/jobs/run-jobs-soak.test.ts
+++ b/packages/bench/src/jobs/run-jobs-soak.test.ts
@@ -1,5 +1,6 @@
 import {describe, expect, it} from 'vitest';
 import {jobFaults} from './inject-fault.js';
+import {jobLoads} from './job-loads.js';
 import {runJobsSoak} from './run-jobs-soak.js';
 
 /** Faults that were played when the first seeds failed. */
@@ -53,14 +54,18 @@
 
 describe('randomised runs of jobs', () => {
 	it.each(seeds)('seed $seed: $cause', ({seed, faults, minAccepted}) => {
-		const {violations, unfinishedJobIds, acceptedCount} = runJobsSoak({seed, steps: 300, faults});
+		const {violations, unfinishedJobIds, acceptedCount} = runJobsSoak({
+			seed, steps: 300, faults, loads: [],
+		});
 		expect(violations).toEqual([]);
 		expect(unfinishedJobIds).toEqual([]);
 		expect(acceptedCount).toBeGreaterThan(minAccepted);
 	});
 
 	it('gives the same result for the same seed', () => {
-		const options = {seed: 4, steps: 100, faults: jobFaults};
+		const options = {
+			seed: 4, steps: 100, faults: jobFaults, loads: jobLoads,
+		};
 		expect(runJobsSoak(options)).toEqual(runJobsSoak(options));
 	});
 });
--- a/packages/bench/src/jobs/run-jobs-soak.ts
+++ b/packages/bench/src/jobs/run-jobs-soak.ts
@@ -1,7 +1,9 @@
 import {type JobSpec, type StepSpec} from '@pistachiogauge/jobs';
 import {createJobsSimulation, type JobsSimulation} from './jobs-simulation.js';
 import {chooseItem, injectFault, listRunningEntries} from './inject-fault.js';
+import {findIdleJobs} from './find-idle-jobs.js';
 import {type JobInvariantViolation} from './job-invariant-checker.js';
+import {submitLoad, type SoakJob} from './job-loads.js';
 
 /** Result of one randomised run. */
 export type JobsSoakResult = {
@@ -17,11 +19,17 @@
 	readonly seed: number;
 	readonly steps: number;
 	readonly faults: readonly string[];
+	/** Shapes of load beside the ordinary jobs. */
+	readonly loads: readonly string[];
 	/** Receives each line of the entries' logs, and a line for each fault. */
 	readonly onLine?: (line: string) => void;
 };
 
-const pools = {desk: 3, notify: 3};
+const smallPools = {desk: 3, notify: 3};
+/** More endpoints than one call for advice names. */
+const largePools = {desk: 44, notify: 3};
+/** One seed in this many has the large pools, if any loads are played. */
+const seedsPerLargePool = 8;
 const entryCount = 4;
 /** About 1.5 times the resources that the drawn jobs request, so that a backlog drains once the faults end. */
 const endpointCapacity = {cpuMillis: 24_000, memoryMb: 64_000, gpus: 0};
@@ -48,7 +56,7 @@
 	};
 }
 
-function submitRandomJob(simulation: JobsSimulation): {readonly jobId: string; readonly queueName: string; readonly isLongRunning: boolean} | undefined {
+function submitRandomJob(simulation: JobsSimulation, pools: readonly string[]): SoakJob | undefined {
 	const entry = chooseItem(simulation, listRunningEntries(simulation));
 	if (entry === undefined) {
 		return undefined;
@@ -59,11 +67,11 @@
 	const spec: JobSpec = {
 		payload: '', steps, repeatCount: 0, startAtMs: 0, intervalMs: 0,
 	};
-	const queueName = `jobs-${chooseItem(simulation, Object.keys(pools))!}`;
+	const queueName = `jobs-${chooseItem(simulation, pools)!}`;
 	const jobId = simulation.submitJob(entry, queueName, spec, {
 		durationMs: first.isLongRunning ? Number.POSITIVE_INFINITY : 200 + simulation.random.getInteger(2500), isFailing: simulation.random.getInteger(30) === 0,
 	});
-	return {jobId, queueName, isLongRunning: first.isLongRunning};
+	return {jobId, queueName, isEndless: first.isLongRunning};
 }
 
 /** Mean virtual time between two steps. */
@@ -74,49 +82,86 @@
 const stepsPerFault = 14;
 const stepsPerCancellation = 11;
 
+/** Mean number of steps between two loads. */
+const stepsPerLoad = 15;
+/** When endless jobs are cancelled, in virtual time after the last step. */
+const endlessMs = settleMs / 2;
+/** When jobs are watched for idleness: all faults and what follows from them have ended. */
+const watchAfterMs = 26_000;
+/** Number of looks at the idle jobs and the time between two of them; 3 s in all. */
+const lookCount = 7;
+const lookIntervalMs = 500;
+
 /** Runs random jobs with random faults and checks the invariants; the same seed gives the same run. */
 export function runJobsSoak(options: JobsSoakOptions): JobsSoakResult {
+	const {seed, steps, loads} = options;
+	const pools = loads.length > 0 && seed % seedsPerLargePool === 0 ? largePools : smallPools;
 	const simulation = createJobsSimulation({
-		seed: options.seed, entryCount, pools, endpointCapacity, onLine: options.onLine,
+		seed, entryCount, pools, endpointCapacity, onLine: options.onLine,
 	});
 	simulation.runFor(1500);
-	const jobs = new Map<string, {readonly queueName: string; readonly isLongRunning: boolean}>();
-	for (let count = 0; count < options.steps && simulation.checker.violations.length === 0; count++) {
-		const job = submitRandomJob(simulation);
-		if (job !== undefined) {
-			jobs.set(job.jobId, job);
-		}
-
-		if (simulation.random.getInteger(stepsPerFault) === 0) {
-			const fault = chooseItem(simulation, options.faults) ?? '';
-			simulation.logFault(fault);
-			injectFault(simulation, fault);
-		}
-
-		const entry = chooseItem(simulation, listRunningEntries(simulation));
-		const cancelled = chooseItem(simulation, [...jobs.keys()]);
-		if (entry !== undefined && cancelled !== undefined && simulation.random.getInteger(stepsPerCancellation) === 0) {
-			simulation.cancelJob(entry, jobs.get(cancelled)!.queueName, cancelled);
-		}
-
-		simulation.runFor(stepMs * 2 * simulation.random.getFraction());
+	const jobs = new Map<string, SoakJob>();
+	for (let count = 0; count < steps && simulation.checker.violations.length === 0; count++) {
+		playStep(simulation, {jobs, pools: Object.keys(pools), options});
 	}
 
-	for (const [jobId, {queueName, isLongRunning}] of jobs) {
-		const entry = simulation.entries[0]!;
-		if (isLongRunning) {
-			simulation.queue.add(settleMs / 2, () => {
-				simulation.cancelJob(entry, queueName, jobId);
-			});
-		}
+	for (const {jobId, queueName} of [...jobs.values()].filter(({isEndless}) => isEndless)) {
+		simulation.queue.add(endlessMs, () => {
+			simulation.cancelJob(simulation.entries[0]!, queueName, jobId);
+		});
 	}
 
-	simulation.runFor(settleMs);
+	simulation.runFor(watchAfterMs);
+	watchIdleJobs(simulation, jobs.keys());
+	simulation.runFor(settleMs - watchAfterMs - ((lookCount - 1) * lookIntervalMs));
 	const acceptedJobs = [...jobs].filter(([id]) => simulation.answers.get(`submit-${id}`)?.kind === 'accepted');
 	const unfinishedJobIds = acceptedJobs
 		.filter(([id]) => simulation.store.getProgress(id)?.endedAt === undefined)
 		.map(([id]) => id);
 	return {
-		seed: options.seed, violations: simulation.checker.violations, unfinishedJobIds, acceptedCount: acceptedJobs.length, startCount: simulation.checker.getStartCount(),
+		seed, violations: simulation.checker.violations, unfinishedJobIds, acceptedCount: acceptedJobs.length, startCount: simulation.checker.getStartCount(),
 	};
 }
+
+function playStep(simulation: JobsSimulation, {jobs, pools, options: {faults, loads}}: {readonly jobs: Map<string, SoakJob>; readonly pools: readonly string[]; readonly options: JobsSoakOptions}): void {
+	const {random} = simulation;
+	const job = submitRandomJob(simulation, pools);
+	if (job !== undefined) {
+		jobs.set(job.jobId, job);
+	}
+
+	if (loads.length > 0 && random.getInteger(stepsPerLoad) === 0) {
+		const load = chooseItem(simulation, loads)!;
+		simulation.logFault(`load ${load}`);
+		for (const each of submitLoad(simulation, load, chooseItem(simulation, pools)!)) {
+			jobs.set(each.jobId, each);
+		}
+	}
+
+	if (random.getInteger(stepsPerFault) === 0) {
+		const fault = chooseItem(simulation, faults) ?? '';
+		simulation.logFault(fault);
+		injectFault(simulation, fault);
+	}
+
+	const entry = chooseItem(simulation, listRunningEntries(simulation));
+	const cancelled = chooseItem(simulation, [...jobs.keys()]);
+	if (entry !== undefined && cancelled !== undefined && random.getInteger(stepsPerCancellation) === 0) {
+		simulation.cancelJob(entry, jobs.get(cancelled)!.queueName, cancelled);
+	}
+
+	simulation.runFor(stepMs * 2 * random.getFraction());
+}
+
+/** Looks at the idle jobs for 3 s and reports those that were idle each time. */
+function watchIdleJobs(simulation: JobsSimulation, jobIds: Iterable<string>): void {
+	let idleJobIds = findIdleJobs(simulation, jobIds);
+	for (let look = 1; look < lookCount; look++) {
+		simulation.runFor(lookIntervalMs);
+		idleJobIds = findIdleJobs(simulation, idleJobIds);
+	}
+
+	if (idleJobIds.length > 0) {
+		simulation.checker.reportViolation('idle', `nothing runs of ${idleJobIds.length} jobs, ${idleJobIds.slice(0, 5).join(', ')}`);
+	}
+}
--- a/packages/bench/src/jobs/virtual-job-store.ts
+++ b/packages/bench/src/jobs/virtual-job-store.ts
@@ -26,6 +26,7 @@
 	/** Returns whether the claim under which a pool's report is published still holds. */
 	publishReport(pool: string, token: number): boolean;
 	getProgress(jobId: string): ProgressRecord | undefined;
+	getStoredJob(jobId: string): StoredJob | undefined;
 	saveProgress(effect: JobEffectOf<'save-progress'>): JobEventOf<'progress-saved'>;
 	loadPool(pool: string, token: number): JobEvent;
 	/** Lists the events of a full listing, as after a watch lost its history. Cancellations come before jobs, as their keys sort. */
@@ -155,6 +156,7 @@
 		},
 		publishReport: (pool, token) => claims.get(`${poolClaimPrefix}${pool}`)?.token === token,
 		getProgress: jobId => progress.get(jobId)?.record,
+		getStoredJob: jobId => jobs.has(jobId) ? createStoredJob(jobId) : undefined,
 		saveProgress({
 			pool, token, saveId, records, roster,
 		}) {
--- a/packages/bench/src/jobs/virtual-task-endpoint.ts
+++ b/packages/bench/src/jobs/virtual-task-endpoint.ts
@@ -2,6 +2,7 @@
 	type RunOutcome, type Endpoint, type JobEffectOf, type JobEvent, type OrderRefusal, type ReportedEnd, type Resources,
 } from '@pistachiogauge/jobs';
 import {type EventQueue} from '../virtual/event-queue.js';
+import {type VirtualAdviceService} from './virtual-advice-service.js';
 
 /** One run of a task on a simulated endpoint. */
 export type VirtualRun = {
@@ -31,6 +32,8 @@
 	readonly durationMs: number;
 	/** Whether every run of the task fails. */
 	readonly isFailing: boolean;
+	/** Whether its queue requires a ticket of the advice service. */
+	readonly isAdvised: boolean;
 };
 
 /** Is notified of what happens on simulated endpoints. */
@@ -62,6 +65,7 @@
 	/** Rate of the endpoint's clock; at most 2% below 1. */
 	readonly clockRate: number;
 	readonly getBehaviour: (taskId: string) => TaskBehaviour;
+	readonly advice: VirtualAdviceService;
 	/** Is notified of starts and ends. */
 	readonly observer: EndpointObserver;
 };
@@ -80,7 +84,9 @@
 }
 
 /** Creates an endpoint with an empty state. */
-export function createVirtualTaskEndpoint(queue: EventQueue, registration: Endpoint, {clockRate, getBehaviour, observer}: VirtualTaskEndpointOptions): VirtualTaskEndpoint {
+export function createVirtualTaskEndpoint(queue: EventQueue, registration: Endpoint, {
+	clockRate, getBehaviour, advice, observer,
+}: VirtualTaskEndpointOptions): VirtualTaskEndpoint {
 	const createdAt = queue.now;
 	const runs = new Map<string, VirtualRun>();
 	const highestRuns = new Map<string, number>();
@@ -225,6 +231,10 @@
 			}
 
 			const behaviour = getBehaviour(order.taskId);
+			if (behaviour.isAdvised && !advice.isTicketValid(order.ticket, order.taskId, registration)) {
+				return 'no-ticket';
+			}
+
 			const resources = behaviour.isFiller ? {...behaviour.resources, cpuMillis: 0} : behaviour.resources;
 			const freeResources = computeFreeResources();
 			if (resources.cpuMillis > freeResources.cpuMillis || resources.memoryMb > freeResources.memoryMb || resources.gpus > freeResources.gpus) {
