Match an answer of the advice service to its call

An answer to a call from before the pool was lost and loaded again could be taken for the answer to a later one, and bar endpoints that it did not name. The answer names its endpoints now, and one to another call is ignored. Found by reading; no case shows it.

The interval of searches no longer counts the jobs of an earlier search once no job waits.

--- a/packages/bench/src/jobs/virtual-advice-service.ts
+++ b/packages/bench/src/jobs/virtual-advice-service.ts
@@ -48,7 +48,7 @@
 		mayRun,
 		ask(node, {pool, stepId, endpointIds}, answer) {
 			const failure: JobEvent = {
-				kind: 'advice-answered', pool, stepId, tickets: undefined, validMs: 0, isComplete: false,
+				kind: 'advice-answered', pool, stepId, endpointIds, tickets: undefined, validMs: 0, isComplete: false,
 			};
 			let isFinished = false;
 			const finish = (event: JobEvent) => {
@@ -79,7 +79,7 @@
 				const validUntil = queue.now + virtualAdvicePolicy.validMs;
 				if (!isLost) {
 					finish({
-						kind: 'advice-answered', pool, stepId, tickets: new Map(good.map(id => [id, JSON.stringify([stepId, id, findEndpoint(id)!.startedAt, validUntil])])), validMs: virtualAdvicePolicy.validMs, isComplete: true,
+						kind: 'advice-answered', pool, stepId, endpointIds, tickets: new Map(good.map(id => [id, JSON.stringify([stepId, id, findEndpoint(id)!.startedAt, validUntil])])), validMs: virtualAdvicePolicy.validMs, isComplete: true,
 					});
 				}
 			});
--- a/packages/entry/src/jobs/create-order-sinks.ts
+++ b/packages/entry/src/jobs/create-order-sinks.ts
@@ -40,7 +40,7 @@
 			runCall('ask-advice', async () => {
 				pushEvent(adviceAddress === undefined
 					? {
-						kind: 'advice-answered', pool: effect.pool, stepId: effect.stepId, tickets: undefined, validMs: 0, isComplete: false,
+						kind: 'advice-answered', pool: effect.pool, stepId: effect.stepId, endpointIds: effect.endpointIds, tickets: undefined, validMs: 0, isComplete: false,
 					}
 					: await requestAdvice(dependencies.http, adviceAddress, effect));
 			});
--- a/packages/jobs/src/model/events.ts
+++ b/packages/jobs/src/model/events.ts
@@ -151,6 +151,8 @@
 		readonly kind: 'advice-answered';
 		readonly pool: string;
 		readonly stepId: string;
+		/** Endpoints that the call named. */
+		readonly endpointIds: readonly string[];
 		/** By endpoint that may run the step; undefined if the call failed. */
 		readonly tickets: ReadonlyMap<string, string> | undefined;
 		readonly validMs: number;
--- a/packages/jobs/src/placement/placement-filter.ts
+++ b/packages/jobs/src/placement/placement-filter.ts
@@ -95,6 +95,7 @@
 
 	const waiting = [...pool.activeJobs].filter(job => hasPendingTasks(job.steps.values()));
 	if (waiting.length === 0) {
+		state.placement.searchSizes.delete(poolName);
 		return [];
 	}
 
--- a/packages/jobs/src/placement/step-advice.test.ts
+++ b/packages/jobs/src/placement/step-advice.test.ts
@@ -94,7 +94,7 @@
 			}
 
 			apply({
-				kind: 'advice-answered', pool, stepId, tickets: isRefused ? undefined : answer, validMs: policy.validMs, isComplete: !isRefused,
+				kind: 'advice-answered', pool, stepId, endpointIds, tickets: isRefused ? undefined : answer, validMs: policy.validMs, isComplete: !isRefused,
 			}, now);
 		}
 	};
--- a/packages/jobs/src/placement/step-advice.ts
+++ b/packages/jobs/src/placement/step-advice.ts
@@ -96,11 +96,12 @@
 
 /** Records which endpoints may run a step and which may not. @internal */
 export function recordAdvice({placement}: State, {
-	pool, stepId, tickets, validMs, isComplete,
+	pool, stepId, endpointIds, tickets, validMs, isComplete,
 }: JobEventOf<'advice-answered'>, {now}: DecisionContext): JobOutput[] {
 	const advice = placement.advice.get(stepId);
 	const requested = advice?.requested;
-	if (advice === undefined || requested === undefined) {
+	if (advice === undefined || requested?.size !== endpointIds.length || !endpointIds.every(id => requested.has(id))) {
+		// The answer to a call from before the pool was lost and loaded again.
 		return [];
 	}
 
--- a/packages/jobs/src/placement/waiting-jobs.test.ts
+++ b/packages/jobs/src/placement/waiting-jobs.test.ts
@@ -50,7 +50,7 @@
 
 			if (effect.kind === 'ask-advice') {
 				collect(owner.apply({
-					kind: 'advice-answered', pool: effect.pool, stepId: effect.stepId, tickets: new Map(), validMs: 1000, isComplete: true,
+					kind: 'advice-answered', pool: effect.pool, stepId: effect.stepId, endpointIds: effect.endpointIds, tickets: new Map(), validMs: 1000, isComplete: true,
 				}, now), now);
 			}
 		}
