--- a/packages/bench/src/jobs/find-idle-jobs.ts
+++ b/packages/bench/src/jobs/find-lost-work.ts
@@ -1,5 +1,5 @@
 import {
-	formatTaskId, hasCapacityFor, subtractResources, type StepSpec,
+	formatTaskId, hasCapacityFor, poolClaimPrefix, subtractResources, type StepSpec,
 } from '@pistachiogauge/jobs';
 import {type JobsSimulation} from './jobs-simulation.js';
 import {type VirtualTaskEndpoint} from './virtual-task-endpoint.js';
@@ -37,3 +37,18 @@
 
 	return (requiredLabel === undefined || registration.labels.includes(requiredLabel)) && hasCapacityFor(subtractResources(free, room), room);
 }
+
+/** Lists the runs that the owner of a pool counts on an endpoint that answers it and does not have them. */
+export function findLeakedRuns({entries, endpoints, store}: JobsSimulation): string[] {
+	const leaked: string[] = [];
+	for (const {node, isUp, state} of entries) {
+		for (const {id, pool, phase, runs} of isUp ? state.supervision.endpoints.values() : []) {
+			if (phase === 'answering' && store.claims.get(`${poolClaimPrefix}${pool}`)?.node === node) {
+				const present = endpoints.get(id)?.runs;
+				leaked.push(...[...runs.values()].filter(({taskId}) => present?.has(taskId) !== true).map(({taskId, run}) => `run ${run} of ${taskId} on ${id}`));
+			}
+		}
+	}
+
+	return leaked;
+}
