Create no occurrence that a job does not have

A malformed task id in an endpoint's answer, such as one with occurrence -1, would have created steps that never end; found while reading the change again. The new cases of restore-job.test.ts failed for -1 and 0.5 before.

--- a/packages/jobs/src/ledger/restore-job.test.ts
+++ b/packages/jobs/src/ledger/restore-job.test.ts
@@ -1,6 +1,6 @@
 import {describe, expect, it} from 'vitest';
 import {createTestJob} from '../testing.test-support.js';
-import {createOccurrences, restoreJob} from './restore-job.js';
+import {createOccurrences, createReportedOccurrence, restoreJob} from './restore-job.js';
 
 const wallTime = 1_000_000_000_000;
 
@@ -38,3 +38,28 @@
 		expect(createOccurrences(job, {now: 0, wallTime})).toBe(expected < repeatCount);
 	});
 });
+
+// Guards against a job that never ends, as an endpoint reports a run of an occurrence that it does not have.
+describe('createReportedOccurrence', () => {
+	it.each([
+		{occurrence: 0, steps: ['0.0']},
+		{occurrence: 2, steps: ['0.0', '2.0']},
+		{occurrence: 3, steps: ['0.0']},
+		{occurrence: -1, steps: ['0.0']},
+		{occurrence: 0.5, steps: ['0.0']},
+		{occurrence: Number.NaN, steps: ['0.0']},
+	])('leaves $steps after occurrence $occurrence of 3 was reported', ({occurrence, steps}) => {
+		const {record} = createTestJob('job', [{}]);
+		const job = restoreJob({
+			job: {
+				...record, spec: {
+					...record.spec, repeatCount: 3, startAtMs: 0, intervalMs: 60_000,
+				},
+			}, progress: {
+				queue: record.queue, status: 'queued', steps: {}, lastRun: 0,
+			}, revision: 1, isCancelled: false,
+		}, {now: 0, wallTime: 0});
+		createReportedOccurrence(job, occurrence, {now: 0});
+		expect([...job.steps.keys()]).toEqual(steps);
+	});
+});
--- a/packages/jobs/src/ledger/restore-job.ts
+++ b/packages/jobs/src/ledger/restore-job.ts
@@ -82,7 +82,8 @@
 @internal
 */
 export function createReportedOccurrence(job: Job, occurrence: number, {now}: {readonly now: number}): void {
-	if (isActive(job) && occurrence < getOccurrenceCount(job) && !job.steps.has(`${occurrence}.0`)) {
+	const isValid = Number.isSafeInteger(occurrence) && occurrence >= 0 && occurrence < getOccurrenceCount(job);
+	if (isValid && isActive(job) && !job.steps.has(`${occurrence}.0`)) {
 		createOccurrence(job, occurrence, now);
 	}
 }
