--- a/packages/jobs/src/ledger/ledger-filter.ts
+++ b/packages/jobs/src/ledger/ledger-filter.ts
@@ -4,17 +4,18 @@
 import {type DirectoryView} from '../directory/index.js';
 import {emitLog, type JobFilter, type JobOutput} from '../filter.js';
 import {
-	type JobEventOf, type Roster, type StepSpec, type StoredJob,
+	type JobEventOf, type StepSpec, type StoredJob,
 } from '../model/index.js';
 import {
 	applyEnd, endCompleteJob, endJob, markUnsaved,
 } from './apply-end.js';
 import {
-	createPoolLedger, findTask, isActive, type LedgerState, type PoolLedger, type Task,
+	createPoolLedger, findTask, isActive, type LedgerState, type PoolLedger,
 } from './ledger-state.js';
 import {
-	createOccurrences, createReportedOccurrence, markTakenOver, restoreJob,
+	createOccurrences, findReportedTask, markTakenOver, restoreJob,
 } from './restore-job.js';
+import {createRoster} from './create-roster.js';
 import {handleSaveResult, saveProgress} from './save-progress.js';
 
 /** How long an ended job is kept: callers may query it for 120 s, plus 30 s for clock differences and late retries. */
@@ -122,7 +123,7 @@
 		},
 		tick: (state, _event, context) => [...state.ledger.pools.values()].flatMap(pool => [
 			...createDueOccurrences(pool, context),
-			...saveProgress(pool, createRoster(state, pool), context),
+			...saveProgress(pool, createRoster(state.directory, pool), context),
 			...purgeEndedJobs(pool, context),
 		]),
 	},
@@ -256,17 +257,6 @@
 	return [...outputs, ...saveIfUrgent(pool, context), passEvent({kind: 'placement-due', pool: name})];
 }
 
-/** Finds a task that an endpoint reports a run or an end of; its occurrence is created if it is not due yet by this entry's clock. */
-function findReportedTask(pool: PoolLedger | undefined, taskId: string, context: DecisionContext): Task | undefined {
-	const [jobId = '', occurrence] = taskId.split('.');
-	const job = pool?.jobs.get(jobId);
-	if (job !== undefined) {
-		createReportedOccurrence(job, Number(occurrence), context);
-	}
-
-	return findTask(pool, taskId);
-}
-
 /** Saves at once if callers wait for a change; other changes are saved on the next tick. */
 function saveIfUrgent(pool: PoolLedger, context: DecisionContext): JobOutput[] {
 	return pool.isSaveUrgent ? saveProgress(pool, undefined, context) : [];
@@ -284,29 +274,6 @@
 	return outputs;
 }
 
-/** Creates the roster of endpoints that may run tasks: those listed for the pool, and those on the saved roster unless it is certain that they run nothing. */
-function createRoster(state: State, pool: PoolLedger): Roster {
-	const ids = new Set<string>();
-	for (const endpoint of state.directory.endpoints.values()) {
-		if (endpoint.pool === pool.pool) {
-			ids.add(endpoint.id);
-			pool.forgottenEndpointIds.delete(endpoint.id);
-		}
-	}
-
-	for (const id of pool.rosterEndpointIds) {
-		if (!pool.forgottenEndpointIds.has(id)) {
-			ids.add(id);
-		}
-	}
-
-	const silent = [...pool.silentRuns].filter(([, runs]) => runs.length > 0).sort(([left], [right]) => left < right ? -1 : 1);
-	return {
-		endpointIds: [...ids].filter(id => !pool.evacuatedEndpointIds.has(id) && !pool.silentRuns.has(id)).sort(),
-		...(silent.length > 0 && {silentRuns: Object.fromEntries(silent)}),
-	};
-}
-
 function purgeEndedJobs(pool: PoolLedger, context: DecisionContext): JobOutput[] {
 	if (context.now < pool.nextPurgeAt) {
 		return [];
--- a/packages/jobs/src/ledger/restore-job.ts
+++ b/packages/jobs/src/ledger/restore-job.ts
@@ -1,6 +1,6 @@
 import {formatTaskId, type StoredJob} from '../model/index.js';
 import {
-	isActive, type Job, type Step, type Task,
+	findTask, isActive, type Job, type PoolLedger, type Step, type Task,
 } from './ledger-state.js';
 
 /**
@@ -88,6 +88,17 @@
 	}
 }
 
+/** Finds a task that an endpoint reports a run or an end of; its occurrence is created if it is not due yet by this entry's clock. @internal */
+export function findReportedTask(pool: PoolLedger | undefined, taskId: string, times: {readonly now: number}): Task | undefined {
+	const [jobId = '', occurrence] = taskId.split('.');
+	const job = pool?.jobs.get(jobId);
+	if (job !== undefined) {
+		createReportedOccurrence(job, Number(occurrence), times);
+	}
+
+	return findTask(pool, taskId);
+}
+
 function countOpenTasks(job: Job): number {
 	let count = 0;
 	for (const step of job.steps.values()) {
