--- a/packages/bench/src/jobs/jobs-simulation.ts
+++ b/packages/bench/src/jobs/jobs-simulation.ts
@@ -7,6 +7,7 @@
 import {createStoreCaller} from './call-store.js';
 import {createConfiguration} from './create-configuration.js';
 import {createVirtualSinks} from './create-virtual-sinks.js';
+import {createEndpointLifecycle} from './endpoint-lifecycle.js';
 import {createEventDelivery} from './event-delivery.js';
 import {createJobInvariantChecker, type JobInvariantChecker} from './job-invariant-checker.js';
 import {createVirtualAdviceService, type VirtualAdviceService} from './virtual-advice-service.js';
@@ -15,7 +16,7 @@
 import {createVirtualNetwork, storeNode, type VirtualNetwork} from './virtual-network.js';
 import {createVirtualRegistry} from './virtual-registry.js';
 import {startVirtualSession} from './virtual-session.js';
-import {createVirtualTaskEndpoint, type TaskBehaviour, type VirtualTaskEndpoint} from './virtual-task-endpoint.js';
+import {type TaskBehaviour, type VirtualTaskEndpoint} from './virtual-task-endpoint.js';
 import {createVirtualWatches, loseWatchHistory} from './virtual-watches.js';
 
 /** A simulation of entries, endpoints, machines and the store in virtual time. */
@@ -66,8 +67,6 @@
 const contactMs = 3000;
 /** Time without an answer after which the store counts as unreachable. */
 const storeSilenceLimitMs = 1600;
-/** Largest part by which an endpoint's clock runs slow. */
-const maxClockSlowness = 0.02;
 /** Bounds of the delay of one call, one answer and one watch event. */
 const callDelayMs = {min: 1, max: 6} as const;
 
@@ -196,32 +195,9 @@
 		resources: checker.getStep(taskId)?.room ?? endpointCapacity, isFiller: false, durationMs: 800, isFailing: false, isAdvised: false, ...behaviours.get(taskId.split('.', 1)[0]!),
 	});
 
-	/** Starts the process of an endpoint, which knows nothing of an earlier one under the same id. */
-	function startEndpoint(registration: Omit<Endpoint, 'startedAt'>): void {
-		const endpoint = createVirtualTaskEndpoint(queue, {...registration, startedAt: startWallTime + Math.ceil(queue.now)}, {
-			clockRate: 1 / (1 + (maxClockSlowness * random.getInteger(3) / 2)), getBehaviour, advice, observer: checker,
-		});
-		endpoint.isReachable = endpoints.get(registration.id)?.isReachable ?? true;
-		endpoints.set(registration.id, endpoint);
-		registry.sendHeartbeat(endpoint);
-		logFault(`${registration.id} starts`);
-	}
-
-	let endpointCount = 0;
-	function addEndpoint(pool: string): void {
-		endpointCount += 1;
-		const id = `endpoint-${endpointCount}`;
-		const rack = `rack-${endpointCount % 4}`;
-		startEndpoint({
-			id, pool, address: id, zone: 'a', state: 'ready', capacity: endpointCapacity, labels: ['a', rack], rack, remainingMs: undefined,
-		});
-	}
-
-	function stopEndpoint(endpoint: VirtualTaskEndpoint): void {
-		logFault(`${endpoint.registration.id} ends`);
-		checker.recordCrash(endpoint);
-		endpoint.crash();
-	}
+	const lifecycle = createEndpointLifecycle({
+		queue, random, endpoints, checker, advice, registry, logFault, getBehaviour, capacity: endpointCapacity,
+	});
 
 	const simulation: JobsSimulation = {
 		queue,
@@ -262,15 +238,15 @@
 			});
 		},
 		crashEndpoint(endpoint, downMs) {
-			stopEndpoint(endpoint);
+			lifecycle.stop(endpoint);
 			queue.add(downMs, () => {
-				addEndpoint(endpoint.registration.pool);
+				lifecycle.add(endpoint.registration.pool);
 			});
 		},
 		restartEndpoint(endpoint, downMs) {
-			stopEndpoint(endpoint);
+			lifecycle.stop(endpoint);
 			queue.add(downMs, () => {
-				startEndpoint(endpoint.registration);
+				lifecycle.start(endpoint.registration);
 			});
 		},
 		reconnectStore(entry) {
@@ -291,7 +267,7 @@
 	};
 	for (const [pool, count] of Object.entries(pools)) {
 		for (let index = 0; index < count; index++) {
-			addEndpoint(pool);
+			lifecycle.add(pool);
 		}
 	}
 
