--- a/packages/bench/src/jobs-processes/odd-jobs.ts
+++ b/packages/bench/src/jobs-processes/odd-jobs.ts
@@ -1,6 +1,8 @@
 import {createRandomSource, type RandomSource} from '@pistachiogauge/decisions';
 import {type AdviceTimes, type JobRequest, type StepRequest} from '@pistachiogauge/platform/standins';
-import {drawBetween, type EndpointPlan, type JobPlan} from './run-plan.js';
+import {
+	drawBetween, type EndpointPlan, type JobPlan, type RunPlan,
+} from './run-plan.js';
 
 /** Queue whose steps may run on some endpoints only, which the advice service knows. */
 export const advisedQueue = 'advised-desk';
@@ -9,6 +11,8 @@
 const allowedInterval = 4;
 const meanIntervalMs = 2500;
 const quickCancelMs = 100;
+const seedsPerLargePool = 4;
+const addedEndpointCount = 40;
 const smallStep: StepRequest = {
 	taskCount: 1, cpuMillis: 10, memoryMb: 10, estimateMs: 700, after: [], isLongRunning: false, mayDuplicate: false,
 };
@@ -40,8 +44,23 @@
 	return hash % allowedInterval === 0;
 }
 
-/** Draws jobs of odd shapes for a run; they leave the rest of the plan as it is. */
-export function drawOddJobs(seed: number, durationMs: number, endpoints: readonly EndpointPlan[], firstNumber: number): JobPlan[] {
+/** Adds jobs of odd shapes to a plan, which stays the same otherwise; one seed in four has more endpoints than one call for advice names. */
+export function addOddJobs(plan: RunPlan): RunPlan {
+	const {seed, durationMs, queues, jobs} = plan;
+	const added = seed % seedsPerLargePool === 0 ? Array.from({length: addedEndpointCount}, (_, index) => ({id: `desk-${index + 100}`, service: 'desk', clockRate: 1})) : [];
+	const endpoints = [...plan.endpoints, ...added];
+	return {
+		...plan,
+		queues: [...queues, {
+			queue: advisedQueue, service: 'desk', attempts: 2, advice: adviceTimes,
+		}],
+		endpoints,
+		jobs: [...jobs, ...drawOddJobs(seed, durationMs, endpoints, jobs.length + 1)],
+	};
+}
+
+/** Draws jobs of odd shapes, numbered from the given number on. */
+function drawOddJobs(seed: number, durationMs: number, endpoints: readonly EndpointPlan[], firstNumber: number): JobPlan[] {
 	const random = createRandomSource(seed + 2_000_000);
 	const jobs: JobPlan[] = [];
 	for (let atMs = 0; atMs < durationMs; atMs += drawBetween(random, 0, 2 * meanIntervalMs)) {
--- a/packages/bench/src/jobs-processes/run-plan.ts
+++ b/packages/bench/src/jobs-processes/run-plan.ts
@@ -1,7 +1,6 @@
 import {createRandomSource, type RandomSource} from '@pistachiogauge/decisions';
 import {type JobRequest, type QueuePlan, type StepRequest} from '@pistachiogauge/platform/standins';
 import {drawFaults, type FaultPlan} from './fault-plan.js';
-import {adviceTimes, advisedQueue, drawOddJobs} from './odd-jobs.js';
 
 /** A job, when it is submitted, and what its client does later. */
 export type JobPlan = {
@@ -31,8 +30,6 @@
 
 const entryCount = 4;
 const poolSizes: Readonly<Record<string, number>> = {desk: 5, notify: 4};
-const seedsPerLargePool = 4;
-const addedEndpointCount = 40;
 const maxClockDelay = 0.02;
 const meanJobIntervalMs = 420;
 const maxTaskMs = 1200;
@@ -45,21 +42,6 @@
 	return random.getFraction() < probability;
 }
 
-/** Adds jobs of odd shapes to a plan, which stays the same otherwise; one seed in four has more endpoints than one call for advice names. */
-export function addOddJobs(plan: RunPlan): RunPlan {
-	const {seed, durationMs, queues, jobs} = plan;
-	const added = seed % seedsPerLargePool === 0 ? Array.from({length: addedEndpointCount}, (_, index) => ({id: `desk-${index + 100}`, service: 'desk', clockRate: 1})) : [];
-	const endpoints = [...plan.endpoints, ...added];
-	return {
-		...plan,
-		queues: [...queues, {
-			queue: advisedQueue, service: 'desk', attempts: 2, advice: adviceTimes,
-		}],
-		endpoints,
-		jobs: [...jobs, ...drawOddJobs(seed, durationMs, endpoints, jobs.length + 1)],
-	};
-}
-
 /** Draws the plan of a run; the same seed and duration give the same plan. */
 export function createRunPlan(seed: number, durationMs: number): RunPlan {
 	const random = createRandomSource(seed);
--- a/packages/bench/src/jobs-processes/run-process-soak.ts
+++ b/packages/bench/src/jobs-processes/run-process-soak.ts
@@ -7,7 +7,8 @@
 import {startInstallation, type Installation} from './installation.js';
 import {checkObservations} from './kept-record.js';
 import {playLoad, requestFinalStates} from './load.js';
-import {addOddJobs, createRunPlan} from './run-plan.js';
+import {addOddJobs} from './odd-jobs.js';
+import {createRunPlan} from './run-plan.js';
 
 /** Result of one run with entry processes. */
 export type ProcessSoakResult = {
--- a/packages/jobs/src/placement/placement-filter.ts
+++ b/packages/jobs/src/placement/placement-filter.ts
@@ -137,7 +137,7 @@
 		}
 
 		for (const step of listReadySteps(job)) {
-			const {outputs: placed, waitReason} = tryStep(state, search, step, context);
+			const {outputs: placed, waitReason} = placeWaitingStep(state, search, step, context);
 			outputs.push(...placed);
 			if (waitReason !== undefined) {
 				recordWaitingJob(search, job, waitReason);
@@ -171,7 +171,7 @@
 	return false;
 }
 
-function tryStep(state: State, search: PlacementSearch, step: Step, context: DecisionContext): PlacementResult {
+function placeWaitingStep(state: State, search: PlacementSearch, step: Step, context: DecisionContext): PlacementResult {
 	if (!step.tasks.some(task => isPending(task))) {
 		return {outputs: [], waitReason: undefined};
 	}
