--- a/packages/jobs/src/fleet/compute-balances.ts
+++ b/packages/jobs/src/fleet/compute-balances.ts
@@ -97,6 +97,8 @@
 		machines: machines.length,
 		incoming: incomingCount,
 		idle: report.idleEndpoints.length,
+		evacuated: listEvacuationAges(fleet, pool, now).length,
+		longestEvacuatedMs: Math.max(0, ...listEvacuationAges(fleet, pool, now)),
 		capacityMillis,
 		wantedMillis: Math.round(wantedMillis),
 		usedMillis: report.usedMillis,
@@ -107,3 +109,10 @@
 		listAgeMs: Math.round(now - (fleet.listedAt ?? now)),
 	}));
 }
+
+/** Lists for how long in ms endpoints of a pool have been asked to leave it without an order to their machine. */
+function listEvacuationAges(fleet: FleetState, pool: string, now: number): number[] {
+	return [...fleet.evacuations.values()]
+		.filter(({request}) => request.pool === pool && request.purpose === 'move' && !fleet.orders.has(request.machine))
+		.map(({requestedAt}) => Math.round(now - requestedAt));
+}
--- a/packages/jobs/src/fleet/run-waves.ts
+++ b/packages/jobs/src/fleet/run-waves.ts
@@ -235,7 +235,12 @@
 				continue;
 			}
 
-			outputs.push(emitEffect({kind: 'withdraw-evacuation', pool: request.pool, endpointId}));
+			outputs.push(
+				emitLog('info', 'evacuation of endpoint withdrawn', {
+					endpoint: endpointId, machine: request.machine, pool: request.pool, purpose: request.purpose, ageMs: Math.round(now - requestedAt),
+				}),
+				emitEffect({kind: 'withdraw-evacuation', pool: request.pool, endpointId}),
+			);
 			continue;
 		}
 
--- a/packages/jobs/src/placement/list-candidates.ts
+++ b/packages/jobs/src/placement/list-candidates.ts
@@ -6,23 +6,18 @@
 import {type ObservationView} from '../observation/index.js';
 import {type SupervisionView} from '../supervision/index.js';
 import {reserveCandidate, type Candidate} from './choose-endpoint.js';
+import {updateEndpointUse} from './endpoint-use.js';
 import {type PlacementState} from './placement-state.js';
 
 type State = {readonly placement: PlacementState} & SupervisionView & DirectoryView & EvacuationView & ObservationView;
 
 /** Lists the endpoints on which tasks of a pool may be started now, with their free resources. @internal */
-export function listCandidates({
-	supervision, directory, evacuation, placement, observation,
-}: State, pool: Readonly<PoolLedger>, context: DecisionContext): Candidate[] {
+export function listCandidates(state: State, pool: Readonly<PoolLedger>, context: DecisionContext): Candidate[] {
+	const {supervision, directory, placement, observation} = state;
 	const candidates: Candidate[] = [];
 	for (const supervised of supervision.endpoints.values()) {
 		const endpoint = directory.endpoints.get(supervised.id);
-		if (supervised.hasUnknownUsage || supervised.pool !== pool.pool || supervised.phase !== 'answering' || endpoint?.state !== 'ready' || !pool.rosterEndpointIds.has(supervised.id)) {
-			continue;
-		}
-
-		const health = observation.endpoints.get(supervised.id);
-		if (context.now < supervised.startsPausedUntil || context.now < (health?.avoidUntil ?? 0) || evacuation.requests.has(supervised.id)) {
+		if (supervised.pool !== pool.pool || updateEndpointUse(state, supervised, pool, context) !== 'usable' || endpoint === undefined) {
 			continue;
 		}
 
@@ -32,7 +27,7 @@
 			free: subtractResources(endpoint.capacity, resources),
 			fillerCount,
 			servingCount,
-			slowness: health?.slowness ?? 1,
+			slowness: observation.endpoints.get(supervised.id)?.slowness ?? 1,
 		};
 		for (const step of placement.reservedSteps.get(supervised.id)?.values() ?? []) {
 			reserveCandidate(candidate, step);
--- a/packages/jobs/src/placement/placement-filter.ts
+++ b/packages/jobs/src/placement/placement-filter.ts
@@ -57,6 +57,19 @@
 
 			return [];
 		},
+		'pool-lost'({placement}, {pool}) {
+			for (const [id, endpoint] of placement.endpointUses) {
+				if (endpoint.pool === pool) {
+					placement.endpointUses.delete(id);
+				}
+			}
+
+			return [];
+		},
+		'endpoint-forgotten'({placement}, {endpointId}) {
+			placement.endpointUses.delete(endpointId);
+			return [];
+		},
 		'task-placed'({placement}, {endpointId, taskId}) {
 			placement.reservedSteps.get(endpointId)?.delete(taskId);
 			return [];
@@ -116,9 +129,11 @@
 		outputs.push(emitCount('placement_searches_total'), ...placeJobs(state, poolName, search, confirmed, context));
 	}
 
-	for (const job of usable.length > 0 ? waiting : []) {
+	for (const job of waiting) {
 		if (job.firstSeenAt > confirmedAt) {
 			recordWaitingJob(search, job, 'claim');
+		} else if (usable.length === 0) {
+			recordWaitingJob(search, job, 'no-endpoint');
 		}
 	}
 
--- a/packages/jobs/src/placement/placement-search.ts
+++ b/packages/jobs/src/placement/placement-search.ts
@@ -3,6 +3,7 @@
 import {type Job, type Step} from '../ledger/index.js';
 import {hasCapacityFor, type Resources} from '../model/index.js';
 import {getTakenResources, type Candidate} from './choose-endpoint.js';
+import {countEndpointUses} from './endpoint-use.js';
 import {type PlacementState, type WaitReason} from './placement-state.js';
 
 /** What a task needs of its endpoint. */
@@ -95,7 +96,8 @@
 }
 
 /** Counts the jobs that wait by reason, and logs those that have waited for long. @internal */
-export function reportWaitingJobs({waitLoggedAt}: PlacementState, pool: string, {candidates, waitingJobs}: PlacementSearch, {now}: DecisionContext): JobOutput[] {
+export function reportWaitingJobs(placement: PlacementState, pool: string, {candidates, waitingJobs}: PlacementSearch, {now}: DecisionContext): JobOutput[] {
+	const {waitLoggedAt} = placement;
 	const outputs = [...waitingJobs].map(([reason, jobs]) => emitCount(`jobs_unplaced_total{reason="${reason}"}`, jobs.length));
 	if (now < (waitLoggedAt.get(pool) ?? Number.NEGATIVE_INFINITY) + waitLogIntervalMs) {
 		return outputs;
@@ -110,6 +112,7 @@
 	return [...outputs, emitLog('info', 'jobs have waited for endpoints', {
 		pool,
 		endpoints: candidates.length,
+		endpointUses: countEndpointUses(placement, pool, now),
 		counts: Object.fromEntries(Object.entries(overdue).map(([reason, jobs]) => [reason, jobs.length])),
 		jobs: Object.fromEntries(Object.entries(overdue).map(([reason, jobs]) => [reason, jobs.slice(0, maxLoggedJobs).map(({record}) => record.id)])),
 	})];
--- a/packages/jobs/src/placement/placement-state.ts
+++ b/packages/jobs/src/placement/placement-state.ts
@@ -37,6 +37,21 @@
 */
 export type WaitReason = 'claim' | 'survey' | 'no-endpoint' | 'no-room' | 'endpoint-limit' | 'gang' | 'advice';
 
+/**
+Whether tasks are started on an endpoint, or why not.
+
+- `silent`: it does not answer.
+- `not-ready`: it is draining, or no longer registered.
+- `evacuated-for-move`, `evacuated-for-maintenance`: its machine is to be moved or maintained.
+- `unknown-usage`: it runs tasks of jobs that this entry does not know.
+- `not-on-roster`: the roster that names it has not been saved.
+- `paused`: it has refused a start, or has not answered one.
+- `avoided`: runs fail, stall or are slow there.
+
+@public
+*/
+export type EndpointUse = 'usable' | 'silent' | 'not-ready' | 'evacuated-for-move' | 'evacuated-for-maintenance' | 'unknown-usage' | 'not-on-roster' | 'paused' | 'avoided';
+
 /** @public */
 export type PlacementState = {
 	/** Steps of tasks that have been placed but whose runs are not supervised yet, by endpoint and task. */
@@ -53,11 +68,13 @@
 	readonly blockedSteps: WeakMap<Step, {readonly at: number; readonly reason: WaitReason}>;
 	/** When the waiting jobs of each pool were last logged, in monotonic ms. */
 	readonly waitLoggedAt: Map<string, number>;
+	/** Use of each endpoint in the last search of its pool, and in monotonic ms since when searches have found it so. */
+	readonly endpointUses: Map<string, {readonly pool: string; readonly use: EndpointUse; readonly since: number}>;
 };
 
 /** @public */
 export function createPlacementState(): PlacementState {
 	return {
-		reservedSteps: new Map(), searchedAt: new Map(), searchSizes: new Map(), duePools: new Set(), advice: new Map(), blockedSteps: new WeakMap(), waitLoggedAt: new Map(),
+		reservedSteps: new Map(), searchedAt: new Map(), searchSizes: new Map(), duePools: new Set(), advice: new Map(), blockedSteps: new WeakMap(), waitLoggedAt: new Map(), endpointUses: new Map(),
 	};
 }
--- a/packages/jobs/src/placement/waiting-jobs.test.ts
+++ b/packages/jobs/src/placement/waiting-jobs.test.ts
@@ -129,7 +129,9 @@
 		const {logs, counts} = play(input, [], 12_000);
 		expect(logs.length).toBeGreaterThanOrEqual(2);
 		expect(logs.length).toBeLessThanOrEqual(3);
-		expect(logs.at(-1)).toMatchObject({pool: 'desk', endpoints: endpointIds.length, counts: {[input.reason]: input.count ?? 30}});
+		expect(logs.at(-1)).toMatchObject({
+			pool: 'desk', endpoints: endpointIds.length, counts: {[input.reason]: input.count ?? 30}, endpointUses: {usable: {count: endpointIds.length}},
+		});
 		expect(counts.get(`jobs_unplaced_total{reason="${input.reason}"}`)).toBeGreaterThan(0);
 	});
 
