Look for idle work during process soaks, and move machines in them

--moves MODE plays pools of 9 (and 8) endpoints with bursts in turn, up to five spare machines or none, long-running jobs of 4 to 7 tasks with a limit of one an endpoint, some of which fail now and then. The mode says what the machine service does with a move: carried-out, answer-lost, unanswered, limited, busy, invalid, or mixed. A check of rule LOST looks at the whole run: a job of which nothing runs for 3 s, or a long-running task from 6 s after its last run, while a registered endpoint of its pool has room twice over, in calm.

--- a/packages/bench/src/jobs-processes/checks/check-answers.ts
+++ b/packages/bench/src/jobs-processes/checks/check-answers.ts
@@ -17,7 +17,7 @@
 }
 
 /** Whether a task has failed as often as the queue allows. */
-function hasFailed({job, runs}: JobRecord, attempts: number, at: number): boolean {
+export function hasFailed({job, runs}: JobRecord, attempts: number, at: number): boolean {
 	return [...runs.values()].some(taskRuns => taskRuns.filter(({outcome, endedAt}) => outcome === 'failed' && endedAt <= at).length >= attempts) && !job.steps.some(step => step.isLongRunning);
 }
 
--- a/packages/bench/src/jobs-processes/checks/checks.test.ts
+++ b/packages/bench/src/jobs-processes/checks/checks.test.ts
@@ -1,4 +1,6 @@
-import {type JobRequest, type Observation, type StepRequest} from '@pistachiogauge/platform/standins';
+import {
+	type JobRequest, type Observation, type QueuePlan, type StepRequest,
+} from '@pistachiogauge/platform/standins';
 import {describe, expect, test} from 'vitest';
 import {listViolations, type Rule} from './index.js';
 
@@ -7,7 +9,7 @@
 const jobId = '00000000000000a1';
 const first = `${jobId}.0.0.0`;
 const second = `${jobId}.0.1.0`;
-const attempts = new Map([['jobs', 2]]);
+const queues: readonly QueuePlan[] = [{queue: 'jobs', service: 'desk', attempts: 2}];
 const plainStep: StepRequest = {
 	taskCount: 1, cpuMillis: 500, memoryMb: 100, estimateMs: 700, after: [], isLongRunning: false, mayDuplicate: false,
 };
@@ -193,6 +195,6 @@
 
 describe('checks of a run', () => {
 	test.each(cases)('$title', ({rules, observations}) => {
-		expect(listViolations(observations, attempts).map(({rule}) => rule)).toEqual(rules);
+		expect(listViolations(observations, queues).map(({rule}) => rule)).toEqual(rules);
 	});
 });
--- a/packages/bench/src/jobs-processes/checks/index.ts
+++ b/packages/bench/src/jobs-processes/checks/index.ts
@@ -3,8 +3,9 @@
 
 @packageDocumentation
 */
-import {type Observation} from '@pistachiogauge/platform/standins';
+import {type Observation, type QueuePlan} from '@pistachiogauge/platform/standins';
 import {checkLost, checkMixed} from './check-answers.js';
+import {checkIdle} from './check-idle.js';
 import {
 	checkBudget, checkExit, checkLimit, checkOrder, checkRefused, checkUnasked,
 } from './check-starts.js';
@@ -22,12 +23,12 @@
 	refused: checkRefused,
 	limit: checkLimit,
 	mixed: checkMixed,
-	lost: checkLost,
+	lost: record => [...checkLost(record), ...checkIdle(record)],
 	exit: checkExit,
 };
 
 /** Lists the broken rules of a run in order of their times. */
-export function listViolations(observations: readonly Observation[], attemptsByQueue: ReadonlyMap<string, number>): Violation[] {
-	const record = createRunRecord(observations, attemptsByQueue);
+export function listViolations(observations: readonly Observation[], queues: readonly QueuePlan[]): Violation[] {
+	const record = createRunRecord(observations, queues);
 	return Object.values(checks).flatMap(check => check(record)).sort((first, second) => first.at - second.at);
 }
--- a/packages/bench/src/jobs-processes/checks/run-record.ts
+++ b/packages/bench/src/jobs-processes/checks/run-record.ts
@@ -1,5 +1,5 @@
 import {
-	type JobRequest, type Observation, type ObservationOf, type RunOutcome,
+	type JobRequest, type Observation, type ObservationOf, type QueuePlan, type RunOutcome,
 } from '@pistachiogauge/platform/standins';
 import {findPlannedTask, type PlannedTask} from '../planned-tasks.js';
 
@@ -41,6 +41,8 @@
 	/** All runs in order of their starts. */
 	readonly runs: readonly TaskRun[];
 	readonly attemptsByQueue: ReadonlyMap<string, number>;
+	/** Pool of endpoints that runs the tasks of each queue. */
+	readonly servicesByQueue: ReadonlyMap<string, string>;
 	/** When the faults were over; infinite if the run ended before. */
 	readonly faultsOverAt: number;
 	findTask(taskId: string): PlannedTask | undefined;
@@ -55,7 +57,7 @@
 const contactMs = 3000;
 
 /** Arranges the observations of a run for the checks. */
-export function createRunRecord(observations: readonly Observation[], attemptsByQueue: ReadonlyMap<string, number>): RunRecord {
+export function createRunRecord(observations: readonly Observation[], queues: readonly QueuePlan[]): RunRecord {
 	const runs = listRuns(observations);
 	const faults = listFaults(observations);
 	const entryStarts = listOf(observations, 'entry-started');
@@ -65,7 +67,8 @@
 		observations,
 		jobs,
 		runs,
-		attemptsByQueue,
+		attemptsByQueue: new Map(queues.map(({queue, attempts}) => [queue, attempts])),
+		servicesByQueue: new Map(queues.map(({queue, service}) => [queue, service])),
 		faultsOverAt: observations.find(({kind}) => kind === 'faults-over')?.at ?? Number.POSITIVE_INFINITY,
 		findTask: taskId => findPlannedTask(requests, taskId),
 		isInTouch(entry, at) {
--- a/packages/bench/src/jobs-processes/faults.test.ts
+++ b/packages/bench/src/jobs-processes/faults.test.ts
@@ -28,7 +28,7 @@
 	let isUp = true;
 	const endpoints = plan.endpoints.map(({id, service}) => {
 		const endpoint: Partial<EndpointStandin> = {
-			id, service, isUp: () => isUp, resetConnections: note(`reset ${id}`),
+			id, service, isUp: () => isUp, hasLeft: () => false, resetConnections: note(`reset ${id}`),
 			crash(isSilent: boolean) {
 				isUp = false;
 				note(`crash ${id}`)(isSilent);
--- a/packages/bench/src/jobs-processes/faults.ts
+++ b/packages/bench/src/jobs-processes/faults.ts
@@ -20,13 +20,14 @@
 }
 
 function findEndpoint(installation: Installation, index: number): Installation['endpoints'][number] {
-	return installation.endpoints[index % installation.endpoints.length]!;
+	const present = installation.endpoints.filter(endpoint => !endpoint.hasLeft());
+	return present[index % present.length]!;
 }
 
 /** The target's endpoints: those of the owned pool, or all. */
-function listEndpointIds({plan}: Installation, target: EntryTarget): string[] {
+function listEndpointIds({plan, endpoints}: Installation, target: EntryTarget): string[] {
 	const service = target.kind === 'owner' ? plan.queues[target.pool]?.service : undefined;
-	return plan.endpoints.filter(endpoint => service === undefined || endpoint.service === service).map(({id}) => id);
+	return endpoints.filter(endpoint => !endpoint.hasLeft() && (service === undefined || endpoint.service === service)).map(({id}) => id);
 }
 
 function createRestart(installation: Installation, entry: string): () => void {
--- a/packages/bench/src/jobs-processes/installation.ts
+++ b/packages/bench/src/jobs-processes/installation.ts
@@ -7,8 +7,8 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {createRandomSource, type RandomSource} from '@pistachiogauge/decisions';
 import {
-	createAdviceStandin, createCallerStandin, createEndpointStandin, createLinks, createMachineServiceStandin, createStoreStandin, encodeConfiguration, encodeEntrySettings, readinessPath,
-	type CallerStandin, type EndpointStandin, type Links, type Observation, type Observe, type StoreStandin,
+	createAdviceStandin, createCallerStandin, createEndpointStandin, createLinks, createMachineServiceStandin, createStoreStandin, encodeConfiguration, encodeEntrySettings, moveOutcomes, readinessPath,
+	type CallerStandin, type EndpointStandin, type Links, type MachineServiceOptions, type Observation, type Observe, type StoreStandin,
 } from '@pistachiogauge/platform/standins';
 import {
 	createEntryProcesses, entryHost, findFreePorts, loadEntryCommand, type EntryProcesses,
@@ -16,7 +16,7 @@
 import {recordFile, writePlan} from './kept-record.js';
 import {adviceTimes, mayRunAdvised} from './odd-jobs.js';
 import {findPlannedTask} from './planned-tasks.js';
-import {drawBetween, type RunPlan} from './run-plan.js';
+import {drawBetween, type EndpointPlan, type RunPlan} from './run-plan.js';
 
 /** Entry processes and the stand-ins around them. */
 export type Installation = {
@@ -44,7 +44,6 @@
 
 type Entry = {readonly settingsPath: string; readonly readinessPort: number};
 
-const endpointCapacity = {cpuMillis: 6000, memoryMb: 16_384};
 const readyTimeoutMs = 20_000;
 const probeTimeoutMs = 1000;
 const probeIntervalMs = 100;
@@ -54,6 +53,8 @@
 const maxDelayMs = 300;
 const lateOrderMs = {min: 2000, max: 12_000};
 const callsPerLostAnswer = 10;
+/** Duration of a move of a machine. */
+const moveMs = 1500;
 const lateWriteMs = {min: 500, max: 8000};
 
 export async function startInstallation(plan: RunPlan): Promise<Installation> {
@@ -73,19 +74,38 @@
 	const stopWatchingDelay = watchEventLoop(observe);
 	const links = createLinks();
 	const store = createStoreStandin({links, observe, getLateMs: () => drawBetween(random, lateWriteMs.min, lateWriteMs.max)});
-	const configuration = encodeConfiguration(plan.queues, plan.isGuarding);
+	const configuration = encodeConfiguration(plan.queues, plan.isGuarding, plan.moves?.sparePool);
 	store.write(configuration.key, configuration.value);
 	const jobs = new Map(plan.jobs.map(({job}) => [job.jobId, job]));
 	const advisedQueues = new Set(plan.queues.filter(({advice}) => advice !== undefined).map(({queue}) => queue));
 	const advice = createAdviceStandin({...adviceTimes, mayRun: mayRunAdvised, isLost: callNumber => callNumber % callsPerLostAnswer === 0});
 	const adviceAddress = advisedQueues.size === 0 ? '' : await advice.listen();
-	const endpoints = plan.endpoints.map(({id, service, clockRate}, index) => createEndpointStandin({
-		id, service, clockRate, store, links, observe, rack: `r1-${index}`, capacity: endpointCapacity, isGuarding: plan.isGuarding,
-		findTask: taskId => findPlannedTask(jobs, taskId), getLateMs: () => drawBetween(random, lateOrderMs.min, lateOrderMs.max),
-		isTicketValid: (ticket, taskId) => !advisedQueues.has(findPlannedTask(jobs, taskId)?.job.queue ?? '') || (ticket !== undefined && advice.isTicketValid(ticket, taskId, id)),
+	const endpoints: EndpointStandin[] = [];
+	async function startEndpoint({id, service, clockRate}: EndpointPlan): Promise<void> {
+		const endpoint = createEndpointStandin({
+			id, service, clockRate, store, links, observe, rack: `r1-${endpoints.length}`, capacity: plan.endpointCapacity, isGuarding: plan.isGuarding,
+			findTask: taskId => findPlannedTask(jobs, taskId), getLateMs: () => drawBetween(random, lateOrderMs.min, lateOrderMs.max),
+			isTicketValid: (ticket, taskId) => !advisedQueues.has(findPlannedTask(jobs, taskId)?.job.queue ?? '') || (ticket !== undefined && advice.isTicketValid(ticket, taskId, id)),
+		});
+		endpoints.push(endpoint);
+		await endpoint.start();
+	}
+
+	await Promise.all(plan.endpoints.map(async endpoint => startEndpoint(endpoint)));
+	const machineService = createMachineServiceStandin(createMachineOptions(plan, random, {
+		onLeft(endpointId) {
+			endpoints.find(({id}) => id === endpointId)?.leave();
+		},
+		async onJoined(machine, service) {
+			if (service === plan.moves?.sparePool) {
+				return undefined;
+			}
+
+			const id = `${service}-${machine}-${endpoints.length}`;
+			await startEndpoint({id, service, clockRate: 1});
+			return id;
+		},
 	}));
-	await Promise.all(endpoints.map(async endpoint => endpoint.start()));
-	const machineService = createMachineServiceStandin();
 	const machineServiceAddress = await machineService.listen();
 
 	const entries = new Map<string, Entry>();
@@ -167,6 +187,25 @@
 	};
 }
 
+/** Describes the machines of a plan, one for each endpoint and those that are switched off; undefined if no machine is moved. */
+function createMachineOptions({endpoints, endpointCapacity, moves}: RunPlan, random: RandomSource, callbacks: Pick<MachineServiceOptions, 'onLeft' | 'onJoined'>): MachineServiceOptions | undefined {
+	if (moves === undefined) {
+		return undefined;
+	}
+
+	const {mode, sparePool, spareMachines} = moves;
+	return {
+		...callbacks,
+		machines: [
+			...endpoints.map(({id, service}) => ({machine: `machine-of-${id}`, pool: service, endpointId: id})),
+			...spareMachines.map(machine => ({machine, pool: sparePool ?? '', endpointId: undefined})),
+		],
+		capacity: endpointCapacity,
+		moveMs,
+		chooseOutcome: () => mode === 'mixed' ? moveOutcomes[random.getInteger(moveOutcomes.length)]! : mode,
+	};
+}
+
 /** Records the times at which this process was too busy to answer as a disturbance of the store. @returns A function that stops it. */
 function watchEventLoop(observe: Observe): () => void {
 	let expectedAt = performance.now() + delayProbeMs;
--- a/packages/bench/src/jobs-processes/kept-record.ts
+++ b/packages/bench/src/jobs-processes/kept-record.ts
@@ -15,7 +15,7 @@
 
 /** Checks what was observed in a run of a plan. */
 export function checkObservations(plan: RunPlan, observations: readonly Observation[]): Violation[] {
-	return listViolations(observations, new Map(plan.queues.map(({queue, attempts}) => [queue, attempts])));
+	return listViolations(observations, plan.queues);
 }
 
 /** Checks the kept record of a run again. @throws Error if the folder holds no record of a run. */
--- a/packages/bench/src/jobs-processes/planned-tasks.ts
+++ b/packages/bench/src/jobs-processes/planned-tasks.ts
@@ -1,7 +1,7 @@
 import {type JobRequest, type StepRequest} from '@pistachiogauge/platform/standins';
 
 /** A task as the plan of the run has it. */
-export type PlannedTask = {readonly job: JobRequest; readonly step: StepRequest; readonly failureCount: number; readonly durationMs: number};
+export type PlannedTask = {readonly job: JobRequest; readonly step: StepRequest; readonly failureCount: number; readonly durationMs: number; readonly lifeMs: number | undefined};
 
 const defaultTaskMs = 500;
 
@@ -20,7 +20,7 @@
 	};
 
 	return {
-		job, step: plannedStep, failureCount: readNumber('failures') ?? 0, durationMs: readNumber('ms') ?? defaultTaskMs,
+		job, step: plannedStep, failureCount: readNumber('failures') ?? 0, durationMs: readNumber('ms') ?? defaultTaskMs, lifeMs: readNumber('life'),
 	};
 }
 
--- a/packages/bench/src/jobs-processes/run-plan.test.ts
+++ b/packages/bench/src/jobs-processes/run-plan.test.ts
@@ -1,4 +1,5 @@
 import {describe, expect, test} from 'vitest';
+import {balancePlan} from './balanced-pools.js';
 import {readEntryCommand} from './entry-processes.js';
 import {faultKinds, type FaultPlan} from './fault-plan.js';
 import {findPlannedTask, listTaskIds} from './planned-tasks.js';
@@ -44,6 +45,21 @@
 	});
 });
 
+describe('plan with moves of machines', () => {
+	const balanced = plans.map(plan => balancePlan(plan, 'limited'));
+	const serving = balanced.flatMap(plan => plan.jobs).flatMap(({job}) => job.steps).filter(step => step.isLongRunning);
+	test.each([
+		{title: 'the same seed gives the same plan', holds: () => JSON.stringify(balancePlan(plans[6]!, 'limited')) === JSON.stringify(balanced[6])},
+		{title: 'an endpoint may run one task of a long-running step', holds: () => serving.length > 0 && serving.every(step => step.endpointLimit === 1 && step.taskCount >= 4)},
+		{title: 'some plans have no spare pool', holds: () => new Set(balanced.map(plan => plan.moves?.sparePool)).size === 2},
+		{title: 'some have two pools', holds: () => new Set(balanced.map(plan => plan.queues.length)).size === 2},
+		{title: 'job ids differ', holds: () => balanced.every(({jobs: all}) => new Set(all.map(({job}) => job.jobId)).size === all.length)},
+		{title: 'runs of some long-running tasks fail', holds: () => balanced.some(({jobs: all}) => all.some(({job}) => job.payload.includes('life=')))},
+	])('$title', ({holds}) => {
+		expect(holds()).toBe(true);
+	});
+});
+
 describe('planned tasks', () => {
 	const {job} = jobs[0]!;
 	const known = new Map([[job.jobId, job]]);
--- a/packages/bench/src/jobs-processes/run-plan.ts
+++ b/packages/bench/src/jobs-processes/run-plan.ts
@@ -1,5 +1,7 @@
 import {createRandomSource, type RandomSource} from '@pistachiogauge/decisions';
-import {type JobRequest, type QueuePlan, type StepRequest} from '@pistachiogauge/platform/standins';
+import {
+	moveOutcomes, type JobRequest, type MoveOutcome, type QueuePlan, type StepRequest,
+} from '@pistachiogauge/platform/standins';
 import {drawFaults, type FaultPlan} from './fault-plan.js';
 
 /** A job, when it is submitted, and what its client does later. */
@@ -15,6 +17,20 @@
 
 export type EndpointPlan = {readonly id: string; readonly service: string; readonly clockRate: number};
 
+export type EndpointCapacity = {readonly cpuMillis: number; readonly memoryMb: number};
+
+/** What becomes of the moves that entries order; `mixed` draws an outcome for each. */
+export type MoveMode = MoveOutcome | 'mixed';
+
+export const moveModes: readonly MoveMode[] = [...moveOutcomes, 'mixed'];
+
+export type MovePlan = {
+	readonly mode: MoveMode;
+	/** Pool of the machines that are switched off; undefined if there is none. */
+	readonly sparePool: string | undefined;
+	readonly spareMachines: readonly string[];
+};
+
 /** Everything that a run draws from its seed. */
 export type RunPlan = {
 	readonly seed: number;
@@ -24,12 +40,16 @@
 	readonly isGuarding: boolean;
 	readonly queues: readonly QueuePlan[];
 	readonly endpoints: readonly EndpointPlan[];
+	readonly endpointCapacity: EndpointCapacity;
+	/** How machines are moved between pools; undefined if the machine service is unavailable. */
+	readonly moves: MovePlan | undefined;
 	readonly jobs: readonly JobPlan[];
 	readonly faults: readonly FaultPlan[];
 };
 
 const entryCount = 4;
 const poolSizes: Readonly<Record<string, number>> = {desk: 5, notify: 4};
+const defaultCapacity: EndpointCapacity = {cpuMillis: 6000, memoryMb: 16_384};
 const maxClockDelay = 0.02;
 const meanJobIntervalMs = 420;
 const maxTaskMs = 1200;
@@ -58,6 +78,8 @@
 		isGuarding: hasChance(random, 0.7),
 		queues,
 		endpoints,
+		endpointCapacity: defaultCapacity,
+		moves: undefined,
 		jobs: drawJobs(random, queues, durationMs),
 		faults: drawFaults(random, durationMs, {entryCount, poolCount: services.length, endpointCount: endpoints.length}),
 	};
--- a/packages/bench/src/jobs-processes/run-process-soak.ts
+++ b/packages/bench/src/jobs-processes/run-process-soak.ts
@@ -8,7 +8,8 @@
 import {checkObservations} from './kept-record.js';
 import {playLoad, requestFinalStates} from './load.js';
 import {addOddJobs} from './odd-jobs.js';
-import {createRunPlan} from './run-plan.js';
+import {balancePlan} from './balanced-pools.js';
+import {createRunPlan, type MoveMode, type RunPlan} from './run-plan.js';
 
 /** Result of one run with entry processes. */
 export type ProcessSoakResult = {
@@ -32,6 +33,8 @@
 	readonly faultKinds: readonly FaultKind[];
 	/** Whether jobs of odd shapes are played beside the ordinary ones. */
 	readonly hasOddJobs: boolean;
+	/** What becomes of moves of machines; if given, pools are played whose machines are moved as their demand changes. */
+	readonly moves: MoveMode | undefined;
 	/** Keeps the logs of runs that break no rule as well. */
 	readonly keepsLogs: boolean;
 };
@@ -43,10 +46,11 @@
 
 /** Plays one run; the same seed gives the same jobs and faults, but not the same timing. */
 export async function runProcessSoak({
-	seed, durationMs, faultKinds, hasOddJobs, keepsLogs,
+	seed, durationMs, faultKinds, hasOddJobs, moves, keepsLogs,
 }: ProcessSoakOptions): Promise<ProcessSoakResult> {
-	const drawnPlan = createRunPlan(seed, durationMs);
-	const plan = {...(hasOddJobs ? addOddJobs(drawnPlan) : drawnPlan), faults: drawnPlan.faults.filter(({kind}) => faultKinds.includes(kind))};
+	const plan = createPlan({
+		seed, durationMs, faultKinds, hasOddJobs, moves,
+	});
 	const installation = await startInstallation(plan);
 	try {
 		await installation.waitUntilReady();
@@ -75,6 +79,12 @@
 	};
 }
 
+function createPlan({seed, durationMs, faultKinds, hasOddJobs, moves}: Omit<ProcessSoakOptions, 'keepsLogs'>): RunPlan {
+	const drawnPlan = createRunPlan(seed, durationMs);
+	const balancedPlan = moves === undefined ? drawnPlan : balancePlan(drawnPlan, moves);
+	return {...(hasOddJobs ? addOddJobs(balancedPlan) : balancedPlan), faults: drawnPlan.faults.filter(({kind}) => faultKinds.includes(kind))};
+}
+
 function countAccepted(observations: readonly Observation[]): number {
 	const jobIds = observations.flatMap(observation => observation.kind === 'submit-answered' && observation.status === 200 ? [observation.job.jobId] : []);
 	return new Set(jobIds).size;
--- a/packages/bench/src/process-soak-main.ts
+++ b/packages/bench/src/process-soak-main.ts
@@ -2,6 +2,7 @@
 import {faultKinds, type FaultKind} from './jobs-processes/fault-plan.js';
 import {checkKeptRecord} from './jobs-processes/kept-record.js';
 import {type Violation} from './jobs-processes/checks/index.js';
+import {moveModes, type MoveMode} from './jobs-processes/run-plan.js';
 import {runProcessSoak, type ProcessSoakOptions, type ProcessSoakResult} from './jobs-processes/run-process-soak.js';
 
 const usageExitCode = 2;
@@ -25,7 +26,7 @@
 
 function printResult({
 	seed, violations, startCount, acceptedCount, stateCount, faultCount, logFolder,
-}: ProcessSoakResult, seconds: number, hasOddJobs: boolean): void {
+}: ProcessSoakResult, seconds: number, {hasOddJobs, moves}: Pick<ProcessSoakOptions, 'hasOddJobs' | 'moves'>): void {
 	const counts = `${acceptedCount} jobs accepted, ${stateCount} states shown, ${startCount} starts, ${faultCount} faults`;
 	if (violations.length === 0) {
 		process.stdout.write(`seed ${seed}: all rules kept (${counts})\n`);
@@ -36,7 +37,7 @@
 	process.stdout.write(`seed ${seed}: broken: ${rules.join(', ')} (${counts})\n`);
 	printViolations(violations.slice(0, printedViolationCount));
 
-	process.stdout.write(`  logs: ${logFolder}\n  all: npm run process-soak -- --record ${logFolder}\n  repeat: npm run process-soak -- --seed ${seed} --seconds ${seconds}${hasOddJobs ? ' --odd-jobs' : ''}\n`);
+	process.stdout.write(`  logs: ${logFolder}\n  all: npm run process-soak -- --record ${logFolder}\n  repeat: npm run process-soak -- --seed ${seed} --seconds ${seconds}${hasOddJobs ? ' --odd-jobs' : ''}${moves === undefined ? '' : ` --moves ${moves}`}\n`);
 }
 
 /** Parses a list of faults, `all` or `none`; returns undefined if one of them is unknown. */
@@ -47,13 +48,13 @@
 	return lists[text] ?? (kinds.length === names.length ? kinds : undefined);
 }
 
-async function runSeeds(seeds: readonly number[], seconds: number, options: Pick<ProcessSoakOptions, 'faultKinds' | 'hasOddJobs' | 'keepsLogs'>): Promise<number> {
+async function runSeeds(seeds: readonly number[], seconds: number, options: Pick<ProcessSoakOptions, 'faultKinds' | 'hasOddJobs' | 'moves' | 'keepsLogs'>): Promise<number> {
 	let brokenCount = 0;
 	for (const seed of seeds) {
 		try {
 			// eslint-disable-next-line no-await-in-loop
 			const result = await runProcessSoak({seed, durationMs: seconds * 1000, ...options});
-			printResult(result, seconds, options.hasOddJobs);
+			printResult(result, seconds, options);
 			brokenCount += result.violations.length > 0 ? 1 : 0;
 		} catch (error) {
 			process.stdout.write(`seed ${seed}: could not run: ${error instanceof Error ? error.message : String(error)}\n`);
@@ -80,9 +81,10 @@
 	.option('--seconds <S>', 'length of the load and the faults of each run', {default: 40})
 	.option('--faults <LIST>', `all, none, or faults joined by commas: ${faultKinds.join(', ')}`, {default: 'all'})
 	.option('--odd-jobs', 'plays jobs of odd shapes as well: absent labels, wide limits, early cancellations, advice')
+	.option('--moves <MODE>', `plays pools whose machines are moved as their demand changes; what becomes of the moves: ${moveModes.join(', ')}`)
 	.option('--record <FOLDER>', 'checks the kept record of a run again and prints all that it broke')
 	.option('--keep-logs', 'keeps the logs of runs that break no rule')
-	.action(async (options: {readonly seed?: unknown; readonly seeds?: unknown; readonly seconds: unknown; readonly faults: string; readonly record?: string; readonly keepLogs?: boolean; readonly oddJobs?: boolean}) => {
+	.action(async (options: {readonly seed?: unknown; readonly seeds?: unknown; readonly seconds: unknown; readonly faults: string; readonly record?: string; readonly keepLogs?: boolean; readonly oddJobs?: boolean; readonly moves?: string}) => {
 		if (options.record !== undefined) {
 			const violations = checkKeptRecord(options.record);
 			printViolations(violations);
@@ -92,12 +94,15 @@
 		const seeds = parseSeeds(options.seed ?? options.seeds ?? 1);
 		const seconds = Number(options.seconds);
 		const faults = parseFaults(options.faults);
-		if (seeds === undefined || faults === undefined || !Number.isInteger(seconds) || seconds < 1) {
-			process.stderr.write('--seed takes a whole number, --seeds A..B, --seconds a whole number from 1, --faults all, none or names of faults\n');
+		const moves = moveModes.find(mode => mode === options.moves);
+		if (seeds === undefined || faults === undefined || (options.moves !== undefined && moves === undefined) || !Number.isInteger(seconds) || seconds < 1) {
+			process.stderr.write('--seed takes a whole number, --seeds A..B, --seconds a whole number from 1, --faults all, none or names of faults, --moves a mode of moves\n');
 			process.exit(usageExitCode);
 		}
 
-		process.exit(await runSeeds(seeds, seconds, {faultKinds: faults, hasOddJobs: options.oddJobs === true, keepsLogs: options.keepLogs === true}));
+		process.exit(await runSeeds(seeds, seconds, {
+			faultKinds: faults, hasOddJobs: options.oddJobs === true, moves, keepsLogs: options.keepLogs === true,
+		}));
 	});
 program.help();
 program.parse();
