--- a/packages/jobs/src/fleet/balance-pools.ts
+++ b/packages/jobs/src/fleet/balance-pools.ts
@@ -7,7 +7,8 @@
 import {
 	canOrderMachines, mayBeOrderedElsewhere, orderMachine, retryMoves,
 } from './order-machines.js';
-import {isSparePool, requestEvacuation} from './run-waves.js';
+import {requestEvacuation} from './evacuations.js';
+import {isSparePool} from './run-waves.js';
 import {computeBalances, logBalances, type PoolBalance} from './compute-balances.js';
 import {getReserve, recordDemandHistory} from './demand-history.js';
 
--- a/packages/jobs/src/fleet/fleet-filter.ts
+++ b/packages/jobs/src/fleet/fleet-filter.ts
@@ -6,7 +6,8 @@
 import {writeDemandHistory} from './demand-history.js';
 import {type FleetState} from './fleet-state.js';
 import {expireOrders, handleOrderAnswer, updateFromMachineList} from './order-machines.js';
-import {runWaves, updateEvacuations} from './run-waves.js';
+import {updateEvacuations} from './evacuations.js';
+import {runWaves} from './run-waves.js';
 
 /** Time between two reads of the machine list while orders, evacuations or waves are open. */
 const busyListIntervalMs = 400;
--- a/packages/jobs/src/fleet/run-waves.test.ts
+++ b/packages/jobs/src/fleet/run-waves.test.ts
@@ -3,7 +3,8 @@
 import {type Machine, type PoolReport} from '../model/index.js';
 import {createTestMachine, createTestReport} from '../testing.test-support.js';
 import {createFleetState, type OpenOrder} from './fleet-state.js';
-import {requestEvacuation, runWaves, updateEvacuations} from './run-waves.js';
+import {requestEvacuation, updateEvacuations} from './evacuations.js';
+import {runWaves} from './run-waves.js';
 
 const random = createRandomSource(1);
 const authority = {
@@ -178,7 +179,7 @@
 		}
 
 		const decisions: string[] = [];
-		for (const output of updateEvacuations({fleet, authority, configuration}, {now: ageMs, wallTime: ageMs, random})) {
+		for (const output of updateEvacuations({fleet}, {now: ageMs, wallTime: ageMs, random})) {
 			if (output.kind === 'sink' && output.effect.kind === 'request-evacuation') {
 				decisions.push(`${output.effect.request.purpose} ${output.effect.request.requestId}`);
 			}
@@ -208,7 +209,7 @@
 			}, requestedAt: 0,
 		});
 		fleet.evacuatedIds.add('e1');
-		const outputs = atMs.flatMap(now => updateEvacuations({fleet, authority, configuration}, {now, wallTime: now, random}));
+		const outputs = atMs.flatMap(now => updateEvacuations({fleet}, {now, wallTime: now, random}));
 		expect(outputs.filter(output => output.kind === 'sink' && output.effect.kind === 'withdraw-evacuation')).toHaveLength(withdrawn);
 		expect(fleet.evacuations.size).toBe(0);
 	});
@@ -224,7 +225,7 @@
 		const request = requestEvacuation(fleet, {
 			machine: machine!, endpointId, purpose: 'move', dueAt: 9000,
 		}, {now: 5000, wallTime: 5000, random});
-		const outputs = [...request, ...updateEvacuations({fleet, authority, configuration}, {now: 7200, wallTime: 7200, random})];
+		const outputs = [...request, ...updateEvacuations({fleet}, {now: 7200, wallTime: 7200, random})];
 		expect(outputs.filter(output => output.kind === 'sink' && output.effect.kind === 'withdraw-evacuation')).toEqual([]);
 	});
 });
