Give back evacuated endpoints whose move does not come

Cause: an evacuation for a move takes an endpoint out of placement at once, and once it was confirmed nothing ended it: not a move that the machine service refuses, limits or does not answer, nor a shortage that went away before the move was ordered, nor a fleet without a pool for machines that are off. A pool's own evacuated machines were even taken off the list of available ones for its own shortage, and lost for the pools behind it. Class: a resource is reserved for a plan, and the end of the plan is not tied to it.

A pool's owner reports the endpoints under evacuation that waiting tasks need, tried task by task with limits, labels and memory; the fleet's holder gives these back at once, and those of a pool that is short before it fetches machines from elsewhere. An order that the service does not accept is given up after 3 s, or at once if its endpoint is needed; one that got no answer only when a later list shows the machine unchanged. Its machine is left alone for 2 to 16 s. No machine is evacuated as surplus without a pool to move it to. The same holds for maintenance that a wave's limit or the service holds up, while tasks need the endpoint.

Why it works: each way into the reservation has an end that needs no other entry, and the owner, which knows what waits, can end it earlier.

--- a/packages/entry/src/jobs/record-schemas.ts
+++ b/packages/entry/src/jobs/record-schemas.ts
@@ -72,6 +72,7 @@
 		idleEndpoints: addedNames,
 		servingEndpoints: addedNames,
 		releasableEndpoints: addedNames,
+		neededEndpoints: addedNames,
 		durationModels: createTableSchema(z.object({
 			count, meanLogEstimate: z.number(), meanLogDuration: z.number(), variance: z.number().nonnegative(), covariance: z.number(),
 		})).default({}),
--- a/packages/jobs/src/fleet/balance-pools.ts
+++ b/packages/jobs/src/fleet/balance-pools.ts
@@ -5,9 +5,9 @@
 import {type Machine, type PoolReport} from '../model/index.js';
 import {type FleetState} from './fleet-state.js';
 import {
-	canOrderMachines, mayBeOrderedElsewhere, orderMachine, retryMoves,
+	canOrderMachines, canPrepareOrder, mayBeOrderedElsewhere, orderMachine, retryMoves,
 } from './order-machines.js';
-import {requestEvacuation} from './evacuations.js';
+import {requestEvacuation, returnEvacuatedMachines} from './evacuations.js';
 import {isSparePool} from './run-waves.js';
 import {computeBalances, logBalances, type PoolBalance} from './compute-balances.js';
 import {getReserve, recordDemandHistory} from './demand-history.js';
@@ -45,9 +45,10 @@
 		return [];
 	}
 
+	const returned = computeBalances(state, context).flatMap(balance => returnEvacuatedMachines(fleet, balance.pool, countMissingMachines(fleet, balance), context));
 	const balances = computeBalances(state, context);
 	recordDemand(fleet, balances, context.now);
-	const outputs = [...logBalances(fleet, balances, context), ...recordDemandHistory(fleet, balances, context), ...retryMoves(state, context)];
+	const outputs = [...returned, ...logBalances(fleet, balances, context), ...recordDemandHistory(fleet, balances, context), ...retryMoves(state, context)];
 	// Pools that lack the most machines come first.
 	const shortages = balances
 		.map(balance => ({balance, missing: countMissingMachines(fleet, balance)}))
@@ -64,21 +65,18 @@
 	const availableMachines = [
 		...listEvacuatedMachines(fleet),
 		...[...fleet.machines.values()].filter(machine => isSparePool(state, machine.pool) && machine.state === 'up'),
-	].filter(machine => !fleet.orders.has(machine.name) && !mayBeOrderedElsewhere(fleet, machine.name, context.now));
+	].filter(({name}) => !fleet.orders.has(name) && !mayBeOrderedElsewhere(fleet, name, context.now) && canPrepareOrder(fleet, name, context.now));
 	for (const {balance, missing} of shortages) {
-		let remainingCount = Math.min(missing, computeLimit(fleet, shortageLimit));
-		for (const machine of availableMachines.splice(0, remainingCount)) {
-			if (machine.pool !== balance.pool) {
-				remainingCount -= 1;
-				outputs.push(...orderMachine(state, machine, {order: 'move', pool: balance.pool, wave: 0}, context));
-			}
-		}
-
-		outputs.push(...requestSurplusMachines(state, sortByReserve(fleet, balances.filter(other => other !== balance), context.wallTime), remainingCount, 0, context));
+		const wantedCount = Math.min(missing, computeLimit(fleet, shortageLimit));
+		const fetched = removeMachinesFor(balance.pool, wantedCount, availableMachines);
+		outputs.push(
+			...fetched.flatMap(machine => orderMachine(state, machine, {order: 'move', pool: balance.pool, wave: 0}, context)),
+			...requestSurplusMachines(state, sortByReserve(fleet, balances.filter(other => other !== balance), context.wallTime), wantedCount - fetched.length, 0, context),
+		);
 	}
 
 	if (shortages.length === 0) {
-		outputs.push(...restoreReserves(state, balances, availableMachines, context), ...turnOffMachines(state, availableMachines, context), ...requestSurplusMachines(state, balances, computeLimit(fleet, surplusLimit), getSurplusDelayMs(fleet, balances, context.now), context));
+		outputs.push(...restoreReserves(state, balances, availableMachines, context), ...turnOffSurplus(state, balances, availableMachines, context));
 	}
 
 	return outputs;
@@ -102,7 +100,7 @@
 	const outputs: JobOutput[] = [];
 	for (const {pool, machines, arrivingCount} of balances) {
 		const missing = getReserve(state.fleet, pool, context.wallTime) - machines.length - arrivingCount;
-		for (const machine of missing > 0 ? availableMachines.splice(0, missing) : []) {
+		for (const machine of removeMachinesFor(pool, missing, availableMachines)) {
 			outputs.push(...orderMachine(state, machine, {order: 'move', pool, wave: 0}, context));
 		}
 	}
@@ -110,6 +108,16 @@
 	return outputs;
 }
 
+/** Removes machines of other pools from `availableMachines`, up to a number of them, to be moved to a pool. */
+function removeMachinesFor(poolName: string, count: number, availableMachines: Machine[]): Machine[] {
+	const chosen = availableMachines.filter(({pool}) => pool !== poolName).slice(0, Math.max(0, count));
+	for (const machine of chosen) {
+		availableMachines.splice(availableMachines.indexOf(machine), 1);
+	}
+
+	return chosen;
+}
+
 function computeLimit({machines}: FleetState, {share, min}: ShareLimit): number {
 	return Math.max(min, Math.ceil(machines.size * share));
 }
@@ -191,7 +199,7 @@
 			}
 
 			const machine = byEndpoint.get(endpointId);
-			if (machine !== undefined && context.now > (fleet.joinedPoolAt.get(machine.name) ?? 0) + minStayMs) {
+			if (machine !== undefined && canPrepareOrder(fleet, machine.name, context.now) && context.now > (fleet.joinedPoolAt.get(machine.name) ?? 0) + minStayMs) {
 				remainingCount -= 1;
 				spareCount -= 1;
 				outputs.push(...requestEvacuation(fleet, {
@@ -204,17 +212,19 @@
 	return outputs;
 }
 
-/** Switches off evacuated machines, as no pool is short of machines. */
-function turnOffMachines(state: State, machines: readonly Machine[], context: DecisionContext): JobOutput[] {
-	const spare = state.configuration.current?.pools.find(pool => pool.isSpare);
+/** Switches off evacuated machines, as no pool is short of machines, and has others evacuated that have been spare for some time. Without a pool of machines that are switched off they stay where they are. */
+function turnOffSurplus(state: State, balances: readonly PoolBalance[], machines: readonly Machine[], context: DecisionContext): JobOutput[] {
+	const {fleet, configuration} = state;
+	const spare = configuration.current?.pools.find(pool => pool.isSpare);
 	if (spare === undefined) {
 		return [];
 	}
 
-	return machines
-		.filter(machine => machine.pool !== spare.name && !state.fleet.immovableMachines.has(machine.name))
-		.flatMap(machine => [
+	return [
+		...machines.filter(machine => machine.pool !== spare.name).flatMap(machine => [
 			emitLog('info', 'evacuated machine not needed by any pool', {machine: machine.name, pool: machine.pool}),
 			...orderMachine(state, machine, {order: 'move', pool: spare.name, wave: 0}, context),
-		]);
+		]),
+		...requestSurplusMachines(state, balances, computeLimit(fleet, surplusLimit), getSurplusDelayMs(fleet, balances, context.now), context),
+	];
 }
--- a/packages/jobs/src/fleet/compute-balances.ts
+++ b/packages/jobs/src/fleet/compute-balances.ts
@@ -3,11 +3,9 @@
 import {type ConfigurationView} from '../configuration/index.js';
 import {emitLog, type JobOutput} from '../filter.js';
 import {type Machine, type PoolReport} from '../model/index.js';
-import {type FleetState} from './fleet-state.js';
+import {maxReportAgeMs, type FleetState} from './fleet-state.js';
 import {isSparePool} from './run-waves.js';
 
-/** Reports older than this are ignored. */
-const maxReportAgeMs = 3000;
 /** Time for the endpoint of a newly arrived machine to register and be polled: its first heartbeat, and the notification of a watch on the store. */
 const endpointJoinMs = 1500;
 /** Work that is expected to arrive counts for at most this multiple of the present demand, as few arrivals say little about the rate. */
--- a/packages/jobs/src/fleet/fleet-filter.ts
+++ b/packages/jobs/src/fleet/fleet-filter.ts
@@ -5,7 +5,9 @@
 import {balancePools} from './balance-pools.js';
 import {writeDemandHistory} from './demand-history.js';
 import {type FleetState} from './fleet-state.js';
-import {expireOrders, handleOrderAnswer, updateFromMachineList} from './order-machines.js';
+import {
+	expireOrders, giveUpOrders, handleOrderAnswer, updateFromMachineList,
+} from './order-machines.js';
 import {updateEvacuations} from './evacuations.js';
 import {runWaves} from './run-waves.js';
 
@@ -43,6 +45,8 @@
 		},
 		'machines-listed'({fleet}, {machines}, context) {
 			fleet.listRequestedAt = undefined;
+			fleet.listValidAt = fleet.firstListRequestAt ?? fleet.listValidAt;
+			fleet.firstListRequestAt = undefined;
 			if (fleet.token === undefined) {
 				return [];
 			}
@@ -124,9 +128,11 @@
 
 			return [];
 		},
-		'endpoint-evacuated'({fleet}, {evacuated}) {
-			if (fleet.evacuations.get(evacuated.endpointId)?.request.requestId === evacuated.requestId) {
+		'endpoint-evacuated'({fleet}, {evacuated}, context) {
+			const evacuation = fleet.evacuations.get(evacuated.endpointId);
+			if (evacuation?.request.requestId === evacuated.requestId) {
 				fleet.evacuatedIds.add(evacuated.endpointId);
+				evacuation.confirmedAt ??= context.now;
 			}
 
 			return [];
@@ -165,10 +171,11 @@
 	return [
 		...expireInheritedOrders(fleet, context.now),
 		...requestMachineList(fleet, context),
+		// A machine whose evacuation ends must not be ordered.
+		...(fleet.listedAt === undefined ? [] : [...giveUpOrders(fleet, context), ...updateEvacuations(state, context)]),
 		...runWaves(state, context),
 		...balancePools(state, context),
 		...writeDemandHistory(fleet),
-		...(fleet.listedAt === undefined ? [] : updateEvacuations(state, context)),
 	];
 }
 
@@ -180,6 +187,7 @@
 	}
 
 	fleet.listRequestedAt = context.now;
+	fleet.firstListRequestAt ??= context.now;
 	return [emitEffect({kind: 'list-machines'})];
 }
 
@@ -200,6 +208,11 @@
 	fleet.hasUnwrittenHistory = false;
 	fleet.listedAt = undefined;
 	fleet.listRequestedAt = undefined;
+	fleet.firstListRequestAt = undefined;
+	fleet.listValidAt = undefined;
+	fleet.failedOrders.clear();
+	fleet.poolsAwaitingMachines.clear();
+	fleet.hasShortage = false;
 	for (const wave of fleet.waves.values()) {
 		wave.isWritingStatus = false;
 		wave.status = wave.status === 'done' ? 'done' : 'new';
--- a/packages/jobs/src/fleet/fleet-state.ts
+++ b/packages/jobs/src/fleet/fleet-state.ts
@@ -2,6 +2,9 @@
 	type EvacuationRequest, type Machine, type MachineOrder, type PoolDemandHistory, type PoolReport, type Wave,
 } from '../model/index.js';
 
+/** Reports older than this are ignored. @internal */
+export const maxReportAgeMs = 3000;
+
 /** A wave and its progress. @public */
 export type WaveProgress = {
 	readonly wave: Wave;
@@ -23,6 +26,11 @@
 	readonly wave: number;
 	/** When the order was sent or, once it has been answered, when the answer arrived; in monotonic ms. */
 	sentAt: number;
+	/** When it was sent for the first and for the last time, in monotonic ms. */
+	readonly firstAttemptAt: number;
+	readonly lastAttemptAt: number;
+	/** Whether it may have been carried out, as an attempt got no answer. */
+	isUncertain: boolean;
 	/** Endpoint that ran on the machine when the order was sent. */
 	readonly endpointId: string | undefined;
 	phase: 'sent' | 'accepted' | 'retry';
@@ -34,6 +42,8 @@
 export type OpenEvacuation = {
 	readonly request: EvacuationRequest;
 	readonly requestedAt: number;
+	/** When the pool's owner was seen to have confirmed it; undefined before that. */
+	confirmedAt?: number;
 };
 
 /** @public */
@@ -55,6 +65,10 @@
 	listedAt: number | undefined;
 	/** When the machine list was requested, in monotonic ms, while the answer is outstanding. */
 	listRequestedAt: number | undefined;
+	/** When the first of the requests was sent that have not been answered, in monotonic ms. */
+	firstListRequestAt: number | undefined;
+	/** Monotonic ms from which the last list may date: it shows all that was done before. */
+	listValidAt: number | undefined;
 	readonly waves: Map<number, WaveProgress>;
 	readonly evacuations: Map<string, OpenEvacuation>;
 	/** Number of evacuations requested by this entry so far; part of their ids. */
@@ -83,6 +97,8 @@
 	balancesLoggedAt: number;
 	/** Machines that the machine service refuses to move. */
 	readonly immovableMachines: Set<string>;
+	/** Machines whose order has been given up: how often in a row, and until when in monotonic ms no other is prepared. */
+	readonly failedOrders: Map<string, {readonly count: number; readonly pausedUntil: number}>;
 };
 
 /** @public */
@@ -97,6 +113,8 @@
 		machines: new Map(),
 		listedAt: undefined,
 		listRequestedAt: undefined,
+		firstListRequestAt: undefined,
+		listValidAt: undefined,
 		waves: new Map(),
 		evacuations: new Map(),
 		evacuationCount: 0,
@@ -113,5 +131,6 @@
 		poolsAwaitingMachines: new Set(),
 		balancesLoggedAt: 0,
 		immovableMachines: new Set(),
+		failedOrders: new Map(),
 	};
 }
--- a/packages/jobs/src/fleet/order-machines.ts
+++ b/packages/jobs/src/fleet/order-machines.ts
@@ -2,7 +2,7 @@
 import {type AuthorityView} from '../authority/index.js';
 import {emitCount, emitLog, type JobOutput} from '../filter.js';
 import {type JobEventOf, type Machine, type MachineOrder} from '../model/index.js';
-import {type FleetState, type OpenOrder} from './fleet-state.js';
+import {maxReportAgeMs, type FleetState, type OpenOrder} from './fleet-state.js';
 
 /** No order is sent this close to the end of the lease; covers a round trip to the machine service. */
 const leaseMarginMs = 400;
@@ -10,6 +10,11 @@
 const orderAnswerTimeoutMs = 1200;
 /** Delay before an order that was temporarily refused is sent again. */
 const orderRetryDelayMs = 500;
+/** A move that the service has not accepted within this time is given up. */
+const moveAttemptsMs = 3000;
+/** Bounds of the pause after an order that was given up; the longest is of the order of a burst of demand. */
+const minOrderPauseMs = 2000;
+const maxOrderPauseMs = 16_000;
 
 /** An accepted order counts as complete after this time even if the machine list never showed the machine as unavailable; several times the duration of an order. */
 const orderCompletionTimeoutMs = 8000;
@@ -43,7 +48,15 @@
 	}
 
 	const sent: OpenOrder = {
-		...order, machine: machine.name, sentAt: context.now, endpointId: machine.endpointId, phase: 'sent', wasSeenUnavailable: false,
+		...order,
+		machine: machine.name,
+		sentAt: context.now,
+		firstAttemptAt: openOrder?.firstAttemptAt ?? context.now,
+		lastAttemptAt: context.now,
+		isUncertain: openOrder?.isUncertain ?? false,
+		endpointId: machine.endpointId,
+		phase: 'sent',
+		wasSeenUnavailable: false,
 	};
 	fleet.orders.set(machine.name, sent);
 	return [
@@ -61,13 +74,14 @@
 	];
 }
 
-/** Sends moves again whose outcome is unknown or that the service could not take. The service tells if a move has already been carried out. @internal */
+/** Sends moves again whose outcome is unknown or that the service could not take, until they are given up. The service tells if a move has already been carried out. @internal */
 export function retryMoves(state: {readonly fleet: FleetState} & AuthorityView, context: DecisionContext): JobOutput[] {
 	const {fleet} = state;
 	const outputs: JobOutput[] = [];
-	for (const {machine: name, order, phase, pool} of fleet.orders.values()) {
-		const machine = fleet.machines.get(name);
-		if (order === 'move' && phase === 'retry' && machine?.state === 'up') {
+	for (const openOrder of fleet.orders.values()) {
+		const machine = fleet.machines.get(openOrder.machine);
+		const {order, phase, pool} = openOrder;
+		if (order === 'move' && phase === 'retry' && machine?.state === 'up' && !isPointless(fleet, openOrder, context.now)) {
 			outputs.push(...orderMachine(state, machine, {order, pool, wave: 0}, context));
 		}
 	}
@@ -110,7 +124,10 @@
 	},
 	busy: scheduleRetry,
 	limited: scheduleRetry,
-	unknown: scheduleRetry,
+	unknown(fleet, openOrder, context) {
+		openOrder.isUncertain = true;
+		return scheduleRetry(fleet, openOrder, context);
+	},
 	'not-in-wave': dropOrder,
 	invalid: dropOrder,
 };
@@ -175,6 +192,7 @@
 }
 
 function acceptOrder(fleet: FleetState, openOrder: OpenOrder, context: DecisionContext): void {
+	fleet.failedOrders.delete(openOrder.machine);
 	openOrder.phase = 'accepted';
 	openOrder.sentAt = context.now;
 	const wave = fleet.waves.get(openOrder.wave);
@@ -189,6 +207,56 @@
 	for (const openOrder of fleet.orders.values()) {
 		if (openOrder.phase === 'sent' && now > openOrder.sentAt + orderAnswerTimeoutMs) {
 			openOrder.phase = 'retry';
+			openOrder.isUncertain = true;
+		}
+	}
+}
+
+/** Whether tasks that fit nowhere else wait for an endpoint, by the report of its pool's owner. @internal */
+export function isEndpointNeeded(fleet: FleetState, pool: string, endpointId: string, now: number): boolean {
+	const known = fleet.reports.get(pool);
+	return known !== undefined && now <= known.seenAt + maxReportAgeMs && known.report.neededEndpoints.includes(endpointId);
+}
+
+/** Whether an order need not be sent again: the machine's endpoint is needed where it is, or the service has not accepted a move for too long. */
+function isPointless(fleet: FleetState, {machine: name, order, endpointId, firstAttemptAt}: OpenOrder, now: number): boolean {
+	const pool = fleet.machines.get(name)?.pool;
+	const isNeeded = pool !== undefined && endpointId !== undefined && isEndpointNeeded(fleet, pool, endpointId, now);
+	return isNeeded || (order === 'move' && now > firstAttemptAt + moveAttemptsMs);
+}
+
+/** Whether it is certain that an order has not been carried out and will not be: each attempt was refused, or a list that was read after the last one shows the machine unchanged. */
+function isSettled({machines, listValidAt = 0}: FleetState, {machine: name, endpointId, isUncertain, lastAttemptAt}: OpenOrder): boolean {
+	const machine = machines.get(name);
+	return !isUncertain || (listValidAt > lastAttemptAt + orderAnswerTimeoutMs && machine?.state === 'up' && machine.endpointId === endpointId);
+}
+
+/** Gives up orders that the service does not accept, so that their machines can be used where they are. @internal */
+export function giveUpOrders(fleet: FleetState, {now}: DecisionContext): JobOutput[] {
+	const outputs: JobOutput[] = [];
+	for (const openOrder of fleet.orders.values()) {
+		const {machine, order, pool, endpointId, firstAttemptAt} = openOrder;
+		if (openOrder.phase !== 'retry' || !isPointless(fleet, openOrder, now) || !isSettled(fleet, openOrder)) {
+			continue;
 		}
+
+		fleet.orders.delete(machine);
+		pauseOrders(fleet, machine, now);
+		outputs.push(emitLog('warn', 'machine order given up', {
+			machine, order, pool, endpoint: endpointId, ageMs: Math.round(now - firstAttemptAt), pausedMs: Math.round(fleet.failedOrders.get(machine)!.pausedUntil - now),
+		}));
 	}
+
+	return outputs;
+}
+
+/** Prepares no other order of a machine for a while, a longer one each time. @internal */
+export function pauseOrders({failedOrders}: FleetState, machine: string, now: number): void {
+	const count = (failedOrders.get(machine)?.count ?? 0) + 1;
+	failedOrders.set(machine, {count, pausedUntil: now + Math.min(maxOrderPauseMs, minOrderPauseMs * (2 ** (count - 1)))});
+}
+
+/** Whether a machine may be prepared for an order: the service does not refuse it for good, and has not just failed to accept one. @internal */
+export function canPrepareOrder({failedOrders, immovableMachines}: FleetState, machine: string, now: number): boolean {
+	return !immovableMachines.has(machine) && now >= (failedOrders.get(machine)?.pausedUntil ?? 0);
 }
--- a/packages/jobs/src/fleet/run-waves.test.ts
+++ b/packages/jobs/src/fleet/run-waves.test.ts
@@ -53,7 +53,7 @@
 
 	for (const [machine, phase] of ordered) {
 		fleet.orders.set(machine, {
-			order: 'maintain', machine, pool: 'off', wave: 1, sentAt: atMs - 2000, endpointId: undefined, phase, wasSeenUnavailable: false,
+			order: 'maintain', machine, pool: 'off', wave: 1, sentAt: atMs - 2000, firstAttemptAt: atMs - 2000, lastAttemptAt: atMs - 2000, isUncertain: true, endpointId: undefined, phase, wasSeenUnavailable: false,
 		});
 	}
 
--- a/packages/jobs/src/fleet/run-waves.ts
+++ b/packages/jobs/src/fleet/run-waves.ts
@@ -5,7 +5,7 @@
 import {type Machine, type PoolReport} from '../model/index.js';
 import {type FleetState, type WaveProgress} from './fleet-state.js';
 import {
-	canOrderMachines, hasOpenOrder, mayBeOrderedElsewhere, orderMachine,
+	canOrderMachines, canPrepareOrder, hasOpenOrder, mayBeOrderedElsewhere, orderMachine,
 } from './order-machines.js';
 import {requestEvacuation, taskGraceMs} from './evacuations.js';
 
@@ -135,7 +135,7 @@
 	const canTakeBusy = isDeadlineNear(state, progress, remaining, busyRoundMs, context);
 	for (const machine of remaining) {
 		const {endpointId, pool} = machine;
-		if (machine.state !== 'up' || endpointId === undefined || isSparePool(state, pool) || fleet.evacuations.has(endpointId)) {
+		if (machine.state !== 'up' || endpointId === undefined || isSparePool(state, pool) || fleet.evacuations.has(endpointId) || !(canTakeBusy || canPrepareOrder(fleet, machine.name, context.now))) {
 			continue;
 		}
 
--- a/packages/jobs/src/model/coordination.ts
+++ b/packages/jobs/src/model/coordination.ts
@@ -52,6 +52,8 @@
 	readonly servingEndpoints: readonly string[];
 	/** Usable endpoints without long-running tasks, least loaded first; the pool releases them in this order. */
 	readonly releasableEndpoints: readonly string[];
+	/** Endpoints that are being evacuated although tasks wait which they could run and no other endpoint of the pool can. */
+	readonly neededEndpoints: readonly string[];
 	/** Durations of tasks against their estimates by queue, for the pool's next owner. */
 	readonly durationModels: Readonly<Record<string, DurationModel>>;
 };
--- a/packages/jobs/src/reporting/reporting-filter.ts
+++ b/packages/jobs/src/reporting/reporting-filter.ts
@@ -1,5 +1,6 @@
 import {emitEffect, type DecisionContext} from '@pistachiogauge/chain';
 import {type DirectoryView} from '../directory/index.js';
+import {type EvacuationView} from '../evacuation/index.js';
 import {type JobFilter, type JobOutput} from '../filter.js';
 import {type LedgerView, type PoolLedger} from '../ledger/index.js';
 import {type DurationModel, type PoolReport} from '../model/index.js';
@@ -7,6 +8,7 @@
 import {rankByMeasuredDurations, type RankedJob} from '../placement/index.js';
 import {type SupervisionView} from '../supervision/index.js';
 import {arrivalWindowMs, estimateArrivingMillis, type Arrival} from './estimate-arrivals.js';
+import {listNeededEndpoints} from './list-needed-endpoints.js';
 import {
 	addLoad, computeMemoryPerMilli, measureLoad, noLoad, type Load,
 } from './measure-load.js';
@@ -36,7 +38,7 @@
 /** Share of the time until a job is due over which its work is spread; the rest is reserved for machines to arrive and for tasks that do not fit together. */
 const usableTimeShare = 0.6;
 
-type State = {readonly reporting: ReportingState} & LedgerView & DirectoryView & SupervisionView & ObservationView;
+type State = {readonly reporting: ReportingState} & LedgerView & DirectoryView & EvacuationView & SupervisionView & ObservationView;
 
 /**
 Reports the demand and the capacity of the pools that this entry owns to the other entries.
@@ -122,6 +124,7 @@
 		idleEndpoints: usable.filter(id => !busy.has(id)),
 		servingEndpoints: usable.filter(id => busy.has(id) && [...state.supervision.endpoints.get(id)?.runs.values() ?? []].every(run => run.isLongRunning)),
 		releasableEndpoints: listReleasableEndpoints(state, usable),
+		neededEndpoints: listNeededEndpoints(state, pool, now),
 		durationModels: getDurationModels(state, pool),
 	};
 }
