Do not exclude endpoints because long-running tasks fail by themselves

Cause: the third failure in a row excludes an endpoint for 3 s, and only a task that ends as done sets the count back. Long-running tasks never do, and may fail at any time, so that from the third failure of an endpoint's life on each one excluded it for 3 s more. A few long-running jobs whose runs fail every few seconds excluded the whole pool again and again. The log says so: "endpointUses":{"avoided":{"count":12,"longestMs":2698}}.

Change: a long-running task's failure counts only if it failed before it was at work, and once until it has been at work; that a task comes to be at work sets the endpoint's count back. As exclusions also slowed down tasks that fail at once, their next start is delayed by 250 ms, doubled up to 2 s.

--- a/packages/jobs/src/model/events.ts
+++ b/packages/jobs/src/model/events.ts
@@ -178,7 +178,7 @@
 	/** An endpoint lists a run of an occurrence that is not due yet by this entry's clock. */
 	| {readonly kind: 'occurrence-reported'; readonly pool: string; readonly taskId: string}
 	/** `wasExpected`: supervision knew the run; `tookMs` is 0 otherwise. */
-	| {readonly kind: 'run-ended'; readonly pool: string; readonly endpointId: string; readonly endpointStartedAt: number; readonly end: ReportedEnd; readonly wasExpected: boolean; readonly tookMs: number}
+	| {readonly kind: 'run-ended'; readonly pool: string; readonly endpointId: string; readonly endpointStartedAt: number; readonly end: ReportedEnd; readonly wasExpected: boolean; readonly tookMs: number; /** Progress in the last answer before the end. */ readonly percent: number}
 	/** A run that is certain not to be running, and whose end the endpoint will not list. */
 	| {readonly kind: 'run-dropped'; readonly pool: string; readonly taskId: string; readonly run: number; readonly endpointId: string; readonly reason: RunDropReason; readonly checkpoint: string}
 	/** Every endpoint on which a previous owner may have started tasks has reported its runs, or can no longer run any. */
--- a/packages/jobs/src/observation/observation-filter.ts
+++ b/packages/jobs/src/observation/observation-filter.ts
@@ -7,7 +7,7 @@
 } from '../ledger/index.js';
 import {type JobEventOf} from '../model/index.js';
 import {
-	isInProgress, type Run, type SupervisionView, type SupervisedEndpoint,
+	isInProgress, servingPercent, type Run, type SupervisionView, type SupervisedEndpoint,
 } from '../supervision/index.js';
 import {createDurationModel, recordDuration} from './duration-model.js';
 import {getEndpointHealth, predictUnmeasuredMs, type ObservationState} from './observation-state.js';
@@ -26,6 +26,11 @@
 const minSlowdown = 3;
 /** Minimum number of steps whose runs are slow for an endpoint to count as slow. Tasks of one step take equally long, so that slow runs of one step say as little as a single one. */
 const minSlowSteps = 2;
+/** A long-running task that has run for longer counts as having been at work, even if no answer has shown it so. */
+const maxStartupMs = 1600;
+/** Bounds of the delay before a long-running task is started again that fails before it is at work; it must be tried again well within the 6 s after which it counts as lost. */
+const minRetryDelayMs = 250;
+const maxRetryDelayMs = 2000;
 /** Percentage from which the progress of a run says how long it will take. */
 const minMeasuredPercent = 10;
 
@@ -61,13 +66,18 @@
 	},
 };
 
-function recordRunEnd(state: State, {pool, endpointId, end, wasExpected, tookMs}: JobEventOf<'run-ended'>, context: DecisionContext): JobOutput[] {
+function recordRunEnd(state: State, {
+	pool, endpointId, end, wasExpected, tookMs, percent,
+}: JobEventOf<'run-ended'>, context: DecisionContext): JobOutput[] {
 	const {observation} = state;
 	const health = getEndpointHealth(observation, endpointId);
+	const task = findTask(state.ledger.pools.get(pool), end.taskId);
+	const step = task?.step;
 	if (end.outcome === 'failed') {
+		const isEvidence = task === undefined || !task.step.spec.isLongRunning || recordFailure(observation, task, {tookMs, percent}, context);
 		observation.lastFailedEndpoints.set(end.taskId, endpointId);
-		health.failuresInRow += 1;
-		return health.failuresInRow < failureLimit ? [] : avoidEndpoint(state, endpointId, 'consecutive runs failed', context);
+		health.failuresInRow += isEvidence ? 1 : 0;
+		return !isEvidence || health.failuresInRow < failureLimit ? [] : avoidEndpoint(state, endpointId, 'consecutive runs failed', context);
 	}
 
 	if (end.outcome !== 'done') {
@@ -76,7 +86,6 @@
 
 	observation.lastFailedEndpoints.delete(end.taskId);
 	health.failuresInRow = 0;
-	const step = findTask(state.ledger.pools.get(pool), end.taskId)?.step;
 	if (step === undefined || !wasExpected || step.spec.isLongRunning) {
 		return [];
 	}
@@ -90,6 +99,33 @@
 	return [];
 }
 
+/**
+Records the failure of a long-running task, which may fail at any time by itself, and delays its next start if it failed before it was at work.
+
+@returns Whether the failure says something about the endpoint: the task failed before it was at work, and had not done so elsewhere.
+*/
+function recordFailure({earlyEnds}: ObservationState, task: Task, {tookMs, percent}: {readonly tookMs: number; readonly percent: number}, {now}: DecisionContext): boolean {
+	if (percent >= servingPercent || tookMs > maxStartupMs) {
+		earlyEnds.delete(task);
+		return false;
+	}
+
+	const count = (earlyEnds.get(task)?.count ?? 0) + 1;
+	earlyEnds.set(task, {count, retryAt: now + Math.min(maxRetryDelayMs, minRetryDelayMs * (2 ** (count - 1)))});
+	return count === 1;
+}
+
+/** Records that a long-running task has come to be at work: its endpoint carries out what is started there. */
+function recordServing({observation}: State, endpointId: string, task: Task | undefined, run: Readonly<Run>): void {
+	if (task === undefined || !run.isLongRunning || run.percent < servingPercent || observation.servingRuns.has(run)) {
+		return;
+	}
+
+	observation.servingRuns.add(run);
+	observation.earlyEnds.delete(task);
+	getEndpointHealth(observation, endpointId).failuresInRow = 0;
+}
+
 /** Records a measured duration of a task as that of its step. */
 function recordStepDuration({stepDurations}: ObservationState, step: Step, durationMs: number): void {
 	const known = stepDurations.get(step);
@@ -105,6 +141,7 @@
 	const outputs: JobOutput[] = [];
 	for (const run of supervised.runs.values()) {
 		const task = findTask(pool, run.taskId);
+		recordServing(state, supervised.id, task, run);
 		if (!isInProgress(run) || run.isLongRunning || run.isFiller || task === undefined || task.step.spec.isGang) {
 			continue;
 		}
--- a/packages/jobs/src/observation/observation-state.ts
+++ b/packages/jobs/src/observation/observation-state.ts
@@ -1,5 +1,6 @@
-import {type Job, type Step} from '../ledger/index.js';
+import {type Job, type Step, type Task} from '../ledger/index.js';
 import {type DurationModel, type StepSpec} from '../model/index.js';
+import {type Run} from '../supervision/index.js';
 import {predictDurationMs} from './duration-model.js';
 import {type CachedEstimate} from './estimate-job.js';
 
@@ -24,6 +25,10 @@
 	readonly jobEstimates: WeakMap<Job, CachedEstimate>;
 	/** Endpoint on which each task last failed, stalled or was slow, by task. */
 	readonly lastFailedEndpoints: Map<string, string>;
+	/** For long-running tasks that have failed before they were at work: number of such runs in a row, and in monotonic ms when the next one may start. */
+	readonly earlyEnds: WeakMap<Task, {readonly count: number; readonly retryAt: number}>;
+	/** Runs of long-running tasks that have been seen at work. */
+	readonly servingRuns: WeakSet<Run>;
 };
 
 /** Read-only view of the observations for other filters. @public */
@@ -34,13 +39,14 @@
 		readonly stepDurations: Pick<WeakMap<Step, number>, 'get'>;
 		readonly jobEstimates: WeakMap<Job, CachedEstimate>;
 		readonly lastFailedEndpoints: ReadonlyMap<string, string>;
+		readonly earlyEnds: Pick<WeakMap<Task, {readonly retryAt: number}>, 'get'>;
 	};
 };
 
 /** @public */
 export function createObservationState(): ObservationState {
 	return {
-		endpoints: new Map(), durationModels: new Map(), stepDurations: new WeakMap(), jobEstimates: new WeakMap(), lastFailedEndpoints: new Map(),
+		endpoints: new Map(), durationModels: new Map(), stepDurations: new WeakMap(), jobEstimates: new WeakMap(), lastFailedEndpoints: new Map(), earlyEnds: new WeakMap(), servingRuns: new WeakSet(),
 	};
 }
 
@@ -56,6 +62,11 @@
 	return health;
 }
 
+/** Whether a long-running task has failed before it was at work and is not to be started again yet. @internal */
+export function isRetryDelayed({observation}: ObservationView, task: Task, now: number): boolean {
+	return now < (observation.earlyEnds.get(task)?.retryAt ?? 0);
+}
+
 /** Predicts the duration in ms of a task of a step that has not been measured. @internal */
 export function predictUnmeasuredMs({observation}: ObservationView, queue: string, spec: StepSpec): number {
 	return predictDurationMs(observation.durationModels.get(queue), spec.estimateMs);
--- a/packages/jobs/src/placement/place-step.ts
+++ b/packages/jobs/src/placement/place-step.ts
@@ -2,7 +2,7 @@
 import {getPermittedMs, type AuthorityView} from '../authority/index.js';
 import {emitLog, type JobOutput} from '../filter.js';
 import {type Step, type Task} from '../ledger/index.js';
-import {type ObservationView} from '../observation/index.js';
+import {isRetryDelayed, type ObservationView} from '../observation/index.js';
 import {type SupervisionView} from '../supervision/index.js';
 import {
 	addCount, chooseEndpoint, countRunsByEndpoint, listRunnableCandidates, reserveCandidate, type Candidate,
@@ -34,7 +34,7 @@
 	const run = step.job.lastRun + 1;
 	const counts = countRunsByEndpoint(step);
 	for (const task of step.tasks) {
-		if (!isPending(task)) {
+		if (!isPending(task) || isRetryDelayed(state, task, context.now)) {
 			continue;
 		}
 
@@ -66,7 +66,7 @@
 /** Places either all tasks of a gang or none, as they cannot progress without each other. @internal */
 export function placeGang(state: State, step: Step, search: PlacementSearch, context: DecisionContext): PlacementResult {
 	const {candidates} = search;
-	if (!step.tasks.every(task => isPending(task))) {
+	if (!step.tasks.every(task => isPending(task) && !isRetryDelayed(state, task, context.now))) {
 		return {outputs: [], waitReason: undefined};
 	}
 
--- a/packages/jobs/src/reporting/list-needed-endpoints.ts
+++ b/packages/jobs/src/reporting/list-needed-endpoints.ts
@@ -4,12 +4,13 @@
 	isStepReady, type Job, type PoolLedger, type Step,
 } from '../ledger/index.js';
 import {subtractResources} from '../model/index.js';
+import {isRetryDelayed, type ObservationView} from '../observation/index.js';
 import {
 	addCount, chooseEndpoint, countRunsByEndpoint, isPending, reserveCandidate, type Candidate,
 } from '../placement/index.js';
 import {type SupervisionView} from '../supervision/index.js';
 
-type State = DirectoryView & EvacuationView & SupervisionView;
+type State = DirectoryView & EvacuationView & ObservationView & SupervisionView;
 
 /** A task that has waited for this long has not been placed in several searches, so no other endpoint can take it now. */
 const minWaitMs = 300;
@@ -28,7 +29,7 @@
 				return listIds(needed);
 			}
 
-			if (!isPending(task) || now < task.idleSince + minWaitMs) {
+			if (!isPending(task) || now < task.idleSince + minWaitMs || isRetryDelayed(state, task, now)) {
 				continue;
 			}
 
--- a/packages/jobs/src/supervision/apply-poll-answer.ts
+++ b/packages/jobs/src/supervision/apply-poll-answer.ts
@@ -153,7 +153,7 @@
 		}
 
 		outputs.push(passEvent({
-			kind: 'run-ended', pool: endpoint.pool, endpointId: endpoint.id, endpointStartedAt: endpoint.startedAt ?? 0, end, wasExpected, tookMs: run === undefined ? 0 : context.now - run.startedAt,
+			kind: 'run-ended', pool: endpoint.pool, endpointId: endpoint.id, endpointStartedAt: endpoint.startedAt ?? 0, end, wasExpected, tookMs: run === undefined ? 0 : context.now - run.startedAt, percent: run?.percent ?? 0,
 		}));
 	}
 
