Give back endpoints whose maintenance is held up while tasks need them

The same cause as in the moves: an endpoint that is evacuated for maintenance was withheld without an end while the wave was at its limit, the service did not accept the order, or a task of which no more may be missed kept the evacuation from ending - also when the task that it waited for needed just this endpoint. Found by reading; tasks that need the endpoint now get it back after 2 s, or after 6 s of an evacuation that does not end.

--- a/packages/jobs/src/fleet/evacuations.ts
+++ b/packages/jobs/src/fleet/evacuations.ts
@@ -12,6 +12,8 @@
 const moveEvacuationTimeoutMs = 4000;
 /** A confirmed evacuation is withdrawn if the machine is not ordered within this time: what it was meant for is over. */
 const orderDelayMs = 1000;
+/** The same for maintenance, while tasks need the endpoint; longer than another machine of the wave is away. */
+const maintenanceDelayMs = 2000;
 /** An evacuation that has not been confirmed is requested again after this time, as the request or the confirmation may have been lost. */
 const evacuationRenewalMs = 6000;
 /** The records of an evacuated endpoint stay for this time after its machine has left it: they tell a new owner of the pool, whose roster may still name the endpoint, that nothing runs there. A roster is written within a second, and a takeover without the store's help takes some more. */
@@ -97,10 +99,12 @@
 		: now < requestedAt + moveEvacuationTimeoutMs && !fleet.poolsAwaitingMachines.has(pool);
 }
 
-/** Whether a machine of a wave is still to be maintained now. If the wave's limit or the service holds it up, it is given back to tasks that wait for it. */
+/** Whether a machine of a wave is still to be maintained now. If a task that cannot be moved, the wave's limit or the service holds it up, it is given back to tasks that wait for it. */
 function isMaintenancePending(fleet: FleetState, {request: {pool, machine, endpointId}, requestedAt, confirmedAt = requestedAt}: OpenEvacuation, now: number): boolean {
-	return mayBeOrderedElsewhere(fleet, machine, now) || !fleet.evacuatedIds.has(endpointId)
-		|| now < Math.max(confirmedAt, fleet.ordersAllowedFrom) + orderDelayMs || !isEndpointNeeded(fleet, pool, endpointId, now);
+	const heldUpAt = fleet.evacuatedIds.has(endpointId)
+		? Math.max(confirmedAt, fleet.ordersAllowedFrom) + maintenanceDelayMs
+		: requestedAt + evacuationRenewalMs;
+	return now <= heldUpAt || mayBeOrderedElsewhere(fleet, machine, now) || !isEndpointNeeded(fleet, pool, endpointId, now);
 }
 
 /** Lets the owner of a pool use an endpoint again. @internal */
