Count waiting jobs by their records while the owner's report is old

Cause: while a pool's owner is cut off one way, its claim stays in the store and others give its last report's count, however old.

Change: a report tells when the store last confirmed its owner's claim, and nothing for 2.5 s after the owner has reached the store again, in which its watch times out. If that is over 3 s ago by the reader's clock, or the clocks differ, the entry counts the queued jobs by their records, once a second.

--- a/packages/entry/src/jobs/create-job-sinks.ts
+++ b/packages/entry/src/jobs/create-job-sinks.ts
@@ -6,6 +6,7 @@
 import {createFleetSinks} from './create-fleet-sinks.js';
 import {createOrderSinks, type CallRunner} from './create-order-sinks.js';
 import {createOrderJournal} from './order-journal.js';
+import {createQueuedJobCounter} from './count-queued-jobs.js';
 import {followPool} from './follow-pool.js';
 import {
 	followEndpoints, followFleetRecords, type StopFollowing,
@@ -42,6 +43,7 @@
 		return [{key: `${recordKeys.claimPrefix}fleet`, revision: token}];
 	}
 
+	const countQueuedJobs = createQueuedJobCounter(store, () => performance.now());
 	const orderJournal = createOrderJournal({
 		keepMs: dependencies.state.fleet.orderLeaseMs + orderKeepMarginMs,
 		getNow: () => performance.now(),
@@ -239,6 +241,16 @@
 				kind: 'report-read', requestId, result: 'failed', report: undefined,
 			});
 		},
+		'count-queued-jobs'({requestId, pool, queue}) {
+			runCall('count-queued-jobs', async () => {
+				const countsByQueue = await countQueuedJobs(pool);
+				pushEvent({
+					kind: 'queued-jobs-counted', requestId, result: 'found', count: countsByQueue.get(queue) ?? 0,
+				});
+			}, {
+				kind: 'queued-jobs-counted', requestId, result: 'failed', count: 0,
+			});
+		},
 		'save-progress'(effect) {
 			runCall('save-progress', async () => saveProgress(effect), {
 				kind: 'progress-saved', pool: effect.pool, token: effect.token, saveId: effect.saveId, result: 'unknown', revision: 0, presentRevisions: undefined, isClaimLost: false,
--- a/packages/entry/src/jobs/record-schemas.ts
+++ b/packages/entry/src/jobs/record-schemas.ts
@@ -61,6 +61,7 @@
 	roster: z.object({endpointIds: z.array(z.string()), silentRuns: createTableSchema(z.array(runId)).optional()}),
 	report: z.object({
 		pool: z.string(),
+		confirmedAt: z.number().default(0),
 		waiting: createTableSchema(count),
 		backlogMillis: z.number(),
 		hasWork: z.boolean(),
--- a/packages/jobs/src/authority/order-permission.ts
+++ b/packages/jobs/src/authority/order-permission.ts
@@ -32,3 +32,8 @@
 export function getConfirmedAt({authority}: AuthorityView, pool: string): number {
 	return authority.heldClaims.get(`${poolClaimPrefix}${pool}`)?.confirmedAt?.now ?? Number.NEGATIVE_INFINITY;
 }
+
+/** Returns the same time by the wall clock, in Unix ms; 0 if the claim was never confirmed. @public */
+export function getConfirmedWallTime({authority}: AuthorityView, pool: string): number {
+	return authority.heldClaims.get(`${poolClaimPrefix}${pool}`)?.confirmedAt?.wallTime ?? 0;
+}
--- a/packages/jobs/src/intake/intake-filter.ts
+++ b/packages/jobs/src/intake/intake-filter.ts
@@ -33,6 +33,8 @@
 /** Time for which a submission is remembered; callers repeat one within seconds. */
 const submissionMemoryMs = 60_000;
 
+/** A report whose owner's claim was confirmed longer ago is not used to tell how many jobs wait; owners publish one, which confirms it, at least every second. */
+const maxWaitingAgeMs = 3000;
 /** Retry time sent with a refusal when the store cannot be reached; meanwhile the load balancer routes the caller to another entry. */
 const storeRetryAfterMs = 1000;
 
@@ -176,10 +178,21 @@
 				return [];
 			}
 
-			return answerPendingRequest(state, requestId, context.now, result === 'failed'
-				? {kind: 'refused', reason: 'the store cannot be read', retryAfterMs: storeRetryAfterMs}
-				: {kind: 'waiting', waiting: report?.waiting[request.queue.name] ?? 0});
+			if (result === 'failed') {
+				return answerPendingRequest(state, requestId, context.now, {kind: 'refused', reason: 'the store cannot be read', retryAfterMs: storeRetryAfterMs});
+			}
+
+			// The claim of an owner that is cut off one way lasts: jobs that others accept are in the store, not in its report.
+			const isCurrent = report !== undefined && Math.abs(context.wallTime - report.confirmedAt) <= maxWaitingAgeMs;
+			return isCurrent
+				? answerPendingRequest(state, requestId, context.now, {kind: 'waiting', waiting: report.waiting[request.queue.name] ?? 0})
+				: [emitEffect({
+					kind: 'count-queued-jobs', requestId, pool: request.queue.pool, queue: request.queue.name,
+				})];
 		},
+		'queued-jobs-counted': (state, {requestId, result, count}, context) => answerPendingRequest(state, requestId, context.now, result === 'failed'
+			? {kind: 'refused', reason: 'the store cannot be read', retryAfterMs: storeRetryAfterMs}
+			: {kind: 'waiting', waiting: count}),
 	},
 };
 
--- a/packages/jobs/src/model/coordination.ts
+++ b/packages/jobs/src/model/coordination.ts
@@ -29,6 +29,8 @@
 /** Load and demand of a pool, published by its owner several times a second. @public */
 export type PoolReport = {
 	readonly pool: string;
+	/** Unix ms of the last call by which the store has confirmed the owner's claim before it published the report; 0 while the owner may not have learned of all jobs since it reached the store again. */
+	readonly confirmedAt: number;
 	// Where the pool runs short of memory first, the amounts below are the CPU of the endpoints that have the memory.
 	/** Number of accepted jobs without a started task, by queue. */
 	readonly waiting: Readonly<Record<string, number>>;
--- a/packages/jobs/src/model/effects.ts
+++ b/packages/jobs/src/model/effects.ts
@@ -45,6 +45,7 @@
 	| {readonly kind: 'read-progress'; readonly requestId: string; readonly pool: string; readonly jobId: string}
 	| {readonly kind: 'store-cancel'; readonly requestId: string; readonly pool: string; readonly jobId: string}
 	| {readonly kind: 'read-report'; readonly requestId: string; readonly pool: string}
+	| {readonly kind: 'count-queued-jobs'; readonly requestId: string; readonly pool: string; readonly queue: string}
 	| {
 		readonly kind: 'save-progress';
 		readonly pool: string;
--- a/packages/jobs/src/model/events.ts
+++ b/packages/jobs/src/model/events.ts
@@ -125,6 +125,8 @@
 	| {readonly kind: 'progress-read'; readonly requestId: string; readonly result: 'found' | 'absent' | 'failed'; readonly progress: ProgressRecord | undefined}
 	| {readonly kind: 'cancel-stored'; readonly requestId: string; readonly result: WriteResult}
 	| {readonly kind: 'report-read'; readonly requestId: string; readonly result: 'found' | 'absent' | 'failed'; readonly report: PoolReport | undefined}
+	/** Number of jobs of a queue whose stored record shows no started task. */
+	| {readonly kind: 'queued-jobs-counted'; readonly requestId: string; readonly result: 'found' | 'failed'; readonly count: number}
 	| {readonly kind: 'job-recorded'; readonly stored: StoredJob}
 	| {readonly kind: 'job-cancelled'; readonly pool: string; readonly jobId: string};
 
--- a/packages/jobs/src/reporting/reporting-filter.test.ts
+++ b/packages/jobs/src/reporting/reporting-filter.test.ts
@@ -4,7 +4,7 @@
 import {createPoolLedger} from '../ledger/ledger-state.js';
 import {type PoolReport, type StepSpec} from '../model/index.js';
 import {
-	createTestEndpoint, createTestJob, createTestRun, createTestSupervisedEndpoint,
+	createTestEndpoint, createTestJob, createTestRun, createTestSupervisedEndpoint, holdTestClaim,
 } from '../testing.test-support.js';
 import {reportingFilter} from './reporting-filter.js';
 
@@ -106,3 +106,32 @@
 		expect(listReports({steps: [], endpoints: {a: []}}, at).map(([now]) => now)).toEqual(expected);
 	});
 });
+
+// Guards against a count of waiting jobs that leaves out those accepted while the pool's owner did not reach the store.
+it.each([
+	{
+		name: 'the store has confirmed the claim', reachedAt: undefined, confirmedAt: 900, expected: 900,
+	},
+	{
+		name: 'the claim was never confirmed', reachedAt: undefined, confirmedAt: undefined, expected: 0,
+	},
+	{
+		name: 'the store has just been reached again', reachedAt: 800, confirmedAt: 900, expected: 0,
+	},
+	{
+		name: 'the store was reached again some time ago', reachedAt: -1600, confirmedAt: 900, expected: 900,
+	},
+])('a report tells when it was current if $name', ({reachedAt, confirmedAt, expected}) => {
+	const state = createJobsState({node: 'entry-1', incarnation: 'first', orderLeaseMs: 3000});
+	state.ledger.pools.set(poolName, createPoolLedger({pool: poolName, token: 1, now: 0}));
+	if (confirmedAt !== undefined) {
+		holdTestClaim(state, poolName, confirmedAt);
+	}
+
+	if (reachedAt !== undefined) {
+		reportingFilter.handlers['store-reached']!(state, {kind: 'store-reached'}, {now: reachedAt, wallTime: reachedAt, random});
+	}
+
+	const outputs = reportingFilter.handlers.tick!(state, {kind: 'tick'}, {now: 1000, wallTime: 1000, random});
+	expect(outputs.flatMap(output => output.kind === 'sink' && output.effect.kind === 'publish-report' ? [output.effect.report.confirmedAt] : [])).toEqual([expected]);
+});
--- a/packages/jobs/src/reporting/reporting-filter.ts
+++ b/packages/jobs/src/reporting/reporting-filter.ts
@@ -1,4 +1,5 @@
 import {emitEffect, type DecisionContext} from '@pistachiogauge/chain';
+import {getConfirmedWallTime, type AuthorityView} from '../authority/index.js';
 import {type DirectoryView} from '../directory/index.js';
 import {type EvacuationView} from '../evacuation/index.js';
 import {type JobFilter, type JobOutput} from '../filter.js';
@@ -19,6 +20,8 @@
 	readonly reports: Map<string, {readonly text: string; readonly sentAt: number}>;
 	/** Recent arrivals of each pool by job, also of jobs that have ended since. */
 	readonly arrivals: Map<string, Map<string, RecentArrival>>;
+	/** Monotonic ms from which this entry has learned of all that was stored while it did not reach the store. */
+	watchesCurrentFrom: number;
 };
 
 /** Work of a job as it arrived. */
@@ -26,7 +29,7 @@
 
 /** @public */
 export function createReportingState(): ReportingState {
-	return {reports: new Map(), arrivals: new Map()};
+	return {reports: new Map(), arrivals: new Map(), watchesCurrentFrom: 0};
 }
 
 /** Minimum interval between two reports of a pool; demand in a pool rises within a second, and machines take longer to arrive. */
@@ -35,10 +38,13 @@
 /** Interval at which an unchanged report is published again; readers treat a report as outdated after 3 s. */
 const repeatIntervalMs = 1000;
 
+/** Time within which a watch whose answer was lost times out and is sent again. */
+const watchCatchUpMs = 2500;
+
 /** Share of the time until a job is due over which its work is spread; the rest is reserved for machines to arrive and for tasks that do not fit together. */
 const usableTimeShare = 0.6;
 
-type State = {readonly reporting: ReportingState} & LedgerView & DirectoryView & EvacuationView & SupervisionView & ObservationView;
+type State = {readonly reporting: ReportingState} & AuthorityView & LedgerView & DirectoryView & EvacuationView & SupervisionView & ObservationView;
 
 /**
 Reports the demand and the capacity of the pools that this entry owns to the other entries.
@@ -48,6 +54,10 @@
 export const reportingFilter: JobFilter<State> = {
 	name: 'reporting',
 	handlers: {
+		'store-reached'({reporting}, _event, {now}) {
+			reporting.watchesCurrentFrom = now + watchCatchUpMs;
+			return [];
+		},
 		'pool-lost'({reporting}, {pool}) {
 			reporting.reports.delete(pool);
 			reporting.arrivals.delete(pool);
@@ -70,10 +80,10 @@
 	}
 
 	state.reporting.reports.set(pool.pool, {text, sentAt: context.now});
-	return [emitEffect({kind: 'publish-report', token: pool.token, report})];
+	return [emitEffect({kind: 'publish-report', token: pool.token, report: {...report, confirmedAt: context.now < state.reporting.watchesCurrentFrom ? 0 : getConfirmedWallTime(state, pool.pool)}})];
 }
 
-function createReport(state: State, pool: Readonly<PoolLedger>, now: number): PoolReport {
+function createReport(state: State, pool: Readonly<PoolLedger>, now: number): Omit<PoolReport, 'confirmedAt'> {
 	const waiting: Record<string, number> = {};
 	const busy = new Set<string>();
 	let backlog = noLoad;
--- a/packages/jobs/src/testing.test-support.ts
+++ b/packages/jobs/src/testing.test-support.ts
@@ -85,7 +85,7 @@
 /** Creates the report of a pool without work. @internal */
 export function createTestReport(pool: string, traits: Partial<PoolReport> = {}): PoolReport {
 	return {
-		pool, waiting: {}, hasWork: false, backlogMillis: 0, usedMillis: 0, neededMillis: 0, arrivingMillis: 0, endpointMinimum: 0, usableEndpoints: [], idleEndpoints: [], servingEndpoints: [], releasableEndpoints: [], neededEndpoints: [], durationModels: {}, ...traits,
+		pool, confirmedAt: 0, waiting: {}, hasWork: false, backlogMillis: 0, usedMillis: 0, neededMillis: 0, arrivingMillis: 0, endpointMinimum: 0, usableEndpoints: [], idleEndpoints: [], servingEndpoints: [], releasableEndpoints: [], neededEndpoints: [], durationModels: {}, ...traits,
 	};
 }
 
