Move machines in the soak of jobs, and look for idle long-running tasks

At the end each pool gets a long-running job that needs all of its endpoints but one, and each long-running task is looked at.

--- a/packages/bench/src/jobs/create-virtual-sinks.ts
+++ b/packages/bench/src/jobs/create-virtual-sinks.ts
@@ -1,9 +1,10 @@
 import {
-	poolClaimPrefix, type CallerAnswer, type Clocks, type Endpoint, type JobEffect, type JobEffectOf, type JobEvent, type Machine,
+	poolClaimPrefix, type CallerAnswer, type Clocks, type Endpoint, type JobEffect, type JobEffectOf, type JobEvent,
 } from '@pistachiogauge/jobs';
 import {type EventQueue} from '../virtual/event-queue.js';
 import {startWallTime} from '../virtual/virtual-clock.js';
 import {type StoreCaller, type StoreCallFailure} from './call-store.js';
+import {createFleetSinks, type FleetSinkTools} from './create-fleet-sinks.js';
 import {createOrderSinks, type OrderSinkTools} from './create-order-sinks.js';
 import {type EventDelivery} from './event-delivery.js';
 import {type JobInvariantChecker} from './job-invariant-checker.js';
@@ -14,7 +15,7 @@
 /** Sinks for the effects that have one in the simulation; each is also given the entry whose effect it is. */
 export type VirtualSinks = {readonly [Kind in JobEffect['kind']]?: (entry: VirtualJobsEntry, effect: JobEffectOf<Kind>) => void};
 
-export type VirtualSinkTools = OrderSinkTools & {
+export type VirtualSinkTools = OrderSinkTools & FleetSinkTools & {
 	readonly queue: EventQueue;
 	readonly store: VirtualJobStore;
 	readonly checker: JobInvariantChecker;
@@ -34,7 +35,7 @@
 /** Creates the sinks that carry out the effects of the simulation's entries on the virtual store, endpoints and callers. */
 export function createVirtualSinks(tools: VirtualSinkTools): VirtualSinks {
 	const {
-		queue, store, checker, answers, onLine, delivery, callStore, listEndpoints, advice,
+		queue, store, checker, answers, onLine, delivery, callStore, listEndpoints, advice, fleetRecords,
 	} = tools;
 
 	/** Calls the store and delivers the events that the answer or the failure gives. */
@@ -65,6 +66,7 @@
 
 	return {
 		...createOrderSinks(tools),
+		...createFleetSinks(tools),
 		claim(entry, effect) {
 			const {name} = effect;
 			const {node, incarnation} = entry;
@@ -87,10 +89,10 @@
 		'load-pool'(entry, {pool, token}) {
 			callAndDeliver(entry, {
 				isWrite: false,
-				run: () => ({endpoints: listEndpoints(), pool: store.loadPool(pool, token)}),
+				run: () => ({endpoints: listEndpoints(), pool: store.loadPool(pool, token, fleetRecords.listEvacuatedIds(pool))}),
 				createEvents(answer) {
 					queue.add(inboxDelayMs, () => {
-						for (const event of store.listInbox(pool)) {
+						for (const event of [...store.listInbox(pool), ...fleetRecords.listForPool(pool, entry.state.evacuation.requests.values())]) {
 							delivery.deliverLater(entry, event);
 						}
 					});
@@ -158,7 +160,14 @@
 			const name = `${poolClaimPrefix}${report.pool}`;
 			callAndDeliver(entry, {
 				isWrite: true,
-				run: () => store.publishReport(report.pool, token),
+				run() {
+					const isHeld = store.publishReport(report.pool, token);
+					if (isHeld) {
+						fleetRecords.recordReport(report);
+					}
+
+					return isHeld;
+				},
 				createEvents: (isApplied, requestedAt) => [isApplied ? createConfirmation(name, token, requestedAt) : {kind: 'claim-superseded', name, token}],
 			});
 		},
@@ -175,12 +184,6 @@
 				delivery.deliver(entry, event, incarnation);
 			});
 		},
-		'list-machines'(entry) {
-			const machines: Machine[] = listEndpoints().map(endpoint => ({
-				name: `machine-of-${endpoint.id}`, pool: endpoint.pool, state: 'up', zone: endpoint.zone, labels: endpoint.labels, capacity: endpoint.capacity, endpointId: endpoint.id,
-			}));
-			delivery.deliverLater(entry, {kind: 'machines-listed', machines});
-		},
 		'answer-caller'(_entry, {requestId, answer}) {
 			answers.set(requestId, answer);
 			checker.recordAnswer(requestId, answer);
--- a/packages/bench/src/jobs/endpoint-lifecycle.ts
+++ b/packages/bench/src/jobs/endpoint-lifecycle.ts
@@ -9,8 +9,8 @@
 
 /** Starts and ends the processes of simulated endpoints. */
 export type EndpointLifecycle = {
-	/** Starts an endpoint with a new id in a pool. */
-	add(pool: string): void;
+	/** Starts an endpoint with a new id in a pool. @returns The id. */
+	add(pool: string): string;
 	/** Starts a process of an endpoint, which knows nothing of an earlier one under the same id. */
 	start(registration: Omit<Endpoint, 'startedAt'>): void;
 	stop(endpoint: VirtualTaskEndpoint): void;
@@ -45,6 +45,7 @@
 			lifecycle.start({
 				id, pool, address: id, zone: 'a', state: 'ready', capacity, labels: ['a', rack], rack, remainingMs: undefined,
 			});
+			return id;
 		},
 		start(registration) {
 			const endpoint = createVirtualTaskEndpoint(queue, {...registration, startedAt: startWallTime + Math.ceil(queue.now)}, {
--- a/packages/bench/src/jobs/find-lost-work.test.ts
+++ b/packages/bench/src/jobs/find-lost-work.test.ts
@@ -1,7 +1,7 @@
 import {expect, it} from 'vitest';
 import {createJobsSimulation, type JobsSimulation} from './jobs-simulation.js';
-import {createLeakWatch, findIdleJobs} from './find-lost-work.js';
-import {submitLoad} from './job-loads.js';
+import {createLeakWatch, findIdleJobs, findIdleTasks} from './find-lost-work.js';
+import {submitLoad, submitWideJob} from './job-loads.js';
 
 type Case = {
 	readonly name: string;
@@ -53,3 +53,21 @@
 
 	expect({hasIdleJobs: idleJobIds.length > 0, hasLeakedRuns: leakedRuns.length > 0}).toEqual(expected);
 });
+
+it.each([
+	{name: 'endpoints run all that they are given', isHidden: false, expected: 0},
+	{name: 'an endpoint has lost its run without a trace', isHidden: true, expected: 1},
+])('a long-running task that does not run beside an endpoint with room is found if $name', ({isHidden, expected}) => {
+	const simulation = createJobsSimulation({
+		seed: 5, entryCount: 3, pools: {desk: 3}, endpointCapacity: {cpuMillis: 16_000, memoryMb: 64_000, gpus: 0},
+	});
+	simulation.runFor(1500);
+	const jobIds = submitWideJob(simulation, 'desk').map(({jobId}) => jobId);
+	simulation.runFor(3000);
+	const busy = [...simulation.endpoints.values()].find(({runs}) => runs.size > 0);
+	if (isHidden) {
+		(busy!.runs as Map<string, unknown>).clear();
+	}
+
+	expect(findIdleTasks(simulation, jobIds)).toHaveLength(expected);
+});
--- a/packages/bench/src/jobs/find-lost-work.ts
+++ b/packages/bench/src/jobs/find-lost-work.ts
@@ -21,6 +21,26 @@
 	});
 }
 
+/** Lists the long-running tasks of accepted jobs that do not run although an endpoint that may run them has room twice over. */
+export function findIdleTasks(simulation: JobsSimulation, jobIds: Iterable<string>): string[] {
+	const endpoints = [...simulation.endpoints.values()].filter(({isUp, isReachable}) => isUp && isReachable);
+	const runningIds = new Set(endpoints.flatMap(({runs}) => [...runs.keys()]));
+	return [...jobIds].flatMap(jobId => {
+		const stored = simulation.store.getStoredJob(jobId);
+		if (stored === undefined || stored.isCancelled || stored.progress.endedAt !== undefined || stored.job.advice !== undefined) {
+			return [];
+		}
+
+		return stored.job.spec.steps.flatMap((step, index) => {
+			const prefix = `${jobId}.0.${index}.`;
+			const countOwn = ({runs}: VirtualTaskEndpoint) => [...runs.keys()].filter(taskId => taskId.startsWith(prefix)).length;
+			const canRun = step.isLongRunning && endpoints.some(endpoint => endpoint.registration.pool === stored.job.pool
+				&& hasRoomTwice(endpoint, step) && countOwn(endpoint) < (step.endpointLimit ?? Number.POSITIVE_INFINITY));
+			return canRun ? Array.from({length: step.count}, (_unused, task) => `${prefix}${task}`).filter(taskId => !runningIds.has(taskId)) : [];
+		});
+	});
+}
+
 /** Whether a step is not done and all steps that it depends on are. */
 function isTurnOf(simulation: JobsSimulation, jobId: string, steps: readonly StepSpec[], index: number): boolean {
 	const isDone = (step: number) => Array.from({length: steps[step]!.count}, (_unused, task) => formatTaskId({
--- a/packages/bench/src/jobs/inject-fault.ts
+++ b/packages/bench/src/jobs/inject-fault.ts
@@ -1,4 +1,5 @@
 import {type JobsSimulation} from './jobs-simulation.js';
+import {virtualMoveOutcomes} from './virtual-machine-service.js';
 import {type VirtualJobsEntry} from './virtual-jobs-entry.js';
 import {type CutDirection} from './virtual-network.js';
 import {muteWatches} from './virtual-watches.js';
@@ -150,6 +151,11 @@
 			simulation.advice.lostShare = 0;
 		});
 	},
+	'moves-changed'(simulation) {
+		// Goes on until the next such fault.
+		simulation.machineService.outcome = chooseItem(simulation, virtualMoveOutcomes)!;
+		simulation.logFault(`moves of machines are ${simulation.machineService.outcome}`);
+	},
 	'endpoint-reborn'(simulation) {
 		const endpoint = chooseItem(simulation, [...simulation.endpoints.values()].filter(each => each.isUp));
 		if (endpoint !== undefined) {
--- a/packages/bench/src/jobs/job-invariant-checker.ts
+++ b/packages/bench/src/jobs/job-invariant-checker.ts
@@ -14,7 +14,7 @@
 - `budget`: a task starts after it has used up its attempts.
 - `unasked`: a task starts that nobody submitted, or an entry in touch starts one whose job was cancelled.
 - `refused`: a task starts although its job was refused.
-- `idle`: nothing of a job runs for 3 s in calm, though an endpoint has room twice over.
+- `idle`: nothing of a job runs for 3 s in calm, or a long-running task does not run, though an endpoint has room twice over.
 - `leaked`: for 6 s, an owner counts a run on an endpoint that answers it and does not have it.
 - `handler-failed`: a handler of an entry threw an error.
 */
--- a/packages/bench/src/jobs/job-loads.ts
+++ b/packages/bench/src/jobs/job-loads.ts
@@ -71,6 +71,12 @@
 	advised: (simulation, pool) => submitJobs(simulation, `advised-${pool}`, 1 + simulation.random.getInteger(6), {count: 1 + simulation.random.getInteger(2), isLongRunning: simulation.random.getInteger(3) === 0}, true),
 };
 
+/** Submits a long-running job to a pool that needs all of its endpoints but one, which it may have evacuated as it had nothing for them to do. */
+export function submitWideJob(simulation: JobsSimulation, pool: string): SoakJob[] {
+	const count = [...simulation.endpoints.values()].filter(({isUp, registration}) => isUp && registration.pool === pool).length - 1;
+	return count < 1 ? [] : submitJobs(simulation, `jobs-${pool}`, 1, {count, endpointLimit: 1, isLongRunning: true});
+}
+
 /** Names of the loads that the command line accepts. */
 export const jobLoads: readonly string[] = Object.keys(loadCreators);
 
--- a/packages/bench/src/jobs/jobs-simulation.ts
+++ b/packages/bench/src/jobs/jobs-simulation.ts
@@ -11,6 +11,8 @@
 import {createEventDelivery} from './event-delivery.js';
 import {createJobInvariantChecker, type JobInvariantChecker} from './job-invariant-checker.js';
 import {createVirtualAdviceService, type VirtualAdviceService} from './virtual-advice-service.js';
+import {createVirtualFleetRecords} from './virtual-fleet-records.js';
+import {createVirtualMachineService, type VirtualMachineService} from './virtual-machine-service.js';
 import {createVirtualJobStore, type VirtualJobStore} from './virtual-job-store.js';
 import {createVirtualJobsEntry, type VirtualJobsEntry} from './virtual-jobs-entry.js';
 import {createVirtualNetwork, storeNode, type VirtualNetwork} from './virtual-network.js';
@@ -29,6 +31,7 @@
 	readonly network: VirtualNetwork;
 	readonly checker: JobInvariantChecker;
 	readonly advice: VirtualAdviceService;
+	readonly machineService: VirtualMachineService;
 	readonly answers: Map<string, CallerAnswer>;
 	/** Share of orders to endpoints that get no answer and take effect seconds later. */
 	lateOrderShare: number;
@@ -56,6 +59,8 @@
 	readonly entryCount: number;
 	readonly pools: Readonly<Record<string, number>>;
 	readonly endpointCapacity: Endpoint['capacity'];
+	/** Number of machines that are switched off; without any, there is no pool for them and no machine is moved. */
+	readonly spareMachineCount?: number;
 	/** Receives each line of the entries' logs, with virtual time and entry. */
 	readonly onLine?: (line: string) => void;
 };
@@ -72,7 +77,7 @@
 
 /** Creates a simulation with a queue `jobs-POOL` for each pool, and one `advised-POOL` that requires advice. */
 export function createJobsSimulation({
-	seed, entryCount, pools, endpointCapacity, onLine,
+	seed, entryCount, pools, endpointCapacity, spareMachineCount = 0, onLine,
 }: JobsSimulationOptions): JobsSimulation {
 	const queue = createEventQueue();
 	const random = createRandomSource(seed);
@@ -115,16 +120,28 @@
 		listState: entry => [
 			...store.listMembersAndClaims(),
 			{kind: 'endpoints-listed', endpoints: registry.listEndpoints()},
-			...[...entry.state.ledger.pools.keys()].flatMap(pool => store.listInbox(pool)),
+			...[...entry.state.ledger.pools.keys()].flatMap(pool => [...store.listInbox(pool), ...fleetRecords.listForPool(pool, entry.state.evacuation.requests.values())]),
+			...fleetRecords.listForFleet(),
 		],
 	});
 	const store = createVirtualJobStore(watches.publish);
+	const fleetRecords = createVirtualFleetRecords(store, watches.publish);
 	const registry = createVirtualRegistry({
 		queue, endpoints, canReachStore: id => simulation.isStoreUp && network.canDeliver(id, storeNode), publish: watches.publish,
 	});
 	const callStore = createStoreCaller({
 		queue, random, delivery, chooseDelayMs, isStoreUp: () => simulation.isStoreUp, canReachStore, getUnansweredWriteShare: () => simulation.unansweredWriteShare,
 	});
+	const getBehaviour = (taskId: string): TaskBehaviour => ({
+		resources: checker.getStep(taskId)?.room ?? endpointCapacity, isFiller: false, durationMs: 800, isFailing: false, isAdvised: false, ...behaviours.get(taskId.split('.', 1)[0]!),
+	});
+
+	const lifecycle = createEndpointLifecycle({
+		queue, random, endpoints, checker, advice, registry, logFault, getBehaviour, capacity: endpointCapacity,
+	});
+	const machineService = createVirtualMachineService({
+		queue, endpoints, lifecycle, capacity: endpointCapacity, spareCount: spareMachineCount, logFault,
+	});
 	const sinks = createVirtualSinks({
 		queue,
 		random,
@@ -143,6 +160,8 @@
 		getLateOrderShare: () => simulation.lateOrderShare,
 		listEndpoints: registry.listEndpoints,
 		advice,
+		fleetRecords,
+		machineService,
 	});
 
 	function startEntry(entry: VirtualJobsEntry): void {
@@ -154,7 +173,7 @@
 		entry.pausedUntil = 0;
 		entry.lastEventAt = queue.now;
 		entry.storeAnsweredAt = Number.NEGATIVE_INFINITY;
-		delivery.deliver(entry, {kind: 'configuration-changed', configuration: createConfiguration(Object.keys(pools))});
+		delivery.deliver(entry, {kind: 'configuration-changed', configuration: createConfiguration(Object.keys(pools), spareMachineCount > 0)});
 		watches.start(entry);
 		entry.session = startVirtualSession(entry, {
 			queue, random, store, delivery, callStore,
@@ -191,14 +210,6 @@
 		queue.add(entryCheckMs, checkEntries);
 	}
 
-	const getBehaviour = (taskId: string): TaskBehaviour => ({
-		resources: checker.getStep(taskId)?.room ?? endpointCapacity, isFiller: false, durationMs: 800, isFailing: false, isAdvised: false, ...behaviours.get(taskId.split('.', 1)[0]!),
-	});
-
-	const lifecycle = createEndpointLifecycle({
-		queue, random, endpoints, checker, advice, registry, logFault, getBehaviour, capacity: endpointCapacity,
-	});
-
 	const simulation: JobsSimulation = {
 		queue,
 		random,
@@ -208,6 +219,7 @@
 		network,
 		checker,
 		advice,
+		machineService,
 		answers,
 		lateOrderShare: 0,
 		unansweredWriteShare: 0,
--- a/packages/bench/src/jobs/run-jobs-soak.ts
+++ b/packages/bench/src/jobs/run-jobs-soak.ts
@@ -1,9 +1,12 @@
 import {type JobSpec, type StepSpec} from '@pistachiogauge/jobs';
 import {createJobsSimulation, type JobsSimulation} from './jobs-simulation.js';
 import {chooseItem, injectFault, listRunningEntries} from './inject-fault.js';
-import {createLeakWatch, findIdleJobs, type LeakWatch} from './find-lost-work.js';
+import {
+	createLeakWatch, findIdleJobs, findIdleTasks, type LeakWatch,
+} from './find-lost-work.js';
 import {type JobInvariantViolation} from './job-invariant-checker.js';
-import {submitLoad, type SoakJob} from './job-loads.js';
+import {submitLoad, submitWideJob, type SoakJob} from './job-loads.js';
+import {virtualMoveOutcomes} from './virtual-machine-service.js';
 
 /** Result of one randomised run. */
 export type JobsSoakResult = {
@@ -26,6 +29,8 @@
 };
 
 const smallPools = {desk: 3, notify: 3};
+/** Seeds have from no machines that are switched off to one less than this. */
+const spareMachineCounts = 4;
 /** More endpoints than one call for advice names. */
 const largePools = {desk: 44, notify: 3};
 /** One seed in this many has the large pools, if any loads are played. */
@@ -88,6 +93,8 @@
 const endlessMs = settleMs / 2;
 /** When idle jobs are looked for: all faults and what follows from them have ended. */
 const watchAfterMs = 26_000;
+/** When wide jobs are submitted; a long-running task may be without a run for 6 s before the looks begin. */
+const wideJobsAfterMs = watchAfterMs - 8000;
 /** Number of these looks and the time between two of them; 3 s in all. */
 const lookCount = 7;
 const lookIntervalMs = 500;
@@ -97,8 +104,9 @@
 	const {seed, steps, loads} = options;
 	const pools = loads.length > 0 && seed % seedsPerLargePool === 0 ? largePools : smallPools;
 	const simulation = createJobsSimulation({
-		seed, entryCount, pools, endpointCapacity, onLine: options.onLine,
+		seed, entryCount, pools, endpointCapacity, spareMachineCount: loads.length > 0 ? seed % spareMachineCounts : 0, onLine: options.onLine,
 	});
+	simulation.machineService.outcome = virtualMoveOutcomes[seed % virtualMoveOutcomes.length]!;
 	simulation.runFor(1500);
 	const jobs = new Map<string, SoakJob>();
 	const leakWatch = createLeakWatch(simulation);
@@ -107,14 +115,20 @@
 		reportLeaks(simulation, leakWatch);
 	}
 
+	const cancelsAt = simulation.queue.now + endlessMs;
+	simulation.runFor(wideJobsAfterMs);
+	for (const job of loads.length > 0 ? Object.keys(pools).flatMap(pool => submitWideJob(simulation, pool)) : []) {
+		jobs.set(job.jobId, job);
+	}
+
 	for (const {jobId, queueName} of [...jobs.values()].filter(({isEndless}) => isEndless)) {
-		simulation.queue.add(endlessMs, () => {
+		simulation.queue.add(cancelsAt - simulation.queue.now, () => {
 			simulation.cancelJob(simulation.entries[0]!, queueName, jobId);
 		});
 	}
 
-	simulation.runFor(watchAfterMs);
-	watchLostWork(simulation, jobs.keys(), leakWatch);
+	simulation.runFor(watchAfterMs - wideJobsAfterMs);
+	watchLostWork(simulation, [...jobs.keys()], leakWatch);
 	simulation.runFor(settleMs - watchAfterMs - ((lookCount - 1) * lookIntervalMs));
 	const acceptedJobs = [...jobs].filter(([id]) => simulation.answers.get(`submit-${id}`)?.kind === 'accepted');
 	const unfinishedJobIds = acceptedJobs
@@ -155,15 +169,22 @@
 	simulation.runFor(stepMs * 2 * random.getFraction());
 }
 
-/** Looks at the simulation for 3 s in calm, and reports jobs that were idle each time. */
-function watchLostWork(simulation: JobsSimulation, jobIds: Iterable<string>, leakWatch: LeakWatch): void {
+/** Looks at the simulation for 3 s in calm, and reports jobs and long-running tasks that were idle each time. */
+function watchLostWork(simulation: JobsSimulation, jobIds: readonly string[], leakWatch: LeakWatch): void {
 	let idleJobIds = findIdleJobs(simulation, jobIds);
+	let idleTaskIds = findIdleTasks(simulation, jobIds);
 	for (let look = 1; look < lookCount; look++) {
 		simulation.runFor(lookIntervalMs);
 		idleJobIds = findIdleJobs(simulation, idleJobIds);
+		const idleNow = new Set(findIdleTasks(simulation, jobIds));
+		idleTaskIds = idleTaskIds.filter(taskId => idleNow.has(taskId));
 		reportLeaks(simulation, leakWatch);
 	}
 
+	if (idleTaskIds.length > 0) {
+		simulation.checker.reportViolation('idle', `${idleTaskIds.length} long-running tasks do not run, ${idleTaskIds.slice(0, 5).join(', ')}`);
+	}
+
 	if (idleJobIds.length > 0) {
 		simulation.checker.reportViolation('idle', `nothing runs of ${idleJobIds.length} jobs, ${idleJobIds.slice(0, 5).join(', ')}`);
 	}
--- a/packages/bench/src/jobs/virtual-job-store.ts
+++ b/packages/bench/src/jobs/virtual-job-store.ts
@@ -28,7 +28,7 @@
 	getProgress(jobId: string): ProgressRecord | undefined;
 	getStoredJob(jobId: string): StoredJob | undefined;
 	saveProgress(effect: JobEffectOf<'save-progress'>): JobEventOf<'progress-saved'>;
-	loadPool(pool: string, token: number): JobEvent;
+	loadPool(pool: string, token: number, evacuatedEndpointIds: readonly string[]): JobEvent;
 	/** Lists the events of a full listing, as after a watch lost its history. Cancellations come before jobs, as their keys sort. */
 	listInbox(pool: string): readonly JobEvent[];
 };
@@ -186,7 +186,7 @@
 
 			return {...answer, result: 'applied', revision};
 		},
-		loadPool(pool, token) {
+		loadPool(pool, token, evacuatedEndpointIds) {
 			const own = [...jobs.values()].filter(({record}) => record.pool === pool).map(({record}) => createStoredJob(record.id));
 			return {
 				kind: 'pool-read',
@@ -198,7 +198,7 @@
 				}])),
 				roster: rosters.get(pool)?.record ?? {endpointIds: []},
 				rosterRevision: rosters.get(pool)?.revision ?? 0,
-				evacuatedEndpointIds: [],
+				evacuatedEndpointIds,
 				durationModels: {},
 			};
 		},
--- a/packages/bench/src/jobs/virtual-watches.ts
+++ b/packages/bench/src/jobs/virtual-watches.ts
@@ -37,6 +37,19 @@
 	'members-listed': ({node, incarnation}, {members}) => !members.some(member => member.node === node && member.incarnation === incarnation),
 };
 
+type FollowCheck<Kind extends JobEvent['kind']> = (state: VirtualJobsEntry['state'], event: JobEventOf<Kind>) => boolean;
+
+const ownsPool = ({ledger}: VirtualJobsEntry['state'], pool: string) => ledger.pools.has(pool);
+const holdsFleet = ({fleet}: VirtualJobsEntry['state']) => fleet.token !== undefined;
+
+/** Whether an entry watches the records of an event; those of other events are watched by all. */
+const followChecks: {readonly [Kind in JobEvent['kind']]?: FollowCheck<Kind>} = {
+	'evacuation-requested': (state, {request}) => ownsPool(state, request.pool) || holdsFleet(state),
+	'evacuation-withdrawn': (state, {pool}) => ownsPool(state, pool),
+	'endpoint-evacuated': holdsFleet,
+	'report-changed': holdsFleet,
+};
+
 /** Makes an entry's watches list the full state, as after a start or when the store has discarded its history. */
 export function loseWatchHistory({watch}: VirtualJobsEntry): void {
 	watch.missed ??= [];
@@ -67,7 +80,9 @@
 					entry.session?.reopen();
 				}
 
-				delivery.deliver(entry, event, incarnation);
+				if ((followChecks[event.kind] as FollowCheck<JobEvent['kind']> | undefined)?.(entry.state, event) !== false) {
+					delivery.deliver(entry, event, incarnation);
+				}
 			}, incarnation);
 		});
 	}
