Give evacuated endpoints back to work that stands still only

A task now needs an evacuated endpoint if it is long-running, or if nothing of its job runs, and if it has waited for 1.5 s; endpoints are back within the 3 s of the rule. Other tasks wait for capacity, which the fleet's holder weighs between the pools as before.

--- a/packages/jobs/src/reporting/list-needed-endpoints.ts
+++ b/packages/jobs/src/reporting/list-needed-endpoints.ts
@@ -12,17 +12,21 @@
 
 type State = DirectoryView & EvacuationView & ObservationView & SupervisionView;
 
-/** A task that has waited for this long has not been placed in several searches, so no other endpoint can take it now. */
-const minWaitMs = 300;
+/** Tasks that have waited for this long have not been placed in many searches, so no other endpoint can take them now; endpoints are back well before the 3 s for which nothing of a job may run. */
+const minWaitMs = 1500;
 /** Maximum number of waiting tasks that are looked at for a report. */
 const maxTasks = 500;
 
-/** Lists endpoints that are being evacuated and could run tasks that wait, as few as these need. @internal */
+/**
+Lists endpoints that are being evacuated and could run tasks that stand still, as few as these need. Tasks of jobs that have others running wait for capacity, which the fleet's holder weighs against that of other pools.
+
+@internal
+*/
 export function listNeededEndpoints(state: State, pool: Readonly<PoolLedger>, now: number): string[] {
 	const candidates = listEvacuatedCandidates(state, pool.pool);
 	const needed = new Set<Candidate>();
 	let taskCount = 0;
-	for (const step of candidates.length === 0 ? [] : listWaitingSteps(pool.activeJobs)) {
+	for (const step of candidates.length === 0 ? [] : listStandingSteps(pool.activeJobs)) {
 		const counts = countRunsByEndpoint(step);
 		for (const task of step.tasks) {
 			if (needed.size === candidates.length || taskCount >= maxTasks) {
@@ -68,10 +72,12 @@
 	return candidates;
 }
 
-function * listWaitingSteps(jobs: Iterable<Job>): Generator<Step> {
+/** Lists the ready steps of long-running tasks, and those of jobs of which nothing runs. */
+function * listStandingSteps(jobs: Iterable<Job>): Generator<Step> {
 	for (const job of jobs) {
+		const isRunning = [...job.steps.values()].some(({tasks}) => tasks.some(({runs}) => runs.size > 0));
 		for (const step of job.isAwaitingSurvey ? [] : job.steps.values()) {
-			if (step.doneCount < step.tasks.length && isStepReady(step)) {
+			if (step.doneCount < step.tasks.length && (step.spec.isLongRunning || !isRunning) && isStepReady(step)) {
 				yield step;
 			}
 		}
