--- a/packages/jobs/src/fleet/fleet-filter.ts
+++ b/packages/jobs/src/fleet/fleet-filter.ts
@@ -210,7 +210,7 @@
 	fleet.listRequestedAt = undefined;
 	fleet.firstListRequestAt = undefined;
 	fleet.listValidAt = undefined;
-	fleet.failedOrders.clear();
+	fleet.pausedMachines.clear();
 	fleet.poolsAwaitingMachines.clear();
 	fleet.hasShortage = false;
 	for (const wave of fleet.waves.values()) {
--- a/packages/jobs/src/fleet/fleet-state.ts
+++ b/packages/jobs/src/fleet/fleet-state.ts
@@ -97,8 +97,8 @@
 	balancesLoggedAt: number;
 	/** Machines that the machine service refuses to move. */
 	readonly immovableMachines: Set<string>;
-	/** Machines whose order has been given up: how often in a row, and until when in monotonic ms no other is prepared. */
-	readonly failedOrders: Map<string, {readonly count: number; readonly pausedUntil: number}>;
+	/** Machines whose last order was given up, or whose evacuation was withdrawn for lack of an order: how often in a row, and until when in monotonic ms no other is prepared. */
+	readonly pausedMachines: Map<string, {readonly count: number; readonly pausedUntil: number}>;
 };
 
 /** @public */
@@ -131,6 +131,6 @@
 		poolsAwaitingMachines: new Set(),
 		balancesLoggedAt: 0,
 		immovableMachines: new Set(),
-		failedOrders: new Map(),
+		pausedMachines: new Map(),
 	};
 }
--- a/packages/jobs/src/fleet/order-machines.ts
+++ b/packages/jobs/src/fleet/order-machines.ts
@@ -12,7 +12,7 @@
 const orderRetryDelayMs = 500;
 /** A move that the service has not accepted within this time is given up. */
 const moveAttemptsMs = 3000;
-/** Bounds of the pause after an order that was given up; the longest is of the order of a burst of demand. */
+/** Bounds of the pause after an order that was given up, or an evacuation that was withdrawn; the longest is of the order of a burst of demand. */
 const minOrderPauseMs = 2000;
 const maxOrderPauseMs = 16_000;
 
@@ -192,7 +192,7 @@
 }
 
 function acceptOrder(fleet: FleetState, openOrder: OpenOrder, context: DecisionContext): void {
-	fleet.failedOrders.delete(openOrder.machine);
+	fleet.pausedMachines.delete(openOrder.machine);
 	openOrder.phase = 'accepted';
 	openOrder.sentAt = context.now;
 	const wave = fleet.waves.get(openOrder.wave);
@@ -243,7 +243,7 @@
 		fleet.orders.delete(machine);
 		pauseOrders(fleet, machine, now);
 		outputs.push(emitLog('warn', 'machine order given up', {
-			machine, order, pool, endpoint: endpointId, ageMs: Math.round(now - firstAttemptAt), pausedMs: Math.round(fleet.failedOrders.get(machine)!.pausedUntil - now),
+			machine, order, pool, endpoint: endpointId, ageMs: Math.round(now - firstAttemptAt), pausedMs: Math.round(fleet.pausedMachines.get(machine)!.pausedUntil - now),
 		}));
 	}
 
@@ -251,12 +251,12 @@
 }
 
 /** Prepares no other order of a machine for a while, a longer one each time. @internal */
-export function pauseOrders({failedOrders}: FleetState, machine: string, now: number): void {
-	const count = (failedOrders.get(machine)?.count ?? 0) + 1;
-	failedOrders.set(machine, {count, pausedUntil: now + Math.min(maxOrderPauseMs, minOrderPauseMs * (2 ** (count - 1)))});
+export function pauseOrders({pausedMachines}: FleetState, machine: string, now: number): void {
+	const count = (pausedMachines.get(machine)?.count ?? 0) + 1;
+	pausedMachines.set(machine, {count, pausedUntil: now + Math.min(maxOrderPauseMs, minOrderPauseMs * (2 ** (count - 1)))});
 }
 
 /** Whether a machine may be prepared for an order: the service does not refuse it for good, and has not just failed to accept one. @internal */
-export function canPrepareOrder({failedOrders, immovableMachines}: FleetState, machine: string, now: number): boolean {
-	return !immovableMachines.has(machine) && now >= (failedOrders.get(machine)?.pausedUntil ?? 0);
+export function canPrepareOrder({pausedMachines, immovableMachines}: FleetState, machine: string, now: number): boolean {
+	return !immovableMachines.has(machine) && now >= (pausedMachines.get(machine)?.pausedUntil ?? 0);
 }
