--- a/packages/bench/src/jobs/create-configuration.ts
+++ b/packages/bench/src/jobs/create-configuration.ts
@@ -3,7 +3,7 @@
 import {sparePool} from './virtual-machine-service.js';
 
 const commonQueue = {
-	host: 'jobs.example', priority: 0, attempts: 2, stretch: 1.6, latencyTargetMs: 600,
+	host: 'jobs.example', priority: 0, attempts: 2, stretch: 1.6, latencyTargetMs: 600, isPublic: true,
 } as const;
 
 /** Creates a configuration with a queue `jobs-POOL` for each pool, and one `advised-POOL` that requires advice; machines of the spare pool, if there is one, are switched off. */
--- a/packages/bench/src/jobs/jobs-simulation.ts
+++ b/packages/bench/src/jobs/jobs-simulation.ts
@@ -231,7 +231,7 @@
 			behaviours.set(jobId, {isAdvised: queueName.startsWith('advised-'), ...behaviour});
 			checker.recordJob(jobId, requestId, spec);
 			delivery.deliverLater(entry, {
-				kind: 'caller-requested', requestId, action: 'submit', queue: queueName, jobId, spec,
+				kind: 'caller-requested', requestId, action: 'submit', queue: queueName, jobId, spec, keyHash: undefined,
 			});
 			return jobId;
 		},
@@ -240,7 +240,7 @@
 			const requestId = `cancel-${jobId}-${requestCount}`;
 			checker.recordCancelRequest(jobId, requestId);
 			delivery.deliverLater(entry, {
-				kind: 'caller-requested', requestId, action: 'cancel', queue: queueName, jobId, spec: undefined,
+				kind: 'caller-requested', requestId, action: 'cancel', queue: queueName, jobId, spec: undefined, keyHash: undefined,
 			});
 		},
 		killEntry(entry, downMs) {
--- a/packages/bench/src/jobs/virtual-job-store.ts
+++ b/packages/bench/src/jobs/virtual-job-store.ts
@@ -194,7 +194,7 @@
 				token,
 				jobs: own.filter(stored => stored.progress.endedAt === undefined),
 				ended: new Map(own.filter(stored => stored.progress.endedAt !== undefined).map(stored => [stored.job.id, {
-					queue: stored.job.queue, status: stored.progress.status, endedAt: stored.progress.endedAt!,
+					queue: stored.job.queue, account: stored.job.account, status: stored.progress.status, endedAt: stored.progress.endedAt!,
 				}])),
 				roster: rosters.get(pool)?.record ?? {endpointIds: []},
 				rosterRevision: rosters.get(pool)?.revision ?? 0,
--- a/packages/entry/src/jobs/follow-pool.ts
+++ b/packages/entry/src/jobs/follow-pool.ts
@@ -80,7 +80,9 @@
 		for (const [jobId, item] of progressItems) {
 			const record = decodeRecord('progress', item);
 			if (record?.endedAt !== undefined) {
-				ended.set(jobId, {queue: record.queue, status: record.status, endedAt: record.endedAt});
+				ended.set(jobId, {
+					queue: record.queue, account: record.account, status: record.status, endedAt: record.endedAt,
+				});
 			}
 		}
 
--- a/packages/entry/src/jobs/job-records.ts
+++ b/packages/entry/src/jobs/job-records.ts
@@ -86,7 +86,7 @@
 /** Creates the progress of a job of which no task has started. @internal */
 export function createInitialProgress(job: JobRecord): ProgressRecord {
 	return {
-		queue: job.queue, status: 'queued', steps: {}, lastRun: 0,
+		queue: job.queue, account: job.account, status: 'queued', steps: {}, lastRun: 0,
 	};
 }
 
--- a/packages/entry/src/jobs/jobs-process.ts
+++ b/packages/entry/src/jobs/jobs-process.ts
@@ -135,7 +135,7 @@
 		const match = current === undefined ? undefined : findQueue(current, host, path);
 		const jobId = match?.remainingPath ?? '';
 		pushEvent({
-			kind: 'caller-requested', requestId, action, queue: match?.queue.name ?? '', jobId, spec: isJobId(jobId) ? spec : undefined,
+			kind: 'caller-requested', requestId, action, queue: match?.queue.name ?? '', jobId, spec: isJobId(jobId) ? spec : undefined, keyHash: undefined,
 		});
 	}
 
--- a/packages/entry/src/jobs/record-schemas.ts
+++ b/packages/entry/src/jobs/record-schemas.ts
@@ -48,10 +48,12 @@
 		stretch: z.number(),
 		latencyTargetMs: z.number(),
 		advice: z.object({decideMs: z.number(), eachMs: z.number(), validMs: z.number()}).optional(),
+		account: z.string().optional(),
 		acceptedAt: z.number(),
 	}),
 	progress: z.object({
 		queue: z.string(),
+		account: z.string().optional(),
 		status: z.enum(['queued', 'running', 'done', 'failed', 'cancelled']),
 		steps: createTableSchema(z.string()),
 		failedRuns: createTableSchema(z.array(count)).optional(),
--- a/packages/jobs/src/intake/intake-filter.test.ts
+++ b/packages/jobs/src/intake/intake-filter.test.ts
@@ -27,7 +27,7 @@
 		kind: 'configuration-changed', configuration: {
 			version: 1,
 			queues: [{
-				name: 'prints', host: 'a', prefix: '/', pool: 'desk', priority: 0, attempts: 1, stretch: 1, latencyTargetMs: 1, advice: undefined,
+				name: 'prints', host: 'a', prefix: '/', pool: 'desk', priority: 0, attempts: 1, stretch: 1, latencyTargetMs: 1, advice: undefined, isPublic: true,
 			}],
 			pools: [{name: 'desk', isSpare: false}],
 			limits: {
@@ -40,7 +40,7 @@
 		const requestId = `request-${index}`;
 		apply({kind: attempt === 'out of reach' ? 'store-lost' : 'store-reached'}, now);
 		apply({
-			kind: 'caller-requested', requestId, action: 'submit', queue: 'prints', jobId: 'job', spec,
+			kind: 'caller-requested', requestId, action: 'submit', queue: 'prints', jobId: 'job', spec, keyHash: undefined,
 		}, now);
 		if (attempt !== 'out of reach') {
 			apply({kind: 'job-stored', requestId, result: attempt}, now);
--- a/packages/jobs/src/intake/waiting-count.test.ts
+++ b/packages/jobs/src/intake/waiting-count.test.ts
@@ -64,7 +64,7 @@
 		kind: 'configuration-changed', configuration: {
 			version: 1,
 			queues: [{
-				name: 'prints', host: 'a', prefix: '/', pool: 'desk', priority: 0, attempts: 1, stretch: 1, latencyTargetMs: 1, advice: undefined,
+				name: 'prints', host: 'a', prefix: '/', pool: 'desk', priority: 0, attempts: 1, stretch: 1, latencyTargetMs: 1, advice: undefined, isPublic: true,
 			}],
 			pools: [{name: 'desk', isSpare: false}],
 			limits: {
@@ -74,7 +74,7 @@
 	});
 	apply({kind: 'store-reached'});
 	apply({
-		kind: 'caller-requested', requestId: 'request', action: 'count', queue: 'prints', jobId: '', spec: undefined,
+		kind: 'caller-requested', requestId: 'request', action: 'count', queue: 'prints', jobId: '', spec: undefined, keyHash: undefined,
 	});
 	expect(answers).toEqual([expect.objectContaining(expected)]);
 });
--- a/packages/jobs/src/ledger/save-progress.ts
+++ b/packages/jobs/src/ledger/save-progress.ts
@@ -127,7 +127,9 @@
 			pool.unsavedJobs.delete(job);
 			if (!isActive(job)) {
 				pool.jobs.delete(jobId);
-				pool.endedJobs.set(jobId, {queue: job.record.queue, status: job.status, endedAt: job.endedAt ?? context.wallTime});
+				pool.endedJobs.set(jobId, {
+					queue: job.record.queue, account: job.record.account, status: job.status, endedAt: job.endedAt ?? context.wallTime,
+				});
 			}
 		}
 
@@ -211,6 +213,7 @@
 
 	return {
 		queue: job.record.queue,
+		account: job.record.account,
 		status: job.status,
 		steps,
 		...(Object.keys(failedRuns).length > 0 && {failedRuns}),
--- a/packages/jobs/src/model/configuration.ts
+++ b/packages/jobs/src/model/configuration.ts
@@ -1,3 +1,4 @@
+import {type ClientAccount} from './client-account.js';
 import {type AdvicePolicy} from './job.js';
 
 /** A queue that clients submit jobs to. A request selects it by host and longest matching path prefix. @public */
@@ -16,6 +17,8 @@
 	/** Constant part of the latency objective. */
 	readonly latencyTargetMs: number;
 	readonly advice: AdvicePolicy | undefined;
+	/** Callers need no API key. */
+	readonly isPublic: boolean;
 };
 
 /** @public */
@@ -38,5 +41,7 @@
 	readonly version: number;
 	readonly queues: readonly Queue[];
 	readonly pools: readonly PoolDeclaration[];
+	/** Undefined in a deployment without client accounts. */
+	readonly accounts?: readonly ClientAccount[] | undefined;
 	readonly limits: CallerLimits;
 };
--- a/packages/jobs/src/model/effects.ts
+++ b/packages/jobs/src/model/effects.ts
@@ -19,6 +19,8 @@
 	| {readonly kind: 'cancelled'}
 	| {readonly kind: 'unknown-queue'}
 	| {readonly kind: 'unknown-job'}
+	/** The request carries no API key that is valid for the queue. */
+	| {readonly kind: 'unauthorized'}
 	| {readonly kind: 'invalid'; readonly message: string}
 	/** Not accepted; nothing will run because of this request. */
 	| {readonly kind: 'refused'; readonly reason: string; readonly retryAfterMs: number}
--- a/packages/jobs/src/model/events.ts
+++ b/packages/jobs/src/model/events.ts
@@ -26,6 +26,7 @@
 /** What is retained of a job that has ended. @public */
 export type EndedJob = {
 	readonly queue: string;
+	readonly account?: string | undefined;
 	readonly status: JobStatus;
 	/** Unix ms. */
 	readonly endedAt: number;
@@ -79,6 +80,8 @@
 	/** The store has carried out a call on the condition that the claim's record is unchanged; the clocks were read before the call was sent. */
 	| {readonly kind: 'claim-confirmed'; readonly name: string; readonly token: number; readonly requestedAt: Clocks}
 	| {readonly kind: 'configuration-changed'; readonly configuration: Configuration}
+	/** A call that was sent at the given clocks has shown that this version is the operator's current one. */
+	| {readonly kind: 'configuration-confirmed'; readonly version: number; readonly requestedAt: Clocks}
 	| {readonly kind: 'endpoints-listed'; readonly endpoints: readonly Endpoint[]}
 	| {readonly kind: 'endpoint-changed'; readonly endpoint: Endpoint}
 	| {readonly kind: 'endpoint-removed'; readonly endpointId: string};
@@ -120,6 +123,8 @@
 		readonly queue: string;
 		readonly jobId: string;
 		readonly spec: JobSpec | undefined;
+		/** SHA-256 hash of the caller's API key in lower-case hexadecimal; undefined when the request carries none. */
+		readonly keyHash: string | undefined;
 	}
 	| {readonly kind: 'job-stored'; readonly requestId: string; readonly result: WriteResult}
 	| {readonly kind: 'progress-read'; readonly requestId: string; readonly result: 'found' | 'absent' | 'failed'; readonly progress: ProgressRecord | undefined}
--- a/packages/jobs/src/model/index.ts
+++ b/packages/jobs/src/model/index.ts
@@ -1,6 +1,7 @@
 export type * from './duration-model.js';
 export * from './resources.js';
 export * from './job.js';
+export type * from './client-account.js';
 export type * from './configuration.js';
 export type * from './endpoint.js';
 export type * from './machine.js';
--- a/packages/jobs/src/model/job.ts
+++ b/packages/jobs/src/model/job.ts
@@ -70,6 +70,8 @@
 	readonly stretch: number;
 	readonly latencyTargetMs: number;
 	readonly advice: AdvicePolicy | undefined;
+	/** Name of the client account that submitted the job; undefined for a job of a public queue. */
+	readonly account?: string | undefined;
 	/** Unix ms. */
 	readonly acceptedAt: number;
 };
@@ -80,6 +82,8 @@
 /** The mutable part of a job, kept up to date in the store. @public */
 export type ProgressRecord = {
 	readonly queue: string;
+	/** As in the job's record, which is deleted when the job ends. */
+	readonly account?: string | undefined;
 	readonly status: JobStatus;
 	/** State of the tasks by `occurrence.step`, one character per task: `d` for done. A step without an entry has not been started. */
 	readonly steps: Readonly<Record<string, string>>;
