Check callers' keys on each request, and confirm the configuration that they are checked with

A configuration with client accounts had no effect: every caller was served. The entry now reads the key of each request before its body, looks its hash up in the configuration, answers 401 without a valid one, writes the account into the job's records, and lets an account read and cancel only its own jobs. Where revocation is strict, a plain read of the configuration about every second confirms it; with a confirmation older than 0.75 of the time for a revocation, requests with a key are refused as not run, or are undecided if the job was submitted before, and the entry is not ready. Malformed accounts are left out one by one.

A configuration without accounts is served as before, and nothing is read for it.

--- a/packages/entry/src/jobs/follow-records.ts
+++ b/packages/entry/src/jobs/follow-records.ts
@@ -2,9 +2,10 @@
 	type Endpoint, type JobEvent,
 } from '@pistachiogauge/jobs';
 import {
-	configurationKey, decodeConfiguration, decodeEndpoint, decodeWave, endpointPrefix, followPrefix, wavePrefix, type StoreClient, type StoreItem,
+	configurationKey, decodeEndpoint, decodeWave, endpointPrefix, followPrefix, wavePrefix, type StoreClient, type StoreItem,
 } from '@pistachiogauge/platform';
 import {type Logger} from '@pistachiogauge/telemetry';
+import {type ConfigurationDecoder} from './configuration-decoder.js';
 import {
 	decodeClaim, decodeMember, decodeRecord, recordKeys,
 } from './job-records.js';
@@ -56,12 +57,12 @@
 }
 
 /** Watches the operator's configuration and maintenance waves. @internal */
-export function followConfigurationAndWaves(context: FollowContext): StopFollowing {
+export function followConfigurationAndWaves(context: FollowContext, decodeConfiguration: ConfigurationDecoder): StopFollowing {
 	const decoders: RecordDecoder[] = [
 		{
 			prefix: configurationKey,
 			decode(item) {
-				const configuration = decodeConfiguration(item.value);
+				const configuration = decodeConfiguration(item);
 				return configuration === undefined ? undefined : {kind: 'configuration-changed', configuration};
 			},
 		},
--- a/packages/entry/src/jobs/jobs-process.ts
+++ b/packages/entry/src/jobs/jobs-process.ts
@@ -1,14 +1,16 @@
 import {randomInt, randomUUID} from 'node:crypto';
 import {createRandomSource, type DecisionContext} from '@pistachiogauge/chain';
 import {
-	applyJobEvent, createJobsState, findQueue, type JobEffect, type JobEvent,
+	applyJobEvent, canCheckKeys, checkCallerRequest, createJobsState, findQueue, type CallerAnswer, type JobEffect, type JobEvent,
 } from '@pistachiogauge/jobs';
 import {createPipeline} from '@pistachiogauge/pipeline';
 import {
-	createEndpointOrderClient, createHttpClient, createIngress, createMachineServiceClient, createStoreClient, isJobId, type CallerRequest, type HttpClient, type PlatformSettings,
+	createEndpointOrderClient, createHttpClient, createIngress, createMachineServiceClient, createStoreClient, isJobId, type CallerRequest, type CallerRequestHead, type HttpClient, type PlatformSettings,
 } from '@pistachiogauge/platform';
 import {createLineWriter, createLogger, createMetrics} from '@pistachiogauge/telemetry';
 import {containErrors} from '../contain-errors.js';
+import {createConfigurationDecoder} from './configuration-decoder.js';
+import {createConfigurationReader} from './confirm-configuration.js';
 import {createJobSinks} from './create-job-sinks.js';
 import {followConfigurationAndWaves, followMembersAndClaims, type FollowContext} from './follow-records.js';
 import {createPauseMeter} from './pause-meter.js';
@@ -64,7 +66,10 @@
 		metrics.addCount(metric);
 	};
 
-	const state = createJobsState({node, incarnation, orderLeaseMs: settings.orderLeaseMs});
+	const strictRevokeMs = settings.isRevocationStrict ? settings.revokeMs : undefined;
+	const state = createJobsState({
+		node, incarnation, orderLeaseMs: settings.orderLeaseMs, strictRevokeMs,
+	});
 	const random = createRandomSource(randomInt(2 ** 31));
 	const measurePause = createPauseMeter(readClocks());
 	const connectionLimits = new Map([[settings.storeAddress, storeConnectionLimit]]);
@@ -107,6 +112,7 @@
 			pushEvent(event);
 			if (event.kind === 'configuration-changed') {
 				ingress.applyLimits(event.configuration.limits);
+				configurationReader.handleConfigurationChanged();
 			}
 		},
 		log,
@@ -117,25 +123,57 @@
 			session.reopen('the registration record is missing or belongs to another incarnation');
 		},
 	};
+	const decodeConfiguration = createConfigurationDecoder(log);
+	const configurationReader = createConfigurationReader({
+		store,
+		decodeItem: decodeConfiguration,
+		strictRevokeMs,
+		getConfiguration: () => state.configuration.current,
+		getClocks: readClocks,
+		pushEvent: followContext.pushEvent,
+		reportIgnoredItem: followContext.reportIgnoredItem,
+		log,
+	});
 	const isStoreReached = () => performance.now() < lastStoreResponseAt + storeSilenceLimitMs;
 	const ingress = createIngress({
 		address: settings.callerAddress,
 		readinessAddress: settings.readinessAddress,
 		getLimits: () => state.configuration.current?.limits ?? defaultLimits,
-		isReady: () => state.configuration.current !== undefined && isStoreReached() && !state.authority.isStopping,
+		isReady: () => state.configuration.current !== undefined && isStoreReached() && canCheckKeys(state, readClocks()) && !state.authority.isStopping,
 		createRequestId: () => randomUUID(),
+		checkRequest,
 		receiveRequest,
 		logInfo(message, fields) {
 			log('info', message, fields);
 		},
 	});
 
-	function receiveRequest({requestId, action, host, path, spec}: CallerRequest): void {
+	function findTarget({host, path}: Pick<CallerRequestHead, 'host' | 'path'>): {readonly queue: string; readonly jobId: string} {
 		const {current} = state.configuration;
 		const match = current === undefined ? undefined : findQueue(current, host, path);
-		const jobId = match?.remainingPath ?? '';
+		return {queue: match?.queue.name ?? '', jobId: match?.remainingPath ?? ''};
+	}
+
+	function checkRequest(head: CallerRequestHead): CallerAnswer | undefined {
+		const {requestId, action, keyHash} = head;
+		const target = findTarget(head);
+		const rejection = checkCallerRequest(state, {action, keyHash, ...target}, readClocks());
+		if (rejection !== undefined) {
+			pushEvent({
+				kind: 'caller-rejected', requestId, action, ...target, ...rejection,
+			});
+		}
+
+		return rejection?.answer;
+	}
+
+	function receiveRequest(request: CallerRequest): void {
+		const {
+			requestId, action, spec, keyHash,
+		} = request;
+		const {queue, jobId} = findTarget(request);
 		pushEvent({
-			kind: 'caller-requested', requestId, action, queue: match?.queue.name ?? '', jobId, spec: isJobId(jobId) ? spec : undefined, keyHash: undefined,
+			kind: 'caller-requested', requestId, action, queue, jobId, spec: isJobId(jobId) ? spec : undefined, keyHash,
 		});
 	}
 
@@ -215,7 +253,7 @@
 			log('info', 'entry starts', {
 				front: settings.callerAddress, ready: settings.readinessAddress, store: settings.storeAddress, zone: settings.zone, cpuShare: settings.cpuShare,
 			});
-			followConfigurationAndWaves(followContext);
+			followConfigurationAndWaves(followContext, decodeConfiguration);
 			followMembersAndClaims(followContext);
 			session.start();
 			tickTimer = setInterval(tick, tickIntervalMs);
@@ -242,6 +280,7 @@
 			});
 			await ingress.stop(Math.max(0, settings.graceMs - balancerDrainMs - (2 * exitReserveMs)));
 			clearInterval(tickTimer);
+			configurationReader.stop();
 			stopMetrics?.();
 			log('info', 'entry stopped', {open: ingress.countOpenRequests()});
 			await lineWriter.flush(exitReserveMs);
--- a/packages/http/src/index.ts
+++ b/packages/http/src/index.ts
@@ -7,7 +7,7 @@
 export {createEndpointClient, type EndpointClient, type EndpointClientOptions} from './endpoint-client.js';
 export {HttpRequestError, ListenError} from './http-errors.js';
 export {listen} from './listen.js';
-export {readBody} from './read-body.js';
+export {discardBody, readBody} from './read-body.js';
 export {parseServiceRequest} from './service-request.js';
 export {
 	operatorHeaders, signOperatorCall, verifyOperatorCall, type OperatorCallPayload,
--- a/packages/http/src/read-body.ts
+++ b/packages/http/src/read-body.ts
@@ -1,9 +1,34 @@
 import {type IncomingMessage} from 'node:http';
 import {HttpRequestError} from './http-errors.js';
 
-/** A body beyond the limit is still read, and discarded, up to this multiple of the limit, so that a caller that is still sending can read the refusal. */
+/** A body that is refused is still read, and discarded, up to this multiple of the limit, so that a caller that is still sending can read the refusal. */
 const drainFactor = 16;
 
+/**
+Discards a request body, so that the connection can be used for the next request. A body that is far beyond the limit, or does not end within the time-out, closes the connection.
+
+@public
+*/
+export function discardBody(message: IncomingMessage, limitBytes: number, timeoutMs: number): void {
+	let size = 0;
+	const timer = setTimeout(() => {
+		message.destroy();
+	}, timeoutMs);
+	const clearTimer = () => {
+		clearTimeout(timer);
+	};
+
+	message.on('data', (chunk: Uint8Array) => {
+		size += chunk.length;
+		if (size > limitBytes * drainFactor) {
+			message.destroy();
+		}
+	});
+	message.on('end', clearTimer);
+	message.on('close', clearTimer);
+	message.on('error', clearTimer);
+}
+
 /**
 Reads a complete request body.
 
--- a/packages/jobs/src/apply-job-event.ts
+++ b/packages/jobs/src/apply-job-event.ts
@@ -1,4 +1,5 @@
 import {createChain, type DecisionContext} from '@pistachiogauge/chain';
+import {accountsFilter} from './accounts/index.js';
 import {authorityFilter} from './authority/index.js';
 import {configurationFilter} from './configuration/index.js';
 import {directoryFilter} from './directory/index.js';
@@ -19,6 +20,7 @@
 export const jobFilters: ReadonlyArray<JobFilter<JobsState>> = [
 	authorityFilter,
 	configurationFilter,
+	accountsFilter,
 	directoryFilter,
 	intakeFilter,
 	supervisionFilter,
--- a/packages/jobs/src/configuration/configuration-filter.ts
+++ b/packages/jobs/src/configuration/configuration-filter.ts
@@ -31,7 +31,7 @@
 
 			state.current = configuration;
 			return [emitLog('info', 'configuration applied', {
-				version: configuration.version, before, queues: configuration.queues.length, pools: configuration.pools.length,
+				version: configuration.version, before, queues: configuration.queues.length, pools: configuration.pools.length, accounts: configuration.accounts?.length,
 			})];
 		},
 	},
--- a/packages/jobs/src/index.ts
+++ b/packages/jobs/src/index.ts
@@ -7,5 +7,9 @@
 export * from './filter.js';
 export {applyJobEvent, jobFilters} from './apply-job-event.js';
 export {createJobsState, type JobsOptions, type JobsState} from './jobs-state.js';
+export {
+	canCheckKeys, checkCaller, findAccount, isConfigurationTooOld, labelAccount, type CallerCheck, type CheckBasis,
+} from './accounts/index.js';
+export {checkCallerRequest, type CallerRequestSummary} from './intake/index.js';
 export {findQueue, type QueueMatch} from './configuration/index.js';
 export {rosterRecordKey} from './ledger/index.js';
--- a/packages/jobs/src/intake/index.ts
+++ b/packages/jobs/src/intake/index.ts
@@ -1,3 +1,3 @@
 export {
-	createIntakeState, intakeFilter, type IntakeState, type PendingRequest,
+	checkCallerRequest, createIntakeState, intakeFilter, type CallerRequestSummary, type IntakeState, type PendingRequest,
 } from './intake-filter.js';
--- a/packages/jobs/src/intake/intake-filter.ts
+++ b/packages/jobs/src/intake/intake-filter.ts
@@ -1,10 +1,13 @@
 import {emitEffect} from '@pistachiogauge/chain';
+import {
+	checkCallerOfQueue, labelAccount, type AccountsView, type CallerCheck,
+} from '../accounts/index.js';
 import {type ConfigurationView} from '../configuration/index.js';
 import {
 	emitCount, emitLog, type JobFilter, type JobOutput,
 } from '../filter.js';
 import {
-	type CallerAction, type CallerAnswer, type JobEventOf, type JobRecord, type Queue,
+	type CallerAction, type CallerAnswer, type CallerRejection, type Clocks, type JobEventOf, type JobRecord, type Queue,
 } from '../model/index.js';
 import {type LedgerView} from '../ledger/ledger-state.js';
 
@@ -13,6 +16,10 @@
 	readonly action: CallerAction;
 	readonly queue: Queue;
 	readonly jobId: string;
+	/** Name of the caller's account; undefined for a caller of a public queue without a key. */
+	readonly account: string | undefined;
+	/** The account is not known, as the configuration was too old to look up the request's key. */
+	readonly isKeyUnchecked: boolean;
 	readonly configurationVersion: number;
 	readonly receivedAt: number;
 };
@@ -20,15 +27,22 @@
 /** What this entry has answered to the submission of a job. */
 type Submission = {readonly answer: 'accepted' | 'undecided'; readonly at: number};
 
+/** Lines about rejected requests in the present interval: callers without a valid key may send any number of requests. */
+type RejectionLines = {startedAt: number; lineCount: number; unreportedCount: number};
+
 /** @public */
 export type IntakeState = {
 	readonly pendingRequests: Map<string, PendingRequest>;
 	/** Recent submissions that were not refused, by job. The same job may be submitted again, and must not be refused as not accepted then. */
 	readonly recentSubmissions: Map<string, Submission>;
 	isStoreReached: boolean;
+	readonly rejectionLines: RejectionLines;
 };
 
-type State = {readonly intake: IntakeState} & ConfigurationView & LedgerView;
+type State = {readonly intake: IntakeState} & AccountsView & ConfigurationView & LedgerView;
+
+/** What of a request decides whether its key is sufficient. @public */
+export type CallerRequestSummary = Pick<JobEventOf<'caller-requested'>, 'action' | 'queue' | 'jobId' | 'keyHash'>;
 
 /** Time for which a submission is remembered; callers repeat one within seconds. */
 const submissionMemoryMs = 60_000;
@@ -37,16 +51,20 @@
 const maxWaitingAgeMs = 3000;
 /** Retry time sent with a refusal when the store cannot be reached; meanwhile the load balancer routes the caller to another entry. */
 const storeRetryAfterMs = 1000;
+const rejectionLogIntervalMs = 10_000;
+const maxRejectionLines = 100;
 
 /** @public */
 export function createIntakeState(): IntakeState {
-	return {pendingRequests: new Map(), recentSubmissions: new Map(), isStoreReached: false};
+	return {
+		pendingRequests: new Map(), recentSubmissions: new Map(), isStoreReached: false, rejectionLines: {startedAt: 0, lineCount: 0, unreportedCount: 0},
+	};
 }
 
-type ActionHandler = (state: State, request: JobEventOf<'caller-requested'>, queue: Queue, wallTime: number) => JobOutput[];
+type ActionHandler = (state: State, request: JobEventOf<'caller-requested'>, queue: Queue, account: string | undefined, wallTime: number) => JobOutput[];
 
 const actionHandlers: Readonly<Record<CallerAction, ActionHandler>> = {
-	submit(_state, {requestId, jobId, spec}, queue, wallTime) {
+	submit(_state, {requestId, jobId, spec}, queue, account, wallTime) {
 		if (spec === undefined) {
 			return [createAnswer(requestId, 'submit', {kind: 'invalid', message: 'the body is not a job'})];
 		}
@@ -61,13 +79,14 @@
 			stretch: queue.stretch,
 			latencyTargetMs: queue.latencyTargetMs,
 			advice: queue.advice,
+			account: queue.isPublic ? undefined : account,
 			acceptedAt: wallTime,
 		};
 		return [emitEffect({kind: 'store-job', requestId, job})];
 	},
-	get(state, {requestId, jobId}, queue) {
+	get(state, {requestId, jobId}, queue, account) {
 		const ended = state.ledger.pools.get(queue.pool)?.endedJobs.get(jobId);
-		if (ended?.queue === queue.name) {
+		if (ended?.queue === queue.name && mayAccessJob(ended, account)) {
 			// A saved end is final, whichever entry owns the pool now.
 			return [createAnswer(requestId, 'get', {kind: 'status', status: ended.status})];
 		}
@@ -100,13 +119,20 @@
 					: {kind: 'unknown-queue'})];
 			}
 
+			const check = checkCallerOfQueue(state, event, context);
+			if (check?.kind === 'rejected') {
+				const rejection = createRejection(state, event, check, context.now);
+				return [createAnswer(requestId, action, rejection.answer), ...reportRejection(state, {...event, ...rejection}, context.now)];
+			}
+
+			const account = check?.account?.name;
 			if (!state.intake.isStoreReached) {
 				const known = action === 'submit' ? findSubmission(state, jobId, queue.pool, context.now) : undefined;
 				if (known !== undefined) {
 					return [
 						createAnswer(requestId, action, knownSubmissionAnswers[known]),
 						emitLog('info', 'repeated submission answered from memory', {
-							request: requestId, job: jobId, queue: queue.name, answer: known,
+							request: requestId, job: jobId, queue: queue.name, account, answer: known,
 						}),
 					];
 				}
@@ -114,21 +140,23 @@
 				return [
 					createAnswer(requestId, action, {kind: 'refused', reason: 'the store is out of reach', retryAfterMs: storeRetryAfterMs}),
 					emitCount(`requests_total{action="${action}",answer="refused"}`),
+					...countForAccount(state, account, 'refused', 'store'),
 					emitLog('warn', 'request refused', {
-						request: requestId, action, job: jobId, queue: queue.name, reason: 'the store is out of reach',
+						request: requestId, action, job: jobId, queue: queue.name, account, reason: 'the store is out of reach',
 					}),
 				];
 			}
 
-			const outputs = actionHandlers[action](state, event, queue, context.wallTime);
+			const outputs = actionHandlers[action](state, event, queue, account, context.wallTime);
 			if (outputs.every(output => output.kind !== 'sink' || output.effect.kind !== 'answer-caller')) {
 				state.intake.pendingRequests.set(requestId, {
-					action, queue, jobId, configurationVersion: current.version, receivedAt: context.now,
+					action, queue, jobId, account, isKeyUnchecked: check?.isKeyUnchecked === true, configurationVersion: current.version, receivedAt: context.now,
 				});
 			}
 
 			return outputs;
 		},
+		'caller-rejected': (state, event, {now}) => reportRejection(state, event, now),
 		'store-reached'({intake}) {
 			intake.isStoreReached = true;
 			return [emitLog('info', 'store reachable', {})];
@@ -158,6 +186,12 @@
 				return answerPendingRequest(state, requestId, context.now, {kind: 'unknown-job'});
 			}
 
+			if (!mayAccessJob(progress, request.account)) {
+				return answerPendingRequest(state, requestId, context.now, request.isKeyUnchecked
+					? {kind: 'refused', reason: 'the configuration has not been confirmed recently', retryAfterMs: storeRetryAfterMs}
+					: {kind: 'unknown-job'});
+			}
+
 			if (request.action === 'cancel' && (progress.status === 'queued' || progress.status === 'running')) {
 				return [emitEffect({
 					kind: 'store-cancel', requestId, pool: request.queue.pool, jobId: request.jobId,
@@ -201,6 +235,74 @@
 	undecided: {kind: 'undecided', reason: 'the store has not answered an earlier request for this job'},
 };
 
+/** Whether callers of an account, or callers without one, may read and cancel a job. A job without an account is open to all that may use its queue. */
+function mayAccessJob(job: {readonly account?: string | undefined}, account: string | undefined): boolean {
+	return job.account === undefined || job.account === account;
+}
+
+/** Checks the key of a request, before its body is read. @returns The rejection, or undefined if the request may go on. @public */
+export function checkCallerRequest(state: State, request: CallerRequestSummary, clocks: Clocks): CallerRejection | undefined {
+	const check = checkCallerOfQueue(state, request, clocks);
+	return check?.kind === 'rejected' ? createRejection(state, request, check, clocks.now) : undefined;
+}
+
+/** Creates the rejection of a request. A submission that may have been accepted before is not refused as not accepted. */
+function createRejection(state: State, {action, queue, jobId}: CallerRequestSummary, {reason, account, answer}: Extract<CallerCheck, {kind: 'rejected'}>, now: number): CallerRejection {
+	const pool = state.configuration.current?.queues.find(({name}) => name === queue)?.pool ?? '';
+	const isRepeated = answer.kind === 'refused' && action === 'submit' && (isSubmissionPending(state, jobId, pool) || findSubmission(state, jobId, pool, now) !== undefined);
+	return {reason, account: account?.name, answer: isRepeated ? {kind: 'undecided', reason: answer.reason} : answer};
+}
+
+/** Whether a submission of the job is waiting for the store. */
+function isSubmissionPending({intake}: State, jobId: string, pool: string): boolean {
+	for (const request of intake.pendingRequests.values()) {
+		if (request.action === 'submit' && request.jobId === jobId && request.queue.pool === pool) {
+			return true;
+		}
+	}
+
+	return false;
+}
+
+/** Counts and logs a rejection. */
+function reportRejection(state: State, {requestId, action, queue, jobId, reason, account, answer}: Omit<JobEventOf<'caller-rejected'>, 'kind'>, now: number): JobOutput[] {
+	const lines = state.intake.rejectionLines;
+	if (now >= lines.startedAt + rejectionLogIntervalMs) {
+		lines.startedAt = now;
+		lines.lineCount = 0;
+	}
+
+	const counts = [
+		emitCount(`requests_total{action="${action}",answer="${answer.kind}"}`),
+		emitCount(`requests_rejected_total{reason="${reason}"}`),
+		...countForAccount(state, account, answer.kind, reason),
+	];
+	if (lines.lineCount >= maxRejectionLines) {
+		lines.unreportedCount += 1;
+		return counts;
+	}
+
+	const notLogged = lines.unreportedCount;
+	lines.lineCount += 1;
+	lines.unreportedCount = 0;
+	return [...counts, emitLog('warn', 'request rejected because of its key', {
+		request: requestId, action, job: jobId, queue, account, reason, answer: answer.kind, notLogged,
+	})];
+}
+
+/** Counts an answer to a caller of an account, and why it is not served if it is not. */
+function countForAccount(state: State, account: string | undefined, answer: CallerAnswer['kind'], refusalReason: string): JobOutput[] {
+	if (account === undefined) {
+		return [];
+	}
+
+	const label = labelAccount(state, account);
+	return [
+		emitCount(`account_requests_total{account="${label}",answer="${answer}"}`),
+		...(answer === 'refused' || answer === 'undecided' ? [emitCount(`account_requests_refused_total{account="${label}",reason="${refusalReason}"}`)] : []),
+	];
+}
+
 /** Finds out from memory what became of earlier submissions of a job. @returns Undefined when this entry knows of none. */
 function findSubmission({intake, ledger}: State, jobId: string, pool: string, now: number): Submission['answer'] | undefined {
 	const owned = ledger.pools.get(pool);
@@ -242,9 +344,10 @@
 	return [
 		createAnswer(requestId, request.action, answer),
 		emitCount(`requests_total{action="${request.action}",answer="${answer.kind}"}`),
+		...countForAccount(state, request.account, answer.kind, 'store'),
 		emitEffect({kind: 'record-value', metric: `request_duration_ms{action="${request.action}"}`, value: tookMs}),
 		emitLog(answer.kind === 'refused' || answer.kind === 'undecided' ? 'warn' : 'info', 'request answered', {
-			request: requestId, action: request.action, job: request.jobId, queue: request.queue.name, configuration: request.configurationVersion, answer, tookMs: Math.round(tookMs),
+			request: requestId, action: request.action, job: request.jobId, queue: request.queue.name, account: request.account, configuration: request.configurationVersion, answer, tookMs: Math.round(tookMs),
 		}),
 	];
 }
--- a/packages/jobs/src/jobs-state.ts
+++ b/packages/jobs/src/jobs-state.ts
@@ -1,3 +1,4 @@
+import {createAccountsState, type AccountsState} from './accounts/index.js';
 import {createAuthorityState, type AuthorityState} from './authority/index.js';
 import {createConfigurationState, type ConfigurationState} from './configuration/index.js';
 import {createDirectoryState, type DirectoryState} from './directory/index.js';
@@ -15,6 +16,7 @@
 export type JobsState = {
 	readonly authority: AuthorityState;
 	readonly configuration: ConfigurationState;
+	readonly accounts: AccountsState;
 	readonly directory: DirectoryState;
 	readonly intake: IntakeState;
 	readonly supervision: SupervisionState;
@@ -35,13 +37,18 @@
 	readonly incarnation: string;
 	/** Minimum time in ms between orders of two holders for the same machine. */
 	readonly orderLeaseMs: number;
+	/** Time in ms after which no entry may accept an API key that was removed from the configuration; undefined where revocation is not strict. */
+	readonly strictRevokeMs?: number | undefined;
 };
 
 /** @public */
-export function createJobsState({node, incarnation, orderLeaseMs}: JobsOptions): JobsState {
+export function createJobsState({
+	node, incarnation, orderLeaseMs, strictRevokeMs,
+}: JobsOptions): JobsState {
 	return {
 		authority: createAuthorityState(node, incarnation),
 		configuration: createConfigurationState(),
+		accounts: createAccountsState(strictRevokeMs),
 		directory: createDirectoryState(),
 		intake: createIntakeState(),
 		supervision: createSupervisionState(),
--- a/packages/jobs/src/ledger/apply-end.ts
+++ b/packages/jobs/src/ledger/apply-end.ts
@@ -55,7 +55,7 @@
 		...stops,
 		emitCount(`jobs_ended_total{status="${status}"}`),
 		emitLog('info', 'job ended', {
-			job: job.record.id, queue: job.record.queue, status, pool: pool.pool, token: pool.token, ageMs: Math.round(context.now - job.acceptedAt),
+			job: job.record.id, queue: job.record.queue, account: job.record.account, status, pool: pool.pool, token: pool.token, ageMs: Math.round(context.now - job.acceptedAt),
 		}),
 	];
 }
--- a/packages/jobs/src/ledger/ledger-filter.ts
+++ b/packages/jobs/src/ledger/ledger-filter.ts
@@ -187,7 +187,7 @@
 	pool.activeJobs.add(job);
 	return [
 		emitLog('info', 'job received by pool owner', {
-			job: id, queue: job.record.queue, pool: pool.pool, token: pool.token, revision: stored.revision, ageMs: Math.round(context.now - job.acceptedAt), steps: stored.job.spec.steps.map(step => describeStep(step)),
+			job: id, queue: job.record.queue, account: job.record.account, pool: pool.pool, token: pool.token, revision: stored.revision, ageMs: Math.round(context.now - job.acceptedAt), steps: stored.job.spec.steps.map(step => describeStep(step)),
 		}),
 		passEvent({kind: 'placement-due', pool: pool.pool}),
 	];
--- a/packages/jobs/src/model/events.ts
+++ b/packages/jobs/src/model/events.ts
@@ -1,5 +1,6 @@
 import {type DurationModel} from './duration-model.js';
 import {type Configuration} from './configuration.js';
+import {type CallerAnswer} from './effects.js';
 import {
 	type Claim, type Clocks, type Member, type PoolDemandHistory, type PoolReport, type Roster, type RunId, type EvacuationRequest, type EvacuatedEndpoint,
 } from './coordination.js';
@@ -114,6 +115,17 @@
 	/** An order or a write was rejected because another entry holds the claim. */
 	| {readonly kind: 'claim-superseded'; readonly name: string; readonly token: number};
 
+/** Why a request is rejected because of its key. @public */
+export type CallerRejectionReason = 'no-key' | 'unknown-key' | 'configuration-age';
+
+/** Rejection of a request because of its key. @public */
+export type CallerRejection = {
+	readonly reason: CallerRejectionReason;
+	/** Name of the account that has the key; undefined if none is known to have it. */
+	readonly account: string | undefined;
+	readonly answer: CallerAnswer;
+};
+
 /** Requests from callers, and results of the store calls made for them. @public */
 export type CallerEvent =
 	| {
@@ -126,6 +138,14 @@
 		/** SHA-256 hash of the caller's API key in lower-case hexadecimal; undefined when the request carries none. */
 		readonly keyHash: string | undefined;
 	}
+	/** A request that was answered before its body was read, because of its key. */
+	| {
+		readonly kind: 'caller-rejected';
+		readonly requestId: string;
+		readonly action: CallerAction;
+		readonly queue: string;
+		readonly jobId: string;
+	} & CallerRejection
 	| {readonly kind: 'job-stored'; readonly requestId: string; readonly result: WriteResult}
 	| {readonly kind: 'progress-read'; readonly requestId: string; readonly result: 'found' | 'absent' | 'failed'; readonly progress: ProgressRecord | undefined}
 	| {readonly kind: 'cancel-stored'; readonly requestId: string; readonly result: WriteResult}
