--- a/packages/bench/src/jobs/create-virtual-sinks.ts
+++ b/packages/bench/src/jobs/create-virtual-sinks.ts
@@ -5,6 +5,7 @@
 import {startWallTime} from '../virtual/virtual-clock.js';
 import {type StoreCaller, type StoreCallFailure} from './call-store.js';
 import {createFleetSinks, type FleetSinkTools} from './create-fleet-sinks.js';
+import {createShareSinks, type ShareSinkTools} from './create-share-sinks.js';
 import {createOrderSinks, type OrderSinkTools} from './create-order-sinks.js';
 import {type EventDelivery} from './event-delivery.js';
 import {type JobInvariantChecker} from './job-invariant-checker.js';
@@ -15,7 +16,7 @@
 /** Sinks for the effects that have one in the simulation; each is also given the entry whose effect it is. */
 export type VirtualSinks = {readonly [Kind in JobEffect['kind']]?: (entry: VirtualJobsEntry, effect: JobEffectOf<Kind>) => void};
 
-export type VirtualSinkTools = OrderSinkTools & FleetSinkTools & {
+export type VirtualSinkTools = OrderSinkTools & FleetSinkTools & ShareSinkTools & {
 	readonly queue: EventQueue;
 	readonly store: VirtualJobStore;
 	readonly checker: JobInvariantChecker;
@@ -27,6 +28,7 @@
 	readonly callStore: StoreCaller;
 	readonly listEndpoints: () => Endpoint[];
 	readonly advice: VirtualAdviceService;
+	readonly getJobAccount: (jobId: string) => string | undefined;
 };
 
 /** Time after which the inbox of a loaded pool is delivered again: changes recorded while the answer was on its way arrive through the watch after it. */
@@ -35,7 +37,7 @@
 /** Creates the sinks that carry out the effects of the simulation's entries on the virtual store, endpoints and callers. */
 export function createVirtualSinks(tools: VirtualSinkTools): VirtualSinks {
 	const {
-		queue, store, checker, answers, onLine, delivery, callStore, listEndpoints, advice, fleetRecords,
+		queue, store, checker, answers, onLine, delivery, callStore, listEndpoints, advice, fleetRecords, getJobAccount,
 	} = tools;
 
 	/** Calls the store and delivers the events that the answer or the failure gives. */
@@ -67,6 +69,7 @@
 	return {
 		...createOrderSinks(tools),
 		...createFleetSinks(tools),
+		...createShareSinks(tools),
 		claim(entry, effect) {
 			const {name} = effect;
 			const {node, incarnation} = entry;
@@ -104,7 +107,7 @@
 		'store-job'(entry, {requestId, job}) {
 			callStore(entry, {
 				isWrite: true,
-				run: () => store.storeJob(job),
+				run: () => store.storeJob({...job, account: job.account ?? getJobAccount(job.id)}),
 				onAnswer(isNew) {
 					delivery.deliver(entry, {kind: 'job-stored', requestId, result: isNew ? 'applied' : 'conflict'});
 				},
--- a/packages/bench/src/jobs/jobs-simulation.ts
+++ b/packages/bench/src/jobs/jobs-simulation.ts
@@ -1,6 +1,6 @@
 import {createRandomSource, type RandomSource} from '@pistachiogauge/chain';
 import {
-	applyJobEvent, createJobsState, poolClaimPrefix, type CallerAnswer, type Endpoint, type JobEffect, type JobSpec,
+	applyJobEvent, createJobsState, poolClaimPrefix, type CallerAnswer, type ClientAccount, type Endpoint, type JobEffect, type JobSpec,
 } from '@pistachiogauge/jobs';
 import {createEventQueue, type EventQueue} from '../virtual/event-queue.js';
 import {startWallTime} from '../virtual/virtual-clock.js';
@@ -17,6 +17,7 @@
 import {createVirtualJobsEntry, type VirtualJobsEntry} from './virtual-jobs-entry.js';
 import {createVirtualNetwork, storeNode, type VirtualNetwork} from './virtual-network.js';
 import {createVirtualRegistry} from './virtual-registry.js';
+import {createVirtualShareRecords, type VirtualShareRecords} from './virtual-share-records.js';
 import {startVirtualSession} from './virtual-session.js';
 import {type TaskBehaviour, type VirtualTaskEndpoint} from './virtual-task-endpoint.js';
 import {createVirtualWatches, loseWatchHistory} from './virtual-watches.js';
@@ -28,6 +29,7 @@
 	readonly entries: readonly VirtualJobsEntry[];
 	readonly endpoints: Map<string, VirtualTaskEndpoint>;
 	readonly store: VirtualJobStore;
+	readonly shareRecords: VirtualShareRecords;
 	readonly network: VirtualNetwork;
 	readonly checker: JobInvariantChecker;
 	readonly advice: VirtualAdviceService;
@@ -39,7 +41,11 @@
 	unansweredWriteShare: number;
 	isStoreUp: boolean;
 	/** Submits a job at an entry and returns the job's id; the answer appears in `answers` under `submit-ID`. */
-	submitJob(entry: VirtualJobsEntry, queue: string, spec: JobSpec, behaviour?: Partial<TaskBehaviour>): string;
+	submitJob(entry: VirtualJobsEntry, queue: string, spec: JobSpec, behaviour?: Partial<TaskBehaviour> & {readonly account?: string}): string;
+	/** Replaces the client accounts in the operator's configuration. */
+	changeAccounts(accounts: readonly ClientAccount[] | undefined): void;
+	/** Finds the account of a job; undefined for a job without one. */
+	getJobAccount(jobId: string): string | undefined;
 	cancelJob(entry: VirtualJobsEntry, queue: string, jobId: string): void;
 	killEntry(entry: VirtualJobsEntry, downMs: number): void;
 	crashEndpoint(endpoint: VirtualTaskEndpoint, downMs: number): void;
@@ -85,6 +91,9 @@
 	const endpoints = new Map<string, VirtualTaskEndpoint>();
 	const behaviours = new Map<string, Partial<TaskBehaviour>>();
 	const answers = new Map<string, CallerAnswer>();
+	/** Accounts of the jobs that have one. */
+	const jobAccounts = new Map<string, string>();
+	let configuration = createConfiguration(Object.keys(pools), spareMachineCount > 0);
 	let requestCount = 0;
 	let incarnationCount = 0;
 	const checker = createJobInvariantChecker(queue);
@@ -118,14 +127,17 @@
 		chooseDelayMs,
 		canCallStore,
 		listState: entry => [
+			...(configuration.version > 1 ? [{kind: 'configuration-changed', configuration} as const] : []),
 			...store.listMembersAndClaims(),
 			{kind: 'endpoints-listed', endpoints: registry.listEndpoints()},
 			...[...entry.state.ledger.pools.keys()].flatMap(pool => [...store.listInbox(pool), ...fleetRecords.listForPool(pool, entry.state.evacuation.requests.values())]),
 			...fleetRecords.listForFleet(),
+			...(entry.state.quota.followed.length > 0 ? [{kind: 'shares-listed', owned: entry.state.quota.followed, shares: shareRecords.listShares()} as const] : []),
 		],
 	});
 	const store = createVirtualJobStore(watches.publish);
 	const fleetRecords = createVirtualFleetRecords(store, watches.publish);
+	const shareRecords = createVirtualShareRecords(store, watches.publish);
 	const registry = createVirtualRegistry({
 		queue, endpoints, canReachStore: id => simulation.isStoreUp && network.canDeliver(id, storeNode), publish: watches.publish,
 	});
@@ -161,7 +173,9 @@
 		listEndpoints: registry.listEndpoints,
 		advice,
 		fleetRecords,
+		shareRecords,
 		machineService,
+		getJobAccount: jobId => jobAccounts.get(jobId),
 	});
 
 	function startEntry(entry: VirtualJobsEntry): void {
@@ -173,7 +187,7 @@
 		entry.pausedUntil = 0;
 		entry.lastEventAt = queue.now;
 		entry.storeAnsweredAt = Number.NEGATIVE_INFINITY;
-		delivery.deliver(entry, {kind: 'configuration-changed', configuration: createConfiguration(Object.keys(pools), spareMachineCount > 0)});
+		delivery.deliver(entry, {kind: 'configuration-changed', configuration});
 		watches.start(entry);
 		entry.session = startVirtualSession(entry, {
 			queue, random, store, delivery, callStore,
@@ -216,6 +230,7 @@
 		entries,
 		endpoints,
 		store,
+		shareRecords,
 		network,
 		checker,
 		advice,
@@ -224,12 +239,16 @@
 		lateOrderShare: 0,
 		unansweredWriteShare: 0,
 		isStoreUp: true,
-		submitJob(entry, queueName, spec, behaviour = {}) {
+		submitJob(entry, queueName, spec, {account, ...behaviour} = {}) {
 			requestCount += 1;
 			const jobId = requestCount.toString(16).padStart(16, '0');
 			const requestId = `submit-${jobId}`;
 			behaviours.set(jobId, {isAdvised: queueName.startsWith('advised-'), ...behaviour});
 			checker.recordJob(jobId, requestId, spec);
+			if (account !== undefined) {
+				jobAccounts.set(jobId, account);
+			}
+
 			delivery.deliverLater(entry, {
 				kind: 'caller-requested', requestId, action: 'submit', queue: queueName, jobId, spec, keyHash: undefined,
 			});
@@ -243,6 +262,11 @@
 				kind: 'caller-requested', requestId, action: 'cancel', queue: queueName, jobId, spec: undefined, keyHash: undefined,
 			});
 		},
+		changeAccounts(accounts) {
+			configuration = {...configuration, version: configuration.version + 1, accounts};
+			watches.publish([{kind: 'configuration-changed', configuration}]);
+		},
+		getJobAccount: jobId => jobAccounts.get(jobId),
 		killEntry(entry, downMs) {
 			entry.isUp = false;
 			queue.add(downMs, () => {
--- a/packages/bench/src/jobs/virtual-job-store.ts
+++ b/packages/bench/src/jobs/virtual-job-store.ts
@@ -144,7 +144,7 @@
 			jobs.set(job.id, {record: job, revision});
 			progress.set(job.id, {
 				record: {
-					queue: job.queue, status: 'queued', steps: {}, lastRun: 0,
+					queue: job.queue, account: job.account, status: 'queued', steps: {}, lastRun: 0,
 				}, revision,
 			});
 			publish([{kind: 'job-recorded', stored: {...createStoredJob(job.id), isCancelled: false}}]);
--- a/packages/bench/src/jobs/virtual-watches.ts
+++ b/packages/bench/src/jobs/virtual-watches.ts
@@ -48,6 +48,8 @@
 	'evacuation-withdrawn': (state, {pool}) => ownsPool(state, pool),
 	'endpoint-evacuated': holdsFleet,
 	'report-changed': holdsFleet,
+	'shares-changed': ({quota}) => quota.followed.length > 0,
+	'shares-listed': ({quota}) => quota.followed.length > 0,
 };
 
 /** Makes an entry's watches list the full state, as after a start or when the store has discarded its history. */
--- a/packages/entry/src/jobs/create-job-sinks.ts
+++ b/packages/entry/src/jobs/create-job-sinks.ts
@@ -5,6 +5,7 @@
 import {type SinkTable} from '@pistachiogauge/pipeline';
 import {createFleetSinks} from './create-fleet-sinks.js';
 import {createOrderSinks, type CallRunner} from './create-order-sinks.js';
+import {createShareSinks} from './create-share-sinks.js';
 import {createOrderJournal} from './order-journal.js';
 import {createQueuedJobCounter} from './count-queued-jobs.js';
 import {followPool} from './follow-pool.js';
@@ -287,6 +288,7 @@
 		},
 		...createFleetSinks(dependencies, {runCall, orderJournal, createFleetConditions}),
 		...createOrderSinks({...dependencies, orderJournal}, runCall),
+		...createShareSinks(dependencies, runCall),
 		'answer-caller'({requestId, answer}) {
 			dependencies.ingress.answerCaller(requestId, answer);
 		},
--- a/packages/entry/src/jobs/job-records.ts
+++ b/packages/entry/src/jobs/job-records.ts
@@ -1,5 +1,5 @@
 import {
-	type Claim, type JobRecord, type Member, type PoolDemandHistory, type PoolReport, type ProgressRecord, type Roster, type StoredJob, type EvacuatedEndpoint, type EvacuationRequest,
+	type Claim, type JobRecord, type Member, type PoolDemandHistory, type PoolReport, type ProgressRecord, type Roster, type ShareRecord, type StoredJob, type StoredShares, type EvacuatedEndpoint, type EvacuationRequest,
 } from '@pistachiogauge/jobs';
 import {decodeValue, parseJson, type StoreItem} from '@pistachiogauge/platform';
 import {recordSchemas} from './record-schemas.js';
@@ -31,6 +31,9 @@
 	wavePrefix: 'fleet/wave/',
 	demandHistoryKey: 'fleet/demand',
 	recentOrdersKey: 'fleet/orders',
+	/** Shares of the accounts' caps; owners of pools watch them. */
+	sharesPrefix: 'shares/',
+	getSharesKey: (account: string) => `shares/${encodeURIComponent(account)}`,
 } as const;
 
 /** Progress of a wave, stored for the next holder of the fleet claim. @internal */
@@ -43,7 +46,7 @@
 export type RecentOrdersRecord = {readonly token: number; readonly machines: readonly string[]};
 
 /** @internal */
-export function encodeRecord(record: DemandHistoryRecord | RecentOrdersRecord | JobRecord | ProgressRecord | Roster | PoolReport | EvacuationRequest | Pick<EvacuatedEndpoint, 'requestId'> | WaveRecord | Omit<Member, 'node'> | {readonly node: string; readonly incarnation: string} | Record<string, never>): string {
+export function encodeRecord(record: ShareRecord | DemandHistoryRecord | RecentOrdersRecord | JobRecord | ProgressRecord | Roster | PoolReport | EvacuationRequest | Pick<EvacuatedEndpoint, 'requestId'> | WaveRecord | Omit<Member, 'node'> | {readonly node: string; readonly incarnation: string} | Record<string, never>): string {
 	return JSON.stringify(record);
 }
 
@@ -60,6 +63,7 @@
 	readonly wave: WaveRecord;
 	readonly demandHistory: DemandHistoryRecord;
 	readonly recentOrders: RecentOrdersRecord;
+	readonly shares: ShareRecord;
 };
 
 /** Decodes one of the project's own records. @returns Undefined when it was deleted, is not JSON, or does not match the schema. @internal */
@@ -96,3 +100,17 @@
 		job, progress: createInitialProgress(job), revision, isCancelled: false,
 	};
 }
+
+/** Decodes the shares of an account. @returns Undefined when the key names no account; the record is undefined when it was deleted or cannot be decoded. @internal */
+export function decodeShares(item: StoreItem): StoredShares | undefined {
+	const account = decodeAccountName(item.key.slice(recordKeys.sharesPrefix.length));
+	return account === undefined ? undefined : {account, revision: item.revision, record: decodeRecord('shares', item)};
+}
+
+function decodeAccountName(name: string): string | undefined {
+	try {
+		return decodeURIComponent(name);
+	} catch {
+		return undefined;
+	}
+}
--- a/packages/entry/src/jobs/odd-records.test.ts
+++ b/packages/entry/src/jobs/odd-records.test.ts
@@ -24,6 +24,7 @@
 	wave: ['maintained'],
 	recentOrders: ['machines'],
 	demandHistory: ['history'],
+	shares: ['cap', 'pools'],
 };
 const table = `{${Array.from({length: 20_000}, (_, index) => `"k${index}":[0]`).join(',')}}`;
 const largeTexts = Object.entries(listFields).flatMap(([kind, fields]) => [
--- a/packages/entry/src/jobs/record-schemas.ts
+++ b/packages/entry/src/jobs/record-schemas.ts
@@ -86,6 +86,10 @@
 	evacuated: z.object({requestId: z.string()}),
 	wave: z.object({maintained: addedNames, isDone: z.boolean()}),
 	recentOrders: z.object({token: count, machines: z.array(z.string())}),
+	shares: z.object({
+		cap: resources,
+		pools: createTableSchema(z.object({share: resources, wanted: resources})),
+	}),
 	demandHistory: z.object({
 		history: z.array(z.object({
 			pool: z.string(), assignedMachines: count, since: z.number(), hasPeaked: z.boolean(),
--- a/packages/jobs/src/apply-job-event.ts
+++ b/packages/jobs/src/apply-job-event.ts
@@ -12,6 +12,7 @@
 import {observationFilter} from './observation/index.js';
 import {pacingFilter} from './pacing/index.js';
 import {placementFilter} from './placement/index.js';
+import {quotaFilter} from './quota/index.js';
 import {reportingFilter} from './reporting/index.js';
 import {supervisionFilter} from './supervision/index.js';
 
@@ -26,6 +27,7 @@
 	observationFilter,
 	evacuationFilter,
 	placementFilter,
+	quotaFilter,
 	reportingFilter,
 	pacingFilter,
 	fleetFilter,
--- a/packages/jobs/src/jobs-state.ts
+++ b/packages/jobs/src/jobs-state.ts
@@ -8,6 +8,7 @@
 import {createObservationState, type ObservationState} from './observation/index.js';
 import {createPacingState, type PacingState} from './pacing/index.js';
 import {createPlacementState, type PlacementState} from './placement/index.js';
+import {createQuotaState, type QuotaState} from './quota/index.js';
 import {createReportingState, type ReportingState} from './reporting/index.js';
 import {createSupervisionState, type SupervisionState} from './supervision/index.js';
 
@@ -22,6 +23,7 @@
 	readonly evacuation: EvacuationState;
 	readonly observation: ObservationState;
 	readonly placement: PlacementState;
+	readonly quota: QuotaState;
 	readonly reporting: ReportingState;
 	readonly pacing: PacingState;
 	readonly fleet: FleetState;
@@ -49,6 +51,7 @@
 		evacuation: createEvacuationState(),
 		observation: createObservationState(),
 		placement: createPlacementState(),
+		quota: createQuotaState(),
 		reporting: createReportingState(),
 		pacing: createPacingState(),
 		fleet: createFleetState(orderLeaseMs),
--- a/packages/jobs/src/model/coordination.ts
+++ b/packages/jobs/src/model/coordination.ts
@@ -1,4 +1,5 @@
 import {type DurationModel} from './duration-model.js';
+import {type Resources} from './resources.js';
 /** Readings of an entry's clocks at one time: monotonic and Unix ms. A suspended process finds only its wall clock advanced. @public */
 export type Clocks = {readonly now: number; readonly wallTime: number};
 
@@ -101,3 +102,29 @@
 
 /** Identifies one run of a task. @public */
 export type RunId = {readonly taskId: string; readonly run: number};
+
+/** Part of an account's cap that the owner of a pool may use. @public */
+export type PoolShare = {
+	readonly share: Resources;
+	/** What the pool's tasks of the account occupy, and what those would take that wait only because of the cap. */
+	readonly wanted: Resources;
+};
+
+/** How an account's cap is divided among the pools. @public */
+export type ShareRecord = {
+	/** The cap when the record was written; it applies to running jobs of an account that has left the configuration. */
+	readonly cap: Resources;
+	/** By pool; a pool without an entry has no share and wants none. */
+	readonly pools: Readonly<Record<string, PoolShare>>;
+};
+
+/** The record of an account's shares as read from the store; `record` is undefined if it has been deleted or cannot be decoded. @public */
+export type StoredShares = {
+	readonly account: string;
+	/** 0 if there is no record. */
+	readonly revision: number;
+	readonly record: ShareRecord | undefined;
+};
+
+/** A pool that an entry owns, and the token of its claim. @public */
+export type OwnedPool = {readonly pool: string; readonly token: number};
--- a/packages/jobs/src/model/effects.ts
+++ b/packages/jobs/src/model/effects.ts
@@ -1,6 +1,6 @@
 import {type HandlerFailed} from '@pistachiogauge/chain';
 import {
-	type PoolDemandHistory, type PoolReport, type Roster, type EvacuationRequest, type EvacuatedEndpoint,
+	type OwnedPool, type PoolDemandHistory, type PoolReport, type Roster, type EvacuationRequest, type EvacuatedEndpoint, type ShareRecord,
 } from './coordination.js';
 import {type CallerAction, type MachineOrder} from './events.js';
 import {
@@ -60,6 +60,18 @@
 	/** Deletes the records of jobs that ended long ago. */
 	| {readonly kind: 'delete-ended-jobs'; readonly pool: string; readonly token: number; readonly jobIds: readonly string[]}
 	| {readonly kind: 'publish-report'; readonly token: number; readonly report: PoolReport}
+	/** Lists the shares of all accounts anew and watches them from then on for the owner of these pools; without a pool, ends the watch. */
+	| {readonly kind: 'follow-shares'; readonly owned: readonly OwnedPool[]}
+	/** Reads the shares of accounts back. */
+	| {readonly kind: 'read-shares'; readonly accounts: readonly string[]}
+	/** Replaces the shares of accounts, all or none: on condition that each record has the given revision, 0 for none, and that the claim on the pool is unchanged. */
+	| {
+		readonly kind: 'write-shares';
+		readonly pool: string;
+		readonly token: number;
+		readonly writeId: number;
+		readonly records: ReadonlyArray<{readonly account: string; readonly revision: number; readonly record: ShareRecord}>;
+	}
 	| {readonly kind: 'request-evacuation'; readonly request: EvacuationRequest}
 	| {readonly kind: 'withdraw-evacuation'; readonly pool: string; readonly endpointId: string}
 	| {readonly kind: 'confirm-evacuation'; readonly token: number; readonly evacuated: EvacuatedEndpoint}
--- a/packages/jobs/src/model/events.ts
+++ b/packages/jobs/src/model/events.ts
@@ -1,13 +1,14 @@
 import {type DurationModel} from './duration-model.js';
 import {type Configuration} from './configuration.js';
 import {
-	type Claim, type Clocks, type Member, type PoolDemandHistory, type PoolReport, type Roster, type RunId, type EvacuationRequest, type EvacuatedEndpoint,
+	type Claim, type Clocks, type Member, type OwnedPool, type PoolDemandHistory, type PoolReport, type Roster, type RunId, type EvacuationRequest, type EvacuatedEndpoint, type StoredShares,
 } from './coordination.js';
 import {type Endpoint, type ReportedEnd, type ReportedRun} from './endpoint.js';
 import {
 	type JobRecord, type JobSpec, type JobStatus, type ProgressRecord,
 } from './job.js';
 import {type Machine, type Wave} from './machine.js';
+import {type Resources} from './resources.js';
 
 /** What a caller's request asks for. @public */
 export type CallerAction = 'submit' | 'get' | 'cancel' | 'count';
@@ -223,6 +224,37 @@
 	readonly isClaimLost: boolean;
 };
 
+/** Shares of accounts in the store, and what the pools want of them. */
+export type QuotaEvent =
+	/** The records of all accounts, read after the claims on these pools were made. */
+	| {readonly kind: 'shares-listed'; readonly owned: readonly OwnedPool[]; readonly shares: readonly StoredShares[]}
+	| {readonly kind: 'shares-changed'; readonly shares: StoredShares}
+	/** The answer to `read-shares` for one account. */
+	| {readonly kind: 'shares-read'; readonly shares: StoredShares}
+	| {
+		readonly kind: 'shares-written';
+		readonly pool: string;
+		readonly token: number;
+		readonly writeId: number;
+		readonly result: WriteResult;
+		/** New revision of the records if the write was applied, else 0. */
+		readonly revision: number;
+		/** Present revisions of the records after a conflict, by account. */
+		readonly presentRevisions: ReadonlyMap<string, number>;
+		readonly isClaimLost: boolean;
+	}
+	/** What the tasks of a pool would take, by account, that could start now if their account's share were larger. */
+	| {readonly kind: 'account-demand-measured'; readonly pool: string; readonly demands: ReadonlyMap<string, AccountDemand>}
+	/** Shares are to be compared with what the pools want. */
+	| {readonly kind: 'shares-review-due'};
+
+/** @public */
+export type AccountDemand = {
+	readonly resources: Resources;
+	/** Number of jobs with tasks that wait only because of their account's share. */
+	readonly jobCount: number;
+};
+
 /** @public */
 export type MachineOrder = 'move' | 'maintain';
 
@@ -251,7 +283,7 @@
 	| {readonly kind: 'evacuation-completed'; readonly pool: string; readonly endpointId: string};
 
 /** @public */
-export type JobEvent = CoordinationEvent | OwnershipEvent | CallerEvent | EndpointEvent | RunEvent | SaveEvent | FleetEvent;
+export type JobEvent = CoordinationEvent | OwnershipEvent | CallerEvent | EndpointEvent | RunEvent | SaveEvent | QuotaEvent | FleetEvent;
 
 /** @public */
 export type JobEventOf<Kind extends JobEvent['kind']> = Extract<JobEvent, {kind: Kind}>;
--- /dev/null
+++ b/packages/jobs/src/placement/account-budgets.ts
@@ -0,0 +1,228 @@
+import {passEvent, type DecisionContext} from '@pistachiogauge/chain';
+import {type DirectoryView} from '../directory/index.js';
+import {type JobOutput} from '../filter.js';
+import {
+	type Job, type LedgerView, type PoolLedger, type Step,
+} from '../ledger/index.js';
+import {
+	addResources, computeResources, hasCapacityFor, hasComponent, noResources, subtractResources, sumResources, type AccountDemand, type Resources,
+} from '../model/index.js';
+import {isRetryDelayed, type ObservationView} from '../observation/index.js';
+import {
+	getAllowance, getCap, listUnsurveyedAccounts, measurePoolUsage, multiplyResources, type AccountUsage, type QuotaView,
+} from '../quota/index.js';
+import {type SupervisionView} from '../supervision/index.js';
+import {
+	addCount, chooseEndpoint, countRunsByEndpoint, reserveCandidate, type Candidate,
+} from './choose-endpoint.js';
+import {listReadySteps, type RankedJob} from './order-jobs.js';
+import {isPending, type PlacementState} from './placement-state.js';
+
+/** What a search may still start of one account. */
+type AccountBudget = {
+	readonly cap: Resources;
+	remaining: Resources;
+	/** Whether a task waits for what is left, so that no later one takes it. */
+	isSpoken: boolean;
+	/** Steps with tasks that wait because of the budget, in the order of their ranks. */
+	readonly heldSteps: Set<Step>;
+};
+
+/** What a search of a pool may still start of each account that has a cap. @internal */
+export type AccountBudgets = {
+	readonly getBudget: (account: string) => AccountBudget | undefined;
+	readonly known: ReadonlyMap<string, AccountBudget | undefined>;
+};
+
+type State = {readonly placement: PlacementState} & QuotaView & SupervisionView & LedgerView & DirectoryView;
+
+/** A gang that waits for this long keeps later tasks of its account from starting, so that enough of the share comes free together. */
+const gangPatienceMs = 1000;
+/** Maximum number of held tasks that are looked at to measure a pool's demand. */
+const maxMeasuredTasks = 300;
+
+/** Creates the budgets of a search; what a budget allows is computed when it is first needed. @internal */
+export function createAccountBudgets(state: State, pool: Readonly<PoolLedger>, {wallTime}: Pick<DecisionContext, 'wallTime'>): AccountBudgets {
+	const known = new Map<string, AccountBudget | undefined>();
+	let usage: ReadonlyMap<string, AccountUsage> | undefined;
+	let unsurveyed: ReadonlySet<string> | undefined;
+	return {
+		known,
+		getBudget(account) {
+			if (known.has(account)) {
+				return known.get(account);
+			}
+
+			const allowance = getAllowance(state, pool.pool, account);
+			usage ??= measurePoolUsage(state, pool, listReservedSteps(state));
+			unsurveyed ??= listUnsurveyedAccounts(state, pool, wallTime);
+			const used = usage.get(account)?.possible ?? noResources;
+			const budget = allowance === undefined
+				? undefined
+				: {
+					cap: getCap(state, account) ?? computeResources(() => Number.POSITIVE_INFINITY),
+					remaining: unsurveyed.has(account) ? computeResources(name => Math.min(0, allowance[name] - used[name])) : subtractResources(allowance, used),
+					isSpoken: false,
+					heldSteps: new Set<Step>(),
+				};
+			known.set(account, budget);
+			return budget;
+		},
+	};
+}
+
+/** Takes the resources of a step's tasks from the budget of its account. @returns Whether they may be started; if not, the step is held back. @internal */
+export function takeFromBudget({getBudget}: AccountBudgets, step: Step, count: number, now: number): boolean {
+	const {account} = step.job.record;
+	const budget = account === undefined ? undefined : getBudget(account);
+	if (budget === undefined) {
+		return true;
+	}
+
+	const resources = multiplyResources(step.spec.room, count);
+	if (!budget.isSpoken && hasBudgetFor(budget.remaining, resources)) {
+		budget.remaining = subtractResources(budget.remaining, resources);
+		return true;
+	}
+
+	holdStep(budget, step, resources, now);
+	return false;
+}
+
+/**
+Selects the jobs that their accounts' budgets allow to start a task. The others are held back before the jobs are ranked, as they would displace jobs that can start.
+
+@param orderAccountJobs - Orders the jobs of one account.
+@internal
+*/
+export function selectWithinBudgets(budgets: AccountBudgets, jobs: readonly Job[], orderAccountJobs: (jobs: readonly Job[]) => readonly RankedJob[], now: number): {readonly selected: readonly Job[]; readonly held: readonly Job[]} {
+	const jobsByAccount = new Map<string, Job[]>();
+	for (const job of jobs) {
+		const {account} = job.record;
+		if (account !== undefined && !job.isAwaitingSurvey && budgets.getBudget(account) !== undefined) {
+			jobsByAccount.set(account, [...jobsByAccount.get(account) ?? [], job]);
+		}
+	}
+
+	const held = new Set<Job>();
+	for (const [account, own] of jobsByAccount) {
+		for (const job of holdBackJobs(budgets.getBudget(account)!, own, orderAccountJobs, now)) {
+			held.add(job);
+		}
+	}
+
+	return held.size === 0 ? {selected: jobs, held: []} : {selected: jobs.filter(job => !held.has(job)), held: [...held]};
+}
+
+/** Tells the shares what could be started now if they were larger. @internal */
+export function reportAccountDemand(state: State & ObservationView, pool: string, search: {readonly candidates: readonly Candidate[]; readonly budgets: AccountBudgets} | undefined, {now}: DecisionContext): JobOutput[] {
+	const demands = new Map<string, AccountDemand>();
+	let candidates: Candidate[] | undefined;
+	for (const [account, budget] of search?.budgets.known ?? []) {
+		if (budget !== undefined && budget.heldSteps.size > 0) {
+			candidates ??= search!.candidates.map(candidate => ({...candidate}));
+			demands.set(account, measureDemand(state, budget, candidates, now));
+		}
+	}
+
+	const wereAny = (state.quota.ownedPools.get(pool)?.demands.size ?? 0) > 0;
+	return demands.size > 0 || wereAny ? [passEvent({kind: 'account-demand-measured', pool, demands})] : [];
+}
+
+function measureDemand(state: ObservationView, {heldSteps, cap}: AccountBudget, candidates: Candidate[], now: number): AccountDemand {
+	let resources = noResources;
+	let taskCount = 0;
+	for (const step of heldSteps) {
+		const {room} = step.spec;
+		const counts = countRunsByEndpoint(step);
+		let stepCount = 0;
+		for (const task of step.tasks) {
+			if (!isPending(task) || isRetryDelayed(state, task, now)) {
+				continue;
+			}
+
+			const chosen = taskCount < maxMeasuredTasks ? chooseEndpoint(candidates, task, counts, undefined) : undefined;
+			if (chosen === undefined) {
+				break;
+			}
+
+			addCount(counts, chosen.endpoint.id);
+			reserveCandidate(chosen, step);
+			taskCount += 1;
+			stepCount += 1;
+		}
+
+		if (!step.spec.isGang || stepCount === step.tasks.length) {
+			resources = addResources(resources, multiplyResources(room, stepCount));
+		}
+	}
+
+	return {
+		resources: computeResources(name => cap[name] === 0 ? resources[name] : Math.min(resources[name], cap[name])),
+		jobCount: new Set([...heldSteps].map(({job}) => job)).size,
+	};
+}
+
+/** Finds the jobs of an account of which the budget allows no task to start. */
+function holdBackJobs(budget: AccountBudget, jobs: readonly Job[], orderAccountJobs: (jobs: readonly Job[]) => readonly RankedJob[], now: number): Job[] {
+	const total = sumResources(jobs.map(job => sumPendingTasks(job)));
+	if (hasBudgetFor(budget.remaining, total)) {
+		return [];
+	}
+
+	const held: Job[] = [];
+	let {remaining} = budget;
+	for (const {job} of orderAccountJobs(jobs)) {
+		const pendingSteps = listReadySteps(job).filter(({tasks}) => tasks.some(task => isPending(task)));
+		let isStartable = pendingSteps.length === 0;
+		for (const step of pendingSteps) {
+			const count = step.spec.isGang ? step.tasks.length : 1;
+			const resources = multiplyResources(step.spec.room, count);
+			if (!budget.isSpoken && hasBudgetFor(remaining, resources)) {
+				isStartable = true;
+				const pendingCount = step.tasks.filter(task => isPending(task)).length;
+				const all = subtractResources(remaining, multiplyResources(step.spec.room, pendingCount));
+				remaining = computeResources(name => Math.max(0, all[name]));
+				continue;
+			}
+
+			holdStep(budget, step, resources, now);
+		}
+
+		if (!isStartable) {
+			held.push(job);
+		}
+	}
+
+	// Those that come first take what is left; the search itself finds out for which task it does not suffice.
+	budget.isSpoken = false;
+	return held;
+}
+
+function holdStep(budget: AccountBudget, step: Step, resources: Resources, now: number): void {
+	if (hasComponent(name => budget.cap[name] > 0 && resources[name] > budget.cap[name])) {
+		// The cap never allows it, so nothing is kept for it.
+		return;
+	}
+
+	budget.heldSteps.add(step);
+	budget.isSpoken ||= !step.spec.isGang || step.tasks.some(task => now > task.idleSince + gangPatienceMs);
+}
+
+function sumPendingTasks(job: Job): Resources {
+	return sumResources(listReadySteps(job).map(({spec, tasks}) => multiplyResources(spec.room, tasks.filter(task => isPending(task)).length)));
+}
+
+/** Whether a budget covers resources; what takes nothing of a component needs none of it. */
+function hasBudgetFor(remaining: Resources, resources: Resources): boolean {
+	return hasCapacityFor(computeResources(name => resources[name] === 0 ? 0 : remaining[name]), resources);
+}
+
+/** Lists the endpoints and steps of tasks that are placed and not supervised yet. */
+function * listReservedSteps({placement}: State): Generator<{readonly endpointId: string; readonly step: Step}> {
+	for (const [endpointId, steps] of placement.reservedSteps) {
+		for (const step of steps.values()) {
+			yield {endpointId, step};
+		}
+	}
+}
--- a/packages/jobs/src/placement/place-step.ts
+++ b/packages/jobs/src/placement/place-step.ts
@@ -7,8 +7,9 @@
 import {
 	addCount, chooseEndpoint, countRunsByEndpoint, listRunnableCandidates, reserveCandidate, type Candidate,
 } from './choose-endpoint.js';
+import {takeFromBudget} from './account-budgets.js';
 import {recordUnplacedStep, type PlacementSearch} from './placement-search.js';
-import {type PlacementState, type WaitReason} from './placement-state.js';
+import {isPending, type PlacementState, type WaitReason} from './placement-state.js';
 import {
 	canRequestAdvice, getTicket, listAllowedCandidates, listTicketedCandidates, requestAdvice,
 } from './step-advice.js';
@@ -21,11 +22,6 @@
 /** What became of a step in a search for tasks to start; the reason is that of its tasks that still wait. @internal */
 export type PlacementResult = {readonly outputs: JobOutput[]; readonly waitReason: WaitReason | undefined};
 
-/** Whether a task waits for a start. @internal */
-export function isPending(task: Task): boolean {
-	return !task.isDone && task.runs.size === 0;
-}
-
 /** Places the pending tasks of a step, as many as the candidates can take. @internal */
 export function placeStep(state: State, step: Step, search: PlacementSearch, context: DecisionContext): PlacementResult {
 	const {candidates} = search;
@@ -46,6 +42,10 @@
 			};
 		}
 
+		if (!takeFromBudget(search.budgets, step, 1, context.now)) {
+			return {outputs: placed, waitReason: 'account-cap'};
+		}
+
 		addCount(counts, chosen.endpoint.id);
 		placed.push(...placeTask(state, {task, run, chosen}, context));
 	}
@@ -78,6 +78,10 @@
 		};
 	}
 
+	if (!takeFromBudget(search.budgets, step, step.tasks.length, context.now)) {
+		return {outputs: [], waitReason: 'account-cap'};
+	}
+
 	const run = step.job.lastRun + 1;
 	// All members resume from the same checkpoint; that of any member is valid for the whole gang.
 	const checkpoint = step.tasks.map(task => task.checkpoint).sort().at(-1) ?? '';
--- a/packages/jobs/src/placement/placement-filter.ts
+++ b/packages/jobs/src/placement/placement-filter.ts
@@ -7,19 +7,21 @@
 	findTask, isStepReady, type Job, type LedgerView, type Step,
 } from '../ledger/index.js';
 import {getJobEstimate, type ObservationView} from '../observation/index.js';
+import {type QuotaView} from '../quota/index.js';
 import {startValidityMs, type SupervisionView} from '../supervision/index.js';
+import {createAccountBudgets, reportAccountDemand, selectWithinBudgets} from './account-budgets.js';
 import {type Candidate} from './choose-endpoint.js';
 import {listCandidates} from './list-candidates.js';
 import {
 	listReadySteps, orderJobs, rankJob, type RankedJob,
 } from './order-jobs.js';
 import {
-	isPending, placeGang, placeStep, type PlacementResult,
+	placeGang, placeStep, type PlacementResult,
 } from './place-step.js';
 import {
 	createPlacementSearch, getKnownWaitReason, isAttainable, recordWaitingJob, reportWaitingJobs, type PlacementSearch,
 } from './placement-search.js';
-import {type PlacementState} from './placement-state.js';
+import {isPending, type PlacementState} from './placement-state.js';
 import {
 	expireTicket, isBarredEverywhere, recordAdvice, removeUnusedAdvice,
 } from './step-advice.js';
@@ -33,7 +35,7 @@
 /** A pool is searched again after this time even if no change was reported: avoided endpoints may have become usable, and the rank of a job depends on its age. */
 const maxSearchIntervalMs = 50;
 
-type State = {readonly placement: PlacementState} & AuthorityView & LedgerView & SupervisionView & DirectoryView & EvacuationView & ObservationView;
+type State = {readonly placement: PlacementState} & AuthorityView & LedgerView & SupervisionView & DirectoryView & EvacuationView & ObservationView & QuotaView;
 
 /**
 Chooses which tasks to start, and on which endpoints.
@@ -103,13 +105,13 @@
 	state.placement.searchedAt.set(poolName, context.now);
 	// A start is valid for some time after it is sent, which has to end with this entry's permission.
 	if (pool === undefined || pool.activeJobs.size === 0 || getPermittedMs(state, poolName, context) < startValidityMs) {
-		return [];
+		return reportAccountDemand(state, poolName, undefined, context);
 	}
 
 	const waiting = [...pool.activeJobs].filter(job => hasPendingTasks(job.steps.values()));
 	if (waiting.length === 0) {
 		state.placement.searchSizes.delete(poolName);
-		return [];
+		return reportAccountDemand(state, poolName, undefined, context);
 	}
 
 	const confirmedAt = getConfirmedAt(state, poolName);
@@ -124,7 +126,7 @@
 		outputs.push(restartEvent({kind: 'claim-confirmation-due', pool: poolName}));
 	}
 
-	const search = createPlacementSearch(usable);
+	const search = createPlacementSearch(usable, createAccountBudgets(state, pool, context));
 	if (usable.length > 0) {
 		outputs.push(emitCount('placement_searches_total'), ...placeJobs(state, poolName, search, confirmed, context));
 	}
@@ -137,7 +139,8 @@
 		}
 	}
 
-	return [...outputs, ...reportWaitingJobs(state.placement, poolName, search, context)];
+	// The demand comes last, so that the tasks placed here are counted as started when shares are compared with it.
+	return [...outputs, ...reportWaitingJobs(state.placement, poolName, search, context), ...reportAccountDemand(state, poolName, search, context)];
 }
 
 /** Places the tasks of the waiting jobs in the order of their ranks. Jobs that no endpoint can take are left out, as they would displace others. */
@@ -145,7 +148,14 @@
 	const attainable = waiting.filter(job => hasAttainableStep(state, search, job));
 	state.placement.searchSizes.set(pool, {ranked: attainable.length, unattainable: waiting.length - attainable.length});
 	const outputs: JobOutput[] = [];
-	for (const {job} of orderJobs(attainable, job => getJobEstimate(state, job, context.now), sumCapacityMillis(search.candidates), context.now)) {
+	const capacityMillis = sumCapacityMillis(search.candidates);
+	const order = (jobs: readonly Job[]) => orderJobs(jobs, job => getJobEstimate(state, job, context.now), capacityMillis, context.now);
+	const {selected, held} = selectWithinBudgets(search.budgets, attainable, order, context.now);
+	for (const job of held) {
+		recordWaitingJob(search, job, 'account-cap');
+	}
+
+	for (const {job} of order(selected)) {
 		if (job.isAwaitingSurvey) {
 			recordWaitingJob(search, job, 'survey');
 			continue;
--- a/packages/jobs/src/placement/placement-search.ts
+++ b/packages/jobs/src/placement/placement-search.ts
@@ -2,6 +2,7 @@
 import {emitCount, emitLog, type JobOutput} from '../filter.js';
 import {type Job, type Step} from '../ledger/index.js';
 import {hasCapacityFor, type Resources} from '../model/index.js';
+import {type AccountBudgets} from './account-budgets.js';
 import {getTakenResources, type Candidate} from './choose-endpoint.js';
 import {countEndpointUses} from './endpoint-use.js';
 import {type PlacementState, type WaitReason} from './placement-state.js';
@@ -12,6 +13,7 @@
 /** State of one search of a pool for tasks to start. Candidates only lose resources in it, so a demand that fits on none does not fit later either. @internal */
 export type PlacementSearch = {
 	readonly candidates: readonly Candidate[];
+	readonly budgets: AccountBudgets;
 	/** Demands that fit on no candidate, none of which includes another one. */
 	unplacedDemands: Demand[];
 	/** Whether a demand fits on an endpoint without runs, by demand. */
@@ -35,9 +37,9 @@
 const maxLoggedJobs = 5;
 
 /** @internal */
-export function createPlacementSearch(candidates: readonly Candidate[]): PlacementSearch {
+export function createPlacementSearch(candidates: readonly Candidate[], budgets: AccountBudgets): PlacementSearch {
 	return {
-		candidates, unplacedDemands: [], attainableDemands: new Map(), blockedStepCount: 0, waitingJobs: new Map(),
+		candidates, budgets, unplacedDemands: [], attainableDemands: new Map(), blockedStepCount: 0, waitingJobs: new Map(),
 	};
 }
 
--- a/packages/jobs/src/placement/placement-state.ts
+++ b/packages/jobs/src/placement/placement-state.ts
@@ -1,4 +1,4 @@
-import {type Step} from '../ledger/index.js';
+import {type Step, type Task} from '../ledger/index.js';
 
 /** Ticket for starting the tasks of a step on an endpoint. @public */
 export type Ticket = {
@@ -32,10 +32,11 @@
 - `endpoint-limit`: all endpoints with room have as many tasks of the step as its limit allows.
 - `gang`: not all members have room.
 - `advice`: no endpoint with room is known to be allowed.
+- `account-cap`: the pool's share of the cap of the job's account is in use, or kept for a task that comes first.
 
 @public
 */
-export type WaitReason = 'claim' | 'survey' | 'no-endpoint' | 'no-room' | 'endpoint-limit' | 'gang' | 'advice';
+export type WaitReason = 'claim' | 'survey' | 'no-endpoint' | 'no-room' | 'endpoint-limit' | 'gang' | 'advice' | 'account-cap';
 
 /**
 Whether tasks are started on an endpoint, or why not.
@@ -78,3 +79,8 @@
 		reservedSteps: new Map(), searchedAt: new Map(), searchSizes: new Map(), duePools: new Set(), advice: new Map(), blockedSteps: new WeakMap(), waitLoggedAt: new Map(), endpointUses: new Map(),
 	};
 }
+
+/** Whether a task waits for a start. @internal */
+export function isPending(task: Task): boolean {
+	return !task.isDone && task.runs.size === 0;
+}
--- a/packages/jobs/src/reporting/list-needed-endpoints.ts
+++ b/packages/jobs/src/reporting/list-needed-endpoints.ts
@@ -1,16 +1,17 @@
 import {type DirectoryView} from '../directory/index.js';
 import {type EvacuationView} from '../evacuation/index.js';
 import {
-	isStepReady, type Job, type PoolLedger, type Step,
+	isStepReady, type Job, type LedgerView, type PoolLedger, type Step,
 } from '../ledger/index.js';
-import {subtractResources} from '../model/index.js';
+import {hasCapacityFor, subtractResources} from '../model/index.js';
 import {isRetryDelayed, type ObservationView} from '../observation/index.js';
 import {
 	addCount, chooseEndpoint, countRunsByEndpoint, isPending, reserveCandidate, type Candidate,
 } from '../placement/index.js';
+import {getAllowance, measurePoolUsage, type QuotaView} from '../quota/index.js';
 import {type SupervisionView} from '../supervision/index.js';
 
-type State = DirectoryView & EvacuationView & ObservationView & SupervisionView;
+type State = DirectoryView & EvacuationView & ObservationView & SupervisionView & LedgerView & QuotaView;
 
 /** Tasks that have waited for this long have not been placed in many searches, so no other endpoint can take them now; endpoints are back well before the 3 s for which nothing of a job may run. */
 const minWaitMs = 1500;
@@ -26,7 +27,12 @@
 	const candidates = listEvacuatedCandidates(state, pool.pool);
 	const needed = new Set<Candidate>();
 	let taskCount = 0;
+	const isHeldByCap = createCapCheck(state, pool);
 	for (const step of candidates.length === 0 ? [] : listStandingSteps(pool.activeJobs)) {
+		if (isHeldByCap(step)) {
+			continue;
+		}
+
 		const counts = countRunsByEndpoint(step);
 		for (const task of step.tasks) {
 			if (needed.size === candidates.length || taskCount >= maxTasks) {
@@ -83,3 +89,18 @@
 		}
 	}
 }
+
+/** Creates the check whether the cap of a step's account keeps its tasks from starting; an endpoint would not help them. */
+function createCapCheck(state: State, pool: Readonly<PoolLedger>): (step: Step) => boolean {
+	let usage: ReturnType<typeof measurePoolUsage> | undefined;
+	return ({job: {record: {account}}, spec}) => {
+		const allowance = account === undefined ? undefined : getAllowance(state, pool.pool, account);
+		if (account === undefined || allowance === undefined) {
+			return false;
+		}
+
+		usage ??= measurePoolUsage(state, pool);
+		const used = usage.get(account)?.possible;
+		return !hasCapacityFor(used === undefined ? allowance : subtractResources(allowance, used), spec.room);
+	};
+}
--- a/packages/jobs/src/reporting/reporting-filter.ts
+++ b/packages/jobs/src/reporting/reporting-filter.ts
@@ -6,8 +6,10 @@
 import {type LedgerView, type PoolLedger} from '../ledger/index.js';
 import {type DurationModel, type PoolReport} from '../model/index.js';
 import {type ObservationView} from '../observation/index.js';
+import {type QuotaView} from '../quota/index.js';
 import {rankByMeasuredDurations, type RankedJob} from '../placement/index.js';
 import {type SupervisionView} from '../supervision/index.js';
+import {createDemandLimiter} from './limit-demand.js';
 import {arrivalWindowMs, estimateArrivingMillis, type Arrival} from './estimate-arrivals.js';
 import {listNeededEndpoints} from './list-needed-endpoints.js';
 import {
@@ -44,7 +46,7 @@
 /** Share of the time until a job is due over which its work is spread; the rest is reserved for machines to arrive and for tasks that do not fit together. */
 const usableTimeShare = 0.6;
 
-type State = {readonly reporting: ReportingState} & AuthorityView & LedgerView & DirectoryView & EvacuationView & SupervisionView & ObservationView;
+type State = {readonly reporting: ReportingState} & AuthorityView & LedgerView & DirectoryView & EvacuationView & SupervisionView & ObservationView & QuotaView;
 
 /**
 Reports the demand and the capacity of the pools that this entry owns to the other entries.
@@ -92,26 +94,28 @@
 	let needed = noLoad;
 	let endpointMinimum = 0;
 	const arrivals = getRecentArrivals(state.reporting, pool.pool, now);
-	for (const job of pool.activeJobs) {
+	const loads = new Map([...pool.activeJobs].map(job => [job, measureLoad(job, busy)]));
+	const limitDemand = createDemandLimiter(state, pool.pool, loads);
+	for (const [job, load] of loads) {
 		if (job.status === 'queued') {
 			waiting[job.record.queue] = (waiting[job.record.queue] ?? 0) + 1;
 		}
 
-		const load = measureLoad(job, busy);
+		const {backlogPart, neededPart} = limitDemand(job);
 		used = addLoad(used, load.used);
 		hasWork ||= load.hasWork;
 		// No machines are requested for jobs that are too late to be of use; they run on the capacity that there is.
 		const rank = rankByMeasuredDurations(state, job, now);
 		const {objectiveStatus} = rank;
 		const memoryMbPerMilli = computeMemoryPerMilli(job);
-		const neededMillis = computeNeededMillis(rank);
-		needed = addLoad(addLoad(needed, load.serving), {cpuMillis: neededMillis, memoryMb: neededMillis * memoryMbPerMilli});
+		const neededMillis = computeNeededMillis(rank) * neededPart;
+		needed = addLoad(addLoad(needed, load.serving, neededPart), {cpuMillis: neededMillis, memoryMb: neededMillis * memoryMbPerMilli});
 		endpointMinimum = Math.max(endpointMinimum, load.endpointMinimum);
-		backlog = objectiveStatus === 'hopeless' ? backlog : addLoad(backlog, load.backlog);
+		backlog = objectiveStatus === 'hopeless' ? backlog : addLoad(backlog, load.backlog, backlogPart);
 		// The age counts from acceptance, as all jobs are new to this entry after a takeover.
 		if (now < job.acceptedAt + arrivalWindowMs && !arrivals.has(job.record.id)) {
 			arrivals.set(job.record.id, {
-				work: rank.totalWork, memoryMbPerMilli, at: job.acceptedAt, initialSlackMs: rank.initialSlackMs,
+				work: rank.totalWork * neededPart, memoryMbPerMilli, at: job.acceptedAt, initialSlackMs: rank.initialSlackMs,
 			});
 		}
 	}
--- a/packages/jobs/src/supervision/apply-poll-answer.ts
+++ b/packages/jobs/src/supervision/apply-poll-answer.ts
@@ -12,6 +12,7 @@
 import {
 	addRun, createRun, removeRun, type Run, type SupervisedEndpoint, type SupervisedPool, type SupervisionState,
 } from './supervision-state.js';
+import {listUnsupervisedRuns} from './unsupervised-runs.js';
 
 /**
 Grace period after a claim for runs and ends of jobs that this entry does not know: a previous owner may have started them before it was fenced, and the job's record has not arrived yet.
@@ -57,7 +58,9 @@
 		outputs.push(...applyReportedRun(state, pool, endpoint, report, context));
 	}
 
-	endpoint.hasUnknownUsage = answer.running.some(({taskId}) => !endpoint.runs.has(taskId));
+	const unknownTaskIds = answer.running.filter(({taskId}) => !endpoint.runs.has(taskId)).map(({taskId}) => taskId);
+	endpoint.hasUnknownUsage = unknownTaskIds.length > 0;
+	endpoint.unsupervisedRuns = listUnsupervisedRuns(state.ledger.pools.get(endpoint.pool), unknownTaskIds);
 
 	// A run that is missing from the list may have an end that is not processed yet.
 	endpoint.areEndsComplete = answer.ended.length < maxEndsPerAnswer && answer.ended.every(({number}) => number <= endpoint.lastProcessedEnd);
@@ -70,6 +73,7 @@
 
 /** Drops all runs of an endpoint once it is certain that none of them is running. @internal */
 export function dropRuns(endpoint: SupervisedEndpoint, reason: RunDropReason): JobOutput[] {
+	endpoint.unsupervisedRuns = [];
 	return [...endpoint.runs.values()].flatMap(run => dropRun(endpoint, run, reason));
 }
 
@@ -230,9 +234,9 @@
 }
 
 function adoptRun(endpoint: SupervisedEndpoint, task: Task, report: ReportedRun, context: DecisionContext): JobOutput[] {
-	const {spec} = task.step;
+	const {spec, job} = task.step;
 	addRun(endpoint, createRun(spec, report, {
-		phase: 'running', startedAt: context.now, startedClockMs: endpoint.clockMs, confirmedClockMs: endpoint.clockMs, percent: report.percent, checkpoint: report.checkpoint, load: report.load,
+		account: job.record.account, phase: 'running', startedAt: context.now, startedClockMs: endpoint.clockMs, confirmedClockMs: endpoint.clockMs, percent: report.percent, checkpoint: report.checkpoint, load: report.load,
 	}));
 	return [
 		emitLog('info', 'run found on endpoint and adopted', {
--- a/packages/jobs/src/supervision/check-endpoint.ts
+++ b/packages/jobs/src/supervision/check-endpoint.ts
@@ -15,8 +15,8 @@
 export function checkEndpoint(state: State, endpoint: SupervisedEndpoint, context: DecisionContext): JobOutput[] {
 	const {supervision} = state;
 	const outputs: JobOutput[] = [];
-	if (!endpoint.isListed && endpoint.phase === 'silent' && endpoint.runs.size === 0 && endpoint.unsavedEnds.size === 0) {
-		// It has answered under the current token, so that only runs started by this entry can be running there.
+	if (!endpoint.isListed && endpoint.phase === 'silent' && endpoint.runs.size === 0 && endpoint.unsupervisedRuns.length === 0 && endpoint.unsavedEnds.size === 0) {
+		// It has answered under the current token, so that only runs that this entry has started or seen can be running there.
 		return removeEndpoint(supervision, endpoint);
 	}
 
--- a/packages/jobs/src/supervision/start-task.ts
+++ b/packages/jobs/src/supervision/start-task.ts
@@ -5,6 +5,7 @@
 import {getOrderTarget} from './poll-endpoint.js';
 import {estimateClock, startValidityMs} from './lease-clock.js';
 import {addRun, createRun, type SupervisionState} from './supervision-state.js';
+import {listUnsupervisedRuns} from './unsupervised-runs.js';
 
 type State = {readonly supervision: SupervisionState} & LedgerView;
 
@@ -26,7 +27,7 @@
 	const deadlineMs = clock + startValidityMs;
 	endpoint.leaseDeadlineMs = Math.max(endpoint.leaseDeadlineMs, deadlineMs);
 	addRun(endpoint, createRun(spec, {taskId, run}, {
-		phase: 'starting', startedAt: context.now, startedClockMs: clock, startDeadlineMs: deadlineMs, checkpoint,
+		phase: 'starting', startedAt: context.now, startedClockMs: clock, startDeadlineMs: deadlineMs, checkpoint, account: job.record.account,
 	}));
 	return [
 		emitEffect({
@@ -43,10 +44,16 @@
 	const endpoint = state.supervision.endpoints.get(endpointId);
 	const task = findTask(state.ledger.pools.get(pool), taskId);
 	if (endpoint?.pool !== pool || task === undefined || task.isDone) {
+		if (endpoint?.pool === pool) {
+			endpoint.unsupervisedRuns = [...endpoint.unsupervisedRuns, ...listUnsupervisedRuns(state.ledger.pools.get(pool), [taskId])];
+		}
+
 		return [];
 	}
 
-	addRun(endpoint, createRun(task.step.spec, {taskId, run}, {phase: 'unconfirmed', isSuspected: true, startedAt: context.now}));
+	addRun(endpoint, createRun(task.step.spec, {taskId, run}, {
+		phase: 'unconfirmed', isSuspected: true, startedAt: context.now, account: task.step.job.record.account,
+	}));
 	return [
 		emitLog('info', 'run may still be running on silent endpoint', {
 			task: taskId, run, endpoint: endpointId, token: endpoint.token,
--- a/packages/jobs/src/supervision/supervision-filter.ts
+++ b/packages/jobs/src/supervision/supervision-filter.ts
@@ -170,6 +170,7 @@
 		unsavedEnds: new Map(),
 		areEndsComplete: false,
 		hasUnknownUsage: false,
+		unsupervisedRuns: [],
 		isPollPending: false,
 		hasFailedPoll: false,
 		nextPollAt: context.now,
--- a/packages/jobs/src/supervision/supervision-state.ts
+++ b/packages/jobs/src/supervision/supervision-state.ts
@@ -20,6 +20,8 @@
 	readonly resources: Resources;
 	readonly isFiller: boolean;
 	readonly isLongRunning: boolean;
+	/** Client account of its job. */
+	readonly account: string | undefined;
 	phase: RunPhase;
 	/** The previous owner did not know whether it is running, and the endpoint has not listed it since. */
 	isSuspected: boolean;
@@ -43,6 +45,13 @@
 	stopRequestedAt: number | undefined;
 };
 
+/** A run whose job has ended, and which a previous owner started. @public */
+export type UnsupervisedRun = {
+	readonly account: string;
+	/** Undefined if only the ended job is known, which tells nothing of its tasks. */
+	readonly resources: Resources | undefined;
+};
+
 /** @public */
 export type SupervisionPhase =
 	/** It has not answered under the current fencing token, and leases of a previous owner may hold there. */
@@ -93,6 +102,8 @@
 	areEndsComplete: boolean;
 	/** Whether its last answer listed runs that are not among `runs`, so that what they occupy is not known. */
 	hasUnknownUsage: boolean;
+	/** Runs of accounts that may be running there and are not among `runs`, as their jobs have ended. */
+	unsupervisedRuns: readonly UnsupervisedRun[];
 	isPollPending: boolean;
 	/** Whether a poll has not been answered, or was refused. */
 	hasFailedPoll: boolean;
@@ -159,6 +170,7 @@
 		resources: spec.room,
 		isFiller: spec.isFiller,
 		isLongRunning: spec.isLongRunning,
+		account: undefined,
 		isSuspected: false,
 		startDeadlineMs: 0,
 		confirmedClockMs: undefined,
--- a/packages/jobs/src/testing.test-support.ts
+++ b/packages/jobs/src/testing.test-support.ts
@@ -121,6 +121,7 @@
 		unsavedEnds: new Map(),
 		areEndsComplete: true,
 		hasUnknownUsage: false,
+		unsupervisedRuns: [],
 		isPollPending: false,
 		hasFailedPoll: false,
 		nextPollAt: 0,
