--- a/packages/cli/src/explain-logs.ts
+++ b/packages/cli/src/explain-logs.ts
@@ -14,6 +14,8 @@
 export type Explanation = {
 	/** In the order of their time. */
 	readonly records: readonly LogRecord[];
+	/** Client accounts that the lines name: of one job, its account and those whose callers asked for it. */
+	readonly accounts: readonly string[];
 	/** Number of lines that name the id and are not log records. */
 	readonly unreadableCount: number;
 };
@@ -62,7 +64,11 @@
 			.map(line => parseRecord(line))
 			.filter(record => record !== undefined)
 			.filter(record => isDuringStay(stays, record));
-	return {records: sortByTime([...new Map([...records, ...related].map(record => [JSON.stringify(record), record])).values()]), unreadableCount: selected.filter(record => record === undefined).length};
+	return {
+		records: sortByTime([...new Map([...records, ...related].map(record => [JSON.stringify(record), record])).values()]),
+		accounts: [...new Set(records.map(({account}) => account).filter(account => typeof account === 'string'))],
+		unreadableCount: selected.filter(record => record === undefined).length,
+	};
 }
 
 function parseRecord(line: string): LogRecord | undefined {
--- a/packages/cli/src/log-commands.ts
+++ b/packages/cli/src/log-commands.ts
@@ -15,8 +15,9 @@
 		example: 'explain 69d73a87f223d2f6 entries.log',
 		run: ([id = '', file = '']) => explainLogs(id, readText(file === '-' ? standardInput : file)),
 		format(result) {
-			const {records, unreadableCount} = result as Explanation;
+			const {records, accounts, unreadableCount} = result as Explanation;
 			return [
+				...(accounts.length === 0 ? [] : [`Client account: ${accounts.join(', ')}.`]),
 				records.length === 0 ? 'No line tells of it.' : formatTable(['time', 'entry', 'message', 'detail'], records.map(record => [record.time, record.entry ?? '', record.message, formatDetail(record)])),
 				...(unreadableCount === 0 ? [] : [`${unreadableCount} lines name it and cannot be read.`]),
 			].join('\n\n');
--- a/packages/jobs/src/accounts/accounts-filter.ts
+++ b/packages/jobs/src/accounts/accounts-filter.ts
@@ -51,8 +51,9 @@
 
 			accounts.wasTooOld = isTooOld;
 			const fields = {version: basis?.configuration.version, ...describeAge(accounts, context)};
+			// A configuration that has just been read for the first time is confirmed by the next read.
 			return [isTooOld
-				? emitLog('warn', 'requests with a key refused, as configuration is not confirmed', fields)
+				? emitLog(accounts.confirmedAt === undefined ? 'info' : 'warn', 'requests with a key refused, as configuration is not confirmed', fields)
 				: emitLog('info', 'requests with a key served again', fields)];
 		},
 	},
