--- a/packages/jobs/src/intake/account-requests.test.ts
+++ b/packages/jobs/src/intake/account-requests.test.ts
@@ -14,12 +14,13 @@
 
 /** Whether the queue is public, and the keys of the accounts by name; undefined for a configuration without accounts. */
 type Setup = {readonly isPublic: boolean; readonly accounts: Readonly<Record<string, readonly Key[]>> | undefined};
+type StoreResult = 'applied' | 'conflict' | 'unknown' | 'refused' | 'pending';
 type Step =
 	| {readonly set: Setup}
 	| {readonly confirm: number}
 	| {readonly store: 'reached' | 'lost'}
 	/** A request at a time in ms, and the store's result if it is asked; `pending` gives none. */
-	| {readonly send: CallerAction; readonly key?: Key; readonly at: number; readonly result?: 'applied' | 'conflict' | 'unknown' | 'refused' | 'pending'; readonly job?: string};
+	| readonly [action: CallerAction, key: Key | undefined, at: number, result?: StoreResult, job?: string];
 
 function createAccounts(accounts: Readonly<Record<string, readonly Key[]>>): ClientAccount[] {
 	return Object.entries(accounts).map(([name, names]) => ({
@@ -37,7 +38,7 @@
 	const answers: Array<CallerAnswer['kind']> = [];
 	const effects: JobEffect[] = [];
 	let version = 0;
-	const apply = (event: JobEvent, now: number, result: Extract<Step, {send: unknown}>['result'] = 'applied'): void => {
+	const apply = (event: JobEvent, now: number, result: StoreResult = 'applied'): void => {
 		for (const effect of applyJobEvent(state, event, {now, wallTime: now, random})) {
 			effects.push(effect);
 			if (effect.kind === 'answer-caller') {
@@ -95,10 +96,11 @@
 			apply({kind: `store-${step.store}`}, 0);
 		}
 
-		if ('send' in step) {
+		if (Symbol.iterator in step) {
+			const [action, key, at, result, jobId = 'job'] = step;
 			apply({
-				kind: 'caller-requested', requestId: `request-${index}`, action: step.send, queue: 'prints', jobId: step.job ?? 'job', spec, keyHash: step.key === undefined ? undefined : keys[step.key],
-			}, step.at, step.result);
+				kind: 'caller-requested', requestId: `request-${index}`, action, queue: 'prints', jobId, spec, keyHash: key && keys[key],
+			}, at, result);
 		}
 	}
 
@@ -110,94 +112,63 @@
 const both: Setup = {isPublic: false, accounts: {museum: ['museum'], library: ['library']}};
 const open: Setup = {isPublic: true, accounts: both.accounts};
 const none: Setup = {isPublic: true, accounts: undefined};
-const submitted: readonly Step[] = [{set: both}, {confirm: 0}, {send: 'submit', key: 'museum', at: 1}];
+const submitted: readonly Step[] = [{set: both}, {confirm: 0}, ['submit', 'museum', 1]];
 
-type Case = {readonly name: string; readonly steps: readonly Step[]; readonly expected: ReadonlyArray<CallerAnswer['kind']>; readonly account?: string | undefined};
+/** Name, steps, answers, and account of the stored job. */
+type Case = readonly [name: string, steps: readonly Step[], expected: ReadonlyArray<CallerAnswer['kind']>, account?: string];
 
 // Guards against jobs that callers of another account read or cancel, and against accounts that lose access to jobs from before they had keys.
 const accessCases: readonly Case[] = [
-	{
-		name: 'its own job', steps: [...submitted, {send: 'get', key: 'museum', at: 2}, {send: 'cancel', key: 'museum', at: 3}], expected: ['accepted', 'status', 'cancelled'], account: 'museum',
-	},
-	{
-		name: 'a job of another account', steps: [...submitted, {send: 'get', key: 'library', at: 2}, {send: 'cancel', key: 'library', at: 3}, {
-			send: 'get', key: 'library', job: 'none', at: 4,
-		}], expected: ['accepted', 'unknown-job', 'unknown-job', 'unknown-job'], account: 'museum',
-	},
-	{
-		name: 'a job with a second key of the account', steps: [...submitted, {set: {isPublic: false, accounts: {museum: ['second']}}}, {send: 'get', key: 'second', at: 2}, {send: 'get', key: 'museum', at: 3}], expected: ['accepted', 'status', 'unauthorized'], account: 'museum',
-	},
-	{
-		name: 'no job without a valid key', steps: [...submitted, {send: 'submit', at: 2}, {send: 'get', at: 2}, {send: 'count', at: 2}, {send: 'cancel', key: 'second', at: 2}], expected: ['accepted', 'unauthorized', 'unauthorized', 'unauthorized', 'unauthorized'], account: 'museum',
-	},
-	{
-		name: 'a job of a queue that was public', steps: [{set: open}, {confirm: 0}, {send: 'submit', at: 1}, {set: both}, {send: 'get', key: 'library', at: 2}, {send: 'cancel', key: 'museum', at: 3}, {send: 'get', at: 4}], expected: ['accepted', 'status', 'cancelled', 'unauthorized'],
-	},
-	{
-		name: 'a job from before there were accounts', steps: [{set: none}, {send: 'submit', at: 1}, {set: both}, {send: 'get', key: 'library', at: 2}, {confirm: 3}, {send: 'get', key: 'library', at: 4}], expected: ['accepted', 'refused', 'status'],
-	},
-	{
-		name: 'its job of a queue that has become public', steps: [...submitted, {set: open}, {send: 'get', key: 'museum', at: 2}, {send: 'get', at: 3}, {send: 'get', key: 'museum', at: 9000}], expected: ['accepted', 'status', 'unknown-job', 'refused'], account: 'museum',
-	},
-	{
-		name: 'a public job with a key', steps: [{set: open}, {confirm: 0}, {send: 'submit', key: 'museum', at: 1}, {send: 'get', at: 2}], expected: ['accepted', 'status'],
-	},
-	{
-		name: 'jobs with a key that two accounts have', steps: [{set: {isPublic: false, accounts: {museum: ['second'], library: ['second', 'library']}}}, {confirm: 0}, {send: 'submit', key: 'second', at: 1}, {send: 'get', key: 'library', at: 2}], expected: ['accepted', 'unknown-job'], account: 'museum',
-	},
-	{
-		name: 'nothing after it lost all keys', steps: [...submitted, {set: {isPublic: false, accounts: {museum: [], library: ['library']}}}, {send: 'get', key: 'museum', at: 2}], expected: ['accepted', 'unauthorized'], account: 'museum',
-	},
-	{
-		name: 'all jobs where there are no accounts', steps: [{set: none}, {send: 'submit', key: 'second', at: 1}, {send: 'get', at: 90_000}, {send: 'cancel', key: 'museum', at: 90_001}], expected: ['accepted', 'status', 'cancelled'],
-	},
+	['its own job', [...submitted, ['get', 'museum', 2], ['cancel', 'museum', 3]], ['accepted', 'status', 'cancelled'], 'museum'],
+	['a job of another account', [...submitted, ['get', 'library', 2], ['cancel', 'library', 3], ['get', 'library', 4, 'applied', 'none']], ['accepted', 'unknown-job', 'unknown-job', 'unknown-job'], 'museum'],
+	['a job with a second key of the account', [...submitted, {set: {isPublic: false, accounts: {museum: ['second']}}}, ['get', 'second', 2], ['get', 'museum', 3]], ['accepted', 'status', 'unauthorized'], 'museum'],
+	['no job without a valid key', [...submitted, ['submit', undefined, 2], ['get', undefined, 2], ['count', undefined, 2], ['cancel', 'second', 2]], ['accepted', 'unauthorized', 'unauthorized', 'unauthorized', 'unauthorized'], 'museum'],
+	['a job of a queue that was public', [{set: open}, {confirm: 0}, ['submit', undefined, 1], {set: both}, ['get', 'library', 2], ['cancel', 'museum', 3], ['get', undefined, 4]], ['accepted', 'status', 'cancelled', 'unauthorized']],
+	['a job from before there were accounts', [{set: none}, ['submit', undefined, 1], {set: both}, ['get', 'library', 2], {confirm: 3}, ['get', 'library', 4]], ['accepted', 'refused', 'status']],
+	['its job of a queue that has become public', [...submitted, {set: open}, ['get', 'museum', 2], ['get', undefined, 3], ['get', 'museum', 9000]], ['accepted', 'status', 'unknown-job', 'refused'], 'museum'],
+	['a public job with a key', [{set: open}, {confirm: 0}, ['submit', 'museum', 1], ['get', undefined, 2]], ['accepted', 'status']],
+	['jobs with a key that two accounts have', [{set: {isPublic: false, accounts: {museum: ['second'], library: ['second', 'library']}}}, {confirm: 0}, ['submit', 'second', 1], ['get', 'library', 2]], ['accepted', 'unknown-job'], 'museum'],
+	['nothing after it lost all keys', [...submitted, {set: {isPublic: false, accounts: {museum: [], library: ['library']}}}, ['get', 'museum', 2]], ['accepted', 'unauthorized'], 'museum'],
+	['all jobs where there are no accounts', [{set: none}, ['submit', 'second', 1], ['get', undefined, 90_000], ['cancel', 'museum', 90_001]], ['accepted', 'status', 'cancelled']],
 ];
 
 describe('a caller may use', () => {
-	it.each(accessCases)('$name', ({steps, expected, account}) => {
-		const {answers, jobs} = playSteps(steps);
-		expect(answers).toEqual(expected);
-		expect(jobs.get('job')?.account).toBe(account);
-	});
+	for (const [name, steps, expected, account] of accessCases) {
+		it(name, () => {
+			const {answers, jobs} = playSteps(steps);
+			expect(answers).toEqual(expected);
+			expect(jobs.get('job')?.account).toBe(account);
+		});
+	}
 });
 
 // Guards against a request with a key that is served with an old configuration, and against a submission that is called not accepted although it was or may have been.
 const ageCases: readonly Case[] = [
-	{name: 'a new submission', steps: [{set: both}, {confirm: 0}, {send: 'submit', key: 'museum', at: 3751}], expected: ['refused']},
-	{name: 'a submission within the limit', steps: [{set: both}, {confirm: 0}, {send: 'submit', key: 'museum', at: 3750}], expected: ['accepted']},
-	{name: 'an accepted submission', steps: [...submitted, {send: 'submit', key: 'museum', at: 4000}, {confirm: 4001}, {send: 'submit', key: 'museum', at: 4002}], expected: ['accepted', 'undecided', 'accepted']},
-	{
-		name: 'an undecided submission', steps: [{set: both}, {confirm: 0}, {
-			send: 'submit', key: 'museum', at: 1, result: 'unknown',
-		}, {send: 'submit', key: 'museum', at: 4000}], expected: ['undecided', 'undecided'],
-	},
-	{
-		name: 'a submission that waits for the store', steps: [{set: both}, {confirm: 0}, {
-			send: 'submit', key: 'museum', at: 3000, result: 'pending',
-		}, {send: 'submit', key: 'museum', at: 4000}], expected: ['undecided'],
-	},
-	{
-		name: 'a refused submission', steps: [{set: both}, {confirm: 0}, {
-			send: 'submit', key: 'museum', at: 1, result: 'refused',
-		}, {send: 'submit', key: 'museum', at: 4000}], expected: ['refused', 'refused'],
-	},
-	{name: 'an accepted submission while the store is lost', steps: [...submitted, {store: 'lost'}, {send: 'submit', key: 'museum', at: 3000}, {send: 'submit', key: 'museum', at: 4000}], expected: ['accepted', 'accepted', 'undecided']},
-	{name: 'an accepted submission whose key was removed', steps: [...submitted, {set: {isPublic: false, accounts: {museum: []}}}, {send: 'submit', key: 'museum', at: 2}], expected: ['accepted', 'unauthorized']},
-	{name: 'reading, counting and cancelling', steps: [...submitted, {send: 'get', key: 'museum', at: 4000}, {send: 'count', key: 'museum', at: 4000}, {send: 'cancel', key: 'museum', at: 4000}], expected: ['accepted', 'refused', 'refused', 'refused']},
-	{name: 'a key that may have been added since', steps: [{set: both}, {confirm: 0}, {send: 'get', key: 'second', at: 4000}], expected: ['refused']},
-	{name: 'a request without a key', steps: [{set: both}, {confirm: 0}, {send: 'submit', at: 4000}], expected: ['unauthorized']},
-	{name: 'a public queue', steps: [{set: open}, {send: 'submit', at: 4000}, {send: 'submit', key: 'museum', at: 4001}], expected: ['accepted', 'accepted']},
+	['a new submission', [{set: both}, {confirm: 0}, ['submit', 'museum', 3751]], ['refused']],
+	['a submission within the limit', [{set: both}, {confirm: 0}, ['submit', 'museum', 3750]], ['accepted']],
+	['an accepted submission', [...submitted, ['submit', 'museum', 4000], {confirm: 4001}, ['submit', 'museum', 4002]], ['accepted', 'undecided', 'accepted']],
+	['an undecided submission', [{set: both}, {confirm: 0}, ['submit', 'museum', 1, 'unknown'], ['submit', 'museum', 4000]], ['undecided', 'undecided']],
+	['a submission that waits for the store', [{set: both}, {confirm: 0}, ['submit', 'museum', 3000, 'pending'], ['submit', 'museum', 4000]], ['undecided']],
+	['a refused submission', [{set: both}, {confirm: 0}, ['submit', 'museum', 1, 'refused'], ['submit', 'museum', 4000]], ['refused', 'refused']],
+	['an accepted submission while the store is lost', [...submitted, {store: 'lost'}, ['submit', 'museum', 3000], ['submit', 'museum', 4000]], ['accepted', 'accepted', 'undecided']],
+	['an accepted submission whose key was removed', [...submitted, {set: {isPublic: false, accounts: {museum: []}}}, ['submit', 'museum', 2]], ['accepted', 'unauthorized']],
+	['reading, counting and cancelling', [...submitted, ['get', 'museum', 4000], ['count', 'museum', 4000], ['cancel', 'museum', 4000]], ['accepted', 'refused', 'refused', 'refused']],
+	['a key that may have been added since', [{set: both}, {confirm: 0}, ['get', 'second', 4000]], ['refused']],
+	['a request without a key', [{set: both}, {confirm: 0}, ['submit', undefined, 4000]], ['unauthorized']],
+	['a public queue', [{set: open}, ['submit', undefined, 4000], ['submit', 'museum', 4001]], ['accepted', 'accepted']],
 ];
 
 describe('with a configuration that is too old', () => {
-	it.each(ageCases)('$name', ({steps, expected}) => {
-		expect(playSteps(steps).answers).toEqual(expected);
-	});
+	for (const [name, steps, expected] of ageCases) {
+		it(name, () => {
+			expect(playSteps(steps).answers).toEqual(expected);
+		});
+	}
 });
 
 // Guards against metrics and logs that name a key, or grow with the number of accounts and of rejected requests.
 it('metrics and logs name a bounded number of accounts and no key', () => {
-	const {effects, state} = playSteps([...submitted, ...Array.from({length: 300}, (): Step => ({send: 'get', key: 'second', at: 2}))]);
+	const {effects, state} = playSteps([...submitted, ...Array.from({length: 300}, (): Step => ['get', 'second', 2])]);
 	const text = JSON.stringify(effects.filter(({kind}) => kind === 'log' || kind === 'count' || kind === 'answer-caller'));
 	expect(text).toContain(String.raw`account_requests_total{account=\"museum\",answer=\"accepted\"}`);
 	expect(Object.values(keys).filter(key => text.includes(key))).toEqual([]);
