Relay callers' requests to other entries while the store is out of reach

An entry that lost the store answered 504 to submissions whose write was not answered, and 503 to later ones, although other entries reached it. Such requests now go to at most two peers, over the HTTP server on Listen.Control, whose address and secret are in the member's record. The filter relay chooses the answer; a refusal is given only if nothing may have been done.

--- a/packages/entry/src/jobs/create-job-sinks.ts
+++ b/packages/entry/src/jobs/create-job-sinks.ts
@@ -16,6 +16,7 @@
 } from './job-records.js';
 import {type JobSinkDependencies} from './job-sink-dependencies.js';
 import {readClocks} from './read-clocks.js';
+import {sendRelay} from './send-relay.js';
 import {writeResults} from './write-results.js';
 
 /** Time in ms for which a machine order stays on record beyond the minimum time between orders of two holders: the time until the next holder reads it counts as well. */
@@ -287,8 +288,21 @@
 		},
 		...createFleetSinks(dependencies, {runCall, orderJournal, createFleetConditions}),
 		...createOrderSinks({...dependencies, orderJournal}, runCall),
+		'relay-request'(effect) {
+			const {requestId, node} = effect;
+			runCall('relay-request', async () => {
+				const result = await sendRelay({http: dependencies.http, node: dependencies.node, findMember: name => dependencies.state.authority.members.get(name)}, effect);
+				pushEvent({
+					kind: 'relay-answered', requestId, node, result,
+				});
+			}, {
+				kind: 'relay-answered', requestId, node, result: {kind: 'silent'},
+			});
+		},
 		'answer-caller'({requestId, answer}) {
-			dependencies.ingress.answerCaller(requestId, answer);
+			if (dependencies.peerServer?.answerRequest(requestId, answer) !== true) {
+				dependencies.ingress.answerCaller(requestId, answer);
+			}
 		},
 		'close-session'() {
 			runCall('close-session', async () => session.close());
--- a/packages/entry/src/jobs/job-sink-dependencies.ts
+++ b/packages/entry/src/jobs/job-sink-dependencies.ts
@@ -4,6 +4,7 @@
 } from '@pistachiogauge/platform';
 import {type Logger, type Metrics} from '@pistachiogauge/telemetry';
 import {type FollowContext} from './follow-records.js';
+import {type PeerServer} from './peer-server.js';
 import {type Session} from './session.js';
 
 /** What the sinks need to carry out effects. @internal */
@@ -12,7 +13,9 @@
 	readonly store: StoreClient;
 	readonly session: Session;
 	readonly http: HttpClient;
-	readonly ingress: Ingress;
+	readonly ingress: Pick<Ingress, 'answerCaller'>;
+	/** Undefined if this process takes no relayed requests. */
+	readonly peerServer: Pick<PeerServer, 'answerRequest'> | undefined;
 	readonly endpoints: EndpointOrderClient;
 	readonly machineService: MachineServiceClient | undefined;
 	readonly adviceAddress: string | undefined;
--- a/packages/entry/src/jobs/jobs-process.ts
+++ b/packages/entry/src/jobs/jobs-process.ts
@@ -1,20 +1,20 @@
-import {randomInt, randomUUID} from 'node:crypto';
+import {randomBytes, randomInt, randomUUID} from 'node:crypto';
 import {createRandomSource, type DecisionContext} from '@pistachiogauge/chain';
 import {
-	applyJobEvent, createJobsState, findQueue, type JobEffect, type JobEvent,
+	applyJobEvent, createJobsState, findQueue, type CallerOrigin, type JobEffect, type JobEvent, type RelayedRequest,
 } from '@pistachiogauge/jobs';
 import {createPipeline} from '@pistachiogauge/pipeline';
 import {
-	createEndpointOrderClient, createHttpClient, createIngress, createMachineServiceClient, createStoreClient, isJobId, type CallerRequest, type HttpClient, type PlatformSettings,
+	createEndpointOrderClient, createHttpClient, createIngress, createMachineServiceClient, createStoreClient, isJobId, type HttpClient, type PlatformSettings,
 } from '@pistachiogauge/platform';
 import {createLineWriter, createLogger, createMetrics} from '@pistachiogauge/telemetry';
 import {containErrors} from '../contain-errors.js';
 import {createJobSinks} from './create-job-sinks.js';
 import {followConfigurationAndWaves, followMembersAndClaims, type FollowContext} from './follow-records.js';
 import {createPauseMeter} from './pause-meter.js';
+import {createPeerServer} from './peer-server.js';
 import {readClocks} from './read-clocks.js';
 import {createIgnoredItemReporter} from './report-ignored-items.js';
-import {serveMetrics} from './serve-metrics.js';
 import {createSession} from './session.js';
 
 /** A process that runs an entry on the operators' platform. @public */
@@ -45,6 +45,8 @@
 /** The advice service handles only one request of an entry at a time. */
 const adviceConnectionLimit = 2;
 
+const relaySecretBytes = 32;
+
 const defaultLimits = {
 	headerBytes: 16_384, bodyBytes: 262_144, headerTimeoutMs: 3000, idleTimeoutMs: 15_000,
 };
@@ -53,6 +55,7 @@
 export function createJobsProcess(settings: PlatformSettings): JobsProcess {
 	const {node} = settings;
 	const incarnation = randomUUID().slice(0, 8);
+	const relaySecret = randomBytes(relaySecretBytes).toString('base64url');
 	const lineWriter = createLineWriter({
 		descriptor: process.stdout.fd, bufferBytes: logBufferBytes, linesPerSecond: logLinesPerSecond, getNow: () => performance.now(),
 	});
@@ -86,6 +89,7 @@
 		node,
 		incarnation,
 		weight: settings.cpuShare,
+		peerServer: settings.controlAddress === undefined ? undefined : {address: settings.controlAddress, secret: relaySecret},
 		leaseMinMs: settings.leaseMinMs,
 		handleOpened() {
 			pushEvent({kind: 'session-opened'});
@@ -117,34 +121,62 @@
 			session.reopen('the registration record is missing or belongs to another incarnation');
 		},
 	};
+	const isReady = () => state.configuration.current !== undefined && isStoreReached() && !state.authority.isStopping;
 	const isStoreReached = () => performance.now() < lastStoreResponseAt + storeSilenceLimitMs;
 	const ingress = createIngress({
 		address: settings.callerAddress,
 		readinessAddress: settings.readinessAddress,
 		getLimits: () => state.configuration.current?.limits ?? defaultLimits,
-		isReady: () => state.configuration.current !== undefined && isStoreReached() && !state.authority.isStopping,
+		isReady,
 		createRequestId: () => randomUUID(),
-		receiveRequest,
+		receiveRequest({requestId, answerBy, ...request}) {
+			const {host, path} = request;
+			// An entry that takes no relayed requests sends none.
+			receiveRequest(requestId, {...request, keyHash: undefined}, settings.controlAddress === undefined ? undefined : {host, path, answerBy});
+		},
 		logInfo(message, fields) {
 			log('info', message, fields);
 		},
 	});
 
-	function receiveRequest({requestId, action, host, path, spec}: CallerRequest): void {
+	/** Handles a request from a caller or from a peer, which has no origin. */
+	function receiveRequest(requestId: string, {action, host, path, spec, keyHash}: RelayedRequest, origin?: CallerOrigin): void {
 		const {current} = state.configuration;
 		const match = current === undefined ? undefined : findQueue(current, host, path);
 		const jobId = match?.remainingPath ?? '';
 		pushEvent({
-			kind: 'caller-requested', requestId, action, queue: match?.queue.name ?? '', jobId, spec: isJobId(jobId) ? spec : undefined, keyHash: undefined,
+			kind: 'caller-requested', requestId, action, queue: match?.queue.name ?? '', jobId, spec: isJobId(jobId) ? spec : undefined, keyHash, origin,
 		});
 	}
 
+	const peerServer = settings.controlAddress === undefined
+		? undefined
+		: createPeerServer({
+			address: settings.controlAddress,
+			secret: relaySecret,
+			isReady,
+			receiveRequest({requestId, request}) {
+				receiveRequest(requestId, request);
+			},
+			formatMetrics() {
+				metrics.setGauge('log_lines_dropped', lineWriter.getDroppedCount());
+				metrics.setGauge('process_rss_bytes', process.memoryUsage.rss());
+				metrics.setGauge('configuration_version', state.configuration.current?.version ?? 0);
+				metrics.setGauge('claims_held', state.authority.heldClaims.size);
+				metrics.setGauge('requests_open', ingress.countOpenRequests());
+				return metrics.formatMetrics();
+			},
+			log,
+			count,
+		});
+
 	const sinks = createJobSinks({
 		state,
 		store,
 		session,
 		http,
 		ingress,
+		peerServer,
 		endpoints: createEndpointOrderClient(http, count),
 		machineService: settings.machineServiceAddress === undefined ? undefined : createMachineServiceClient(http, {address: settings.machineServiceAddress, node}, count),
 		adviceAddress: settings.adviceAddress,
@@ -172,7 +204,6 @@
 	});
 
 	let tickTimer: NodeJS.Timeout | undefined;
-	let stopMetrics: (() => void) | undefined;
 	let wasStoreReached = false;
 	let lastTickAt = performance.now();
 	let lastLoadLogAt = lastTickAt;
@@ -223,16 +254,7 @@
 				http.closeIdleConnections();
 			}, 5000).unref();
 			await ingress.start();
-			if (settings.controlAddress !== undefined) {
-				stopMetrics = await serveMetrics(settings.controlAddress, () => {
-					metrics.setGauge('log_lines_dropped', lineWriter.getDroppedCount());
-					metrics.setGauge('process_rss_bytes', process.memoryUsage.rss());
-					metrics.setGauge('configuration_version', state.configuration.current?.version ?? 0);
-					metrics.setGauge('claims_held', state.authority.heldClaims.size);
-					metrics.setGauge('requests_open', ingress.countOpenRequests());
-					return metrics.formatMetrics();
-				});
-			}
+			await peerServer?.start();
 		},
 		async stop() {
 			log('info', 'entry stops', {claims: state.authority.heldClaims.size, open: ingress.countOpenRequests()});
@@ -242,7 +264,7 @@
 			});
 			await ingress.stop(Math.max(0, settings.graceMs - balancerDrainMs - (2 * exitReserveMs)));
 			clearInterval(tickTimer);
-			stopMetrics?.();
+			peerServer?.stop();
 			log('info', 'entry stopped', {open: ingress.countOpenRequests()});
 			await lineWriter.flush(exitReserveMs);
 		},
--- a/packages/entry/src/jobs/record-schemas.ts
+++ b/packages/entry/src/jobs/record-schemas.ts
@@ -1,4 +1,4 @@
-import {createTableSchema} from '@pistachiogauge/platform';
+import {createTableSchema, decodeValue} from '@pistachiogauge/platform';
 import {z} from 'zod';
 
 /**
@@ -13,6 +13,8 @@
 /** A list of names that earlier versions did not write. */
 const addedNames = z.array(z.string()).default([]);
 
+const peerServer = z.object({address: z.string().regex(/^[\d.]{7,15}:\d{1,5}$/u), secret: z.string().min(1).max(200)});
+
 const step = z.object({
 	count,
 	room: resources,
@@ -34,7 +36,12 @@
 
 /** By kind of record. @internal */
 export const recordSchemas = {
-	member: z.object({incarnation: z.string(), weight: z.number().positive()}),
+	member: z.object({
+		incarnation: z.string(),
+		weight: z.number().positive(),
+		// An entry whose address cannot be read is still a member.
+		peerServer: z.unknown().optional().transform(value => decodeValue(peerServer, value)),
+	}),
 	holder: z.object({node: z.string(), incarnation: z.string()}),
 	job: z.object({
 		id: z.string(),
--- a/packages/entry/src/jobs/session.ts
+++ b/packages/entry/src/jobs/session.ts
@@ -1,4 +1,5 @@
 import {setTimeout as delay} from 'node:timers/promises';
+import {type PeerServer} from '@pistachiogauge/jobs';
 import {type StoreClient} from '@pistachiogauge/platform';
 import {encodeRecord, recordKeys} from './job-records.js';
 import {readClocks} from './read-clocks.js';
@@ -9,6 +10,8 @@
 	readonly node: string;
 	readonly incarnation: string;
 	readonly weight: number;
+	/** Where this process takes relayed requests; undefined if it takes none. */
+	readonly peerServer: PeerServer | undefined;
 	readonly leaseMinMs: number;
 	readonly handleOpened: () => void;
 	/** Receives the time until which the lease is certain to hold, in monotonic ms and in Unix ms. */
@@ -45,7 +48,7 @@
 		const granted = await store.createLease(Math.max(leaseTtlMs, options.leaseMinMs));
 		const result = await store.applyTransaction({
 			conditions: [],
-			puts: [{key: `${recordKeys.entryPrefix}${node}`, value: encodeRecord({incarnation, weight: options.weight}), lease: granted.lease}],
+			puts: [{key: `${recordKeys.entryPrefix}${node}`, value: encodeRecord({incarnation, weight: options.weight, peerServer: options.peerServer}), lease: granted.lease}],
 		});
 		if (result.kind !== 'applied' || stopping.signal.aborted) {
 			throw new Error(`registering the entry failed: ${result.kind}`);
--- a/packages/jobs/src/apply-job-event.ts
+++ b/packages/jobs/src/apply-job-event.ts
@@ -12,6 +12,7 @@
 import {observationFilter} from './observation/index.js';
 import {pacingFilter} from './pacing/index.js';
 import {placementFilter} from './placement/index.js';
+import {relayFilter} from './relay/index.js';
 import {reportingFilter} from './reporting/index.js';
 import {supervisionFilter} from './supervision/index.js';
 
@@ -21,6 +22,7 @@
 	configurationFilter,
 	directoryFilter,
 	intakeFilter,
+	relayFilter,
 	supervisionFilter,
 	ledgerFilter,
 	observationFilter,
--- a/packages/jobs/src/intake/index.ts
+++ b/packages/jobs/src/intake/index.ts
@@ -1,3 +1,3 @@
 export {
-	createIntakeState, intakeFilter, type IntakeState, type PendingRequest,
+	createIntakeState, intakeFilter, type IntakeState, type PendingRequest, type RelayableRequest,
 } from './intake-filter.js';
--- a/packages/jobs/src/intake/intake-filter.ts
+++ b/packages/jobs/src/intake/intake-filter.ts
@@ -1,13 +1,16 @@
-import {emitEffect} from '@pistachiogauge/chain';
+import {emitEffect, passEvent} from '@pistachiogauge/chain';
 import {type ConfigurationView} from '../configuration/index.js';
 import {
 	emitCount, emitLog, type JobFilter, type JobOutput,
 } from '../filter.js';
 import {
-	type CallerAction, type CallerAnswer, type JobEventOf, type JobRecord, type Queue,
+	type CallerAction, type CallerAnswer, type CallerOrigin, type JobEventOf, type JobRecord, type Queue, type UnansweredCause,
 } from '../model/index.js';
 import {type LedgerView} from '../ledger/ledger-state.js';
 
+/** A caller's request that may be relayed. @public */
+export type RelayableRequest = JobEventOf<'caller-requested'> & {readonly origin: CallerOrigin};
+
 /** A caller's request whose answer waits for the store. @public */
 export type PendingRequest = {
 	readonly action: CallerAction;
@@ -15,6 +18,8 @@
 	readonly jobId: string;
 	readonly configurationVersion: number;
 	readonly receivedAt: number;
+	/** The request itself, if it may be relayed. */
+	readonly relayable?: RelayableRequest | undefined;
 };
 
 /** What this entry has answered to the submission of a job. */
@@ -102,7 +107,7 @@
 
 			if (!state.intake.isStoreReached) {
 				const known = action === 'submit' ? findSubmission(state, jobId, queue.pool, context.now) : undefined;
-				if (known !== undefined) {
+				if (known === 'accepted' || (known !== undefined && !isRelayable(event))) {
 					return [
 						createAnswer(requestId, action, knownSubmissionAnswers[known]),
 						emitLog('info', 'repeated submission answered from memory', {
@@ -111,8 +116,17 @@
 					];
 				}
 
+				if (isRelayable(event)) {
+					state.intake.pendingRequests.set(requestId, {
+						action, queue, jobId, configurationVersion: current.version, receivedAt: context.now, relayable: event,
+					});
+					return [passEvent({
+						kind: 'request-unanswered', requestId, cause: 'store-lost', answer: storeLostAnswer,
+					})];
+				}
+
 				return [
-					createAnswer(requestId, action, {kind: 'refused', reason: 'the store is out of reach', retryAfterMs: storeRetryAfterMs}),
+					createAnswer(requestId, action, storeLostAnswer),
 					emitCount(`requests_total{action="${action}",answer="refused"}`),
 					emitLog('warn', 'request refused', {
 						request: requestId, action, job: jobId, queue: queue.name, reason: 'the store is out of reach',
@@ -123,7 +137,7 @@
 			const outputs = actionHandlers[action](state, event, queue, context.wallTime);
 			if (outputs.every(output => output.kind !== 'sink' || output.effect.kind !== 'answer-caller')) {
 				state.intake.pendingRequests.set(requestId, {
-					action, queue, jobId, configurationVersion: current.version, receivedAt: context.now,
+					action, queue, jobId, configurationVersion: current.version, receivedAt: context.now, relayable: isRelayable(event) ? event : undefined,
 				});
 			}
 
@@ -137,13 +151,13 @@
 			intake.isStoreReached = false;
 			return [emitLog('warn', 'store unreachable', {})];
 		},
-		'job-stored': (state, {requestId, result}, context) => answerPendingRequest(state, requestId, context.now, {
+		'job-stored': (state, {requestId, result}, context) => answerStoreCall(state, requestId, context.now, {
 			// The record exists already: the same job was submitted again.
 			conflict: {kind: 'accepted'},
 			applied: {kind: 'accepted'},
 			refused: {kind: 'refused', reason: 'the store did not take the job', retryAfterMs: storeRetryAfterMs},
 			unknown: {kind: 'undecided', reason: 'the store has not answered'},
-		}[result] as CallerAnswer),
+		}[result] as CallerAnswer, writeCauses[result]),
 		'progress-read'(state, {requestId, result, progress}, context) {
 			const request = state.intake.pendingRequests.get(requestId);
 			if (request === undefined) {
@@ -151,7 +165,7 @@
 			}
 
 			if (result === 'failed') {
-				return answerPendingRequest(state, requestId, context.now, {kind: 'refused', reason: 'the store cannot be read', retryAfterMs: storeRetryAfterMs});
+				return answerStoreCall(state, requestId, context.now, readFailedAnswer, 'no-answer');
 			}
 
 			if (progress?.queue !== request.queue.name) {
@@ -166,12 +180,12 @@
 
 			return answerPendingRequest(state, requestId, context.now, request.action === 'cancel' ? {kind: 'cancelled'} : {kind: 'status', status: progress.status});
 		},
-		'cancel-stored': (state, {requestId, result}, context) => answerPendingRequest(state, requestId, context.now, {
+		'cancel-stored': (state, {requestId, result}, context) => answerStoreCall(state, requestId, context.now, {
 			conflict: {kind: 'cancelled'},
 			applied: {kind: 'cancelled'},
 			refused: {kind: 'refused', reason: 'the store did not take the cancellation', retryAfterMs: storeRetryAfterMs},
 			unknown: {kind: 'undecided', reason: 'the store has not answered'},
-		}[result] as CallerAnswer),
+		}[result] as CallerAnswer, writeCauses[result]),
 		'report-read'(state, {requestId, result, report}, context) {
 			const request = state.intake.pendingRequests.get(requestId);
 			if (request === undefined) {
@@ -179,7 +193,7 @@
 			}
 
 			if (result === 'failed') {
-				return answerPendingRequest(state, requestId, context.now, {kind: 'refused', reason: 'the store cannot be read', retryAfterMs: storeRetryAfterMs});
+				return answerStoreCall(state, requestId, context.now, readFailedAnswer, 'no-answer');
 			}
 
 			// The claim of an owner that is cut off one way lasts: jobs that others accept are in the store, not in its report.
@@ -190,12 +204,34 @@
 					kind: 'count-queued-jobs', requestId, pool: request.queue.pool, queue: request.queue.name,
 				})];
 		},
-		'queued-jobs-counted': (state, {requestId, result, count}, context) => answerPendingRequest(state, requestId, context.now, result === 'failed'
-			? {kind: 'refused', reason: 'the store cannot be read', retryAfterMs: storeRetryAfterMs}
-			: {kind: 'waiting', waiting: count}),
+		'queued-jobs-counted': (state, {requestId, result, count}, context) => result === 'failed'
+			? answerStoreCall(state, requestId, context.now, readFailedAnswer, 'no-answer')
+			: answerPendingRequest(state, requestId, context.now, {kind: 'waiting', waiting: count}),
+		'relay-ended': (state, {requestId, answer}, context) => answerPendingRequest(state, requestId, context.now, answer),
 	},
 };
 
+const storeLostAnswer: CallerAnswer = {kind: 'refused', reason: 'the store is out of reach', retryAfterMs: storeRetryAfterMs};
+const readFailedAnswer: CallerAnswer = {kind: 'refused', reason: 'the store cannot be read', retryAfterMs: storeRetryAfterMs};
+
+/** Why a write has no decision of the store, by its result. */
+const writeCauses: Readonly<Partial<Record<JobEventOf<'job-stored'>['result'], UnansweredCause>>> = {refused: 'store-refused', unknown: 'no-answer'};
+
+/** Whether a peer can be asked about a request. A submission without a valid job is refused here. */
+function isRelayable(event: JobEventOf<'caller-requested'>): event is RelayableRequest {
+	const {origin, action, spec} = event;
+	return origin !== undefined && (action !== 'submit' || spec !== undefined);
+}
+
+/** Answers a request for which a store call has ended; without the store's decision, the relay filter answers if it may. */
+function answerStoreCall(state: State, requestId: string, now: number, answer: CallerAnswer, cause: UnansweredCause | undefined): JobOutput[] {
+	return cause === undefined || state.intake.pendingRequests.get(requestId)?.relayable === undefined
+		? answerPendingRequest(state, requestId, now, answer)
+		: [passEvent({
+			kind: 'request-unanswered', requestId, cause, answer,
+		})];
+}
+
 const knownSubmissionAnswers: Readonly<Record<Submission['answer'], CallerAnswer>> = {
 	accepted: {kind: 'accepted'},
 	undecided: {kind: 'undecided', reason: 'the store has not answered an earlier request for this job'},
--- a/packages/jobs/src/jobs-state.ts
+++ b/packages/jobs/src/jobs-state.ts
@@ -8,6 +8,7 @@
 import {createObservationState, type ObservationState} from './observation/index.js';
 import {createPacingState, type PacingState} from './pacing/index.js';
 import {createPlacementState, type PlacementState} from './placement/index.js';
+import {createRelayState, type RelayState} from './relay/index.js';
 import {createReportingState, type ReportingState} from './reporting/index.js';
 import {createSupervisionState, type SupervisionState} from './supervision/index.js';
 
@@ -17,6 +18,7 @@
 	readonly configuration: ConfigurationState;
 	readonly directory: DirectoryState;
 	readonly intake: IntakeState;
+	readonly relay: RelayState;
 	readonly supervision: SupervisionState;
 	readonly ledger: LedgerState;
 	readonly evacuation: EvacuationState;
@@ -44,6 +46,7 @@
 		configuration: createConfigurationState(),
 		directory: createDirectoryState(),
 		intake: createIntakeState(),
+		relay: createRelayState(),
 		supervision: createSupervisionState(),
 		ledger: createLedgerState(),
 		evacuation: createEvacuationState(),
--- a/packages/jobs/src/model/coordination.ts
+++ b/packages/jobs/src/model/coordination.ts
@@ -9,6 +9,16 @@
 	readonly incarnation: string;
 	/** CPU time available to the entry, in cores; entries with more of it own more pools. */
 	readonly weight: number;
+	/** Where other entries send relayed requests; undefined if the entry takes none, as one of an earlier version. */
+	readonly peerServer?: PeerServer | undefined;
+};
+
+/** @public */
+export type PeerServer = {
+	/** IP address and port. */
+	readonly address: string;
+	/** Random text of this process that authorizes relayed requests. It must not be logged. */
+	readonly secret: string;
 };
 
 /** Name of the claim whose holder alone gives orders to machines. @public */
--- a/packages/jobs/src/model/effects.ts
+++ b/packages/jobs/src/model/effects.ts
@@ -1,32 +1,16 @@
 import {type HandlerFailed} from '@pistachiogauge/chain';
+import {type CallerAnswer} from './caller-answer.js';
 import {
 	type PoolDemandHistory, type PoolReport, type Roster, type EvacuationRequest, type EvacuatedEndpoint,
 } from './coordination.js';
-import {type CallerAction, type MachineOrder} from './events.js';
-import {
-	type JobRecord, type JobStatus, type ProgressRecord,
-} from './job.js';
+import {type MachineOrder} from './events.js';
+import {type JobRecord, type ProgressRecord} from './job.js';
 import {type WaveStatus} from './machine.js';
+import {type CallerAction, type RelayedRequest} from './relay.js';
 
 /** @public */
 export type LogLevel = 'error' | 'warn' | 'info' | 'debug';
 
-/** Answer to a caller, independent of its encoding. @public */
-export type CallerAnswer =
-	| {readonly kind: 'accepted'}
-	| {readonly kind: 'status'; readonly status: JobStatus}
-	| {readonly kind: 'waiting'; readonly waiting: number}
-	| {readonly kind: 'cancelled'}
-	| {readonly kind: 'unknown-queue'}
-	| {readonly kind: 'unknown-job'}
-	/** The request carries no API key that is valid for the queue. */
-	| {readonly kind: 'unauthorized'}
-	| {readonly kind: 'invalid'; readonly message: string}
-	/** Not accepted; nothing will run because of this request. */
-	| {readonly kind: 'refused'; readonly reason: string; readonly retryAfterMs: number}
-	/** It is unknown whether the request took effect; sending the same request again is safe. */
-	| {readonly kind: 'undecided'; readonly reason: string};
-
 /** Calls to the store. @public */
 export type StoreEffect =
 	/** Makes a claim; `expectedToken` is the token of the claim to replace, 0 if there must be none. */
@@ -122,6 +106,8 @@
 export type JobEffect =
 	| StoreEffect
 	| OrderEffect
+	/** Asks a peer to handle a caller's request; the sink looks up its address and secret in the member's record. */
+	| {readonly kind: 'relay-request'; readonly requestId: string; readonly node: string; readonly request: RelayedRequest; readonly timeoutMs: number}
 	| {readonly kind: 'answer-caller'; readonly requestId: string; readonly action: CallerAction; readonly answer: CallerAnswer}
 	| {readonly kind: 'close-session'}
 	| {readonly kind: 'log'; readonly level: LogLevel; readonly message: string; readonly fields: Readonly<Record<string, unknown>>}
--- a/packages/jobs/src/model/events.ts
+++ b/packages/jobs/src/model/events.ts
@@ -1,3 +1,4 @@
+import {type CallerAnswer} from './caller-answer.js';
 import {type DurationModel} from './duration-model.js';
 import {type Configuration} from './configuration.js';
 import {
@@ -8,13 +9,20 @@
 	type JobRecord, type JobSpec, type JobStatus, type ProgressRecord,
 } from './job.js';
 import {type Machine, type Wave} from './machine.js';
-
-/** What a caller's request asks for. @public */
-export type CallerAction = 'submit' | 'get' | 'cancel' | 'count';
+import {type CallerAction, type CallerOrigin, type RelayResult} from './relay.js';
 
 /** Result of a write to the store; an `unknown` one may or may not have been carried out. */
 type WriteResult = 'applied' | 'conflict' | 'refused' | 'unknown';
 
+/** Why a caller's request has no decision of the store. @public */
+export type UnansweredCause =
+	/** The store was known to be out of reach, and no call was made. */
+	| 'store-lost'
+	/** A call was not answered, or a read failed. */
+	| 'no-answer'
+	/** The store answered that it has not carried out the write. */
+	| 'store-refused';
+
 /** A job with its progress and the revision of its progress record. @public */
 export type StoredJob = {
 	readonly job: JobRecord;
@@ -125,6 +133,8 @@
 		readonly spec: JobSpec | undefined;
 		/** SHA-256 hash of the caller's API key in lower-case hexadecimal; undefined when the request carries none. */
 		readonly keyHash: string | undefined;
+		/** Undefined for a request that must not be relayed, such as one that a peer has relayed to this entry. */
+		readonly origin?: CallerOrigin | undefined;
 	}
 	| {readonly kind: 'job-stored'; readonly requestId: string; readonly result: WriteResult}
 	| {readonly kind: 'progress-read'; readonly requestId: string; readonly result: 'found' | 'absent' | 'failed'; readonly progress: ProgressRecord | undefined}
@@ -132,6 +142,11 @@
 	| {readonly kind: 'report-read'; readonly requestId: string; readonly result: 'found' | 'absent' | 'failed'; readonly report: PoolReport | undefined}
 	/** Number of jobs of a queue whose stored record shows no started task. */
 	| {readonly kind: 'queued-jobs-counted'; readonly requestId: string; readonly result: 'found' | 'failed'; readonly count: number}
+	/** This entry cannot give a caller the store's decision; `answer` is what it can say by itself. */
+	| {readonly kind: 'request-unanswered'; readonly requestId: string; readonly cause: UnansweredCause; readonly answer: CallerAnswer}
+	| {readonly kind: 'relay-answered'; readonly requestId: string; readonly node: string; readonly result: RelayResult}
+	/** The answer to a request that was relayed, or that no peer could be asked about. */
+	| {readonly kind: 'relay-ended'; readonly requestId: string; readonly answer: CallerAnswer}
 	| {readonly kind: 'job-recorded'; readonly stored: StoredJob}
 	| {readonly kind: 'job-cancelled'; readonly pool: string; readonly jobId: string};
 
--- a/packages/jobs/src/model/index.ts
+++ b/packages/jobs/src/model/index.ts
@@ -6,5 +6,7 @@
 export type * from './endpoint.js';
 export type * from './machine.js';
 export * from './coordination.js';
+export type * from './caller-answer.js';
+export type * from './relay.js';
 export type * from './events.js';
 export type * from './effects.js';
--- /dev/null
+++ b/packages/jobs/src/relay/index.ts
@@ -0,0 +1,2 @@
+export {relayFilter} from './relay-filter.js';
+export {createRelayState, type RelayState} from './relay-state.js';
