--- a/packages/bench/src/jobs/create-virtual-sinks.ts
+++ b/packages/bench/src/jobs/create-virtual-sinks.ts
@@ -11,6 +11,7 @@
 import {type VirtualAdviceService} from './virtual-advice-service.js';
 import {type VirtualJobsEntry} from './virtual-jobs-entry.js';
 import {type VirtualJobStore} from './virtual-job-store.js';
+import {type VirtualRelay} from './virtual-relay.js';
 
 /** Sinks for the effects that have one in the simulation; each is also given the entry whose effect it is. */
 export type VirtualSinks = {readonly [Kind in JobEffect['kind']]?: (entry: VirtualJobsEntry, effect: JobEffectOf<Kind>) => void};
@@ -27,6 +28,7 @@
 	readonly callStore: StoreCaller;
 	readonly listEndpoints: () => Endpoint[];
 	readonly advice: VirtualAdviceService;
+	readonly relay: VirtualRelay;
 };
 
 /** Time after which the inbox of a loaded pool is delivered again: changes recorded while the answer was on its way arrive through the watch after it. */
@@ -35,7 +37,7 @@
 /** Creates the sinks that carry out the effects of the simulation's entries on the virtual store, endpoints and callers. */
 export function createVirtualSinks(tools: VirtualSinkTools): VirtualSinks {
 	const {
-		queue, store, checker, answers, onLine, delivery, callStore, listEndpoints, advice, fleetRecords,
+		queue, store, checker, answers, onLine, delivery, callStore, listEndpoints, advice, relay, fleetRecords,
 	} = tools;
 
 	/** Calls the store and delivers the events that the answer or the failure gives. */
@@ -184,7 +186,12 @@
 				delivery.deliver(entry, event, incarnation);
 			});
 		},
-		'answer-caller'(_entry, {requestId, answer}) {
+		'relay-request': relay.send,
+		'answer-caller'(entry, {requestId, answer}) {
+			if (relay.answerRequest(entry, requestId, answer)) {
+				return;
+			}
+
 			answers.set(requestId, answer);
 			checker.recordAnswer(requestId, answer);
 		},
--- a/packages/bench/src/jobs/jobs-simulation.ts
+++ b/packages/bench/src/jobs/jobs-simulation.ts
@@ -16,6 +16,7 @@
 import {createVirtualJobStore, type VirtualJobStore} from './virtual-job-store.js';
 import {createVirtualJobsEntry, type VirtualJobsEntry} from './virtual-jobs-entry.js';
 import {createVirtualNetwork, storeNode, type VirtualNetwork} from './virtual-network.js';
+import {createOrigin, createVirtualRelay} from './virtual-relay.js';
 import {createVirtualRegistry} from './virtual-registry.js';
 import {startVirtualSession} from './virtual-session.js';
 import {type TaskBehaviour, type VirtualTaskEndpoint} from './virtual-task-endpoint.js';
@@ -85,6 +86,7 @@
 	const endpoints = new Map<string, VirtualTaskEndpoint>();
 	const behaviours = new Map<string, Partial<TaskBehaviour>>();
 	const answers = new Map<string, CallerAnswer>();
+	const configuration = createConfiguration(Object.keys(pools), spareMachineCount > 0);
 	let requestCount = 0;
 	let incarnationCount = 0;
 	const checker = createJobInvariantChecker(queue);
@@ -160,6 +162,9 @@
 		getLateOrderShare: () => simulation.lateOrderShare,
 		listEndpoints: registry.listEndpoints,
 		advice,
+		relay: createVirtualRelay({
+			queue, network, delivery, chooseDelayMs, findEntry: name => entries.find(({node}) => node === name),
+		}),
 		fleetRecords,
 		machineService,
 	});
@@ -173,7 +178,7 @@
 		entry.pausedUntil = 0;
 		entry.lastEventAt = queue.now;
 		entry.storeAnsweredAt = Number.NEGATIVE_INFINITY;
-		delivery.deliver(entry, {kind: 'configuration-changed', configuration: createConfiguration(Object.keys(pools), spareMachineCount > 0)});
+		delivery.deliver(entry, {kind: 'configuration-changed', configuration});
 		watches.start(entry);
 		entry.session = startVirtualSession(entry, {
 			queue, random, store, delivery, callStore,
@@ -231,7 +236,7 @@
 			behaviours.set(jobId, {isAdvised: queueName.startsWith('advised-'), ...behaviour});
 			checker.recordJob(jobId, requestId, spec);
 			delivery.deliverLater(entry, {
-				kind: 'caller-requested', requestId, action: 'submit', queue: queueName, jobId, spec, keyHash: undefined,
+				kind: 'caller-requested', requestId, action: 'submit', queue: queueName, jobId, spec, keyHash: undefined, origin: createOrigin(configuration, queueName, jobId, queue.now),
 			});
 			return jobId;
 		},
@@ -240,7 +245,7 @@
 			const requestId = `cancel-${jobId}-${requestCount}`;
 			checker.recordCancelRequest(jobId, requestId);
 			delivery.deliverLater(entry, {
-				kind: 'caller-requested', requestId, action: 'cancel', queue: queueName, jobId, spec: undefined, keyHash: undefined,
+				kind: 'caller-requested', requestId, action: 'cancel', queue: queueName, jobId, spec: undefined, keyHash: undefined, origin: createOrigin(configuration, queueName, jobId, queue.now),
 			});
 		},
 		killEntry(entry, downMs) {
--- a/packages/bench/src/jobs/virtual-session.ts
+++ b/packages/bench/src/jobs/virtual-session.ts
@@ -59,7 +59,9 @@
 			onAnswer(granted) {
 				callStore(entry, {
 					isWrite: true,
-					run: () => store.register({node, incarnation, weight: 1}, granted),
+					run: () => store.register({
+						node, incarnation, weight: 1, peerServer: {address: node, secret: incarnation},
+					}, granted),
 					onFailure: retryLater,
 					onAnswer(isRegistered) {
 						if (!isRegistered) {
