--- a/packages/jobs/src/relay/relay-filter.ts
+++ b/packages/jobs/src/relay/relay-filter.ts
@@ -27,7 +27,7 @@
 const minAttemptMs = 150;
 /** Time for which a peer that did not reach the store or did not answer is not asked again. */
 const peerPauseMs = 1000;
-/** After so many attempts in a row without a decision, all entries may have lost the store, and no peer is asked for `peerPauseMs`. */
+/** After so many peers in a row without a decision, all entries may have lost the store, and no peer is asked for `peerPauseMs`. */
 const maxFailuresInRow = 6;
 /** Limit on the requests that wait for peers. */
 const maxOpenRelays = 64;
@@ -217,8 +217,9 @@
 		return;
 	}
 
+	// Several requests that one peer leaves open say no more about the other peers than a single one.
+	relayState.failuresInRow += now < (relayState.pausedPeers.get(node) ?? 0) ? 0 : 1;
 	relayState.pausedPeers.set(node, now + peerPauseMs);
-	relayState.failuresInRow += 1;
 	if (relayState.failuresInRow >= maxFailuresInRow) {
 		relayState.pausedUntil = now + peerPauseMs;
 	}
--- a/packages/jobs/src/relay/relay-state.ts
+++ b/packages/jobs/src/relay/relay-state.ts
@@ -20,7 +20,7 @@
 	readonly relays: Map<string, Relay>;
 	/** Monotonic ms until which a peer is not asked, by node. */
 	readonly pausedPeers: Map<string, number>;
-	/** Requests in a row that no peer has decided, over all peers. */
+	/** Number of peers in a row that could not decide a request. */
 	failuresInRow: number;
 	/** Monotonic ms until which no peer is asked. */
 	pausedUntil: number;
