--- a/packages/jobs/src/relay/relay-filter.test.ts
+++ b/packages/jobs/src/relay/relay-filter.test.ts
@@ -16,8 +16,10 @@
 
 type StoreResult = JobEventOf<'job-stored'>['result'];
 
-/** An entry whose peers give the listed results in turn, each after `peerMs`, which is cut to the time that the entry gives the peer. */
-function createRelayingEntry({peers = ['entry-2', 'entry-3', 'entry-4'], results, peerMs = 10}: {readonly peers?: readonly string[]; readonly results: readonly RelayResult[]; readonly peerMs?: number}) {
+const peerMs = 10;
+
+/** An entry whose peers give the listed results in turn, 10 ms after they are asked. */
+function createRelayingEntry({peers = ['entry-2', 'entry-3', 'entry-4'], results, lostPeers = new Set()}: {readonly peers?: readonly string[]; readonly results: readonly RelayResult[]; /** Peers that have lost the store as well. */ readonly lostPeers?: ReadonlySet<string>}) {
 	const random = createRandomSource(1);
 	const state = createJobsState({node: 'entry-1', incarnation: 'first', orderLeaseMs: 3000});
 	const answers: Array<{readonly requestId: string; readonly answer: CallerAnswer; readonly at: number}> = [];
@@ -36,17 +38,25 @@
 			}
 
 			if (effect.kind === 'relay-request') {
-				const result = results[relayed.length] ?? silent;
+				const result = lostPeers.has(effect.node) ? unavailable : results[relayed.length] ?? silent;
 				relayed.push(effect);
 				due.push({
-					at: now + (result.kind === 'silent' ? effect.timeoutMs : Math.min(peerMs, effect.timeoutMs)), event: {
-						kind: 'relay-answered', requestId: effect.requestId, node: effect.node, result: peerMs > effect.timeoutMs ? silent : result,
+					at: now + (result.kind === 'silent' ? effect.timeoutMs : peerMs), event: {
+						kind: 'relay-answered', requestId: effect.requestId, node: effect.node, result,
 					},
 				});
 			}
 		}
 	};
 
+	const deliverDue = () => {
+		const ready = due.filter(({at}) => at <= now);
+		due = due.filter(({at}) => at > now);
+		for (const {event} of ready) {
+			apply(event);
+		}
+	};
+
 	apply({
 		kind: 'configuration-changed', configuration: {
 			version: 1,
@@ -70,19 +80,11 @@
 			})),
 		],
 	});
-	const deliverDue = () => {
-		const ready = due.filter(({at}) => at <= now);
-		due = due.filter(({at}) => at > now);
-		for (const {event} of ready) {
-			apply(event);
-		}
-	};
-
 	return {
 		answers, relayed, logs, state, apply,
-		request(requestId: string, {action = 'submit', answerBy = now + 3000, isRelayed = false}: {readonly action?: CallerAction; readonly answerBy?: number; readonly isRelayed?: boolean} = {}) {
+		request(requestId: string, {action = 'submit', jobId = 'job', answerBy = now + 3000, isRelayed = false}: {readonly action?: CallerAction; readonly jobId?: string; readonly answerBy?: number; readonly isRelayed?: boolean} = {}) {
 			apply({
-				kind: 'caller-requested', requestId, action, queue: 'prints', jobId: 'job', spec: action === 'submit' ? spec : undefined, keyHash: 'hash', ...(!isRelayed && {origin: {host: 'a', path: '/job', answerBy}}),
+				kind: 'caller-requested', requestId, action, queue: 'prints', jobId, spec: action === 'submit' ? spec : undefined, keyHash: 'hash', ...(!isRelayed && {origin: {host: 'a', path: '/job', answerBy}}),
 			});
 		},
 		/** Delivers the events that are due until a time in ms, with a tick every 25 ms. */
@@ -265,3 +267,18 @@
 		expect(entry.state.relay.relays.size).toBe(0);
 	});
 });
+
+// Guards against requests that ask two peers without the store again and again while most peers reach it.
+it('a third of the peers without the store keeps few requests from a decision', () => {
+	const peers = Array.from({length: 30}, (_unused, index) => `peer-${index}`);
+	const entry = createRelayingEntry({peers, results: Array.from({length: 1000}, () => answered({kind: 'accepted'})), lostPeers: new Set(peers.slice(0, 10))});
+	entry.apply({kind: 'store-lost'});
+	for (let index = 0; index < 200; index++) {
+		entry.runUntil(index * 50);
+		entry.request(`request-${index}`, {jobId: `job-${index}`});
+	}
+
+	entry.runUntil(12_000);
+	expect(entry.answers).toHaveLength(200);
+	expect(entry.answers.filter(({answer}) => answer.kind !== 'accepted').length).toBeLessThanOrEqual(1);
+});
--- a/packages/jobs/src/relay/relay-filter.ts
+++ b/packages/jobs/src/relay/relay-filter.ts
@@ -27,6 +27,8 @@
 const minAttemptMs = 150;
 /** Time for which a peer that did not reach the store or did not answer is not asked again. */
 const peerPauseMs = 1000;
+/** Time for which a peer that has decided a request counts as one that reaches the store. */
+const provenMs = 3000;
 /** After so many peers in a row without a decision, all entries may have lost the store, and no peer is asked for `peerPauseMs`. */
 const maxFailuresInRow = 6;
 /** Limit on the requests that wait for peers. */
@@ -159,7 +161,8 @@
 	];
 }
 
-function choosePeer({authority, relay: {pausedPeers}}: State, {askedNodes}: Relay, {now, random}: DecisionContext): string | undefined {
+/** Chooses a peer at random; after a first one in vain, one that has decided a request lately, if there is one. */
+function choosePeer({authority, relay: {pausedPeers, decidedAt}}: State, {askedNodes}: Relay, {now, random}: DecisionContext): string | undefined {
 	const nodes: string[] = [];
 	for (const {node, peerServer} of authority.members.values()) {
 		if (peerServer !== undefined && node !== authority.node && !askedNodes.has(node) && now >= (pausedPeers.get(node) ?? 0)) {
@@ -167,7 +170,9 @@
 		}
 	}
 
-	return nodes.length === 0 ? undefined : nodes[random.getInteger(nodes.length)];
+	const provenNodes = askedNodes.size === 0 ? [] : nodes.filter(node => now < (decidedAt.get(node) ?? Number.NEGATIVE_INFINITY) + provenMs);
+	const candidates = provenNodes.length === 0 ? nodes : provenNodes;
+	return candidates.length === 0 ? undefined : candidates[random.getInteger(candidates.length)];
 }
 
 function handleRelayAnswer(state: State, {requestId, node, result}: JobEventOf<'relay-answered'>, context: DecisionContext): JobOutput[] {
@@ -214,6 +219,7 @@
 function recordPeerResult(relayState: RelayState, node: string, result: RelayResult, now: number): void {
 	if (result.kind === 'answered' && result.answer.kind !== 'undecided') {
 		relayState.failuresInRow = 0;
+		relayState.decidedAt.set(node, now);
 		return;
 	}
 
--- a/packages/jobs/src/relay/relay-state.ts
+++ b/packages/jobs/src/relay/relay-state.ts
@@ -20,6 +20,8 @@
 	readonly relays: Map<string, Relay>;
 	/** Monotonic ms until which a peer is not asked, by node. */
 	readonly pausedPeers: Map<string, number>;
+	/** Monotonic ms at which a peer decided a request last, by node. */
+	readonly decidedAt: Map<string, number>;
 	/** Number of peers in a row that could not decide a request. */
 	failuresInRow: number;
 	/** Monotonic ms until which no peer is asked. */
@@ -29,6 +31,6 @@
 /** @public */
 export function createRelayState(): RelayState {
 	return {
-		relays: new Map(), pausedPeers: new Map(), failuresInRow: 0, pausedUntil: 0,
+		relays: new Map(), pausedPeers: new Map(), decidedAt: new Map(), failuresInRow: 0, pausedUntil: 0,
 	};
 }
