--- a/packages/entry/src/jobs/peer-server.ts
+++ b/packages/entry/src/jobs/peer-server.ts
@@ -47,7 +47,7 @@
 /** @internal */
 export function createPeerServer(options: PeerServerOptions): PeerServer {
 	const openResponses = new Map<string, ServerResponse>();
-	const secretDigest = digest(options.secret);
+	const secretDigest = computeDigest(options.secret);
 	const server = createServer({
 		maxHeaderSize: maxHeadBytes, keepAliveTimeout: keepAliveMs, headersTimeout: requestTimeoutMs, requestTimeout: requestTimeoutMs,
 	}, (request, response) => {
@@ -55,10 +55,8 @@
 	});
 
 	const handlersByRoute: Readonly<Record<string, (request: IncomingMessage, response: ServerResponse) => void>> = {
-		'GET /metrics'(_request, response) {
-			response.writeHead(200, {'content-type': 'text/plain; version=0.0.4'});
-			response.end(options.formatMetrics());
-		},
+		'GET /metrics': sendMetrics,
+		'HEAD /metrics': sendMetrics,
 		[`POST ${relayPath}`](request, response) {
 			void receiveRelay(request, response).then(receipt => {
 				options.count(`relays_received_total{result="${receipt}"}`);
@@ -69,6 +67,11 @@
 		},
 	};
 
+	function sendMetrics(_request: IncomingMessage, response: ServerResponse): void {
+		response.writeHead(200, {'content-type': 'text/plain; version=0.0.4'});
+		response.end(options.formatMetrics());
+	}
+
 	async function receiveRelay(request: IncomingMessage, response: ServerResponse): Promise<Receipt> {
 		if (!isAuthorized(request)) {
 			return 'forbidden';
@@ -109,7 +112,7 @@
 	/** Compares digests, which have the same length, in constant time. */
 	function isAuthorized({headers}: IncomingMessage): boolean {
 		const secret = headers[relaySecretHeader];
-		return typeof secret === 'string' && timingSafeEqual(digest(secret), secretDigest);
+		return typeof secret === 'string' && timingSafeEqual(computeDigest(secret), secretDigest);
 	}
 
 	return {
@@ -144,6 +147,6 @@
 	response.end(text);
 }
 
-function digest(text: string): Uint8Array {
+function computeDigest(text: string): Uint8Array {
 	return createHash('sha256').update(text).digest();
 }
--- a/packages/jobs/src/relay/relay-filter.test.ts
+++ b/packages/jobs/src/relay/relay-filter.test.ts
@@ -207,6 +207,12 @@
 		expect(entry.answers.map(({answer}) => answer.kind)).toEqual([expected]);
 		expect(entry.answers[0]!.at).toBeLessThanOrEqual(withinMs);
 		expect(entry.relayed).toHaveLength(expectedRelays);
+		for (const {request} of entry.relayed) {
+			expect(request).toEqual({
+				action: action ?? 'submit', host: 'a', path: '/job', spec: action === undefined ? spec : undefined, keyHash: 'hash',
+			});
+		}
+
 		expect(new Set(entry.relayed.map(({node}) => node)).size).toBe(expectedRelays);
 		expect(entry.state.relay.relays.size).toBe(0);
 		expect(entry.state.intake.pendingRequests.size).toBe(0);
--- a/packages/jobs/src/relay/relay-filter.ts
+++ b/packages/jobs/src/relay/relay-filter.ts
@@ -59,7 +59,7 @@
 			const relay = state.relay.relays.get(requestId);
 			if (relay !== undefined) {
 				relay.ownAnswer = answer;
-				return relay.awaitedNode === undefined ? askNextPeer(state, requestId, relay, context) : [];
+				return relay.awaitedNode === undefined ? callNextPeer(state, requestId, relay, context) : [];
 			}
 
 			const ended = restartEvent({kind: 'relay-ended', requestId, answer});
@@ -106,7 +106,7 @@
 		}
 
 		if (context.now >= answerBy - answerReserveMs) {
-			outputs.push(...endRelay(state, requestId, relay, composeAnswer(state, requestId, relay), context));
+			outputs.push(...endRelay(state, requestId, relay, chooseAnswer(state, requestId, relay), context));
 		}
 	}
 
@@ -205,14 +205,14 @@
 		emitLog('info', 'relayed request not decided by peer', {
 			request: requestId, job: request.jobId, node, result: result.kind, ...(result.kind === 'answered' && {answer: result.answer}), tookMs: Math.round(context.now - relay.startedAt),
 		}),
-		...askNextPeer(state, requestId, relay, context),
+		...callNextPeer(state, requestId, relay, context),
 	];
 }
 
 /** Asks the next peer; if there is none, the request waits for the entry's own store call, or gets its answer once that has ended. */
-function askNextPeer(state: State, requestId: string, relay: Relay, context: DecisionContext): JobOutput[] {
+function callNextPeer(state: State, requestId: string, relay: Relay, context: DecisionContext): JobOutput[] {
 	const outputs = sendToPeer(state, requestId, relay, context);
-	return outputs.length > 0 || relay.ownAnswer === undefined ? outputs : endRelay(state, requestId, relay, composeAnswer(state, requestId, relay), context);
+	return outputs.length > 0 || relay.ownAnswer === undefined ? outputs : endRelay(state, requestId, relay, chooseAnswer(state, requestId, relay), context);
 }
 
 /** Keeps requests from peers that cannot decide them, and from all peers if none can. */
@@ -232,7 +232,7 @@
 }
 
 /** Chooses the answer if no peer has decided the request: a refusal only if nothing may have been done, neither here nor at a peer. */
-function composeAnswer(state: State, requestId: string, {ownAnswer, peerAnswer, mayBeDone}: Relay): CallerAnswer {
+function chooseAnswer(state: State, requestId: string, {ownAnswer, peerAnswer, mayBeDone}: Relay): CallerAnswer {
 	const isWrite = isWriteByAction[getRelayableRequest(state, requestId)?.action ?? 'submit'];
 	if (isWrite && (mayBeDone || ownAnswer === undefined || ownAnswer.kind === 'undecided')) {
 		return {kind: 'undecided', reason: 'neither the store nor another entry has decided the request'};
