--- a/packages/jobs/src/relay/relay-filter.test.ts
+++ b/packages/jobs/src/relay/relay-filter.test.ts
@@ -95,6 +95,11 @@
 				now += 25;
 			}
 		},
+		/** Lets the process stand still; a tick comes before the events that were due meanwhile. */
+		pause(ms: number) {
+			now += ms;
+			apply({kind: 'tick'});
+		},
 		at(time: number, event: JobEvent) {
 			due.push({at: time, event});
 		},
@@ -288,3 +293,18 @@
 	expect(entry.answers).toHaveLength(200);
 	expect(entry.answers.filter(({answer}) => answer.kind !== 'accepted').length).toBeLessThanOrEqual(1);
 });
+
+// Guards against a refusal of a job that a peer has accepted while the process was paused beyond its caller's time (seed 14 of the soak).
+it.each([
+	{action: 'submit', expected: 'undecided'},
+	{action: 'cancel', expected: 'undecided'},
+	{action: 'get', expected: 'refused'},
+] as const)('a $action whose peer was awaited beyond a pause gets $expected', ({action, expected}) => {
+	const entry = createRelayingEntry({results: [answered({kind: 'accepted'})]});
+	entry.apply({kind: 'store-lost'});
+	entry.request('request', {action});
+	entry.pause(3500);
+	entry.runUntil(4000);
+	expect(entry.answers.map(({answer}) => answer.kind)).toEqual([expected]);
+	expect(entry.state.relay.relays.size).toBe(0);
+});
--- a/packages/jobs/src/relay/relay-filter.ts
+++ b/packages/jobs/src/relay/relay-filter.ts
@@ -232,9 +232,9 @@
 }
 
 /** Chooses the answer if no peer has decided the request: a refusal only if nothing may have been done, neither here nor at a peer. */
-function chooseAnswer(state: State, requestId: string, {ownAnswer, peerAnswer, mayBeDone}: Relay): CallerAnswer {
+function chooseAnswer(state: State, requestId: string, {awaitedNode, ownAnswer, peerAnswer, mayBeDone}: Relay): CallerAnswer {
 	const isWrite = isWriteByAction[getRelayableRequest(state, requestId)?.action ?? 'submit'];
-	if (isWrite && (mayBeDone || ownAnswer === undefined || ownAnswer.kind === 'undecided')) {
+	if (isWrite && (mayBeDone || awaitedNode !== undefined || ownAnswer === undefined || ownAnswer.kind === 'undecided')) {
 		return {kind: 'undecided', reason: 'neither the store nor another entry has decided the request'};
 	}
 
