--- a/packages/bench/src/jobs/jobs-simulation.ts
+++ b/packages/bench/src/jobs/jobs-simulation.ts
@@ -16,6 +16,7 @@
 import {createVirtualJobStore, type VirtualJobStore} from './virtual-job-store.js';
 import {createVirtualJobsEntry, type VirtualJobsEntry} from './virtual-jobs-entry.js';
 import {createVirtualNetwork, storeNode, type VirtualNetwork} from './virtual-network.js';
+import {createOrigin, createVirtualRelay} from './virtual-relay.js';
 import {createVirtualRegistry} from './virtual-registry.js';
 import {createVirtualShareRecords, type VirtualShareRecords} from './virtual-share-records.js';
 import {startVirtualSession} from './virtual-session.js';
@@ -172,6 +173,9 @@
 		getLateOrderShare: () => simulation.lateOrderShare,
 		listEndpoints: registry.listEndpoints,
 		advice,
+		relay: createVirtualRelay({
+			queue, network, delivery, chooseDelayMs, findEntry: name => entries.find(({node}) => node === name),
+		}),
 		fleetRecords,
 		shareRecords,
 		machineService,
@@ -250,7 +254,7 @@
 			}
 
 			delivery.deliverLater(entry, {
-				kind: 'caller-requested', requestId, action: 'submit', queue: queueName, jobId, spec, keyHash: undefined,
+				kind: 'caller-requested', requestId, action: 'submit', queue: queueName, jobId, spec, keyHash: undefined, origin: createOrigin(configuration, queueName, jobId, queue.now),
 			});
 			return jobId;
 		},
@@ -259,7 +263,7 @@
 			const requestId = `cancel-${jobId}-${requestCount}`;
 			checker.recordCancelRequest(jobId, requestId);
 			delivery.deliverLater(entry, {
-				kind: 'caller-requested', requestId, action: 'cancel', queue: queueName, jobId, spec: undefined, keyHash: undefined,
+				kind: 'caller-requested', requestId, action: 'cancel', queue: queueName, jobId, spec: undefined, keyHash: undefined, origin: createOrigin(configuration, queueName, jobId, queue.now),
 			});
 		},
 		changeAccounts(accounts) {
--- a/packages/jobs/src/apply-job-event.ts
+++ b/packages/jobs/src/apply-job-event.ts
@@ -14,6 +14,7 @@
 import {pacingFilter} from './pacing/index.js';
 import {placementFilter} from './placement/index.js';
 import {quotaFilter} from './quota/index.js';
+import {relayFilter} from './relay/index.js';
 import {reportingFilter} from './reporting/index.js';
 import {supervisionFilter} from './supervision/index.js';
 
@@ -24,6 +25,7 @@
 	accountsFilter,
 	directoryFilter,
 	intakeFilter,
+	relayFilter,
 	supervisionFilter,
 	ledgerFilter,
 	observationFilter,
--- a/packages/jobs/src/intake/index.ts
+++ b/packages/jobs/src/intake/index.ts
@@ -1,3 +1,3 @@
 export {
-	checkCallerRequest, createIntakeState, intakeFilter, type CallerRequestSummary, type IntakeState, type PendingRequest,
+	checkCallerRequest, createIntakeState, intakeFilter, type CallerRequestSummary, type IntakeState, type PendingRequest, type RelayableRequest,
 } from './intake-filter.js';
--- a/packages/jobs/src/jobs-state.ts
+++ b/packages/jobs/src/jobs-state.ts
@@ -10,6 +10,7 @@
 import {createPacingState, type PacingState} from './pacing/index.js';
 import {createPlacementState, type PlacementState} from './placement/index.js';
 import {createQuotaState, type QuotaState} from './quota/index.js';
+import {createRelayState, type RelayState} from './relay/index.js';
 import {createReportingState, type ReportingState} from './reporting/index.js';
 import {createSupervisionState, type SupervisionState} from './supervision/index.js';
 
@@ -20,6 +21,7 @@
 	readonly accounts: AccountsState;
 	readonly directory: DirectoryState;
 	readonly intake: IntakeState;
+	readonly relay: RelayState;
 	readonly supervision: SupervisionState;
 	readonly ledger: LedgerState;
 	readonly evacuation: EvacuationState;
@@ -53,6 +55,7 @@
 		accounts: createAccountsState(strictRevokeMs),
 		directory: createDirectoryState(),
 		intake: createIntakeState(),
+		relay: createRelayState(),
 		supervision: createSupervisionState(),
 		ledger: createLedgerState(),
 		evacuation: createEvacuationState(),
