Add a displacement policy by least cost and shares of accounts

Under overload the largest jobs were displaced whatever their priority, value and account. In a deployment with client accounts, jobs now give way by the value that they lose for the capacity that they set free, within the weighted shares of the accounts. Without accounts the order is as before.

--- a/packages/jobs/src/index.ts
+++ b/packages/jobs/src/index.ts
@@ -8,4 +8,10 @@
 export {applyJobEvent, jobFilters} from './apply-job-event.js';
 export {createJobsState, type JobsOptions, type JobsState} from './jobs-state.js';
 export {findQueue, type QueueMatch} from './configuration/index.js';
-export {rosterRecordKey} from './ledger/index.js';
+export {
+	createPoolLedger, isStepReady, restoreJob, rosterRecordKey, type Job, type Step, type Task,
+} from './ledger/index.js';
+export {orderWaitingJobs, type DisplacementPolicy, type OrderInput} from './placement/index.js';
+export {
+	computeJobValue, computePriorityFactor, computeSizeValue, computeTimeliness,
+} from './value/index.js';
--- a/packages/jobs/src/jobs-state.ts
+++ b/packages/jobs/src/jobs-state.ts
@@ -7,7 +7,7 @@
 import {createLedgerState, type LedgerState} from './ledger/index.js';
 import {createObservationState, type ObservationState} from './observation/index.js';
 import {createPacingState, type PacingState} from './pacing/index.js';
-import {createPlacementState, type PlacementState} from './placement/index.js';
+import {createPlacementState, type PlacementOptions, type PlacementState} from './placement/index.js';
 import {createReportingState, type ReportingState} from './reporting/index.js';
 import {createSupervisionState, type SupervisionState} from './supervision/index.js';
 
@@ -35,10 +35,11 @@
 	readonly incarnation: string;
 	/** Minimum time in ms between orders of two holders for the same machine. */
 	readonly orderLeaseMs: number;
+	readonly placement?: PlacementOptions;
 };
 
 /** @public */
-export function createJobsState({node, incarnation, orderLeaseMs}: JobsOptions): JobsState {
+export function createJobsState({node, incarnation, orderLeaseMs, placement}: JobsOptions): JobsState {
 	return {
 		authority: createAuthorityState(node, incarnation),
 		configuration: createConfigurationState(),
@@ -48,7 +49,7 @@
 		ledger: createLedgerState(),
 		evacuation: createEvacuationState(),
 		observation: createObservationState(),
-		placement: createPlacementState(),
+		placement: createPlacementState(placement),
 		reporting: createReportingState(),
 		pacing: createPacingState(),
 		fleet: createFleetState(orderLeaseMs),
--- a/packages/jobs/src/ledger/ledger-state.ts
+++ b/packages/jobs/src/ledger/ledger-state.ts
@@ -113,7 +113,7 @@
 	return {pools: new Map()};
 }
 
-/** Creates the empty ledger of a pool that has just been claimed. @internal */
+/** Creates the empty ledger of a pool that has just been claimed. @public */
 export function createPoolLedger({pool, token, now}: {readonly pool: string; readonly token: number; readonly now: number}): PoolLedger {
 	return {
 		pool,
--- a/packages/jobs/src/ledger/restore-job.ts
+++ b/packages/jobs/src/ledger/restore-job.ts
@@ -8,7 +8,7 @@
 */
 const skippedRunNumbers = 16;
 
-/** Creates a job from its stored records. @internal */
+/** Creates a job from its stored records. @public */
 export function restoreJob({job: record, progress, revision, isCancelled}: StoredJob, times: {readonly now: number; readonly wallTime: number}): Job {
 	const job: Job = {
 		record,
--- /dev/null
+++ b/packages/jobs/src/placement/order-by-least-cost.ts
@@ -0,0 +1,209 @@
+import {
+	computePriorityFactor, computeSizeValue, estimateWorkRatio, isSizeShort, lateShare, type GuardedSize, type JobSize,
+} from '../value/index.js';
+import {type AccountWeights} from './account-shares.js';
+import {type DisplacementReason, type JobProfile, type PoolDisplacement} from './displacement-state.js';
+import {objectiveStatusOrder, type ObjectiveStatus, type RankedJob} from './order-jobs.js';
+import {
+	getAccount, getQueueRecord, profileJobs, recordOutcomes,
+} from './profile-jobs.js';
+import {
+	selectJobs, type AccountUse, type GuardGroup, type SelectableJob,
+} from './select-jobs.js';
+
+/** What a pool has for the jobs that wait, besides what is running. @internal */
+export type PoolSupply = {
+	/** Thousandths of a core that long-running tasks do not take. */
+	readonly capacityMillis: number;
+	/** Remaining work of the jobs all of whose ready tasks run, by account, in thousandths of a core times ms. */
+	readonly runningWork: ReadonlyMap<string, number>;
+	/** Those jobs. */
+	readonly runningJobs: ReadonlySet<RankedJob['job']>;
+};
+
+/** @internal */
+export type OrderContext = {readonly supply: PoolSupply; readonly weights: AccountWeights};
+
+/** A job that waits, with what the order depends on. */
+type OrderedJob = SelectableJob & {
+	readonly ranked: RankedJob;
+	readonly profile: JobProfile;
+};
+
+/** A job that is displaced, and why. @internal */
+export type DisplacedJob = {readonly ranked: RankedJob; readonly account: string; readonly reason: DisplacementReason};
+
+/** @internal */
+export type LeastCostOrder = {
+	readonly ordered: RankedJob[];
+	readonly displaced: readonly DisplacedJob[];
+};
+
+type GuardFinder = (ranked: RankedJob, profile: JobProfile) => GuardGroup | undefined;
+
+/** Tiers by entitlement and urgency: jobs beyond the rate of their account rank behind all others, and in each group priority 0 comes first. */
+const entitlementTiers = {entitled: 0, unentitled: 2} as const;
+
+/**
+Orders jobs for placement so that those are displaced that lose least value for the capacity that they set free.
+
+The status of displaced jobs is set to `displaced`. They follow the kept jobs in the order in which they would be kept next, and then the late ones by what they are still worth.
+
+@internal
+*/
+export function orderByLeastCost(jobs: readonly RankedJob[], pool: PoolDisplacement, {supply, weights}: OrderContext, times: {readonly now: number; readonly wallTime: number}): LeastCostOrder {
+	profileJobs(pool, jobs, weights);
+	recordOutcomes(pool, jobs, times);
+	const runningWork = sumValues(supply.runningWork);
+	const findGuard = createGuards(pool, supply, jobs);
+	const describe = (ranked: RankedJob) => describeJob(pool, ranked, {capacityMillis: supply.capacityMillis, runningWork}, findGuard);
+	const byStatus = groupByStatus(jobs);
+	const uses = new Map<string, AccountUse>();
+	const getUse = (account: string) => {
+		const use = uses.get(account) ?? {weight: weights.getWeight(account), work: supply.runningWork.get(account) ?? 0};
+		uses.set(account, use);
+		return use;
+	};
+
+	const waitingAccounts = new Set(jobs.filter(({objectiveStatus}) => objectiveStatus !== 'serving').map(({job}) => getAccount(job)));
+	const toTiered = (item: OrderedJob) => waitingAccounts.size > 1 ? item : {...item, tier: item.servingClass};
+	const timely = byStatus.timely.map(ranked => toTiered(describe(ranked)));
+	const {kept, displaced} = supply.capacityMillis > 0 ? selectJobs(timely, getUse) : {kept: timely, displaced: []};
+	const late = byStatus.late.map(ranked => toTiered(describe(ranked))).sort((left, right) => left.tier - right.tier || right.density - left.density);
+	const explained = displaced.map((item): DisplacedJob => {
+		item.ranked.objectiveStatus = 'displaced';
+		return {ranked: item.ranked, account: item.account, reason: explainDisplacement(item, {supply, uses, isShared: waitingAccounts.size > 1})};
+	});
+	return {
+		ordered: [
+			...byStatus.serving.sort(compareByPriority),
+			...kept.map(({ranked}) => ranked),
+			...displaced.map(({ranked}) => ranked),
+			...late.map(({ranked}) => ranked),
+			...byStatus.hopeless.sort(compareByPriority),
+		],
+		displaced: explained,
+	};
+}
+
+function describeJob(pool: PoolDisplacement, ranked: RankedJob, {capacityMillis, runningWork}: {readonly capacityMillis: number; readonly runningWork: number}, findGuard: GuardFinder): OrderedJob {
+	const {job, remainingWork, slackMs, dueInMs} = ranked;
+	const profile = pool.profiles.get(job)!;
+	const servingClass = job.record.priority === 0 ? 0 : 1;
+	return {
+		ranked,
+		profile,
+		// Running tasks end all the time, so that a job starts once the work before it has been started. It ends in time only if what is running, the work before it and its own can all be done.
+		limit: Math.min(slackMs * capacityMillis, (dueInMs * capacityMillis) - remainingWork - runningWork),
+		work: remainingWork,
+		density: computeValue(pool, ranked) / Math.max(1, remainingWork),
+		account: getAccount(job),
+		tier: servingClass + (profile.isEntitled ? entitlementTiers.entitled : entitlementTiers.unentitled),
+		servingClass,
+		guard: findGuard(ranked, profile),
+	};
+}
+
+/** Computes the value of a job if it is served as its status allows: in time unless it is late already. @internal */
+export function computeValue(pool: PoolDisplacement, {job, totalWork, objectiveStatus}: RankedJob): number {
+	const {work} = getQueueRecord(pool, job.record.queue);
+	return computePriorityFactor(job.record.priority) * computeSizeValue(estimateWorkRatio(work, totalWork)) * statusShares[objectiveStatus];
+}
+
+/** Share of its value that a job of each status can still have. */
+const statusShares: Readonly<Record<ObjectiveStatus, number>> = {
+	serving: 1, timely: 1, displaced: 1, late: lateShare, hopeless: 0,
+};
+
+/** Creates a function that finds the guard group of a job; the groups count the open jobs of a queue and size. */
+function createGuards(pool: PoolDisplacement, {runningJobs}: PoolSupply, jobs: readonly RankedJob[]): GuardFinder {
+	const groups = new Map<string, {total: number; kept: number; readonly guard: GuardGroup}>();
+	const findGroup = (queue: string, size: GuardedSize) => {
+		const key = `${size} ${queue}`;
+		const known = groups.get(key);
+		if (known !== undefined) {
+			return known;
+		}
+
+		const {service} = getQueueRecord(pool, queue);
+		const group = {
+			total: 0,
+			kept: 0,
+			guard: {
+				isShort: () => isSizeShort(service, size, group),
+				addKept() {
+					group.kept += 1;
+				},
+			},
+		};
+		groups.set(key, group);
+		return group;
+	};
+
+	const countJob = (job: RankedJob['job'], isKept: boolean) => {
+		const size = pool.profiles.get(job)?.size ?? 'small';
+		if (isGuarded(size) && pool.openJobs.has(job)) {
+			const group = findGroup(job.record.queue, size);
+			group.total += 1;
+			group.kept += isKept ? 1 : 0;
+		}
+	};
+
+	for (const {job} of jobs) {
+		countJob(job, false);
+	}
+
+	for (const job of runningJobs) {
+		countJob(job, true);
+	}
+
+	return ({job}, {size}) => isGuarded(size) && pool.openJobs.has(job) ? findGroup(job.record.queue, size).guard : undefined;
+}
+
+function isGuarded(size: JobSize): size is GuardedSize {
+	return size !== 'small';
+}
+
+function explainDisplacement({ranked, profile, account}: OrderedJob, {supply, uses, isShared}: {
+	readonly supply: PoolSupply;
+	readonly uses: ReadonlyMap<string, AccountUse>;
+	readonly isShared: boolean;
+}): DisplacementReason {
+	if (ranked.remainingWork > ranked.dueInMs * supply.capacityMillis) {
+		return 'too-large';
+	}
+
+	if (isShared && !profile.isEntitled) {
+		return 'over-rate';
+	}
+
+	const {weight, work} = uses.get(account) ?? {weight: 1, work: 0};
+	const allUses = [...uses.values()];
+	const sharedWork = sumBy(allUses, use => use.work);
+	return isShared && work * sumBy(allUses, use => use.weight) >= sharedWork * weight ? 'over-share' : 'least-value';
+}
+
+function groupByStatus(jobs: readonly RankedJob[]): Record<ObjectiveStatus, RankedJob[]> {
+	const groups: Record<ObjectiveStatus, RankedJob[]> = {
+		serving: [], timely: [], displaced: [], late: [], hopeless: [],
+	};
+	for (const ranked of jobs) {
+		groups[ranked.objectiveStatus].push(ranked);
+	}
+
+	return groups;
+}
+
+function compareByPriority(left: RankedJob, right: RankedJob): number {
+	return objectiveStatusOrder[left.objectiveStatus] - objectiveStatusOrder[right.objectiveStatus]
+		|| left.job.record.priority - right.job.record.priority
+		|| left.slackMs - right.slackMs;
+}
+
+function sumValues(values: ReadonlyMap<string, number>): number {
+	return sumBy([...values.values()], value => value);
+}
+
+function sumBy<Item>(items: readonly Item[], getAmount: (item: Item) => number): number {
+	return items.reduce((sum, item) => sum + getAmount(item), 0);
+}
--- a/packages/jobs/src/placement/order-jobs.test.ts
+++ b/packages/jobs/src/placement/order-jobs.test.ts
@@ -2,10 +2,14 @@
 import {createTestJob} from '../testing.test-support.js';
 import {type Job} from '../ledger/index.js';
 import {estimateJob} from '../observation/estimate-job.js';
-import {orderJobs, rankJob} from './order-jobs.js';
+import {orderByLargestFirst, rankJob, type RankedJob} from './order-jobs.js';
 
 const getEstimate = (job: Job) => estimateJob(job, spec => spec.estimateMs);
 
+function orderJobs(jobs: readonly Job[], capacityMillis: number): RankedJob[] {
+	return orderByLargestFirst(jobs.map(job => rankJob(job, getEstimate(job), 0)), capacityMillis);
+}
+
 /** Simulates a pool that runs one job at a time in the given order, and counts the jobs that finish within their objective. */
 function countTimely(order: ReadonlyArray<{readonly dueInMs: number; readonly remainingWork: number}>, capacityMillis: number): number {
 	let at = 0;
@@ -18,7 +22,7 @@
 	return count;
 }
 
-describe('orderJobs', () => {
+describe('orderByLargestFirst', () => {
 	// Load pattern: a burst of jobs of one queue exceeds the pool's capacity. Running those with the least slack first makes nearly all of them late.
 	it.each([
 		{name: 'a burst of equal jobs', counts: Array.from({length: 30}, () => 4)},
@@ -28,7 +32,7 @@
 		const capacityMillis = 16_000;
 		const jobs = counts.map((count, index) => createTestJob(`job-${index}`, [{count}]));
 		const leastSlack = jobs.map(job => rankJob(job, getEstimate(job), 0)).sort((left, right) => left.slackMs - right.slackMs || right.remainingWork - left.remainingWork);
-		const ordered = orderJobs(jobs, getEstimate, capacityMillis, 0);
+		const ordered = orderJobs(jobs, capacityMillis);
 		expect(countTimely(ordered, capacityMillis)).toBeGreaterThanOrEqual(countTimely(leastSlack, capacityMillis));
 		const timely = ordered.filter(({objectiveStatus}) => objectiveStatus === 'timely');
 		expect(countTimely(timely, capacityMillis)).toBe(timely.length);
@@ -36,7 +40,7 @@
 
 	it('displaces no job while there is capacity for all', () => {
 		const jobs = [1, 2, 3].map(count => createTestJob(`job-${count}`, [{count}]));
-		expect(orderJobs(jobs, getEstimate, 16_000, 0).map(({objectiveStatus}) => objectiveStatus)).toEqual(['timely', 'timely', 'timely']);
+		expect(orderJobs(jobs, 16_000).map(({objectiveStatus}) => objectiveStatus)).toEqual(['timely', 'timely', 'timely']);
 	});
 
 	// Load pattern: short jobs arrive beside long-running ones. Hopeless jobs must not take resources from jobs that can finish in time.
--- a/packages/jobs/src/placement/order-jobs.ts
+++ b/packages/jobs/src/placement/order-jobs.ts
@@ -1,5 +1,6 @@
 import {isStepReady, type Job, type Step} from '../ledger/index.js';
 import {type JobEstimate} from '../observation/index.js';
+import {lateFactor} from '../value/index.js';
 
 /**
 Status of a job with respect to its latency objective, in scheduling order.
@@ -14,13 +15,11 @@
 */
 export type ObjectiveStatus = 'serving' | 'timely' | 'displaced' | 'late' | 'hopeless';
 
-const objectiveStatusOrder: Readonly<Record<ObjectiveStatus, number>> = {
+/** Position of each status in the scheduling order. @internal */
+export const objectiveStatusOrder: Readonly<Record<ObjectiveStatus, number>> = {
 	serving: 0, timely: 1, displaced: 2, late: 3, hopeless: 4,
 };
 
-/** Multiple of the objective up to which a late job is worth something. */
-const lateFactor = 3;
-
 /** @internal */
 export type RankedJob = {
 	readonly job: Job;
@@ -47,8 +46,7 @@
 @param capacityMillis - Thousandths of a core that the pool has.
 @internal
 */
-export function orderJobs(jobs: Iterable<Job>, getEstimate: (job: Job) => JobEstimate, capacityMillis: number, now: number): RankedJob[] {
-	const ranked = [...jobs].map(job => rankJob(job, getEstimate(job), now));
+export function orderByLargestFirst(ranked: RankedJob[], capacityMillis: number): RankedJob[] {
 	displaceJobs(ranked.filter(({objectiveStatus}) => objectiveStatus === 'timely'), capacityMillis);
 	return ranked.sort((left, right) => objectiveStatusOrder[left.objectiveStatus] - objectiveStatusOrder[right.objectiveStatus]
 		|| left.job.record.priority - right.job.record.priority
--- a/packages/jobs/src/placement/placement-filter.ts
+++ b/packages/jobs/src/placement/placement-filter.ts
@@ -4,15 +4,15 @@
 import {type EvacuationView} from '../evacuation/index.js';
 import {emitCount, type JobFilter, type JobOutput} from '../filter.js';
 import {
-	findTask, isStepReady, type Job, type LedgerView, type Step,
+	findTask, isStepReady, type Job, type LedgerView, type PoolLedger, type Step,
 } from '../ledger/index.js';
 import {getJobEstimate, type ObservationView} from '../observation/index.js';
 import {startValidityMs, type SupervisionView} from '../supervision/index.js';
+import {type ConfigurationView} from '../configuration/index.js';
 import {type Candidate} from './choose-endpoint.js';
+import {orderWaitingJobs} from './displacement-policies.js';
 import {listCandidates} from './list-candidates.js';
-import {
-	listReadySteps, orderJobs, rankJob, type RankedJob,
-} from './order-jobs.js';
+import {listReadySteps, rankJob, type RankedJob} from './order-jobs.js';
 import {
 	isPending, placeGang, placeStep, type PlacementResult,
 } from './place-step.js';
@@ -33,7 +33,7 @@
 /** A pool is searched again after this time even if no change was reported: avoided endpoints may have become usable, and the rank of a job depends on its age. */
 const maxSearchIntervalMs = 50;
 
-type State = {readonly placement: PlacementState} & AuthorityView & LedgerView & SupervisionView & DirectoryView & EvacuationView & ObservationView;
+type State = {readonly placement: PlacementState} & AuthorityView & LedgerView & SupervisionView & DirectoryView & EvacuationView & ObservationView & ConfigurationView;
 
 /**
 Chooses which tasks to start, and on which endpoints.
@@ -64,6 +64,7 @@
 				}
 			}
 
+			placement.displacements.delete(pool);
 			return [];
 		},
 		'endpoint-forgotten'({placement}, {endpointId}) {
@@ -126,7 +127,7 @@
 
 	const search = createPlacementSearch(usable);
 	if (usable.length > 0) {
-		outputs.push(emitCount('placement_searches_total'), ...placeJobs(state, poolName, search, confirmed, context));
+		outputs.push(emitCount('placement_searches_total'), ...placeJobs(state, pool, search, confirmed, context));
 	}
 
 	for (const job of waiting) {
@@ -141,11 +142,11 @@
 }
 
 /** Places the tasks of the waiting jobs in the order of their ranks. Jobs that no endpoint can take are left out, as they would displace others. */
-function placeJobs(state: State, pool: string, search: PlacementSearch, waiting: readonly Job[], context: DecisionContext): JobOutput[] {
+function placeJobs(state: State, pool: Readonly<PoolLedger>, search: PlacementSearch, waiting: readonly Job[], context: DecisionContext): JobOutput[] {
 	const attainable = waiting.filter(job => hasAttainableStep(state, search, job));
-	state.placement.searchSizes.set(pool, {ranked: attainable.length, unattainable: waiting.length - attainable.length});
-	const outputs: JobOutput[] = [];
-	for (const {job} of orderJobs(attainable, job => getJobEstimate(state, job, context.now), sumCapacityMillis(search.candidates), context.now)) {
+	state.placement.searchSizes.set(pool.pool, {ranked: attainable.length, unattainable: waiting.length - attainable.length});
+	const {ordered, outputs} = orderWaitingJobs(state, {pool, waiting: attainable, capacityMillis: sumCapacityMillis(search.candidates)}, context);
+	for (const {job} of ordered) {
 		if (job.isAwaitingSurvey) {
 			recordWaitingJob(search, job, 'survey');
 			continue;
--- a/packages/jobs/src/placement/placement-state.ts
+++ b/packages/jobs/src/placement/placement-state.ts
@@ -1,4 +1,5 @@
 import {type Step} from '../ledger/index.js';
+import {type DisplacementPolicy, type PoolDisplacement} from './displacement-state.js';
 
 /** Ticket for starting the tasks of a step on an endpoint. @public */
 export type Ticket = {
@@ -52,8 +53,19 @@
 */
 export type EndpointUse = 'usable' | 'silent' | 'not-ready' | 'evacuated-for-move' | 'evacuated-for-maintenance' | 'unknown-usage' | 'not-on-roster' | 'paused' | 'avoided';
 
+/** Settings of placement. @public */
+export type PlacementOptions = {
+	/** Displacement policy; undefined to choose it by the configuration. */
+	readonly displacement?: DisplacementPolicy | undefined;
+};
+
 /** @public */
 export type PlacementState = {
+	readonly options: PlacementOptions;
+	/** What the order by least cost remembers, by pool. */
+	readonly displacements: Map<string, PoolDisplacement>;
+	/** Accounts that metrics name. */
+	readonly accountLabels: Set<string>;
 	/** Steps of tasks that have been placed but whose runs are not supervised yet, by endpoint and task. */
 	readonly reservedSteps: Map<string, Map<string, Step>>;
 	/** When each pool was last searched for tasks to start, in monotonic ms. */
@@ -73,8 +85,8 @@
 };
 
 /** @public */
-export function createPlacementState(): PlacementState {
+export function createPlacementState(options: PlacementOptions = {}): PlacementState {
 	return {
-		reservedSteps: new Map(), searchedAt: new Map(), searchSizes: new Map(), duePools: new Set(), advice: new Map(), blockedSteps: new WeakMap(), waitLoggedAt: new Map(), endpointUses: new Map(),
+		options, displacements: new Map(), accountLabels: new Set(), reservedSteps: new Map(), searchedAt: new Map(), searchSizes: new Map(), duePools: new Set(), advice: new Map(), blockedSteps: new WeakMap(), waitLoggedAt: new Map(), endpointUses: new Map(),
 	};
 }
