--- a/packages/bench/src/measure/index.ts
+++ b/packages/bench/src/measure/index.ts
@@ -1,5 +1,6 @@
 import {atMostOnceCostMeasure} from './at-most-once-cost.js';
 import {badWorkerMeasure} from './bad-worker.js';
+import {displacementMeasure} from './displacement.js';
 import {floodMeasure} from './flood.js';
 import {type Measure} from './measure.js';
 import {movesMeasure} from './moves.js';
@@ -22,4 +23,5 @@
 	badWorkerMeasure,
 	atMostOnceCostMeasure,
 	throughputMeasure,
+	displacementMeasure,
 ] satisfies Measure[]).map(measure => [measure.name, measure]));
--- a/packages/jobs/src/index.ts
+++ b/packages/jobs/src/index.ts
@@ -13,5 +13,5 @@
 } from './ledger/index.js';
 export {orderWaitingJobs, type DisplacementPolicy, type OrderInput} from './placement/index.js';
 export {
-	computeJobValue, computePriorityFactor, computeSizeValue, computeTimeliness,
+	computeJobValue, computePriorityFactor, computeSizeValue, computeTimeliness, lateFactor,
 } from './value/index.js';
