--- a/packages/bench/src/measure/displacement.ts
+++ b/packages/bench/src/measure/displacement.ts
@@ -22,7 +22,7 @@
 	{
 		name: 'hot-account',
 		cores: 40,
-		accounts: createAccounts(Object.fromEntries(Array.from({length: 10}, (_, index) => [`a${index}`, 4]))),
+		accounts: createAccounts(Array.from({length: 10}, (_, index) => [`a${index}`, 4])),
 		// Usually 32 cores, and 51 while one account sends at seven times its usual rate.
 		streams: Array.from({length: 10}, (_, index) => ({
 			account: `a${index}`, rate: index === 0 ? 14 : 2, meanTasks: 2, taskMs: 800, until,
@@ -31,7 +31,7 @@
 	{
 		name: 'twenty-accounts',
 		cores: 40,
-		accounts: createAccounts(Object.fromEntries([...smallAccounts.map(name => [name, 2]), ...largeAccounts.map(name => [name, 10])])),
+		accounts: createAccounts([...smallAccounts.map(name => [name, 2] as const), ...largeAccounts.map(name => [name, 10] as const)]),
 		// 200 cores.
 		streams: [...smallAccounts.map(account => ({
 			account, rate: 2.5, meanTasks: 2, taskMs: 800, until,
@@ -42,13 +42,13 @@
 	{
 		name: 'urgent-beside-large',
 		cores: 40,
-		// 8 cores of urgent jobs, 64 of large ones.
+		// 8 cores of urgent jobs, 96 of large ones.
 		streams: [
 			{
 				queue: 'urgent', priority: 0, rate: 10, meanTasks: 2, taskMs: 400, until,
 			},
 			{
-				queue: 'large', rate: 4, meanTasks: 16, taskMs: 1000, until,
+				queue: 'large', rate: 6, meanTasks: 16, taskMs: 1000, until,
 			},
 		],
 	},
--- a/packages/bench/src/measure/order-loads.ts
+++ b/packages/bench/src/measure/order-loads.ts
@@ -17,15 +17,22 @@
 	readonly until: number;
 };
 
+const warmUpCount = 20;
+
 /** Creates the jobs of some streams, the times between them and their sizes exponentially distributed. */
 export function createLoad(streams: readonly Stream[], seed: number): LoadJob[] {
 	const random = createRandomSource(seed);
+	// The first numbers of similar seeds are similar.
+	for (let count = 0; count < warmUpCount; count++) {
+		random.getFraction();
+	}
+
 	return streams.flatMap(stream => createStreamJobs(stream, random));
 }
 
 /** Creates accounts with the given weights and no keys or caps. */
-export function createAccounts(weights: Readonly<Record<string, number>>): ClientAccount[] {
-	return Object.entries(weights).map(([name, weight]) => ({
+export function createAccounts(weights: ReadonlyArray<readonly [name: string, weight: number]>): ClientAccount[] {
+	return weights.map(([name, weight]) => ({
 		name, keyHashes: [], priority: 0, weight, cap: {cpuMillis: 0, memoryMb: 0, gpus: 0},
 	}));
 }
--- a/packages/jobs/src/placement/order-by-least-cost.ts
+++ b/packages/jobs/src/placement/order-by-least-cost.ts
@@ -41,8 +41,19 @@
 
 type GuardFinder = (ranked: RankedJob, profile: JobProfile) => GuardGroup | undefined;
 
-/** Tiers by entitlement and urgency: jobs beyond the rate of their account rank behind all others, and in each group priority 0 comes first. */
-const entitlementTiers = {entitled: 0, unentitled: 2} as const;
+type DescriptionInput = {
+	readonly supply: PoolSupply;
+	readonly runningWork: number;
+	readonly findGuard: GuardFinder;
+	/** Whether jobs of several accounts wait. */
+	readonly isShared: boolean;
+	readonly overdrawn: ReadonlySet<string>;
+};
+
+/** Added to the tier and serving class of jobs that stand behind others: those without entitlement, and those of overdrawn accounts. In each group priority 0 comes first. */
+const behind = 2;
+/** Multiple of the mean demand for each unit of weight beyond which an account is overdrawn. Demands of accounts with equal rates differ by less. */
+const overdrawnFactor = 2;
 
 /**
 Orders jobs for placement so that those are displaced that lose least value for the capacity that they set free.
@@ -56,7 +67,6 @@
 	recordOutcomes(pool, jobs, times);
 	const runningWork = sumValues(supply.runningWork);
 	const findGuard = createGuards(pool, supply, jobs);
-	const describe = (ranked: RankedJob) => describeJob(pool, ranked, {capacityMillis: supply.capacityMillis, runningWork}, findGuard);
 	const byStatus = groupByStatus(jobs);
 	const uses = new Map<string, AccountUse>();
 	const getUse = (account: string) => {
@@ -65,14 +75,15 @@
 		return use;
 	};
 
-	const waitingAccounts = new Set(jobs.filter(({objectiveStatus}) => objectiveStatus !== 'serving').map(({job}) => getAccount(job)));
-	const toTiered = (item: OrderedJob) => waitingAccounts.size > 1 ? item : {...item, tier: item.servingClass};
-	const timely = byStatus.timely.map(ranked => toTiered(describe(ranked)));
+	const isShared = new Set(jobs.filter(({objectiveStatus}) => objectiveStatus !== 'serving').map(({job}) => getAccount(job))).size > 1;
+	const overdrawn = isShared ? findOverdrawnAccounts(jobs, supply, weights) : new Set<string>();
+	const describe = (ranked: RankedJob) => describeJob(pool, ranked, {supply, runningWork, findGuard, isShared, overdrawn});
+	const timely = byStatus.timely.map(ranked => describe(ranked));
 	const {kept, displaced} = supply.capacityMillis > 0 ? selectJobs(timely, getUse) : {kept: timely, displaced: []};
-	const late = byStatus.late.map(ranked => toTiered(describe(ranked))).sort((left, right) => left.tier - right.tier || right.density - left.density);
+	const late = byStatus.late.map(ranked => describe(ranked)).sort((left, right) => left.tier - right.tier || right.density - left.density);
 	const explained = displaced.map((item): DisplacedJob => {
 		item.ranked.objectiveStatus = 'displaced';
-		return {ranked: item.ranked, account: item.account, reason: explainDisplacement(item, {supply, uses, isShared: waitingAccounts.size > 1})};
+		return {ranked: item.ranked, account: item.account, reason: explainDisplacement(item, {supply, uses, isShared})};
 	});
 	return {
 		ordered: [
@@ -86,24 +97,47 @@
 	};
 }
 
-function describeJob(pool: PoolDisplacement, ranked: RankedJob, {capacityMillis, runningWork}: {readonly capacityMillis: number; readonly runningWork: number}, findGuard: GuardFinder): OrderedJob {
+function describeJob(pool: PoolDisplacement, ranked: RankedJob, input: DescriptionInput): OrderedJob {
+	const {supply: {capacityMillis}, runningWork, findGuard, isShared, overdrawn} = input;
 	const {job, remainingWork, slackMs, dueInMs} = ranked;
 	const profile = pool.profiles.get(job)!;
-	const servingClass = job.record.priority === 0 ? 0 : 1;
+	const account = getAccount(job);
+	const urgency = job.record.priority === 0 ? 0 : 1;
+	const isEntitled = profile.isEntitled || !isShared;
 	return {
 		ranked,
 		profile,
-		// Running tasks end all the time, so that a job starts once the work before it has been started. It ends in time only if what is running, the work before it and its own can all be done.
-		limit: Math.min(slackMs * capacityMillis, (dueInMs * capacityMillis) - remainingWork - runningWork),
+		// Its last task has to start within its slack, and all that is running then, the work before it and its own have to be done by the time it is due.
+		limit: Math.min(slackMs * capacityMillis, (dueInMs * capacityMillis) - runningWork) - remainingWork,
 		work: remainingWork,
 		density: computeValue(pool, ranked) / Math.max(1, remainingWork),
-		account: getAccount(job),
-		tier: servingClass + (profile.isEntitled ? entitlementTiers.entitled : entitlementTiers.unentitled),
-		servingClass,
+		account,
+		tier: urgency + (isEntitled ? 0 : behind),
+		servingClass: urgency + (isEntitled && !overdrawn.has(account) ? 0 : behind),
 		guard: findGuard(ranked, profile),
 	};
 }
 
+/**
+Finds the accounts that demand far more of the pool than others, relative to their weights.
+
+Their jobs are served behind those of the others. Otherwise jobs of the others would be started at the last moment, beside older ones of these accounts, and some of them miss their objective.
+*/
+function findOverdrawnAccounts(jobs: readonly RankedJob[], supply: PoolSupply, weights: AccountWeights): Set<string> {
+	const demands = new Map(supply.runningWork);
+	for (const {job, remainingWork, objectiveStatus} of jobs) {
+		if (objectiveStatus === 'timely') {
+			const account = getAccount(job);
+			demands.set(account, (demands.get(account) ?? 0) + remainingWork);
+		}
+	}
+
+	const total = sumValues(demands);
+	const totalWeight = sumBy([...demands.keys()], account => weights.getWeight(account));
+	const isOverdrawn = (account: string, demand: number) => demand * totalWeight > overdrawnFactor * total * weights.getWeight(account);
+	return new Set([...demands].filter(([account, demand]) => isOverdrawn(account, demand)).map(([account]) => account));
+}
+
 /** Computes the value of a job if it is served as its status allows: in time unless it is late already. @internal */
 export function computeValue(pool: PoolDisplacement, {job, totalWork, objectiveStatus}: RankedJob): number {
 	const {work} = getQueueRecord(pool, job.record.queue);
--- a/packages/jobs/src/placement/select-jobs.ts
+++ b/packages/jobs/src/placement/select-jobs.ts
@@ -38,6 +38,7 @@
 	/** Indexes of its jobs, the densest first. */
 	readonly order: readonly number[];
 	next: number;
+	/** Indexes of its guarded jobs, in their serving order. */
 	readonly guarded: readonly number[];
 };
 
@@ -137,10 +138,12 @@
 	}
 
 	return [...groups].map(([account, indexes]) => {
+		// Guarded jobs are considered in their serving order. Otherwise those that have waited would give way to new ones that are a little smaller, and none would be served.
+		const guarded = indexes.filter(index => sorted[index]!.guard !== undefined);
 		// Equally dense jobs are considered in their serving order, which the sort keeps.
-		const order = indexes.sort((left, right) => sorted[right]!.density - sorted[left]!.density);
+		const order = [...indexes].sort((left, right) => sorted[right]!.density - sorted[left]!.density);
 		return {
-			use: getUse(account), order, next: 0, guarded: order.filter(index => sorted[index]!.guard !== undefined),
+			use: getUse(account), order, next: 0, guarded,
 		};
 	});
 }
