--- a/packages/jobs/src/index.ts
+++ b/packages/jobs/src/index.ts
@@ -12,4 +12,10 @@
 } from './accounts/index.js';
 export {checkCallerRequest, type CallerRequestSummary} from './intake/index.js';
 export {findQueue, type QueueMatch} from './configuration/index.js';
-export {rosterRecordKey} from './ledger/index.js';
+export {
+	createPoolLedger, isStepReady, restoreJob, rosterRecordKey, type Job, type Step, type Task,
+} from './ledger/index.js';
+export {orderWaitingJobs, type DisplacementPolicy, type OrderInput} from './placement/index.js';
+export {
+	computeJobValue, computePriorityFactor, computeSizeValue, computeTimeliness, lateFactor,
+} from './value/index.js';
--- a/packages/jobs/src/jobs-state.ts
+++ b/packages/jobs/src/jobs-state.ts
@@ -8,7 +8,7 @@
 import {createLedgerState, type LedgerState} from './ledger/index.js';
 import {createObservationState, type ObservationState} from './observation/index.js';
 import {createPacingState, type PacingState} from './pacing/index.js';
-import {createPlacementState, type PlacementState} from './placement/index.js';
+import {createPlacementState, type PlacementOptions, type PlacementState} from './placement/index.js';
 import {createQuotaState, type QuotaState} from './quota/index.js';
 import {createRelayState, type RelayState} from './relay/index.js';
 import {createReportingState, type ReportingState} from './reporting/index.js';
@@ -43,11 +43,12 @@
 	readonly orderLeaseMs: number;
 	/** Time in ms after which no entry may accept an API key that was removed from the configuration; undefined where revocation is not strict. */
 	readonly strictRevokeMs?: number | undefined;
+	readonly placement?: PlacementOptions;
 };
 
 /** @public */
 export function createJobsState({
-	node, incarnation, orderLeaseMs, strictRevokeMs,
+	node, incarnation, orderLeaseMs, strictRevokeMs, placement,
 }: JobsOptions): JobsState {
 	return {
 		authority: createAuthorityState(node, incarnation),
@@ -60,7 +61,7 @@
 		ledger: createLedgerState(),
 		evacuation: createEvacuationState(),
 		observation: createObservationState(),
-		placement: createPlacementState(),
+		placement: createPlacementState(placement),
 		quota: createQuotaState(),
 		reporting: createReportingState(),
 		pacing: createPacingState(),
--- a/packages/jobs/src/placement/account-budgets.ts
+++ b/packages/jobs/src/placement/account-budgets.ts
@@ -21,6 +21,8 @@
 /** What a search may still start of one account. */
 type AccountBudget = {
 	readonly cap: Resources;
+	/** Thousandths of a core that the account may have running in the pool. */
+	readonly allowanceMillis: number;
 	remaining: Resources;
 	/** Whether a task waits for what is left, so that no later one takes it. */
 	isSpoken: boolean;
@@ -34,6 +36,9 @@
 	readonly known: ReadonlyMap<string, AccountBudget | undefined>;
 };
 
+/** @internal */
+export type AccountOrder = (jobs: readonly Job[], allowanceMillis: number) => readonly RankedJob[];
+
 type State = {readonly placement: PlacementState} & QuotaView & SupervisionView & LedgerView & DirectoryView;
 
 /** A gang that waits for this long keeps later tasks of its account from starting, so that enough of the share comes free together. */
@@ -61,6 +66,7 @@
 				? undefined
 				: {
 					cap: getCap(state, account) ?? computeResources(() => Number.POSITIVE_INFINITY),
+					allowanceMillis: allowance.cpuMillis,
 					remaining: unsurveyed.has(account) ? computeResources(name => Math.min(0, allowance[name] - used[name])) : subtractResources(allowance, used),
 					isSpoken: false,
 					heldSteps: new Set<Step>(),
@@ -92,10 +98,10 @@
 /**
 Selects the jobs that their accounts' budgets allow to start a task. The others are held back before the jobs are ranked, as they would displace jobs that can start.
 
-@param orderAccountJobs - Orders the jobs of one account.
+@param orderAccountJobs - Orders the jobs of one account, given the thousandths of a core that it may have running.
 @internal
 */
-export function selectWithinBudgets(budgets: AccountBudgets, jobs: readonly Job[], orderAccountJobs: (jobs: readonly Job[]) => readonly RankedJob[], now: number): {readonly selected: readonly Job[]; readonly held: readonly Job[]} {
+export function selectWithinBudgets(budgets: AccountBudgets, jobs: readonly Job[], orderAccountJobs: AccountOrder, now: number): {readonly selected: readonly Job[]; readonly held: readonly Job[]} {
 	const jobsByAccount = new Map<string, Job[]>();
 	for (const job of jobs) {
 		const {account} = job.record;
@@ -164,7 +170,7 @@
 }
 
 /** Finds the jobs of an account of which the budget allows no task to start. */
-function holdBackJobs(budget: AccountBudget, jobs: readonly Job[], orderAccountJobs: (jobs: readonly Job[]) => readonly RankedJob[], now: number): Job[] {
+function holdBackJobs(budget: AccountBudget, jobs: readonly Job[], orderAccountJobs: AccountOrder, now: number): Job[] {
 	const total = sumResources(jobs.map(job => sumPendingTasks(job)));
 	if (hasBudgetFor(budget.remaining, total)) {
 		return [];
@@ -172,7 +178,7 @@
 
 	const held: Job[] = [];
 	let {remaining} = budget;
-	for (const {job} of orderAccountJobs(jobs)) {
+	for (const {job} of orderAccountJobs(jobs, budget.allowanceMillis)) {
 		const pendingSteps = listReadySteps(job).filter(({tasks}) => tasks.some(task => isPending(task)));
 		let isStartable = pendingSteps.length === 0;
 		for (const step of pendingSteps) {
--- a/packages/jobs/src/placement/placement-filter.ts
+++ b/packages/jobs/src/placement/placement-filter.ts
@@ -4,16 +4,18 @@
 import {type EvacuationView} from '../evacuation/index.js';
 import {emitCount, type JobFilter, type JobOutput} from '../filter.js';
 import {
-	findTask, isStepReady, type Job, type LedgerView, type Step,
+	findTask, isStepReady, type Job, type LedgerView, type PoolLedger, type Step,
 } from '../ledger/index.js';
 import {getJobEstimate, type ObservationView} from '../observation/index.js';
 import {type QuotaView} from '../quota/index.js';
 import {startValidityMs, type SupervisionView} from '../supervision/index.js';
+import {type ConfigurationView} from '../configuration/index.js';
 import {createAccountBudgets, reportAccountDemand, selectWithinBudgets} from './account-budgets.js';
 import {type Candidate} from './choose-endpoint.js';
+import {orderWaitingJobs, rankJobs} from './displacement-policies.js';
 import {listCandidates} from './list-candidates.js';
 import {
-	listReadySteps, orderJobs, rankJob, type RankedJob,
+	listReadySteps, orderByLargestFirst, rankJob, type RankedJob,
 } from './order-jobs.js';
 import {
 	placeGang, placeStep, type PlacementResult,
@@ -35,7 +37,7 @@
 /** A pool is searched again after this time even if no change was reported: avoided endpoints may have become usable, and the rank of a job depends on its age. */
 const maxSearchIntervalMs = 50;
 
-type State = {readonly placement: PlacementState} & AuthorityView & LedgerView & SupervisionView & DirectoryView & EvacuationView & ObservationView & QuotaView;
+type State = {readonly placement: PlacementState} & AuthorityView & LedgerView & SupervisionView & DirectoryView & EvacuationView & ObservationView & QuotaView & ConfigurationView;
 
 /**
 Chooses which tasks to start, and on which endpoints.
@@ -66,6 +68,7 @@
 				}
 			}
 
+			placement.displacements.delete(pool);
 			return [];
 		},
 		'endpoint-forgotten'({placement}, {endpointId}) {
@@ -128,7 +131,7 @@
 
 	const search = createPlacementSearch(usable, createAccountBudgets(state, pool, context));
 	if (usable.length > 0) {
-		outputs.push(emitCount('placement_searches_total'), ...placeJobs(state, poolName, search, confirmed, context));
+		outputs.push(emitCount('placement_searches_total'), ...placeJobs(state, pool, search, confirmed, context));
 	}
 
 	for (const job of waiting) {
@@ -144,18 +147,19 @@
 }
 
 /** Places the tasks of the waiting jobs in the order of their ranks. Jobs that no endpoint can take are left out, as they would displace others. */
-function placeJobs(state: State, pool: string, search: PlacementSearch, waiting: readonly Job[], context: DecisionContext): JobOutput[] {
+function placeJobs(state: State, pool: Readonly<PoolLedger>, search: PlacementSearch, waiting: readonly Job[], context: DecisionContext): JobOutput[] {
 	const attainable = waiting.filter(job => hasAttainableStep(state, search, job));
-	state.placement.searchSizes.set(pool, {ranked: attainable.length, unattainable: waiting.length - attainable.length});
-	const outputs: JobOutput[] = [];
+	state.placement.searchSizes.set(pool.pool, {ranked: attainable.length, unattainable: waiting.length - attainable.length});
 	const capacityMillis = sumCapacityMillis(search.candidates);
-	const order = (jobs: readonly Job[]) => orderJobs(jobs, job => getJobEstimate(state, job, context.now), capacityMillis, context.now);
-	const {selected, held} = selectWithinBudgets(search.budgets, attainable, order, context.now);
+	// The jobs of one account compete for what it may have running.
+	const orderAccountJobs = (jobs: readonly Job[], allowanceMillis: number) => orderByLargestFirst(rankJobs(state, jobs, context.now), Math.min(capacityMillis, allowanceMillis));
+	const {selected, held} = selectWithinBudgets(search.budgets, attainable, orderAccountJobs, context.now);
 	for (const job of held) {
 		recordWaitingJob(search, job, 'account-cap');
 	}
 
-	for (const {job} of order(selected)) {
+	const {ordered, outputs} = orderWaitingJobs(state, {pool, waiting: selected, capacityMillis}, context);
+	for (const {job} of ordered) {
 		if (job.isAwaitingSurvey) {
 			recordWaitingJob(search, job, 'survey');
 			continue;
