Give pollers a copy of an emulated endpoint's ends

The answer held the list itself, so ends that came while it was on its way were in it although their runs were still listed as running. The owner then asked for stops of ended runs and heard of the next ends only a second later. An answer now shows one point of time.

--- a/packages/bench/src/jobs/virtual-task-endpoint.ts
+++ b/packages/bench/src/jobs/virtual-task-endpoint.ts
@@ -199,7 +199,7 @@
 					running: [...runs.values()].map(run => ({
 						taskId: run.taskId, run: run.run, checkpoint: '', percent: getPercent(run, queue.now), load: 0,
 					})),
-					ended: unacknowledgedEnds,
+					ended: [...unacknowledgedEnds],
 				});
 			};
 
