--- a/packages/jobs/src/placement/account-budgets.ts
+++ b/packages/jobs/src/placement/account-budgets.ts
@@ -38,8 +38,12 @@
 
 /** A gang that waits for this long keeps later tasks of its account from starting, so that enough of the share comes free together. */
 const gangPatienceMs = 1000;
-/** Maximum number of held tasks that are looked at to measure a pool's demand. */
+/** Maximum number of held tasks that are looked at to measure a pool's demand, for all accounts together. */
 const maxMeasuredTasks = 300;
+/** The same for each account, however many there are. */
+const minMeasuredTasks = 8;
+/** Interval between two measurements of the same accounts; one takes about as long as a search. */
+const measureIntervalMs = 50;
 
 /** Creates the budgets of a search; what a budget allows is computed when it is first needed. @internal */
 export function createAccountBudgets(state: State, pool: Readonly<PoolLedger>, {wallTime}: Pick<DecisionContext, 'wallTime'>): AccountBudgets {
@@ -116,20 +120,20 @@
 
 /** Tells the shares what could be started now if they were larger. @internal */
 export function reportAccountDemand(state: State & ObservationView, pool: string, search: {readonly candidates: readonly Candidate[]; readonly budgets: AccountBudgets} | undefined, {now}: DecisionContext): JobOutput[] {
-	const demands = new Map<string, AccountDemand>();
-	let candidates: Candidate[] | undefined;
-	for (const [account, budget] of search?.budgets.known ?? []) {
-		if (budget !== undefined && budget.heldSteps.size > 0) {
-			candidates ??= search!.candidates.map(candidate => ({...candidate}));
-			demands.set(account, measureDemand(state, budget, candidates, now));
-		}
+	const owned = state.quota.ownedPools.get(pool);
+	const held = [...search?.budgets.known ?? []].flatMap(([account, budget]) => budget !== undefined && budget.heldSteps.size > 0 ? [{account, budget}] : []);
+	const isKnown = held.length > 0 && held.every(({account}) => owned?.demands.has(account));
+	if ((held.length === 0 && (owned?.demands.size ?? 0) === 0) || (isKnown && now < (owned?.demandsMeasuredAt ?? 0) + measureIntervalMs)) {
+		return [];
 	}
 
-	const wereAny = (state.quota.ownedPools.get(pool)?.demands.size ?? 0) > 0;
-	return demands.size > 0 || wereAny ? [passEvent({kind: 'account-demand-measured', pool, demands})] : [];
+	const maxTasks = Math.max(minMeasuredTasks, Math.ceil(maxMeasuredTasks / held.length));
+	// The accounts are measured by themselves: what one of them is held back from does not keep others from room.
+	const demands = new Map(held.map(({account, budget}) => [account, measureDemand(state, budget, {candidates: search!.candidates.map(candidate => ({...candidate})), maxTasks}, now)]));
+	return [passEvent({kind: 'account-demand-measured', pool, demands})];
 }
 
-function measureDemand(state: ObservationView, {heldSteps, cap}: AccountBudget, candidates: Candidate[], now: number): AccountDemand {
+function measureDemand(state: ObservationView, {heldSteps, cap}: AccountBudget, {candidates, maxTasks}: {readonly candidates: readonly Candidate[]; readonly maxTasks: number}, now: number): AccountDemand {
 	let resources = noResources;
 	let taskCount = 0;
 	for (const step of heldSteps) {
@@ -141,7 +145,7 @@
 				continue;
 			}
 
-			const chosen = taskCount < maxMeasuredTasks ? chooseEndpoint(candidates, task, counts, undefined) : undefined;
+			const chosen = taskCount < maxTasks ? chooseEndpoint(candidates, task, counts, undefined) : undefined;
 			if (chosen === undefined) {
 				break;
 			}
--- a/packages/jobs/src/quota/account-allowance.ts
+++ b/packages/jobs/src/quota/account-allowance.ts
@@ -59,6 +59,7 @@
 
 	const sent = shares.sent.filter(each => each.pool === pool).map(({share}) => share);
 	const limit = shares.limits.get(pool);
+	const held = shares.held.get(pool);
 	const {total} = summarizeRecord(shares.record);
 	return computeResources(name => {
 		if (cap[name] === 0) {
@@ -66,7 +67,7 @@
 		}
 
 		const othersShare = total[name] - own[name];
-		return Math.max(0, Math.min(own[name], limit?.[name] ?? own[name], cap[name] - othersShare, ...sent.map(share => share[name])));
+		return Math.max(0, Math.min(own[name], limit?.[name] ?? own[name], held?.[name] ?? own[name], cap[name] - othersShare, ...sent.map(share => share[name])));
 	});
 }
 
--- a/packages/jobs/src/quota/decide-share.ts
+++ b/packages/jobs/src/quota/decide-share.ts
@@ -63,7 +63,8 @@
 	});
 	return {
 		share,
-		wanted: computeResources(name => input.cap[name] === 0 ? 0 : Math.ceil(input.wanted[name])),
+		// More than the cap cannot be met, and each change costs a write.
+		wanted: computeResources(name => Math.min(input.cap[name], Math.ceil(input.wanted[name]))),
 		limit: computeResources(name => decisions.get(name)!.limit),
 		isYielding: [...decisions.values()].some(({isYielding}) => isYielding),
 	};
--- a/packages/jobs/src/quota/quota-filter.ts
+++ b/packages/jobs/src/quota/quota-filter.ts
@@ -8,11 +8,13 @@
 } from '../filter.js';
 import {type LedgerView} from '../ledger/index.js';
 import {
-	hasComponent, noResources, poolClaimPrefix, type Configuration, type JobEventOf, type Resources, type StoredShares,
+	hasComponent, noResources, poolClaimPrefix, type Configuration, type JobEventOf, type Resources, type ShareRecord, type StoredShares,
 } from '../model/index.js';
 import {type SupervisionView} from '../supervision/index.js';
 import {getAllowance, getCap} from './account-allowance.js';
-import {getAccount, type PoolQuota, type QuotaState} from './quota-state.js';
+import {
+	getAccount, type AccountShares, type PoolQuota, type QuotaState,
+} from './quota-state.js';
 import {markOutdated, reviewShares} from './review-shares.js';
 
 /** Delay before shares grow after an account has been given a cap, in which the owners of all pools record what runs there. */
@@ -56,7 +58,7 @@
 		},
 		'pool-loaded'({quota}, {pool, token}) {
 			quota.ownedPools.set(pool, {
-				pool, token, isListed: false, nextWriteAt: 0, demands: new Map(), histories: new Map(), logAt: 0,
+				pool, token, isListed: false, nextWriteAt: 0, demands: new Map(), demandsMeasuredAt: 0, histories: new Map(), logAt: 0,
 			});
 			return followShares(quota);
 		},
@@ -97,6 +99,7 @@
 			}
 
 			owned.demands = demands;
+			owned.demandsMeasuredAt = context.now;
 			return [...followShares(state.quota), ...reviewShares(state, context)];
 		},
 		'shares-review-due': (state, _event, context) => reviewShares(state, context),
@@ -221,6 +224,10 @@
 	}
 
 	const shares = getAccount(quota, account);
+	if (record !== undefined) {
+		holdChangedShares(quota, shares, record, now);
+	}
+
 	shares.record = record ?? shares.record;
 	shares.revision = revision;
 	// Writes on condition of an earlier revision have been carried out by now or never will be.
@@ -229,6 +236,27 @@
 	return true;
 }
 
+/** Obeys the smaller share where another writer has changed that of an owned pool, which only this entry may; and lets the owners record what runs before shares grow. */
+function holdChangedShares(quota: QuotaState, shares: AccountShares, record: ShareRecord, now: number): void {
+	for (const {pool, isListed} of quota.ownedPools.values()) {
+		const before = (shares.record.pools[pool]?.share ?? noResources);
+		const after = (record.pools[pool]?.share ?? noResources);
+		const isOwnWrite = shares.sent.some(sent => sent.pool === pool && isEqual(sent.share, after));
+		if (isOwnWrite) {
+			shares.held.delete(pool);
+		}
+
+		if (isListed && shares.revision > 0 && !isEqual(before, after) && !isOwnWrite) {
+			shares.held.set(pool, before);
+			shares.takesFrom = Math.max(shares.takesFrom, now + lostRecordDelayMs);
+		}
+	}
+}
+
+function isEqual(one: Resources, other: Resources): boolean {
+	return !hasComponent(name => one[name] !== other[name]);
+}
+
 /** Begins anew with an account whose record has been lost: every owner records what runs in its pools before any share grows. */
 function resetShares(quota: QuotaState, account: string, now: number): void {
 	const shares = getAccount(quota, account);
@@ -249,6 +277,7 @@
 			const sent = shares.sent.find(each => each.writeId === writeId);
 			if (sent !== undefined && revision > shares.revision) {
 				shares.record = sent.record;
+				shares.held.delete(sent.pool);
 				shares.revision = revision;
 				shares.sent = [];
 			}
--- a/packages/jobs/src/quota/quota-state.ts
+++ b/packages/jobs/src/quota/quota-state.ts
@@ -25,6 +25,8 @@
 	readAt: number;
 	/** Monotonic ms before which no share grows: the owners of other pools may not have recorded yet what runs there. */
 	takesFrom: number;
+	/** Limits on the shares of pools whose entry another writer has changed, by pool, until this entry has written it again. */
+	readonly held: Map<string, Resources>;
 	/** Limits on what may be running by pool, for pools whose share other pools are due. */
 	readonly limits: Map<string, Resources>;
 };
@@ -50,6 +52,7 @@
 	nextWriteAt: number;
 	/** What waits only because of the shares, by account, in the last search for tasks to start. */
 	demands: ReadonlyMap<string, AccountDemand>;
+	demandsMeasuredAt: number;
 	readonly histories: Map<string, DemandHistory>;
 	logAt: number;
 };
@@ -95,7 +98,7 @@
 	}
 
 	const created: AccountShares = {
-		record: {cap: {cpuMillis: 0, memoryMb: 0, gpus: 0}, pools: {}}, revision: 0, sent: [], isOutdated: false, readAt: Number.NEGATIVE_INFINITY, takesFrom: 0, limits: new Map(),
+		record: {cap: {cpuMillis: 0, memoryMb: 0, gpus: 0}, pools: {}}, revision: 0, sent: [], isOutdated: false, readAt: Number.NEGATIVE_INFINITY, takesFrom: 0, held: new Map(), limits: new Map(),
 	};
 	accounts.set(account, created);
 	return created;
--- a/packages/jobs/src/quota/review-shares.ts
+++ b/packages/jobs/src/quota/review-shares.ts
@@ -54,7 +54,7 @@
 function reviewPool(state: State, pool: PoolQuota, context: DecisionContext): JobOutput[] {
 	const {quota} = state;
 	const ledger = state.ledger.pools.get(pool.pool);
-	if (!pool.isListed || quota.isStoreLost || ledger?.token !== pool.token || context.now < pool.nextWriteAt) {
+	if (!pool.isListed || quota.isStoreLost || ledger?.token !== pool.token) {
 		return [];
 	}
 
@@ -70,14 +70,11 @@
 		}
 
 		const shares = getAccount(quota, account);
-		if (shares.isOutdated || shares.sent.some(({isPending}) => isPending)) {
-			continue;
-		}
-
+		// Limits change at once, whether a write is possible or not.
 		const change = reviewAccount(quota, pool, {
 			account, cap, shares, usage: usage.get(account) ?? noUsage, mayRelease: isSurveyed && !unsurveyed.has(account),
 		}, context.now);
-		if (change !== undefined) {
+		if (change !== undefined && context.now >= pool.nextWriteAt && !shares.isOutdated && !shares.sent.some(({isPending}) => isPending)) {
 			changes.push(change);
 		}
 	}
@@ -92,7 +89,8 @@
 	readonly usage: AccountUsage;
 	readonly mayRelease: boolean;
 }, now: number): AccountChange | undefined {
-	const own = shares.record.pools[pool.pool];
+	const recorded = shares.record.pools[pool.pool];
+	const own = limitShare(recorded, shares.held.get(pool.pool));
 	const wanted = addResources(usage.possible, pool.demands.get(account)?.resources ?? noResources);
 	const history = updateHistory(pool, account, wanted, now);
 	if (own === undefined && !hasComponent(name => history.peak[name] > 0 || history.previousPeak[name] > 0)) {
@@ -131,13 +129,17 @@
 		return undefined;
 	}
 
-	return isWriteNeeded(own, decision, cap)
+	return isWriteNeeded(recorded, decision, cap)
 		? {
 			account, shares, own: {share: decision.share, wanted: decision.wanted}, cap, isUrgent: hasComponent(name => decision.wanted[name] > ownShare[name]),
 		}
 		: undefined;
 }
 
+function limitShare(recorded: PoolShare | undefined, held: Resources | undefined): PoolShare | undefined {
+	return recorded === undefined || held === undefined ? recorded : {...recorded, share: computeResources(name => Math.min(recorded.share[name], held[name]))};
+}
+
 /** Whether nothing has to change but that idle share may be given back: no pool waits for share, this one has what it wants, and the cap covers all shares. */
 function isSettled({own, shares: {record}, cap, wanted}: {readonly own: PoolShare | undefined; readonly shares: AccountShares; readonly cap: Resources; readonly wanted: Resources}): boolean {
 	const {total, hasUnmetDemand} = summarizeRecord(record);
