--- a/packages/jobs/src/ledger/save-progress.ts
+++ b/packages/jobs/src/ledger/save-progress.ts
@@ -128,7 +128,7 @@
 			if (!isActive(job)) {
 				pool.jobs.delete(jobId);
 				pool.endedJobs.set(jobId, {
-					queue: job.record.queue, account: job.record.account, status: job.status, endedAt: job.endedAt ?? context.wallTime,
+					queue: job.record.queue, account: job.record.account, status: job.status, endedAt: job.endedAt ?? context.wallTime, rooms: job.record.account === undefined ? undefined : job.record.spec.steps.map(({room}) => room),
 				});
 			}
 		}
--- a/packages/jobs/src/model/events.ts
+++ b/packages/jobs/src/model/events.ts
@@ -31,6 +31,8 @@
 	readonly status: JobStatus;
 	/** Unix ms. */
 	readonly endedAt: number;
+	/** Resources of a task of each step, for jobs of accounts that this entry knew before they ended. */
+	readonly rooms?: readonly Resources[] | undefined;
 };
 
 /** Why an endpoint did not carry out an order, or is not known to have done so. @public */
--- a/packages/jobs/src/supervision/unsupervised-runs.ts
+++ b/packages/jobs/src/supervision/unsupervised-runs.ts
@@ -8,9 +8,10 @@
 	for (const taskId of taskIds) {
 		const id = parseTaskId(taskId);
 		const record = id === undefined ? undefined : pool?.jobs.get(id.jobId)?.record;
-		const account = record?.account ?? pool?.endedJobs.get(id?.jobId ?? '')?.account;
+		const ended = pool?.endedJobs.get(id?.jobId ?? '');
+		const account = record?.account ?? ended?.account;
 		if (account !== undefined) {
-			runs.push({account, resources: record?.spec.steps[id?.step ?? 0]?.room});
+			runs.push({account, resources: record?.spec.steps[id!.step]?.room ?? ended?.rooms?.[id!.step]});
 		}
 	}
 
