--- a/packages/entry/src/jobs/jobs-process.ts
+++ b/packages/entry/src/jobs/jobs-process.ts
@@ -1,7 +1,7 @@
 import {randomInt, randomUUID} from 'node:crypto';
 import {createRandomSource, type DecisionContext} from '@pistachiogauge/chain';
 import {
-	applyJobEvent, createJobsState, findQueue, type JobEffect, type JobEvent,
+	applyJobEvent, createJobsState, findQueue, summarizeAccounts, type JobEffect, type JobEvent,
 } from '@pistachiogauge/jobs';
 import {createPipeline} from '@pistachiogauge/pipeline';
 import {
@@ -9,6 +9,7 @@
 } from '@pistachiogauge/platform';
 import {createLineWriter, createLogger, createMetrics} from '@pistachiogauge/telemetry';
 import {containErrors} from '../contain-errors.js';
+import {createAccountGauges} from './account-gauges.js';
 import {createJobSinks} from './create-job-sinks.js';
 import {followConfigurationAndWaves, followMembersAndClaims, type FollowContext} from './follow-records.js';
 import {createPauseMeter} from './pause-meter.js';
@@ -60,6 +61,7 @@
 		lineWriter.writeLine(line);
 	});
 	const metrics = createMetrics();
+	const setAccountGauges = createAccountGauges(metrics);
 	const count = (metric: string) => {
 		metrics.addCount(metric);
 	};
@@ -230,6 +232,7 @@
 					metrics.setGauge('configuration_version', state.configuration.current?.version ?? 0);
 					metrics.setGauge('claims_held', state.authority.heldClaims.size);
 					metrics.setGauge('requests_open', ingress.countOpenRequests());
+					setAccountGauges(summarizeAccounts(state));
 					return metrics.formatMetrics();
 				});
 			}
--- a/packages/jobs/src/index.ts
+++ b/packages/jobs/src/index.ts
@@ -8,4 +8,5 @@
 export {applyJobEvent, jobFilters} from './apply-job-event.js';
 export {createJobsState, type JobsOptions, type JobsState} from './jobs-state.js';
 export {findQueue, type QueueMatch} from './configuration/index.js';
+export {summarizeAccounts, type AccountSummary} from './quota/index.js';
 export {rosterRecordKey} from './ledger/index.js';
