--- a/packages/entry/src/jobs/jobs-process.ts
+++ b/packages/entry/src/jobs/jobs-process.ts
@@ -1,7 +1,7 @@
 import {randomBytes, randomInt, randomUUID} from 'node:crypto';
 import {createRandomSource, type DecisionContext} from '@pistachiogauge/chain';
 import {
-	applyJobEvent, canCheckKeys, checkCallerRequest, createJobsState, findQueue, type CallerAnswer, type CallerOrigin, type JobEffect, type JobEvent, type RelayedRequest,
+	applyJobEvent, canCheckKeys, checkCallerRequest, createJobsState, findQueue, summarizeAccounts, type CallerAnswer, type CallerOrigin, type JobEffect, type JobEvent, type RelayedRequest,
 } from '@pistachiogauge/jobs';
 import {createPipeline} from '@pistachiogauge/pipeline';
 import {
@@ -9,6 +9,7 @@
 } from '@pistachiogauge/platform';
 import {createLineWriter, createLogger, createMetrics} from '@pistachiogauge/telemetry';
 import {containErrors} from '../contain-errors.js';
+import {createAccountGauges} from './account-gauges.js';
 import {createConfigurationDecoder} from './configuration-decoder.js';
 import {createConfigurationReader} from './confirm-configuration.js';
 import {createJobSinks} from './create-job-sinks.js';
@@ -65,6 +66,7 @@
 		lineWriter.writeLine(line);
 	});
 	const metrics = createMetrics();
+	const setAccountGauges = createAccountGauges(metrics);
 	const count = (metric: string) => {
 		metrics.addCount(metric);
 	};
@@ -206,6 +208,7 @@
 				metrics.setGauge('configuration_version', state.configuration.current?.version ?? 0);
 				metrics.setGauge('claims_held', state.authority.heldClaims.size);
 				metrics.setGauge('requests_open', ingress.countOpenRequests());
+				setAccountGauges(summarizeAccounts(state));
 				return metrics.formatMetrics();
 			},
 			log,
--- a/packages/jobs/src/index.ts
+++ b/packages/jobs/src/index.ts
@@ -16,6 +16,7 @@
 	createPoolLedger, isStepReady, restoreJob, rosterRecordKey, type Job, type Step, type Task,
 } from './ledger/index.js';
 export {orderWaitingJobs, type DisplacementPolicy, type OrderInput} from './placement/index.js';
+export {summarizeAccounts, type AccountSummary} from './quota/index.js';
 export {
 	computeJobValue, computePriorityFactor, computeSizeValue, computeTimeliness, lateFactor,
 } from './value/index.js';
