--- a/packages/jobs/src/placement/displacement-state.ts
+++ b/packages/jobs/src/placement/displacement-state.ts
@@ -30,6 +30,8 @@
 	readonly isEntitled: boolean;
 	/** Monotonic ms by which the job is due, by its last estimate. */
 	dueAt: number;
+	/** Whether it was kept because too few jobs of its size are served. */
+	isKeptByGuard: boolean;
 	/** Why it was displaced first; undefined while it has not been. */
 	displacedFor: DisplacementReason | undefined;
 };
--- a/packages/jobs/src/placement/order-by-least-cost.ts
+++ b/packages/jobs/src/placement/order-by-least-cost.ts
@@ -8,7 +8,7 @@
 	getAccount, getQueueRecord, profileJobs, recordOutcomes,
 } from './profile-jobs.js';
 import {
-	selectJobs, type AccountUse, type GuardGroup, type SelectableJob,
+	selectJobs, type AccountUse, type Guard, type SelectableJob,
 } from './select-jobs.js';
 
 /** What a pool has for the jobs that wait, besides what is running. @internal */
@@ -39,7 +39,7 @@
 	readonly displaced: readonly DisplacedJob[];
 };
 
-type GuardFinder = (ranked: RankedJob, profile: JobProfile) => GuardGroup | undefined;
+type GuardFinder = (ranked: RankedJob, profile: JobProfile) => Guard | undefined;
 
 type DescriptionInput = {
 	readonly supply: PoolSupply;
@@ -52,6 +52,8 @@
 
 /** Added to the tier and serving class of jobs that stand behind others: those without entitlement, and those of overdrawn accounts. In each group priority 0 comes first. */
 const behind = 2;
+/** Time before the last moment by which a kept job is started: the orders take some ms, and a job that misses its objective by little has wasted its capacity. */
+const startMarginMs = 100;
 /** Multiple of the mean demand for each unit of weight beyond which an account is overdrawn. Demands of accounts with equal rates differ by less. */
 const overdrawnFactor = 2;
 
@@ -108,7 +110,7 @@
 		ranked,
 		profile,
 		// Its last task has to start within its slack, and all that is running then, the work before it and its own have to be done by the time it is due.
-		limit: Math.min(slackMs * capacityMillis, (dueInMs * capacityMillis) - runningWork) - remainingWork,
+		limit: Math.min((slackMs - startMarginMs) * capacityMillis, (dueInMs * capacityMillis) - runningWork) - remainingWork,
 		work: remainingWork,
 		density: computeValue(pool, ranked) / Math.max(1, remainingWork),
 		account,
@@ -149,27 +151,12 @@
 	serving: 1, timely: 1, displaced: 1, late: lateShare, hopeless: 0,
 };
 
-/** Creates a function that finds the guard group of a job; the groups count the open jobs of a queue and size. */
+/** Creates a function that finds the guard of a job. Guards count the open jobs of each queue and size. */
 function createGuards(pool: PoolDisplacement, {runningJobs}: PoolSupply, jobs: readonly RankedJob[]): GuardFinder {
-	const groups = new Map<string, {total: number; kept: number; readonly guard: GuardGroup}>();
+	const groups = new Map<string, {total: number; kept: number}>();
 	const findGroup = (queue: string, size: GuardedSize) => {
 		const key = `${size} ${queue}`;
-		const known = groups.get(key);
-		if (known !== undefined) {
-			return known;
-		}
-
-		const {service} = getQueueRecord(pool, queue);
-		const group = {
-			total: 0,
-			kept: 0,
-			guard: {
-				isShort: () => isSizeShort(service, size, group),
-				addKept() {
-					group.kept += 1;
-				},
-			},
-		};
+		const group = groups.get(key) ?? {total: 0, kept: 0};
 		groups.set(key, group);
 		return group;
 	};
@@ -191,7 +178,24 @@
 		countJob(job, true);
 	}
 
-	return ({job}, {size}) => isGuarded(size) && pool.openJobs.has(job) ? findGroup(job.record.queue, size).guard : undefined;
+	return ({job}, profile) => {
+		const {size} = profile;
+		if (!isGuarded(size) || !pool.openJobs.has(job)) {
+			return undefined;
+		}
+
+		const {queue} = job.record;
+		const {service} = getQueueRecord(pool, queue);
+		const group = findGroup(queue, size);
+		return {
+			wasKept: profile.isKeptByGuard,
+			isShort: () => isSizeShort(service, size, group),
+			addKept(isKeptByGuard) {
+				group.kept += 1;
+				profile.isKeptByGuard ||= isKeptByGuard;
+			},
+		};
+	};
 }
 
 function isGuarded(size: JobSize): size is GuardedSize {
--- a/packages/jobs/src/placement/profile-jobs.ts
+++ b/packages/jobs/src/placement/profile-jobs.ts
@@ -34,6 +34,7 @@
 			size: classifySize(getQueueRecord(pool, job.record.queue).work, totalWork),
 			isEntitled: !weights.isLimited(account) || acquireEntitlement(pool.allowances, account, weights.getWeight(account), job.acceptedAt),
 			dueAt: Number.POSITIVE_INFINITY,
+			isKeptByGuard: false,
 			displacedFor: undefined,
 		});
 		if (job.record.spec.repeatCount === 0) {
--- a/packages/jobs/src/placement/select-jobs.ts
+++ b/packages/jobs/src/placement/select-jobs.ts
@@ -11,14 +11,18 @@
 	readonly tier: number;
 	/** Position in the order in which kept jobs are served: a lower class comes first, and within it the lower limit. */
 	readonly servingClass: number;
-	/** Group of jobs of which enough have to be kept; undefined for none. */
-	readonly guard: GuardGroup | undefined;
+	/** Undefined for a job that is not guarded. */
+	readonly guard: Guard | undefined;
 };
 
-/** Jobs of one queue and size, of which enough have to be kept. @internal */
-export type GuardGroup = {
+/** Guard of a job of a size of which enough have to be kept. @internal */
+export type Guard = {
+	/** Whether the guard has kept this job in an earlier selection. */
+	readonly wasKept: boolean;
+	/** Whether more jobs of the same queue and size have to be kept. */
 	isShort(): boolean;
-	addKept(): void;
+	/** Records that the job is kept. @param isGuarded - Whether it is kept because its size is short. */
+	addKept(isGuarded: boolean): void;
 };
 
 /** Work that an account has kept, relative to its weight. @internal */
@@ -38,7 +42,7 @@
 	/** Indexes of its jobs, the densest first. */
 	readonly order: readonly number[];
 	next: number;
-	/** Indexes of its guarded jobs, in their serving order. */
+	/** Indexes of its guarded jobs, in the order in which the guard keeps them. */
 	readonly guarded: readonly number[];
 };
 
@@ -71,9 +75,10 @@
 			}
 
 			const item = sorted[index]!;
+			const isShort = item.guard?.isShort() ?? false;
 			if (schedule.insert(index)) {
 				candidates.use.work += item.work;
-				item.guard?.addKept();
+				item.guard?.addKept(isShort);
 			} else {
 				displaced.push(item);
 			}
@@ -138,12 +143,13 @@
 	}
 
 	return [...groups].map(([account, indexes]) => {
-		// Guarded jobs are considered in their serving order. Otherwise those that have waited would give way to new ones that are a little smaller, and none would be served.
-		const guarded = indexes.filter(index => sorted[index]!.guard !== undefined);
 		// Equally dense jobs are considered in their serving order, which the sort keeps.
-		const order = [...indexes].sort((left, right) => sorted[right]!.density - sorted[left]!.density);
+		const order = indexes.sort((left, right) => sorted[right]!.density - sorted[left]!.density);
+		const guarded = order.filter(index => sorted[index]!.guard !== undefined);
+		// Otherwise jobs that the guard has kept before would give way to new ones that are a little smaller, and none would be served.
+		const keptBefore = guarded.filter(index => sorted[index]!.guard!.wasKept);
 		return {
-			use: getUse(account), order, next: 0, guarded,
+			use: getUse(account), order, next: 0, guarded: [...keptBefore, ...guarded.filter(index => !sorted[index]!.guard!.wasKept)],
 		};
 	});
 }
--- a/packages/jobs/src/value/size-guard.ts
+++ b/packages/jobs/src/value/size-guard.ts
@@ -13,8 +13,8 @@
 const memoryCounts: Readonly<Record<JobSize | 'all', number>> = {
 	all: 200, large: 50, medium: 50, small: 200,
 };
-/** Share of the whole queue's rate at which each guarded size is served at least: half by the operators' rule, and a margin, as some of the jobs that are kept still miss their objective. */
-const guardedShare = 0.6;
+/** Share of the whole queue's rate at which each guarded size is kept: half by the operators' rule, and a margin, as some of the jobs that are kept still miss their objective, large ones more often. */
+const guardedShares: Readonly<Record<GuardedSize, number>> = {large: 0.8, medium: 0.6};
 /** Outcomes that a queue starts with, all on time, so that the first job does not decide. */
 const initialCount = 2;
 
@@ -45,5 +45,5 @@
 export function isSizeShort(service: QueueService, size: GuardedSize, open: {readonly total: number; readonly kept: number}): boolean {
 	const {served, total} = service[size];
 	const rate = service.all.served / service.all.total;
-	return served + open.kept < guardedShare * rate * (total + open.total);
+	return served + open.kept < guardedShares[size] * rate * (total + open.total);
 }
