Let pools have more than their part of a cap in turn for large gangs

Two pools that wanted more than a cap got half of it each. If the first task or gang of both took more than that, both waited for ever with idle shares. A pool now records what such a unit takes, and the one that has waited longest is due that much.

--- a/packages/bench/src/capacity-main.ts
+++ b/packages/bench/src/capacity-main.ts
@@ -3,6 +3,7 @@
 import {fitLine, computeMedian} from './capacity/fit-line.js';
 import {heapMeasures, measureHeap, releaseSamples} from './capacity/heap-measures.js';
 import {measureCodec, sizedMessages} from './capacity/message-measures.js';
+import {createSampleShares, shareMeasures} from './capacity/share-measures.js';
 
 /** Prints message bytes, heap bytes and processor time at several sizes, and the lines fitted to them, as one JSON object per line. */
 const repeatCount = 5;
@@ -53,3 +54,9 @@
 measureSizes(heapMeasures, 'heapBytes', measureHeap);
 releaseSamples();
 measureSizes(cpuMeasures, 'cpuUs', measureCpu);
+measureSizes(shareMeasures, 'cpuUs', measureCpu);
+for (const size of [5, 25, 75]) {
+	writeJsonLine({
+		capacity: 'shares-record', size, sizeUnit: 'pools', bytes: JSON.stringify(createSampleShares(size)).length,
+	});
+}
--- a/packages/bench/src/jobs/account-caps.test.ts
+++ b/packages/bench/src/jobs/account-caps.test.ts
@@ -349,6 +349,17 @@
 		expect(simulation.store.getProgress(gang!)?.endedAt).toBeDefined();
 	});
 
+	// Guards against gangs in two pools that each wait with a part of the cap that is too small for them.
+	it('let gangs that take more than half of the cap start in turn', () => {
+		const simulation = startSimulation({seed: 8});
+		const record = recordUse(simulation);
+		const gang = {traits: {count: 11, isGang: true}, durationMs: 1000};
+		const jobs = [...submitJobs(simulation, 4, gang), ...submitJobs(simulation, 4, {...gang, pool: 'notify'}), ...submitJobs(simulation, 20)];
+		simulation.runFor(16_000);
+		expect(listUnfinished(simulation, jobs)).toEqual([]);
+		expect(record.getMaximum('cpuMillis')).toBeLessThanOrEqual(cap.cpuMillis);
+	});
+
 	// Guards against limits of one write or one watch that many accounts run into.
 	it('of many other accounts keep to their caps and are done', () => {
 		const names = Array.from({length: 60}, (_unused, index) => `account ${index}/\u00FC`);
--- a/packages/entry/src/jobs/account-gauges.test.ts
+++ b/packages/entry/src/jobs/account-gauges.test.ts
@@ -11,19 +11,19 @@
 describe('createAccountGauges', () => {
 	it.each([
 		{
-			name: 'few accounts', scrapes: [['a', 'b']], series: 2, expected: {'account_share_millis{account="a"}': 5},
+			name: 'few accounts', scrapes: [['a', 'b']], series: 2, expected: [['account_share_millis{account="a"}', 5]],
 		},
 		{
-			name: 'more accounts than are named', scrapes: [createNames(60)], series: 51, expected: {'account_share_millis{account="other"}': 50, 'account_waiting_jobs{account="other"}': 10},
+			name: 'more accounts than are named', scrapes: [createNames(60)], series: 51, expected: [['account_share_millis{account="other"}', 50], ['account_waiting_jobs{account="other"}', 10]],
 		},
 		{
-			name: 'other accounts each time', scrapes: [createNames(50), createNames(200).slice(100)], series: 51, expected: {'account_share_millis{account="account0"}': 0, 'account_share_millis{account="other"}': 500},
+			name: 'other accounts each time', scrapes: [createNames(50), createNames(200).slice(100)], series: 51, expected: [['account_share_millis{account="account0"}', 0], ['account_share_millis{account="other"}', 500]],
 		},
 		{
-			name: 'a name with quotes', scrapes: [['a"} 1\n']], series: 1, expected: {'account_cap_millis{account="a__ 1_"}': 10},
+			name: 'a name with quotes', scrapes: [['a"} 1\n']], series: 1, expected: [['account_cap_millis{account="a__ 1_"}', 10]],
 		},
 		{
-			name: 'an account with the name of the rest', scrapes: [['other']], series: 1, expected: {'account_cap_millis{account="other_"}': 10},
+			name: 'an account with the name of the rest', scrapes: [['other']], series: 1, expected: [['account_cap_millis{account="other_"}', 10]],
 		},
 	])('names a bounded number of accounts: $name', ({scrapes, series, expected}) => {
 		const gauges = new Map<string, number>();
@@ -37,6 +37,6 @@
 		}
 
 		expect([...gauges.keys()].filter(metric => metric.startsWith('account_share_millis'))).toHaveLength(series);
-		expect(Object.fromEntries(gauges)).toMatchObject(expected);
+		expect([...gauges]).toEqual(expect.arrayContaining(expected));
 	});
 });
--- a/packages/entry/src/jobs/create-share-sinks.test.ts
+++ b/packages/entry/src/jobs/create-share-sinks.test.ts
@@ -1,7 +1,9 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {describe, expect, it} from 'vitest';
 import {type JobEvent, type ShareRecord} from '@pistachiogauge/jobs';
-import {type StoreClient, type StoreItem, type StoreTransaction, type TransactionResult} from '@pistachiogauge/platform';
+import {
+	type StoreClient, type StoreItem, type StoreTransaction, type TransactionResult,
+} from '@pistachiogauge/platform';
 import {createShareSinks} from './create-share-sinks.js';
 
 const account = 'Presse/Süd 100%';
@@ -45,7 +47,9 @@
 			}
 		});
 	});
-	return {sinks, events, transactions, ignoredKeys};
+	return {
+		sinks, events, transactions, ignoredKeys,
+	};
 }
 
 const write = {
@@ -61,7 +65,7 @@
 		{name: 'is refused', reply: {kind: 'refused'}, expected: {result: 'refused', isClaimLost: false}},
 		{name: 'is not answered', reply: {kind: 'unknown'}, expected: {result: 'unknown', isClaimLost: false}},
 		{name: 'fails', reply: 'thrown', expected: {result: 'unknown', isClaimLost: false}},
-	] satisfies ReadonlyArray<{readonly name: string; readonly reply: Reply; readonly expected: object}>)('$name', async ({reply, expected}) => {
+	] satisfies ReadonlyArray<{readonly name: string; readonly reply: Reply; readonly expected: Record<string, unknown>}>)('$name', async ({reply, expected}) => {
 		const {sinks, events, transactions} = createSinks({reply});
 		sinks['write-shares'](write);
 		await delay(5);
@@ -76,11 +80,21 @@
 // Guards against a damaged record that is taken for an absent one, or that hides the others.
 describe('records of shares', () => {
 	const odd = [
-		{name: 'an intact record', items: [{key, value: JSON.stringify(record), revision: 4}], expected: [{account, revision: 4, record}], ignored: 0},
-		{name: 'no JSON', items: [{key, value: '{', revision: 4}], expected: [{account, revision: 4, record: undefined}], ignored: 1},
-		{name: 'a negative share', items: [{key, value: JSON.stringify(record).replace('5', '-5'), revision: 4}], expected: [{account, revision: 4, record: undefined}], ignored: 1},
-		{name: 'a key that names no account', items: [{key: 'shares/%E0%A4%A', value: '{}', revision: 4}, {key, value: JSON.stringify(record), revision: 5}], expected: [{account, revision: 5, record}], ignored: 1},
-		{name: 'none', items: [], expected: [], ignored: 0},
+		{
+			name: 'an intact record', items: [{key, value: JSON.stringify(record), revision: 4}], expected: [{account, revision: 4, record}], ignored: 0,
+		},
+		{
+			name: 'no JSON', items: [{key, value: '{', revision: 4}], expected: [{account, revision: 4, record: undefined}], ignored: 1,
+		},
+		{
+			name: 'a negative share', items: [{key, value: JSON.stringify(record).replace('5', '-5'), revision: 4}], expected: [{account, revision: 4, record: undefined}], ignored: 1,
+		},
+		{
+			name: 'a key that names no account', items: [{key: 'shares/%E0%A4%A', value: '{}', revision: 4}, {key, value: JSON.stringify(record), revision: 5}], expected: [{account, revision: 5, record}], ignored: 1,
+		},
+		{
+			name: 'none', items: [], expected: [], ignored: 0,
+		},
 	] as const;
 
 	it.each(odd)('are listed for the owner of pools: $name', async ({items, expected, ignored}) => {
--- a/packages/entry/src/jobs/record-schemas.ts
+++ b/packages/entry/src/jobs/record-schemas.ts
@@ -88,7 +88,9 @@
 	recentOrders: z.object({token: count, machines: z.array(z.string())}),
 	shares: z.object({
 		cap: resources,
-		pools: createTableSchema(z.object({share: resources, wanted: resources})),
+		pools: createTableSchema(z.object({
+			share: resources, wanted: resources, unit: resources.optional(), unitSince: z.number().optional(),
+		})),
 	}),
 	demandHistory: z.object({
 		history: z.array(z.object({
--- a/packages/jobs/src/model/coordination.ts
+++ b/packages/jobs/src/model/coordination.ts
@@ -108,6 +108,10 @@
 	readonly share: Resources;
 	/** What the pool's tasks of the account occupy, and what those would take that wait only because of the cap. */
 	readonly wanted: Resources;
+	/** What a task or gang takes that can only start whole, if that is more than the pool's part of the cap. */
+	readonly unit?: Resources | undefined;
+	/** Unix ms since when it waits; pools get as much as such a unit takes in turn. */
+	readonly unitSince?: number | undefined;
 };
 
 /** How an account's cap is divided among the pools. @public */
--- a/packages/jobs/src/model/events.ts
+++ b/packages/jobs/src/model/events.ts
@@ -253,6 +253,8 @@
 /** @public */
 export type AccountDemand = {
 	readonly resources: Resources;
+	/** What the task or gang takes that comes first, and its step; undefined if it has no room. */
+	readonly unit?: {readonly resources: Resources; readonly stepId: string} | undefined;
 	/** Number of jobs with tasks that wait only because of their account's share. */
 	readonly jobCount: number;
 };
--- a/packages/jobs/src/placement/account-budgets.ts
+++ b/packages/jobs/src/placement/account-budgets.ts
@@ -135,6 +135,8 @@
 
 function measureDemand(state: ObservationView, {heldSteps, cap}: AccountBudget, {candidates, maxTasks}: {readonly candidates: readonly Candidate[]; readonly maxTasks: number}, now: number): AccountDemand {
 	let resources = noResources;
+	let unit: AccountDemand['unit'];
+	let isFirst = true;
 	let taskCount = 0;
 	for (const step of heldSteps) {
 		const {room} = step.spec;
@@ -156,13 +158,19 @@
 			stepCount += 1;
 		}
 
-		if (!step.spec.isGang || stepCount === step.tasks.length) {
+		if (isFirst && stepCount >= countTogether(step)) {
+			unit = {resources: multiplyResources(room, countTogether(step)), stepId: `${step.job.record.id}.${step.key}`};
+		}
+
+		isFirst = false;
+		if (stepCount >= countTogether(step)) {
 			resources = addResources(resources, multiplyResources(room, stepCount));
 		}
 	}
 
 	return {
 		resources: computeResources(name => cap[name] === 0 ? resources[name] : Math.min(resources[name], cap[name])),
+		unit,
 		jobCount: new Set([...heldSteps].map(({job}) => job)).size,
 	};
 }
@@ -180,8 +188,7 @@
 		const pendingSteps = listReadySteps(job).filter(({tasks}) => tasks.some(task => isPending(task)));
 		let isStartable = pendingSteps.length === 0;
 		for (const step of pendingSteps) {
-			const count = step.spec.isGang ? step.tasks.length : 1;
-			const resources = multiplyResources(step.spec.room, count);
+			const resources = multiplyResources(step.spec.room, countTogether(step));
 			if (!budget.isSpoken && hasBudgetFor(remaining, resources)) {
 				isStartable = true;
 				const pendingCount = step.tasks.filter(task => isPending(task)).length;
@@ -203,6 +210,11 @@
 	return held;
 }
 
+/** Returns how many tasks of a step start together. */
+function countTogether({spec, tasks}: Step): number {
+	return spec.isGang ? tasks.length : 1;
+}
+
 function holdStep(budget: AccountBudget, step: Step, resources: Resources, now: number): void {
 	if (hasComponent(name => budget.cap[name] > 0 && resources[name] > budget.cap[name])) {
 		// The cap never allows it, so nothing is kept for it.
--- a/packages/jobs/src/quota/decide-share.test.ts
+++ b/packages/jobs/src/quota/decide-share.test.ts
@@ -93,7 +93,9 @@
 		const decision = decideShare({
 			cap: cpu(100),
 			own: share === undefined ? undefined : createShare(share, 0),
-			others: others.map(([otherShare, otherWanted]) => createShare(otherShare, otherWanted)),
+			pool: 'desk',
+			unit: undefined,
+			others: others.map(([otherShare, otherWanted], index) => [`other${index}`, createShare(otherShare, otherWanted)]),
 			running: cpu(running),
 			possible: cpu(running + maybe),
 			wanted: cpu(wanted),
@@ -108,6 +110,38 @@
 		expect(decision.wanted.cpuMillis).toBe(Math.min(100, wanted));
 	});
 
+	// Guards against two pools that wait for ever, each with an idle part of the cap that is too small for its task or gang.
+	it.each([
+		{
+			name: 'that has waited longest is due as much as its unit', unit: 60, since: 1, otherSince: 2, expected: 60,
+		},
+		{
+			name: 'that has waited less gives back what the other lacks', unit: 60, since: 3, otherSince: 2, expected: 30,
+		},
+		{
+			name: 'whose unit fits into its part keeps that', unit: 40, since: 1, otherSince: undefined, expected: 50,
+		},
+		{
+			name: 'whose unit is larger than the cap keeps its part', unit: 200, since: 1, otherSince: undefined, expected: 50,
+		},
+	])('a pool $name', ({unit, since, otherSince, expected}) => {
+		const decision = decideShare({
+			pool: 'desk',
+			cap: cpu(100),
+			own: createShare(50, 80),
+			others: [['other', {...createShare(expected === 60 ? 40 : 50, 80), ...(otherSince !== undefined && {unit: cpu(70), unitSince: otherSince})}]],
+			running: cpu(0),
+			possible: cpu(0),
+			wanted: cpu(80),
+			peak: cpu(80),
+			unit: {resources: cpu(unit), since},
+			mayTake: true,
+			mayRelease: true,
+		});
+		expect(decision.share.cpuMillis).toBe(expected);
+		expect(decision.unit?.since).toBe(unit > 50 ? since : undefined);
+	});
+
 	it.each([
 		{name: 'demands within the cap', demands: [10, 20, 30], expected: Number.POSITIVE_INFINITY},
 		{name: 'one demand beyond the cap', demands: [150], expected: 100},
--- a/packages/jobs/src/quota/decide-share.ts
+++ b/packages/jobs/src/quota/decide-share.ts
@@ -1,5 +1,5 @@
 import {
-	computeResources, noResources, type PoolShare, type ResourceName, type Resources,
+	computeResources, hasComponent, noResources, type PoolShare, type ResourceName, type Resources,
 } from '../model/index.js';
 
 /** What the owner of a pool knows of an account when it decides on the pool's share. @internal */
@@ -8,8 +8,11 @@
 	readonly cap: Resources;
 	/** The pool's entry in the account's record. */
 	readonly own: PoolShare | undefined;
-	/** The entries of the other pools. */
-	readonly others: readonly PoolShare[];
+	readonly pool: string;
+	/** The entries of the other pools, by name. */
+	readonly others: ReadonlyArray<readonly [name: string, share: PoolShare]>;
+	/** What the pool's first waiting task or gang takes, and since when it waits, in Unix ms. */
+	readonly unit: {readonly resources: Resources; readonly since: number} | undefined;
 	/** What is known to run in the pool, or to have been started there. */
 	readonly running: Resources;
 	/** What may be running in the pool. */
@@ -28,6 +31,8 @@
 export type ShareDecision = {
 	readonly share: Resources;
 	readonly wanted: Resources;
+	/** To be recorded, as it is more than the pool's part of the cap. */
+	readonly unit: ShareInput['unit'];
 	/** Up to this much may be running from now on, beside what runs already; less than the share while other pools are due a part of it that is in use. */
 	readonly limit: Resources;
 	/** Whether the share becomes smaller in a component because another pool wants it. */
@@ -35,7 +40,9 @@
 };
 
 type Component = Readonly<Record<'cap' | 'share' | 'running' | 'possible' | 'wanted' | 'peak', number>> & Pick<ShareInput, 'mayTake' | 'mayRelease'> & {
-	readonly others: ReadonlyArray<{readonly share: number; readonly wanted: number}>;
+	readonly others: ReadonlyArray<{readonly share: number; readonly part: number}>;
+	/** What the pool is due of the cap. */
+	readonly part: number;
 };
 
 type ComponentDecision = {readonly share: number; readonly limit: number; readonly isYielding: boolean};
@@ -56,26 +63,30 @@
 */
 export function decideShare(input: ShareInput): ShareDecision {
 	const decisions = new Map<ResourceName, ComponentDecision>();
+	const {parts, evenParts} = computeParts(input);
 	const share = computeResources(name => {
-		const decision = decideComponent(selectComponent(input, name));
+		const decision = decideComponent(selectComponent(input, parts, name));
 		decisions.set(name, decision);
 		return decision.share;
 	});
+	const evenPart = evenParts.get(input.pool)!;
 	return {
 		share,
 		// More than the cap cannot be met, and each change costs a write.
 		wanted: computeResources(name => Math.min(input.cap[name], Math.ceil(input.wanted[name]))),
+		unit: input.unit !== undefined && isBeyond(input.unit.resources, evenPart, input.cap) ? input.unit : undefined,
 		limit: computeResources(name => decisions.get(name)!.limit),
 		isYielding: [...decisions.values()].some(({isYielding}) => isYielding),
 	};
 }
 
-function selectComponent({own, others, ...input}: ShareInput, name: ResourceName): Component {
+function selectComponent({own, others, ...input}: ShareInput, parts: ReadonlyMap<string, Resources>, name: ResourceName): Component {
 	return {
 		...input,
 		cap: input.cap[name],
 		share: (own?.share ?? noResources)[name],
-		others: others.map(({share, wanted}) => ({share: share[name], wanted: wanted[name]})),
+		others: others.map(([pool, {share}]) => ({share: share[name], part: Math.floor(parts.get(pool)![name])})),
+		part: Math.floor(parts.get(input.pool)![name]),
 		running: Math.ceil(input.running[name]),
 		possible: Math.ceil(input.possible[name]),
 		wanted: Math.ceil(input.wanted[name]),
@@ -83,8 +94,52 @@
 	};
 }
 
+/**
+Computes what each pool is due of the cap: what it wants, or an even part if all pools want more than there is.
+
+A task or gang may take more than the even part of its pool. Of the pools with such a unit, the one that has waited longest is due as much as the unit takes, and the others nothing meanwhile, as they could not use it; otherwise each would wait with an idle part for ever.
+*/
+function computeParts({pool, cap, wanted, unit, others}: ShareInput): {readonly parts: ReadonlyMap<string, Resources>; readonly evenParts: ReadonlyMap<string, Resources>} {
+	const demands = new Map<string, Resources>([[pool, wanted], ...others.map(([name, share]) => [name, share.wanted] as const)]);
+	const units = others.flatMap(([name, share]) => share.unit === undefined ? [] : [{name, resources: share.unit, since: share.unitSince ?? 0}]);
+	if (unit !== undefined) {
+		units.push({name: pool, ...unit});
+	}
+
+	const evenParts = divideEvenly(cap, cap, demands);
+	const stuck = units.filter(({name, resources}) => isBeyond(resources, evenParts.get(name)!, cap) && !isBeyond(resources, cap, cap))
+		.sort((one, other) => one.since - other.since || (one.name < other.name ? -1 : 1));
+	const [first] = stuck;
+	if (first === undefined) {
+		return {parts: evenParts, evenParts};
+	}
+
+	for (const {name} of stuck) {
+		demands.delete(name);
+	}
+
+	const parts = divideEvenly(computeResources(name => cap[name] - first.resources[name]), cap, demands);
+	for (const {name} of stuck) {
+		parts.set(name, name === first.name ? first.resources : noResources);
+	}
+
+	return {parts, evenParts};
+}
+
+function divideEvenly(available: Resources, cap: Resources, demands: ReadonlyMap<string, Resources>): Map<string, Resources> {
+	const levels = computeResources(name => cap[name] === 0 ? Number.POSITIVE_INFINITY : computeLevel(available[name], [...demands.values()].map(demand => demand[name])));
+	return new Map([...demands].map(([pool, demand]) => [pool, computeResources(name => Math.min(demand[name], levels[name]))]));
+}
+
+/** Whether a unit is larger than a part in a component with a limit. */
+function isBeyond(unit: Resources, part: Resources, cap: Resources): boolean {
+	return hasComponent(name => cap[name] > 0 && unit[name] > Math.floor(part[name]));
+}
+
 function decideComponent(component: Component): ComponentDecision {
-	const {cap, running, possible, wanted, others, mayTake, mayRelease} = component;
+	const {
+		cap, running, possible, wanted, others, part, mayTake, mayRelease,
+	} = component;
 	if (cap === 0) {
 		return {share: 0, limit: Number.POSITIVE_INFINITY, isYielding: false};
 	}
@@ -98,9 +153,7 @@
 		return {share: Math.max(released, running), limit: Math.max(0, cap - othersShare), isYielding: released < share};
 	}
 
-	const level = computeLevel(cap, [wanted, ...others.map(other => other.wanted)]);
-	const part = Math.floor(Math.min(wanted, level));
-	const othersNeed = others.reduce((sum, other) => sum + Math.max(0, Math.floor(Math.min(other.wanted, level)) - other.share), 0);
+	const othersNeed = others.reduce((sum, other) => sum + Math.max(0, other.part - other.share), 0);
 	if (othersNeed > free && share > part && mayRelease) {
 		const target = Math.max(part, share - (othersNeed - free));
 		return {share: Math.max(target, Math.min(share, possible)), limit: target, isYielding: true};
--- a/packages/jobs/src/quota/quota-filter.ts
+++ b/packages/jobs/src/quota/quota-filter.ts
@@ -13,7 +13,7 @@
 import {type SupervisionView} from '../supervision/index.js';
 import {getAllowance, getCap} from './account-allowance.js';
 import {
-	getAccount, type AccountShares, type PoolQuota, type QuotaState,
+	getAccount, markDue, type AccountShares, type PoolQuota, type QuotaState,
 } from './quota-state.js';
 import {markOutdated, reviewShares} from './review-shares.js';
 
@@ -58,7 +58,7 @@
 		},
 		'pool-loaded'({quota}, {pool, token}) {
 			quota.ownedPools.set(pool, {
-				pool, token, isListed: false, nextWriteAt: 0, demands: new Map(), demandsMeasuredAt: 0, histories: new Map(), logAt: 0,
+				pool, token, isListed: false, nextWriteAt: 0, demands: new Map(), demandsMeasuredAt: 0, histories: new Map(), dueAccounts: new Set(), sweptAt: Number.NEGATIVE_INFINITY, logAt: 0,
 			});
 			return followShares(quota);
 		},
@@ -152,6 +152,7 @@
 		shares.takesFrom = Math.max(shares.takesFrom, now + introducedCapDelayMs);
 	}
 
+	markDue(quota, account);
 	return [emitLog('info', 'cap of account changed', {account, before, cap})];
 }
 
@@ -233,6 +234,7 @@
 	// Writes on condition of an earlier revision have been carried out by now or never will be.
 	shares.sent = [];
 	shares.isOutdated = false;
+	markDue(quota, account);
 	return true;
 }
 
@@ -263,6 +265,7 @@
 	shares.record = {cap: getCap({quota}, account) ?? noResources, pools: {}};
 	shares.sent = [];
 	shares.takesFrom = Math.max(shares.takesFrom, now + lostRecordDelayMs);
+	markDue(quota, account);
 }
 
 function warnOfLoss({account, revision, record}: StoredShares): JobOutput[] {
@@ -273,11 +276,12 @@
 
 const writeHandlers: Readonly<Record<JobEventOf<'shares-written'>['result'], WriteHandler>> = {
 	applied(quota, _pool, {pool, writeId, revision}) {
-		for (const shares of quota.accounts.values()) {
+		for (const [account, shares] of quota.accounts) {
 			const sent = shares.sent.find(each => each.writeId === writeId);
 			if (sent !== undefined && revision > shares.revision) {
 				shares.record = sent.record;
 				shares.held.delete(sent.pool);
+				markDue(quota, account);
 				shares.revision = revision;
 				shares.sent = [];
 			}
--- a/packages/jobs/src/quota/quota-state.ts
+++ b/packages/jobs/src/quota/quota-state.ts
@@ -1,6 +1,14 @@
 import {
 	type AccountDemand, type OwnedPool, type Resources, type ShareRecord,
 } from '../model/index.js';
+import {type ShareDecision, type ShareInput} from './decide-share.js';
+
+/** Lets the owned pools look at an account in their next review. @internal */
+export function markDue({ownedPools}: QuotaState, account: string): void {
+	for (const {dueAccounts} of ownedPools.values()) {
+		dueAccounts.add(account);
+	}
+}
 
 /** A write of an account's shares that has been sent. @internal */
 export type SentShare = {
@@ -39,6 +47,12 @@
 	periodStartedAt: number;
 	/** Since when other pools are due a part of the share; undefined while they are not. */
 	yieldingSince: number | undefined;
+	/** What the first waiting task or gang takes, and since when it waits. */
+	unit: ShareInput['unit'];
+	unitStepId: string | undefined;
+	/** The last decision, and what it was made from. */
+	lastInput: ShareInput | undefined;
+	lastDecision: ShareDecision | undefined;
 	/** When idle share was last looked for. */
 	idleCheckedAt: number;
 };
@@ -54,6 +68,10 @@
 	demands: ReadonlyMap<string, AccountDemand>;
 	demandsMeasuredAt: number;
 	readonly histories: Map<string, DemandHistory>;
+	/** Accounts to look at in the next review, beside those that run or want something: their record or cap has changed, or a change of the share waits to be written. */
+	readonly dueAccounts: Set<string>;
+	/** When all accounts were last looked at, in monotonic ms. */
+	sweptAt: number;
 	logAt: number;
 };
 
--- a/packages/jobs/src/quota/review-shares.ts
+++ b/packages/jobs/src/quota/review-shares.ts
@@ -3,14 +3,14 @@
 import {type DirectoryView} from '../directory/index.js';
 import {type LedgerView} from '../ledger/index.js';
 import {
-	addResources, computeResources, hasComponent, noResources, type PoolShare, type Resources, type ShareRecord,
+	addResources, computeResources, hasComponent, noResources, type AccountDemand, type PoolShare, type Resources, type ShareRecord,
 } from '../model/index.js';
 import {type SupervisionView} from '../supervision/index.js';
 import {getCap, summarizeRecord} from './account-allowance.js';
 import {
 	listUnsurveyedAccounts, measurePoolUsage, noUsage, type AccountUsage,
 } from './account-usage.js';
-import {decideShare, type ShareDecision} from './decide-share.js';
+import {decideShare, type ShareDecision, type ShareInput} from './decide-share.js';
 import {
 	getAccount, type AccountShares, type DemandHistory, type PoolQuota, type QuotaState,
 } from './quota-state.js';
@@ -23,6 +23,8 @@
 const yieldDelayMs = 40;
 /** Half of the time for which share is kept that is not wanted. */
 const peakPeriodMs = 5000;
+/** Interval at which all accounts with a share are looked at; in between, those that run or want something or have changed. */
+const sweepIntervalMs = 500;
 /** Interval between two checks for idle share of an account whose pools have what they want. */
 const idleCheckIntervalMs = 1000;
 /** Delay before a record that could not be read is read again. */
@@ -59,7 +61,10 @@
 	}
 
 	const usage = measurePoolUsage(state, ledger);
-	const accounts = new Set([...usage.keys(), ...pool.demands.keys(), ...pool.histories.keys(), ...listRecordedAccounts(quota, pool.pool)]);
+	const isSweep = context.now >= pool.sweptAt + sweepIntervalMs;
+	pool.sweptAt = isSweep ? context.now : pool.sweptAt;
+	const accounts = new Set([...usage.keys(), ...pool.demands.keys(), ...pool.dueAccounts, ...(isSweep ? [...pool.histories.keys(), ...listRecordedAccounts(quota, pool.pool)] : [])]);
+	pool.dueAccounts.clear();
 	const unsurveyed = listUnsurveyedAccounts(state, ledger, context.wallTime);
 	const isSurveyed = state.supervision.pools.get(pool.pool)?.surveyedAt !== undefined;
 	const changes: AccountChange[] = [];
@@ -73,7 +78,7 @@
 		// Limits change at once, whether a write is possible or not.
 		const change = reviewAccount(quota, pool, {
 			account, cap, shares, usage: usage.get(account) ?? noUsage, mayRelease: isSurveyed && !unsurveyed.has(account),
-		}, context.now);
+		}, context);
 		if (change !== undefined && context.now >= pool.nextWriteAt && !shares.isOutdated && !shares.sent.some(({isPending}) => isPending)) {
 			changes.push(change);
 		}
@@ -88,7 +93,7 @@
 	readonly shares: AccountShares;
 	readonly usage: AccountUsage;
 	readonly mayRelease: boolean;
-}, now: number): AccountChange | undefined {
+}, {now, wallTime}: DecisionContext): AccountChange | undefined {
 	const recorded = shares.record.pools[pool.pool];
 	const own = limitShare(recorded, shares.held.get(pool.pool));
 	const wanted = addResources(usage.possible, pool.demands.get(account)?.resources ?? noResources);
@@ -105,11 +110,13 @@
 	}
 
 	history.idleCheckedAt = now;
-	const others = Object.entries(shares.record.pools).filter(([name]) => name !== pool.pool && !isRemovedPool(quota, name, now));
-	const decision = decideShare({
+	const others = listOtherShares(quota, shares.record, pool.pool, now);
+	const decision = decideOnChange(history, {
+		pool: pool.pool,
+		unit: updateUnit(history, pool.demands.get(account)?.unit, wallTime),
 		cap,
 		own,
-		others: others.map(([, share]) => share),
+		others,
 		running: usage.running,
 		possible: usage.possible,
 		wanted,
@@ -125,17 +132,61 @@
 	}
 
 	history.yieldingSince = decision.isYielding ? history.yieldingSince ?? now : undefined;
-	if (history.yieldingSince !== undefined && now < history.yieldingSince + (yieldDelayMs * countIdlerPools(own, others.map(([, share]) => share), cap))) {
+	pool.dueAccounts.add(account);
+	if (history.yieldingSince !== undefined && now < history.yieldingSince + (yieldDelayMs * countIdlerPools(own, others, cap))) {
 		return undefined;
 	}
 
-	return isWriteNeeded(recorded, decision, cap)
+	const isChanging = isWriteNeeded(recorded, decision, cap);
+	if (!isChanging && !decision.isYielding) {
+		pool.dueAccounts.delete(account);
+	}
+
+	return isChanging
 		? {
-			account, shares, own: {share: decision.share, wanted: decision.wanted}, cap, isUrgent: hasComponent(name => decision.wanted[name] > ownShare[name]),
+			account, shares, own: {share: decision.share, wanted: decision.wanted, ...(decision.unit !== undefined && {unit: decision.unit.resources, unitSince: decision.unit.since})}, cap, isUrgent: hasComponent(name => decision.wanted[name] > ownShare[name]),
 		}
 		: undefined;
 }
 
+/** Keeps since when the pool's first task or gang waits; the time starts anew with another one. */
+function updateUnit(history: DemandHistory, unit: AccountDemand['unit'], wallTime: number): ShareInput['unit'] {
+	if (unit === undefined || history.unitStepId !== unit.stepId) {
+		history.unitStepId = unit?.stepId;
+		history.unit = unit === undefined ? undefined : {resources: unit.resources, since: Math.round(wallTime)};
+	}
+
+	return history.unit;
+}
+
+/** Decides on a share again only if what the decision is made from has changed. */
+function decideOnChange(history: DemandHistory, input: ShareInput): ShareDecision {
+	const last = history.lastInput;
+	const isSame = last !== undefined && history.lastDecision !== undefined && last.others === input.others && last.unit === input.unit && last.cap === input.cap && last.own === input.own && last.mayTake === input.mayTake && last.mayRelease === input.mayRelease
+		&& !hasComponent(name => last.running[name] !== input.running[name] || last.possible[name] !== input.possible[name] || last.wanted[name] !== input.wanted[name] || last.peak[name] !== input.peak[name]);
+	const decision = isSame ? history.lastDecision! : decideShare(input);
+	history.lastInput = input;
+	history.lastDecision = decision;
+	return decision;
+}
+
+/** Shares of the other pools by record and pool, as records are looked at far more often than they change. */
+const otherShares = new WeakMap<ShareRecord, Map<string, ShareInput['others']>>();
+
+function listOtherShares(quota: QuotaState, record: ShareRecord, pool: string, now: number): ShareInput['others'] {
+	const byPool = otherShares.get(record) ?? new Map<string, ShareInput['others']>();
+	otherShares.set(record, byPool);
+	const hasRemoved = [...quota.pools.values()].some(({removedAt}) => removedAt !== undefined);
+	const known = hasRemoved ? undefined : byPool.get(pool);
+	if (known !== undefined) {
+		return known;
+	}
+
+	const others = Object.entries(record.pools).filter(([name]) => name !== pool && !isRemovedPool(quota, name, now));
+	byPool.set(pool, others);
+	return others;
+}
+
 function limitShare(recorded: PoolShare | undefined, held: Resources | undefined): PoolShare | undefined {
 	return recorded === undefined || held === undefined ? recorded : {...recorded, share: computeResources(name => Math.min(recorded.share[name], held[name]))};
 }
@@ -147,9 +198,9 @@
 }
 
 /** Whether a decision is to be written: the share changes, or the other pools have to learn that the pool's demand is not met, is met now, or has changed much meanwhile. */
-function isWriteNeeded(own: PoolShare | undefined, {share, wanted}: ShareDecision, cap: Resources): boolean {
-	const before = own ?? {share: noResources, wanted: noResources};
-	return hasComponent(name => {
+function isWriteNeeded(own: PoolShare | undefined, {share, wanted, unit}: ShareDecision, cap: Resources): boolean {
+	const before: PoolShare = own ?? {share: noResources, wanted: noResources};
+	return before.unitSince !== unit?.since || hasComponent(name => {
 		const wasUnmet = before.wanted[name] > before.share[name];
 		const isUnmet = wanted[name] > share[name];
 		return share[name] !== before.share[name]
@@ -159,19 +210,19 @@
 }
 
 /** Counts the other pools that have more idle share than this one, by the record. */
-function countIdlerPools(own: PoolShare | undefined, others: readonly PoolShare[], cap: Resources): number {
+function countIdlerPools(own: PoolShare | undefined, others: ShareInput['others'], cap: Resources): number {
 	const getIdlePart = ({share, wanted}: PoolShare) => {
 		const parts = computeResources(name => cap[name] === 0 ? 0 : (share[name] - wanted[name]) / cap[name]);
 		return Math.max(parts.cpuMillis, parts.memoryMb, parts.gpus);
 	};
 
 	const ownPart = own === undefined ? 0 : getIdlePart(own);
-	return others.filter(other => getIdlePart(other) > ownPart).length;
+	return others.filter(([, other]) => getIdlePart(other) > ownPart).length;
 }
 
 function updateHistory(pool: PoolQuota, account: string, wanted: Resources, now: number): DemandHistory {
 	const history = pool.histories.get(account) ?? {
-		peak: wanted, previousPeak: noResources, periodStartedAt: now, yieldingSince: undefined, idleCheckedAt: now,
+		peak: wanted, previousPeak: noResources, periodStartedAt: now, yieldingSince: undefined, unit: undefined, unitStepId: undefined, lastInput: undefined, lastDecision: undefined, idleCheckedAt: now,
 	};
 	pool.histories.set(account, history);
 	if (now >= history.periodStartedAt + peakPeriodMs) {
