--- a/packages/jobs/src/observation/index.ts
+++ b/packages/jobs/src/observation/index.ts
@@ -1,5 +1,5 @@
 export {getJobEstimate, type JobEstimate} from './estimate-job.js';
 export {observationFilter} from './observation-filter.js';
 export {
-	createObservationState, isRetryDelayed, type ObservationState, type ObservationView,
+	createDurationPredictor, createObservationState, isRetryDelayed, type ObservationState, type ObservationView,
 } from './observation-state.js';
--- a/packages/jobs/src/placement/displacement-policies.ts
+++ b/packages/jobs/src/placement/displacement-policies.ts
@@ -2,13 +2,16 @@
 import {type ConfigurationView} from '../configuration/index.js';
 import {type JobOutput} from '../filter.js';
 import {type Job, type PoolLedger} from '../ledger/index.js';
+import {type StepSpec} from '../model/index.js';
 import {getJobEstimate, type ObservationView} from '../observation/index.js';
 import {type SupervisionView} from '../supervision/index.js';
 import {getAccountWeights} from './account-shares.js';
 import {createPoolDisplacement, type DisplacementPolicy, type PoolDisplacement} from './displacement-state.js';
 import {orderByLeastCost, type PoolSupply} from './order-by-least-cost.js';
 import {orderByLargestFirst, rankJob, type RankedJob} from './order-jobs.js';
+import {type PlacementSearch} from './placement-search.js';
 import {type PlacementState} from './placement-state.js';
+import {preemptRuns} from './preempt-runs.js';
 import {getAccount} from './profile-jobs.js';
 import {reportDisplacedJobs} from './report-displaced.js';
 
@@ -46,6 +49,16 @@
 	return orderHandlers[chooseDisplacementPolicy(state)](state, input, context);
 }
 
+const preemptionHandlers: Readonly<Record<DisplacementPolicy, typeof preemptRuns>> = {
+	'largest-first': () => [],
+	'least-cost': preemptRuns,
+};
+
+/** Requests stops of runs in favour of waiting jobs, if the displacement policy in force does so. @internal */
+export function preemptForWaitingJobs(state: State, pool: Readonly<PoolLedger>, search: PlacementSearch, ordered: readonly RankedJob[], context: DecisionContext): JobOutput[] {
+	return preemptionHandlers[chooseDisplacementPolicy(state)](state, pool, search, ordered, context);
+}
+
 /** Returns what the order by least cost remembers of a pool. @internal */
 export function getPoolDisplacement({displacements}: PlacementState, pool: string): PoolDisplacement {
 	const displacement = displacements.get(pool) ?? createPoolDisplacement();
@@ -63,39 +76,35 @@
 	const runningJobs = new Set<Job>();
 	const runningWork = new Map<string, number>();
 	let servingMillis = 0;
+	let runningMillis = 0;
 	for (const job of pool.activeJobs) {
 		if (job.record.spec.steps.some(step => step.isLongRunning)) {
-			servingMillis += sumServingMillis(job);
+			servingMillis += sumRunningMillis(job, spec => spec.isLongRunning);
 			continue;
 		}
 
-		if (!waitingJobs.has(job) && hasRuns(job)) {
+		const jobMillis = waitingJobs.has(job) ? 0 : sumRunningMillis(job, () => true);
+		if (jobMillis > 0) {
 			runningJobs.add(job);
+			runningMillis += jobMillis;
 			const account = getAccount(job);
 			runningWork.set(account, (runningWork.get(account) ?? 0) + getJobEstimate(state, job, now).remainingWork);
 		}
 	}
 
-	return {capacityMillis: Math.max(0, capacityMillis - servingMillis), runningWork, runningJobs};
+	return {
+		capacityMillis: Math.max(0, capacityMillis - servingMillis), runningWork, runningMillis, runningJobs,
+	};
 }
 
-function sumServingMillis(job: Job): number {
+/** Sums what the running tasks of some steps take; fillers take only what others leave. */
+function sumRunningMillis(job: Job, isCounted: (spec: StepSpec) => boolean): number {
 	let millis = 0;
 	for (const {spec, tasks} of job.steps.values()) {
-		if (spec.isLongRunning && !spec.isFiller) {
+		if (!spec.isFiller && isCounted(spec)) {
 			millis += spec.room.cpuMillis * tasks.filter(task => task.runs.size > 0).length;
 		}
 	}
 
 	return millis;
 }
-
-function hasRuns(job: Job): boolean {
-	for (const {tasks} of job.steps.values()) {
-		if (tasks.some(task => task.runs.size > 0)) {
-			return true;
-		}
-	}
-
-	return false;
-}
--- a/packages/jobs/src/placement/displacement-state.ts
+++ b/packages/jobs/src/placement/displacement-state.ts
@@ -49,11 +49,15 @@
 	readonly openJobs: Set<Job>;
 	/** When displaced jobs were last logged, in monotonic ms. */
 	loggedAt: number;
+	/** When runs to preempt were last looked for, in monotonic ms. */
+	preemptedAt: number;
+	/** Number of runs of each job that have been stopped in favour of others. */
+	readonly preemptionCounts: WeakMap<Job, number>;
 };
 
 /** @internal */
 export function createPoolDisplacement(): PoolDisplacement {
 	return {
-		queues: new Map(), allowances: new Map(), profiles: new WeakMap(), openJobs: new Set(), loggedAt: Number.NEGATIVE_INFINITY,
+		queues: new Map(), allowances: new Map(), profiles: new WeakMap(), openJobs: new Set(), loggedAt: Number.NEGATIVE_INFINITY, preemptedAt: Number.NEGATIVE_INFINITY, preemptionCounts: new WeakMap(),
 	};
 }
--- a/packages/jobs/src/placement/index.ts
+++ b/packages/jobs/src/placement/index.ts
@@ -6,4 +6,6 @@
 export {orderWaitingJobs, type OrderInput} from './displacement-policies.js';
 export {type DisplacementPolicy} from './displacement-state.js';
 export {type ObjectiveStatus, type RankedJob} from './order-jobs.js';
-export {createPlacementState, type PlacementOptions, type PlacementState} from './placement-state.js';
+export {
+	createPlacementState, type PlacementOptions, type PlacementState, type PreemptionCosts,
+} from './placement-state.js';
--- a/packages/jobs/src/placement/order-by-least-cost.ts
+++ b/packages/jobs/src/placement/order-by-least-cost.ts
@@ -17,6 +17,8 @@
 	readonly capacityMillis: number;
 	/** Remaining work of the jobs all of whose ready tasks run, by account, in thousandths of a core times ms. */
 	readonly runningWork: ReadonlyMap<string, number>;
+	/** Thousandths of a core that they take. */
+	readonly runningMillis: number;
 	/** Those jobs. */
 	readonly runningJobs: ReadonlySet<RankedJob['job']>;
 };
@@ -55,7 +57,7 @@
 /** Time before the last moment by which a kept job is started: the orders take some ms, and a job that misses its objective by little has wasted its capacity. */
 const startMarginMs = 100;
 /** Multiple of the mean demand for each unit of weight beyond which an account is overdrawn. Demands of accounts with equal rates differ by less. */
-const overdrawnFactor = 2;
+const overdrawnFactor = 3;
 
 /**
 Orders jobs for placement so that those are displaced that lose least value for the capacity that they set free.
@@ -79,7 +81,9 @@
 
 	const isShared = new Set(jobs.filter(({objectiveStatus}) => objectiveStatus !== 'serving').map(({job}) => getAccount(job))).size > 1;
 	const overdrawn = isShared ? findOverdrawnAccounts(jobs, supply, weights) : new Set<string>();
-	const describe = (ranked: RankedJob) => describeJob(pool, ranked, {supply, runningWork, findGuard, isShared, overdrawn});
+	const describe = (ranked: RankedJob) => describeJob(pool, ranked, {
+		supply, runningWork, findGuard, isShared, overdrawn,
+	});
 	const timely = byStatus.timely.map(ranked => describe(ranked));
 	const {kept, displaced} = supply.capacityMillis > 0 ? selectJobs(timely, getUse) : {kept: timely, displaced: []};
 	const late = byStatus.late.map(ranked => describe(ranked)).sort((left, right) => left.tier - right.tier || right.density - left.density);
@@ -100,17 +104,19 @@
 }
 
 function describeJob(pool: PoolDisplacement, ranked: RankedJob, input: DescriptionInput): OrderedJob {
-	const {supply: {capacityMillis}, runningWork, findGuard, isShared, overdrawn} = input;
+	const {supply: {capacityMillis, runningMillis}, runningWork, findGuard, isShared, overdrawn} = input;
 	const {job, remainingWork, slackMs, dueInMs} = ranked;
 	const profile = pool.profiles.get(job)!;
 	const account = getAccount(job);
 	const urgency = job.record.priority === 0 ? 0 : 1;
 	const isEntitled = profile.isEntitled || !isShared;
+	// Runs that outlast the job take their part of the capacity and no more.
+	const workAhead = Math.min(runningWork, runningMillis * Math.max(0, dueInMs));
 	return {
 		ranked,
 		profile,
 		// Its last task has to start within its slack, and all that is running then, the work before it and its own have to be done by the time it is due.
-		limit: Math.min((slackMs - startMarginMs) * capacityMillis, (dueInMs * capacityMillis) - runningWork) - remainingWork,
+		limit: Math.min((slackMs - startMarginMs) * capacityMillis, (dueInMs * capacityMillis) - workAhead) - remainingWork,
 		work: remainingWork,
 		density: computeValue(pool, ranked) / Math.max(1, remainingWork),
 		account,
--- a/packages/jobs/src/placement/placement-filter.ts
+++ b/packages/jobs/src/placement/placement-filter.ts
@@ -10,7 +10,7 @@
 import {startValidityMs, type SupervisionView} from '../supervision/index.js';
 import {type ConfigurationView} from '../configuration/index.js';
 import {type Candidate} from './choose-endpoint.js';
-import {orderWaitingJobs} from './displacement-policies.js';
+import {orderWaitingJobs, preemptForWaitingJobs} from './displacement-policies.js';
 import {listCandidates} from './list-candidates.js';
 import {listReadySteps, rankJob, type RankedJob} from './order-jobs.js';
 import {
@@ -161,7 +161,7 @@
 		}
 	}
 
-	return outputs;
+	return [...outputs, ...preemptForWaitingJobs(state, pool, search, ordered, context)];
 }
 
 /** Whether an endpoint could take a task of one of the job's ready steps if it had no runs; if not, the job waits for another endpoint. */
--- a/packages/jobs/src/placement/placement-state.ts
+++ b/packages/jobs/src/placement/placement-state.ts
@@ -53,8 +53,21 @@
 */
 export type EndpointUse = 'usable' | 'silent' | 'not-ready' | 'evacuated-for-move' | 'evacuated-for-maintenance' | 'unknown-usage' | 'not-on-roster' | 'paused' | 'avoided';
 
+/** What a stop of a checkpointed run costs at most, in ms. @public */
+export type PreemptionCosts = {
+	/** Time until the stopped run has released its resources. */
+	readonly stopMs: number;
+	/** Work between two checkpoints. */
+	readonly checkpointMs: number;
+	/** Time until a resumed run makes progress. */
+	readonly restoreMs: number;
+};
+
+const defaultPreemptionCosts: PreemptionCosts = {stopMs: 900, checkpointMs: 1000, restoreMs: 600};
+
 /** Settings of placement. @public */
 export type PlacementOptions = {
+	readonly preemptionCosts?: PreemptionCosts | undefined;
 	/** Displacement policy; undefined to choose it by the configuration. */
 	readonly displacement?: DisplacementPolicy | undefined;
 };
@@ -62,6 +75,7 @@
 /** @public */
 export type PlacementState = {
 	readonly options: PlacementOptions;
+	readonly preemptionCosts: PreemptionCosts;
 	/** What the order by least cost remembers, by pool. */
 	readonly displacements: Map<string, PoolDisplacement>;
 	/** Accounts that metrics name. */
@@ -87,6 +101,6 @@
 /** @public */
 export function createPlacementState(options: PlacementOptions = {}): PlacementState {
 	return {
-		options, displacements: new Map(), accountLabels: new Set(), reservedSteps: new Map(), searchedAt: new Map(), searchSizes: new Map(), duePools: new Set(), advice: new Map(), blockedSteps: new WeakMap(), waitLoggedAt: new Map(), endpointUses: new Map(),
+		options, preemptionCosts: options.preemptionCosts ?? defaultPreemptionCosts, displacements: new Map(), accountLabels: new Set(), reservedSteps: new Map(), searchedAt: new Map(), searchSizes: new Map(), duePools: new Set(), advice: new Map(), blockedSteps: new WeakMap(), waitLoggedAt: new Map(), endpointUses: new Map(),
 	};
 }
