--- a/packages/jobs/src/placement/preempt-runs.ts
+++ b/packages/jobs/src/placement/preempt-runs.ts
@@ -99,7 +99,7 @@
 				}
 
 				const found = findVictim(state, {
-					pool, displacement, ranked, step,
+					pool, displacement, ranked, step, stopped,
 				}, forecasts, context);
 				if (found === undefined) {
 					continue;
