--- a/packages/jobs/src/placement/placement-filter.ts
+++ b/packages/jobs/src/placement/placement-filter.ts
@@ -12,7 +12,7 @@
 import {type ConfigurationView} from '../configuration/index.js';
 import {createAccountBudgets, reportAccountDemand, selectWithinBudgets} from './account-budgets.js';
 import {type Candidate} from './choose-endpoint.js';
-import {orderWaitingJobs, rankJobs} from './displacement-policies.js';
+import {orderWaitingJobs, preemptForWaitingJobs, rankJobs} from './displacement-policies.js';
 import {listCandidates} from './list-candidates.js';
 import {
 	listReadySteps, orderByLargestFirst, rankJob, type RankedJob,
@@ -174,7 +174,7 @@
 		}
 	}
 
-	return outputs;
+	return [...outputs, ...preemptForWaitingJobs(state, pool, search, ordered, context)];
 }
 
 /** Whether an endpoint could take a task of one of the job's ready steps if it had no runs; if not, the job waits for another endpoint. */
