--- a/packages/jobs/src/intake/intake-filter.ts
+++ b/packages/jobs/src/intake/intake-filter.ts
@@ -245,7 +245,13 @@
 	}
 
 	const submission = intake.recentSubmissions.get(jobId);
-	return submission === undefined || now > submission.at + submissionMemoryMs ? undefined : submission.answer;
+	if (submission !== undefined && now <= submission.at + submissionMemoryMs) {
+		return submission.answer;
+	}
+
+	// Another request for the same job may be accepted yet.
+	const isPending = [...intake.pendingRequests.values()].some(request => request.action === 'submit' && request.jobId === jobId);
+	return isPending ? 'undecided' : undefined;
 }
 
 /** Records the answer to a submission, and forgets those that are too old to be repeated. The map is in the order of their times. */
--- a/packages/jobs/src/relay/relay-filter.test.ts
+++ b/packages/jobs/src/relay/relay-filter.test.ts
@@ -231,12 +231,12 @@
 	readonly results: readonly RelayResult[];
 	readonly peers?: readonly string[];
 	/** Requests with the time of each in ms. */
-	readonly requests: ReadonlyArray<{readonly atMs: number; readonly isRelayed?: boolean; readonly answerBy?: number}>;
+	readonly requests: ReadonlyArray<{readonly atMs: number; readonly isRelayed?: boolean; readonly answerBy?: number; readonly jobId?: string}>;
 	readonly expected: ReadonlyArray<CallerAnswer['kind']>;
 	readonly expectedRelays: number;
 };
 
-const fiveAt = (atMs: number) => Array.from({length: 5}, () => ({atMs}));
+const fiveAt = (atMs: number) => Array.from({length: 5}, (_unused, index) => ({atMs, jobId: `job-${atMs}-${index}`}));
 const sequences: readonly SequenceCase[] = [
 	{
 		name: 'a relayed request is never relayed again', results: [], requests: [{atMs: 0, isRelayed: true}], expected: ['refused'], expectedRelays: 0,
@@ -250,6 +250,9 @@
 	{
 		name: 'a duplicate during the relay is relayed as well and accepted', results: [answered({kind: 'accepted'}), answered({kind: 'accepted'})], requests: [{atMs: 0}, {atMs: 0}], expected: ['accepted', 'accepted'], expectedRelays: 2,
 	},
+	{
+		name: 'a duplicate is not refused while a peer has the first one', peers: ['entry-2'], results: [silent, unavailable], requests: [{atMs: 0}, {atMs: 100}], expected: ['undecided', 'undecided'], expectedRelays: 2,
+	},
 	{
 		name: 'an accepted job is answered from memory', results: [answered({kind: 'accepted'})], requests: [{atMs: 0}, {atMs: 100}], expected: ['accepted', 'accepted'], expectedRelays: 1,
 	},
@@ -258,7 +261,7 @@
 		name: 'no more peers are asked once all entries seem to have lost the store', peers: Array.from({length: 40}, (_unused, index) => `peer-${index}`), results: Array.from({length: 40}, () => unavailable), requests: [...fiveAt(0), ...fiveAt(100), ...fiveAt(200)], expected: Array.from({length: 15}, () => 'refused'), expectedRelays: 10,
 	},
 	{
-		name: 'the number of requests that wait for peers is bounded', peers: ['entry-2'], results: [], requests: Array.from({length: 80}, () => ({atMs: 0, answerBy: 500})), expected: Array.from({length: 80}, (_unused, index) => index < 16 ? 'refused' : 'undecided'), expectedRelays: 64,
+		name: 'the number of requests that wait for peers is bounded', peers: ['entry-2'], results: [], requests: Array.from({length: 80}, (_unused, index) => ({atMs: 0, answerBy: 500, jobId: `job-${index}`})), expected: Array.from({length: 80}, (_unused, index) => index < 16 ? 'refused' : 'undecided'), expectedRelays: 64,
 	},
 ];
 
