--- a/packages/bench/src/jobs/faults.test.ts
+++ b/packages/bench/src/jobs/faults.test.ts
@@ -195,3 +195,38 @@
 		expect(running.size).toBe(2);
 	});
 });
+
+// Guards against submissions that are not accepted while some entry reaches the store.
+describe('submissions to an entry that has lost the store', () => {
+	it.each([
+		{
+			name: 'half of the entries have lost it', lostCount: 2, isCutOff: false, expectedCount: 90,
+		},
+		{
+			name: 'the entry is cut off from all others as well', lostCount: 0, isCutOff: true, expectedCount: 0,
+		},
+	])('are accepted $expectedCount of 90 times if $name', ({lostCount, isCutOff, expectedCount}) => {
+		const simulation = createJobsSimulation({
+			seed: 3, entryCount: 4, pools: {desk: 4}, endpointCapacity: {cpuMillis: 16_000, memoryMb: 64_000, gpus: 0},
+		});
+		simulation.runFor(settleMs);
+		const [entry] = simulation.entries as [JobsSimulation['entries'][number]];
+		for (const lost of simulation.entries.slice(0, lostCount)) {
+			lost.isStoreReachable = false;
+		}
+
+		if (isCutOff) {
+			simulation.network.startCut({nodes: new Set([entry.node]), direction: 'both'});
+		}
+
+		const jobIds = Array.from({length: 90}, () => {
+			simulation.runFor(100);
+			return simulation.submitJob(entry, queue, createSpec({count: 1}), {durationMs: 100});
+		});
+		simulation.runFor(3500);
+		const answers = jobIds.map(jobId => simulation.answers.get(`submit-${jobId}`)?.kind);
+		expect(answers).not.toContain(undefined);
+		expect(answers.filter(kind => kind === 'accepted')).toHaveLength(expectedCount);
+		expect(simulation.checker.violations).toEqual([]);
+	});
+});
