--- a/packages/jobs/src/placement/preempt-runs.ts
+++ b/packages/jobs/src/placement/preempt-runs.ts
@@ -15,9 +15,8 @@
 import {
 	listReadySteps, rankJob, type ObjectiveStatus, type RankedJob,
 } from './order-jobs.js';
-import {isPending} from './place-step.js';
 import {type PlacementSearch} from './placement-search.js';
-import {type PlacementState, type PreemptionCosts} from './placement-state.js';
+import {isPending, type PlacementState, type PreemptionCosts} from './placement-state.js';
 import {getAccount} from './profile-jobs.js';
 import {getAccountLabel} from './report-displaced.js';
 
