--- a/packages/jobs/src/placement/preempt-runs.ts
+++ b/packages/jobs/src/placement/preempt-runs.ts
@@ -79,7 +79,7 @@
 	const forecasts = search.candidates.map(candidate => createForecast(state, pool, candidate, context.now));
 	const outputs: JobOutput[] = [];
 	const stopped = new Set<Readonly<Run>>();
-	const victimSearchCount = 0;
+	let victimSearchCount = 0;
 	let predictedCount = 0;
 	for (const ranked of ordered) {
 		if (!canPreempt[ranked.objectiveStatus] || !waiting.has(ranked.job)) {
@@ -93,18 +93,23 @@
 					return outputs;
 				}
 
-				const waitMs = acquireRoom(forecasts, step);
+				const room = acquireRoom(forecasts, step);
+				const waitMs = room?.inMs ?? Number.POSITIVE_INFINITY;
 				if (canWait(ranked, waitMs, placement.preemptionCosts)) {
 					continue;
 				}
 
+				victimSearchCount += 1;
 				const found = findVictim(state, {
 					pool, displacement, ranked, step, stopped,
 				}, forecasts, context);
 				if (found === undefined) {
-					continue;
+					// The other tasks of the step would find none either.
+					break;
 				}
 
+				// The task takes the room of the stopped run in place of that which it would have waited for.
+				room?.forecast.releases.unshift({inMs: room.inMs, resources: getTakenResources(step)});
 				found.forecast.free = subtractResources(addResources(found.forecast.free, getReleased(found.victim.run)), getTakenResources(step));
 				stopped.add(found.victim.run);
 				outputs.push(...preemptRun(state, {
@@ -138,8 +143,8 @@
 	return isFiller ? {...resources, cpuMillis: 0} : resources;
 }
 
-/** Reserves the first room that a task finds as runs end. @returns Time until then in ms; infinite if there is none. */
-function acquireRoom(forecasts: readonly Forecast[], step: Step): number {
+/** Reserves the first room that a task finds as runs end. @returns Where that is, and the time until then in ms; undefined if there is none. */
+function acquireRoom(forecasts: readonly Forecast[], step: Step): {readonly forecast: Forecast; readonly inMs: number} | undefined {
 	const taken = getTakenResources(step);
 	let best: {readonly forecast: Forecast; readonly inMs: number; readonly count: number; readonly free: Resources} | undefined;
 	for (const forecast of forecasts) {
@@ -164,13 +169,13 @@
 	}
 
 	if (best === undefined) {
-		return Number.POSITIVE_INFINITY;
+		return undefined;
 	}
 
 	best.forecast.free = subtractResources(best.free, taken);
 	best.forecast.releases.splice(0, best.count);
 	best.forecast.reachedMs = best.inMs;
-	return best.inMs;
+	return best;
 }
 
 function hasLabelFor({endpoint}: Candidate, {spec}: Step): boolean {
