--- a/packages/jobs/src/placement/order-jobs.ts
+++ b/packages/jobs/src/placement/order-jobs.ts
@@ -97,21 +97,21 @@
 	const ageMs = now - (record.spec.repeatCount === 0 ? job.acceptedAt : findLatestDue(job));
 	const {criticalPathMs, remainingCriticalPathMs, remainingWork, totalWork} = estimate;
 	const objectiveMs = (record.stretch * criticalPathMs) + record.latencyTargetMs;
-	const common = {
+	const dueInMs = objectiveMs - ageMs;
+	const timelySlackMs = dueInMs - remainingCriticalPathMs;
+	const lateSlackMs = (lateFactor * objectiveMs) - ageMs - remainingCriticalPathMs;
+	const isTimely = timelySlackMs >= 0;
+	const lateStatus = lateSlackMs >= 0 ? 'late' : 'hopeless';
+	return {
 		job,
-		dueInMs: objectiveMs - ageMs,
+		objectiveStatus: isTimely ? 'timely' : lateStatus,
+		slackMs: isTimely ? timelySlackMs : lateSlackMs,
+		dueInMs,
 		remainingCriticalPathMs,
 		remainingWork,
 		totalWork,
 		initialSlackMs: objectiveMs - criticalPathMs,
 	};
-	const slackMs = common.dueInMs - remainingCriticalPathMs;
-	if (slackMs >= 0) {
-		return {...common, objectiveStatus: 'timely', slackMs};
-	}
-
-	const lateSlackMs = (lateFactor * objectiveMs) - ageMs - remainingCriticalPathMs;
-	return {...common, objectiveStatus: lateSlackMs >= 0 ? 'late' : 'hopeless', slackMs: lateSlackMs};
 }
 
 function findLatestDue(job: Job): number {
--- a/packages/jobs/src/placement/select-jobs.ts
+++ b/packages/jobs/src/placement/select-jobs.ts
@@ -115,7 +115,7 @@
 			}
 
 			for (let later = index + 1; later < room.length; later++) {
-				if (room[later]! < work) {
+				if (work > room[later]!) {
 					return false;
 				}
 			}
