--- a/packages/jobs/src/quota/review-shares.ts
+++ b/packages/jobs/src/quota/review-shares.ts
@@ -102,7 +102,10 @@
 		pool.histories.delete(account);
 	}
 
-	if (isSettled({
+	const unit = updateUnit(history, pool.demands.get(account)?.unit, wallTime);
+	// A unit that does not wait any more is removed at once, as it keeps share from other pools.
+	const isRecordCurrent = own === recorded && recorded?.unitSince === undefined;
+	if (isRecordCurrent && isSettled({
 		own, shares, cap, wanted,
 	}) && now < history.idleCheckedAt + idleCheckIntervalMs) {
 		shares.limits.delete(pool.pool);
@@ -113,7 +116,7 @@
 	const others = listOtherShares(quota, shares.record, pool.pool, now);
 	const decision = decideOnChange(history, {
 		pool: pool.pool,
-		unit: updateUnit(history, pool.demands.get(account)?.unit, wallTime),
+		unit,
 		cap,
 		own,
 		others,
