--- a/packages/jobs/src/placement/displacement-state.ts
+++ b/packages/jobs/src/placement/displacement-state.ts
@@ -53,11 +53,13 @@
 	preemptedAt: number;
 	/** Number of runs of each job that have been stopped in favour of others. */
 	readonly preemptionCounts: WeakMap<Job, number>;
+	/** Preempted tasks that have not resumed: number of the stopped run, and its last known progress. */
+	readonly preemptedTasks: Map<string, {readonly run: number; percent: number}>;
 };
 
 /** @internal */
 export function createPoolDisplacement(): PoolDisplacement {
 	return {
-		queues: new Map(), allowances: new Map(), profiles: new WeakMap(), openJobs: new Set(), loggedAt: Number.NEGATIVE_INFINITY, preemptedAt: Number.NEGATIVE_INFINITY, preemptionCounts: new WeakMap(),
+		queues: new Map(), allowances: new Map(), profiles: new WeakMap(), openJobs: new Set(), loggedAt: Number.NEGATIVE_INFINITY, preemptedAt: Number.NEGATIVE_INFINITY, preemptionCounts: new WeakMap(), preemptedTasks: new Map(),
 	};
 }
--- a/packages/jobs/src/placement/placement-filter.ts
+++ b/packages/jobs/src/placement/placement-filter.ts
@@ -13,6 +13,7 @@
 import {orderWaitingJobs, preemptForWaitingJobs} from './displacement-policies.js';
 import {listCandidates} from './list-candidates.js';
 import {listReadySteps, rankJob, type RankedJob} from './order-jobs.js';
+import {measureDiscardedWork, recordPreemptedEnd} from './measure-discarded.js';
 import {
 	isPending, placeGang, placeStep, type PlacementResult,
 } from './place-step.js';
@@ -75,6 +76,11 @@
 			placement.reservedSteps.get(endpointId)?.delete(taskId);
 			return [];
 		},
+		'run-ended'(state, {pool, end: {taskId, run}, percent}) {
+			recordPreemptedEnd(state, pool, taskId, {run, percent});
+			return [];
+		},
+		'poll-answered': (state, {endpointId}) => measureDiscardedWork(state, endpointId),
 		'advice-answered': (state, event, context) => [
 			...recordAdvice(state, event, context),
 			...placeTasks(state, event.pool, context),
--- a/packages/jobs/src/placement/preempt-runs.test.ts
+++ b/packages/jobs/src/placement/preempt-runs.test.ts
@@ -1,6 +1,6 @@
 import {describe, expect, it} from 'vitest';
 import {
-	type ClientAccount, type JobEffect, type JobRecord, type StepSpec,
+	type ClientAccount, type JobEffect, type JobRecord, type ReportedEnd, type StepSpec,
 } from '../model/index.js';
 import {
 	createStoredTestJob, createTestJob, createTestOwner, createTestPollAnswer,
@@ -10,6 +10,9 @@
 	name: 'a', keyHashes: [], priority: 0, weight: 100, cap: {cpuMillis: 0, memoryMb: 0, gpus: 0},
 };
 
+/** Number of the first run of a job's tasks. */
+const firstRun = 1;
+
 type Case = {
 	readonly name: string;
 	/** The job whose runs fill the only endpoint, of 16 cores, when the other arrives. */
@@ -43,7 +46,17 @@
 	{name: 'the deployment has no accounts', accounts: undefined, expected: 0},
 ];
 
-/** Fills an endpoint with a job, adds another one, and lists the tasks that are stopped within a second. */
+/** Progress of a run, which always rises a little; the first run of each task is at the given percentage once the other job has arrived. */
+function getPercent({taskId, run}: {readonly taskId: string; readonly run: number}, now: number, percent: number): number {
+	const risen = now / 100_000;
+	if (now < 1000) {
+		return 1 + risen;
+	}
+
+	return (taskId.startsWith('large') && run > firstRun ? 7 : percent) + risen;
+}
+
+/** Fills an endpoint with a job, adds another one, and lists the tasks that are stopped within three seconds. */
 function listStoppedTasks(input: Case): {readonly tasks: string[]; readonly effects: JobEffect[]} {
 	const {running, runningTraits, waiting, waitingTraits, percent = 10} = input;
 	const accounts = 'accounts' in input ? input.accounts : [account];
@@ -64,15 +77,32 @@
 		priority: 0, latencyTargetMs: 1200, acceptedAt: 1000, account: 'a', ...waitingTraits,
 	});
 	const effects: JobEffect[] = [];
-	for (let now = 25; now < 2000; now += 25) {
+	const ends: ReportedEnd[] = [];
+	let endNumber = 0;
+	const startedAt = new Map<string, number>();
+	for (let now = 25; now < 4000; now += 25) {
 		if (now === 100 || now === 1000) {
 			effects.push(...owner.apply({kind: 'job-recorded', stored: createStoredTestJob(now === 100 ? large : urgent)}, now));
 		}
 
-		const runs = [...owner.state.supervision.endpoints.get('e1')!.runs.values()].map(({taskId, run}) => ({
-			taskId, run, checkpoint: '', percent: now < 1000 ? 1 : percent, load: 0,
+		// A stopped run ends at once and resumes from a checkpoint at 7 percent; a task of the urgent job takes 500 ms.
+		const runs = [...owner.state.supervision.endpoints.get('e1')!.runs.values()];
+		const ended = runs.filter(({taskId, stopRequestedAt}) => stopRequestedAt !== undefined || now >= (startedAt.get(taskId) ?? now) + 500);
+		for (const {taskId, run, stopRequestedAt} of ended) {
+			endNumber += 1;
+			ends.push({
+				number: endNumber, taskId, run, outcome: stopRequestedAt === undefined ? 'done' : 'stopped', checkpoint: '7',
+			});
+		}
+
+		const running = runs.filter(run => !ended.includes(run)).map(({taskId, run}) => ({
+			taskId, run, checkpoint: '', percent: getPercent({taskId, run}, now, percent), load: 0,
 		}));
-		effects.push(...owner.apply({...createTestPollAnswer('e1', 1000 + now), running: runs}, now), ...owner.apply({kind: 'tick'}, now));
+		for (const {taskId} of running.filter(run => run.taskId.startsWith('urgent'))) {
+			startedAt.set(taskId, startedAt.get(taskId) ?? now);
+		}
+
+		effects.push(...owner.apply({...createTestPollAnswer('e1', 1000 + now), running, ended: ends}, now), ...owner.apply({kind: 'tick'}, now));
 	}
 
 	return {tasks: [...new Set(effects.flatMap(effect => effect.kind === 'stop-task' ? [effect.taskId] : []))], effects};
@@ -87,4 +117,17 @@
 		const count = effects.flatMap(effect => effect.kind === 'count' && effect.metric.startsWith('runs_preempted_total') ? [effect.by] : []).reduce((sum, by) => sum + by, 0);
 		expect(count).toBe(input.expected);
 	});
+
+	// Guards against discarded work that is not measured. A run at 10 percent of 20 s on a core resumes at 7 percent.
+	it('measures the discarded work when the task resumes', () => {
+		const {effects} = listStoppedTasks({name: 'one run', expected: 1});
+		const discarded = effects.flatMap(effect => effect.kind === 'count' && effect.metric === 'preempted_work_discarded_core_ms_total' ? [effect.by] : []);
+		const resumed = effects.flatMap(effect => effect.kind === 'log' && effect.message === 'preempted task resumed' ? [effect.fields] : []);
+		expect(discarded).toHaveLength(1);
+		expect(resumed).toMatchObject([{discardedCoreMs: discarded[0]}]);
+		expect(Number(resumed[0]!.percentBefore) - Number(resumed[0]!.percent)).toBeCloseTo(3, 1);
+		// The duration is predicted from the progress, which rises slowly here: 10 to 20 s.
+		expect(discarded[0]).toBeGreaterThanOrEqual(290);
+		expect(discarded[0]).toBeLessThanOrEqual(610);
+	});
 });
--- a/packages/jobs/src/placement/preempt-runs.ts
+++ b/packages/jobs/src/placement/preempt-runs.ts
@@ -11,6 +11,7 @@
 import {lateShare} from '../value/index.js';
 import {getTakenResources, type Candidate} from './choose-endpoint.js';
 import {type PoolDisplacement} from './displacement-state.js';
+import {followPreemptedTask} from './measure-discarded.js';
 import {computeValue} from './order-by-least-cost.js';
 import {
 	listReadySteps, rankJob, type ObjectiveStatus, type RankedJob,
@@ -269,12 +270,12 @@
 	const {job} = victim.task.step;
 	const reason: PreemptionReason = ranked.job.record.priority === 0 && job.record.priority > 0 ? 'urgent' : 'higher-value';
 	const account = getAccountLabel(placement.accountLabels, getAccount(job));
+	followPreemptedTask(displacement, victim.task, victim.run);
 	displacement.preemptionCounts.set(job, (displacement.preemptionCounts.get(job) ?? 0) + 1);
 	return [
 		emitCount(`runs_preempted_total{reason="${reason}",account="${account}"}`),
-		emitCount('preempted_work_core_ms_total', Math.round(victim.discardedWork / 1000)),
 		emitLog('info', 'run preempted', {
-			pool: pool.pool, task: victim.task.id, run: victim.run.run, percent: victim.run.percent, account, reason, for: task.id, waitMs: Number.isFinite(waitMs) ? Math.round(waitMs) : undefined, slackMs: Math.round(ranked.slackMs), discardedCoreMs: Math.round(victim.discardedWork / 1000),
+			pool: pool.pool, task: victim.task.id, run: victim.run.run, percent: victim.run.percent, account, reason, for: task.id, waitMs: Number.isFinite(waitMs) ? Math.round(waitMs) : undefined, slackMs: Math.round(ranked.slackMs), discardedCoreMsLimit: Math.round(victim.discardedWork / 1000),
 		}),
 		restartEvent({
 			kind: 'run-stop-requested', pool: pool.pool, taskId: victim.task.id, reason: `preempted in favour of ${task.id}`,
