--- a/packages/jobs/src/placement/placement-filter.ts
+++ b/packages/jobs/src/placement/placement-filter.ts
@@ -14,6 +14,7 @@
 import {type Candidate} from './choose-endpoint.js';
 import {orderWaitingJobs, preemptForWaitingJobs, rankJobs} from './displacement-policies.js';
 import {listCandidates} from './list-candidates.js';
+import {measureDiscardedWork, recordPreemptedEnd} from './measure-discarded.js';
 import {
 	listReadySteps, orderByLargestFirst, rankJob, type RankedJob,
 } from './order-jobs.js';
@@ -79,6 +80,11 @@
 			placement.reservedSteps.get(endpointId)?.delete(taskId);
 			return [];
 		},
+		'run-ended'(state, {pool, end: {taskId, run}, percent}) {
+			recordPreemptedEnd(state, pool, taskId, {run, percent});
+			return [];
+		},
+		'poll-answered': (state, {endpointId}) => measureDiscardedWork(state, endpointId),
 		'advice-answered': (state, event, context) => [
 			...recordAdvice(state, event, context),
 			...placeTasks(state, event.pool, context),
