Take the costs of a preemption from the settings

CheckpointS, StopMs and RestoreMs of the deployment reach the decision on preemptions, which assumed 1000, 900 and 600 ms.

--- a/packages/entry/src/jobs/jobs-process.ts
+++ b/packages/entry/src/jobs/jobs-process.ts
@@ -72,8 +72,9 @@
 	};
 
 	const strictRevokeMs = settings.isRevocationStrict ? settings.revokeMs : undefined;
+	const {stopMs, checkpointMs, restoreMs} = settings;
 	const state = createJobsState({
-		node, incarnation, orderLeaseMs: settings.orderLeaseMs, strictRevokeMs,
+		node, incarnation, orderLeaseMs: settings.orderLeaseMs, strictRevokeMs, placement: {preemptionCosts: {stopMs, checkpointMs, restoreMs}},
 	});
 	const random = createRandomSource(randomInt(2 ** 31));
 	const measurePause = createPauseMeter(readClocks());
