Explain where a job would be placed, without a change of the state

Operators could see why a job waits only after it was sent, in the logs. explainPlacement makes the search of placement on copies of the waiting jobs and of the state of placement, with the job added, and returns owner, endpoints or wait reason of each step, rank, uses of endpoints and the account's cap. The order of a search and the placing of a step are exported from the filter for it; what they do is unchanged.

The tests compare the whole state before and after, and the answer with what placement then starts.

--- a/packages/jobs/src/index.ts
+++ b/packages/jobs/src/index.ts
@@ -15,7 +15,9 @@
 export {
 	createPoolLedger, isStepReady, restoreJob, rosterRecordKey, type Job, type Step, type Task,
 } from './ledger/index.js';
-export {orderWaitingJobs, type DisplacementPolicy, type OrderInput} from './placement/index.js';
+export {
+	explainPlacement, orderWaitingJobs, type DisplacementPolicy, type OrderInput, type PlacementExplanation, type PlacementQuestion,
+} from './placement/index.js';
 export {summarizeAccounts, type AccountSummary} from './quota/index.js';
 export {
 	computeJobValue, computePriorityFactor, computeSizeValue, computeTimeliness, lateFactor,
--- a/packages/jobs/src/placement/account-budgets.ts
+++ b/packages/jobs/src/placement/account-budgets.ts
@@ -240,8 +240,8 @@
 	return hasCapacityFor(computeResources(name => resources[name] === 0 ? 0 : remaining[name]), resources);
 }
 
-/** Lists the endpoints and steps of tasks that are placed and not supervised yet. */
-function * listReservedSteps({placement}: State): Generator<{readonly endpointId: string; readonly step: Step}> {
+/** Lists the endpoints and steps of tasks that are placed and not supervised yet. @internal */
+export function * listReservedSteps({placement}: Pick<State, 'placement'>): Generator<{readonly endpointId: string; readonly step: Step}> {
 	for (const [endpointId, steps] of placement.reservedSteps) {
 		for (const step of steps.values()) {
 			yield {endpointId, step};
--- a/packages/jobs/src/placement/index.ts
+++ b/packages/jobs/src/placement/index.ts
@@ -8,3 +8,6 @@
 export {
 	createPlacementState, isPending, type PlacementOptions, type PlacementState, type PreemptionCosts,
 } from './placement-state.js';
+export {
+	explainPlacement, type AccountExplanation, type EndpointExplanation, type LimitedResources, type PlacementExplanation, type PlacementQuestion, type StepExplanation,
+} from './explain-placement.js';
--- a/packages/jobs/src/placement/placement-filter.ts
+++ b/packages/jobs/src/placement/placement-filter.ts
@@ -37,7 +37,10 @@
 /** A pool is searched again after this time even if no change was reported: avoided endpoints may have become usable, and the rank of a job depends on its age. */
 const maxSearchIntervalMs = 50;
 
-type State = {readonly placement: PlacementState} & AuthorityView & LedgerView & SupervisionView & DirectoryView & EvacuationView & ObservationView & QuotaView & ConfigurationView;
+/** @internal */
+export type PlacementFilterState = {readonly placement: PlacementState} & AuthorityView & LedgerView & SupervisionView & DirectoryView & EvacuationView & ObservationView & QuotaView & ConfigurationView;
+
+type State = PlacementFilterState;
 
 /**
 Chooses which tasks to start, and on which endpoints.
@@ -120,12 +123,11 @@
 	const confirmedAt = getConfirmedAt(state, poolName);
 	const candidates = listCandidates(state, pool, context);
 	// A restarted endpoint has forgotten the token of a later owner. Only a confirmation since then tells that there is none.
-	const getStartableSince = ({endpoint}: Candidate) => state.supervision.endpoints.get(endpoint.id)!.startableSince;
-	const usable = candidates.filter(candidate => getStartableSince(candidate) <= confirmedAt);
+	const usable = candidates.filter(candidate => getStartableSince(state, candidate) <= confirmedAt);
 	// A job that was stored after another entry had claimed the pool is not held back there by a survey of this entry's endpoints.
 	const confirmed = waiting.filter(job => job.firstSeenAt <= confirmedAt);
 	const outputs: JobOutput[] = [];
-	if (candidates.some(candidate => getStartableSince(candidate) > confirmedAt && getStartableSince(candidate) <= context.now) || (confirmed.length < waiting.length && candidates.length > 0)) {
+	if (candidates.some(candidate => getStartableSince(state, candidate) > confirmedAt && getStartableSince(state, candidate) <= context.now) || (confirmed.length < waiting.length && candidates.length > 0)) {
 		outputs.push(restartEvent({kind: 'claim-confirmation-due', pool: poolName}));
 	}
 
@@ -146,8 +148,13 @@
 	return [...outputs, ...reportWaitingJobs(state.placement, poolName, search, context), ...reportAccountDemand(state, poolName, search, context)];
 }
 
-/** Places the tasks of the waiting jobs in the order of their ranks. Jobs that no endpoint can take are left out, as they would displace others. */
-function placeJobs(state: State, pool: Readonly<PoolLedger>, search: PlacementSearch, waiting: readonly Job[], context: DecisionContext): JobOutput[] {
+/** Returns the time of this entry's claim, in monotonic ms, that has to be confirmed before tasks are started on a candidate. @internal */
+export function getStartableSince({supervision}: SupervisionView, {endpoint}: Candidate): number {
+	return supervision.endpoints.get(endpoint.id)!.startableSince;
+}
+
+/** Orders the jobs that a search tries by their ranks. Jobs that no endpoint can take are left out, as they would displace others, and so are those that their accounts' budgets hold back. @internal */
+export function orderStartableJobs(state: State, pool: Readonly<PoolLedger>, search: PlacementSearch, waiting: readonly Job[], context: DecisionContext): {readonly ordered: RankedJob[]; readonly outputs: JobOutput[]} {
 	const attainable = waiting.filter(job => hasAttainableStep(state, search, job));
 	state.placement.searchSizes.set(pool.pool, {ranked: attainable.length, unattainable: waiting.length - attainable.length});
 	const capacityMillis = sumCapacityMillis(search.candidates);
@@ -158,7 +165,12 @@
 		recordWaitingJob(search, job, 'account-cap');
 	}
 
-	const {ordered, outputs} = orderWaitingJobs(state, {pool, waiting: selected, capacityMillis}, context);
+	return orderWaitingJobs(state, {pool, waiting: selected, capacityMillis}, context);
+}
+
+/** Places the tasks of the waiting jobs in the order of their ranks. */
+function placeJobs(state: State, pool: Readonly<PoolLedger>, search: PlacementSearch, waiting: readonly Job[], context: DecisionContext): JobOutput[] {
+	const {ordered, outputs} = orderStartableJobs(state, pool, search, waiting, context);
 	for (const {job} of ordered) {
 		if (job.isAwaitingSurvey) {
 			recordWaitingJob(search, job, 'survey');
@@ -200,7 +212,8 @@
 	return false;
 }
 
-function placeWaitingStep(state: State, search: PlacementSearch, step: Step, context: DecisionContext): PlacementResult {
+/** Places the pending tasks of a step, unless it is known that none can start. @internal */
+export function placeWaitingStep(state: State, search: PlacementSearch, step: Step, context: DecisionContext): PlacementResult {
 	if (!step.tasks.some(task => isPending(task))) {
 		return {outputs: [], waitReason: undefined};
 	}
@@ -222,7 +235,8 @@
 	return rankJob(job, getJobEstimate(state, job, now), now);
 }
 
-function hasPendingTasks(steps: Iterable<Step>): boolean {
+/** Whether a task of any of the steps waits for a start. @internal */
+export function hasPendingTasks(steps: Iterable<Step>): boolean {
 	for (const step of steps) {
 		if (step.doneCount < step.tasks.length && step.tasks.some(task => isPending(task))) {
 			return true;
