Add the command place and the page of the peer server that it asks

POST /placement on the control address answers with the explanation; bodies are bounded and explanations at least 100 ms apart, as each takes as long as a search. pistachiogauge place FILE prints it, and asks the owner of the pool if the entry is not. Faults of the file are named with their field.

--- a/packages/cli/src/call-entry.ts
+++ b/packages/cli/src/call-entry.ts
@@ -24,10 +24,7 @@
 @public
 */
 export async function callEntry(options: CallOptions, command: OperatorCommand): Promise<unknown> {
-	if (!addressPattern.test(options.entry)) {
-		throw new CliError(2, `--entry: expected an IP number and port, such as 10.0.0.1:8080, not ${options.entry}`);
-	}
-
+	verifyEntryAddress(options.entry);
 	const body = JSON.stringify(command);
 	const call = {
 		operator: options.operator, issuedAt: Date.now(), nonce: randomUUID(), body,
@@ -47,6 +44,13 @@
 	return answer.body;
 }
 
+/** @throws CliError when the value of `--entry` is not an IP number and port. @internal */
+export function verifyEntryAddress(entry: string): void {
+	if (!addressPattern.test(entry)) {
+		throw new CliError(2, `--entry: expected an IP number and port, such as 10.0.0.1:8080, not ${entry}`);
+	}
+}
+
 async function sendCall(entry: string, body: string, headers: Record<string, string>): Promise<{status: number; body: unknown}> {
 	try {
 		const answer = await request(`http://${entry}/operator/call`, {
--- a/packages/cli/src/commands.ts
+++ b/packages/cli/src/commands.ts
@@ -2,6 +2,7 @@
 import {bundleCommands} from './bundle-commands.js';
 import {type Command} from './command.js';
 import {logCommands} from './log-commands.js';
+import {placeCommands} from './place-commands.js';
 import {poolCommands} from './pool-commands.js';
 import {statusCommands} from './status-commands.js';
 
@@ -12,4 +13,5 @@
 	...bundleCommands,
 	...auditCommands,
 	...logCommands,
+	...placeCommands,
 ];
--- a/packages/cli/src/run-command-line.ts
+++ b/packages/cli/src/run-command-line.ts
@@ -67,6 +67,10 @@
 	program.option('--key <file>', 'Private key of the operator');
 	program.option('--since <time>', 'Time or age of the oldest record');
 	program.option('--pool <name>', 'Pool of the records');
+	program.option('--queue <name>', 'Queue of the job');
+	program.option('--host <name>', 'Host that the job is sent to');
+	program.option('--path <path>', 'Path that the job is sent to');
+	program.option('--account <name>', 'Client account that sends the job');
 	program.option('--json', 'Print the result as JSON');
 	return program;
 }
--- a/packages/entry/src/jobs/jobs-process.ts
+++ b/packages/entry/src/jobs/jobs-process.ts
@@ -1,7 +1,7 @@
 import {randomBytes, randomInt, randomUUID} from 'node:crypto';
 import {createRandomSource, type DecisionContext} from '@pistachiogauge/chain';
 import {
-	applyJobEvent, canCheckKeys, checkCallerRequest, createJobsState, findQueue, summarizeAccounts, type CallerAnswer, type CallerOrigin, type JobEffect, type JobEvent, type RelayedRequest,
+	applyJobEvent, canCheckKeys, checkCallerRequest, createJobsState, explainPlacement, findQueue, summarizeAccounts, type CallerAnswer, type CallerOrigin, type JobEffect, type JobEvent, type RelayedRequest,
 } from '@pistachiogauge/jobs';
 import {createPipeline} from '@pistachiogauge/pipeline';
 import {
@@ -202,6 +202,7 @@
 			receiveRequest({requestId, request}) {
 				receiveRequest(requestId, request);
 			},
+			explainPlacement: question => explainPlacement(state, question, readClocks()),
 			formatMetrics() {
 				metrics.setGauge('log_lines_dropped', lineWriter.getDroppedCount());
 				metrics.setGauge('process_rss_bytes', process.memoryUsage.rss());
--- a/packages/entry/src/jobs/peer-server.test.ts
+++ b/packages/entry/src/jobs/peer-server.test.ts
@@ -47,6 +47,7 @@
 				server.answerRequest(relayed.requestId, {kind: 'status', status: 'done'});
 			}
 		},
+		explainPlacement: () => ({kind: 'unknown-queue'}),
 		log(...line) {
 			output.push(JSON.stringify(line));
 		},
--- a/packages/entry/src/jobs/peer-server.ts
+++ b/packages/entry/src/jobs/peer-server.ts
@@ -1,8 +1,9 @@
 import {createHash, timingSafeEqual} from 'node:crypto';
 import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
 import {HttpRequestError, listen, readBody} from '@pistachiogauge/http';
-import {type CallerAnswer} from '@pistachiogauge/jobs';
+import {type CallerAnswer, type PlacementExplanation, type PlacementQuestion} from '@pistachiogauge/jobs';
 import {type Logger} from '@pistachiogauge/telemetry';
+import {decodePlacementQuestion, maxPlacementBytes, placementPath} from './placement-messages.js';
 import {
 	decodeRelayMessage, maxRelayBytes, relayPath, relaySecretHeader, type RelayMessage,
 } from './relay-messages.js';
@@ -17,11 +18,13 @@
 	readonly isReady: () => boolean;
 	/** Handles a relayed request; its answer comes through `answerRequest`. */
 	readonly receiveRequest: (message: RelayMessage) => void;
+	/** Explains where a job would be placed; must change nothing. */
+	readonly explainPlacement: (question: PlacementQuestion) => PlacementExplanation;
 	readonly log: Logger;
 	readonly count: (metric: string) => void;
 };
 
-/** HTTP server for other entries and for monitoring. @internal */
+/** HTTP server for other entries, for monitoring and for operators. @internal */
 export type PeerServer = {
 	start(): Promise<void>;
 	/** Answers a relayed request. @returns Whether the request is a relayed one. */
@@ -38,6 +41,8 @@
 
 /** Limit on the relayed requests that wait for an answer. */
 const maxOpenRequests = 64;
+/** Minimum time between two explanations, each of which takes about as long as a search for tasks to start and copies the waiting jobs. */
+const minExplanationIntervalMs = 100;
 const maxHeadBytes = 16_384;
 /** Time in which a request has to arrive; senders give up after a second. */
 const requestTimeoutMs = 3000;
@@ -48,6 +53,7 @@
 export function createPeerServer(options: PeerServerOptions): PeerServer {
 	const openResponses = new Map<string, ServerResponse>();
 	const secretDigest = computeDigest(options.secret);
+	let explainedAt = Number.NEGATIVE_INFINITY;
 	const server = createServer({
 		maxHeaderSize: maxHeadBytes, keepAliveTimeout: keepAliveMs, headersTimeout: requestTimeoutMs, requestTimeout: requestTimeoutMs,
 	}, (request, response) => {
@@ -65,6 +71,12 @@
 				}
 			});
 		},
+		[`POST ${placementPath}`](request, response) {
+			void answerPlacement(request).then(({status, body}) => {
+				options.count(`placement_explanations_total{status="${status}"}`);
+				sendJson(response, status, body);
+			});
+		},
 	};
 
 	function sendMetrics(_request: IncomingMessage, response: ServerResponse): void {
@@ -109,6 +121,33 @@
 		return 'taken';
 	}
 
+	async function answerPlacement(request: IncomingMessage): Promise<{readonly status: number; readonly body: unknown}> {
+		let body;
+		try {
+			body = await readBody(request, maxPlacementBytes);
+		} catch (error) {
+			const fault = error instanceof HttpRequestError && error.reason === 'body-too-large' ? 'too-large' : 'malformed';
+			return {status: statusByReceipt[fault], body: {error: fault}};
+		}
+
+		if (performance.now() < explainedAt + minExplanationIntervalMs) {
+			return {status: statusByReceipt.busy, body: {error: 'busy'}};
+		}
+
+		const decoded = decodePlacementQuestion(body);
+		explainedAt = performance.now();
+		if ('fault' in decoded) {
+			return {status: statusByReceipt.malformed, body: {error: 'malformed', ...decoded.fault}};
+		}
+
+		try {
+			return {status: 200, body: options.explainPlacement(decoded.question)};
+		} catch (error) {
+			options.log('error', 'explanation of placement failed', {error: String(error)});
+			return {status: 500, body: {error: 'failed'}};
+		}
+	}
+
 	/** Compares digests, which have the same length, in constant time. */
 	function isAuthorized({headers}: IncomingMessage): boolean {
 		const secret = headers[relaySecretHeader];
