--- a/packages/entry/src/jobs/peer-server.test.ts
+++ b/packages/entry/src/jobs/peer-server.test.ts
@@ -8,6 +8,7 @@
 	afterEach, beforeEach, describe, expect, it,
 } from 'vitest';
 import {createPeerServer, type PeerServer} from './peer-server.js';
+import {maxPlacementBytes} from './placement-messages.js';
 import {maxRelayBytes, type RelayMessage} from './relay-messages.js';
 import {sendRelay} from './send-relay.js';
 
@@ -47,7 +48,13 @@
 				server.answerRequest(relayed.requestId, {kind: 'status', status: 'done'});
 			}
 		},
-		explainPlacement: () => ({kind: 'unknown-queue'}),
+		explainPlacement({target}) {
+			if ('queue' in target && target.queue === 'faulty') {
+				throw new Error('unexpected');
+			}
+
+			return {kind: 'unknown-queue'};
+		},
 		log(...line) {
 			output.push(JSON.stringify(line));
 		},
@@ -138,6 +145,43 @@
 	});
 });
 
+const job = {
+	payload: '', repeatCount: 0, startAtMs: 0, intervalMs: 0, steps: [{
+		count: 1, room: {cpuMillis: 1000, memoryMb: 100, gpus: 0}, estimateMs: 10, after: [], isCheckpointing: false, isGang: false, isSameRack: false, mayDuplicate: false, isLongRunning: false, image: '', isFiller: false,
+	}],
+};
+const questions: ReadonlyArray<{readonly name: string; readonly body: unknown; readonly status: number; readonly answer: Record<string, unknown>}> = [
+	{
+		name: 'a question', body: {queue: 'prints', job}, status: 200, answer: {kind: 'unknown-queue'},
+	},
+	{
+		name: 'a malformed job', body: {queue: 'prints', job: {...job, repeatCount: -1}}, status: 400, answer: {error: 'malformed', field: 'job.repeatCount'},
+	},
+	{
+		name: 'a body that is too large', body: {queue: 'x'.repeat(maxPlacementBytes), job}, status: 413, answer: {error: 'too-large'},
+	},
+	{
+		name: 'a question that cannot be explained', body: {queue: 'faulty', job}, status: 500, answer: {error: 'failed'},
+	},
+];
+
+// Guards against questions that take the process down, or keep it from its work.
+describe('the explanation of placement', () => {
+	const ask = async (body: unknown) => http.sendRequest({
+		address, method: 'POST', path: '/placement', body, timeoutMs: 2000,
+	});
+
+	it.each(questions)('has status $status for $name', async ({body, status, answer}) => {
+		expect(await ask(body)).toMatchObject({status, body: answer});
+		expect(received).toEqual([]);
+	});
+
+	it('is given once in a tenth of a second', async () => {
+		const answers = await Promise.all([1, 2, 3].map(async () => ask({queue: 'prints', job})));
+		expect(answers.map(({status}) => status).sort((left, right) => left - right)).toEqual([200, 503, 503]);
+	});
+});
+
 const member: Member = {
 	node: 'entry-1', incarnation: 'first', weight: 1, peerServer: {address: '127.0.0.1:9', secret},
 };
