Document the command place and bound the time of explanations

The interval to the next one is now at least twenty times as long as the last one took. The account's name is printed as it is written.

--- a/packages/cli/src/place-commands.ts
+++ b/packages/cli/src/place-commands.ts
@@ -116,6 +116,7 @@
 			objective: objectiveStatus,
 			rank: rank === undefined ? `none, ${rankedJobs} other jobs are ranked` : `${rank} of ${rankedJobs}`,
 			displacement: policy,
+			account: account?.name,
 			key: isKeyRequired && account === undefined ? 'required; explained without an account' : undefined,
 		}),
 		formatTable(['step', 'tasks', 'outcome', 'waits for', 'endpoint', 'tasks there', ...resourceHeading('free')], steps.flatMap(({step, tasks, outcome, waitReason = '', endpoints}) => {
@@ -127,7 +128,7 @@
 		formatTable(['endpoints', 'count', 'longest ms'], Object.entries(endpointUses).map(([use, {count, longestMs}]) => [use, count, longestMs])),
 		...(account === undefined
 			? []
-			: [formatTable([`account ${account.name}`, ...resourceHeading('')], [
+			: [formatTable(['account', ...resourceHeading('')], [
 				['cap', ...listAmounts(account.cap)], ['share of pool', ...listAmounts(account.share)], ['in use in pool', ...listAmounts(account.used)],
 			])]),
 	].join('\n\n');
--- a/packages/entry/src/jobs/peer-server.ts
+++ b/packages/entry/src/jobs/peer-server.ts
@@ -41,8 +41,10 @@
 
 /** Limit on the relayed requests that wait for an answer. */
 const maxOpenRequests = 64;
-/** Minimum time between two explanations, each of which takes about as long as a search for tasks to start and copies the waiting jobs. */
+/** Minimum time between two explanations of placement. */
 const minExplanationIntervalMs = 100;
+/** The same as a multiple of the time that the last one took. With thousands of waiting jobs it takes some hundred ms, in which the entry does nothing else. */
+const explanationIntervalFactor = 20;
 const maxHeadBytes = 16_384;
 /** Time in which a request has to arrive; senders give up after a second. */
 const requestTimeoutMs = 3000;
@@ -53,7 +55,7 @@
 export function createPeerServer(options: PeerServerOptions): PeerServer {
 	const openResponses = new Map<string, ServerResponse>();
 	const secretDigest = computeDigest(options.secret);
-	let explainedAt = Number.NEGATIVE_INFINITY;
+	let nextExplanationAt = 0;
 	const server = createServer({
 		maxHeaderSize: maxHeadBytes, keepAliveTimeout: keepAliveMs, headersTimeout: requestTimeoutMs, requestTimeout: requestTimeoutMs,
 	}, (request, response) => {
@@ -130,21 +132,22 @@
 			return {status: statusByReceipt[fault], body: {error: fault}};
 		}
 
-		if (performance.now() < explainedAt + minExplanationIntervalMs) {
+		const startedAt = performance.now();
+		if (startedAt < nextExplanationAt) {
 			return {status: statusByReceipt.busy, body: {error: 'busy'}};
 		}
 
-		const decoded = decodePlacementQuestion(body);
-		explainedAt = performance.now();
-		if ('fault' in decoded) {
-			return {status: statusByReceipt.malformed, body: {error: 'malformed', ...decoded.fault}};
-		}
-
 		try {
-			return {status: 200, body: options.explainPlacement(decoded.question)};
+			const decoded = decodePlacementQuestion(body);
+			return 'fault' in decoded
+				? {status: statusByReceipt.malformed, body: {error: 'malformed', ...decoded.fault}}
+				: {status: 200, body: options.explainPlacement(decoded.question)};
 		} catch (error) {
 			options.log('error', 'explanation of placement failed', {error: String(error)});
 			return {status: 500, body: {error: 'failed'}};
+		} finally {
+			const endedAt = performance.now();
+			nextExplanationAt = endedAt + Math.max(minExplanationIntervalMs, explanationIntervalFactor * (endedAt - startedAt));
 		}
 	}
 
