Refuse submissions that would be too late in overloaded pools

Under an overload all submissions were accepted, and callers of most learned only from late jobs that they had not been served. Owners of overloaded pools now publish the waits of their queues, and any entry refuses by them where the configuration has client accounts. Jobs are stored on condition of the revision of that record, so that a late write of an earlier attempt cannot make a refusal false.

--- a/packages/bench/src/jobs/create-virtual-sinks.ts
+++ b/packages/bench/src/jobs/create-virtual-sinks.ts
@@ -1,9 +1,10 @@
 import {
-	poolClaimPrefix, type CallerAnswer, type Clocks, type Endpoint, type JobEffect, type JobEffectOf, type JobEvent,
+	poolClaimPrefix, type CallerAnswer, type Clocks, type Endpoint, type JobEffect, type JobEffectOf, type JobEvent, type JobEventOf,
 } from '@pistachiogauge/jobs';
 import {type EventQueue} from '../virtual/event-queue.js';
 import {startWallTime} from '../virtual/virtual-clock.js';
 import {type StoreCaller, type StoreCallFailure} from './call-store.js';
+import {createAdmissionSinks, type AdmissionSinkTools} from './create-admission-sinks.js';
 import {createFleetSinks, type FleetSinkTools} from './create-fleet-sinks.js';
 import {createShareSinks, type ShareSinkTools} from './create-share-sinks.js';
 import {createOrderSinks, type OrderSinkTools} from './create-order-sinks.js';
@@ -17,7 +18,7 @@
 /** Sinks for the effects that have one in the simulation; each is also given the entry whose effect it is. */
 export type VirtualSinks = {readonly [Kind in JobEffect['kind']]?: (entry: VirtualJobsEntry, effect: JobEffectOf<Kind>) => void};
 
-export type VirtualSinkTools = OrderSinkTools & FleetSinkTools & ShareSinkTools & {
+export type VirtualSinkTools = OrderSinkTools & FleetSinkTools & ShareSinkTools & AdmissionSinkTools & {
 	readonly queue: EventQueue;
 	readonly store: VirtualJobStore;
 	readonly checker: JobInvariantChecker;
@@ -39,7 +40,7 @@
 /** Creates the sinks that carry out the effects of the simulation's entries on the virtual store, endpoints and callers. */
 export function createVirtualSinks(tools: VirtualSinkTools): VirtualSinks {
 	const {
-		queue, store, checker, answers, onLine, delivery, callStore, listEndpoints, advice, relay, fleetRecords, getJobAccount,
+		queue, store, checker, answers, onLine, delivery, callStore, listEndpoints, advice, relay, fleetRecords, admissionRecords, getJobAccount,
 	} = tools;
 
 	/** Calls the store and delivers the events that the answer or the failure gives. */
@@ -72,6 +73,7 @@
 		...createOrderSinks(tools),
 		...createFleetSinks(tools),
 		...createShareSinks(tools),
+		...createAdmissionSinks(tools),
 		claim(entry, effect) {
 			const {name} = effect;
 			const {node, incarnation} = entry;
@@ -106,12 +108,23 @@
 				createFailure: () => ({kind: 'pool-load-failed', pool, token}),
 			});
 		},
-		'store-job'(entry, {requestId, job}) {
+		'store-job'(entry, {requestId, job, admissionRevision}) {
 			callStore(entry, {
 				isWrite: true,
-				run: () => store.storeJob({...job, account: job.account ?? getJobAccount(job.id)}),
-				onAnswer(isNew) {
-					delivery.deliver(entry, {kind: 'job-stored', requestId, result: isNew ? 'applied' : 'conflict'});
+				run(): JobEventOf<'job-stored'>['result'] {
+					if (store.getProgress(job.id) !== undefined) {
+						return 'conflict';
+					}
+
+					if (admissionRevision !== undefined && admissionRecords.getRecord(job.pool).revision !== admissionRevision) {
+						return 'superseded';
+					}
+
+					store.storeJob({...job, account: job.account ?? getJobAccount(job.id)});
+					return 'applied';
+				},
+				onAnswer(result) {
+					delivery.deliver(entry, {kind: 'job-stored', requestId, result});
 				},
 				onFailure(failure) {
 					if (failure === 'refused') {
--- a/packages/bench/src/jobs/jobs-simulation.ts
+++ b/packages/bench/src/jobs/jobs-simulation.ts
@@ -17,6 +17,7 @@
 import {createVirtualJobsEntry, type VirtualJobsEntry} from './virtual-jobs-entry.js';
 import {createVirtualNetwork, storeNode, type VirtualNetwork} from './virtual-network.js';
 import {createOrigin, createVirtualRelay} from './virtual-relay.js';
+import {createVirtualAdmissionRecords, type VirtualAdmissionRecords} from './virtual-admission-records.js';
 import {createVirtualRegistry} from './virtual-registry.js';
 import {createVirtualShareRecords, type VirtualShareRecords} from './virtual-share-records.js';
 import {startVirtualSession} from './virtual-session.js';
@@ -31,6 +32,7 @@
 	readonly endpoints: Map<string, VirtualTaskEndpoint>;
 	readonly store: VirtualJobStore;
 	readonly shareRecords: VirtualShareRecords;
+	readonly admissionRecords: VirtualAdmissionRecords;
 	readonly network: VirtualNetwork;
 	readonly checker: JobInvariantChecker;
 	readonly advice: VirtualAdviceService;
@@ -133,12 +135,14 @@
 			{kind: 'endpoints-listed', endpoints: registry.listEndpoints()},
 			...[...entry.state.ledger.pools.keys()].flatMap(pool => [...store.listInbox(pool), ...fleetRecords.listForPool(pool, entry.state.evacuation.requests.values())]),
 			...fleetRecords.listForFleet(),
+			...[...admissionRecords.records.values()].map(admission => ({kind: 'admission-changed', admission} as const)),
 			...(entry.state.quota.followed.length > 0 ? [{kind: 'shares-listed', owned: entry.state.quota.followed, shares: shareRecords.listShares()} as const] : []),
 		],
 	});
 	const store = createVirtualJobStore(watches.publish);
 	const fleetRecords = createVirtualFleetRecords(store, watches.publish);
 	const shareRecords = createVirtualShareRecords(store, watches.publish);
+	const admissionRecords = createVirtualAdmissionRecords(store, watches.publish);
 	const registry = createVirtualRegistry({
 		queue, endpoints, canReachStore: id => simulation.isStoreUp && network.canDeliver(id, storeNode), publish: watches.publish,
 	});
@@ -178,6 +182,7 @@
 		}),
 		fleetRecords,
 		shareRecords,
+		admissionRecords,
 		machineService,
 		getJobAccount: jobId => jobAccounts.get(jobId),
 	});
@@ -235,6 +240,7 @@
 		endpoints,
 		store,
 		shareRecords,
+		admissionRecords,
 		network,
 		checker,
 		advice,
--- a/packages/entry/src/jobs/create-job-sinks.ts
+++ b/packages/entry/src/jobs/create-job-sinks.ts
@@ -3,6 +3,7 @@
 } from '@pistachiogauge/jobs';
 import {type StoreTransaction} from '@pistachiogauge/platform';
 import {type SinkTable} from '@pistachiogauge/pipeline';
+import {createAdmissionSinks} from './create-admission-sinks.js';
 import {createFleetSinks} from './create-fleet-sinks.js';
 import {createOrderSinks, type CallRunner} from './create-order-sinks.js';
 import {createShareSinks} from './create-share-sinks.js';
@@ -72,10 +73,10 @@
 		}
 	}
 
-	async function storeJob({requestId, job}: JobEffectOf<'store-job'>): Promise<void> {
+	async function storeJob({requestId, job, admissionRevision}: JobEffectOf<'store-job'>): Promise<void> {
 		const progressKey = recordKeys.getProgressKey(job.pool, job.id);
 		const result = await store.applyTransaction({
-			conditions: [{key: progressKey, revision: 0}],
+			conditions: [{key: progressKey, revision: 0}, ...(admissionRevision === undefined ? [] : [{key: recordKeys.getAdmissionKey(job.pool), revision: admissionRevision}])],
 			puts: [
 				{key: recordKeys.getJobKey(job.pool, job.id), value: encodeRecord(job)},
 				{key: progressKey, value: encodeRecord(createInitialProgress(job))},
@@ -92,7 +93,9 @@
 			return;
 		}
 
-		pushEvent({kind: 'job-stored', requestId, result: writeResults[result.kind]});
+		// The progress record was the only other condition.
+		const isSuperseded = result.kind === 'conflict' && admissionRevision !== undefined && (result.revisions.get(progressKey) ?? 0) === 0;
+		pushEvent({kind: 'job-stored', requestId, result: isSuperseded ? 'superseded' : writeResults[result.kind]});
 	}
 
 	async function saveProgress({
@@ -290,6 +293,7 @@
 		...createFleetSinks(dependencies, {runCall, orderJournal, createFleetConditions}),
 		...createOrderSinks({...dependencies, orderJournal}, runCall),
 		...createShareSinks(dependencies, runCall),
+		...createAdmissionSinks(dependencies, runCall),
 		'relay-request'(effect) {
 			const {requestId, node} = effect;
 			runCall('relay-request', async () => {
--- a/packages/entry/src/jobs/follow-records.ts
+++ b/packages/entry/src/jobs/follow-records.ts
@@ -7,7 +7,7 @@
 import {type Logger} from '@pistachiogauge/telemetry';
 import {type ConfigurationDecoder} from './configuration-decoder.js';
 import {
-	decodeClaim, decodeMember, decodeRecord, recordKeys,
+	decodeAdmission, decodeClaim, decodeMember, decodeRecord, recordKeys,
 } from './job-records.js';
 import {type IgnoredItemReporter} from './report-ignored-items.js';
 
@@ -93,7 +93,7 @@
 	});
 }
 
-/** Watches the registrations of entries and the claims. @internal */
+/** Watches the registrations of entries, the claims and the waits in overloaded pools. @internal */
 export function followMembersAndClaims(context: FollowContext): StopFollowing {
 	function handleMemberChange(item: StoreItem): JobEvent {
 		const node = item.key.slice(recordKeys.entryPrefix.length);
@@ -105,8 +105,18 @@
 		return {kind: 'member-changed', node, member};
 	}
 
+	function decodeAdmissionChange(item: StoreItem): JobEvent {
+		const admission = decodeAdmission(item);
+		if (item.value !== undefined && admission.record === undefined) {
+			context.reportIgnoredItem(item);
+		}
+
+		return {kind: 'admission-changed', admission};
+	}
+
 	const decoders: RecordDecoder[] = [
 		{prefix: recordKeys.lastHolderPrefix, decode: decodeLastHolder},
+		{prefix: recordKeys.admissionPrefix, decode: decodeAdmissionChange},
 		{prefix: recordKeys.entryPrefix, decode: handleMemberChange},
 		{
 			prefix: recordKeys.claimPrefix,
@@ -121,7 +131,7 @@
 				context.handleRegistrationLost();
 			}
 
-			for (const item of items.filter(each => each.key.startsWith(recordKeys.lastHolderPrefix))) {
+			for (const item of items.filter(({key}) => key.startsWith(recordKeys.lastHolderPrefix) || key.startsWith(recordKeys.admissionPrefix))) {
 				publishItem(decoders, item, context);
 			}
 
--- a/packages/entry/src/jobs/job-records.ts
+++ b/packages/entry/src/jobs/job-records.ts
@@ -1,5 +1,5 @@
 import {
-	type Claim, type JobRecord, type Member, type PoolDemandHistory, type PoolReport, type ProgressRecord, type Roster, type ShareRecord, type StoredJob, type StoredShares, type EvacuatedEndpoint, type EvacuationRequest,
+	type AdmissionRecord, type Claim, type JobRecord, type Member, type PoolDemandHistory, type PoolReport, type ProgressRecord, type Roster, type ShareRecord, type StoredAdmission, type StoredJob, type StoredShares, type EvacuatedEndpoint, type EvacuationRequest,
 } from '@pistachiogauge/jobs';
 import {decodeValue, parseJson, type StoreItem} from '@pistachiogauge/platform';
 import {recordSchemas} from './record-schemas.js';
@@ -12,6 +12,9 @@
 	sharedPrefix: 'shared/',
 	entryPrefix: 'shared/entry/',
 	claimPrefix: 'shared/claim/',
+	/** Waits in overloaded pools. Such a record is never deleted, as writes of jobs depend on its revision. */
+	admissionPrefix: 'shared/admission/',
+	getAdmissionKey: (pool: string) => `shared/admission/${pool}`,
 	/** Requests to a pool's owner. */
 	getInboxPrefix: (pool: string) => `inbox/${pool}/`,
 	getJobKey: (pool: string, jobId: string) => `inbox/${pool}/job/${jobId}`,
@@ -46,12 +49,13 @@
 export type RecentOrdersRecord = {readonly token: number; readonly machines: readonly string[]};
 
 /** @internal */
-export function encodeRecord(record: ShareRecord | DemandHistoryRecord | RecentOrdersRecord | JobRecord | ProgressRecord | Roster | PoolReport | EvacuationRequest | Pick<EvacuatedEndpoint, 'requestId'> | WaveRecord | Omit<Member, 'node'> | {readonly node: string; readonly incarnation: string} | Record<string, never>): string {
+export function encodeRecord(record: AdmissionRecord | ShareRecord | DemandHistoryRecord | RecentOrdersRecord | JobRecord | ProgressRecord | Roster | PoolReport | EvacuationRequest | Pick<EvacuatedEndpoint, 'requestId'> | WaveRecord | Omit<Member, 'node'> | {readonly node: string; readonly incarnation: string} | Record<string, never>): string {
 	return JSON.stringify(record);
 }
 
 /** Type of the record that belongs to each schema. */
 type RecordTypes = {
+	readonly admission: AdmissionRecord;
 	readonly member: Omit<Member, 'node'>;
 	readonly holder: {readonly node: string; readonly incarnation: string};
 	readonly job: JobRecord;
@@ -107,6 +111,11 @@
 	return account === undefined ? undefined : {account, revision: item.revision, record: decodeRecord('shares', item)};
 }
 
+/** Decodes the admission record of a pool; the record is undefined when it was deleted or cannot be decoded. @internal */
+export function decodeAdmission(item: StoreItem): StoredAdmission {
+	return {pool: item.key.slice(recordKeys.admissionPrefix.length), revision: item.value === undefined ? 0 : item.revision, record: decodeRecord('admission', item)};
+}
+
 function decodeAccountName(name: string): string | undefined {
 	try {
 		return decodeURIComponent(name);
--- a/packages/entry/src/jobs/odd-records.test.ts
+++ b/packages/entry/src/jobs/odd-records.test.ts
@@ -25,6 +25,7 @@
 	recentOrders: ['machines'],
 	demandHistory: ['history'],
 	shares: ['cap', 'pools'],
+	admission: ['queues'],
 };
 const table = `{${Array.from({length: 20_000}, (_, index) => `"k${index}":[0]`).join(',')}}`;
 const largeTexts = Object.entries(listFields).flatMap(([kind, fields]) => [
--- a/packages/entry/src/jobs/record-schemas.ts
+++ b/packages/entry/src/jobs/record-schemas.ts
@@ -1,3 +1,4 @@
+import {admissionWorkRatios} from '@pistachiogauge/jobs';
 import {createTableSchema, decodeValue} from '@pistachiogauge/platform';
 import {z} from 'zod';
 
@@ -34,6 +35,12 @@
 	missLimit: z.number().optional(),
 });
 
+const durationModel = z.object({
+	count, meanLogEstimate: z.number(), meanLogDuration: z.number(), variance: z.number().nonnegative(), covariance: z.number(),
+});
+/** A wait in ms for each ratio of work. */
+const waits = z.array(z.number().nonnegative()).length(admissionWorkRatios.length);
+
 /** By kind of record. @internal */
 export const recordSchemas = {
 	member: z.object({
@@ -83,15 +90,20 @@
 		servingEndpoints: addedNames,
 		releasableEndpoints: addedNames,
 		neededEndpoints: addedNames,
-		durationModels: createTableSchema(z.object({
-			count, meanLogEstimate: z.number(), meanLogDuration: z.number(), variance: z.number().nonnegative(), covariance: z.number(),
-		})).default({}),
+		durationModels: createTableSchema(durationModel).default({}),
 	}),
 	evacuationRequest: z.object({
 		requestId: z.string(), pool: z.string(), endpointId: z.string(), machine: z.string(), purpose: z.enum(['maintenance', 'move']), dueAt: z.number(),
 	}),
 	evacuated: z.object({requestId: z.string()}),
 	wave: z.object({maintained: addedNames, isDone: z.boolean()}),
+	admission: z.object({
+		publishedAt: z.number(),
+		configurationVersion: z.number(),
+		queues: createTableSchema(z.object({
+			meanWork: z.number().positive(), durations: durationModel.optional(), waits: createTableSchema(z.object({timely: waits, total: waits})),
+		})),
+	}),
 	recentOrders: z.object({token: count, machines: z.array(z.string())}),
 	shares: z.object({
 		cap: resources,
--- /dev/null
+++ b/packages/jobs/src/admission/admission-state.ts
@@ -0,0 +1,30 @@
+import {type AdmissionRecord, type StoredAdmission} from '../model/index.js';
+
+/** An admission record as this entry knows it. @public */
+export type KnownAdmission = Omit<StoredAdmission, 'pool'> & {
+	/** Monotonic ms at which this entry first saw the revision. */
+	readonly seenAt: number;
+};
+
+/** @public */
+export type AdmissionState = {
+	/** Admission records by pool. A pool that has never been overloaded has none. */
+	readonly records: Map<string, KnownAdmission>;
+	/** Publications of the pools that this entry owns: when one was last considered, in monotonic ms, and whether a write is open. */
+	readonly publications: Map<string, {checkedAt: number; isWriting: boolean}>;
+	/** Monotonic ms since when configurations have had accounts; undefined if the present one has none. */
+	accountsSince: number | undefined;
+};
+
+/** Read-only view of the admission records for other filters. @public */
+export type AdmissionView = {readonly admission: {readonly records: ReadonlyMap<string, KnownAdmission>}};
+
+/** @public */
+export function createAdmissionState(): AdmissionState {
+	return {records: new Map(), publications: new Map(), accountsSince: undefined};
+}
+
+/** Creates a record by which no submission is refused. @param wallTime - Unix ms. @internal */
+export function createLiftedRecord(wallTime: number, configurationVersion: number): AdmissionRecord {
+	return {publishedAt: wallTime, configurationVersion, queues: {}};
+}
--- a/packages/jobs/src/apply-job-event.ts
+++ b/packages/jobs/src/apply-job-event.ts
@@ -1,5 +1,6 @@
 import {createChain, type DecisionContext} from '@pistachiogauge/chain';
 import {accountsFilter} from './accounts/index.js';
+import {admissionFilter} from './admission/index.js';
 import {authorityFilter} from './authority/index.js';
 import {configurationFilter} from './configuration/index.js';
 import {directoryFilter} from './directory/index.js';
@@ -24,6 +25,7 @@
 	configurationFilter,
 	accountsFilter,
 	directoryFilter,
+	admissionFilter,
 	intakeFilter,
 	relayFilter,
 	supervisionFilter,
--- a/packages/jobs/src/intake/intake-filter.ts
+++ b/packages/jobs/src/intake/intake-filter.ts
@@ -1,13 +1,16 @@
-import {emitEffect, passEvent} from '@pistachiogauge/chain';
+import {emitEffect, passEvent, type DecisionContext} from '@pistachiogauge/chain';
 import {
 	checkCallerOfQueue, labelAccount, type AccountsView, type CallerCheck,
 } from '../accounts/index.js';
+import {
+	chooseRetryMs, createLiftedRecord, decideAdmission, isReportStale, type AdmissionReason, type AdmissionView,
+} from '../admission/index.js';
 import {type ConfigurationView} from '../configuration/index.js';
 import {
 	emitCount, emitLog, type JobFilter, type JobOutput,
 } from '../filter.js';
 import {
-	type CallerAction, type CallerAnswer, type CallerOrigin, type CallerRejection, type Clocks, type JobEventOf, type JobRecord, type Queue, type UnansweredCause,
+	type CallerAction, type CallerAnswer, type CallerOrigin, type CallerRejection, type Clocks, type JobEventOf, type JobRecord, type Queue, type StoredAdmission, type UnansweredCause,
 } from '../model/index.js';
 import {type LedgerView} from '../ledger/ledger-state.js';
 
@@ -32,6 +35,17 @@
 /** What this entry has answered to the submission of a job. */
 type Submission = {readonly answer: 'accepted' | 'undecided'; readonly at: number};
 
+/** A submission in a deployment with client accounts, until it is answered. */
+type Admission = {
+	readonly job: JobRecord;
+	/** Version of the configuration that the job's record is based on. */
+	readonly configurationVersion: number;
+	/** Why the submission is accepted or refused, as decided last. */
+	reason: AdmissionReason;
+	/** Number of times for which the admission record has changed meanwhile. */
+	conflictCount: number;
+};
+
 /** Lines about rejected requests in the present interval: callers without a valid key may send any number of requests. */
 type RejectionLines = {startedAt: number; lineCount: number; unreportedCount: number};
 
@@ -40,11 +54,13 @@
 	readonly pendingRequests: Map<string, PendingRequest>;
 	/** Recent submissions that were not refused, by job. The same job may be submitted again, and must not be refused as not accepted then. */
 	readonly recentSubmissions: Map<string, Submission>;
+	/** By request. */
+	readonly admissions: Map<string, Admission>;
 	isStoreReached: boolean;
 	readonly rejectionLines: RejectionLines;
 };
 
-type State = {readonly intake: IntakeState} & AccountsView & ConfigurationView & LedgerView;
+type State = {readonly intake: IntakeState} & AccountsView & AdmissionView & ConfigurationView & LedgerView;
 
 /** What of a request decides whether its key is sufficient. @public */
 export type CallerRequestSummary = Pick<JobEventOf<'caller-requested'>, 'action' | 'queue' | 'jobId' | 'keyHash'>;
@@ -58,18 +74,20 @@
 const storeRetryAfterMs = 1000;
 const rejectionLogIntervalMs = 10_000;
 const maxRejectionLines = 100;
+/** Number of changes of the admission record during one submission after which it is left undecided; the owner changes it twice a second. */
+const maxAdmissionConflicts = 4;
 
 /** @public */
 export function createIntakeState(): IntakeState {
 	return {
-		pendingRequests: new Map(), recentSubmissions: new Map(), isStoreReached: false, rejectionLines: {startedAt: 0, lineCount: 0, unreportedCount: 0},
+		pendingRequests: new Map(), recentSubmissions: new Map(), admissions: new Map(), isStoreReached: false, rejectionLines: {startedAt: 0, lineCount: 0, unreportedCount: 0},
 	};
 }
 
 type ActionHandler = (state: State, request: JobEventOf<'caller-requested'>, queue: Queue, account: string | undefined, wallTime: number) => JobOutput[];
 
 const actionHandlers: Readonly<Record<CallerAction, ActionHandler>> = {
-	submit(_state, {requestId, jobId, spec}, queue, account, wallTime) {
+	submit(state, {requestId, jobId, spec}, queue, account, wallTime) {
 		if (spec === undefined) {
 			return [createAnswer(requestId, 'submit', {kind: 'invalid', message: 'the body is not a job'})];
 		}
@@ -87,7 +105,7 @@
 			account: queue.isPublic ? undefined : account,
 			acceptedAt: wallTime,
 		};
-		return [emitEffect({kind: 'store-job', requestId, job})];
+		return admitJob(state, requestId, job);
 	},
 	get(state, {requestId, jobId}, queue, account) {
 		const ended = state.ledger.pools.get(queue.pool)?.endedJobs.get(jobId);
@@ -189,13 +207,45 @@
 			intake.isStoreReached = false;
 			return [emitLog('warn', 'store unreachable', {})];
 		},
-		'job-stored': (state, {requestId, result}, context) => answerStoreCall(state, requestId, context.now, {
-			// The record exists already: the same job was submitted again.
-			conflict: {kind: 'accepted'},
-			applied: {kind: 'accepted'},
-			refused: {kind: 'refused', reason: 'the store did not take the job', retryAfterMs: storeRetryAfterMs},
-			unknown: {kind: 'undecided', reason: 'the store has not answered'},
-		}[result] as CallerAnswer, writeCauses[result]),
+		'job-stored': (state, {requestId, result}, context) => result === 'superseded'
+			? repeatAdmission(state, requestId, context.now)
+			: answerStoreCall(state, requestId, context.now, {
+				// The record exists already: the same job was submitted again.
+				conflict: {kind: 'accepted'},
+				applied: {kind: 'accepted'},
+				refused: {kind: 'refused', reason: 'the store did not take the job', retryAfterMs: storeRetryAfterMs},
+				unknown: storeSilentAnswer,
+			}[result] as CallerAnswer, writeCauses[result]),
+		'admission-read'(state, {requestId, found}, context) {
+			const admission = state.intake.admissions.get(requestId);
+			if (admission === undefined) {
+				return [];
+			}
+
+			if (found === undefined) {
+				return answerStoreCall(state, requestId, context.now, storeSilentAnswer, 'no-answer');
+			}
+
+			return found.isJobStored
+				? answerPendingRequest(state, requestId, context.now, {kind: 'accepted'})
+				: confirmAdmission(state, requestId, admission, found.admission, context);
+		},
+		'admission-written'(state, {requestId, result, admission: written}, context) {
+			const admission = requestId === undefined ? undefined : state.intake.admissions.get(requestId);
+			if (requestId === undefined || admission === undefined) {
+				return [];
+			}
+
+			if (result === 'conflict') {
+				return repeatAdmission(state, requestId, context.now);
+			}
+
+			return written === undefined
+				? answerStoreCall(state, requestId, context.now, storeSilentAnswer, 'no-answer')
+				: [emitEffect({
+					kind: 'store-job', requestId, job: admission.job, admissionRevision: written.revision,
+				})];
+		},
 		'progress-read'(state, {requestId, result, progress}, context) {
 			const request = state.intake.pendingRequests.get(requestId);
 			if (request === undefined) {
@@ -256,11 +306,102 @@
 };
 
 const storeLostAnswer: CallerAnswer = {kind: 'refused', reason: 'the store is out of reach', retryAfterMs: storeRetryAfterMs};
+const storeSilentAnswer: CallerAnswer = {kind: 'undecided', reason: 'the store has not answered'};
 const readFailedAnswer: CallerAnswer = {kind: 'refused', reason: 'the store cannot be read', retryAfterMs: storeRetryAfterMs};
 
 /** Why a write has no decision of the store, by its result. */
 const writeCauses: Readonly<Partial<Record<JobEventOf<'job-stored'>['result'], UnansweredCause>>> = {refused: 'store-refused', unknown: 'no-answer'};
 
+/** Stores a job, or prepares its refusal where its pool's admission record says that it would be too late. */
+function admitJob(state: State, requestId: string, job: JobRecord): JobOutput[] {
+	const known = state.admission.records.get(job.pool);
+	if (known === undefined && state.configuration.current?.accounts === undefined) {
+		return [emitEffect({kind: 'store-job', requestId, job})];
+	}
+
+	const stored = {revision: known?.revision ?? 0, record: known?.record};
+	const configurationVersion = state.configuration.current?.version ?? 0;
+	const decision = decideJobAdmission(job, stored, configurationVersion);
+	state.intake.admissions.set(requestId, {
+		job, configurationVersion, reason: decision.reason, conflictCount: 0,
+	});
+	return [decision.kind === 'accept'
+		? emitEffect({
+			kind: 'store-job', requestId, job, admissionRevision: stored.revision,
+		})
+		: emitEffect({
+			kind: 'read-admission', requestId, pool: job.pool, jobId: job.id,
+		})];
+}
+
+function decideJobAdmission(job: JobRecord, stored: Omit<StoredAdmission, 'pool'>, configurationVersion: number) {
+	const {spec, account, queue: name, priority, stretch, latencyTargetMs} = job;
+	return decideAdmission(stored, configurationVersion, {
+		spec, account, queue: {
+			name, priority, stretch, latencyTargetMs,
+		},
+	});
+}
+
+/**
+Decides on a submission by the admission record that was read after it arrived, before the read that shows that the job is not stored.
+
+Earlier attempts to store the job can come into effect no more: they were made under earlier revisions, as no entry stores the job under this one. Where this entry would store a job that others refuse, it lifts the record first, so that the job is stored under a revision by which nobody refuses.
+*/
+function confirmAdmission(state: State, requestId: string, admission: Admission, stored: StoredAdmission, context: DecisionContext): JobOutput[] {
+	const {job} = admission;
+	const decision = decideJobAdmission(job, stored, admission.configurationVersion);
+	admission.reason = decision.reason;
+	if (decision.kind === 'accept') {
+		return [emitEffect({
+			kind: 'store-job', requestId, job, admissionRevision: stored.revision,
+		})];
+	}
+
+	const doubt = decision.kind === 'unsure' ? decision.reason : findDoubt(state, requestId, job, stored, context);
+	if (decision.kind === 'unsure' || doubt !== undefined) {
+		admission.reason = doubt ?? decision.reason;
+		return [emitCount('admission_reports_lifted_total'), emitEffect({
+			kind: 'write-admission', pool: job.pool, token: undefined, requestId, revision: stored.revision, record: createLiftedRecord(context.wallTime, state.configuration.current?.version ?? 0),
+		})];
+	}
+
+	const {waitMs, finishMs, limitMs} = decision;
+	const retryAfterMs = chooseRetryMs(decision, context.random);
+	return [
+		emitLog('warn', 'submission refused, as the job would be too late', {
+			request: requestId, job: job.id, queue: job.queue, pool: job.pool, account: job.account, waitMs: Math.round(waitMs), finishMs: Math.round(finishMs), limitMs: Math.round(limitMs), retryAfterMs, revision: stored.revision, reportAgeMs: Math.round(context.wallTime - (stored.record?.publishedAt ?? 0)),
+		}),
+		// A peer that was asked meanwhile may have stored the job.
+		...answerStoreCall(state, requestId, context.now, {kind: 'refused', reason: 'the job would be too late to be of use', retryAfterMs}, 'store-refused'),
+	];
+}
+
+/** Finds out why a submission is not to be refused, although the record says so. */
+function findDoubt(state: State, requestId: string, job: JobRecord, stored: StoredAdmission, {now, wallTime}: DecisionContext): AdmissionReason | undefined {
+	if (findSubmission(state, job.id, job.pool, now, requestId) !== undefined) {
+		return 'known-submission';
+	}
+
+	const seenAt = state.admission.records.get(job.pool)?.seenAt ?? now;
+	return stored.record === undefined || isReportStale(stored.record, now - seenAt, wallTime) ? 'stale-report' : undefined;
+}
+
+/** Decides anew on a submission after the admission record has changed. */
+function repeatAdmission(state: State, requestId: string, now: number): JobOutput[] {
+	const admission = state.intake.admissions.get(requestId);
+	if (admission === undefined) {
+		return [];
+	}
+
+	admission.conflictCount += 1;
+	return admission.conflictCount >= maxAdmissionConflicts
+		? answerStoreCall(state, requestId, now, {kind: 'undecided', reason: 'the load report has changed too often'}, 'no-answer')
+		: [emitEffect({
+			kind: 'read-admission', requestId, pool: admission.job.pool, jobId: admission.job.id,
+		})];
+}
+
 /** Whether a peer can be asked about a request. A submission without a valid job is refused here. */
 function isRelayable(event: JobEventOf<'caller-requested'>): event is RelayableRequest {
 	const {origin, action, spec} = event;
@@ -349,8 +490,8 @@
 	];
 }
 
-/** Finds out from memory what became of earlier submissions of a job. @returns Undefined when this entry knows of none. */
-function findSubmission({intake, ledger}: State, jobId: string, pool: string, now: number): Submission['answer'] | undefined {
+/** Finds out from memory what became of earlier submissions of a job, other than one request. @returns Undefined when this entry knows of none. */
+function findSubmission({intake, ledger}: State, jobId: string, pool: string, now: number, exceptRequestId?: string): Submission['answer'] | undefined {
 	const owned = ledger.pools.get(pool);
 	if (owned?.jobs.has(jobId) === true || owned?.endedJobs.has(jobId) === true) {
 		return 'accepted';
@@ -362,7 +503,7 @@
 	}
 
 	// Another request for the same job may be accepted yet.
-	const isPending = [...intake.pendingRequests.values()].some(request => request.action === 'submit' && request.jobId === jobId);
+	const isPending = [...intake.pendingRequests].some(([requestId, request]) => requestId !== exceptRequestId && request.action === 'submit' && request.jobId === jobId);
 	return isPending ? 'undecided' : undefined;
 }
 
@@ -386,6 +527,8 @@
 	}
 
 	state.intake.pendingRequests.delete(requestId);
+	const admission = state.intake.admissions.get(requestId);
+	state.intake.admissions.delete(requestId);
 	const known = request.action === 'submit' && storeAnswer.kind === 'refused' ? findSubmission(state, request.jobId, request.queue.pool, now) : undefined;
 	const answer = known === undefined ? storeAnswer : knownSubmissionAnswers[known];
 	if (request.action === 'submit' && (answer.kind === 'accepted' || answer.kind === 'undecided')) {
@@ -396,7 +539,8 @@
 	return [
 		createAnswer(requestId, request.action, answer),
 		emitCount(`requests_total{action="${request.action}",answer="${answer.kind}"}`),
-		...countForAccount(state, request.account, answer.kind, 'store'),
+		...countForAccount(state, request.account, answer.kind, admission?.reason === 'too-late' ? 'admission' : 'store'),
+		...(admission === undefined ? [] : [emitCount(`admissions_total{decision="${answer.kind}",reason="${admission.reason}"}`)]),
 		emitEffect({kind: 'record-value', metric: `request_duration_ms{action="${request.action}"}`, value: tookMs}),
 		emitLog(answer.kind === 'refused' || answer.kind === 'undecided' ? 'warn' : 'info', 'request answered', {
 			request: requestId, action: request.action, job: request.jobId, queue: request.queue.name, account: request.account, configuration: request.configurationVersion, answer, tookMs: Math.round(tookMs),
--- a/packages/jobs/src/jobs-state.ts
+++ b/packages/jobs/src/jobs-state.ts
@@ -1,4 +1,5 @@
 import {createAccountsState, type AccountsState} from './accounts/index.js';
+import {createAdmissionState, type AdmissionState} from './admission/index.js';
 import {createAuthorityState, type AuthorityState} from './authority/index.js';
 import {createConfigurationState, type ConfigurationState} from './configuration/index.js';
 import {createDirectoryState, type DirectoryState} from './directory/index.js';
@@ -20,6 +21,7 @@
 	readonly configuration: ConfigurationState;
 	readonly accounts: AccountsState;
 	readonly directory: DirectoryState;
+	readonly admission: AdmissionState;
 	readonly intake: IntakeState;
 	readonly relay: RelayState;
 	readonly supervision: SupervisionState;
@@ -55,6 +57,7 @@
 		configuration: createConfigurationState(),
 		accounts: createAccountsState(strictRevokeMs),
 		directory: createDirectoryState(),
+		admission: createAdmissionState(),
 		intake: createIntakeState(),
 		relay: createRelayState(),
 		supervision: createSupervisionState(),
--- a/packages/jobs/src/model/effects.ts
+++ b/packages/jobs/src/model/effects.ts
@@ -1,4 +1,5 @@
 import {type HandlerFailed} from '@pistachiogauge/chain';
+import {type AdmissionRecord} from './admission.js';
 import {type CallerAnswer} from './caller-answer.js';
 import {
 	type OwnedPool, type PoolDemandHistory, type PoolReport, type Roster, type EvacuationRequest, type EvacuatedEndpoint, type ShareRecord,
@@ -27,7 +28,25 @@
 	| {readonly kind: 'unload-pool'; readonly pool: string}
 	/** Starts or stops watching the records that the holder of the fleet's claim needs. */
 	| {readonly kind: 'follow-fleet'; readonly isFollowing: boolean}
-	| {readonly kind: 'store-job'; readonly requestId: string; readonly job: JobRecord}
+	| {
+		readonly kind: 'store-job';
+		readonly requestId: string;
+		readonly job: JobRecord;
+		/** Revision that the pool's admission record must have, 0 for none; undefined where no job is refused by it. */
+		readonly admissionRevision?: number | undefined;
+	}
+	/** Reads the pool's admission record, and then whether the job is stored. */
+	| {readonly kind: 'read-admission'; readonly requestId: string; readonly pool: string; readonly jobId: string}
+	/** Replaces the pool's admission record on condition of its revision and, for its owner, of the claim. */
+	| {
+		readonly kind: 'write-admission';
+		readonly pool: string;
+		/** Token of the claim; undefined when an entry that does not own the pool lifts the record. */
+		readonly token: number | undefined;
+		readonly requestId: string | undefined;
+		readonly revision: number;
+		readonly record: AdmissionRecord;
+	}
 	| {readonly kind: 'read-progress'; readonly requestId: string; readonly pool: string; readonly jobId: string}
 	| {readonly kind: 'store-cancel'; readonly requestId: string; readonly pool: string; readonly jobId: string}
 	| {readonly kind: 'read-report'; readonly requestId: string; readonly pool: string}
--- a/packages/jobs/src/model/events.ts
+++ b/packages/jobs/src/model/events.ts
@@ -1,3 +1,4 @@
+import {type StoredAdmission} from './admission.js';
 import {type CallerAnswer} from './caller-answer.js';
 import {type DurationModel} from './duration-model.js';
 import {type Configuration} from './configuration.js';
@@ -158,7 +159,8 @@
 		readonly queue: string;
 		readonly jobId: string;
 	} & CallerRejection
-	| {readonly kind: 'job-stored'; readonly requestId: string; readonly result: WriteResult}
+	/** `superseded`: the job was not stored, as the pool's admission record has another revision. */
+	| {readonly kind: 'job-stored'; readonly requestId: string; readonly result: WriteResult | 'superseded'}
 	| {readonly kind: 'progress-read'; readonly requestId: string; readonly result: 'found' | 'absent' | 'failed'; readonly progress: ProgressRecord | undefined}
 	| {readonly kind: 'cancel-stored'; readonly requestId: string; readonly result: WriteResult}
 	| {readonly kind: 'report-read'; readonly requestId: string; readonly result: 'found' | 'absent' | 'failed'; readonly report: PoolReport | undefined}
@@ -260,6 +262,26 @@
 	readonly isClaimLost: boolean;
 };
 
+/** Records by which entries refuse jobs that would be too late. */
+export type AdmissionEvent =
+	| {readonly kind: 'admission-changed'; readonly admission: StoredAdmission}
+	/** The answer to `read-admission`: first the record was read, then whether the job is stored. */
+	| {
+		readonly kind: 'admission-read';
+		readonly requestId: string;
+		/** Undefined if the store did not answer. */
+		readonly found: {readonly admission: StoredAdmission; readonly isJobStored: boolean} | undefined;
+	}
+	| {
+		readonly kind: 'admission-written';
+		readonly pool: string;
+		/** Submission for which an entry has lifted the record; undefined when the pool's owner has written it. */
+		readonly requestId: string | undefined;
+		readonly result: WriteResult;
+		/** The record if the write was applied. */
+		readonly admission: StoredAdmission | undefined;
+	};
+
 /** Shares of accounts in the store, and what the pools want of them. */
 export type QuotaEvent =
 	/** The records of all accounts, read after the claims on these pools were made. */
@@ -321,7 +343,7 @@
 	| {readonly kind: 'evacuation-completed'; readonly pool: string; readonly endpointId: string};
 
 /** @public */
-export type JobEvent = CoordinationEvent | OwnershipEvent | CallerEvent | EndpointEvent | RunEvent | SaveEvent | QuotaEvent | FleetEvent;
+export type JobEvent = CoordinationEvent | OwnershipEvent | CallerEvent | EndpointEvent | RunEvent | SaveEvent | AdmissionEvent | QuotaEvent | FleetEvent;
 
 /** @public */
 export type JobEventOf<Kind extends JobEvent['kind']> = Extract<JobEvent, {kind: Kind}>;
--- a/packages/jobs/src/model/index.ts
+++ b/packages/jobs/src/model/index.ts
@@ -1,3 +1,4 @@
+export * from './admission.js';
 export type * from './duration-model.js';
 export * from './resources.js';
 export * from './job.js';
--- a/packages/jobs/src/observation/index.ts
+++ b/packages/jobs/src/observation/index.ts
@@ -1,3 +1,4 @@
+export {predictDurationMs} from './duration-model.js';
 export {getJobEstimate, type JobEstimate} from './estimate-job.js';
 export {observationFilter} from './observation-filter.js';
 export {
--- a/packages/jobs/src/placement/displacement-policies.ts
+++ b/packages/jobs/src/placement/displacement-policies.ts
@@ -34,7 +34,15 @@
 	'least-cost'(state, input, context) {
 		const displacement = getPoolDisplacement(state.placement, input.pool.pool);
 		const weights = getAccountWeights(state.configuration.current?.accounts);
-		const {ordered, displaced} = orderByLeastCost(rankJobs(state, input.waiting, context.now), displacement, {supply: measureSupply(state, input, context.now), weights}, context);
+		const supply = measureSupply(state, input, context.now);
+		const {
+			ordered, displaced, timely, late,
+		} = orderByLeastCost(rankJobs(state, input.waiting, context.now), displacement, {supply, weights}, context);
+		displacement.backlog = displaced.length + late.length === 0
+			? undefined
+			: {
+				measuredAt: context.now, totalMillis: input.capacityMillis, capacityMillis: supply.capacityMillis, runningWork: supply.runningWork, timely, late,
+			};
 		return {ordered, outputs: reportDisplacedJobs(state.placement, input.pool.pool, {displaced, waitingCount: input.waiting.length}, context)};
 	},
 };
--- a/packages/jobs/src/placement/displacement-state.ts
+++ b/packages/jobs/src/placement/displacement-state.ts
@@ -53,11 +53,38 @@
 	preemptedAt: number;
 	/** Number of runs of each job that have been stopped in favour of others. */
 	readonly preemptionCounts: WeakMap<Job, number>;
+	/** What waited in the last search that displaced jobs or found late ones; undefined if the last one did not. */
+	backlog: PoolBacklog | undefined;
+};
+
+/** A job that waits in an overloaded pool. @public */
+export type BacklogJob = {
+	/** Remaining work, in thousandths of a core times ms. */
+	readonly work: number;
+	/** Value for each unit of work; for late jobs, what they are still worth. */
+	readonly density: number;
+	readonly account: string;
+	/** Tiers are served one after the other, the lowest first. */
+	readonly tier: number;
+};
+
+/** What waits in an overloaded pool. @public */
+export type PoolBacklog = {
+	/** Monotonic ms. */
+	readonly measuredAt: number;
+	/** Thousandths of a core of all endpoints in use. */
+	readonly totalMillis: number;
+	/** The same without what long-running tasks take. */
+	readonly capacityMillis: number;
+	/** Remaining work of running jobs, by account. */
+	readonly runningWork: ReadonlyMap<string, number>;
+	readonly timely: readonly BacklogJob[];
+	readonly late: readonly BacklogJob[];
 };
 
 /** @internal */
 export function createPoolDisplacement(): PoolDisplacement {
 	return {
-		queues: new Map(), allowances: new Map(), profiles: new WeakMap(), openJobs: new Set(), loggedAt: Number.NEGATIVE_INFINITY, preemptedAt: Number.NEGATIVE_INFINITY, preemptionCounts: new WeakMap(),
+		queues: new Map(), allowances: new Map(), profiles: new WeakMap(), openJobs: new Set(), loggedAt: Number.NEGATIVE_INFINITY, preemptedAt: Number.NEGATIVE_INFINITY, preemptionCounts: new WeakMap(), backlog: undefined,
 	};
 }
--- a/packages/jobs/src/placement/index.ts
+++ b/packages/jobs/src/placement/index.ts
@@ -2,8 +2,11 @@
 	addCount, chooseEndpoint, countRunsByEndpoint, reserveCandidate, type Candidate,
 } from './choose-endpoint.js';
 export {placementFilter, rankByMeasuredDurations} from './placement-filter.js';
-export {orderWaitingJobs, type OrderInput} from './displacement-policies.js';
-export {type DisplacementPolicy} from './displacement-state.js';
+export {getAccountWeights, noAccount, type AccountWeights} from './account-shares.js';
+export {chooseDisplacementPolicy, orderWaitingJobs, type OrderInput} from './displacement-policies.js';
+export {
+	type BacklogJob, type DisplacementPolicy, type PoolBacklog, type PoolDisplacement,
+} from './displacement-state.js';
 export {type ObjectiveStatus, type RankedJob} from './order-jobs.js';
 export {
 	createPlacementState, isPending, type PlacementOptions, type PlacementState, type PreemptionCosts,
--- a/packages/jobs/src/placement/order-by-least-cost.ts
+++ b/packages/jobs/src/placement/order-by-least-cost.ts
@@ -2,7 +2,9 @@
 	computePriorityFactor, computeSizeValue, estimateWorkRatio, isSizeShort, lateShare, type GuardedSize, type JobSize,
 } from '../value/index.js';
 import {type AccountWeights} from './account-shares.js';
-import {type DisplacementReason, type JobProfile, type PoolDisplacement} from './displacement-state.js';
+import {
+	type BacklogJob, type DisplacementReason, type JobProfile, type PoolDisplacement,
+} from './displacement-state.js';
 import {objectiveStatusOrder, type ObjectiveStatus, type RankedJob} from './order-jobs.js';
 import {
 	getAccount, getQueueRecord, profileJobs, recordOutcomes,
@@ -39,6 +41,9 @@
 export type LeastCostOrder = {
 	readonly ordered: RankedJob[];
 	readonly displaced: readonly DisplacedJob[];
+	/** Jobs that can be in time, displaced or not, and late ones. */
+	readonly timely: readonly BacklogJob[];
+	readonly late: readonly BacklogJob[];
 };
 
 type GuardFinder = (ranked: RankedJob, profile: JobProfile) => Guard | undefined;
@@ -100,6 +105,8 @@
 			...byStatus.hopeless.sort(compareByPriority),
 		],
 		displaced: explained,
+		timely,
+		late,
 	};
 }
 
--- a/packages/jobs/src/value/index.ts
+++ b/packages/jobs/src/value/index.ts
@@ -2,7 +2,7 @@
 	computeJobValue, computePriorityFactor, computeSizeValue, computeTimeliness, lateFactor, lateShare,
 } from './job-value.js';
 export {
-	classifySize, createQueueWork, estimateWorkRatio, recordQueueWork, type JobSize, type QueueWork,
+	classifySize, createQueueWork, estimateWorkRatio, getMeanWork, recordQueueWork, type JobSize, type QueueWork,
 } from './queue-work.js';
 export {
 	createQueueService, isSizeShort, recordOutcome, type GuardedSize, type QueueService, type ServiceCount,
--- a/packages/jobs/src/value/queue-work.ts
+++ b/packages/jobs/src/value/queue-work.ts
@@ -46,6 +46,11 @@
 	return mean <= 0 ? 1 : 1 + ((count / (count + priorCount)) * ((work / mean) - 1));
 }
 
+/** Returns the mean work of the queue's jobs, in thousandths of a core times ms; 0 while none is known. @public */
+export function getMeanWork(queue: QueueWork): number {
+	return getSummary(queue).mean;
+}
+
 /** Classifies a job by its size within its queue; while little is known, and among jobs of equal size, all are small. @param work - In thousandths of a core times ms. @public */
 export function classifySize(queue: QueueWork, work: number): JobSize {
 	if (queue.samples.length < minClassifiedCount) {
