--- /dev/null
+++ b/packages/bench/src/accounts/account-planner.ts
@@ -0,0 +1,153 @@
+import {type RandomSource} from '@pistachiogauge/chain';
+import {type Resources} from '@pistachiogauge/jobs';
+import {type AccountPlan} from './account-plan.js';
+
+/** Draws client accounts and the operator's changes to them. */
+export type AccountPlanner = {
+	/** The accounts of the newest version. */
+	readonly accounts: readonly AccountPlan[];
+	/** Draws a change and applies it. @returns What was changed, for the log. */
+	change(): string;
+	/** Gives every account that there ever was a valid key and a cap that lets the backlog end. */
+	restore(): void;
+	/** Chooses the key of a submission: most are valid, others removed, unknown or missing. The hot account sends `hotFactor` times its usual rate while `isHot`. */
+	chooseKey(isHot: boolean): string | undefined;
+	/** Chooses a key of one of the named accounts, now and then a removed one; undefined if there is none. */
+	chooseKeyOf(names: readonly string[]): string | undefined;
+};
+
+export type AccountPlannerOptions = {
+	readonly random: RandomSource;
+	/** Resources of all endpoints; caps are shares of them. */
+	readonly capacity: Resources;
+};
+
+/** The rate of the hot account, as a multiple of its usual one. */
+export const hotFactor = 7;
+const initialAccountCount = 5;
+const largeAccountCount = 2;
+/** Weights of a large account and of the others. */
+const weights = {large: 4, other: 1} as const;
+/** Caps as shares of the capacity, of the first accounts. */
+const capShares = [0.45, 0.3, 0.15, 0.2, 0.12] as const;
+/** Cap at the end, at which a backlog ends within the time after the faults. */
+const restoredCapShare = 0.6;
+const maxKeyCount = 3;
+
+type Draft = {
+	readonly accounts: readonly AccountPlan[];
+	readonly random: RandomSource;
+	readonly capacity: Resources;
+	createAccount(): AccountPlan;
+	createKey(): string;
+};
+
+type ChangeHandler = (draft: Draft) => readonly AccountPlan[];
+
+function choose<Item>(random: RandomSource, items: readonly Item[]): Item | undefined {
+	return items.length === 0 ? undefined : items[random.getInteger(items.length)];
+}
+
+function computeShare({cpuMillis, memoryMb}: Resources, share: number): Resources {
+	// A cap of 0 would be none.
+	return {cpuMillis: Math.max(1, Math.round(cpuMillis * share)), memoryMb: Math.max(1, Math.round(memoryMb * share)), gpus: 0};
+}
+
+/** Replaces a random account; without any, there is no change. */
+function changeOne({accounts, random}: Draft, change: (account: AccountPlan) => AccountPlan): readonly AccountPlan[] {
+	const chosen = choose(random, accounts);
+	return accounts.map(account => account === chosen ? change(account) : account);
+}
+
+const changeHandlers: Readonly<Record<string, ChangeHandler>> = {
+	'cap raised': draft => changeOne(draft, account => ({...account, cap: computeShare(account.cap, 1.5 + (2.5 * draft.random.getFraction()))})),
+	'cap lowered': draft => changeOne(draft, account => ({...account, cap: computeShare(account.cap, 0.05 + (0.4 * draft.random.getFraction()))})),
+	'cap set': draft => changeOne(draft, account => ({...account, cap: computeShare(draft.capacity, 0.05 + (0.4 * draft.random.getFraction()))})),
+	'key removed': draft => changeOne(draft, account => ({...account, keys: account.keys.slice(1)})),
+	'all keys removed': draft => changeOne(draft, account => ({...account, keys: []})),
+	'key added': draft => changeOne(draft, account => ({...account, keys: [...account.keys, draft.createKey()].slice(-maxKeyCount)})),
+	'key in two accounts'(draft) {
+		const key = choose(draft.random, draft.accounts.flatMap(({keys}) => keys));
+		return key === undefined ? draft.accounts : changeOne(draft, account => account.keys.includes(key) ? account : {...account, keys: [...account.keys, key]});
+	},
+	'account added': draft => [...draft.accounts, draft.createAccount()],
+	'account removed'({accounts, random}) {
+		const chosen = choose(random, accounts);
+		return accounts.filter(account => account !== chosen);
+	},
+	'weight changed': draft => changeOne(draft, account => ({...account, weight: 1 + draft.random.getInteger(weights.large)})),
+};
+
+/** Creates a planner with a few accounts, of which the first are large and the last one can be hot. */
+export function createAccountPlanner({random, capacity}: AccountPlannerOptions): AccountPlanner {
+	let accountCount = 0;
+	let keyCount = 0;
+	/** Every account that there ever was, as it was last. */
+	const known = new Map<string, AccountPlan>();
+	/** Keys that accounts once had. */
+	const formerKeys = new Map<string, Set<string>>();
+	const createKey = () => {
+		keyCount += 1;
+		return `key-${keyCount}-${random.getInteger(1_000_000_000).toString(36)}`;
+	};
+
+	const createAccount = (): AccountPlan => {
+		const index = accountCount;
+		accountCount += 1;
+		return {
+			name: `account-${accountCount}`,
+			keys: [createKey(), createKey()],
+			priority: index % 2,
+			weight: index < largeAccountCount ? weights.large : weights.other,
+			cap: computeShare(capacity, capShares[index % capShares.length]!),
+		};
+	};
+
+	let accounts: readonly AccountPlan[] = [];
+	function replaceAccounts(changed: readonly AccountPlan[]): void {
+		accounts = changed;
+		for (const account of changed) {
+			known.set(account.name, account);
+			formerKeys.set(account.name, new Set([...formerKeys.get(account.name) ?? [], ...account.keys]));
+		}
+	}
+
+	const listRemovedKeys = (names: Iterable<string>) => {
+		const valid = new Set(accounts.flatMap(({keys}) => keys));
+		return [...names].flatMap(name => [...formerKeys.get(name) ?? []]).filter(key => !valid.has(key));
+	};
+
+	replaceAccounts(Array.from({length: initialAccountCount}, createAccount));
+	return {
+		get accounts() {
+			return accounts;
+		},
+		change() {
+			const name = choose(random, Object.keys(changeHandlers))!;
+			replaceAccounts(changeHandlers[name]!({
+				accounts, random, capacity, createAccount, createKey,
+			}));
+			return name;
+		},
+		restore() {
+			const current = new Map(accounts.map(account => [account.name, account]));
+			replaceAccounts([...known.values()].map(account => ({
+				...account, keys: [...current.get(account.name)?.keys.slice(0, 1) ?? [], createKey()], cap: computeShare(capacity, restoredCapShare),
+			})));
+		},
+		chooseKey(isHot) {
+			const draw = random.getFraction();
+			if (draw < 0.06) {
+				return draw < 0.02 ? undefined : createKey();
+			}
+
+			const removed = draw < 0.2 ? choose(random, listRemovedKeys(known.keys())) : undefined;
+			const tickets = accounts.flatMap(account => Array.from({length: account.weight * (isHot && account.name === `account-${initialAccountCount}` ? hotFactor : 1)}, () => account));
+			return removed ?? choose(random, choose(random, tickets)?.keys ?? []);
+		},
+		chooseKeyOf(names) {
+			const removed = random.getInteger(6) === 0 ? choose(random, listRemovedKeys(names)) : undefined;
+			return removed ?? choose(random, accounts.filter(({name}) => names.includes(name)).flatMap(({keys}) => keys)) ?? choose(random, listRemovedKeys(names));
+		},
+	};
+}
--- a/packages/bench/src/jobs/job-invariant-checker.ts
+++ b/packages/bench/src/jobs/job-invariant-checker.ts
@@ -2,6 +2,7 @@
 	parseTaskId, type CallerAnswer, type JobSpec, type ReportedEnd, type StepSpec,
 } from '@pistachiogauge/jobs';
 import {type EventQueue} from '../virtual/event-queue.js';
+import {createAccountInvariantChecker, type AccountInvariantChecker, type AccountInvariantName} from './account-invariant-checker.js';
 import {
 	type EndpointObserver, type OrderSender, type VirtualRun, type VirtualTaskEndpoint,
 } from './virtual-task-endpoint.js';
@@ -18,7 +19,7 @@
 - `leaked`: for 6 s, an owner counts a run on an endpoint that answers it and does not have it.
 - `handler-failed`: a handler of an entry threw an error.
 */
-export type JobInvariantName = 'twice' | 'order' | 'budget' | 'unasked' | 'refused' | 'idle' | 'leaked' | 'handler-failed';
+export type JobInvariantName = 'twice' | 'order' | 'budget' | 'unasked' | 'refused' | 'idle' | 'leaked' | 'handler-failed' | AccountInvariantName;
 
 /** @internal */
 export type JobInvariantViolation = {readonly invariant: JobInvariantName; readonly at: number; readonly message: string};
@@ -43,6 +44,7 @@
 /** Checks the invariants of jobs from what endpoints and callers observe. */
 export type JobInvariantChecker = EndpointObserver & {
 	readonly violations: readonly JobInvariantViolation[];
+	readonly accounts: AccountInvariantChecker;
 	reportViolation(invariant: JobInvariantName, message: string): void;
 	recordJob(jobId: string, requestId: string, spec: JobSpec): void;
 	recordCancelRequest(jobId: string, requestId: string): void;
@@ -79,6 +81,8 @@
 		violations.push({invariant, at: queue.now, message});
 	}
 
+	const accounts = createAccountInvariantChecker(queue, reportViolation);
+
 	function getStep(taskId: string): StepSpec | undefined {
 		const parsedId = parseTaskId(taskId);
 		return parsedId === undefined ? undefined : jobs.get(parsedId.jobId)?.spec.steps[parsedId.step];
@@ -183,6 +187,7 @@
 
 	return {
 		violations,
+		accounts,
 		reportViolation,
 		getStep,
 		getStartCount: () => startCount,
@@ -208,6 +213,7 @@
 			}
 		},
 		recordCrash(endpoint) {
+			accounts.recordCrash(endpoint);
 			for (const endpointsByRun of runningByTask.values()) {
 				for (const [run, other] of endpointsByRun) {
 					if (other === endpoint) {
@@ -221,11 +227,13 @@
 		recordLeaseExpiry: dropUnacknowledgedEnds,
 		recordStart(endpoint, run) {
 			startCount += 1;
+			accounts.recordStart(endpoint, run);
 			checkStart(run, endpoint);
 			const endpointsByRun = runningByTask.get(run.taskId) ?? new Map<VirtualRun, VirtualTaskEndpoint>();
 			runningByTask.set(run.taskId, endpointsByRun.set(run, endpoint));
 		},
 		recordEnd(endpoint: VirtualTaskEndpoint, run: VirtualRun, {number, outcome}: ReportedEnd) {
+			accounts.recordEnd(run);
 			runningByTask.get(run.taskId)?.delete(run);
 			if (outcome === 'done') {
 				completedTasks.add(run.taskId);
--- a/packages/bench/src/jobs/virtual-jobs-entry.ts
+++ b/packages/bench/src/jobs/virtual-jobs-entry.ts
@@ -15,6 +15,8 @@
 	lastEventAt: number;
 	/** Virtual time in ms of the last cut between this entry and the store, or failure of its watches or writes. */
 	disturbedAt: number;
+	/** Virtual time in ms at which this entry last was down, paused, or without calls or watches on the store. */
+	outOfTouchAt: number;
 	/** Virtual time in ms of the last answer from the store. */
 	storeAnsweredAt: number;
 	/** Undefined until the entry has started for the first time. */
@@ -45,6 +47,7 @@
 		pausedUntil: 0,
 		lastEventAt: 0,
 		disturbedAt: 0,
+		outOfTouchAt: 0,
 		storeAnsweredAt: Number.NEGATIVE_INFINITY,
 		session: undefined,
 		watch: {
