--- a/packages/bench/src/accounts/account-planner.ts
+++ b/packages/bench/src/accounts/account-planner.ts
@@ -8,12 +8,16 @@
 	readonly accounts: readonly AccountPlan[];
 	/** Draws a change and applies it. @returns What was changed, for the log. */
 	change(): string;
+	/** Removes all keys of a random account that has some. @returns The account's name and one of the keys. */
+	removeKeys(): {readonly name: string; readonly key: string} | undefined;
 	/** Gives every account that there ever was a valid key and a cap that lets the backlog end. */
 	restore(): void;
 	/** Chooses the key of a submission: most are valid, others removed, unknown or missing. The hot account sends `hotFactor` times its usual rate while `isHot`. */
 	chooseKey(isHot: boolean): string | undefined;
-	/** Chooses a key of one of the named accounts, now and then a removed one; undefined if there is none. */
+	/** Chooses a key of one of the named accounts, now and then a removed one, if there is any. */
 	chooseKeyOf(names: readonly string[]): string | undefined;
+	/** Chooses a valid key of an account, if it has one. */
+	chooseValidKeyOf(name: string): string | undefined;
 };
 
 export type AccountPlannerOptions = {
@@ -118,6 +122,7 @@
 	};
 
 	replaceAccounts(Array.from({length: initialAccountCount}, createAccount));
+	const chooseValidKey = (names: readonly string[]) => choose(random, accounts.filter(({name}) => names.includes(name)).flatMap(({keys}) => keys));
 	return {
 		get accounts() {
 			return accounts;
@@ -129,6 +134,11 @@
 			}));
 			return name;
 		},
+		removeKeys() {
+			const chosen = choose(random, accounts.filter(({keys}) => keys.length > 0));
+			replaceAccounts(accounts.map(account => account === chosen ? {...account, keys: []} : account));
+			return chosen === undefined ? undefined : {name: chosen.name, key: chosen.keys[0]!};
+		},
 		restore() {
 			const current = new Map(accounts.map(account => [account.name, account]));
 			replaceAccounts([...known.values()].map(account => ({
@@ -147,7 +157,8 @@
 		},
 		chooseKeyOf(names) {
 			const removed = random.getInteger(6) === 0 ? choose(random, listRemovedKeys(names)) : undefined;
-			return removed ?? choose(random, accounts.filter(({name}) => names.includes(name)).flatMap(({keys}) => keys)) ?? choose(random, listRemovedKeys(names));
+			return removed ?? chooseValidKey(names) ?? choose(random, listRemovedKeys(names));
 		},
+		chooseValidKeyOf: name => chooseValidKey([name]),
 	};
 }
--- a/packages/bench/src/jobs/job-loads.ts
+++ b/packages/bench/src/jobs/job-loads.ts
@@ -33,6 +33,13 @@
 	missLimit: undefined,
 };
 
+/** Creates a job of one small step, changed by the given traits. */
+export function createPlainSpec(traits: Partial<StepSpec> = {}): JobSpec {
+	return {
+		payload: '', steps: [{...roomyStep, ...traits}], repeatCount: 0, startAtMs: 0, intervalMs: 0,
+	};
+}
+
 /** Submits jobs of one step at an entry. */
 function submitJobs(simulation: JobsSimulation, queueName: string, count: number, traits: Partial<StepSpec>, isEndless = traits.isLongRunning === true): SoakJob[] {
 	const entry = chooseItem(simulation, listRunningEntries(simulation));
@@ -40,9 +47,7 @@
 		return [];
 	}
 
-	const spec: JobSpec = {
-		payload: '', steps: [{...roomyStep, ...traits}], repeatCount: 0, startAtMs: 0, intervalMs: 0,
-	};
+	const spec = createPlainSpec(traits);
 	return Array.from({length: count}, () => ({
 		jobId: simulation.submitJob(entry, queueName, spec, {durationMs: traits.isLongRunning === true ? Number.POSITIVE_INFINITY : 800}), queueName, isEndless,
 	}));
--- a/packages/bench/src/jobs/jobs-simulation.ts
+++ b/packages/bench/src/jobs/jobs-simulation.ts
@@ -42,11 +42,11 @@
 	/** Share of writes to the store that get no answer; half of them are done at once, the others seconds later if their condition still holds. */
 	unansweredWriteShare: number;
 	isStoreUp: boolean;
-	/** Submits a job at an entry and returns the job's id; the answer appears in `answers` under `submit-ID`. */
-	submitJob(entry: VirtualJobsEntry, queue: string, spec: JobSpec, behaviour?: Partial<TaskBehaviour>): string;
+	/** Submits a job at an entry and returns the job's id; the answer appears in `answers` under `submit-ID`. Without a given key, one is chosen. */
+	submitJob(entry: VirtualJobsEntry, queue: string, spec: JobSpec, behaviour?: Partial<TaskBehaviour>, key?: string): string;
 	cancelJob(entry: VirtualJobsEntry, queue: string, jobId: string): void;
 	/** Asks an entry for the status of a job. */
-	requestStatus(entry: VirtualJobsEntry, queue: string, jobId: string): void;
+	requestStatus(entry: VirtualJobsEntry, queue: string, jobId: string, key?: string): void;
 	/** Writes a configuration with other client accounts. @returns Whether the store has acknowledged it, which it does not while it is down. */
 	changeAccounts(accounts: readonly AccountPlan[]): boolean;
 	killEntry(entry: VirtualJobsEntry, downMs: number): void;
@@ -189,11 +189,11 @@
 		isInTouch: entry => queue.now > entry.outOfTouchAt + contactMs,
 	});
 
-	/** Sends a caller's request to an entry; with client accounts, it carries a key unless its queue is public. */
-	function sendRequest(entry: VirtualJobsEntry, request: Omit<JobEventOf<'caller-requested'>, 'kind' | 'keyHash'>): void {
+	/** Sends a caller's request to an entry; with client accounts, it carries the given or a chosen key unless its queue is public. */
+	function sendRequest(entry: VirtualJobsEntry, request: Omit<JobEventOf<'caller-requested'>, 'kind' | 'keyHash'>, givenKey?: string): void {
 		const {requestId, action, jobId} = request;
 		const isPublic = configuration.current.queues.some(({name, isPublic}) => name === request.queue && isPublic);
-		const key = isPublic ? undefined : (action === 'submit' ? simulation.keyChooser?.chooseKey() : simulation.keyChooser?.chooseKeyForJob(jobId));
+		const key = isPublic ? undefined : givenKey ?? (action === 'submit' ? simulation.keyChooser?.chooseKey() : simulation.keyChooser?.chooseKeyForJob(jobId));
 		if (!isPublic) {
 			checker.accounts.recordRequest(requestId, {
 				action, jobId, key, node: entry.node,
@@ -270,7 +270,7 @@
 		lateOrderShare: 0,
 		unansweredWriteShare: 0,
 		isStoreUp: true,
-		submitJob(entry, queueName, spec, behaviour = {}) {
+		submitJob(entry, queueName, spec, behaviour = {}, key = undefined) {
 			requestCount += 1;
 			const jobId = requestCount.toString(16).padStart(16, '0');
 			const requestId = `submit-${jobId}`;
@@ -278,7 +278,7 @@
 			checker.recordJob(jobId, requestId, spec);
 			sendRequest(entry, {
 				requestId, action: 'submit', queue: queueName, jobId, spec,
-			});
+			}, key);
 			return jobId;
 		},
 		cancelJob(entry, queueName, jobId) {
@@ -289,11 +289,11 @@
 				requestId, action: 'cancel', queue: queueName, jobId, spec: undefined,
 			});
 		},
-		requestStatus(entry, queueName, jobId) {
+		requestStatus(entry, queueName, jobId, key) {
 			requestCount += 1;
 			sendRequest(entry, {
 				requestId: `get-${jobId}-${requestCount}`, action: 'get', queue: queueName, jobId, spec: undefined,
-			});
+			}, key);
 		},
 		changeAccounts(changed) {
 			if (!simulation.isStoreUp) {
