--- a/packages/bench/src/jobs-soak-main.ts
+++ b/packages/bench/src/jobs-soak-main.ts
@@ -1,4 +1,5 @@
 import {cac} from 'cac';
+import {compareShares, computeFall, isShareKept} from './jobs/compare-shares.js';
 import {jobFaults} from './jobs/inject-fault.js';
 import {jobLoads} from './jobs/job-loads.js';
 import {runJobsSoak} from './jobs/run-jobs-soak.js';
@@ -86,6 +87,24 @@
 	return failedCount === 0 ? 0 : 1;
 }
 
+/** Compares what other accounts get with and without a hot one. @returns The exit code. */
+function compareSeeds({first, last}: SoakOptions['range'], seconds: number): number {
+	let failedCount = 0;
+	for (let seed = first; seed <= last; seed++) {
+		const comparison = compareShares(seed, seconds);
+		const {without, beside, hot} = comparison;
+		process.stdout.write([
+			`seed ${seed}: jobs of the other accounts on time: ${without.onTime} of ${without.sent} without the hot one`,
+			`${beside.onTime} beside it (${(100 * computeFall(comparison)).toFixed(1)}% fewer)`,
+			`${hot.onTime} of ${hot.sent} of its own\n`,
+		].join(', '));
+		failedCount += isShareKept(comparison) ? 0 : 1;
+	}
+
+	process.stdout.write(`seeds ${first} to ${last} of ${seconds} s: ${failedCount === 0 ? 'all shares kept' : `${failedCount} failed`}\n`);
+	return failedCount === 0 ? 0 : 1;
+}
+
 const program = cac('jobs-soak');
 program
 	.command('', 'Runs jobs with random faults in virtual time and checks the invariants')
@@ -94,9 +113,10 @@
 	.option('--faults <LIST>', `faults, joined by commas: ${jobFaults.join(', ')}`, {default: 'all'})
 	.option('--loads <LIST>', `shapes of load beside ordinary jobs: ${jobLoads.join(', ')}`, {default: 'all'})
 	.option('--accounts [SEEDS]', 'seeds with client accounts that the operator changes: all, none or drawn (a quarter)', {default: 'drawn'})
+	.option('--compare-shares <SECONDS>', 'compares the jobs on time of other accounts with and without a hot one, in an overload of this length')
 	.option('--keep-going', 'goes on after a seed that fails')
 	.option('--print <PATTERN>', 'prints lines of the log that match')
-	.action((options: {readonly print?: string; readonly accounts: string | boolean; readonly keepGoing?: boolean; readonly seeds: unknown; readonly steps: unknown; readonly faults: string; readonly loads: string}) => {
+	.action((options: {readonly print?: string; readonly accounts: string | boolean; readonly compareShares?: unknown; readonly keepGoing?: boolean; readonly seeds: unknown; readonly steps: unknown; readonly faults: string; readonly loads: string}) => {
 		const range = parseRange(options.seeds);
 		const steps = Number(options.steps);
 		const faults = parseNames(options.faults, jobFaults);
@@ -107,6 +127,10 @@
 			process.exit(usageExitCode);
 		}
 
+		if (options.compareShares !== undefined) {
+			process.exit(compareSeeds(range, Number(options.compareShares)));
+		}
+
 		const pattern = options.print === undefined ? undefined : new RegExp(options.print, 'u');
 		const onLine = pattern === undefined
 			? undefined
