Check client accounts in the soak with entry processes

--accounts writes a configuration with Tenants that changes during the run, and callers send their keys as Authorization: Token KEY.

--- a/packages/bench/src/accounts/account-planner.ts
+++ b/packages/bench/src/accounts/account-planner.ts
@@ -16,6 +16,8 @@
 	chooseKey(isHot: boolean): string | undefined;
 	/** Chooses a key of one of the named accounts, now and then a removed one, if there is any. */
 	chooseKeyOf(names: readonly string[]): string | undefined;
+	/** Finds the account that has a key, or had it last. */
+	findOwner(key: string | undefined): string | undefined;
 	/** Chooses a valid key of an account, if it has one. */
 	chooseValidKeyOf(name: string): string | undefined;
 };
@@ -159,6 +161,7 @@
 			const removed = random.getInteger(6) === 0 ? choose(random, listRemovedKeys(names)) : undefined;
 			return removed ?? chooseValidKey(names) ?? choose(random, listRemovedKeys(names));
 		},
+		findOwner: key => key === undefined ? undefined : accounts.find(({keys}) => keys.includes(key))?.name ?? [...formerKeys].find(([, keys]) => keys.has(key))?.[0],
 		chooseValidKeyOf: name => chooseValidKey([name]),
 	};
 }
--- a/packages/bench/src/jobs-processes/checks/index.ts
+++ b/packages/bench/src/jobs-processes/checks/index.ts
@@ -4,6 +4,7 @@
 @packageDocumentation
 */
 import {type Observation, type QueuePlan} from '@pistachiogauge/platform/standins';
+import {checkQuota, checkRevocation, checkUnauthorized} from './check-accounts.js';
 import {checkLost, checkMixed} from './check-answers.js';
 import {checkIdle} from './check-idle.js';
 import {
@@ -24,6 +25,9 @@
 	limit: checkLimit,
 	mixed: checkMixed,
 	lost: record => [...checkLost(record), ...checkIdle(record)],
+	revocation: checkRevocation,
+	quota: checkQuota,
+	unauthorized: checkUnauthorized,
 	exit: checkExit,
 };
 
--- a/packages/bench/src/jobs-processes/checks/run-record.ts
+++ b/packages/bench/src/jobs-processes/checks/run-record.ts
@@ -2,6 +2,7 @@
 	type JobRequest, type Observation, type ObservationOf, type QueuePlan, type RunOutcome,
 } from '@pistachiogauge/platform/standins';
 import {findPlannedTask, type PlannedTask} from '../planned-tasks.js';
+import {createAccountRecord, type AccountRecord} from './account-record.js';
 
 /** One run of a task, from its start to its end or to the crash of its endpoint. */
 export type TaskRun = {
@@ -43,6 +44,7 @@
 	readonly attemptsByQueue: ReadonlyMap<string, number>;
 	/** Pool of endpoints that runs the tasks of each queue. */
 	readonly servicesByQueue: ReadonlyMap<string, string>;
+	readonly accounts: AccountRecord;
 	/** When the faults were over; infinite if the run ended before. */
 	readonly faultsOverAt: number;
 	findTask(taskId: string): PlannedTask | undefined;
@@ -63,6 +65,7 @@
 	const entryStarts = listOf(observations, 'entry-started');
 	const jobs = listJobs(observations, runs);
 	const requests = new Map([...jobs].map(([id, {job}]) => [id, job]));
+	const findTask = (taskId: string) => findPlannedTask(requests, taskId);
 	return {
 		observations,
 		jobs,
@@ -70,7 +73,10 @@
 		attemptsByQueue: new Map(queues.map(({queue, attempts}) => [queue, attempts])),
 		servicesByQueue: new Map(queues.map(({queue, service}) => [queue, service])),
 		faultsOverAt: observations.find(({kind}) => kind === 'faults-over')?.at ?? Number.POSITIVE_INFINITY,
-		findTask: taskId => findPlannedTask(requests, taskId),
+		accounts: createAccountRecord(observations, {
+			queues, jobs, runs, findTask,
+		}),
+		findTask,
 		isInTouch(entry, at) {
 			if (entry === undefined || entryStarts.some(start => start.entry === entry && start.at > at - contactMs && start.at <= at)) {
 				return false;
--- a/packages/bench/src/jobs-processes/installation.ts
+++ b/packages/bench/src/jobs-processes/installation.ts
@@ -7,9 +7,10 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {createRandomSource, type RandomSource} from '@pistachiogauge/decisions';
 import {
-	createAdviceStandin, createCallerStandin, createEndpointStandin, createLinks, createMachineServiceStandin, createStoreStandin, encodeConfiguration, encodeEntrySettings, moveOutcomes, readinessPath,
-	type CallerStandin, type EndpointStandin, type Links, type MachineServiceOptions, type Observation, type Observe, type StoreStandin,
+	createAdviceStandin, createCallerStandin, createEndpointStandin, createLinks, createMachineServiceStandin, createStoreStandin, encodeConfiguration, encodeEntrySettings, firstVersion, moveOutcomes, readinessPath,
+	type AccountPlan, type CallerStandin, type EndpointStandin, type Links, type MachineServiceOptions, type Observation, type Observe, type StoreStandin,
 } from '@pistachiogauge/platform/standins';
+import {createAccountKeys, type AccountKeys} from './account-keys.js';
 import {
 	createEntryProcesses, entryHost, findFreePorts, loadEntryCommand, type EntryProcesses,
 } from './entry-processes.js';
@@ -28,12 +29,15 @@
 	readonly endpoints: readonly EndpointStandin[];
 	readonly callers: ReadonlyMap<string, CallerStandin>;
 	readonly processes: EntryProcesses;
+	readonly accountKeys: AccountKeys;
 	readonly observations: readonly Observation[];
 	/** Folder of the settings, the entries' logs and the record of the run. */
 	readonly logFolder: string;
 	readonly observe: Observe;
 	getNowMs(): number;
 	startEntry(entry: string): void;
+	/** Writes a configuration with other client accounts. */
+	writeAccounts(accounts: readonly AccountPlan[]): void;
 	/** The entry that gave the newest orders to a pool's endpoints. */
 	findOwner(service: string): string | undefined;
 	/** @throws Error if the entries do not become ready. */
@@ -74,8 +78,19 @@
 	const stopWatchingDelay = watchEventLoop(observe);
 	const links = createLinks();
 	const store = createStoreStandin({links, observe, getLateMs: () => drawBetween(random, lateWriteMs.min, lateWriteMs.max)});
-	const configuration = encodeConfiguration(plan.queues, plan.isGuarding, plan.moves?.sparePool);
-	store.write(configuration.key, configuration.value);
+	const accountKeys = createAccountKeys(plan, random);
+	let version = firstVersion - 1;
+	function writeConfiguration(accounts: readonly AccountPlan[] | undefined): void {
+		version += 1;
+		const {key, value} = encodeConfiguration(plan.queues, plan.isGuarding, {sparePool: plan.moves?.sparePool, accounts, version});
+		store.write(key, value);
+		if (accounts !== undefined) {
+			accountKeys.update(accounts);
+			observe({kind: 'accounts-written', version, accounts});
+		}
+	}
+
+	writeConfiguration(plan.accounts?.initial);
 	const jobs = new Map(plan.jobs.map(({job}) => [job.jobId, job]));
 	const advisedQueues = new Set(plan.queues.filter(({advice}) => advice !== undefined).map(({queue}) => queue));
 	const advice = createAdviceStandin({...adviceTimes, mayRun: mayRunAdvised, isLost: callNumber => callNumber % callsPerLostAnswer === 0});
@@ -143,7 +158,7 @@
 		const [callerPort = 0, readinessPort = 0, controlPort = 0] = await findFreePorts(3);
 		const settingsPath = path.join(logFolder, `${entry}.conf`);
 		writeFileSync(settingsPath, encodeEntrySettings({
-			entry, host: entryHost, callerPort, readinessPort, controlPort, machineServiceAddress, adviceAddress,
+			entry, host: entryHost, callerPort, readinessPort, controlPort, machineServiceAddress, adviceAddress, hasAccounts: plan.accounts !== undefined,
 			// eslint-disable-next-line no-await-in-loop
 			storeAddress: await store.listen(entry),
 		}));
@@ -153,7 +168,7 @@
 	}
 
 	return {
-		plan, random, links, store, endpoints, callers, processes, observations, logFolder, observe, getNowMs, startEntry,
+		plan, random, links, store, endpoints, callers, processes, observations, logFolder, observe, getNowMs, startEntry, accountKeys, writeAccounts: writeConfiguration,
 		findOwner(service) {
 			const tokens = endpoints.filter(endpoint => endpoint.service === service).map(endpoint => endpoint.getHighestToken());
 			return store.findWriter(Math.max(0, ...tokens));
--- a/packages/bench/src/jobs-processes/load.ts
+++ b/packages/bench/src/jobs-processes/load.ts
@@ -44,12 +44,12 @@
 	}
 }
 
-async function submitJob(installation: Installation, {job, retriesRejection}: JobPlan, isRepeat: boolean): Promise<CallerAnswer> {
+async function submitJob(installation: Installation, {job, retriesRejection, key}: JobPlan, isRepeat: boolean): Promise<CallerAnswer> {
 	return sendUntilAnswered(installation, async (entry, callers) => {
 		const sentAt = installation.getNowMs();
-		const answer = await callers.submit(job);
+		const answer = await callers.submit(job, key);
 		installation.observe({
-			kind: 'submit-answered', job, isRepeat, entry, sentAt, status: answer.status,
+			kind: 'submit-answered', job, isRepeat, entry, sentAt, status: answer.status, key,
 		});
 		return answer;
 	}, answer => retriesRejection || !isRejected(answer));
@@ -58,9 +58,10 @@
 async function cancelJob(installation: Installation, job: JobRequest): Promise<void> {
 	await sendUntilAnswered(installation, async (entry, callers) => {
 		const sentAt = installation.getNowMs();
-		const answer = await callers.cancel(job);
+		const key = installation.accountKeys.chooseFor(job.jobId, true);
+		const answer = await callers.cancel(job, key);
 		installation.observe({
-			kind: 'cancel-answered', jobId: job.jobId, entry, sentAt, status: answer.status,
+			kind: 'cancel-answered', jobId: job.jobId, entry, sentAt, status: answer.status, key,
 		});
 		return answer;
 	}, () => true);
@@ -69,9 +70,10 @@
 async function requestState(installation: Installation, job: JobRequest, retries: boolean): Promise<void> {
 	await sendUntilAnswered(installation, async (entry, callers) => {
 		const sentAt = installation.getNowMs();
-		const {status, state} = await callers.requestState(job);
+		const key = installation.accountKeys.chooseFor(job.jobId, !retries);
+		const {status, state} = await callers.requestState(job, key);
 		installation.observe({
-			kind: 'state-answered', jobId: job.jobId, state, entry, sentAt, status,
+			kind: 'state-answered', jobId: job.jobId, state, entry, sentAt, status, key,
 		});
 		return {status};
 	}, () => retries);
@@ -80,9 +82,10 @@
 async function requestWaiting(installation: Installation, queue: string): Promise<void> {
 	const entry = chooseEntry(installation);
 	const sentAt = installation.getNowMs();
-	const {status, waiting} = await installation.callers.get(entry)!.requestWaiting(queue);
+	const key = installation.accountKeys.chooseAny(queue);
+	const {status, waiting} = await installation.callers.get(entry)!.requestWaiting(queue, key);
 	installation.observe({
-		kind: 'waiting-answered', queue, waiting, entry, sentAt, status,
+		kind: 'waiting-answered', queue, waiting, entry, sentAt, status, key,
 	});
 }
 
--- a/packages/bench/src/jobs-processes/run-plan.ts
+++ b/packages/bench/src/jobs-processes/run-plan.ts
@@ -3,6 +3,7 @@
 	moveOutcomes, type JobRequest, type MoveOutcome, type QueuePlan, type StepRequest,
 } from '@pistachiogauge/platform/standins';
 import {drawFaults, type FaultPlan} from './fault-plan.js';
+import {type AccountsPlan} from './plan-accounts.js';
 
 /** A job, when it is submitted, and what its client does later. */
 export type JobPlan = {
@@ -13,6 +14,9 @@
 	readonly repeatAfterMs: number | undefined;
 	/** Whether the client tries again after a rejection. */
 	readonly retriesRejection: boolean;
+	/** API key with which it is submitted, and the account that the key belongs to or once did. */
+	readonly key?: string | undefined;
+	readonly account?: string | undefined;
 };
 
 export type EndpointPlan = {readonly id: string; readonly service: string; readonly clockRate: number};
@@ -43,6 +47,8 @@
 	readonly endpointCapacity: EndpointCapacity;
 	/** How machines are moved between pools; undefined if the machine service is unavailable. */
 	readonly moves: MovePlan | undefined;
+	/** Undefined for a deployment without client accounts. */
+	readonly accounts?: AccountsPlan;
 	readonly jobs: readonly JobPlan[];
 	readonly faults: readonly FaultPlan[];
 };
