--- a/packages/bench/src/accounts/account-planner.ts
+++ b/packages/bench/src/accounts/account-planner.ts
@@ -8,7 +8,7 @@
 	readonly accounts: readonly AccountPlan[];
 	/** Draws a change and applies it. @returns What was changed, for the log. */
 	change(): string;
-	/** Removes all keys of a random account that has some. @returns The account's name and one of the keys. */
+	/** Removes all keys of a random account that has some, from other accounts too. @returns The account's name and one of the keys. */
 	removeKeys(): {readonly name: string; readonly key: string} | undefined;
 	/** Gives every account that there ever was a valid key and a cap that lets the backlog end. */
 	restore(): void;
@@ -138,7 +138,7 @@
 		},
 		removeKeys() {
 			const chosen = choose(random, accounts.filter(({keys}) => keys.length > 0));
-			replaceAccounts(accounts.map(account => account === chosen ? {...account, keys: []} : account));
+			replaceAccounts(accounts.map(account => ({...account, keys: account.keys.filter(key => chosen?.keys.includes(key) !== true)})));
 			return chosen === undefined ? undefined : {name: chosen.name, key: chosen.keys[0]!};
 		},
 		restore() {
--- a/packages/bench/src/jobs-processes/plan-accounts.ts
+++ b/packages/bench/src/jobs-processes/plan-accounts.ts
@@ -1,6 +1,8 @@
 import {createRandomSource, type RandomSource} from '@pistachiogauge/decisions';
+import {type JobRequest} from '@pistachiogauge/platform/standins';
 import {accountBounds, createAccountPlanner, type AccountPlan} from '../accounts/index.js';
 import {type FaultKind, type FaultPlan} from './fault-plan.js';
+import {advisedQueue} from './odd-jobs.js';
 import {drawBetween, type JobPlan, type RunPlan} from './run-plan.js';
 
 /** A new version of the accounts. */
@@ -17,8 +19,6 @@
 	readonly probes: readonly RemovedKeyProbe[];
 };
 
-/** Pool whose queue is public if there are others. */
-const publicService = 'notify';
 const meanChangeMs = 1500;
 /** One change in this many is followed by others at once. */
 const changesPerBurst = 4;
@@ -89,7 +89,25 @@
 	return Array.from({length: count}, (_, index) => firstMs + (index * probeIntervalMs));
 }
 
-/** Adds client accounts to a plan: keys for its jobs, changes by the operator, and requests with removed keys. Its jobs stay the same otherwise. */
+/** Delays versions that would be written before an earlier one. */
+function sortChanges(changes: readonly AccountsChange[]): AccountsChange[] {
+	let lastMs = 0;
+	return changes.map(({atMs, accounts}) => {
+		lastMs = Math.max(lastMs, atMs);
+		return {atMs: lastMs, accounts};
+	});
+}
+
+function formatPublicQueue(queue: string): string {
+	return `open-${queue}`;
+}
+
+/** Whether a job goes to the public queue of its pool: long-running ones do, unless the queue requires advice. */
+function isForPublicQueue({queue, steps}: JobRequest): boolean {
+	return queue !== advisedQueue && steps.some(({isLongRunning}) => isLongRunning);
+}
+
+/** Adds client accounts to a plan: keys for its jobs, changes by the operator, and requests with removed keys. Its jobs stay the same otherwise, but long-running ones go to a public queue. */
 export function addAccounts(plan: RunPlan, kinds: readonly FaultKind[]): RunPlan {
 	const {seed, durationMs, endpoints, endpointCapacity} = plan;
 	const random = createRandomSource(seed + 4_000_000);
@@ -98,18 +116,24 @@
 	});
 	const initial = planner.accounts;
 	const faults = [...plan.faults, ...drawLongFaults(random, durationMs, kinds)].sort((left, right) => left.atMs - right.atMs);
-	const queues = plan.queues.map(queue => ({...queue, isPublic: queue.advice !== undefined || (queue.service === publicService && plan.queues.length > 1)}));
-	const publicQueues = new Set(queues.filter(({isPublic}) => isPublic).map(({queue}) => queue));
-	const keyedQueue = queues.find(({isPublic}) => !isPublic)!.queue;
+	const queues = [
+		...plan.queues.map(queue => ({...queue, isPublic: false})),
+		...plan.queues.filter(({advice}) => advice === undefined).map(queue => ({...queue, queue: formatPublicQueue(queue.queue), isPublic: true})),
+	];
 	const changes: AccountsChange[] = [];
 	const probes: RemovedKeyProbe[] = [];
 	const jobs: JobPlan[] = [];
 	for (const occasion of drawOccasions(random, {...plan, faults})) {
 		const {atMs} = occasion;
 		if (occasion.kind === 'job') {
-			const isPublic = publicQueues.has(occasion.job.job.queue);
+			const {job} = occasion.job;
+			if (isForPublicQueue(job)) {
+				jobs.push({...occasion.job, job: {...job, queue: formatPublicQueue(job.queue)}});
+				continue;
+			}
+
 			// The hot account sends more in the middle third.
-			const key = isPublic ? undefined : planner.chooseKey(atMs > durationMs / 3 && atMs < 2 * durationMs / 3);
+			const key = planner.chooseKey(atMs > durationMs / 3 && atMs < 2 * durationMs / 3);
 			jobs.push({...occasion.job, key, account: planner.findOwner(key)});
 		} else if (occasion.kind === 'change') {
 			const count = random.getInteger(changesPerBurst) === 0 ? 1 + random.getInteger(maxBurst) : 1;
@@ -122,7 +146,7 @@
 			changes.push({atMs, accounts: planner.accounts});
 			const times = removed === undefined ? [] : listProbeTimes(atMs, occasion.endsAtMs);
 			probes.push(...times.map((probeAtMs, index) => ({
-				atMs: probeAtMs, key: removed!.key, jobId: `e${(probes.length + index).toString(16).padStart(15, '0')}`, queue: keyedQueue,
+				atMs: probeAtMs, key: removed!.key, jobId: `e${(probes.length + index).toString(16).padStart(15, '0')}`, queue: queues[0]!.queue,
 			})));
 		}
 	}
@@ -135,8 +159,7 @@
 		faults,
 		accounts: {
 			initial,
-			// A version that was drawn earlier must not be written after a later one.
-			changes: [...changes.map((change, index) => ({...change, atMs: Math.max(...changes.slice(0, index + 1).map(({atMs}) => atMs))})), {atMs: durationMs, accounts: planner.accounts}],
+			changes: sortChanges([...changes, {atMs: durationMs, accounts: planner.accounts}]),
 			probes,
 		},
 	};
