Keep some accounts with keys in the soaks

Removals left few accounts with keys after a while, so most requests were refused and showed little. The planner adds an account where fewer than four have keys, and requests come from accounts that have some.

--- a/packages/bench/src/accounts/account-planner.ts
+++ b/packages/bench/src/accounts/account-planner.ts
@@ -39,6 +39,8 @@
 /** Cap at the end, at which a backlog ends within the time after the faults. */
 const restoredCapShare = 0.6;
 const maxKeyCount = 3;
+/** With fewer accounts that have keys, the next change adds one. */
+const minActiveCount = 4;
 
 type Draft = {
 	readonly accounts: readonly AccountPlan[];
@@ -123,6 +125,7 @@
 		return [...names].flatMap(name => [...formerKeys.get(name) ?? []]).filter(key => !valid.has(key));
 	};
 
+	const listActive = () => accounts.filter(({keys}) => keys.length > 0);
 	replaceAccounts(Array.from({length: initialAccountCount}, createAccount));
 	const chooseValidKey = (names: readonly string[]) => choose(random, accounts.filter(({name}) => names.includes(name)).flatMap(({keys}) => keys));
 	return {
@@ -130,14 +133,15 @@
 			return accounts;
 		},
 		change() {
-			const name = choose(random, Object.keys(changeHandlers))!;
+			const drawn = choose(random, Object.keys(changeHandlers))!;
+			const name = listActive().length < minActiveCount ? 'account added' : drawn;
 			replaceAccounts(changeHandlers[name]!({
 				accounts, random, capacity, createAccount, createKey,
 			}));
 			return name;
 		},
 		removeKeys() {
-			const chosen = choose(random, accounts.filter(({keys}) => keys.length > 0));
+			const chosen = choose(random, listActive());
 			replaceAccounts(accounts.map(account => ({...account, keys: account.keys.filter(key => chosen?.keys.includes(key) !== true)})));
 			return chosen === undefined ? undefined : {name: chosen.name, key: chosen.keys[0]!};
 		},
@@ -154,7 +158,7 @@
 			}
 
 			const removed = draw < 0.2 ? choose(random, listRemovedKeys(known.keys())) : undefined;
-			const tickets = accounts.flatMap(account => Array.from({length: account.weight * (isHot && account.name === `account-${initialAccountCount}` ? hotFactor : 1)}, () => account));
+			const tickets = listActive().flatMap(account => Array.from({length: account.weight * (isHot && account.name === `account-${initialAccountCount}` ? hotFactor : 1)}, () => account));
 			return removed ?? choose(random, choose(random, tickets)?.keys ?? []);
 		},
 		chooseKeyOf(names) {
