Name starters that are out of touch in quota violations

A start by an owner that cannot have learned of a lower cap is read differently from others, so the message says so.

--- a/packages/bench/src/jobs/account-invariant-checker.ts
+++ b/packages/bench/src/jobs/account-invariant-checker.ts
@@ -111,7 +111,7 @@
 			const cap = findHighestCap(history, account, queue.now);
 			const component = findExceededComponent(used, run.resources, cap);
 			if (component !== undefined) {
-				reportViolation('quota', `${run.taskId} starts on ${endpoint.registration.id} by ${run.starter.node}, though ${formatExcess(account, component, used, cap)}`);
+				reportViolation('quota', `${run.taskId} starts on ${endpoint.registration.id} by ${run.starter.node}${run.starter.isInTouch ? '' : ', which is out of touch with the store'}, though ${formatExcess(account, component, used, cap)}`);
 			}
 
 			runs.set(run, {account, endpoint});
--- a/packages/bench/src/jobs/run-jobs-soak.test.ts
+++ b/packages/bench/src/jobs/run-jobs-soak.test.ts
@@ -62,9 +62,9 @@
 		expect(acceptedCount).toBeGreaterThan(minAccepted);
 	});
 
-	it('gives the same result for the same seed', () => {
+	it.each([false, true])('gives the same result for the same seed, with client accounts: %s', hasAccounts => {
 		const options = {
-			seed: 4, steps: 100, faults: jobFaults, loads: jobLoads,
+			seed: 4, steps: 100, faults: jobFaults, loads: jobLoads, hasAccounts,
 		};
 		expect(runJobsSoak(options)).toEqual(runJobsSoak(options));
 	});
