--- a/packages/bench/src/accounts/account-history.ts
+++ b/packages/bench/src/accounts/account-history.ts
@@ -29,7 +29,7 @@
 }
 
 function findAccount({accounts}: AccountsVersion, key: string | undefined): AccountPlan | undefined {
-	return key === undefined ? undefined : accounts.find(({keys}) => keys.includes(key));
+	return key === undefined ? undefined : accounts.find(({apiKeys}) => apiKeys.includes(key));
 }
 
 function listAccountsOfKey(history: AccountHistory, key: string | undefined, from: number, until: number): Array<AccountPlan | undefined> {
--- a/packages/bench/src/accounts/account-plan.ts
+++ b/packages/bench/src/accounts/account-plan.ts
@@ -10,6 +10,6 @@
 }
 
 /** Creates the account as the configuration of the jobs packages has it. */
-export function createClientAccount({keys, ...account}: AccountPlan): ClientAccount {
-	return {...account, keyHashes: keys.map(key => computeKeyHash(key))};
+export function createClientAccount({apiKeys, ...account}: AccountPlan): ClientAccount {
+	return {...account, keyHashes: apiKeys.map(key => computeKeyHash(key))};
 }
--- a/packages/bench/src/accounts/account-planner.ts
+++ b/packages/bench/src/accounts/account-planner.ts
@@ -71,12 +71,12 @@
 	'cap raised': draft => changeOne(draft, account => ({...account, cap: computeShare(account.cap, 1.5 + (2.5 * draft.random.getFraction()))})),
 	'cap lowered': draft => changeOne(draft, account => ({...account, cap: computeShare(account.cap, 0.05 + (0.4 * draft.random.getFraction()))})),
 	'cap set': draft => changeOne(draft, account => ({...account, cap: computeShare(draft.capacity, 0.05 + (0.4 * draft.random.getFraction()))})),
-	'key removed': draft => changeOne(draft, account => ({...account, keys: account.keys.slice(1)})),
-	'all keys removed': draft => changeOne(draft, account => ({...account, keys: []})),
-	'key added': draft => changeOne(draft, account => ({...account, keys: [...account.keys, draft.createKey()].slice(-maxKeyCount)})),
+	'key removed': draft => changeOne(draft, account => ({...account, apiKeys: account.apiKeys.slice(1)})),
+	'all keys removed': draft => changeOne(draft, account => ({...account, apiKeys: []})),
+	'key added': draft => changeOne(draft, account => ({...account, apiKeys: [...account.apiKeys, draft.createKey()].slice(-maxKeyCount)})),
 	'key in two accounts'(draft) {
-		const key = choose(draft.random, draft.accounts.flatMap(({keys}) => keys));
-		return key === undefined ? draft.accounts : changeOne(draft, account => account.keys.includes(key) ? account : {...account, keys: [...account.keys, key]});
+		const key = choose(draft.random, draft.accounts.flatMap(({apiKeys}) => apiKeys));
+		return key === undefined ? draft.accounts : changeOne(draft, account => account.apiKeys.includes(key) ? account : {...account, apiKeys: [...account.apiKeys, key]});
 	},
 	'account added': draft => [...draft.accounts, draft.createAccount()],
 	'account removed'({accounts, random}) {
@@ -104,7 +104,7 @@
 		accountCount += 1;
 		return {
 			name: `account-${accountCount}`,
-			keys: [createKey(), createKey()],
+			apiKeys: [createKey(), createKey()],
 			priority: index % 2,
 			weight: index < largeAccountCount ? weights.large : weights.other,
 			cap: computeShare(capacity, capShares[index % capShares.length]!),
@@ -116,18 +116,18 @@
 		accounts = changed;
 		for (const account of changed) {
 			known.set(account.name, account);
-			formerKeys.set(account.name, new Set([...formerKeys.get(account.name) ?? [], ...account.keys]));
+			formerKeys.set(account.name, new Set([...formerKeys.get(account.name) ?? [], ...account.apiKeys]));
 		}
 	}
 
 	const listRemovedKeys = (names: Iterable<string>) => {
-		const valid = new Set(accounts.flatMap(({keys}) => keys));
+		const valid = new Set(accounts.flatMap(({apiKeys}) => apiKeys));
 		return [...names].flatMap(name => [...formerKeys.get(name) ?? []]).filter(key => !valid.has(key));
 	};
 
-	const listActive = () => accounts.filter(({keys}) => keys.length > 0);
+	const listActive = () => accounts.filter(({apiKeys}) => apiKeys.length > 0);
 	replaceAccounts(Array.from({length: initialAccountCount}, createAccount));
-	const chooseValidKey = (names: readonly string[]) => choose(random, accounts.filter(({name}) => names.includes(name)).flatMap(({keys}) => keys));
+	const chooseValidKey = (names: readonly string[]) => choose(random, accounts.filter(({name}) => names.includes(name)).flatMap(({apiKeys}) => apiKeys));
 	return {
 		get accounts() {
 			return accounts;
@@ -142,13 +142,13 @@
 		},
 		removeKeys() {
 			const chosen = choose(random, listActive());
-			replaceAccounts(accounts.map(account => ({...account, keys: account.keys.filter(key => chosen?.keys.includes(key) !== true)})));
-			return chosen === undefined ? undefined : {name: chosen.name, key: chosen.keys[0]!};
+			replaceAccounts(accounts.map(account => ({...account, apiKeys: account.apiKeys.filter(key => chosen?.apiKeys.includes(key) !== true)})));
+			return chosen === undefined ? undefined : {name: chosen.name, key: chosen.apiKeys[0]!};
 		},
 		restore() {
 			const current = new Map(accounts.map(account => [account.name, account]));
 			replaceAccounts([...known.values()].map(account => ({
-				...account, keys: [...current.get(account.name)?.keys.slice(0, 1) ?? [], createKey()], cap: computeShare(capacity, restoredCapShare),
+				...account, apiKeys: [...current.get(account.name)?.apiKeys.slice(0, 1) ?? [], createKey()], cap: computeShare(capacity, restoredCapShare),
 			})));
 		},
 		chooseKey(isHot) {
@@ -159,13 +159,13 @@
 
 			const removed = draw < 0.2 ? choose(random, listRemovedKeys(known.keys())) : undefined;
 			const tickets = listActive().flatMap(account => Array.from({length: account.weight * (isHot && account.name === `account-${initialAccountCount}` ? hotFactor : 1)}, () => account));
-			return removed ?? choose(random, choose(random, tickets)?.keys ?? []);
+			return removed ?? choose(random, choose(random, tickets)?.apiKeys ?? []);
 		},
 		chooseKeyOf(names) {
 			const removed = random.getInteger(6) === 0 ? choose(random, listRemovedKeys(names)) : undefined;
 			return removed ?? chooseValidKey(names) ?? choose(random, listRemovedKeys(names));
 		},
-		findOwner: key => key === undefined ? undefined : accounts.find(({keys}) => keys.includes(key))?.name ?? [...formerKeys].find(([, keys]) => keys.has(key))?.[0],
+		findOwner: key => key === undefined ? undefined : accounts.find(({apiKeys}) => apiKeys.includes(key))?.name ?? [...formerKeys].find(([, keys]) => keys.has(key))?.[0],
 		chooseValidKeyOf: name => chooseValidKey([name]),
 	};
 }
--- a/packages/bench/src/jobs-processes/account-keys.ts
+++ b/packages/bench/src/jobs-processes/account-keys.ts
@@ -22,9 +22,9 @@
 	const choose = (keys: readonly string[]) => keys.length === 0 ? undefined : keys[random.getInteger(keys.length)];
 	return {
 		update(accounts) {
-			const valid = new Set(accounts.flatMap(({keys}) => keys));
-			for (const {name, keys} of current) {
-				removedKeys.set(name, [...removedKeys.get(name) ?? [], ...keys].filter(key => !valid.has(key)));
+			const valid = new Set(accounts.flatMap(({apiKeys}) => apiKeys));
+			for (const {name, apiKeys} of current) {
+				removedKeys.set(name, [...removedKeys.get(name) ?? [], ...apiKeys].filter(key => !valid.has(key)));
 			}
 
 			current = accounts;
@@ -36,8 +36,8 @@
 			}
 
 			const removed = mayBeRemoved && random.getInteger(callsPerRemovedKey) === 0 ? choose(removedKeys.get(name) ?? []) : undefined;
-			return removed ?? choose(current.find(account => account.name === name)?.keys ?? []);
+			return removed ?? choose(current.find(account => account.name === name)?.apiKeys ?? []);
 		},
-		chooseAny: queue => publicQueues.has(queue) ? undefined : choose(current.flatMap(({keys}) => keys)),
+		chooseAny: queue => publicQueues.has(queue) ? undefined : choose(current.flatMap(({apiKeys}) => apiKeys)),
 	};
 }
--- a/packages/bench/src/jobs-processes/checks/check-accounts.test.ts
+++ b/packages/bench/src/jobs-processes/checks/check-accounts.test.ts
@@ -13,10 +13,10 @@
 	taskCount: 9, cpuMillis: 500, memoryMb: 100, estimateMs: 700, after: [], isLongRunning: false, mayDuplicate: false,
 };
 const plain: AccountPlan = {
-	name: 'account-a', keys: ['a'], priority: 0, weight: 1, cap: {cpuMillis: 1000, memoryMb: 0, gpus: 0},
+	name: 'account-a', apiKeys: ['a'], priority: 0, weight: 1, cap: {cpuMillis: 1000, memoryMb: 0, gpus: 0},
 };
-const other: AccountPlan = {...plain, name: 'account-b', keys: ['b']};
-const withoutKey: AccountPlan = {...plain, keys: []};
+const other: AccountPlan = {...plain, name: 'account-b', apiKeys: ['b']};
+const withoutKey: AccountPlan = {...plain, apiKeys: []};
 const low: AccountPlan = {...plain, cap: {cpuMillis: 200, memoryMb: 0, gpus: 0}};
 
 function configure(at: number, ...accounts: readonly AccountPlan[]): Observation {
--- a/packages/bench/src/jobs-processes/installation.ts
+++ b/packages/bench/src/jobs-processes/installation.ts
@@ -7,9 +7,11 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {createRandomSource, type RandomSource} from '@pistachiogauge/decisions';
 import {
-	createAdviceStandin, createCallerStandin, createEndpointStandin, createLinks, createMachineServiceStandin, createStoreStandin, encodeConfiguration, encodeEntrySettings, firstVersion, moveOutcomes, readinessPath,
+	createAdviceStandin, createCallerStandin, createEndpointStandin, createLinks, createMachineServiceStandin, createStoreStandin, encodeConfiguration, encodeEntrySettings,
+	moveOutcomes, readinessPath,
 	type AccountPlan, type CallerStandin, type EndpointStandin, type Links, type MachineServiceOptions, type Observation, type Observe, type StoreStandin,
 } from '@pistachiogauge/platform/standins';
+import {accountBounds} from '../accounts/index.js';
 import {createAccountKeys, type AccountKeys} from './account-keys.js';
 import {
 	createEntryProcesses, entryHost, findFreePorts, loadEntryCommand, type EntryProcesses,
@@ -60,6 +62,8 @@
 /** Duration of a move of a machine. */
 const moveMs = 1500;
 const lateWriteMs = {min: 500, max: 8000};
+/** Settings of a deployment with client accounts. */
+const accountSettings = Object.fromEntries<number | boolean>([['StrictRevoke', true], ['RevokeMs', accountBounds.revokeMs], ['QuotaOverage', accountBounds.quotaOverage]]);
 
 export async function startInstallation(plan: RunPlan): Promise<Installation> {
 	const startedAt = performance.now();
@@ -79,10 +83,10 @@
 	const links = createLinks();
 	const store = createStoreStandin({links, observe, getLateMs: () => drawBetween(random, lateWriteMs.min, lateWriteMs.max)});
 	const accountKeys = createAccountKeys(plan, random);
-	let version = firstVersion - 1;
+	let version = 0;
 	function writeConfiguration(accounts: readonly AccountPlan[] | undefined): void {
 		version += 1;
-		const {key, value} = encodeConfiguration(plan.queues, plan.isGuarding, {sparePool: plan.moves?.sparePool, accounts, version});
+		const {key, value} = encodeConfiguration(plan.queues, plan.isGuarding, plan.moves?.sparePool, {accounts, version});
 		store.write(key, value);
 		if (accounts !== undefined) {
 			accountKeys.update(accounts);
@@ -158,10 +162,10 @@
 		const [callerPort = 0, readinessPort = 0, controlPort = 0] = await findFreePorts(3);
 		const settingsPath = path.join(logFolder, `${entry}.conf`);
 		writeFileSync(settingsPath, encodeEntrySettings({
-			entry, host: entryHost, callerPort, readinessPort, controlPort, machineServiceAddress, adviceAddress, hasAccounts: plan.accounts !== undefined,
+			entry, host: entryHost, callerPort, readinessPort, controlPort, machineServiceAddress, adviceAddress,
 			// eslint-disable-next-line no-await-in-loop
 			storeAddress: await store.listen(entry),
-		}));
+		}, plan.accounts === undefined ? {} : accountSettings));
 		entries.set(entry, {settingsPath, readinessPort});
 		callers.set(entry, createCallerStandin(entryHost, callerPort));
 		startEntry(entry);
--- a/packages/bench/src/jobs-processes/load.ts
+++ b/packages/bench/src/jobs-processes/load.ts
@@ -44,12 +44,12 @@
 	}
 }
 
-async function submitJob(installation: Installation, {job, retriesRejection, key}: JobPlan, isRepeat: boolean): Promise<CallerAnswer> {
+async function submitJob(installation: Installation, {job, retriesRejection}: JobPlan, isRepeat: boolean): Promise<CallerAnswer> {
 	return sendUntilAnswered(installation, async (entry, callers) => {
 		const sentAt = installation.getNowMs();
-		const answer = await callers.submit(job, key);
+		const answer = await callers.submit(job);
 		installation.observe({
-			kind: 'submit-answered', job, isRepeat, entry, sentAt, status: answer.status, key,
+			kind: 'submit-answered', job, isRepeat, entry, sentAt, status: answer.status, key: job.apiKey,
 		});
 		return answer;
 	}, answer => retriesRejection || !isRejected(answer));
@@ -59,7 +59,7 @@
 	await sendUntilAnswered(installation, async (entry, callers) => {
 		const sentAt = installation.getNowMs();
 		const key = installation.accountKeys.chooseFor(job.jobId, true);
-		const answer = await callers.cancel(job, key);
+		const answer = await callers.cancel({...job, apiKey: key});
 		installation.observe({
 			kind: 'cancel-answered', jobId: job.jobId, entry, sentAt, status: answer.status, key,
 		});
@@ -71,7 +71,7 @@
 	await sendUntilAnswered(installation, async (entry, callers) => {
 		const sentAt = installation.getNowMs();
 		const key = installation.accountKeys.chooseFor(job.jobId, !retries);
-		const {status, state} = await callers.requestState(job, key);
+		const {status, state} = await callers.requestState({...job, apiKey: key});
 		installation.observe({
 			kind: 'state-answered', jobId: job.jobId, state, entry, sentAt, status, key,
 		});
--- a/packages/bench/src/jobs-processes/plan-accounts.ts
+++ b/packages/bench/src/jobs-processes/plan-accounts.ts
@@ -134,7 +134,7 @@
 
 			// The hot account sends more in the middle third.
 			const key = planner.chooseKey(atMs > durationMs / 3 && atMs < 2 * durationMs / 3);
-			jobs.push({...occasion.job, key, account: planner.findOwner(key)});
+			jobs.push({...occasion.job, job: {...job, apiKey: key}, account: planner.findOwner(key)});
 		} else if (occasion.kind === 'change') {
 			const count = random.getInteger(changesPerBurst) === 0 ? 1 + random.getInteger(maxBurst) : 1;
 			for (let number = 0; number < count; number++) {
--- a/packages/bench/src/jobs-processes/play-accounts.ts
+++ b/packages/bench/src/jobs-processes/play-accounts.ts
@@ -25,7 +25,7 @@
 /** Submits a job to every entry with a removed key, and asks for its state. */
 async function playProbe({plan, callers, observe, getNowMs}: Installation, {atMs, key, jobId, queue}: RemovedKeyProbe): Promise<void> {
 	const job: JobRequest = {
-		jobId, queue, payload: 'ms=100', steps: [probeStep],
+		jobId, queue, payload: 'ms=100', steps: [probeStep], apiKey: key,
 	};
 	await delay(atMs);
 	await Promise.all(plan.entries.flatMap(entry => {
@@ -33,13 +33,13 @@
 		const caller = callers.get(entry)!;
 		return [
 			(async () => {
-				const {status} = await caller.submit(job, key);
+				const {status} = await caller.submit(job);
 				observe({
 					kind: 'submit-answered', job, isRepeat: false, entry, sentAt, status, key,
 				});
 			})(),
 			(async () => {
-				const {status, state} = await caller.requestState(job, key);
+				const {status, state} = await caller.requestState(job);
 				observe({
 					kind: 'state-answered', jobId, state, entry, sentAt, status, key,
 				});
--- a/packages/bench/src/jobs-processes/run-plan.ts
+++ b/packages/bench/src/jobs-processes/run-plan.ts
@@ -14,8 +14,7 @@
 	readonly repeatAfterMs: number | undefined;
 	/** Whether the client tries again after a rejection. */
 	readonly retriesRejection: boolean;
-	/** API key with which it is submitted, and the account that the key belongs to or once did. */
-	readonly key?: string | undefined;
+	/** Account that the job's API key belongs to or once did. */
 	readonly account?: string | undefined;
 };
 
--- a/packages/bench/src/jobs/account-invariant-checker.test.ts
+++ b/packages/bench/src/jobs/account-invariant-checker.test.ts
@@ -11,7 +11,7 @@
 
 const jobId = '00000000000000a1';
 const plain: AccountPlan = {
-	name: 'account-a', keys: ['a'], priority: 0, weight: 1, cap: {cpuMillis: 1000, memoryMb: 0, gpus: 0},
+	name: 'account-a', apiKeys: ['a'], priority: 0, weight: 1, cap: {cpuMillis: 1000, memoryMb: 0, gpus: 0},
 };
 const endpoints = ['e1', 'e2'].map(id => ({registration: {id}}) as unknown as VirtualTaskEndpoint);
 
@@ -66,7 +66,7 @@
 	};
 }
 
-const withoutKey = {keys: []};
+const withoutKey = {apiKeys: []};
 const low = {cap: {cpuMillis: 200, memoryMb: 0, gpus: 0}};
 const high = {cap: {cpuMillis: 3000, memoryMb: 0, gpus: 0}};
 /** 1,100 of 1,000: as much as the overage allows. */
--- a/packages/bench/src/jobs/compare-shares.ts
+++ b/packages/bench/src/jobs/compare-shares.ts
@@ -35,7 +35,7 @@
 function createAccount(index: number): AccountPlan {
 	const name = `account-${index + 1}`;
 	return {
-		name, keys: [`key-of-${name}`], priority: 0, weight: usualRate, cap: {cpuMillis: 0, memoryMb: 0, gpus: 0},
+		name, apiKeys: [`key-of-${name}`], priority: 0, weight: usualRate, cap: {cpuMillis: 0, memoryMb: 0, gpus: 0},
 	};
 }
 
@@ -47,7 +47,7 @@
 	});
 	simulation.runFor(startupMs);
 	const jobs: SentJob[] = [];
-	for (const [index, {name, keys}] of accounts.entries()) {
+	for (const [index, {name, apiKeys}] of accounts.entries()) {
 		const isHot = name === hotAccount;
 		if (isHot && !hasHotAccount) {
 			continue;
@@ -61,7 +61,7 @@
 			const entry = simulation.entries[random.getInteger(simulation.entries.length)]!;
 			simulation.queue.add(atMs, () => {
 				const spec = createPlainSpec({count, room: {cpuMillis: 1000, memoryMb: 400, gpus: 0}, estimateMs: durationMs});
-				const jobId = simulation.submitJob(entry, 'jobs-desk', spec, {durationMs}, keys[0]);
+				const jobId = simulation.submitJob(entry, 'jobs-desk', spec, {durationMs}, apiKeys[0]);
 				jobs.push({jobId, account: name, dueAt: simulation.queue.now + (stretch * durationMs) + latencyTargetMs});
 			});
 		}
--- a/packages/bench/src/jobs/create-configuration.ts
+++ b/packages/bench/src/jobs/create-configuration.ts
@@ -5,7 +5,7 @@
 export type ConfigurationOptions = {
 	/** Whether there is a pool of machines that are switched off. */
 	readonly hasSparePool?: boolean;
-	/** With accounts, the queues `jobs-POOL` need a key. */
+	/** With accounts, the queues `jobs-POOL` need a key, and there is a public queue `open-POOL` for each pool. */
 	readonly accounts?: readonly ClientAccount[] | undefined;
 	readonly version?: number;
 };
@@ -25,6 +25,11 @@
 			{
 				...commonQueue, name: `advised-${pool}`, prefix: `/advised/${pool}/`, pool, advice: virtualAdvicePolicy, isPublic: true,
 			},
+			...(accounts === undefined
+				? []
+				: [{
+					...commonQueue, name: `open-${pool}`, prefix: `/open/${pool}/`, pool, advice: undefined, isPublic: true,
+				}]),
 		]),
 		pools: [...pools.map(name => ({name, isSpare: false})), ...(hasSparePool ? [{name: sparePool, isSpare: true}] : [])],
 		accounts,
--- a/packages/bench/src/jobs/create-virtual-sinks.ts
+++ b/packages/bench/src/jobs/create-virtual-sinks.ts
@@ -5,17 +5,19 @@
 import {startWallTime} from '../virtual/virtual-clock.js';
 import {type StoreCaller, type StoreCallFailure} from './call-store.js';
 import {createFleetSinks, type FleetSinkTools} from './create-fleet-sinks.js';
+import {createShareSinks, type ShareSinkTools} from './create-share-sinks.js';
 import {createOrderSinks, type OrderSinkTools} from './create-order-sinks.js';
 import {type EventDelivery} from './event-delivery.js';
 import {type JobInvariantChecker} from './job-invariant-checker.js';
 import {type VirtualAdviceService} from './virtual-advice-service.js';
 import {type VirtualJobsEntry} from './virtual-jobs-entry.js';
 import {type VirtualJobStore} from './virtual-job-store.js';
+import {type VirtualRelay} from './virtual-relay.js';
 
 /** Sinks for the effects that have one in the simulation; each is also given the entry whose effect it is. */
 export type VirtualSinks = {readonly [Kind in JobEffect['kind']]?: (entry: VirtualJobsEntry, effect: JobEffectOf<Kind>) => void};
 
-export type VirtualSinkTools = OrderSinkTools & FleetSinkTools & {
+export type VirtualSinkTools = OrderSinkTools & FleetSinkTools & ShareSinkTools & {
 	readonly queue: EventQueue;
 	readonly store: VirtualJobStore;
 	readonly checker: JobInvariantChecker;
@@ -29,6 +31,7 @@
 	readonly advice: VirtualAdviceService;
 	/** Whether an entry has reached the store, and its watches have delivered, for some seconds. */
 	readonly isInTouch: (entry: VirtualJobsEntry) => boolean;
+	readonly relay: VirtualRelay;
 };
 
 /** Time after which the inbox of a loaded pool is delivered again: changes recorded while the answer was on its way arrive through the watch after it. */
@@ -37,7 +40,7 @@
 /** Creates the sinks that carry out the effects of the simulation's entries on the virtual store, endpoints and callers. */
 export function createVirtualSinks(tools: VirtualSinkTools): VirtualSinks {
 	const {
-		queue, store, checker, answers, onLine, delivery, callStore, listEndpoints, advice, fleetRecords, isInTouch,
+		queue, store, checker, answers, onLine, delivery, callStore, listEndpoints, advice, relay, fleetRecords, isInTouch,
 	} = tools;
 
 	/** Calls the store and delivers the events that the answer or the failure gives. */
@@ -69,6 +72,7 @@
 	return {
 		...createOrderSinks(tools),
 		...createFleetSinks(tools),
+		...createShareSinks(tools),
 		claim(entry, effect) {
 			const {name} = effect;
 			const {node, incarnation} = entry;
@@ -186,7 +190,12 @@
 				delivery.deliver(entry, event, incarnation);
 			});
 		},
+		'relay-request': relay.send,
 		'answer-caller'(entry, {requestId, answer}) {
+			if (relay.answerRequest(entry, requestId, answer)) {
+				return;
+			}
+
 			answers.set(requestId, answer);
 			checker.accounts.recordAnswer(requestId, answer.kind, isInTouch(entry));
 			checker.recordAnswer(requestId, answer);
--- a/packages/bench/src/jobs/jobs-simulation.ts
+++ b/packages/bench/src/jobs/jobs-simulation.ts
@@ -2,7 +2,7 @@
 import {
 	applyJobEvent, createJobsState, poolClaimPrefix, type CallerAnswer, type Endpoint, type JobEffect, type JobEventOf, type JobSpec,
 } from '@pistachiogauge/jobs';
-import {computeKeyHash, type AccountPlan} from '../accounts/index.js';
+import {accountBounds, computeKeyHash, type AccountPlan} from '../accounts/index.js';
 import {createEventQueue, type EventQueue} from '../virtual/event-queue.js';
 import {startWallTime} from '../virtual/virtual-clock.js';
 import {createStoreCaller} from './call-store.js';
@@ -17,7 +17,9 @@
 import {createVirtualJobStore, type VirtualJobStore} from './virtual-job-store.js';
 import {createVirtualJobsEntry, type VirtualJobsEntry} from './virtual-jobs-entry.js';
 import {createVirtualNetwork, storeNode, type VirtualNetwork} from './virtual-network.js';
+import {createOrigin, createVirtualRelay} from './virtual-relay.js';
 import {createVirtualRegistry} from './virtual-registry.js';
+import {createVirtualShareRecords, type VirtualShareRecords} from './virtual-share-records.js';
 import {startVirtualSession} from './virtual-session.js';
 import {type TaskBehaviour, type VirtualTaskEndpoint} from './virtual-task-endpoint.js';
 import {createVirtualWatches, loseWatchHistory} from './virtual-watches.js';
@@ -29,6 +31,7 @@
 	readonly entries: readonly VirtualJobsEntry[];
 	readonly endpoints: Map<string, VirtualTaskEndpoint>;
 	readonly store: VirtualJobStore;
+	readonly shareRecords: VirtualShareRecords;
 	readonly network: VirtualNetwork;
 	readonly checker: JobInvariantChecker;
 	readonly advice: VirtualAdviceService;
@@ -44,11 +47,13 @@
 	isStoreUp: boolean;
 	/** Submits a job at an entry and returns the job's id; the answer appears in `answers` under `submit-ID`. Without a given key, one is chosen. */
 	submitJob(entry: VirtualJobsEntry, queue: string, spec: JobSpec, behaviour?: Partial<TaskBehaviour>, key?: string): string;
+	/** Finds the account of a job that the store has; undefined for a job without one. */
+	getJobAccount(jobId: string): string | undefined;
 	cancelJob(entry: VirtualJobsEntry, queue: string, jobId: string): void;
 	/** Asks an entry for the status of a job. */
 	requestStatus(entry: VirtualJobsEntry, queue: string, jobId: string, key?: string): void;
 	/** Writes a configuration with other client accounts. @returns Whether the store has acknowledged it, which it does not while it is down. */
-	changeAccounts(accounts: readonly AccountPlan[]): boolean;
+	changeAccounts(accounts: readonly AccountPlan[] | undefined): boolean;
 	killEntry(entry: VirtualJobsEntry, downMs: number): void;
 	crashEndpoint(endpoint: VirtualTaskEndpoint, downMs: number): void;
 	/** Crashes an endpoint that comes back under the same id and has forgotten everything. */
@@ -139,10 +144,12 @@
 			...[...entry.state.ledger.pools.keys()].flatMap(pool => [...store.listInbox(pool), ...fleetRecords.listForPool(pool, entry.state.evacuation.requests.values())]),
 			...fleetRecords.listForFleet(),
 			...(configuration.hasAccounts ? [{kind: 'configuration-changed', configuration: configuration.current} as const] : []),
+			...(entry.state.quota.followed.length > 0 ? [{kind: 'shares-listed', owned: entry.state.quota.followed, shares: shareRecords.listShares()} as const] : []),
 		],
 	});
 	const store = createVirtualJobStore(watches.publish);
 	const fleetRecords = createVirtualFleetRecords(store, watches.publish);
+	const shareRecords = createVirtualShareRecords(store, watches.publish);
 	const registry = createVirtualRegistry({
 		queue, endpoints, canReachStore: id => simulation.isStoreUp && network.canDeliver(id, storeNode), publish: watches.publish,
 	});
@@ -184,13 +191,17 @@
 		getLateOrderShare: () => simulation.lateOrderShare,
 		listEndpoints: registry.listEndpoints,
 		advice,
+		relay: createVirtualRelay({
+			queue, network, delivery, chooseDelayMs, findEntry: name => entries.find(({node}) => node === name),
+		}),
 		fleetRecords,
+		shareRecords,
 		machineService,
 		isInTouch: entry => queue.now > entry.outOfTouchAt + contactMs,
 	});
 
 	/** Sends a caller's request to an entry; with client accounts, it carries the given or a chosen key unless its queue is public. */
-	function sendRequest(entry: VirtualJobsEntry, request: Omit<JobEventOf<'caller-requested'>, 'kind' | 'keyHash'>, givenKey?: string): void {
+	function sendRequest(entry: VirtualJobsEntry, request: Omit<JobEventOf<'caller-requested'>, 'kind' | 'keyHash' | 'origin'>, givenKey?: string): void {
 		const {requestId, action, jobId} = request;
 		const isPublic = configuration.current.queues.some(({name, isPublic}) => name === request.queue && isPublic);
 		const key = isPublic ? undefined : givenKey ?? (action === 'submit' ? simulation.keyChooser?.chooseKey() : simulation.keyChooser?.chooseKeyForJob(jobId));
@@ -200,14 +211,18 @@
 			});
 		}
 
-		delivery.deliverLater(entry, {kind: 'caller-requested', ...request, keyHash: key === undefined ? undefined : computeKeyHash(key)});
+		delivery.deliverLater(entry, {
+			kind: 'caller-requested', ...request, keyHash: key === undefined ? undefined : computeKeyHash(key), origin: createOrigin(configuration.current, request.queue, jobId, queue.now),
+		});
 	}
 
 	function startEntry(entry: VirtualJobsEntry): void {
 		incarnationCount += 1;
 		const incarnation = `life-${incarnationCount}`;
 		entry.incarnation = incarnation;
-		entry.state = createJobsState({node: entry.node, incarnation, orderLeaseMs});
+		entry.state = createJobsState({
+			node: entry.node, incarnation, orderLeaseMs, strictRevokeMs: accounts === undefined ? undefined : accountBounds.revokeMs,
+		});
 		entry.isUp = true;
 		entry.pausedUntil = 0;
 		entry.lastEventAt = queue.now;
@@ -260,6 +275,7 @@
 		entries,
 		endpoints,
 		store,
+		shareRecords,
 		network,
 		checker,
 		advice,
@@ -301,9 +317,10 @@
 			}
 
 			configuration.writeAccounts(changed);
-			checker.accounts.recordAccounts(changed);
+			checker.accounts.recordAccounts(changed ?? []);
 			return true;
 		},
+		getJobAccount: jobId => store.getStoredJob(jobId)?.job.account,
 		killEntry(entry, downMs) {
 			entry.isUp = false;
 			queue.add(downMs, () => {
--- a/packages/bench/src/jobs/virtual-configuration.ts
+++ b/packages/bench/src/jobs/virtual-configuration.ts
@@ -13,8 +13,8 @@
 	readonly current: Configuration;
 	/** Whether the deployment has client accounts. */
 	readonly hasAccounts: boolean;
-	/** Writes a version with other accounts. */
-	writeAccounts(accounts: readonly AccountPlan[]): void;
+	/** Writes a version with other accounts, or without any. */
+	writeAccounts(accounts: readonly AccountPlan[] | undefined): void;
 	/** Delivers the configuration to an entry that has just started. With accounts, the entry reads it from the store, and again every second to confirm it. */
 	start(entry: VirtualJobsEntry): void;
 };
@@ -62,7 +62,7 @@
 		},
 		hasAccounts,
 		writeAccounts(accounts) {
-			current = createConfiguration(pools, {hasSparePool, accounts: accounts.map(account => createClientAccount(account)), version: current.version + 1});
+			current = createConfiguration(pools, {hasSparePool, accounts: accounts?.map(account => createClientAccount(account)), version: current.version + 1});
 			publish([{kind: 'configuration-changed', configuration: current}]);
 		},
 		start(entry) {
--- a/packages/entry/src/jobs/jobs-process.ts
+++ b/packages/entry/src/jobs/jobs-process.ts
@@ -1,20 +1,23 @@
-import {randomInt, randomUUID} from 'node:crypto';
+import {randomBytes, randomInt, randomUUID} from 'node:crypto';
 import {createRandomSource, type DecisionContext} from '@pistachiogauge/chain';
 import {
-	applyJobEvent, createJobsState, findQueue, type JobEffect, type JobEvent,
+	applyJobEvent, canCheckKeys, checkCallerRequest, createJobsState, findQueue, summarizeAccounts, type CallerAnswer, type CallerOrigin, type JobEffect, type JobEvent, type RelayedRequest,
 } from '@pistachiogauge/jobs';
 import {createPipeline} from '@pistachiogauge/pipeline';
 import {
-	createEndpointOrderClient, createHttpClient, createIngress, createMachineServiceClient, createStoreClient, isJobId, type CallerRequest, type HttpClient, type PlatformSettings,
+	createEndpointOrderClient, createHttpClient, createIngress, createMachineServiceClient, createStoreClient, isJobId, type CallerRequestHead, type HttpClient, type PlatformSettings,
 } from '@pistachiogauge/platform';
 import {createLineWriter, createLogger, createMetrics} from '@pistachiogauge/telemetry';
 import {containErrors} from '../contain-errors.js';
+import {createAccountGauges} from './account-gauges.js';
+import {createConfigurationDecoder} from './configuration-decoder.js';
+import {createConfigurationReader} from './confirm-configuration.js';
 import {createJobSinks} from './create-job-sinks.js';
 import {followConfigurationAndWaves, followMembersAndClaims, type FollowContext} from './follow-records.js';
 import {createPauseMeter} from './pause-meter.js';
+import {createPeerServer} from './peer-server.js';
 import {readClocks} from './read-clocks.js';
 import {createIgnoredItemReporter} from './report-ignored-items.js';
-import {serveMetrics} from './serve-metrics.js';
 import {createSession} from './session.js';
 
 /** A process that runs an entry on the operators' platform. @public */
@@ -45,6 +48,8 @@
 /** The advice service handles only one request of an entry at a time. */
 const adviceConnectionLimit = 2;
 
+const relaySecretBytes = 32;
+
 const defaultLimits = {
 	headerBytes: 16_384, bodyBytes: 262_144, headerTimeoutMs: 3000, idleTimeoutMs: 15_000,
 };
@@ -53,6 +58,7 @@
 export function createJobsProcess(settings: PlatformSettings): JobsProcess {
 	const {node} = settings;
 	const incarnation = randomUUID().slice(0, 8);
+	const relaySecret = randomBytes(relaySecretBytes).toString('base64url');
 	const lineWriter = createLineWriter({
 		descriptor: process.stdout.fd, bufferBytes: logBufferBytes, linesPerSecond: logLinesPerSecond, getNow: () => performance.now(),
 	});
@@ -60,11 +66,15 @@
 		lineWriter.writeLine(line);
 	});
 	const metrics = createMetrics();
+	const setAccountGauges = createAccountGauges(metrics);
 	const count = (metric: string) => {
 		metrics.addCount(metric);
 	};
 
-	const state = createJobsState({node, incarnation, orderLeaseMs: settings.orderLeaseMs});
+	const strictRevokeMs = settings.isRevocationStrict ? settings.revokeMs : undefined;
+	const state = createJobsState({
+		node, incarnation, orderLeaseMs: settings.orderLeaseMs, strictRevokeMs,
+	});
 	const random = createRandomSource(randomInt(2 ** 31));
 	const measurePause = createPauseMeter(readClocks());
 	const connectionLimits = new Map([[settings.storeAddress, storeConnectionLimit]]);
@@ -86,6 +96,7 @@
 		node,
 		incarnation,
 		weight: settings.cpuShare,
+		peerServer: settings.controlAddress === undefined ? undefined : {address: settings.controlAddress, secret: relaySecret},
 		leaseMinMs: settings.leaseMinMs,
 		handleOpened() {
 			pushEvent({kind: 'session-opened'});
@@ -107,6 +118,7 @@
 			pushEvent(event);
 			if (event.kind === 'configuration-changed') {
 				ingress.applyLimits(event.configuration.limits);
+				configurationReader.handleConfigurationChanged();
 			}
 		},
 		log,
@@ -117,34 +129,99 @@
 			session.reopen('the registration record is missing or belongs to another incarnation');
 		},
 	};
+	const decodeConfiguration = createConfigurationDecoder(log);
+	const configurationReader = createConfigurationReader({
+		store,
+		decodeItem: decodeConfiguration,
+		strictRevokeMs,
+		getConfiguration: () => state.configuration.current,
+		getClocks: readClocks,
+		pushEvent: followContext.pushEvent,
+		reportIgnoredItem: followContext.reportIgnoredItem,
+		log,
+	});
+	const isReady = () => state.configuration.current !== undefined && isStoreReached() && canCheckKeys(state, readClocks()) && !state.authority.isStopping;
+	/** An entry that takes no relayed requests sends none. */
+	const canRelay = settings.controlAddress !== undefined;
 	const isStoreReached = () => performance.now() < lastStoreResponseAt + storeSilenceLimitMs;
 	const ingress = createIngress({
 		address: settings.callerAddress,
 		readinessAddress: settings.readinessAddress,
 		getLimits: () => state.configuration.current?.limits ?? defaultLimits,
-		isReady: () => state.configuration.current !== undefined && isStoreReached() && !state.authority.isStopping,
+		isReady,
 		createRequestId: () => randomUUID(),
-		receiveRequest,
+		checkRequest,
+		receiveRequest({requestId, answerBy, ...request}) {
+			const {host, path} = request;
+			receiveRequest(requestId, request, canRelay ? {host, path, answerBy} : undefined);
+		},
 		logInfo(message, fields) {
 			log('info', message, fields);
 		},
 	});
 
-	function receiveRequest({requestId, action, host, path, spec}: CallerRequest): void {
+	function findTarget({host, path}: Pick<CallerRequestHead, 'host' | 'path'>): {readonly queue: string; readonly jobId: string} {
 		const {current} = state.configuration;
 		const match = current === undefined ? undefined : findQueue(current, host, path);
-		const jobId = match?.remainingPath ?? '';
+		return {queue: match?.queue.name ?? '', jobId: match?.remainingPath ?? ''};
+	}
+
+	function checkRequest(head: CallerRequestHead): CallerAnswer | undefined {
+		const {requestId, action, keyHash} = head;
+		const target = findTarget(head);
+		const rejection = checkCallerRequest(state, {action, keyHash, ...target}, readClocks());
+		if (rejection?.reason === 'configuration-age' && canRelay) {
+			// Another entry may know a newer configuration, so the request is read and relayed.
+			return undefined;
+		}
+
+		if (rejection !== undefined) {
+			pushEvent({
+				kind: 'caller-rejected', requestId, action, ...target, ...rejection,
+			});
+		}
+
+		return rejection?.answer;
+	}
+
+	/** Handles a request from a caller or from a peer, which has no origin. */
+	function receiveRequest(requestId: string, request: RelayedRequest, origin?: CallerOrigin): void {
+		const {action, spec, keyHash} = request;
+		const {queue, jobId} = findTarget(request);
 		pushEvent({
-			kind: 'caller-requested', requestId, action, queue: match?.queue.name ?? '', jobId, spec: isJobId(jobId) ? spec : undefined, keyHash: undefined,
+			kind: 'caller-requested', requestId, action, queue, jobId, spec: isJobId(jobId) ? spec : undefined, keyHash, origin,
 		});
 	}
 
+	const peerServer = settings.controlAddress === undefined
+		? undefined
+		: createPeerServer({
+			address: settings.controlAddress,
+			secret: relaySecret,
+			isReady,
+			receiveRequest({requestId, request}) {
+				receiveRequest(requestId, request);
+			},
+			formatMetrics() {
+				metrics.setGauge('log_lines_dropped', lineWriter.getDroppedCount());
+				metrics.setGauge('process_rss_bytes', process.memoryUsage.rss());
+				metrics.setGauge('configuration_version', state.configuration.current?.version ?? 0);
+				metrics.setGauge('claims_held', state.authority.heldClaims.size);
+				metrics.setGauge('requests_open', ingress.countOpenRequests());
+				setAccountGauges(summarizeAccounts(state));
+				return metrics.formatMetrics();
+			},
+			log,
+			count,
+		});
+
 	const sinks = createJobSinks({
 		state,
 		store,
 		session,
 		http,
 		ingress,
+		peerServer,
 		endpoints: createEndpointOrderClient(http, count),
 		machineService: settings.machineServiceAddress === undefined ? undefined : createMachineServiceClient(http, {address: settings.machineServiceAddress, node}, count),
 		adviceAddress: settings.adviceAddress,
@@ -172,7 +249,6 @@
 	});
 
 	let tickTimer: NodeJS.Timeout | undefined;
-	let stopMetrics: (() => void) | undefined;
 	let wasStoreReached = false;
 	let lastTickAt = performance.now();
 	let lastLoadLogAt = lastTickAt;
@@ -215,7 +291,7 @@
 			log('info', 'entry starts', {
 				front: settings.callerAddress, ready: settings.readinessAddress, store: settings.storeAddress, zone: settings.zone, cpuShare: settings.cpuShare,
 			});
-			followConfigurationAndWaves(followContext);
+			followConfigurationAndWaves(followContext, decodeConfiguration);
 			followMembersAndClaims(followContext);
 			session.start();
 			tickTimer = setInterval(tick, tickIntervalMs);
@@ -223,16 +299,7 @@
 				http.closeIdleConnections();
 			}, 5000).unref();
 			await ingress.start();
-			if (settings.controlAddress !== undefined) {
-				stopMetrics = await serveMetrics(settings.controlAddress, () => {
-					metrics.setGauge('log_lines_dropped', lineWriter.getDroppedCount());
-					metrics.setGauge('process_rss_bytes', process.memoryUsage.rss());
-					metrics.setGauge('configuration_version', state.configuration.current?.version ?? 0);
-					metrics.setGauge('claims_held', state.authority.heldClaims.size);
-					metrics.setGauge('requests_open', ingress.countOpenRequests());
-					return metrics.formatMetrics();
-				});
-			}
+			await peerServer?.start();
 		},
 		async stop() {
 			log('info', 'entry stops', {claims: state.authority.heldClaims.size, open: ingress.countOpenRequests()});
@@ -242,7 +309,8 @@
 			});
 			await ingress.stop(Math.max(0, settings.graceMs - balancerDrainMs - (2 * exitReserveMs)));
 			clearInterval(tickTimer);
-			stopMetrics?.();
+			configurationReader.stop();
+			peerServer?.stop();
 			log('info', 'entry stopped', {open: ingress.countOpenRequests()});
 			await lineWriter.flush(exitReserveMs);
 		},
--- a/packages/jobs/src/apply-job-event.ts
+++ b/packages/jobs/src/apply-job-event.ts
@@ -1,4 +1,5 @@
 import {createChain, type DecisionContext} from '@pistachiogauge/chain';
+import {accountsFilter} from './accounts/index.js';
 import {authorityFilter} from './authority/index.js';
 import {configurationFilter} from './configuration/index.js';
 import {directoryFilter} from './directory/index.js';
@@ -12,6 +13,8 @@
 import {observationFilter} from './observation/index.js';
 import {pacingFilter} from './pacing/index.js';
 import {placementFilter} from './placement/index.js';
+import {quotaFilter} from './quota/index.js';
+import {relayFilter} from './relay/index.js';
 import {reportingFilter} from './reporting/index.js';
 import {supervisionFilter} from './supervision/index.js';
 
@@ -19,13 +22,16 @@
 export const jobFilters: ReadonlyArray<JobFilter<JobsState>> = [
 	authorityFilter,
 	configurationFilter,
+	accountsFilter,
 	directoryFilter,
 	intakeFilter,
+	relayFilter,
 	supervisionFilter,
 	ledgerFilter,
 	observationFilter,
 	evacuationFilter,
 	placementFilter,
+	quotaFilter,
 	reportingFilter,
 	pacingFilter,
 	fleetFilter,
--- a/packages/jobs/src/index.ts
+++ b/packages/jobs/src/index.ts
@@ -7,5 +7,16 @@
 export * from './filter.js';
 export {applyJobEvent, jobFilters} from './apply-job-event.js';
 export {createJobsState, type JobsOptions, type JobsState} from './jobs-state.js';
+export {
+	canCheckKeys, checkCaller, findAccount, isConfigurationTooOld, labelAccount, type CallerCheck, type CheckBasis,
+} from './accounts/index.js';
+export {checkCallerRequest, type CallerRequestSummary} from './intake/index.js';
 export {findQueue, type QueueMatch} from './configuration/index.js';
-export {rosterRecordKey} from './ledger/index.js';
+export {
+	createPoolLedger, isStepReady, restoreJob, rosterRecordKey, type Job, type Step, type Task,
+} from './ledger/index.js';
+export {orderWaitingJobs, type DisplacementPolicy, type OrderInput} from './placement/index.js';
+export {summarizeAccounts, type AccountSummary} from './quota/index.js';
+export {
+	computeJobValue, computePriorityFactor, computeSizeValue, computeTimeliness, lateFactor,
+} from './value/index.js';
--- a/packages/jobs/src/jobs-state.ts
+++ b/packages/jobs/src/jobs-state.ts
@@ -1,3 +1,4 @@
+import {createAccountsState, type AccountsState} from './accounts/index.js';
 import {createAuthorityState, type AuthorityState} from './authority/index.js';
 import {createConfigurationState, type ConfigurationState} from './configuration/index.js';
 import {createDirectoryState, type DirectoryState} from './directory/index.js';
@@ -7,7 +8,9 @@
 import {createLedgerState, type LedgerState} from './ledger/index.js';
 import {createObservationState, type ObservationState} from './observation/index.js';
 import {createPacingState, type PacingState} from './pacing/index.js';
-import {createPlacementState, type PlacementState} from './placement/index.js';
+import {createPlacementState, type PlacementOptions, type PlacementState} from './placement/index.js';
+import {createQuotaState, type QuotaState} from './quota/index.js';
+import {createRelayState, type RelayState} from './relay/index.js';
 import {createReportingState, type ReportingState} from './reporting/index.js';
 import {createSupervisionState, type SupervisionState} from './supervision/index.js';
 
@@ -15,13 +18,16 @@
 export type JobsState = {
 	readonly authority: AuthorityState;
 	readonly configuration: ConfigurationState;
+	readonly accounts: AccountsState;
 	readonly directory: DirectoryState;
 	readonly intake: IntakeState;
+	readonly relay: RelayState;
 	readonly supervision: SupervisionState;
 	readonly ledger: LedgerState;
 	readonly evacuation: EvacuationState;
 	readonly observation: ObservationState;
 	readonly placement: PlacementState;
+	readonly quota: QuotaState;
 	readonly reporting: ReportingState;
 	readonly pacing: PacingState;
 	readonly fleet: FleetState;
@@ -35,20 +41,28 @@
 	readonly incarnation: string;
 	/** Minimum time in ms between orders of two holders for the same machine. */
 	readonly orderLeaseMs: number;
+	/** Time in ms after which no entry may accept an API key that was removed from the configuration; undefined where revocation is not strict. */
+	readonly strictRevokeMs?: number | undefined;
+	readonly placement?: PlacementOptions;
 };
 
 /** @public */
-export function createJobsState({node, incarnation, orderLeaseMs}: JobsOptions): JobsState {
+export function createJobsState({
+	node, incarnation, orderLeaseMs, strictRevokeMs, placement,
+}: JobsOptions): JobsState {
 	return {
 		authority: createAuthorityState(node, incarnation),
 		configuration: createConfigurationState(),
+		accounts: createAccountsState(strictRevokeMs),
 		directory: createDirectoryState(),
 		intake: createIntakeState(),
+		relay: createRelayState(),
 		supervision: createSupervisionState(),
 		ledger: createLedgerState(),
 		evacuation: createEvacuationState(),
 		observation: createObservationState(),
-		placement: createPlacementState(),
+		placement: createPlacementState(placement),
+		quota: createQuotaState(),
 		reporting: createReportingState(),
 		pacing: createPacingState(),
 		fleet: createFleetState(orderLeaseMs),
--- a/packages/jobs/src/model/coordination.ts
+++ b/packages/jobs/src/model/coordination.ts
@@ -1,4 +1,5 @@
 import {type DurationModel} from './duration-model.js';
+import {type Resources} from './resources.js';
 /** Readings of an entry's clocks at one time: monotonic and Unix ms. A suspended process finds only its wall clock advanced. @public */
 export type Clocks = {readonly now: number; readonly wallTime: number};
 
@@ -9,6 +10,16 @@
 	readonly incarnation: string;
 	/** CPU time available to the entry, in cores; entries with more of it own more pools. */
 	readonly weight: number;
+	/** Where other entries send relayed requests; undefined if the entry takes none, as one of an earlier version. */
+	readonly peerServer?: PeerServer | undefined;
+};
+
+/** @public */
+export type PeerServer = {
+	/** IP address and port. */
+	readonly address: string;
+	/** Random text of this process that authorizes relayed requests. It must not be logged. */
+	readonly secret: string;
 };
 
 /** Name of the claim whose holder alone gives orders to machines. @public */
@@ -101,3 +112,33 @@
 
 /** Identifies one run of a task. @public */
 export type RunId = {readonly taskId: string; readonly run: number};
+
+/** Part of an account's cap that the owner of a pool may use. @public */
+export type PoolShare = {
+	readonly share: Resources;
+	/** What the pool's tasks of the account occupy, and what those would take that wait only because of the cap. */
+	readonly wanted: Resources;
+	/** What a task or gang takes that can only start whole, if that is more than the pool's part of the cap. */
+	readonly unit?: Resources | undefined;
+	/** Unix ms since when it waits; pools get as much as such a unit takes in turn. */
+	readonly unitSince?: number | undefined;
+};
+
+/** How an account's cap is divided among the pools. @public */
+export type ShareRecord = {
+	/** The cap when the record was written; it applies to running jobs of an account that has left the configuration. */
+	readonly cap: Resources;
+	/** By pool; a pool without an entry has no share and wants none. */
+	readonly pools: Readonly<Record<string, PoolShare>>;
+};
+
+/** The record of an account's shares as read from the store; `record` is undefined if it has been deleted or cannot be decoded. @public */
+export type StoredShares = {
+	readonly account: string;
+	/** 0 if there is no record. */
+	readonly revision: number;
+	readonly record: ShareRecord | undefined;
+};
+
+/** A pool that an entry owns, and the token of its claim. @public */
+export type OwnedPool = {readonly pool: string; readonly token: number};
--- a/packages/jobs/src/model/events.ts
+++ b/packages/jobs/src/model/events.ts
@@ -1,20 +1,29 @@
+import {type CallerAnswer} from './caller-answer.js';
 import {type DurationModel} from './duration-model.js';
 import {type Configuration} from './configuration.js';
 import {
-	type Claim, type Clocks, type Member, type PoolDemandHistory, type PoolReport, type Roster, type RunId, type EvacuationRequest, type EvacuatedEndpoint,
+	type Claim, type Clocks, type Member, type OwnedPool, type PoolDemandHistory, type PoolReport, type Roster, type RunId, type EvacuationRequest, type EvacuatedEndpoint, type StoredShares,
 } from './coordination.js';
 import {type Endpoint, type ReportedEnd, type ReportedRun} from './endpoint.js';
 import {
 	type JobRecord, type JobSpec, type JobStatus, type ProgressRecord,
 } from './job.js';
 import {type Machine, type Wave} from './machine.js';
-
-/** What a caller's request asks for. @public */
-export type CallerAction = 'submit' | 'get' | 'cancel' | 'count';
+import {type CallerAction, type CallerOrigin, type RelayResult} from './relay.js';
+import {type Resources} from './resources.js';
 
 /** Result of a write to the store; an `unknown` one may or may not have been carried out. */
 type WriteResult = 'applied' | 'conflict' | 'refused' | 'unknown';
 
+/** Why a caller's request has no decision of the store. @public */
+export type UnansweredCause =
+	/** The store was known to be out of reach, and no call was made. */
+	| 'store-lost'
+	/** A call was not answered, or a read failed. */
+	| 'no-answer'
+	/** The store answered that it has not carried out the write. */
+	| 'store-refused';
+
 /** A job with its progress and the revision of its progress record. @public */
 export type StoredJob = {
 	readonly job: JobRecord;
@@ -30,6 +39,8 @@
 	readonly status: JobStatus;
 	/** Unix ms. */
 	readonly endedAt: number;
+	/** Resources of a task of each step, for jobs of accounts that this entry knew before they ended. */
+	readonly rooms?: readonly Resources[] | undefined;
 };
 
 /** Why an endpoint did not carry out an order, or is not known to have done so. @public */
@@ -114,6 +125,17 @@
 	/** An order or a write was rejected because another entry holds the claim. */
 	| {readonly kind: 'claim-superseded'; readonly name: string; readonly token: number};
 
+/** Why a request is rejected because of its key. @public */
+export type CallerRejectionReason = 'no-key' | 'unknown-key' | 'configuration-age';
+
+/** Rejection of a request because of its key. @public */
+export type CallerRejection = {
+	readonly reason: CallerRejectionReason;
+	/** Name of the account that has the key; undefined if none is known to have it. */
+	readonly account: string | undefined;
+	readonly answer: CallerAnswer;
+};
+
 /** Requests from callers, and results of the store calls made for them. @public */
 export type CallerEvent =
 	| {
@@ -125,13 +147,28 @@
 		readonly spec: JobSpec | undefined;
 		/** SHA-256 hash of the caller's API key in lower-case hexadecimal; undefined when the request carries none. */
 		readonly keyHash: string | undefined;
+		/** Undefined for a request that must not be relayed, such as one that a peer has relayed to this entry. */
+		readonly origin?: CallerOrigin | undefined;
 	}
+	/** A request that was answered before its body was read, because of its key. */
+	| {
+		readonly kind: 'caller-rejected';
+		readonly requestId: string;
+		readonly action: CallerAction;
+		readonly queue: string;
+		readonly jobId: string;
+	} & CallerRejection
 	| {readonly kind: 'job-stored'; readonly requestId: string; readonly result: WriteResult}
 	| {readonly kind: 'progress-read'; readonly requestId: string; readonly result: 'found' | 'absent' | 'failed'; readonly progress: ProgressRecord | undefined}
 	| {readonly kind: 'cancel-stored'; readonly requestId: string; readonly result: WriteResult}
 	| {readonly kind: 'report-read'; readonly requestId: string; readonly result: 'found' | 'absent' | 'failed'; readonly report: PoolReport | undefined}
 	/** Number of jobs of a queue whose stored record shows no started task. */
 	| {readonly kind: 'queued-jobs-counted'; readonly requestId: string; readonly result: 'found' | 'failed'; readonly count: number}
+	/** This entry cannot give a caller the store's decision; `answer` is what it can say by itself. */
+	| {readonly kind: 'request-unanswered'; readonly requestId: string; readonly cause: UnansweredCause; readonly answer: CallerAnswer}
+	| {readonly kind: 'relay-answered'; readonly requestId: string; readonly node: string; readonly result: RelayResult}
+	/** The answer to a request that was relayed, or that no peer could be asked about. */
+	| {readonly kind: 'relay-ended'; readonly requestId: string; readonly answer: CallerAnswer}
 	| {readonly kind: 'job-recorded'; readonly stored: StoredJob}
 	| {readonly kind: 'job-cancelled'; readonly pool: string; readonly jobId: string};
 
@@ -223,6 +260,39 @@
 	readonly isClaimLost: boolean;
 };
 
+/** Shares of accounts in the store, and what the pools want of them. */
+export type QuotaEvent =
+	/** The records of all accounts, read after the claims on these pools were made. */
+	| {readonly kind: 'shares-listed'; readonly owned: readonly OwnedPool[]; readonly shares: readonly StoredShares[]}
+	| {readonly kind: 'shares-changed'; readonly shares: StoredShares}
+	/** The answer to `read-shares` for one account. */
+	| {readonly kind: 'shares-read'; readonly shares: StoredShares}
+	| {
+		readonly kind: 'shares-written';
+		readonly pool: string;
+		readonly token: number;
+		readonly writeId: number;
+		readonly result: WriteResult;
+		/** New revision of the records if the write was applied, else 0. */
+		readonly revision: number;
+		/** Present revisions of the records after a conflict, by account. */
+		readonly presentRevisions: ReadonlyMap<string, number>;
+		readonly isClaimLost: boolean;
+	}
+	/** What the tasks of a pool would take, by account, that could start now if their account's share were larger. */
+	| {readonly kind: 'account-demand-measured'; readonly pool: string; readonly demands: ReadonlyMap<string, AccountDemand>}
+	/** Shares are to be compared with what the pools want. */
+	| {readonly kind: 'shares-review-due'};
+
+/** @public */
+export type AccountDemand = {
+	readonly resources: Resources;
+	/** What the task or gang takes that comes first, and its step; undefined if it has no room. */
+	readonly unit?: {readonly resources: Resources; readonly stepId: string} | undefined;
+	/** Number of jobs with tasks that wait only because of their account's share. */
+	readonly jobCount: number;
+};
+
 /** @public */
 export type MachineOrder = 'move' | 'maintain';
 
@@ -251,7 +321,7 @@
 	| {readonly kind: 'evacuation-completed'; readonly pool: string; readonly endpointId: string};
 
 /** @public */
-export type JobEvent = CoordinationEvent | OwnershipEvent | CallerEvent | EndpointEvent | RunEvent | SaveEvent | FleetEvent;
+export type JobEvent = CoordinationEvent | OwnershipEvent | CallerEvent | EndpointEvent | RunEvent | SaveEvent | QuotaEvent | FleetEvent;
 
 /** @public */
 export type JobEventOf<Kind extends JobEvent['kind']> = Extract<JobEvent, {kind: Kind}>;
--- a/packages/jobs/src/placement/index.ts
+++ b/packages/jobs/src/placement/index.ts
@@ -1,7 +1,10 @@
 export {
 	addCount, chooseEndpoint, countRunsByEndpoint, reserveCandidate, type Candidate,
 } from './choose-endpoint.js';
-export {isPending} from './place-step.js';
 export {placementFilter, rankByMeasuredDurations} from './placement-filter.js';
+export {orderWaitingJobs, type OrderInput} from './displacement-policies.js';
+export {type DisplacementPolicy} from './displacement-state.js';
 export {type ObjectiveStatus, type RankedJob} from './order-jobs.js';
-export {createPlacementState, type PlacementState} from './placement-state.js';
+export {
+	createPlacementState, isPending, type PlacementOptions, type PlacementState, type PreemptionCosts,
+} from './placement-state.js';
--- a/packages/jobs/src/placement/placement-state.ts
+++ b/packages/jobs/src/placement/placement-state.ts
@@ -1,4 +1,5 @@
-import {type Step} from '../ledger/index.js';
+import {type Step, type Task} from '../ledger/index.js';
+import {type DisplacementPolicy, type PoolDisplacement} from './displacement-state.js';
 
 /** Ticket for starting the tasks of a step on an endpoint. @public */
 export type Ticket = {
@@ -32,10 +33,11 @@
 - `endpoint-limit`: all endpoints with room have as many tasks of the step as its limit allows.
 - `gang`: not all members have room.
 - `advice`: no endpoint with room is known to be allowed.
+- `account-cap`: the pool's share of the cap of the job's account is in use, or kept for a task that comes first.
 
 @public
 */
-export type WaitReason = 'claim' | 'survey' | 'no-endpoint' | 'no-room' | 'endpoint-limit' | 'gang' | 'advice';
+export type WaitReason = 'claim' | 'survey' | 'no-endpoint' | 'no-room' | 'endpoint-limit' | 'gang' | 'advice' | 'account-cap';
 
 /**
 Whether tasks are started on an endpoint, or why not.
@@ -52,8 +54,33 @@
 */
 export type EndpointUse = 'usable' | 'silent' | 'not-ready' | 'evacuated-for-move' | 'evacuated-for-maintenance' | 'unknown-usage' | 'not-on-roster' | 'paused' | 'avoided';
 
+/** What a stop of a checkpointed run costs at most, in ms. @public */
+export type PreemptionCosts = {
+	/** Time until the stopped run has released its resources. */
+	readonly stopMs: number;
+	/** Work between two checkpoints. */
+	readonly checkpointMs: number;
+	/** Time until a resumed run makes progress. */
+	readonly restoreMs: number;
+};
+
+const defaultPreemptionCosts: PreemptionCosts = {stopMs: 900, checkpointMs: 1000, restoreMs: 600};
+
+/** Settings of placement. @public */
+export type PlacementOptions = {
+	readonly preemptionCosts?: PreemptionCosts | undefined;
+	/** Displacement policy; undefined to choose it by the configuration. */
+	readonly displacement?: DisplacementPolicy | undefined;
+};
+
 /** @public */
 export type PlacementState = {
+	readonly options: PlacementOptions;
+	readonly preemptionCosts: PreemptionCosts;
+	/** What the order by least cost remembers, by pool. */
+	readonly displacements: Map<string, PoolDisplacement>;
+	/** Accounts that metrics name. */
+	readonly accountLabels: Set<string>;
 	/** Steps of tasks that have been placed but whose runs are not supervised yet, by endpoint and task. */
 	readonly reservedSteps: Map<string, Map<string, Step>>;
 	/** When each pool was last searched for tasks to start, in monotonic ms. */
@@ -73,8 +100,13 @@
 };
 
 /** @public */
-export function createPlacementState(): PlacementState {
+export function createPlacementState(options: PlacementOptions = {}): PlacementState {
 	return {
-		reservedSteps: new Map(), searchedAt: new Map(), searchSizes: new Map(), duePools: new Set(), advice: new Map(), blockedSteps: new WeakMap(), waitLoggedAt: new Map(), endpointUses: new Map(),
+		options, preemptionCosts: options.preemptionCosts ?? defaultPreemptionCosts, displacements: new Map(), accountLabels: new Set(), reservedSteps: new Map(), searchedAt: new Map(), searchSizes: new Map(), duePools: new Set(), advice: new Map(), blockedSteps: new WeakMap(), waitLoggedAt: new Map(), endpointUses: new Map(),
 	};
 }
+
+/** Whether a task waits for a start. @internal */
+export function isPending(task: Task): boolean {
+	return !task.isDone && task.runs.size === 0;
+}
