Keep no share of a cap for tasks without room

The jobs of an account that its share of the cap allows to start were chosen without looking at endpoints: a step with more tasks than endpoints may take used up the share, and a task that no endpoint has room for kept the account's later jobs from it.

Only the tasks that the candidates have room for are now counted, and a share is kept only for a step with room for one.

--- a/packages/bench/src/jobs/account-caps.test.ts
+++ b/packages/bench/src/jobs/account-caps.test.ts
@@ -335,6 +335,21 @@
 		expect(listUnfinished(simulation, jobs)).toEqual([]);
 	});
 
+	// Guards against a share that is kept for good for tasks that no endpoint may take, and that does not grow for them.
+	it('start beside a job of the account with more tasks than the endpoints may take', () => {
+		const simulation = startSimulation({seed: 4, pools: {desk: 1, notify: 4}});
+		submitJobs(simulation, 14, {pool: 'notify', traits: {estimateMs: 60_000}, durationMs: 60_000});
+		simulation.runFor(1000);
+		const small = {room: {cpuMillis: 100, memoryMb: 100, gpus: 0}, isLongRunning: true, endpointLimit: 1};
+		const jobs = Array.from({length: 4}, () => {
+			const [job] = submitJobs(simulation, 1, {traits: {...small, count: 40}, durationMs: Number.POSITIVE_INFINITY});
+			simulation.runFor(1000);
+			return job!;
+		});
+		const running = [...simulation.endpoints.values()].flatMap(({runs}) => [...runs.keys()].map(taskId => taskId.split('.', 1)[0]!));
+		expect(jobs.filter(job => !running.includes(job))).toEqual([]);
+	});
+
 	// Guards against a gang that is started in part, and one that never starts as single tasks take what comes free.
 	it('let a gang of the account start whole', () => {
 		const simulation = startSimulation({seed: 4});
--- a/packages/jobs/src/placement/account-budgets.ts
+++ b/packages/jobs/src/placement/account-budgets.ts
@@ -13,7 +13,7 @@
 } from '../quota/index.js';
 import {type SupervisionView} from '../supervision/index.js';
 import {
-	addCount, chooseEndpoint, countRunsByEndpoint, reserveCandidate, type Candidate,
+	addCount, chooseEndpoint, countFittingTasks, countRunsByEndpoint, reserveCandidate, type Candidate,
 } from './choose-endpoint.js';
 import {listReadySteps, type RankedJob} from './order-jobs.js';
 import {isPending, type PlacementState} from './placement-state.js';
@@ -100,12 +100,12 @@
 }
 
 /**
-Selects the jobs that their accounts' budgets allow to start a task. The others are held back before the jobs are ranked, as they would displace jobs that can start.
+Selects the jobs that their accounts' budgets allow to start a task. The others are held back before the jobs are ranked, as they would displace jobs that can start. Nothing is kept for tasks that no candidate has room for: the demand that makes shares grow does not count them, so the account's other jobs would wait for good.
 
 @param orderAccountJobs - Orders the jobs of one account, given the thousandths of a core that it may have running.
 @internal
 */
-export function selectWithinBudgets(budgets: AccountBudgets, jobs: readonly Job[], orderAccountJobs: AccountOrder, now: number): {readonly selected: readonly Job[]; readonly held: readonly Job[]} {
+export function selectWithinBudgets({budgets, candidates}: {readonly budgets: AccountBudgets; readonly candidates: readonly Candidate[]}, jobs: readonly Job[], orderAccountJobs: AccountOrder, now: number): {readonly selected: readonly Job[]; readonly held: readonly Job[]} {
 	const jobsByAccount = new Map<string, Job[]>();
 	for (const job of jobs) {
 		const {account} = job.record;
@@ -116,7 +116,7 @@
 
 	const held = new Set<Job>();
 	for (const [account, own] of jobsByAccount) {
-		for (const job of holdBackJobs(budgets.getBudget(account)!, own, orderAccountJobs, now)) {
+		for (const job of holdBackJobs({budget: budgets.getBudget(account)!, candidates}, own, orderAccountJobs, now)) {
 			held.add(job);
 		}
 	}
@@ -182,7 +182,7 @@
 }
 
 /** Finds the jobs of an account of which the budget allows no task to start. */
-function holdBackJobs(budget: AccountBudget, jobs: readonly Job[], orderAccountJobs: AccountOrder, now: number): Job[] {
+function holdBackJobs({budget, candidates}: {readonly budget: AccountBudget; readonly candidates: readonly Candidate[]}, jobs: readonly Job[], orderAccountJobs: AccountOrder, now: number): Job[] {
 	const total = sumResources(jobs.map(job => sumPendingTasks(job)));
 	if (hasBudgetFor(budget.remaining, total)) {
 		return [];
@@ -195,15 +195,15 @@
 		let isStartable = pendingSteps.length === 0;
 		for (const step of pendingSteps) {
 			const resources = multiplyResources(step.spec.room, countTogether(step));
+			const pendingCount = step.tasks.filter(task => isPending(task)).length;
+			const fittingCount = countFittingTasks(candidates, step, pendingCount);
 			if (!budget.isSpoken && hasBudgetFor(remaining, resources)) {
 				isStartable = true;
-				const pendingCount = step.tasks.filter(task => isPending(task)).length;
-				const all = subtractResources(remaining, multiplyResources(step.spec.room, pendingCount));
+				const all = subtractResources(remaining, multiplyResources(step.spec.room, fittingCount));
 				remaining = computeResources(name => Math.max(0, all[name]));
-				continue;
+			} else if (fittingCount > 0) {
+				holdStep(budget, step, resources, now);
 			}
-
-			holdStep(budget, step, resources, now);
 		}
 
 		if (!isStartable) {
--- a/packages/jobs/src/placement/choose-endpoint.ts
+++ b/packages/jobs/src/placement/choose-endpoint.ts
@@ -1,6 +1,6 @@
 import {type Step, type Task} from '../ledger/index.js';
 import {
-	hasCapacityFor, subtractResources, type Endpoint, type Resources,
+	computeResources, hasCapacityFor, subtractResources, type Endpoint, type Resources,
 } from '../model/index.js';
 
 /** An endpoint that can be given tasks, with its free resources. @internal */
@@ -63,6 +63,26 @@
 		.map(({candidate}) => candidate);
 }
 
+/** Counts the tasks of a step that the candidates have room for, up to a maximum. @internal */
+export function countFittingTasks(candidates: readonly Candidate[], step: Step, maximum: number): number {
+	const taken = getTakenResources(step);
+	const counts = countRunsByEndpoint(step);
+	let count = 0;
+	for (const candidate of candidates) {
+		if (count >= maximum) {
+			break;
+		}
+
+		if (canRun(candidate, step, taken, counts)) {
+			const {endpoint, free} = candidate;
+			const fits = computeResources(name => taken[name] === 0 ? Number.POSITIVE_INFINITY : Math.floor(free[name] / taken[name]));
+			count += Math.min(fits.cpuMillis, fits.memoryMb, fits.gpus, (step.spec.endpointLimit ?? Number.POSITIVE_INFINITY) - (counts.get(endpoint.id) ?? 0));
+		}
+	}
+
+	return Math.min(count, maximum);
+}
+
 /** Takes a task's resources from a candidate, and counts the task as a run there. @internal */
 export function reserveCandidate(candidate: Candidate, step: Step): void {
 	candidate.free = subtractResources(candidate.free, getTakenResources(step));
--- a/packages/jobs/src/placement/placement-filter.ts
+++ b/packages/jobs/src/placement/placement-filter.ts
@@ -153,7 +153,7 @@
 	const capacityMillis = sumCapacityMillis(search.candidates);
 	// The jobs of one account compete for what it may have running.
 	const orderAccountJobs = (jobs: readonly Job[], allowanceMillis: number) => orderByLargestFirst(rankJobs(state, jobs, context.now), Math.min(capacityMillis, allowanceMillis));
-	const {selected, held} = selectWithinBudgets(search.budgets, attainable, orderAccountJobs, context.now);
+	const {selected, held} = selectWithinBudgets(search, attainable, orderAccountJobs, context.now);
 	for (const job of held) {
 		recordWaitingJob(search, job, 'account-cap');
 	}
