--- a/packages/bench/src/jobs-processes/installation.ts
+++ b/packages/bench/src/jobs-processes/installation.ts
@@ -7,9 +7,12 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {createRandomSource, type RandomSource} from '@pistachiogauge/decisions';
 import {
-	createAdviceStandin, createCallerStandin, createEndpointStandin, createLinks, createMachineServiceStandin, createStoreStandin, encodeConfiguration, encodeEntrySettings, moveOutcomes, readinessPath,
-	type CallerStandin, type EndpointStandin, type Links, type MachineServiceOptions, type Observation, type Observe, type StoreStandin,
+	createAdviceStandin, createCallerStandin, createEndpointStandin, createLinks, createMachineServiceStandin, createStoreStandin, encodeConfiguration, encodeEntrySettings,
+	moveOutcomes, readinessPath,
+	type AccountPlan, type CallerStandin, type EndpointStandin, type Links, type MachineServiceOptions, type Observation, type Observe, type StoreStandin,
 } from '@pistachiogauge/platform/standins';
+import {accountBounds} from '../accounts/index.js';
+import {createAccountKeys, type AccountKeys} from './account-keys.js';
 import {
 	createEntryProcesses, entryHost, findFreePorts, loadEntryCommand, type EntryProcesses,
 } from './entry-processes.js';
@@ -28,12 +31,15 @@
 	readonly endpoints: readonly EndpointStandin[];
 	readonly callers: ReadonlyMap<string, CallerStandin>;
 	readonly processes: EntryProcesses;
+	readonly accountKeys: AccountKeys;
 	readonly observations: readonly Observation[];
 	/** Folder of the settings, the entries' logs and the record of the run. */
 	readonly logFolder: string;
 	readonly observe: Observe;
 	getNowMs(): number;
 	startEntry(entry: string): void;
+	/** Writes a configuration with other client accounts. */
+	writeAccounts(accounts: readonly AccountPlan[]): void;
 	/** The entry that gave the newest orders to a pool's endpoints. */
 	findOwner(service: string): string | undefined;
 	/** @throws Error if the entries do not become ready. */
@@ -56,6 +62,8 @@
 /** Duration of a move of a machine. */
 const moveMs = 1500;
 const lateWriteMs = {min: 500, max: 8000};
+/** Settings of a deployment with client accounts. */
+const accountSettings = Object.fromEntries<number | boolean>([['StrictRevoke', true], ['RevokeMs', accountBounds.revokeMs], ['QuotaOverage', accountBounds.quotaOverage]]);
 
 export async function startInstallation(plan: RunPlan): Promise<Installation> {
 	const startedAt = performance.now();
@@ -74,8 +82,19 @@
 	const stopWatchingDelay = watchEventLoop(observe);
 	const links = createLinks();
 	const store = createStoreStandin({links, observe, getLateMs: () => drawBetween(random, lateWriteMs.min, lateWriteMs.max)});
-	const configuration = encodeConfiguration(plan.queues, plan.isGuarding, plan.moves?.sparePool);
-	store.write(configuration.key, configuration.value);
+	const accountKeys = createAccountKeys(plan, random);
+	let version = 0;
+	function writeConfiguration(accounts: readonly AccountPlan[] | undefined): void {
+		version += 1;
+		const {key, value} = encodeConfiguration(plan.queues, plan.isGuarding, plan.moves?.sparePool, {accounts, version});
+		store.write(key, value);
+		if (accounts !== undefined) {
+			accountKeys.update(accounts);
+			observe({kind: 'accounts-written', version, accounts});
+		}
+	}
+
+	writeConfiguration(plan.accounts?.initial);
 	const jobs = new Map(plan.jobs.map(({job}) => [job.jobId, job]));
 	const advisedQueues = new Set(plan.queues.filter(({advice}) => advice !== undefined).map(({queue}) => queue));
 	const advice = createAdviceStandin({...adviceTimes, mayRun: mayRunAdvised, isLost: callNumber => callNumber % callsPerLostAnswer === 0});
@@ -146,14 +165,14 @@
 			entry, host: entryHost, callerPort, readinessPort, controlPort, machineServiceAddress, adviceAddress,
 			// eslint-disable-next-line no-await-in-loop
 			storeAddress: await store.listen(entry),
-		}));
+		}, plan.accounts === undefined ? {} : accountSettings));
 		entries.set(entry, {settingsPath, readinessPort});
 		callers.set(entry, createCallerStandin(entryHost, callerPort));
 		startEntry(entry);
 	}
 
 	return {
-		plan, random, links, store, endpoints, callers, processes, observations, logFolder, observe, getNowMs, startEntry,
+		plan, random, links, store, endpoints, callers, processes, observations, logFolder, observe, getNowMs, startEntry, accountKeys, writeAccounts: writeConfiguration,
 		findOwner(service) {
 			const tokens = endpoints.filter(endpoint => endpoint.service === service).map(endpoint => endpoint.getHighestToken());
 			return store.findWriter(Math.max(0, ...tokens));
--- a/packages/bench/src/jobs/account-caps.test.ts
+++ b/packages/bench/src/jobs/account-caps.test.ts
@@ -1,7 +1,8 @@
 import {describe, expect, it} from 'vitest';
 import {
-	noResources, type ClientAccount, type ResourceName, type Resources, type StepSpec,
+	noResources, type ResourceName, type Resources, type StepSpec,
 } from '@pistachiogauge/jobs';
+import {type AccountPlan} from '../accounts/index.js';
 import {createJobsSimulation, type JobsSimulation} from './jobs-simulation.js';
 import {measureAccountUse} from './measure-account-use.js';
 
@@ -31,9 +32,13 @@
 	missLimit: undefined,
 };
 
-function createAccount(name: string, accountCap: Resources): ClientAccount {
+function createKey(account: string): string {
+	return `key-of-${account}`;
+}
+
+function createAccount(name: string, accountCap: Resources): AccountPlan {
 	return {
-		name, keyHashes: [], priority: 0, weight: 1, cap: accountCap,
+		name, apiKeys: [createKey(name)], priority: 0, weight: 1, cap: accountCap,
 	};
 }
 
@@ -41,9 +46,10 @@
 
 function submitJobs(simulation: JobsSimulation, count: number, {pool = 'desk', account = 'press', hasAccount = true, traits = {}, durationMs = taskMs}: SubmitOptions = {}): string[] {
 	const entries = simulation.entries.filter(({isUp}) => isUp);
-	return Array.from({length: entries.length === 0 ? 0 : count}, (_unused, index) => simulation.submitJob(entries[index % entries.length]!, `jobs-${pool}`, {
+	const queueName = `${hasAccount || !simulation.configuration.hasAccounts ? 'jobs' : 'open'}-${pool}`;
+	return Array.from({length: entries.length === 0 ? 0 : count}, (_unused, index) => simulation.submitJob(entries[index % entries.length]!, queueName, {
 		payload: '', steps: [{...step, ...traits}], repeatCount: 0, startAtMs: 0, intervalMs: 0,
-	}, {durationMs, ...(hasAccount && {account})}));
+	}, {durationMs}, hasAccount ? createKey(account) : undefined));
 }
 
 function getOwner(simulation: JobsSimulation, pool = 'desk') {
@@ -89,14 +95,10 @@
 
 type Pools = Readonly<Record<string, number>>;
 
-function startSimulation({seed, pools = {desk: 4, notify: 4}, accounts = [createAccount('press', cap)]}: {readonly seed: number; readonly pools?: Pools; readonly accounts?: readonly ClientAccount[] | undefined}): JobsSimulation {
+function startSimulation({seed, pools = {desk: 4, notify: 4}, accounts = [createAccount('press', cap)]}: {readonly seed: number; readonly pools?: Pools; readonly accounts?: readonly AccountPlan[] | undefined}): JobsSimulation {
 	const simulation = createJobsSimulation({
-		seed, entryCount: 4, pools, endpointCapacity,
+		seed, entryCount: 4, pools, endpointCapacity, ...(accounts.length > 0 && {accounts}),
 	});
-	if (accounts.length > 0) {
-		simulation.changeAccounts(accounts);
-	}
-
 	simulation.runFor(settleMs);
 	return simulation;
 }
@@ -271,7 +273,7 @@
 type CapCase = {
 	readonly name: string;
 	readonly from: Resources;
-	readonly accounts: readonly ClientAccount[] | undefined;
+	readonly accounts: readonly AccountPlan[] | undefined;
 	/** Time in ms after the change from which the bound holds. */
 	readonly after: number;
 	readonly bound: number;
@@ -333,6 +335,21 @@
 		expect(listUnfinished(simulation, jobs)).toEqual([]);
 	});
 
+	// Guards against a share that is kept for good for tasks that no endpoint may take, and that does not grow for them.
+	it('start beside a job of the account with more tasks than the endpoints may take', () => {
+		const simulation = startSimulation({seed: 4, pools: {desk: 1, notify: 4}});
+		submitJobs(simulation, 14, {pool: 'notify', traits: {estimateMs: 60_000}, durationMs: 60_000});
+		simulation.runFor(1000);
+		const small = {room: {cpuMillis: 100, memoryMb: 100, gpus: 0}, isLongRunning: true, endpointLimit: 1};
+		const jobs = Array.from({length: 4}, () => {
+			const [job] = submitJobs(simulation, 1, {traits: {...small, count: 40}, durationMs: Number.POSITIVE_INFINITY});
+			simulation.runFor(1000);
+			return job!;
+		});
+		const running = [...simulation.endpoints.values()].flatMap(({runs}) => [...runs.keys()].map(taskId => taskId.split('.', 1)[0]!));
+		expect(jobs.filter(job => !running.includes(job))).toEqual([]);
+	});
+
 	// Guards against a gang that is started in part, and one that never starts as single tasks take what comes free.
 	it('let a gang of the account start whole', () => {
 		const simulation = startSimulation({seed: 4});
--- a/packages/bench/src/jobs/create-virtual-sinks.ts
+++ b/packages/bench/src/jobs/create-virtual-sinks.ts
@@ -30,7 +30,8 @@
 	readonly callStore: StoreCaller;
 	readonly listEndpoints: () => Endpoint[];
 	readonly advice: VirtualAdviceService;
-	readonly getJobAccount: (jobId: string) => string | undefined;
+	/** Whether an entry has reached the store, and its watches have delivered, for some seconds. */
+	readonly isInTouch: (entry: VirtualJobsEntry) => boolean;
 	readonly relay: VirtualRelay;
 };
 
@@ -40,7 +41,7 @@
 /** Creates the sinks that carry out the effects of the simulation's entries on the virtual store, endpoints and callers. */
 export function createVirtualSinks(tools: VirtualSinkTools): VirtualSinks {
 	const {
-		queue, store, checker, answers, onLine, delivery, callStore, listEndpoints, advice, relay, fleetRecords, admissionRecords, getJobAccount,
+		queue, store, checker, answers, onLine, delivery, callStore, listEndpoints, advice, relay, fleetRecords, admissionRecords, isInTouch,
 	} = tools;
 
 	/** Calls the store and delivers the events that the answer or the failure gives. */
@@ -120,7 +121,7 @@
 						return 'superseded';
 					}
 
-					store.storeJob({...job, account: job.account ?? getJobAccount(job.id)});
+					store.storeJob(job);
 					return 'applied';
 				},
 				onAnswer(result) {
@@ -209,6 +210,7 @@
 			}
 
 			answers.set(requestId, answer);
+			checker.accounts.recordAnswer(requestId, answer.kind, isInTouch(entry));
 			checker.recordAnswer(requestId, answer);
 		},
 		log(entry, {message, fields}) {
--- a/packages/bench/src/jobs/jobs-simulation.ts
+++ b/packages/bench/src/jobs/jobs-simulation.ts
@@ -1,16 +1,17 @@
 import {createRandomSource, type RandomSource} from '@pistachiogauge/chain';
 import {
-	applyJobEvent, createJobsState, poolClaimPrefix, type CallerAnswer, type ClientAccount, type Endpoint, type JobEffect, type JobSpec,
+	applyJobEvent, createJobsState, poolClaimPrefix, type CallerAnswer, type Endpoint, type JobEffect, type JobEventOf, type JobSpec,
 } from '@pistachiogauge/jobs';
+import {accountBounds, computeKeyHash, type AccountPlan} from '../accounts/index.js';
 import {createEventQueue, type EventQueue} from '../virtual/event-queue.js';
 import {startWallTime} from '../virtual/virtual-clock.js';
 import {createStoreCaller} from './call-store.js';
-import {createConfiguration} from './create-configuration.js';
 import {createVirtualSinks} from './create-virtual-sinks.js';
 import {createEndpointLifecycle} from './endpoint-lifecycle.js';
 import {createEventDelivery} from './event-delivery.js';
 import {createJobInvariantChecker, type JobInvariantChecker} from './job-invariant-checker.js';
 import {createVirtualAdviceService, type VirtualAdviceService} from './virtual-advice-service.js';
+import {createVirtualConfiguration, type VirtualConfiguration} from './virtual-configuration.js';
 import {createVirtualFleetRecords} from './virtual-fleet-records.js';
 import {createVirtualMachineService, type VirtualMachineService} from './virtual-machine-service.js';
 import {createVirtualJobStore, type VirtualJobStore} from './virtual-job-store.js';
@@ -38,18 +39,23 @@
 	readonly advice: VirtualAdviceService;
 	readonly machineService: VirtualMachineService;
 	readonly answers: Map<string, CallerAnswer>;
+	readonly configuration: VirtualConfiguration;
+	/** Chooses the keys of requests; undefined for requests without. */
+	keyChooser: KeyChooser | undefined;
 	/** Share of orders to endpoints that get no answer and take effect seconds later. */
 	lateOrderShare: number;
 	/** Share of writes to the store that get no answer; half of them are done at once, the others seconds later if their condition still holds. */
 	unansweredWriteShare: number;
 	isStoreUp: boolean;
-	/** Submits a job at an entry and returns the job's id; the answer appears in `answers` under `submit-ID`. */
-	submitJob(entry: VirtualJobsEntry, queue: string, spec: JobSpec, behaviour?: Partial<TaskBehaviour> & {readonly account?: string}): string;
-	/** Replaces the client accounts in the operator's configuration. */
-	changeAccounts(accounts: readonly ClientAccount[] | undefined): void;
-	/** Finds the account of a job; undefined for a job without one. */
+	/** Submits a job at an entry and returns the job's id; the answer appears in `answers` under `submit-ID`. Without a given key, one is chosen. */
+	submitJob(entry: VirtualJobsEntry, queue: string, spec: JobSpec, behaviour?: Partial<TaskBehaviour>, key?: string): string;
+	/** Finds the account of a job that the store has; undefined for a job without one. */
 	getJobAccount(jobId: string): string | undefined;
 	cancelJob(entry: VirtualJobsEntry, queue: string, jobId: string): void;
+	/** Asks an entry for the status of a job. */
+	requestStatus(entry: VirtualJobsEntry, queue: string, jobId: string, key?: string): void;
+	/** Writes a configuration with other client accounts. @returns Whether the store has acknowledged it, which it does not while it is down. */
+	changeAccounts(accounts: readonly AccountPlan[] | undefined): boolean;
 	killEntry(entry: VirtualJobsEntry, downMs: number): void;
 	crashEndpoint(endpoint: VirtualTaskEndpoint, downMs: number): void;
 	/** Crashes an endpoint that comes back under the same id and has forgotten everything. */
@@ -63,6 +69,12 @@
 	runFor(ms: number): void;
 };
 
+/** Chooses the API key of a submission, and that of a request for a job. */
+export type KeyChooser = {
+	chooseKey(): string | undefined;
+	chooseKeyForJob(jobId: string): string | undefined;
+};
+
 export type JobsSimulationOptions = {
 	readonly seed: number;
 	readonly entryCount: number;
@@ -70,6 +82,8 @@
 	readonly endpointCapacity: Endpoint['capacity'];
 	/** Number of machines that are switched off; without any, there is no pool for them and no machine is moved. */
 	readonly spareMachineCount?: number;
+	/** Client accounts of the first configuration; undefined for a deployment without. */
+	readonly accounts?: readonly AccountPlan[];
 	/** Receives each line of the entries' logs, with virtual time and entry. */
 	readonly onLine?: (line: string) => void;
 };
@@ -86,7 +100,7 @@
 
 /** Creates a simulation with a queue `jobs-POOL` for each pool, and one `advised-POOL` that requires advice. */
 export function createJobsSimulation({
-	seed, entryCount, pools, endpointCapacity, spareMachineCount = 0, onLine,
+	seed, entryCount, pools, endpointCapacity, spareMachineCount = 0, accounts, onLine,
 }: JobsSimulationOptions): JobsSimulation {
 	const queue = createEventQueue();
 	const random = createRandomSource(seed);
@@ -94,9 +108,6 @@
 	const endpoints = new Map<string, VirtualTaskEndpoint>();
 	const behaviours = new Map<string, Partial<TaskBehaviour>>();
 	const answers = new Map<string, CallerAnswer>();
-	/** Accounts of the jobs that have one. */
-	const jobAccounts = new Map<string, string>();
-	let configuration = createConfiguration(Object.keys(pools), spareMachineCount > 0);
 	let requestCount = 0;
 	let incarnationCount = 0;
 	const checker = createJobInvariantChecker(queue);
@@ -130,12 +141,12 @@
 		chooseDelayMs,
 		canCallStore,
 		listState: entry => [
-			...(configuration.version > 1 ? [{kind: 'configuration-changed', configuration} as const] : []),
 			...store.listMembersAndClaims(),
 			{kind: 'endpoints-listed', endpoints: registry.listEndpoints()},
 			...[...entry.state.ledger.pools.keys()].flatMap(pool => [...store.listInbox(pool), ...fleetRecords.listForPool(pool, entry.state.evacuation.requests.values())]),
 			...fleetRecords.listForFleet(),
 			...[...admissionRecords.records.values()].map(admission => ({kind: 'admission-changed', admission} as const)),
+			...(configuration.hasAccounts ? [{kind: 'configuration-changed', configuration: configuration.current} as const] : []),
 			...(entry.state.quota.followed.length > 0 ? [{kind: 'shares-listed', owned: entry.state.quota.followed, shares: shareRecords.listShares()} as const] : []),
 		],
 	});
@@ -149,6 +160,13 @@
 	const callStore = createStoreCaller({
 		queue, random, delivery, chooseDelayMs, isStoreUp: () => simulation.isStoreUp, canReachStore, getUnansweredWriteShare: () => simulation.unansweredWriteShare,
 	});
+	const configuration = createVirtualConfiguration({
+		queue, pools: Object.keys(pools), hasSparePool: spareMachineCount > 0, accounts, delivery, callStore, publish: watches.publish,
+	});
+	if (accounts !== undefined) {
+		checker.accounts.recordAccounts(accounts);
+	}
+
 	const getBehaviour = (taskId: string): TaskBehaviour => ({
 		resources: checker.getStep(taskId)?.room ?? endpointCapacity, isFiller: false, durationMs: 800, isFailing: false, isAdvised: false, ...behaviours.get(taskId.split('.', 1)[0]!),
 	});
@@ -184,19 +202,38 @@
 		shareRecords,
 		admissionRecords,
 		machineService,
-		getJobAccount: jobId => jobAccounts.get(jobId),
+		isInTouch: entry => queue.now > entry.outOfTouchAt + contactMs,
 	});
 
+	/** Sends a caller's request to an entry; with client accounts, it carries the given or a chosen key unless its queue is public. */
+	function sendRequest(entry: VirtualJobsEntry, request: Omit<JobEventOf<'caller-requested'>, 'kind' | 'keyHash' | 'origin'>, givenKey?: string): void {
+		const {requestId, action, jobId} = request;
+		const isPublic = configuration.current.queues.some(({name, isPublic}) => name === request.queue && isPublic);
+		const key = isPublic ? undefined : givenKey ?? (action === 'submit' ? simulation.keyChooser?.chooseKey() : simulation.keyChooser?.chooseKeyForJob(jobId));
+		if (!isPublic) {
+			checker.accounts.recordRequest(requestId, {
+				action, jobId, key, node: entry.node,
+			});
+		}
+
+		delivery.deliverLater(entry, {
+			kind: 'caller-requested', ...request, keyHash: key === undefined ? undefined : computeKeyHash(key), origin: createOrigin(configuration.current, request.queue, jobId, queue.now),
+		});
+	}
+
 	function startEntry(entry: VirtualJobsEntry): void {
 		incarnationCount += 1;
 		const incarnation = `life-${incarnationCount}`;
 		entry.incarnation = incarnation;
-		entry.state = createJobsState({node: entry.node, incarnation, orderLeaseMs});
+		entry.state = createJobsState({
+			node: entry.node, incarnation, orderLeaseMs, strictRevokeMs: accounts === undefined ? undefined : accountBounds.revokeMs,
+		});
 		entry.isUp = true;
 		entry.pausedUntil = 0;
 		entry.lastEventAt = queue.now;
 		entry.storeAnsweredAt = Number.NEGATIVE_INFINITY;
-		delivery.deliver(entry, {kind: 'configuration-changed', configuration});
+		entry.outOfTouchAt = queue.now;
+		configuration.start(entry);
 		watches.start(entry);
 		entry.session = startVirtualSession(entry, {
 			queue, random, store, delivery, callStore,
@@ -228,6 +265,10 @@
 			if (network.isCutOff(entry.node, storeNode) || queue.now < entry.watch.deafUntil || simulation.unansweredWriteShare > 0) {
 				entry.disturbedAt = queue.now;
 			}
+
+			if (!entry.isUp || queue.now < entry.pausedUntil || entry.watch.missed !== undefined || !canCallStore(entry)) {
+				entry.outOfTouchAt = queue.now;
+			}
 		}
 
 		queue.add(entryCheckMs, checkEntries);
@@ -246,37 +287,46 @@
 		advice,
 		machineService,
 		answers,
+		configuration,
+		keyChooser: undefined,
 		lateOrderShare: 0,
 		unansweredWriteShare: 0,
 		isStoreUp: true,
-		submitJob(entry, queueName, spec, {account, ...behaviour} = {}) {
+		submitJob(entry, queueName, spec, behaviour = {}, key = undefined) {
 			requestCount += 1;
 			const jobId = requestCount.toString(16).padStart(16, '0');
 			const requestId = `submit-${jobId}`;
 			behaviours.set(jobId, {isAdvised: queueName.startsWith('advised-'), ...behaviour});
 			checker.recordJob(jobId, requestId, spec);
-			if (account !== undefined) {
-				jobAccounts.set(jobId, account);
-			}
-
-			delivery.deliverLater(entry, {
-				kind: 'caller-requested', requestId, action: 'submit', queue: queueName, jobId, spec, keyHash: undefined, origin: createOrigin(configuration, queueName, jobId, queue.now),
-			});
+			sendRequest(entry, {
+				requestId, action: 'submit', queue: queueName, jobId, spec,
+			}, key);
 			return jobId;
 		},
 		cancelJob(entry, queueName, jobId) {
 			requestCount += 1;
 			const requestId = `cancel-${jobId}-${requestCount}`;
 			checker.recordCancelRequest(jobId, requestId);
-			delivery.deliverLater(entry, {
-				kind: 'caller-requested', requestId, action: 'cancel', queue: queueName, jobId, spec: undefined, keyHash: undefined, origin: createOrigin(configuration, queueName, jobId, queue.now),
+			sendRequest(entry, {
+				requestId, action: 'cancel', queue: queueName, jobId, spec: undefined,
 			});
 		},
-		changeAccounts(accounts) {
-			configuration = {...configuration, version: configuration.version + 1, accounts};
-			watches.publish([{kind: 'configuration-changed', configuration}]);
+		requestStatus(entry, queueName, jobId, key) {
+			requestCount += 1;
+			sendRequest(entry, {
+				requestId: `get-${jobId}-${requestCount}`, action: 'get', queue: queueName, jobId, spec: undefined,
+			}, key);
+		},
+		changeAccounts(changed) {
+			if (!simulation.isStoreUp) {
+				return false;
+			}
+
+			configuration.writeAccounts(changed);
+			checker.accounts.recordAccounts(changed ?? []);
+			return true;
 		},
-		getJobAccount: jobId => jobAccounts.get(jobId),
+		getJobAccount: jobId => store.getStoredJob(jobId)?.job.account,
 		killEntry(entry, downMs) {
 			entry.isUp = false;
 			queue.add(downMs, () => {
