--- a/packages/bench/src/jobs/admission.test.ts
+++ b/packages/bench/src/jobs/admission.test.ts
@@ -1,5 +1,6 @@
 import {describe, expect, it} from 'vitest';
-import {type ClientAccount, type JobSpec} from '@pistachiogauge/jobs';
+import {type JobSpec} from '@pistachiogauge/jobs';
+import {type AccountPlan} from '../accounts/account-plan.js';
 import {createJobsSimulation, type JobsSimulation} from './jobs-simulation.js';
 
 const taskMs = 600;
@@ -9,8 +10,9 @@
 /** Time after which the last job is worth nothing any more. */
 const drainMs = 8000;
 const stepMs = 100;
-const account: ClientAccount = {
-	name: 'press', keyHashes: [], priority: 0, weight: 1000, cap: {cpuMillis: 0, memoryMb: 0, gpus: 0},
+const pressKey = 'press-key';
+const account: AccountPlan = {
+	name: 'press', apiKeys: [pressKey], priority: 0, weight: 1000, cap: {cpuMillis: 0, memoryMb: 0, gpus: 0},
 };
 const spec: JobSpec = {
 	payload: '',
@@ -22,7 +24,7 @@
 	}],
 };
 
-function startSimulation(accounts: readonly ClientAccount[] | undefined): JobsSimulation {
+function startSimulation(accounts: readonly AccountPlan[] | undefined): JobsSimulation {
 	const simulation = createJobsSimulation({
 		seed: 3, entryCount: 4, pools: {desk: 2}, endpointCapacity: {cpuMillis: 8000, memoryMb: 32_000, gpus: 0},
 	});
@@ -46,7 +48,7 @@
 
 		const entries = simulation.entries.filter(({isUp}) => isUp);
 		while (jobs.length < jobsPerStep * ((time / stepMs) + 1)) {
-			jobs.push(simulation.submitJob(entries[jobs.length % entries.length]!, 'jobs-desk', spec, {durationMs: taskMs}));
+			jobs.push(simulation.submitJob(entries[jobs.length % entries.length]!, 'jobs-desk', spec, {durationMs: taskMs}, pressKey));
 		}
 
 		simulation.runFor(stepMs);
@@ -76,7 +78,7 @@
 	simulation.killEntry(simulation.entries.find(({node}) => node === owner)!, 3000);
 };
 
-const cases: ReadonlyArray<{readonly name: string; readonly load: number; readonly accounts: readonly ClientAccount[] | undefined; readonly cause?: (simulation: JobsSimulation) => void; readonly hasRefusals: boolean}> = [
+const cases: ReadonlyArray<{readonly name: string; readonly load: number; readonly accounts: readonly AccountPlan[] | undefined; readonly cause?: (simulation: JobsSimulation) => void; readonly hasRefusals: boolean}> = [
 	{
 		name: 'a five-fold overload for ten seconds', load: 5, accounts: [account], hasRefusals: true,
 	},
