--- a/packages/jobs/src/placement/account-budgets.ts
+++ b/packages/jobs/src/placement/account-budgets.ts
@@ -25,7 +25,7 @@
 	readonly allowanceMillis: number;
 	remaining: Resources;
 	/** Whether a task waits for what is left, so that no later one takes it. */
-	isSpoken: boolean;
+	isReserved: boolean;
 	/** Steps with tasks that wait because of the budget, in the order of their ranks. */
 	readonly heldSteps: Set<Step>;
 };
@@ -42,7 +42,7 @@
 type State = {readonly placement: PlacementState} & QuotaView & SupervisionView & LedgerView & DirectoryView;
 
 /** A gang that waits for this long keeps later tasks of its account from starting, so that enough of the share comes free together. */
-const gangPatienceMs = 1000;
+const gangReservationDelayMs = 1000;
 /** Maximum number of held tasks that are looked at to measure a pool's demand, for all accounts together. */
 const maxMeasuredTasks = 300;
 /** The same for each account, however many there are. */
@@ -72,7 +72,7 @@
 					cap: getCap(state, account) ?? computeResources(() => Number.POSITIVE_INFINITY),
 					allowanceMillis: allowance.cpuMillis,
 					remaining: unsurveyed.has(account) ? computeResources(name => Math.min(0, allowance[name] - used[name])) : subtractResources(allowance, used),
-					isSpoken: false,
+					isReserved: false,
 					heldSteps: new Set<Step>(),
 				};
 			known.set(account, budget);
@@ -90,7 +90,7 @@
 	}
 
 	const resources = multiplyResources(step.spec.room, count);
-	if (!budget.isSpoken && hasBudgetFor(budget.remaining, resources)) {
+	if (!budget.isReserved && hasBudgetFor(budget.remaining, resources)) {
 		budget.remaining = subtractResources(budget.remaining, resources);
 		return true;
 	}
@@ -197,7 +197,7 @@
 			const resources = multiplyResources(step.spec.room, countTogether(step));
 			const pendingCount = step.tasks.filter(task => isPending(task)).length;
 			const fittingCount = countFittingTasks(candidates, step, pendingCount);
-			if (!budget.isSpoken && hasBudgetFor(remaining, resources)) {
+			if (!budget.isReserved && hasBudgetFor(remaining, resources)) {
 				isStartable = true;
 				const all = subtractResources(remaining, multiplyResources(step.spec.room, fittingCount));
 				remaining = computeResources(name => Math.max(0, all[name]));
@@ -212,7 +212,7 @@
 	}
 
 	// Those that come first take what is left; the search itself finds out for which task it does not suffice.
-	budget.isSpoken = false;
+	budget.isReserved = false;
 	return held;
 }
 
@@ -228,7 +228,7 @@
 	}
 
 	budget.heldSteps.add(step);
-	budget.isSpoken ||= !step.spec.isGang || step.tasks.some(task => now > task.idleSince + gangPatienceMs);
+	budget.isReserved ||= !step.spec.isGang || step.tasks.some(task => now > task.idleSince + gangReservationDelayMs);
 }
 
 function sumPendingTasks(job: Job): Resources {
