--- a/packages/jobs/src/intake/account-requests.test.ts
+++ b/packages/jobs/src/intake/account-requests.test.ts
@@ -28,8 +28,8 @@
 	}));
 }
 
-/** Plays the steps at one entry, where revocation is strict, with a store that keeps the accounts of jobs. */
-function playSteps(steps: readonly Step[]) {
+/** Runs the steps at one entry, where revocation is strict, with a store that keeps the accounts of jobs. */
+function runSteps(steps: readonly Step[]) {
 	const state = createJobsState({
 		node: 'entry-1', incarnation: 'first', orderLeaseMs: 3000, strictRevokeMs: 5000,
 	});
@@ -135,7 +135,7 @@
 describe('a caller may use', () => {
 	for (const [name, steps, expected, account] of accessCases) {
 		it(name, () => {
-			const {answers, jobs} = playSteps(steps);
+			const {answers, jobs} = runSteps(steps);
 			expect(answers).toEqual(expected);
 			expect(jobs.get('job')?.account).toBe(account);
 		});
@@ -161,14 +161,14 @@
 describe('with a configuration that is too old', () => {
 	for (const [name, steps, expected] of ageCases) {
 		it(name, () => {
-			expect(playSteps(steps).answers).toEqual(expected);
+			expect(runSteps(steps).answers).toEqual(expected);
 		});
 	}
 });
 
 // Guards against metrics and logs that name a key, or grow with the number of accounts and of rejected requests.
 it('metrics and logs name a bounded number of accounts and no key', () => {
-	const {effects, state} = playSteps([...submitted, ...Array.from({length: 300}, (): Step => ['get', 'second', 2])]);
+	const {effects, state} = runSteps([...submitted, ...Array.from({length: 300}, (): Step => ['get', 'second', 2])]);
 	const text = JSON.stringify(effects.filter(({kind}) => kind === 'log' || kind === 'count' || kind === 'answer-caller'));
 	expect(text).toContain(String.raw`account_requests_total{account=\"museum\",answer=\"accepted\"}`);
 	expect(Object.values(keys).filter(key => text.includes(key))).toEqual([]);
