--- a/packages/bench/src/measure/list-schedule.ts
+++ b/packages/bench/src/measure/list-schedule.ts
@@ -83,7 +83,7 @@
 		}
 	}
 
-	return assessJobs(arrivals, latencies);
+	return measureJobs(arrivals, latencies);
 }
 
 function getObjectiveMs({taskMs}: LoadJob): number {
@@ -177,7 +177,7 @@
 	}, {now, wallTime: now});
 }
 
-function assessJobs(loads: readonly LoadJob[], latencies: ReadonlyMap<LoadJob, number>): ScheduledJob[] {
+function measureJobs(loads: readonly LoadJob[], latencies: ReadonlyMap<LoadJob, number>): ScheduledJob[] {
 	const works = new Map<string, number[]>();
 	for (const {queue, taskCount, taskMs} of loads) {
 		works.set(queue, [...works.get(queue) ?? [], taskCount * taskMs]);
--- a/packages/jobs/src/placement/select-jobs.ts
+++ b/packages/jobs/src/placement/choose-kept-jobs.ts
@@ -54,7 +54,7 @@
 @param getUse - Returns the work that an account has running; the selection adds to it.
 @internal
 */
-export function selectJobs<Item extends SelectableJob>(items: readonly Item[], getUse: (account: string) => AccountUse): Selection<Item> {
+export function chooseKeptJobs<Item extends SelectableJob>(items: readonly Item[], getUse: (account: string) => AccountUse): Selection<Item> {
 	const sorted = [...items].sort((left, right) => left.servingClass - right.servingClass || left.limit - right.limit);
 	if (areAllInTime(sorted)) {
 		return {kept: sorted, displaced: []};
--- a/packages/jobs/src/placement/profile-jobs.ts
+++ b/packages/jobs/src/placement/classify-jobs.ts
@@ -22,7 +22,7 @@
 }
 
 /** Profiles the jobs that are ranked for the first time: their size within their queue, and whether their account is entitled to capacity for them. @internal */
-export function profileJobs(pool: PoolDisplacement, ranked: readonly RankedJob[], weights: AccountWeights): void {
+export function classifyJobs(pool: PoolDisplacement, ranked: readonly RankedJob[], weights: AccountWeights): void {
 	const newJobs = ranked.filter(({job, objectiveStatus}) => objectiveStatus !== 'serving' && !pool.profiles.has(job));
 	for (const {job, totalWork} of newJobs) {
 		recordQueueWork(getQueueRecord(pool, job.record.queue).work, totalWork);
--- a/packages/jobs/src/placement/displacement-policies.ts
+++ b/packages/jobs/src/placement/displacement-policies.ts
@@ -12,7 +12,7 @@
 import {type PlacementSearch} from './placement-search.js';
 import {type PlacementState} from './placement-state.js';
 import {preemptRuns} from './preempt-runs.js';
-import {getAccount} from './profile-jobs.js';
+import {getAccount} from './classify-jobs.js';
 import {reportDisplacedJobs} from './report-displaced.js';
 
 type State = {readonly placement: PlacementState} & ObservationView & ConfigurationView & SupervisionView;
--- a/packages/jobs/src/placement/order-by-least-cost.ts
+++ b/packages/jobs/src/placement/order-by-least-cost.ts
@@ -5,11 +5,11 @@
 import {type DisplacementReason, type JobProfile, type PoolDisplacement} from './displacement-state.js';
 import {objectiveStatusOrder, type ObjectiveStatus, type RankedJob} from './order-jobs.js';
 import {
-	getAccount, getQueueRecord, profileJobs, recordOutcomes,
-} from './profile-jobs.js';
+	getAccount, getQueueRecord, classifyJobs, recordOutcomes,
+} from './classify-jobs.js';
 import {
-	selectJobs, type AccountUse, type Guard, type SelectableJob,
-} from './select-jobs.js';
+	chooseKeptJobs, type AccountUse, type Guard, type SelectableJob,
+} from './choose-kept-jobs.js';
 
 /** What a pool has for the jobs that wait, besides what is running. @internal */
 export type PoolSupply = {
@@ -67,7 +67,7 @@
 @internal
 */
 export function orderByLeastCost(jobs: readonly RankedJob[], pool: PoolDisplacement, {supply, weights}: OrderContext, times: {readonly now: number; readonly wallTime: number}): LeastCostOrder {
-	profileJobs(pool, jobs, weights);
+	classifyJobs(pool, jobs, weights);
 	recordOutcomes(pool, jobs, times);
 	const runningWork = sumValues(supply.runningWork);
 	const findGuard = createGuards(pool, supply, jobs);
@@ -85,7 +85,7 @@
 		supply, runningWork, findGuard, isShared, overdrawn,
 	});
 	const timely = byStatus.timely.map(ranked => describe(ranked));
-	const {kept, displaced} = supply.capacityMillis > 0 ? selectJobs(timely, getUse) : {kept: timely, displaced: []};
+	const {kept, displaced} = supply.capacityMillis > 0 ? chooseKeptJobs(timely, getUse) : {kept: timely, displaced: []};
 	const late = byStatus.late.map(ranked => describe(ranked)).sort((left, right) => left.tier - right.tier || right.density - left.density);
 	const explained = displaced.map((item): DisplacedJob => {
 		item.ranked.objectiveStatus = 'displaced';
--- a/packages/jobs/src/placement/preempt-runs.ts
+++ b/packages/jobs/src/placement/preempt-runs.ts
@@ -19,7 +19,7 @@
 import {isPending} from './place-step.js';
 import {type PlacementSearch} from './placement-search.js';
 import {type PlacementState, type PreemptionCosts} from './placement-state.js';
-import {getAccount} from './profile-jobs.js';
+import {getAccount} from './classify-jobs.js';
 import {getAccountLabel} from './report-displaced.js';
 
 /** Minimum interval between two searches of a pool for runs to preempt. */
@@ -213,7 +213,7 @@
 				continue;
 			}
 
-			const victim = assessVictim(state, preemptor, run, context);
+			const victim = estimateLoss(state, preemptor, run, context);
 			const minRatio = victim?.isUrgent === true ? minUrgentGainRatio : minGainRatio;
 			if (victim !== undefined && gain >= minRatio * victim.loss && (best === undefined || victim.loss < best.victim.loss)) {
 				best = {forecast, victim};
@@ -225,7 +225,7 @@
 }
 
 /** Computes what a stop of a run costs. @returns Undefined if the run may not be stopped in favour of the job. */
-function assessVictim(state: State, {pool, displacement, ranked, step}: Preemptor, run: Readonly<Run>, context: DecisionContext): (Victim & {readonly isUrgent: boolean}) | undefined {
+function estimateLoss(state: State, {pool, displacement, ranked, step}: Preemptor, run: Readonly<Run>, context: DecisionContext): (Victim & {readonly isUrgent: boolean}) | undefined {
 	const task = findTask(pool, run.taskId);
 	if (task === undefined || !isPreemptible(displacement, task, run)) {
 		return undefined;
