--- a/packages/jobs/src/supervision/apply-poll-answer.ts
+++ b/packages/jobs/src/supervision/apply-poll-answer.ts
@@ -1,6 +1,6 @@
 import {emitEffect, passEvent, type DecisionContext} from '@pistachiogauge/chain';
 import {type DirectoryView} from '../directory/index.js';
-import {emitLog, type JobOutput} from '../filter.js';
+import {emitCount, emitLog, type JobOutput} from '../filter.js';
 import {
 	findTask, isActive, type LedgerView, type Task,
 } from '../ledger/index.js';
@@ -37,7 +37,10 @@
 	const outputs: JobOutput[] = [];
 	if (endpoint.startedAt !== undefined && endpoint.startedAt !== answer.startedAt) {
 		outputs.push(
-			emitLog('warn', 'endpoint restarted', {endpoint: endpoint.id, bornAt: answer.startedAt, before: endpoint.startedAt}),
+			emitLog('warn', 'endpoint restarted', {
+				endpoint: endpoint.id, bornAt: answer.startedAt, before: endpoint.startedAt, clockMs: answer.clockMs, lastReadMs: endpoint.clockMs, lastAnswerAgeMs: Math.round(context.now - endpoint.clockReadAt), ...summarizeRuns(endpoint),
+			}),
+			emitCount('endpoint_restarts_total'),
 			...restartEndpoint(endpoint, answer, context),
 		);
 	}
@@ -77,6 +80,11 @@
 	return [...endpoint.runs.values()].flatMap(run => dropRun(endpoint, run, reason));
 }
 
+/** Counts the runs of an endpoint by what is known of them, for the log. */
+function summarizeRuns({runs, unsavedEnds}: SupervisedEndpoint): {readonly runs: number; readonly unansweredStarts: number; readonly unsavedEnds: number} {
+	return {runs: runs.size, unansweredStarts: [...runs.values()].filter(({phase}) => phase !== 'running').length, unsavedEnds: unsavedEnds.size};
+}
+
 /** Begins with a new process of an endpoint: the runs of the former one are gone, but a start that was on its way may have reached the new one. */
 function restartEndpoint(endpoint: SupervisedEndpoint, {running}: PollAnswer, {now}: DecisionContext): JobOutput[] {
 	const outputs: JobOutput[] = [];
@@ -91,6 +99,7 @@
 	}
 
 	endpoint.lastProcessedEnd = 0;
+	endpoint.hasRestarted = true;
 	endpoint.unsavedEnds.clear();
 	endpoint.leaseDeadlineMs = 0;
 	endpoint.previousLeaseExpiresAt = Math.max(endpoint.previousLeaseExpiresAt, getRestartedLeaseExpiry(now));
@@ -117,8 +126,9 @@
 export function dropRun(endpoint: SupervisedEndpoint, run: Run, reason: RunDropReason): JobOutput[] {
 	removeRun(endpoint, run.taskId);
 	return [
-		emitLog(reason === 'not-started' ? 'debug' : 'info', 'run confirmed not running', {
-			task: run.taskId, run: run.run, endpoint: endpoint.id, reason, phase: run.phase, isStopRequested: run.stopRequestedAt !== undefined, percent: run.percent, token: endpoint.token,
+		// A start that was refused has a line of its own.
+		emitLog(reason === 'not-started' && run.phase === 'starting' ? 'debug' : 'info', 'run confirmed not running', {
+			task: run.taskId, run: run.run, endpoint: endpoint.id, reason, phase: run.phase, isStopRequested: run.stopRequestedAt !== undefined, percent: run.percent, token: endpoint.token, sentTo: run.sentToProcess, bornAt: endpoint.startedAt, clockMs: endpoint.clockMs,
 		}),
 		passEvent({
 			kind: 'run-dropped', pool: endpoint.pool, taskId: run.taskId, run: run.run, endpointId: endpoint.id, reason, checkpoint: run.checkpoint,
@@ -142,6 +152,15 @@
 			continue;
 		}
 
+		if (end.number > endpoint.lastProcessedEnd + 1 && (endpoint.hasRestarted || endpoint.lastProcessedEnd > 0)) {
+			outputs.push(
+				emitLog('warn', 'ends of endpoint are missing', {
+					endpoint: endpoint.id, bornAt: endpoint.startedAt, listed: end.number, lastProcessed: endpoint.lastProcessedEnd, token: endpoint.token,
+				}),
+				emitCount('ends_missing_total'),
+			);
+		}
+
 		const jobId = end.taskId.split('.', 1)[0]!;
 		if (ledger?.jobs.has(jobId) !== true && ledger?.endedJobs.has(jobId) !== true && context.now < pool.acquiredAt + unknownRunGraceMs) {
 			// The endpoint lists the end again, and it is accepted once the job's record has arrived.
@@ -191,8 +210,9 @@
 
 	return [
 		emitLog('info', 'stop of unwanted run requested', {
-			task: report.taskId, run: report.run, endpoint: endpoint.id, token: endpoint.token,
+			task: report.taskId, run: report.run, endpoint: endpoint.id, token: endpoint.token, bornAt: endpoint.startedAt, percent: report.percent, isTaskDone: task?.isDone, runElsewhere: task === undefined ? undefined : Math.max(0, ...task.runs.keys()),
 		}),
+		emitCount('unwanted_runs_total'),
 		emitEffect({
 			kind: 'stop-task', target: getOrderTarget(endpoint), taskId: report.taskId, run: report.run,
 		}),
--- a/packages/jobs/src/supervision/start-task.ts
+++ b/packages/jobs/src/supervision/start-task.ts
@@ -27,7 +27,7 @@
 	const deadlineMs = clock + startValidityMs;
 	endpoint.leaseDeadlineMs = Math.max(endpoint.leaseDeadlineMs, deadlineMs);
 	addRun(endpoint, createRun(spec, {taskId, run}, {
-		phase: 'starting', startedAt: context.now, startedClockMs: clock, startDeadlineMs: deadlineMs, checkpoint, account: job.record.account,
+		phase: 'starting', startedAt: context.now, startedClockMs: clock, sentToProcess: endpoint.startedAt, sentAfterClockMs: endpoint.clockMs, startDeadlineMs: deadlineMs, checkpoint, account: job.record.account,
 	}));
 	return [
 		emitEffect({
--- a/packages/jobs/src/supervision/supervision-filter.ts
+++ b/packages/jobs/src/supervision/supervision-filter.ts
@@ -120,9 +120,15 @@
 				return [];
 			}
 
+			const isClockBehind = clockMs < (placed.sentAfterClockMs ?? 0);
 			placed.confirmedClockMs = clockMs;
 			placed.phase = 'running';
-			return [passEvent({kind: 'run-confirmed', pool: endpoint.pool, taskId})];
+			return [
+				...(isClockBehind ? [emitLog('warn', 'clock of endpoint is behind its last reading', {
+					endpoint: endpoint.id, task: taskId, run, clockMs, lastReadMs: placed.sentAfterClockMs, bornAt: endpoint.startedAt, token: endpoint.token,
+				})] : []),
+				passEvent({kind: 'run-confirmed', pool: endpoint.pool, taskId}),
+			];
 		},
 		'start-refused': ({supervision}, event, context) => handleStartRefusal(supervision, event, context),
 		'run-stop-requested'({supervision}, {pool, taskId, reason}, context) {
@@ -167,6 +173,7 @@
 		leaseDeadlineMs: 0,
 		previousLeaseExpiresAt,
 		lastProcessedEnd: 0,
+		hasRestarted: false,
 		unsavedEnds: new Map(),
 		areEndsComplete: false,
 		hasUnknownUsage: false,
--- a/packages/jobs/src/supervision/supervision-state.ts
+++ b/packages/jobs/src/supervision/supervision-state.ts
@@ -29,6 +29,10 @@
 	readonly startedAt: number;
 	/** The endpoint's clock when the start was sent, as estimated, or when the run was adopted; undefined for a suspected run. */
 	readonly startedClockMs: number | undefined;
+	/** Process of the endpoint that the start was meant for, by the Unix ms at which it started; undefined if this entry has not sent the start. */
+	readonly sentToProcess: number | undefined;
+	/** Last reading of the endpoint's clock before the start was sent. The process that was read answers with the same or a later time. */
+	readonly sentAfterClockMs: number | undefined;
 	/** Deadline of the start on the endpoint's clock. The endpoint refuses the start as late afterwards. */
 	startDeadlineMs: number;
 	/** The endpoint's clock when it confirmed the run; undefined before that. */
@@ -96,6 +100,8 @@
 	previousLeaseExpiresAt: number;
 	/** Number of the last end that was processed. */
 	lastProcessedEnd: number;
+	/** Whether this entry has seen the endpoint restart, so that the current process has listed its ends to no other owner. */
+	hasRestarted: boolean;
 	/** Runs whose ends are processed and not saved in the store, by number of the end. */
 	readonly unsavedEnds: Map<number, RunId>;
 	/** Whether its last answer listed all ends that it holds, and all of them were processed. */
@@ -176,6 +182,8 @@
 		confirmedClockMs: undefined,
 		percent: 0,
 		startedClockMs: undefined,
+		sentToProcess: undefined,
+		sentAfterClockMs: undefined,
 		progressedClockMs: known.startedClockMs ?? 0,
 		checkpoint: '',
 		load: 0,
--- a/packages/jobs/src/testing.test-support.ts
+++ b/packages/jobs/src/testing.test-support.ts
@@ -118,6 +118,7 @@
 		leaseDeadlineMs: 0,
 		previousLeaseExpiresAt: 0,
 		lastProcessedEnd: 0,
+		hasRestarted: false,
 		unsavedEnds: new Map(),
 		areEndsComplete: true,
 		hasUnknownUsage: false,
