--- a/packages/jobs/src/supervision/apply-poll-answer.ts
+++ b/packages/jobs/src/supervision/apply-poll-answer.ts
@@ -152,7 +152,8 @@
 			continue;
 		}
 
-		if (end.number > endpoint.lastProcessedEnd + 1 && (endpoint.hasRestarted || endpoint.lastProcessedEnd > 0)) {
+		const isFirstSeen = endpoint.lastProcessedEnd === 0 && !endpoint.hasRestarted;
+		if (end.number > endpoint.lastProcessedEnd + 1 && !isFirstSeen) {
 			outputs.push(
 				emitLog('warn', 'ends of endpoint are missing', {
 					endpoint: endpoint.id, bornAt: endpoint.startedAt, listed: end.number, lastProcessed: endpoint.lastProcessedEnd, token: endpoint.token,
--- a/packages/jobs/src/supervision/supervision-filter.ts
+++ b/packages/jobs/src/supervision/supervision-filter.ts
@@ -120,15 +120,16 @@
 				return [];
 			}
 
-			const isClockBehind = clockMs < (placed.sentAfterClockMs ?? 0);
 			placed.confirmedClockMs = clockMs;
 			placed.phase = 'running';
-			return [
-				...(isClockBehind ? [emitLog('warn', 'clock of endpoint is behind its last reading', {
+			const outputs: JobOutput[] = [passEvent({kind: 'run-confirmed', pool: endpoint.pool, taskId})];
+			if (clockMs < (placed.sentAfterClockMs ?? 0)) {
+				outputs.push(emitLog('warn', 'clock of endpoint is behind its last reading', {
 					endpoint: endpoint.id, task: taskId, run, clockMs, lastReadMs: placed.sentAfterClockMs, bornAt: endpoint.startedAt, token: endpoint.token,
-				})] : []),
-				passEvent({kind: 'run-confirmed', pool: endpoint.pool, taskId}),
-			];
+				}));
+			}
+
+			return outputs;
 		},
 		'start-refused': ({supervision}, event, context) => handleStartRefusal(supervision, event, context),
 		'run-stop-requested'({supervision}, {pool, taskId, reason}, context) {
