Keep orders on their way across a restart of their endpoint

An order that the emulator carried out late was dropped if the process that had received it had ended, so no order reached the next process under the same id, as the protocol allows.

An order without an answer is carried out by whichever process runs under the id then, or by the next one. Orders to a machine that is dark connect on its return. Tests can choose the route of single orders; the routes of all orders to an endpoint can be disturbed. A start that is refused as late no longer counts as a renewal of the lease. Senders are told apart by the holder of the claim, not by token.

--- a/packages/bench/src/jobs/create-order-sinks.ts
+++ b/packages/bench/src/jobs/create-order-sinks.ts
@@ -3,6 +3,9 @@
 import {type EventQueue} from '../virtual/event-queue.js';
 import {type VirtualSinks} from './create-virtual-sinks.js';
 import {type EventDelivery} from './event-delivery.js';
+import {
+	chooseBetween, drawRoute, type EndpointOrder, type OrderDisturbance, type OrderRoute, type OrderRouter,
+} from './order-routes.js';
 import {type VirtualJobsEntry} from './virtual-jobs-entry.js';
 import {type VirtualNetwork} from './virtual-network.js';
 import {type OrderSender, type VirtualTaskEndpoint} from './virtual-task-endpoint.js';
@@ -14,13 +17,16 @@
 	readonly endpoints: ReadonlyMap<string, VirtualTaskEndpoint>;
 	readonly delivery: EventDelivery;
 	readonly chooseDelayMs: () => number;
-	readonly describeSender: (entry: VirtualJobsEntry, pool: string, token: number) => OrderSender;
+	readonly describeSender: (entry: VirtualJobsEntry, pool: string, incarnation: string) => OrderSender;
 	/** Share of orders to endpoints that get no answer and take effect seconds later. */
 	readonly getLateOrderShare: () => number;
+	/** By endpoint id. */
+	readonly orderDisturbances: ReadonlyMap<string, OrderDisturbance>;
+	readonly routeOrder: OrderRouter;
 };
 
 type Order = {
-	readonly endpointId: string;
+	readonly effect: EndpointOrder;
 	/** Time after which the entry gives up. */
 	readonly timeoutMs: number;
 	/** Event of an order without an answer. */
@@ -29,16 +35,33 @@
 };
 
 const orderTimeoutMs = 700;
-/** Bounds of the delay of an order that takes effect late. */
-const lateOrderMs = {min: 2000, max: 12_000} as const;
+/** Bounds of the delay after which an order looks again for a process of its endpoint; orders that wait for one reach it in any order. */
+const processLookupMs = {min: 1, max: 300} as const;
+/** Orders to a machine that does not answer reach the next process on it. */
+const connectsOnReturn: OrderRoute = {kind: 'slow', delayMs: 0, answerDelayMs: 0};
+/** Time for which an order waits for a process that carries it out. */
+const processWaitMs = 15_000;
 
 /** Creates the sinks for orders to endpoints. */
 export function createOrderSinks({
-	queue, random, network, endpoints, delivery, chooseDelayMs, describeSender, getLateOrderShare,
+	queue, random, network, endpoints, delivery, chooseDelayMs, describeSender, getLateOrderShare, orderDisturbances, routeOrder,
 }: OrderSinkTools): Pick<VirtualSinks, 'poll-endpoint' | 'start-task' | 'stop-task'> {
+	/** Carries an order out in the process that runs under the endpoint's id after the delay, or in the next one. */
+	function carryOutLater(endpointId: string, delayMs: number, run: (endpoint: VirtualTaskEndpoint) => void, lostAt = queue.now + delayMs + processWaitMs): void {
+		queue.add(delayMs, () => {
+			const endpoint = endpoints.get(endpointId);
+			if (endpoint?.isUp === true) {
+				run(endpoint);
+			} else if (queue.now < lostAt) {
+				carryOutLater(endpointId, chooseBetween(random, processLookupMs), run, lostAt);
+			}
+		});
+	}
+
 	function sendOrder(entry: VirtualJobsEntry, {
-		endpointId, timeoutMs, lost, run,
+		effect, timeoutMs, lost, run,
 	}: Order): void {
+		const {endpointId} = effect.target;
 		const {incarnation} = entry;
 		let isFinished = false;
 		const finish = (event: JobEvent) => {
@@ -48,9 +71,9 @@
 			}
 		};
 
-		const sendAnswer = (event: JobEvent) => {
+		const createAnswer = (addedMs: number) => (event: JobEvent) => {
 			if (endpoints.get(endpointId)?.isReachable === true && network.canDeliver(endpointId, entry.node)) {
-				queue.add(chooseDelayMs(), () => {
+				queue.add(chooseDelayMs() + addedMs, () => {
 					finish(event);
 				});
 			}
@@ -66,45 +89,54 @@
 				return;
 			}
 
-			if (!isLate) {
-				run(endpoint, sendAnswer);
-				return;
-			}
-
-			// The process that has received the order carries it out, unless it ends before.
-			queue.add(lateOrderMs.min + (random.getFraction() * (lateOrderMs.max - lateOrderMs.min)), () => {
-				if (endpoint.isUp) {
-					run(endpoint, () => undefined);
-				}
-			});
+			const route = !endpoint.isUp && endpoint.isDark ? connectsOnReturn : routeOrder(effect) ?? drawRoute(random, isLate ? 'late' : orderDisturbances.get(endpointId));
+			const byRoute: Readonly<Record<OrderRoute['kind'], () => void>> = {
+				usual() {
+					run(endpoint, createAnswer(0));
+				},
+				late() {
+					carryOutLater(endpointId, delayMs, process => {
+						run(process, () => undefined);
+					});
+				},
+				slow() {
+					carryOutLater(endpointId, delayMs, process => {
+						run(process, createAnswer(answerDelayMs));
+					});
+				},
+			};
+			const {delayMs, answerDelayMs} = {delayMs: 0, answerDelayMs: 0, ...route};
+			byRoute[route.kind]();
 		});
 	}
 
 	return {
 		'poll-endpoint'(entry, effect) {
 			const {endpointId, token} = effect.target;
+			const {incarnation} = entry;
 			sendOrder(entry, {
-				endpointId,
+				effect,
 				timeoutMs: effect.waitMs + orderTimeoutMs,
 				lost: {
 					kind: 'poll-refused', endpointId, token, refusal: 'no-answer',
 				},
 				run(endpoint, answer) {
-					endpoint.poll(effect, describeSender(entry, endpoint.registration.pool, token), answer);
+					endpoint.poll(effect, describeSender(entry, endpoint.registration.pool, incarnation), answer);
 				},
 			});
 		},
 		'start-task'(entry, effect) {
 			const {target: {endpointId, token}, taskId, run} = effect;
+			const {incarnation} = entry;
 			const refused = {
 				kind: 'start-refused', endpointId, token, taskId, run,
 			} as const;
 			sendOrder(entry, {
-				endpointId,
+				effect,
 				timeoutMs: orderTimeoutMs,
 				lost: {...refused, refusal: 'no-answer'},
 				run(endpoint, answer) {
-					const result = endpoint.startTask(effect, describeSender(entry, endpoint.registration.pool, token));
+					const result = endpoint.startTask(effect, describeSender(entry, endpoint.registration.pool, incarnation));
 					answer(typeof result === 'number'
 						? {
 							kind: 'start-answered', endpointId, token, taskId, run, clockMs: result,
@@ -119,7 +151,7 @@
 				kind: 'stop-answered', endpointId, token, taskId, run,
 			} as const;
 			sendOrder(entry, {
-				endpointId,
+				effect,
 				timeoutMs: orderTimeoutMs,
 				lost: {...stopped, refusal: 'no-answer'},
 				run(endpoint, answer) {
--- a/packages/bench/src/jobs/jobs-simulation.ts
+++ b/packages/bench/src/jobs/jobs-simulation.ts
@@ -7,6 +7,7 @@
 import {startWallTime} from '../virtual/virtual-clock.js';
 import {createStoreCaller} from './call-store.js';
 import {createVirtualSinks} from './create-virtual-sinks.js';
+import {type OrderDisturbance, type OrderRouter} from './order-routes.js';
 import {createEndpointLifecycle} from './endpoint-lifecycle.js';
 import {createEventDelivery} from './event-delivery.js';
 import {createJobInvariantChecker, type JobInvariantChecker} from './job-invariant-checker.js';
@@ -44,6 +45,10 @@
 	keyChooser: KeyChooser | undefined;
 	/** Share of orders to endpoints that get no answer and take effect seconds later. */
 	lateOrderShare: number;
+	/** What happens to orders to single endpoints, by id. */
+	readonly orderDisturbances: Map<string, OrderDisturbance>;
+	/** Chooses the routes of single orders; undefined while all are drawn. */
+	orderRouter: OrderRouter | undefined;
 	/** Share of writes to the store that get no answer; half of them are done at once, the others seconds later if their condition still holds. */
 	unansweredWriteShare: number;
 	isStoreUp: boolean;
@@ -58,7 +63,7 @@
 	changeAccounts(accounts: readonly AccountPlan[] | undefined): boolean;
 	killEntry(entry: VirtualJobsEntry, downMs: number): void;
 	crashEndpoint(endpoint: VirtualTaskEndpoint, downMs: number): void;
-	/** Crashes an endpoint that comes back under the same id and has forgotten everything. */
+	/** Crashes an endpoint that comes back under the same id and has forgotten everything; orders that are on their way reach the next process. */
 	restartEndpoint(endpoint: VirtualTaskEndpoint, downMs: number): void;
 	/** Lets an entry reach the store again; its watches then deliver what it has missed. */
 	reconnectStore(entry: VirtualJobsEntry): void;
@@ -108,6 +113,7 @@
 	const endpoints = new Map<string, VirtualTaskEndpoint>();
 	const behaviours = new Map<string, Partial<TaskBehaviour>>();
 	const answers = new Map<string, CallerAnswer>();
+	const orderDisturbances = new Map<string, OrderDisturbance>();
 	let requestCount = 0;
 	let incarnationCount = 0;
 	const checker = createJobInvariantChecker(queue);
@@ -189,10 +195,12 @@
 		delivery,
 		callStore,
 		chooseDelayMs,
-		describeSender: (entry, pool, token) => ({
-			node: entry.node, isOwner: store.claims.get(`${poolClaimPrefix}${pool}`)?.token === token, isInTouch: queue.now > entry.disturbedAt + contactMs,
+		describeSender: (entry, pool, incarnation) => ({
+			node: entry.node, isOwner: store.claims.get(`${poolClaimPrefix}${pool}`)?.incarnation === incarnation, isInTouch: queue.now > entry.disturbedAt + contactMs,
 		}),
 		getLateOrderShare: () => simulation.lateOrderShare,
+		orderDisturbances,
+		routeOrder: order => simulation.orderRouter?.(order),
 		listEndpoints: registry.listEndpoints,
 		advice,
 		relay: createVirtualRelay({
@@ -290,6 +298,8 @@
 		configuration,
 		keyChooser: undefined,
 		lateOrderShare: 0,
+		orderDisturbances,
+		orderRouter: undefined,
 		unansweredWriteShare: 0,
 		isStoreUp: true,
 		submitJob(entry, queueName, spec, behaviour = {}, key = undefined) {
--- a/packages/bench/src/jobs/virtual-task-endpoint.ts
+++ b/packages/bench/src/jobs/virtual-task-endpoint.ts
@@ -53,6 +53,8 @@
 	isUp: boolean;
 	/** Whether orders and answers get through. */
 	isReachable: boolean;
+	/** Whether orders that arrive after its end wait for the next process under its id, instead of being refused. */
+	isDark: boolean;
 	/** The order that last extended the lease, in virtual ms. */
 	lastRenewal: {readonly sender: OrderSender; readonly at: number} | undefined;
 	poll(order: JobEffectOf<'poll-endpoint'>, sender: OrderSender, answer: (event: JobEvent) => void): void;
@@ -166,6 +168,7 @@
 		runs,
 		isUp: true,
 		isReachable: true,
+		isDark: false,
 		lastRenewal: undefined,
 		poll(order, sender, answer) {
 			const refusal = checkOrder(order);
@@ -217,11 +220,11 @@
 				return refusal;
 			}
 
-			extendLease(order.deadlineMs, sender);
 			if (order.deadlineMs <= getClockMs()) {
 				return 'late';
 			}
 
+			extendLease(order.deadlineMs, sender);
 			if (runs.get(order.taskId)?.run === order.run) {
 				return getClockMs();
 			}
