Add a fault in which endpoints are cut off after a restart to the process soak

Three endpoints of a pool lose answers for 0.5 s, crash silently, are dark for 0.6 s, are back and are cut off 0.15 to 2 s later for 9 s; up to three rounds a run, 14 s apart. Orders of the dark time are kept, half of the last orders before the crash are carried out 0.6 to 3 s or 2 to 12 s later, or both; in half of the rounds the pool's owner is killed around the return. A third of the jobs have tasks of 5 to 13 s.

--- a/packages/bench/src/jobs-processes/fault-plan.ts
+++ b/packages/bench/src/jobs-processes/fault-plan.ts
@@ -1,4 +1,5 @@
 import {type RandomSource} from '@pistachiogauge/decisions';
+import {type DarkOrders, type Lateness} from '@pistachiogauge/platform/standins';
 
 /** The entry that a fault concerns: the owner of a pool at that time, or the entry of an index. */
 export type EntryTarget = {readonly kind: 'owner'; readonly pool: number} | {readonly kind: 'entry'; readonly index: number};
@@ -35,6 +36,24 @@
 	readonly 'endpoint-cut': {readonly endpoint: number; readonly hasReports: boolean};
 	readonly 'orders-late': {readonly share: number};
 	readonly 'connections-reset': {readonly target: EntryTarget; readonly endpoint: number};
+	/** Endpoints of a pool lose answers, crash, are back under their ids a little later and are then cut off until the fault ends. */
+	readonly 'endpoints-recut': {
+		readonly pool: number;
+		readonly endpointCount: number;
+		readonly firstEndpoint: number;
+		/** Share of the orders before the crash that get no answer and are carried out later, by whichever process is there then. */
+		readonly lateShare: number;
+		readonly lateness: Lateness;
+		/** What becomes of orders between the crash and the return. */
+		readonly darkOrders: DarkOrders;
+		/** Time from the return until the cut. */
+		readonly cutAfterMs: number;
+		/** Whether the endpoints' status reports get through the cut. */
+		readonly hasReports: boolean;
+		/** When the pool's owner is killed, from the return on; undefined if it is not. */
+		readonly killAfterMs: number | undefined;
+		readonly ownerDownMs: number;
+	};
 };
 
 /** @public */
@@ -55,7 +74,10 @@
 	draw(random: RandomSource, bounds: FaultBounds): FaultParameters[Kind];
 };
 
-const draws: {readonly [Kind in FaultKind]: FaultDraw<Kind>} = {
+/** Faults that are drawn at random; the others are added to a plan if they are asked for. */
+type DrawnFaultKind = Exclude<FaultKind, 'endpoints-recut'>;
+
+const draws: {readonly [Kind in DrawnFaultKind]: FaultDraw<Kind>} = {
 	'group-cut': {
 		weight: 6,
 		minMs: 3000,
@@ -122,14 +144,17 @@
 	},
 };
 
-/** Names of all faults. @public */
-export const faultKinds = Object.keys(draws) as FaultKind[];
+/** Names of the faults that are drawn at random. @public */
+export const faultKinds = Object.keys(draws) as DrawnFaultKind[];
+
+/** Names of the faults that are played only if they are asked for. @public */
+export const addedFaultKinds = ['endpoints-recut'] as const satisfies readonly FaultKind[];
 
 /** The load runs for this long before the first fault. */
 const firstFaultMs = 3000;
 const meanFaultIntervalMs = 4500;
 
-function drawItem<const Items extends readonly unknown[]>(random: RandomSource, items: Items): Items[number] {
+export function drawItem<const Items extends readonly unknown[]>(random: RandomSource, items: Items): Items[number] {
 	return items[random.getInteger(items.length)];
 }
 
@@ -137,7 +162,7 @@
 	return random.getFraction() < ownerShare ? {kind: 'owner', pool: random.getInteger(poolCount)} : {kind: 'entry', index: random.getInteger(entryCount)};
 }
 
-function drawKind(random: RandomSource): FaultKind {
+function drawKind(random: RandomSource): DrawnFaultKind {
 	const total = faultKinds.reduce((sum, kind) => sum + draws[kind].weight, 0);
 	let rest = random.getFraction() * total;
 	for (const kind of faultKinds) {
--- a/packages/bench/src/jobs-processes/faults.test.ts
+++ b/packages/bench/src/jobs-processes/faults.test.ts
@@ -25,13 +25,13 @@
 		calls.push([name, ...parameters].join(' '));
 	};
 
-	let isUp = true;
 	const endpoints = plan.endpoints.map(({id, service}) => {
+		let isUp = true;
 		const endpoint: Partial<EndpointStandin> = {
 			id, service, isUp: () => isUp, hasLeft: () => false, resetConnections: note(`reset ${id}`),
-			crash(isSilent: boolean) {
+			crash(...parameters) {
 				isUp = false;
-				note(`crash ${id}`)(isSilent);
+				note(`crash ${id}`)(...parameters);
 			},
 			restart() {
 				isUp = true;
@@ -174,4 +174,39 @@
 		vi.advanceTimersByTime(3000);
 		expect([before, installation.links.getState('front-1', 'desk-1', true)]).toEqual(['cut', 'open']);
 	});
+
+	const recut: FaultPlan = {
+		kind: 'endpoints-recut', pool: 0, endpointCount: 3, firstEndpoint: 1, lateShare: 1, lateness: 'delayed', darkOrders: 'kept',
+		cutAfterMs: 400, hasReports: false, killAfterMs: -100, ownerDownMs: 900, atMs: 0, durationMs: 10_500,
+	};
+	const listCalls = (name: string) => [2, 3, 4].map(number => name.replace('ID', `desk-${number}`));
+	const crashes = listCalls('crash ID true kept');
+	const returns = [...crashes, 'signal front-2 SIGKILL', ...listCalls('restart ID')];
+
+	test.each([
+		{
+			title: 'loses answers', untilMs: 499, expected: [], link: 'delayed', reports: 'open',
+		},
+		{
+			title: 'is down', untilMs: 999, expected: crashes, link: 'open', reports: 'open',
+		},
+		{
+			title: 'is cut off', untilMs: 1500, expected: returns, link: 'cut', reports: 'cut',
+		},
+		{
+			title: 'is cut off as the owner starts again', untilMs: 1900, expected: [...returns, 'start front-2'], link: 'cut', reports: 'cut',
+		},
+	])('an endpoint that is cut off after a restart $title', ({
+		untilMs, expected, link, reports,
+	}) => {
+		const {installation, calls} = createFakeInstallation();
+		const getStates = () => [['front-1', 'desk-2'], ['desk-2', 'store'], ['front-1', 'desk-1']].map(([from, to]) => installation.links.getState(from, to!, true));
+		const end = startFault(installation, recut, 1);
+		vi.advanceTimersByTime(untilMs);
+		expect(calls).toEqual(expected);
+		expect(getStates()).toEqual([link, reports, 'open']);
+		end();
+		vi.runAllTimers();
+		expect([...getStates(), ...installation.endpoints.map(endpoint => endpoint.isUp())]).toEqual(['open', 'open', 'open', ...plan.endpoints.map(() => true)]);
+	});
 });
--- a/packages/bench/src/jobs-processes/faults.ts
+++ b/packages/bench/src/jobs-processes/faults.ts
@@ -3,6 +3,7 @@
 	type EntryTarget, type FaultKind, type FaultPlan, type FaultPlanOf,
 } from './fault-plan.js';
 import {type Installation} from './installation.js';
+import {recutTimes} from './recuts.js';
 
 /** A fault under way: whom it disturbs, and how it ends. */
 type ActiveFault = {readonly participants: readonly string[]; end(): void};
@@ -24,6 +25,11 @@
 	return present[index % present.length]!;
 }
 
+/** Successive endpoints of a list, from its start again after its end. */
+function selectEndpoints<Endpoint>(candidates: readonly Endpoint[], count: number, first: number): Endpoint[] {
+	return Array.from({length: Math.min(count, candidates.length)}, (_, index) => candidates[(first + index) % candidates.length]!);
+}
+
 /** The target's endpoints: those of the owned pool, or all. */
 function listEndpointIds({plan, endpoints}: Installation, target: EntryTarget): string[] {
 	const service = target.kind === 'owner' ? plan.queues[target.pool]?.service : undefined;
@@ -41,7 +47,7 @@
 	'group-cut'(installation, fault) {
 		const entry = findTarget(installation, fault.target);
 		const candidates = listEndpointIds(installation, fault.target);
-		const endpoints = Array.from({length: Math.min(fault.endpointCount, candidates.length)}, (_, index) => candidates[(fault.firstEndpoint + index) % candidates.length]!);
+		const endpoints = selectEndpoints(candidates, fault.endpointCount, fault.firstEndpoint);
 		const cut = cutGroup(new Set([entry, ...endpoints]));
 		const rule: LinkRule = (from, to, isWrite) => {
 			const isReport = to === store && from !== undefined && endpoints.includes(from);
@@ -158,6 +164,55 @@
 		endpoint.resetConnections();
 		return {participants: [entry], end: doNothing};
 	},
+	'endpoints-recut'(installation, fault) {
+		const {links, random} = installation;
+		const target = {kind: 'owner', pool: fault.pool} as const;
+		const ids = new Set(selectEndpoints(listEndpointIds(installation, target), fault.endpointCount, fault.firstEndpoint));
+		const endpoints = installation.endpoints.filter(({id}) => ids.has(id));
+		let removeRule = links.addRule((_from, to) => ids.has(to) && random.getFraction() < fault.lateShare ? fault.lateness : undefined);
+		const crash = (): void => {
+			removeRule();
+			for (const endpoint of endpoints) {
+				endpoint.crash(true, fault.darkOrders);
+			}
+		};
+
+		const restart = (): void => {
+			for (const endpoint of endpoints) {
+				if (!endpoint.isUp()) {
+					endpoint.restart();
+				}
+			}
+		};
+
+		const cut = (): void => {
+			removeRule = links.addRule((from, to) => ids.has(to) || (from !== undefined && ids.has(from) && !fault.hasReports) ? 'cut' : undefined);
+		};
+
+		const killOwner = (): void => {
+			const owner = findTarget(installation, target);
+			installation.processes.signal(owner, 'SIGKILL');
+			setTimeout(installation.startEntry, fault.ownerDownMs, owner);
+		};
+
+		const timers = [
+			setTimeout(crash, recutTimes.crashMs),
+			setTimeout(restart, recutTimes.returnMs),
+			setTimeout(cut, recutTimes.returnMs + fault.cutAfterMs),
+			...(fault.killAfterMs === undefined ? [] : [setTimeout(killOwner, recutTimes.returnMs + fault.killAfterMs)]),
+		];
+		return {
+			participants: [...ids],
+			end() {
+				for (const timer of timers) {
+					clearTimeout(timer);
+				}
+
+				removeRule();
+				restart();
+			},
+		};
+	},
 };
 
 type AnyHandler = (installation: Installation, fault: FaultPlan) => ActiveFault;
--- a/packages/bench/src/jobs-processes/installation.ts
+++ b/packages/bench/src/jobs-processes/installation.ts
@@ -9,7 +9,7 @@
 import {
 	createAdviceStandin, createCallerStandin, createEndpointStandin, createLinks, createMachineServiceStandin, createStoreStandin, encodeConfiguration, encodeEntrySettings,
 	moveOutcomes, readinessPath,
-	type AccountPlan, type CallerStandin, type EndpointStandin, type Links, type MachineServiceOptions, type Observation, type Observe, type StoreStandin,
+	type AccountPlan, type CallerStandin, type EndpointStandin, type Lateness, type Links, type MachineServiceOptions, type Observation, type Observe, type StoreStandin,
 } from '@pistachiogauge/platform/standins';
 import {accountBounds} from '../accounts/index.js';
 import {createAccountKeys, type AccountKeys} from './account-keys.js';
@@ -19,7 +19,9 @@
 import {recordFile, writePlan} from './kept-record.js';
 import {adviceTimes, mayRunAdvised} from './odd-jobs.js';
 import {findPlannedTask} from './planned-tasks.js';
-import {drawBetween, type EndpointPlan, type RunPlan} from './run-plan.js';
+import {
+	drawBetween, hasChance, type EndpointPlan, type RunPlan,
+} from './run-plan.js';
 
 /** Entry processes and the stand-ins around them. */
 export type Installation = {
@@ -57,7 +59,9 @@
 const restartMs = 500;
 const delayProbeMs = 100;
 const maxDelayMs = 300;
-const lateOrderMs = {min: 2000, max: 12_000};
+const lateOrderMs: Readonly<Record<Lateness, {readonly min: number; readonly max: number}>> = {late: {min: 2000, max: 12_000}, delayed: {min: 600, max: 3000}};
+/** Half of the orders that a restarted endpoint carries out are this much apart at most. */
+const maxHeldMs = 300;
 const callsPerLostAnswer = 10;
 /** Duration of a move of a machine. */
 const moveMs = 1500;
@@ -103,7 +107,8 @@
 	async function startEndpoint({id, service, clockRate}: EndpointPlan): Promise<void> {
 		const endpoint = createEndpointStandin({
 			id, service, clockRate, store, links, observe, rack: `r1-${endpoints.length}`, capacity: plan.endpointCapacity, isGuarding: plan.isGuarding,
-			findTask: taskId => findPlannedTask(jobs, taskId), getLateMs: () => drawBetween(random, lateOrderMs.min, lateOrderMs.max),
+			findTask: taskId => findPlannedTask(jobs, taskId), getLateMs: lateness => drawBetween(random, lateOrderMs[lateness].min, lateOrderMs[lateness].max),
+			getHeldMs: () => hasChance(random, 0.5) ? drawBetween(random, 0, maxHeldMs) : 0,
 			isTicketValid: (ticket, taskId) => !advisedQueues.has(findPlannedTask(jobs, taskId)?.job.queue ?? '') || (ticket !== undefined && advice.isTicketValid(ticket, taskId, id)),
 		});
 		endpoints.push(endpoint);
--- a/packages/bench/src/jobs-processes/run-plan.test.ts
+++ b/packages/bench/src/jobs-processes/run-plan.test.ts
@@ -3,7 +3,8 @@
 import {readEntryCommand} from './entry-processes.js';
 import {faultKinds, type FaultPlan} from './fault-plan.js';
 import {findPlannedTask, listTaskIds} from './planned-tasks.js';
-import {createRunPlan} from './run-plan.js';
+import {addRecuts} from './recuts.js';
+import {createRunPlan, type RunPlan} from './run-plan.js';
 
 const seeds = Array.from({length: 50}, (_, index) => index + 1);
 const durationMs = 40_000;
@@ -60,6 +61,27 @@
 	});
 });
 
+describe('plan with endpoints that are cut off after a restart', () => {
+	const recutMs = 50_000;
+	const recutPlans = seeds.map(seed => addRecuts(createRunPlan(seed, recutMs)));
+	const listRounds = (plan: RunPlan) => plan.faults.filter(fault => fault.kind === 'endpoints-recut');
+	const rounds = recutPlans.flatMap(plan => listRounds(plan));
+	const tasks = recutPlans.flatMap(plan => plan.jobs).flatMap(({job}) => Array.from({length: job.steps[0]!.taskCount}, () => Number(/ms=(?<ms>\d+)/u.exec(job.payload)?.groups?.ms)));
+	const longShare = tasks.filter(ms => ms >= 5000 && ms <= 13_000).length / tasks.length;
+	test.each([
+		{title: 'the same seed gives the same plan', holds: () => JSON.stringify(addRecuts(createRunPlan(7, recutMs))) === JSON.stringify(recutPlans[6])},
+		{title: 'other faults stay the same', holds: () => recutPlans.every((plan, index) => JSON.stringify(plan.faults.slice(0, -listRounds(plan).length)) === JSON.stringify(createRunPlan(index + 1, recutMs).faults))},
+		{title: 'a run has three rounds', holds: () => recutPlans.every(plan => listRounds(plan).length === 3)},
+		{title: 'a shorter run has those that end in time', holds: () => listRounds(addRecuts(createRunPlan(1, 32_000))).length === 2},
+		{title: 'rounds do not overlap', holds: () => rounds.every(({durationMs: roundMs}) => roundMs < 14_000)},
+		{title: 'a quarter to a third of the tasks are long', holds: () => longShare > 0.25 && longShare < 0.35},
+		{title: 'orders are kept, late, or both', holds: () => new Set(rounds.map(({lateShare, lateness, darkOrders}) => `${lateShare} ${lateness} ${darkOrders}`)).size === 4},
+		{title: 'owners are killed before and after the return', holds: () => rounds.some(({killAfterMs = 0}) => killAfterMs < 0) && rounds.some(({killAfterMs = 0}) => killAfterMs > 0)},
+	])('$title', ({holds}) => {
+		expect(holds()).toBe(true);
+	});
+});
+
 describe('planned tasks', () => {
 	const {job} = jobs[0]!;
 	const known = new Map([[job.jobId, job]]);
--- a/packages/bench/src/jobs-processes/run-process-soak.ts
+++ b/packages/bench/src/jobs-processes/run-process-soak.ts
@@ -11,6 +11,7 @@
 import {balancePlan} from './balanced-pools.js';
 import {addAccounts} from './plan-accounts.js';
 import {playAccounts} from './play-accounts.js';
+import {addRecuts} from './recuts.js';
 import {createRunPlan, type MoveMode, type RunPlan} from './run-plan.js';
 
 /** Result of one run with entry processes. */
@@ -86,7 +87,8 @@
 function createPlan({
 	seed, durationMs, faultKinds, hasOddJobs, moves, hasAccounts,
 }: Omit<ProcessSoakOptions, 'keepsLogs'>): RunPlan {
-	const drawnPlan = createRunPlan(seed, durationMs);
+	const randomPlan = createRunPlan(seed, durationMs);
+	const drawnPlan = faultKinds.includes('endpoints-recut') ? addRecuts(randomPlan) : randomPlan;
 	const balancedPlan = moves === undefined ? drawnPlan : balancePlan(drawnPlan, moves);
 	const plan = {...(hasOddJobs ? addOddJobs(balancedPlan) : balancedPlan), faults: drawnPlan.faults.filter(({kind}) => faultKinds.includes(kind))};
 	return hasAccounts ? addAccounts(plan, faultKinds) : plan;
--- a/packages/bench/src/process-soak-main.ts
+++ b/packages/bench/src/process-soak-main.ts
@@ -1,5 +1,5 @@
 import {cac} from 'cac';
-import {faultKinds, type FaultKind} from './jobs-processes/fault-plan.js';
+import {addedFaultKinds, faultKinds, type FaultKind} from './jobs-processes/fault-plan.js';
 import {checkKeptRecord} from './jobs-processes/kept-record.js';
 import {type Violation} from './jobs-processes/checks/index.js';
 import {moveModes, type MoveMode} from './jobs-processes/run-plan.js';
@@ -26,7 +26,7 @@
 
 function printResult({
 	seed, violations, startCount, acceptedCount, stateCount, faultCount, logFolder,
-}: ProcessSoakResult, seconds: number, {hasOddJobs, moves, hasAccounts}: Pick<ProcessSoakOptions, 'hasOddJobs' | 'moves' | 'hasAccounts'>): void {
+}: ProcessSoakResult, seconds: number, {faultKinds: kinds, hasOddJobs, moves, hasAccounts}: Pick<ProcessSoakOptions, 'faultKinds' | 'hasOddJobs' | 'moves' | 'hasAccounts'>): void {
 	const counts = `${acceptedCount} jobs accepted, ${stateCount} states shown, ${startCount} starts, ${faultCount} faults`;
 	if (violations.length === 0) {
 		process.stdout.write(`seed ${seed}: all rules kept (${counts})\n`);
@@ -37,15 +37,24 @@
 	process.stdout.write(`seed ${seed}: broken: ${rules.join(', ')} (${counts})\n`);
 	printViolations(violations.slice(0, printedViolationCount));
 
-	process.stdout.write(`  logs: ${logFolder}\n  all: npm run process-soak -- --record ${logFolder}\n  repeat: npm run process-soak -- --seed ${seed} --seconds ${seconds}${hasOddJobs ? ' --odd-jobs' : ''}${moves === undefined ? '' : ` --moves ${moves}`}${hasAccounts ? ' --accounts' : ''}\n`);
+	process.stdout.write(`  logs: ${logFolder}\n  all: npm run process-soak -- --record ${logFolder}\n  repeat: npm run process-soak -- --seed ${seed} --seconds ${seconds}${describeFaults(kinds)}${hasOddJobs ? ' --odd-jobs' : ''}${moves === undefined ? '' : ` --moves ${moves}`}${hasAccounts ? ' --accounts' : ''}\n`);
 }
 
-/** Parses a list of faults, `all` or `none`; returns undefined if one of them is unknown. */
+/** Describes the option for faults other than the default. */
+function describeFaults(kinds: readonly FaultKind[]): string {
+	const added = addedFaultKinds.filter(kind => kinds.includes(kind));
+	const drawn = kinds.length - added.length === faultKinds.length ? ['all'] : faultKinds.filter(kind => kinds.includes(kind));
+	const names = [...drawn, ...added];
+	return names.join(',') === 'all' ? '' : ` --faults ${names.length === 0 ? 'none' : names.join(',')}`;
+}
+
+/** Parses a list of faults, in which `all` stands for those that are drawn at random; returns undefined if one of them is unknown. */
 function parseFaults(text: string): readonly FaultKind[] | undefined {
 	const lists: Readonly<Record<string, readonly FaultKind[]>> = {all: faultKinds, none: []};
-	const names = text.split(',');
-	const kinds = faultKinds.filter(kind => names.includes(kind));
-	return lists[text] ?? (kinds.length === names.length ? kinds : undefined);
+	const known: readonly FaultKind[] = [...faultKinds, ...addedFaultKinds];
+	const names = text.split(',').flatMap((name): readonly string[] => Object.hasOwn(lists, name) ? lists[name]! : [name]);
+	const kinds = known.filter(kind => names.includes(kind));
+	return kinds.length === new Set(names).size ? kinds : undefined;
 }
 
 async function runSeeds(seeds: readonly number[], seconds: number, options: Pick<ProcessSoakOptions, 'faultKinds' | 'hasOddJobs' | 'moves' | 'hasAccounts' | 'keepsLogs'>): Promise<number> {
@@ -79,7 +88,7 @@
 	.option('--seed <N>', 'one seed')
 	.option('--seeds <A..B>', 'range of seeds, one after the other')
 	.option('--seconds <S>', 'length of the load and the faults of each run', {default: 40})
-	.option('--faults <LIST>', `all, none, or faults joined by commas: ${faultKinds.join(', ')}`, {default: 'all'})
+	.option('--faults <LIST>', `all, none, or faults joined by commas: ${faultKinds.join(', ')}; not part of all: ${addedFaultKinds.join(', ')}`, {default: 'all'})
 	.option('--odd-jobs', 'plays jobs of odd shapes as well: absent labels, wide limits, early cancellations, advice')
 	.option('--moves <MODE>', `plays pools whose machines are moved as their demand changes; what becomes of the moves: ${moveModes.join(', ')}`)
 	.option('--accounts', 'plays client accounts with API keys and caps, which the operator changes')
@@ -97,7 +106,7 @@
 		const faults = parseFaults(options.faults);
 		const moves = moveModes.find(mode => mode === options.moves);
 		if (seeds === undefined || faults === undefined || (options.moves !== undefined && moves === undefined) || !Number.isInteger(seconds) || seconds < 1) {
-			process.stderr.write('--seed takes a whole number, --seeds A..B, --seconds a whole number from 1, --faults all, none or names of faults, --moves a mode of moves\n');
+			process.stderr.write('--seed takes a whole number, --seeds A..B, --seconds a whole number from 1, --faults all, none and names of faults, --moves a mode of moves\n');
 			process.exit(usageExitCode);
 		}
 
