Shut out orders for a former process of an endpoint by their fencing tokens

Callers saw a task run twice after its endpoint had started again under its id: two runs at once, or a start after an end as done that had been acknowledged.

Cause: an order without an answer may be carried out seconds later, by whichever process of the endpoint is there then. The owner gave up such a start by what holds for the process that it was sent to: its clock, beyond the start's deadline, did not list the run. The next process begins with its clock, its tokens and its runs anew, so it took the start. A list that the new process had made before it carried out an answered start counted as proof as well, if it arrived after the answer.

Each order now carries a generation, which is part of its fencing token below the claim's. It rises when an order was not answered, when an endpoint falls silent, and when a restart is seen or listed. A start counts as never run only once a poll of a later generation was answered without it: the process that answered refuses the start from then on, whichever process it was meant for. Until then nothing is started there, no lease is renewed and no end is acknowledged, and runs are dropped at once only if the former process had listed them. Leases that a late order can have granted count from the answer that shut it out.

--- a/packages/bench/src/jobs-processes/installation.ts
+++ b/packages/bench/src/jobs-processes/installation.ts
@@ -6,6 +6,7 @@
 import path from 'node:path';
 import {setTimeout as delay} from 'node:timers/promises';
 import {createRandomSource, type RandomSource} from '@pistachiogauge/decisions';
+import {getClaimToken} from '@pistachiogauge/jobs';
 import {
 	createAdviceStandin, createCallerStandin, createEndpointStandin, createLinks, createMachineServiceStandin, createStoreStandin, encodeConfiguration, encodeEntrySettings,
 	moveOutcomes, readinessPath,
@@ -180,7 +181,7 @@
 		plan, random, links, store, endpoints, callers, processes, observations, logFolder, observe, getNowMs, startEntry, accountKeys, writeAccounts: writeConfiguration,
 		findOwner(service) {
 			const tokens = endpoints.filter(endpoint => endpoint.service === service).map(endpoint => endpoint.getHighestToken());
-			return store.findWriter(Math.max(0, ...tokens));
+			return store.findWriter(getClaimToken(Math.max(0, ...tokens)));
 		},
 		async waitUntilReady() {
 			const ports = [...entries.values()].map(({readinessPort}) => readinessPort);
--- a/packages/bench/src/jobs/create-order-sinks.ts
+++ b/packages/bench/src/jobs/create-order-sinks.ts
@@ -112,13 +112,13 @@
 
 	return {
 		'poll-endpoint'(entry, effect) {
-			const {endpointId, token} = effect.target;
+			const {endpointId, token, generation} = effect.target;
 			const {incarnation} = entry;
 			sendOrder(entry, {
 				effect,
 				timeoutMs: effect.waitMs + orderTimeoutMs,
 				lost: {
-					kind: 'poll-refused', endpointId, token, refusal: 'no-answer',
+					kind: 'poll-refused', endpointId, token, generation, refusal: 'no-answer',
 				},
 				run(endpoint, answer) {
 					endpoint.poll(effect, describeSender(entry, endpoint.registration.pool, incarnation), answer);
@@ -146,9 +146,9 @@
 			});
 		},
 		'stop-task'(entry, effect) {
-			const {target: {endpointId, token}, taskId, run} = effect;
+			const {target: {endpointId, token, generation}, taskId, run} = effect;
 			const stopped = {
-				kind: 'stop-answered', endpointId, token, taskId, run,
+				kind: 'stop-answered', endpointId, token, generation, taskId, run,
 			} as const;
 			sendOrder(entry, {
 				effect,
--- a/packages/jobs/src/model/effects.ts
+++ b/packages/jobs/src/model/effects.ts
@@ -83,11 +83,14 @@
 	| {readonly kind: 'write-demand-history'; readonly history: readonly PoolDemandHistory[]}
 	| {readonly kind: 'write-wave-status'; readonly number: number; readonly status: WaveStatus; readonly maintained: readonly string[]};
 
-/** Endpoint that an order is addressed to, and the fencing token it is given under. @public */
+/** Endpoint that an order is addressed to, and what its fencing token is made of. @public */
 export type OrderTarget = {
 	readonly endpointId: string;
 	readonly address: string;
+	/** Token of the claim that the order is given under. */
 	readonly token: number;
+	/** Number of times that the owner has shut out its earlier orders to the endpoint, from 0 to `maxOrderGeneration`. */
+	readonly generation: number;
 };
 
 /** Calls to endpoints, the advice service and the machine service. @public */
--- a/packages/jobs/src/model/events.ts
+++ b/packages/jobs/src/model/events.ts
@@ -179,8 +179,10 @@
 	| {
 		readonly kind: 'poll-answered';
 		readonly endpointId: string;
-		/** Fencing token of the order. */
+		/** Token of the claim that the order was given under. */
 		readonly token: number;
+		/** Generation of the order. */
+		readonly generation: number;
 		/** Monotonic clock of the endpoint in ms. */
 		readonly clockMs: number;
 		/** Unix ms at which the endpoint's process started. */
@@ -188,10 +190,10 @@
 		readonly running: readonly ReportedRun[];
 		readonly ended: readonly ReportedEnd[];
 	}
-	| {readonly kind: 'poll-refused'; readonly endpointId: string; readonly token: number; readonly refusal: OrderRefusal}
+	| {readonly kind: 'poll-refused'; readonly endpointId: string; readonly token: number; readonly generation: number; readonly refusal: OrderRefusal}
 	| {readonly kind: 'start-answered'; readonly endpointId: string; readonly token: number; readonly taskId: string; readonly run: number; readonly clockMs: number}
 	| {readonly kind: 'start-refused'; readonly endpointId: string; readonly token: number; readonly taskId: string; readonly run: number; readonly refusal: OrderRefusal}
-	| {readonly kind: 'stop-answered'; readonly endpointId: string; readonly token: number; readonly taskId: string; readonly run: number; readonly refusal: OrderRefusal | undefined}
+	| {readonly kind: 'stop-answered'; readonly endpointId: string; readonly token: number; readonly generation: number; readonly taskId: string; readonly run: number; readonly refusal: OrderRefusal | undefined}
 	| {readonly kind: 'pace-answered'; readonly endpointId: string; readonly token: number; readonly taskId: string; readonly run: number; readonly percent: number; readonly refusal: OrderRefusal | undefined}
 	| {
 		readonly kind: 'advice-answered';
--- a/packages/jobs/src/placement/placement-state.ts
+++ b/packages/jobs/src/placement/placement-state.ts
@@ -52,7 +52,7 @@
 
 @public
 */
-export type EndpointUse = 'usable' | 'silent' | 'not-ready' | 'evacuated-for-move' | 'evacuated-for-maintenance' | 'unknown-usage' | 'not-on-roster' | 'paused' | 'avoided';
+export type EndpointUse = 'usable' | 'silent' | 'unanswered-order' | 'not-ready' | 'evacuated-for-move' | 'evacuated-for-maintenance' | 'unknown-usage' | 'not-on-roster' | 'paused' | 'avoided';
 
 /** What a stop of a checkpointed run costs at most, in ms. @public */
 export type PreemptionCosts = {
--- a/packages/jobs/src/supervision/apply-poll-answer.ts
+++ b/packages/jobs/src/supervision/apply-poll-answer.ts
@@ -7,10 +7,10 @@
 import {
 	type JobEventOf, type ReportedEnd, type ReportedRun, type RunDropReason,
 } from '../model/index.js';
-import {getRestartedLeaseExpiry, getRestartedStartTime, startValidityMs} from './lease-clock.js';
+import {getLateOrderExpiry, getRestartedLeaseExpiry, getRestartedStartTime} from './lease-clock.js';
 import {getOrderTarget} from './poll-endpoint.js';
 import {
-	addRun, createRun, removeRun, type Run, type SupervisedEndpoint, type SupervisedPool, type SupervisionState,
+	addRun, createRun, raiseGeneration, removeRun, type Run, type SupervisedEndpoint, type SupervisedPool, type SupervisionState,
 } from './supervision-state.js';
 import {listUnsupervisedRuns} from './unsupervised-runs.js';
 
@@ -26,26 +26,22 @@
 type State = {readonly supervision: SupervisionState} & LedgerView & DirectoryView;
 type PollAnswer = JobEventOf<'poll-answered'>;
 
-/** Applies the answer to a poll: the endpoint's process start, clock, ends and runs. @internal */
+/** Applies the answer to a poll of the current generation: the endpoint's process start, clock, ends and runs. @internal */
 export function applyPollAnswer(state: State, endpoint: SupervisedEndpoint, answer: PollAnswer, context: DecisionContext): JobOutput[] {
 	const pool = state.supervision.pools.get(endpoint.pool)!;
-	if (answer.startedAt < (endpoint.startedAt ?? 0) && state.directory.endpoints.get(endpoint.id)?.startedAt === endpoint.startedAt) {
-		// A late answer of a process before the one that the directory lists.
-		return [];
+	const outputs: JobOutput[] = [];
+	const isOtherProcess = endpoint.startedAt !== undefined && endpoint.startedAt !== answer.startedAt;
+	if (isOtherProcess && !endpoint.isRestarted) {
+		outputs.push(...recordRestart(endpoint, answer, context));
 	}
 
-	const outputs: JobOutput[] = [];
-	if (endpoint.startedAt !== undefined && endpoint.startedAt !== answer.startedAt) {
-		outputs.push(
-			emitLog('warn', 'endpoint restarted', {
-				endpoint: endpoint.id, bornAt: answer.startedAt, before: endpoint.startedAt, clockMs: answer.clockMs, lastReadMs: endpoint.clockMs, lastAnswerAgeMs: Math.round(context.now - endpoint.clockReadAt), ...summarizeRuns(endpoint),
-			}),
-			emitCount('endpoint_restarts_total'),
-			...restartEndpoint(endpoint, answer, context),
-		);
+	if (isOtherProcess && endpoint.fencedGeneration === answer.generation) {
+		// Orders of this generation were sent to the former process as well.
+		return [...outputs, ...expectFencedAnswer(endpoint, context)];
 	}
 
-	if (endpoint.startedAt !== answer.startedAt) {
+	endpoint.fencedGeneration = answer.generation;
+	if (endpoint.startedAt === undefined || isOtherProcess || endpoint.isRestarted) {
 		acceptProcess(endpoint, answer.startedAt, context);
 	}
 
@@ -68,7 +64,7 @@
 	// A run that is missing from the list may have an end that is not processed yet.
 	endpoint.areEndsComplete = answer.ended.length < maxEndsPerAnswer && answer.ended.every(({number}) => number <= endpoint.lastProcessedEnd);
 	if (endpoint.areEndsComplete) {
-		outputs.push(...dropMissingRuns(endpoint, reported, answer.clockMs));
+		outputs.push(...dropMissingRuns(endpoint, reported, answer));
 	}
 
 	return outputs;
@@ -85,41 +81,63 @@
 	return {runs: runs.size, unansweredStarts: [...runs.values()].filter(({phase}) => phase !== 'running').length, unsavedEnds: unsavedEnds.size};
 }
 
-/** Begins with a new process of an endpoint: the runs of the former one are gone, but a start that was on its way may have reached the new one. */
-function restartEndpoint(endpoint: SupervisedEndpoint, {running}: PollAnswer, {now}: DecisionContext): JobOutput[] {
-	const outputs: JobOutput[] = [];
-	for (const run of endpoint.runs.values()) {
-		if (run.phase !== 'starting' && !running.some(({taskId, run: number}) => taskId === run.taskId && number === run.run)) {
-			outputs.push(...dropRun(endpoint, run, 'endpoint-restarted'));
-			continue;
-		}
-
-		// Times on the former clock mean nothing on the new one.
-		Object.assign(run, {startDeadlineMs: 0, confirmedClockMs: undefined, progressedClockMs: 0});
-	}
+/** Drops the runs of an endpoint's former process. Starts that it has not listed are kept, as a later process may carry them out. */
+function recordRestart(endpoint: SupervisedEndpoint, answer: PollAnswer, context: DecisionContext): JobOutput[] {
+	return [
+		emitLog('warn', 'endpoint restarted', {
+			endpoint: endpoint.id, bornAt: answer.startedAt, before: endpoint.startedAt, clockMs: answer.clockMs, lastReadMs: endpoint.clockMs, lastAnswerAgeMs: Math.round(context.now - endpoint.clockReadAt), ...summarizeRuns(endpoint),
+		}),
+		emitCount('endpoint_restarts_total'),
+		...dropListedRuns(endpoint),
+	];
+}
 
-	endpoint.lastProcessedEnd = 0;
-	endpoint.hasRestarted = true;
-	endpoint.unsavedEnds.clear();
-	endpoint.leaseDeadlineMs = 0;
-	endpoint.previousLeaseExpiresAt = Math.max(endpoint.previousLeaseExpiresAt, getRestartedLeaseExpiry(now));
+/** Handles the certain knowledge that a process of an endpoint has been replaced, before an answer has shut out the orders that were meant for it. */
+function expectFencedAnswer(endpoint: SupervisedEndpoint, {now}: DecisionContext): JobOutput[] {
+	raiseGeneration(endpoint, now);
+	endpoint.isRestarted = true;
+	endpoint.phase = 'silent';
+	endpoint.silentSince ??= now;
+	endpoint.startableSince = Number.POSITIVE_INFINITY;
+	// Its deadlines are times on the former clock.
 	endpoint.clockMs = undefined;
-	return outputs;
+	endpoint.leaseDeadlineMs = 0;
+	endpoint.previousLeaseExpiresAt = Math.max(endpoint.previousLeaseExpiresAt, getLateOrderExpiry(now));
+	return dropListedRuns(endpoint);
+}
+
+function dropListedRuns(endpoint: SupervisedEndpoint): JobOutput[] {
+	return [...endpoint.runs.values()]
+		.filter(({listedByProcess}) => listedByProcess !== undefined && listedByProcess === endpoint.startedAt)
+		.flatMap(run => dropRun(endpoint, run, 'endpoint-restarted'));
 }
 
-/** Records which process of an endpoint answers. It may have been granted a lease by an order that was meant for a process before it. */
+/** Begins with a process of an endpoint, once no earlier order takes effect there any more. It may have been granted a lease by such an order until now. */
 function acceptProcess(endpoint: SupervisedEndpoint, startedAt: number, {now}: DecisionContext): void {
 	const isFirst = endpoint.startedAt === undefined;
-	if (isFirst && now < endpoint.previousLeaseExpiresAt) {
+	if (!isFirst || now < endpoint.previousLeaseExpiresAt) {
 		// The previous owner may not have noticed a restart.
 		endpoint.previousLeaseExpiresAt = getRestartedLeaseExpiry(now);
 	}
 
+	const hasRestarted = !isFirst && endpoint.startedAt !== startedAt;
+	endpoint.startableSince = isFirst ? now : getRestartedStartTime(now);
 	endpoint.startedAt = startedAt;
+	endpoint.isRestarted = false;
 	endpoint.isRestartListed = false;
-	// No order with a deadline is sent to a silent endpoint, and a start that was sent before is given up once it is no longer valid.
-	const lastGrantAt = Math.min(now, (endpoint.silentSince ?? now) + startValidityMs);
-	endpoint.startableSince = isFirst ? now : Math.max(now, getRestartedStartTime(lastGrantAt));
+	if (!hasRestarted) {
+		return;
+	}
+
+	endpoint.hasRestarted = true;
+	endpoint.lastProcessedEnd = 0;
+	endpoint.unsavedEnds.clear();
+	endpoint.clockMs = undefined;
+	endpoint.leaseDeadlineMs = 0;
+	for (const run of endpoint.runs.values()) {
+		run.confirmedClockMs = undefined;
+		run.progressedClockMs = 0;
+	}
 }
 
 /** Drops a run once it is certain that it is not running. @internal */
@@ -257,7 +275,7 @@
 function adoptRun(endpoint: SupervisedEndpoint, task: Task, report: ReportedRun, context: DecisionContext): JobOutput[] {
 	const {spec, job} = task.step;
 	addRun(endpoint, createRun(spec, report, {
-		account: job.record.account, phase: 'running', startedAt: context.now, startedClockMs: endpoint.clockMs, confirmedClockMs: endpoint.clockMs, percent: report.percent, checkpoint: report.checkpoint, load: report.load,
+		account: job.record.account, phase: 'running', startedAt: context.now, startedClockMs: endpoint.clockMs, generation: endpoint.generation, confirmedClockMs: endpoint.clockMs, listedByProcess: endpoint.startedAt, percent: report.percent, checkpoint: report.checkpoint, load: report.load,
 	}));
 	return [
 		emitLog('info', 'run found on endpoint and adopted', {
@@ -280,6 +298,7 @@
 	run.load = report.load;
 	run.checkpoint = report.checkpoint;
 	run.confirmedClockMs ??= endpoint.clockMs;
+	run.listedByProcess = endpoint.startedAt;
 	run.isSuspected = false;
 	run.phase = 'running';
 
@@ -290,25 +309,12 @@
 }
 
 /** Drops runs that the endpoint does not list: they either never started or are gone. */
-function dropMissingRuns(endpoint: SupervisedEndpoint, reported: ReadonlySet<string>, clockMs: number): JobOutput[] {
-	const outputs: JobOutput[] = [];
-	for (const run of endpoint.runs.values()) {
-		if (reported.has(run.taskId)) {
-			continue;
-		}
-
-		if (run.confirmedClockMs === undefined) {
-			if (run.phase === 'unconfirmed' && clockMs > run.startDeadlineMs) {
-				outputs.push(...dropRun(endpoint, run, 'not-started'));
-			}
-
-			continue;
-		}
-
-		if (clockMs > run.confirmedClockMs && endpoint.unsavedEnds.size < maxEndsPerAnswer) {
-			outputs.push(...dropRun(endpoint, run, 'not-listed'));
-		}
+function dropMissingRuns(endpoint: SupervisedEndpoint, reported: ReadonlySet<string>, {clockMs, generation}: PollAnswer): JobOutput[] {
+	if (endpoint.unsavedEnds.size >= maxEndsPerAnswer) {
+		return [];
 	}
 
-	return outputs;
+	// The poll has shut out starts of earlier generations. One of its own generation may have been sent after it was answered.
+	const missing = [...endpoint.runs.values()].filter(run => !reported.has(run.taskId) && (run.generation < generation || clockMs > (run.confirmedClockMs ?? Number.POSITIVE_INFINITY)));
+	return missing.flatMap(run => dropRun(endpoint, run, run.confirmedClockMs === undefined ? 'not-started' : 'not-listed'));
 }
--- a/packages/jobs/src/supervision/check-endpoint.ts
+++ b/packages/jobs/src/supervision/check-endpoint.ts
@@ -2,8 +2,9 @@
 import {getConfirmedAt, type AuthorityView} from '../authority/index.js';
 import {emitLog, type JobOutput} from '../filter.js';
 import {dropRuns} from './apply-poll-answer.js';
+import {recordFormerGeneration} from './former-generations.js';
 import {hasLeaseExpired} from './lease-clock.js';
-import {pollEndpoint} from './poll-endpoint.js';
+import {pollIfDue} from './poll-endpoint.js';
 import {type SupervisedEndpoint, type SupervisionState} from './supervision-state.js';
 
 /** Time without an answer after which an endpoint is recorded as silent; a single lost answer is compensated by the next poll before that. */
@@ -17,7 +18,7 @@
 	const outputs: JobOutput[] = [];
 	if (!endpoint.isListed && endpoint.phase === 'silent' && endpoint.runs.size === 0 && endpoint.unsupervisedRuns.length === 0 && endpoint.unsavedEnds.size === 0) {
 		// It has answered under the current token, so that only runs that this entry has started or seen can be running there.
-		return removeEndpoint(supervision, endpoint);
+		return removeEndpoint(supervision, endpoint, context);
 	}
 
 	const confirmedAt = getConfirmedAt(state, endpoint.pool);
@@ -29,7 +30,7 @@
 	if (endpoint.phase !== 'answering' && hasLeaseExpired(endpoint, confirmedAt)) {
 		outputs.push(...dropRuns(endpoint, 'lease-expired'));
 		if (!endpoint.isListed && !endpoint.isPollPending) {
-			return [...outputs, ...removeEndpoint(supervision, endpoint)];
+			return [...outputs, ...removeEndpoint(supervision, endpoint, context)];
 		}
 
 		if (endpoint.phase !== 'expired') {
@@ -42,11 +43,7 @@
 		outputs.push(...recordSilence(endpoint, context));
 	}
 
-	if (!endpoint.isPollPending && context.now >= endpoint.nextPollAt && endpoint.address !== '') {
-		outputs.push(...pollEndpoint(state, endpoint, context));
-	}
-
-	return outputs;
+	return [...outputs, ...pollIfDue(state, endpoint, context)];
 }
 
 /** Records the runs of an endpoint that has been silent for some time, and again when they change. */
@@ -72,8 +69,9 @@
 	];
 }
 
-function removeEndpoint(supervision: SupervisionState, endpoint: SupervisedEndpoint): JobOutput[] {
+function removeEndpoint(supervision: SupervisionState, endpoint: SupervisedEndpoint, {now}: DecisionContext): JobOutput[] {
 	supervision.endpoints.delete(endpoint.id);
+	recordFormerGeneration(supervision.pools.get(endpoint.pool)!, endpoint, now);
 	return [
 		emitLog('info', 'supervision of endpoint ended', {endpoint: endpoint.id, pool: endpoint.pool, phase: endpoint.phase}),
 		passEvent({kind: 'endpoint-forgotten', pool: endpoint.pool, endpointId: endpoint.id}),
--- a/packages/jobs/src/supervision/handle-refusals.ts
+++ b/packages/jobs/src/supervision/handle-refusals.ts
@@ -2,7 +2,9 @@
 import {emitCount, emitLog, type JobOutput} from '../filter.js';
 import {poolClaimPrefix, type JobEventOf, type OrderRefusal} from '../model/index.js';
 import {dropRun, dropRuns} from './apply-poll-answer.js';
-import {findEndpoint, type SupervisedEndpoint, type SupervisionState} from './supervision-state.js';
+import {
+	findEndpoint, raiseGeneration, type SupervisedEndpoint, type SupervisionState,
+} from './supervision-state.js';
 
 /** How long starts are paused on an endpoint that had fewer free resources than computed. */
 const noRoomPauseMs = 200;
@@ -43,6 +45,11 @@
 			placed.phase = 'unconfirmed';
 		}
 
+		if (placed.generation === endpoint.generation) {
+			// The answer to the next poll tells what became of the start, and shuts it out if it is still on its way.
+			raiseGeneration(endpoint, context.now);
+		}
+
 		// If the endpoint has answered since, only this order or its answer was lost, so that other starts need not wait.
 		if (endpoint.clockReadAt < placed.startedAt) {
 			endpoint.startsPausedUntil = context.now + unhealthyPauseMs;
@@ -52,15 +59,20 @@
 	}
 
 	startRefusalHandlers[refusal]?.(endpoint, context);
-	return [log, count, ...handleRefusal(endpoint, refusal, context), ...(endpoint.runs.has(taskId) ? dropRun(endpoint, placed, 'not-started') : [])];
+	return [log, count, ...handleRefusal(endpoint, {refusal, generation: placed.generation}, context), ...(endpoint.runs.has(taskId) ? dropRun(endpoint, placed, 'not-started') : [])];
 }
 
-type RefusalHandler = (endpoint: SupervisedEndpoint, context: DecisionContext) => JobOutput[];
+/** The refusal of an order, and the order's generation. @internal */
+export type RefusedOrder = {readonly refusal: OrderRefusal; readonly generation: number};
+
+type RefusalHandler = (endpoint: SupervisedEndpoint, order: RefusedOrder, context: DecisionContext) => JobOutput[];
 
-const markSilent: RefusalHandler = (endpoint, context) => {
+const markSilent: RefusalHandler = (endpoint, _order, context) => {
 	if (endpoint.phase === 'answering') {
 		endpoint.phase = 'silent';
 		endpoint.silentSince = context.now;
+		const {nextPollAt} = endpoint;
+		raiseGeneration(endpoint, nextPollAt);
 		return [emitLog('warn', 'endpoint stopped answering', {
 			endpoint: endpoint.id, pool: endpoint.pool, runs: endpoint.runs.size, lastAnswerAgeMs: Math.round(context.now - endpoint.clockReadAt),
 		})];
@@ -71,22 +83,26 @@
 
 /** Handlers of refusals that say something about the endpoint itself, whatever the order was. */
 const refusalHandlers: Readonly<Partial<Record<OrderRefusal, RefusalHandler>>> = {
-	fenced: endpoint => [{
-		kind: 'first',
-		event: {kind: 'claim-superseded', name: `${poolClaimPrefix}${endpoint.pool}`, token: endpoint.token},
-	}],
+	// An order of an earlier generation was shut out by this entry itself.
+	fenced: (endpoint, {generation}) => generation < endpoint.generation
+		? []
+		: [{
+			kind: 'first',
+			event: {kind: 'claim-superseded', name: `${poolClaimPrefix}${endpoint.pool}`, token: endpoint.token},
+		}],
 	'other-incarnation': endpoint => [
 		emitLog('warn', 'another endpoint answers at the address', {endpoint: endpoint.id, address: endpoint.address}),
 		...dropRuns(endpoint, 'endpoint-restarted'),
 	],
 };
 
-/** Handles what the refusal of an order, whatever the order was, says about its endpoint: it becomes silent if it did not answer or is unhealthy, its runs are dropped if another incarnation answered, and the claim on its pool counts as superseded if it has seen a higher token. @internal */
-export function handleRefusal(endpoint: SupervisedEndpoint, refusal: OrderRefusal, context: DecisionContext): JobOutput[] {
+/** Handles what the refusal of an order, whatever the order was, says about its endpoint: it becomes silent if it did not answer or is unhealthy, its runs are dropped if another incarnation answered, and the claim on its pool counts as superseded if it has seen the token of a later one. @internal */
+export function handleRefusal(endpoint: SupervisedEndpoint, order: RefusedOrder, context: DecisionContext): JobOutput[] {
+	const {refusal} = order;
 	const handler = refusalHandlers[refusal];
 	if (handler !== undefined) {
-		return handler(endpoint, context);
+		return handler(endpoint, order, context);
 	}
 
-	return refusal === 'no-answer' || refusal === 'not-sent' || refusal === 'unhealthy' ? markSilent(endpoint, context) : [];
+	return refusal === 'no-answer' || refusal === 'not-sent' || refusal === 'unhealthy' ? markSilent(endpoint, order, context) : [];
 }
--- a/packages/jobs/src/supervision/lease-clock.ts
+++ b/packages/jobs/src/supervision/lease-clock.ts
@@ -12,6 +12,8 @@
 export const leaseMs = 6000;
 /** Longest lease that an endpoint grants, whatever deadline an order names. */
 const maxLeaseMs = 10_000;
+/** Longest time after which an endpoint carries out an order without an answer. */
+const maxOrderDelayMs = 12_000;
 /** How long a start is valid, equal to the timeout of its answer; the endpoint refuses it as late afterwards. A start must not take effect seconds later, and its task is not placed again while the start is valid. */
 export const startValidityMs = 700;
 /** Largest factor by which an endpoint's clock may run slower than the clock of this entry. */
@@ -44,6 +46,11 @@
 	return now + (maxLeaseMs * slowClockFactor) + expirySlackMs;
 }
 
+/** Returns the time at which every lease has expired that an endpoint may grant for an order that was sent to a process before a restart at `now` or earlier, and that is still on its way. @internal */
+export function getLateOrderExpiry(now: number): number {
+	return getRestartedLeaseExpiry(now + maxOrderDelayMs);
+}
+
 /** Returns the time from which the claim has to be confirmed before a task is started on an endpoint that has restarted: a next owner that loads the pool later waits beyond every lease that the endpoint was granted until `lastGrantAt`. @internal */
 export function getRestartedStartTime(lastGrantAt: number): number {
 	return lastGrantAt + getRestartedLeaseExpiry(0) - getPreviousLeaseExpiry(0);
--- a/packages/jobs/src/supervision/poll-endpoint.ts
+++ b/packages/jobs/src/supervision/poll-endpoint.ts
@@ -3,7 +3,7 @@
 import {type JobOutput} from '../filter.js';
 import {type OrderTarget} from '../model/index.js';
 import {estimateClock, leaseMs} from './lease-clock.js';
-import {servingPercent, type SupervisedEndpoint} from './supervision-state.js';
+import {isFenced, servingPercent, type SupervisedEndpoint} from './supervision-state.js';
 
 /** Long-poll timeout for an endpoint with runs: a sixth of the lease, so that one lost answer does not let the lease expire. */
 const busyWaitMs = 1000;
@@ -14,9 +14,11 @@
 /** Delay before the next poll while some of the endpoint's ends are not saved in the store. */
 const unsavedPollDelayMs = 150;
 
-/** Returns the endpoint, address and fencing token that an order is sent with. @internal */
-export function getOrderTarget(endpoint: Readonly<SupervisedEndpoint>): OrderTarget {
-	return {endpointId: endpoint.id, address: endpoint.address, token: endpoint.token};
+/** Returns the endpoint, address and parts of the fencing token that an order is sent with. @internal */
+export function getOrderTarget({id, address, token, generation}: Readonly<SupervisedEndpoint>): OrderTarget {
+	return {
+		endpointId: id, address, token, generation,
+	};
 }
 
 /** Returns the highest number up to which all ends are saved in the store, so that the endpoint can delete them. @internal */
@@ -37,17 +39,23 @@
 
 	const clock = estimateClock(endpoint, context.now);
 	const permittedMs = getPermittedMs(state, endpoint.pool, context);
+	// An endpoint that is not fenced may have restarted, and its clock and the numbers of its ends would begin anew.
+	const isKnown = endpoint.phase === 'answering' && isFenced(endpoint);
 	// The lease of an endpoint that does not answer is not extended: otherwise its tasks could not be started elsewhere for as long as it is polled. No lease lasts longer than this entry's permission, as the next owner waits that long.
-	const deadlineMs = clock === undefined || endpoint.phase !== 'answering' || permittedMs === 0 ? undefined : clock + Math.min(leaseMs, permittedMs);
+	const deadlineMs = clock === undefined || !isKnown || permittedMs === 0 ? undefined : clock + Math.min(leaseMs, permittedMs);
+	const lastSavedEnd = isKnown ? getLastSavedEnd(endpoint) : 0;
 	endpoint.isPollPending = true;
 	endpoint.leaseDeadlineMs = Math.max(endpoint.leaseDeadlineMs, deadlineMs ?? 0);
-	// An endpoint that does not answer may have restarted. It numbers its ends anew then, and would delete ends that nobody has seen.
-	const lastSavedEnd = endpoint.phase === 'answering' ? getLastSavedEnd(endpoint) : 0;
 	return [emitEffect({
 		kind: 'poll-endpoint', target: getOrderTarget(endpoint), lastSavedEnd, deadlineMs, waitMs: getWaitMs(endpoint),
 	})];
 }
 
+/** Polls an endpoint if it is time and none is pending. @internal */
+export function pollIfDue(state: AuthorityView, endpoint: SupervisedEndpoint, context: DecisionContext): JobOutput[] {
+	return context.now >= endpoint.nextPollAt && endpoint.address !== '' ? pollEndpoint(state, endpoint, context) : [];
+}
+
 /** Schedules the next poll of an endpoint that has answered. @internal */
 export function scheduleNextPoll(endpoint: SupervisedEndpoint, now: number): void {
 	// An endpoint answers at once while it has ends that are not acknowledged, even if it has listed them before.
@@ -55,7 +63,7 @@
 }
 
 function getWaitMs(endpoint: SupervisedEndpoint): number {
-	if (endpoint.phase !== 'answering' || endpoint.unsavedEnds.size > 0) {
+	if (endpoint.phase !== 'answering' || !isFenced(endpoint) || endpoint.unsavedEnds.size > 0) {
 		return 0;
 	}
 
--- a/packages/jobs/src/supervision/start-task.ts
+++ b/packages/jobs/src/supervision/start-task.ts
@@ -4,7 +4,9 @@
 import {type JobEventOf} from '../model/index.js';
 import {getOrderTarget} from './poll-endpoint.js';
 import {estimateClock, startValidityMs} from './lease-clock.js';
-import {addRun, createRun, type SupervisionState} from './supervision-state.js';
+import {
+	addRun, createRun, isFenced, type SupervisionState,
+} from './supervision-state.js';
 import {listUnsupervisedRuns} from './unsupervised-runs.js';
 
 type State = {readonly supervision: SupervisionState} & LedgerView;
@@ -15,7 +17,7 @@
 	const endpoint = state.supervision.endpoints.get(endpointId);
 	const task = findTask(state.ledger.pools.get(event.pool), taskId);
 	const clock = endpoint === undefined ? undefined : estimateClock(endpoint, context.now);
-	if (endpoint === undefined || task === undefined || clock === undefined) {
+	if (endpoint === undefined || task === undefined || clock === undefined || !isFenced(endpoint)) {
 		return [{
 			kind: 'next', event: {
 				kind: 'run-dropped', pool: event.pool, taskId, run, endpointId, reason: 'not-started', checkpoint,
@@ -27,7 +29,7 @@
 	const deadlineMs = clock + startValidityMs;
 	endpoint.leaseDeadlineMs = Math.max(endpoint.leaseDeadlineMs, deadlineMs);
 	addRun(endpoint, createRun(spec, {taskId, run}, {
-		phase: 'starting', startedAt: context.now, startedClockMs: clock, sentToProcess: endpoint.startedAt, sentAfterClockMs: endpoint.clockMs, startDeadlineMs: deadlineMs, checkpoint, account: job.record.account,
+		phase: 'starting', startedAt: context.now, startedClockMs: clock, sentToProcess: endpoint.startedAt, sentAfterClockMs: endpoint.clockMs, generation: endpoint.generation, checkpoint, account: job.record.account,
 	}));
 	return [
 		emitEffect({
--- a/packages/jobs/src/supervision/supervision-filter.ts
+++ b/packages/jobs/src/supervision/supervision-filter.ts
@@ -3,15 +3,17 @@
 import {type DirectoryView} from '../directory/index.js';
 import {emitLog, type JobFilter, type JobOutput} from '../filter.js';
 import {type LedgerView} from '../ledger/index.js';
-import {pollEndpoint, scheduleNextPoll} from './poll-endpoint.js';
+import {maxOrderGeneration, type JobEventOf} from '../model/index.js';
+import {pollEndpoint, pollIfDue, scheduleNextPoll} from './poll-endpoint.js';
 import {checkEndpoint} from './check-endpoint.js';
 import {checkSurvey} from './check-survey.js';
 import {getPreviousLeaseExpiry} from './lease-clock.js';
 import {applyPollAnswer, dropRuns, stopRun} from './apply-poll-answer.js';
+import {getNextGeneration, recordFormerGeneration} from './former-generations.js';
 import {handleRefusal, handleStartRefusal} from './handle-refusals.js';
 import {addSuspectedRun, startTask} from './start-task.js';
 import {
-	findEndpoint, noUsage, type SupervisedEndpoint, type SupervisedPool, type SupervisionState,
+	findEndpoint, isFenced, noUsage, raiseGeneration, type SupervisedEndpoint, type SupervisedPool, type SupervisionState,
 } from './supervision-state.js';
 
 /** Delay before the next poll of an endpoint that did not answer or refused the last one. */
@@ -32,7 +34,7 @@
 		}, context) {
 			removePool(supervision, pool);
 			const supervisedPool: SupervisedPool = {
-				pool, token, acquiredAt: context.now, unsurveyedIds: new Set(roster.endpointIds), evacuatedIds: new Set(evacuatedEndpointIds), surveyedAt: undefined,
+				pool, token, acquiredAt: context.now, unsurveyedIds: new Set(roster.endpointIds), evacuatedIds: new Set(evacuatedEndpointIds), formerGenerations: new Map(), surveyedAt: undefined,
 			};
 			supervision.pools.set(pool, supervisedPool);
 			for (const id of roster.endpointIds) {
@@ -62,13 +64,18 @@
 		],
 		'poll-answered'(state, event, context) {
 			const endpoint = findEndpoint(state.supervision, event);
-			if (endpoint === undefined) {
+			if (endpoint?.generation !== event.generation) {
 				return [];
 			}
 
 			endpoint.isPollPending = false;
 			const phaseBefore = endpoint.phase;
 			const outputs = applyPollAnswer(state, endpoint, event, context);
+			if (!isFenced(endpoint)) {
+				endpoint.nextPollAt = context.now + (endpoint.generation === maxOrderGeneration ? silentPollDelayMs : 0);
+				return [...outputs, ...pollIfDue(state, endpoint, context)];
+			}
+
 			endpoint.phase = 'answering';
 			endpoint.areRunsKnown = true;
 			if (endpoint.reportedRunCount !== undefined) {
@@ -92,14 +99,14 @@
 		},
 		'poll-refused'({supervision}, event, context) {
 			const endpoint = findEndpoint(supervision, event);
-			if (endpoint === undefined) {
+			if (endpoint?.generation !== event.generation) {
 				return [];
 			}
 
 			endpoint.isPollPending = false;
 			endpoint.hasFailedPoll = true;
 			endpoint.nextPollAt = context.now + silentPollDelayMs;
-			return handleRefusal(endpoint, event.refusal, context);
+			return handleRefusal(endpoint, event, context);
 		},
 		'end-saved'(state, {endpointId, endpointStartedAt, number}, context) {
 			const endpoint = state.supervision.endpoints.get(endpointId);
@@ -112,26 +119,12 @@
 		},
 		'task-placed': startTask,
 		'run-suspected': addSuspectedRun,
-		'start-answered'({supervision}, event) {
-			const {taskId, run, clockMs} = event;
-			const endpoint = findEndpoint(supervision, event);
-			const placed = endpoint?.runs.get(taskId);
-			if (endpoint === undefined || placed?.run !== run) {
-				return [];
-			}
-
-			placed.confirmedClockMs = clockMs;
-			placed.phase = 'running';
-			const outputs: JobOutput[] = [passEvent({kind: 'run-confirmed', pool: endpoint.pool, taskId})];
-			if (clockMs < (placed.sentAfterClockMs ?? 0)) {
-				outputs.push(emitLog('warn', 'clock of endpoint is behind its last reading', {
-					endpoint: endpoint.id, task: taskId, run, clockMs, lastReadMs: placed.sentAfterClockMs, bornAt: endpoint.startedAt, token: endpoint.token,
-				}));
-			}
-
-			return outputs;
+		'start-answered': (state, event) => confirmStart(state, event),
+		'start-refused'(state, event, context) {
+			const outputs = handleStartRefusal(state.supervision, event, context);
+			const endpoint = findEndpoint(state.supervision, event);
+			return endpoint === undefined ? outputs : [...outputs, ...pollIfDue(state, endpoint, context)];
 		},
-		'start-refused': ({supervision}, event, context) => handleStartRefusal(supervision, event, context),
 		'run-stop-requested'({supervision}, {pool, taskId, reason}, context) {
 			const outputs: JobOutput[] = [];
 			for (const endpoint of supervision.endpoints.values()) {
@@ -152,22 +145,45 @@
 			const {refusal} = event;
 			const endpoint = findEndpoint(supervision, event);
 			// A stop that was not answered is sent again while the run is still listed.
-			return endpoint === undefined || refusal === undefined || refusal === 'no-answer' ? [] : handleRefusal(endpoint, refusal, context);
+			return endpoint === undefined || refusal === undefined || refusal === 'no-answer' ? [] : handleRefusal(endpoint, {refusal, generation: event.generation}, context);
 		},
 	},
 };
 
-function createSupervisedEndpoint({id, address}: {readonly id: string; readonly address: string}, {pool, token, acquiredAt}: SupervisedPool, context: DecisionContext): SupervisedEndpoint {
-	const previousLeaseExpiresAt = getPreviousLeaseExpiry(acquiredAt);
+function confirmStart(state: State, event: JobEventOf<'start-answered'>): JobOutput[] {
+	const {taskId, run, clockMs} = event;
+	const endpoint = findEndpoint(state.supervision, event);
+	const placed = endpoint?.runs.get(taskId);
+	if (endpoint === undefined || placed?.run !== run) {
+		return [];
+	}
+
+	placed.confirmedClockMs = clockMs;
+	placed.phase = 'running';
+	const outputs: JobOutput[] = [passEvent({kind: 'run-confirmed', pool: endpoint.pool, taskId})];
+	if (clockMs < (placed.sentAfterClockMs ?? 0)) {
+		outputs.push(emitLog('warn', 'clock of endpoint is behind its last reading', {
+			endpoint: endpoint.id, task: taskId, run, clockMs, lastReadMs: placed.sentAfterClockMs, bornAt: endpoint.startedAt, token: endpoint.token,
+		}));
+	}
+
+	return outputs;
+}
+
+function createSupervisedEndpoint({id, address}: {readonly id: string; readonly address: string}, pool: SupervisedPool, context: DecisionContext): SupervisedEndpoint {
+	const previousLeaseExpiresAt = getPreviousLeaseExpiry(pool.acquiredAt);
 	return {
 		id,
-		pool,
-		token,
+		pool: pool.pool,
+		token: pool.token,
 		address,
 		isListed: address !== '',
 		phase: context.now > previousLeaseExpiresAt ? 'expired' : 'new',
 		startedAt: undefined,
 		startableSince: Number.POSITIVE_INFINITY,
+		generation: getNextGeneration(pool, id),
+		fencedGeneration: -1,
+		isRestarted: false,
 		isRestartListed: false,
 		clockMs: undefined,
 		clockReadAt: 0,
@@ -222,7 +238,11 @@
 		const endpoint = supervision.endpoints.get(listed.id);
 		if (endpoint?.pool !== listed.pool) {
 			// The pool of a process never changes, so this is another one.
-			outputs.push(...(endpoint === undefined ? [] : dropRuns(endpoint, 'endpoint-restarted')));
+			if (endpoint !== undefined) {
+				recordFormerGeneration(supervision.pools.get(endpoint.pool)!, endpoint, context.now);
+				outputs.push(...dropRuns(endpoint, 'endpoint-restarted'));
+			}
+
 			supervision.endpoints.set(listed.id, createSupervisedEndpoint(listed, pool, context));
 			continue;
 		}
@@ -231,8 +251,7 @@
 		if (endpoint.startedAt !== undefined && listed.startedAt > endpoint.startedAt && !endpoint.isRestartListed) {
 			// Its answer tells which runs are left: a start that was on its way may have reached the new process.
 			endpoint.isRestartListed = true;
-			endpoint.isPollPending = false;
-			endpoint.nextPollAt = context.now;
+			raiseGeneration(endpoint, context.now);
 		}
 	}
 
--- a/packages/jobs/src/supervision/supervision-state.ts
+++ b/packages/jobs/src/supervision/supervision-state.ts
@@ -1,5 +1,5 @@
 import {
-	addResources, subtractResources, type Resources, type RunId, type StepSpec,
+	addResources, maxOrderGeneration, subtractResources, type Resources, type RunId, type StepSpec,
 } from '../model/index.js';
 
 /** Progress at which a long-running task is serving. @public */
@@ -33,10 +33,12 @@
 	readonly sentToProcess: number | undefined;
 	/** Last reading of the endpoint's clock before the start was sent. The process that was read answers with the same or a later time. */
 	readonly sentAfterClockMs: number | undefined;
-	/** Deadline of the start on the endpoint's clock. The endpoint refuses the start as late afterwards. */
-	startDeadlineMs: number;
+	/** Generation of the start, -1 for a start of a previous owner. */
+	readonly generation: number;
 	/** The endpoint's clock when it confirmed the run; undefined before that. */
 	confirmedClockMs: number | undefined;
+	/** Process of the endpoint that has listed the run, by the Unix ms at which it started; undefined before that. */
+	listedByProcess: number | undefined;
 	percent: number;
 	/** The endpoint's clock when the percentage last rose, or when the run was first listed. The clock of this entry would not do, as answers may wait while this entry or the endpoint is paused. */
 	progressedClockMs: number;
@@ -88,6 +90,12 @@
 	startedAt: number | undefined;
 	/** Tasks are started there only once the claim was confirmed by a call sent after this time, in monotonic ms: the first answer of that process, or later if the endpoint has restarted. */
 	startableSince: number;
+	/** Generation of the orders that are sent to it. It rises whenever an earlier order may still be on its way. */
+	generation: number;
+	/** Generation of the last poll that was answered, -1 before that. Whatever was sent with a lower one no longer takes effect in the process that answered. */
+	fencedGeneration: number;
+	/** Whether another process than `startedAt` is known to run and no poll of the current generation has been answered since. */
+	isRestarted: boolean;
 	/** Whether the directory lists a later process of the endpoint that has not answered yet. */
 	isRestartListed: boolean;
 	/** The endpoint's clock as last read, at `clockReadAt`. */
@@ -96,7 +104,7 @@
 	clockReadAt: number;
 	/** Latest deadline sent with any order, on the endpoint's clock. */
 	leaseDeadlineMs: number;
-	/** Monotonic ms after which every lease has expired that was granted by a previous owner, or for an order to a process before a restart; the only known limit until the endpoint has answered. */
+	/** Monotonic ms after which every lease has expired that was granted by a previous owner, or for an order to a process before a restart; the only known limit while `clockMs` is undefined. */
 	previousLeaseExpiresAt: number;
 	/** Number of the last end that was processed. */
 	lastProcessedEnd: number;
@@ -130,6 +138,13 @@
 	readonly unknownRunsSeenAt: Map<string, number>;
 };
 
+/** Last generation of the orders to an endpoint whose supervision has ended. @public */
+export type FormerGeneration = {
+	readonly generation: number;
+	/** Monotonic ms until which its last orders can take effect. */
+	readonly endsAt: number;
+};
+
 /** @public */
 export type SupervisedPool = {
 	readonly pool: string;
@@ -139,6 +154,8 @@
 	readonly unsurveyedIds: Set<string>;
 	/** Endpoints that a previous owner has evacuated. One that does not answer is gone with its machine, and is not waited for. */
 	readonly evacuatedIds: ReadonlySet<string>;
+	/** Last generations of the orders to endpoints that are no longer supervised and may return, by endpoint id. */
+	readonly formerGenerations: Map<string, FormerGeneration>;
 	/** When the last endpoint that is waited for reported, in monotonic ms. From then on no order of a previous owner is carried out. */
 	surveyedAt: number | undefined;
 };
@@ -178,8 +195,9 @@
 		isLongRunning: spec.isLongRunning,
 		account: undefined,
 		isSuspected: false,
-		startDeadlineMs: 0,
+		generation: -1,
 		confirmedClockMs: undefined,
+		listedByProcess: undefined,
 		percent: 0,
 		startedClockMs: undefined,
 		sentToProcess: undefined,
@@ -232,3 +250,15 @@
 		servingCount: servingCount + (run.isLongRunning && !run.isFiller ? 1 : 0),
 	};
 }
+
+/** Whether the current process of the endpoint has answered a poll of the current generation, so that only orders of this generation can take effect there. @public */
+export function isFenced({generation, fencedGeneration}: Readonly<SupervisedEndpoint>): boolean {
+	return fencedGeneration === generation && generation < maxOrderGeneration;
+}
+
+/** Raises the generation of an endpoint's orders and polls it at once: once it answers, no earlier order takes effect there. The answer to a pending poll is ignored. @internal */
+export function raiseGeneration(endpoint: SupervisedEndpoint, now: number): void {
+	endpoint.generation = Math.min(endpoint.generation + 1, maxOrderGeneration);
+	endpoint.isPollPending = false;
+	endpoint.nextPollAt = now;
+}
--- a/packages/jobs/src/supervision/test-endpoint.test-support.ts
+++ b/packages/jobs/src/supervision/test-endpoint.test-support.ts
@@ -1,5 +1,5 @@
 import {
-	type JobEffectOf, type JobEvent, type OrderRefusal, type ReportedEnd, type RunId, type RunOutcome,
+	getFencingToken, type JobEffectOf, type JobEvent, type OrderRefusal, type ReportedEnd, type RunId, type RunOutcome,
 } from '../model/index.js';
 
 /** An order that an endpoint carries out. @internal */
@@ -171,6 +171,7 @@
 				kind: 'poll-answered',
 				endpointId: order.target.endpointId,
 				token: order.target.token,
+				generation: order.target.generation,
 				clockMs: getClockMs(now),
 				startedAt,
 				running: [...runs].map(([taskId, {run, startedAt: begunAt}]) => ({
@@ -191,10 +192,10 @@
 				};
 		},
 		'stop-task'(order, now) {
-			const {target: {endpointId, token}, taskId, run} = order;
+			const {target: {endpointId, token, generation}, taskId, run} = order;
 			stopRun(order, now);
 			return {
-				kind: 'stop-answered', endpointId, token, taskId, run, refusal: undefined,
+				kind: 'stop-answered', endpointId, token, generation, taskId, run, refusal: undefined,
 			};
 		},
 	};
@@ -209,11 +210,12 @@
 			}
 		},
 		carryOut(order, now) {
-			if (order.target.token < highestToken) {
+			const fencingToken = getFencingToken(order.target);
+			if (fencingToken < highestToken) {
 				return createTestRefusal(order, 'fenced');
 			}
 
-			highestToken = order.target.token;
+			highestToken = fencingToken;
 			const handle = handlers[order.kind] as (order: TestOrder, now: number) => JobEvent;
 			return handle(order, now);
 		},
@@ -226,14 +228,19 @@
 
 /** Creates the event of an order that was refused or got no answer. @internal */
 export function createTestRefusal(order: TestOrder, refusal: OrderRefusal): JobEvent {
-	const {endpointId, token} = order.target;
+	const {endpointId, token, generation} = order.target;
 	if (order.kind === 'poll-endpoint') {
 		return {
-			kind: 'poll-refused', endpointId, token, refusal,
+			kind: 'poll-refused', endpointId, token, generation, refusal,
 		};
 	}
 
-	return {
-		kind: order.kind === 'start-task' ? 'start-refused' : 'stop-answered', endpointId, token, taskId: order.taskId, run: order.run, refusal,
-	};
+	const {taskId, run} = order;
+	return order.kind === 'start-task'
+		? {
+			kind: 'start-refused', endpointId, token, taskId, run, refusal,
+		}
+		: {
+			kind: 'stop-answered', endpointId, token, generation, taskId, run, refusal,
+		};
 }
--- a/packages/jobs/src/testing.test-support.ts
+++ b/packages/jobs/src/testing.test-support.ts
@@ -112,6 +112,9 @@
 		phase: 'answering',
 		startedAt: 0,
 		startableSince: 0,
+		generation: 0,
+		fencedGeneration: 0,
+		isRestarted: false,
 		isRestartListed: false,
 		clockMs: 0,
 		clockReadAt: 0,
@@ -151,6 +154,9 @@
 	};
 }
 
+/** Generation of an answer to the last poll that a test owner has sent to the endpoint. @internal */
+export const lastGeneration = -1;
+
 /** An entry that owns the pool `desk` with token 7; its writes to the store are applied at once. @internal */
 export type TestOwner = {
 	readonly state: JobsState;
@@ -173,8 +179,14 @@
 	const pool = 'desk';
 	const random = createRandomSource(1);
 	const state = createJobsState({node: 'entry-1', incarnation: 'first', orderLeaseMs: 3000});
-	const apply = (event: JobEvent, now: number, wallTime = now): JobEffect[] => applyJobEvent(state, event, {now, wallTime, random}).flatMap(effect => {
+	const generations = new Map<string, number>();
+	const addGeneration = (event: JobEvent): JobEvent => 'generation' in event && event.generation === lastGeneration ? {...event, generation: generations.get(event.endpointId) ?? 0} : event;
+	const apply = (event: JobEvent, now: number, wallTime = now): JobEffect[] => applyJobEvent(state, addGeneration(event), {now, wallTime, random}).flatMap(effect => {
 		const answers: JobEvent[] = [];
+		if (effect.kind === 'poll-endpoint') {
+			generations.set(effect.target.endpointId, effect.target.generation);
+		}
+
 		if (effect.kind === 'save-progress') {
 			answers.push({
 				kind: 'progress-saved', pool, token: 7, saveId: effect.saveId, result: 'applied', revision: 10, presentRevisions: undefined, isClaimLost: false,
@@ -204,6 +216,6 @@
 /** Creates the answer of an endpoint of the pool `desk` that runs nothing. @internal */
 export function createTestPollAnswer(endpointId: string, clockMs: number): Extract<JobEvent, {kind: 'poll-answered'}> {
 	return {
-		kind: 'poll-answered', endpointId, token: 7, clockMs, startedAt: 1, running: [], ended: [],
+		kind: 'poll-answered', endpointId, token: 7, generation: lastGeneration, clockMs, startedAt: 1, running: [], ended: [],
 	};
 }
