Keep starts that were not answered while a later process of their endpoint is out of reach

Callers saw a task run twice: its start was given up as the lease of the endpoint had expired, and the next process carried it out behind a cut.

Cause: the lease bounds what the former process may run. A start on its way is bounded by the order's delay and the lease that the next process grants from its arrival on.

Entries remember since when the directory lists a later process of each endpoint. Endpoints that are only silent are waited for no longer than before.

--- a/packages/jobs/src/supervision/apply-poll-answer.ts
+++ b/packages/jobs/src/supervision/apply-poll-answer.ts
@@ -120,11 +120,12 @@
 		endpoint.previousLeaseExpiresAt = getRestartedLeaseExpiry(now);
 	}
 
+	const mayHaveRestarted = !isFirst || now < endpoint.lateStartsUntil;
 	const hasRestarted = !isFirst && endpoint.startedAt !== startedAt;
-	endpoint.startableSince = isFirst ? now : getRestartedStartTime(now);
+	endpoint.startableSince = mayHaveRestarted ? getRestartedStartTime(now) : now;
 	endpoint.startedAt = startedAt;
 	endpoint.isRestarted = false;
-	endpoint.isRestartListed = false;
+	endpoint.lateStartsUntil = 0;
 	if (!hasRestarted) {
 		return;
 	}
--- a/packages/jobs/src/supervision/check-endpoint.ts
+++ b/packages/jobs/src/supervision/check-endpoint.ts
@@ -1,7 +1,7 @@
 import {passEvent, restartEvent, type DecisionContext} from '@pistachiogauge/chain';
 import {getConfirmedAt, type AuthorityView} from '../authority/index.js';
 import {emitLog, type JobOutput} from '../filter.js';
-import {dropRuns} from './apply-poll-answer.js';
+import {dropRun, dropRuns} from './apply-poll-answer.js';
 import {recordFormerGeneration} from './former-generations.js';
 import {hasLeaseExpired} from './lease-clock.js';
 import {pollIfDue} from './poll-endpoint.js';
@@ -28,8 +28,8 @@
 	}
 
 	if (endpoint.phase !== 'answering' && hasLeaseExpired(endpoint, confirmedAt)) {
-		outputs.push(...dropRuns(endpoint, 'lease-expired'));
-		if (!endpoint.isListed && !endpoint.isPollPending) {
+		outputs.push(...dropExpiredRuns(endpoint, confirmedAt));
+		if (!endpoint.isListed && !endpoint.isPollPending && endpoint.runs.size === 0) {
 			return [...outputs, ...removeEndpoint(supervision, endpoint, context)];
 		}
 
@@ -46,6 +46,15 @@
 	return [...outputs, ...pollIfDue(state, endpoint, context)];
 }
 
+/** Drops the runs of an endpoint whose lease has expired, but for starts that a later process may still carry out. */
+function dropExpiredRuns(endpoint: SupervisedEndpoint, confirmedAt: number): JobOutput[] {
+	if (confirmedAt > endpoint.lateStartsUntil) {
+		return dropRuns(endpoint, 'lease-expired');
+	}
+
+	return [...endpoint.runs.values()].filter(({listedByProcess}) => listedByProcess !== undefined).flatMap(run => dropRun(endpoint, run, 'lease-expired'));
+}
+
 /** Records the runs of an endpoint that has been silent for some time, and again when they change. */
 function recordSilence(endpoint: SupervisedEndpoint, {now}: DecisionContext): JobOutput[] {
 	// A task whose end is not saved would be started again by the next owner, and the endpoint may list the end later.
--- a/packages/jobs/src/supervision/supervision-filter.ts
+++ b/packages/jobs/src/supervision/supervision-filter.ts
@@ -7,7 +7,7 @@
 import {pollEndpoint, pollIfDue, scheduleNextPoll} from './poll-endpoint.js';
 import {checkEndpoint} from './check-endpoint.js';
 import {checkSurvey} from './check-survey.js';
-import {getPreviousLeaseExpiry} from './lease-clock.js';
+import {getLateOrderExpiry, getPreviousLeaseExpiry} from './lease-clock.js';
 import {applyPollAnswer, dropRuns, stopRun} from './apply-poll-answer.js';
 import {getNextGeneration, recordFormerGeneration} from './former-generations.js';
 import {handleRefusal, handleStartRefusal} from './handle-refusals.js';
@@ -184,7 +184,8 @@
 		generation: getNextGeneration(pool, id),
 		fencedGeneration: -1,
 		isRestarted: false,
-		isRestartListed: false,
+		restartListedAt: undefined,
+		lateStartsUntil: 0,
 		clockMs: undefined,
 		clockReadAt: 0,
 		leaseDeadlineMs: 0,
@@ -248,12 +249,33 @@
 		}
 
 		endpoint.address = listed.address;
-		if (endpoint.startedAt !== undefined && listed.startedAt > endpoint.startedAt && !endpoint.isRestartListed) {
-			// Its answer tells which runs are left: a start that was on its way may have reached the new process.
-			endpoint.isRestartListed = true;
-			raiseGeneration(endpoint, context.now);
-		}
+	}
+
+	for (const endpoint of supervision.endpoints.values()) {
+		handleListedRestart(directory, endpoint, context);
 	}
 
 	return outputs;
 }
+
+/** Expects orders for a former process to be carried out by the one that the directory lists, until that answers. */
+function handleListedRestart(directory: State['directory'], endpoint: SupervisedEndpoint, {now}: DecisionContext): void {
+	const listed = directory.processes.get(endpoint.id);
+	if (listed?.replacedAt === undefined || listed.replacedAt === endpoint.restartListedAt) {
+		return;
+	}
+
+	endpoint.restartListedAt = listed.replacedAt;
+	if (listed.startedAt <= (endpoint.startedAt ?? 0)) {
+		return;
+	}
+
+	endpoint.lateStartsUntil = getLateOrderExpiry(listed.replacedAt);
+	if (endpoint.startedAt === undefined) {
+		// Which starts the previous owner had sent is not known.
+		endpoint.previousLeaseExpiresAt = Math.max(endpoint.previousLeaseExpiresAt, endpoint.lateStartsUntil);
+		return;
+	}
+
+	raiseGeneration(endpoint, now);
+}
--- a/packages/jobs/src/supervision/supervision-state.ts
+++ b/packages/jobs/src/supervision/supervision-state.ts
@@ -96,8 +96,10 @@
 	fencedGeneration: number;
 	/** Whether another process than `startedAt` is known to run and no poll of the current generation has been answered since. */
 	isRestarted: boolean;
-	/** Whether the directory lists a later process of the endpoint that has not answered yet. */
-	isRestartListed: boolean;
+	/** When the directory listed the last process whose start has been dealt with, in monotonic ms. */
+	restartListedAt: number | undefined;
+	/** Monotonic ms until which starts without an answer may be carried out by a later process and run there; 0 if none is known. */
+	lateStartsUntil: number;
 	/** The endpoint's clock as last read, at `clockReadAt`. */
 	clockMs: number | undefined;
 	/** Monotonic ms of this entry at which the endpoint's clock was at least `clockMs`. */
