Take an answer whose clock went back for one of a later process

Callers saw a task run twice: an owner that had not noticed a restart sent a start to the new process with a deadline on the former clock. That granted the new process the longest lease of 10 s, while the owner counted 6 s on the former clock and started the task again.

Cause: the answer to a start does not tell the process, so its clock was taken for one of the process that was read before.

A clock that is behind a reading made before the start was sent can only be that of a later process. The owner then counts the longest lease, starts nothing more and polls with a new generation at once.

former-process-orders.test.ts, the case of a clock that is behind, and recut.test.ts, 'start on the clock of the former one', failed before.

--- a/packages/jobs/src/supervision/apply-poll-answer.ts
+++ b/packages/jobs/src/supervision/apply-poll-answer.ts
@@ -92,8 +92,8 @@
 	];
 }
 
-/** Handles the certain knowledge that a process of an endpoint has been replaced, before an answer has shut out the orders that were meant for it. */
-function expectFencedAnswer(endpoint: SupervisedEndpoint, {now}: DecisionContext): JobOutput[] {
+/** Handles the certain knowledge that a process of an endpoint has been replaced, before an answer has shut out the orders that were meant for it. @internal */
+export function expectFencedAnswer(endpoint: SupervisedEndpoint, {now}: DecisionContext): JobOutput[] {
 	raiseGeneration(endpoint, now);
 	endpoint.isRestarted = true;
 	endpoint.phase = 'silent';
--- a/packages/jobs/src/supervision/supervision-filter.ts
+++ b/packages/jobs/src/supervision/supervision-filter.ts
@@ -8,7 +8,9 @@
 import {checkEndpoint} from './check-endpoint.js';
 import {checkSurvey} from './check-survey.js';
 import {getLateOrderExpiry, getPreviousLeaseExpiry} from './lease-clock.js';
-import {applyPollAnswer, dropRuns, stopRun} from './apply-poll-answer.js';
+import {
+	applyPollAnswer, dropRuns, expectFencedAnswer, stopRun,
+} from './apply-poll-answer.js';
 import {getNextGeneration, recordFormerGeneration} from './former-generations.js';
 import {handleRefusal, handleStartRefusal} from './handle-refusals.js';
 import {addSuspectedRun, startTask} from './start-task.js';
@@ -119,7 +121,7 @@
 		},
 		'task-placed': startTask,
 		'run-suspected': addSuspectedRun,
-		'start-answered': (state, event) => confirmStart(state, event),
+		'start-answered': (state, event, context) => confirmStart(state, event, context),
 		'start-refused'(state, event, context) {
 			const outputs = handleStartRefusal(state.supervision, event, context);
 			const endpoint = findEndpoint(state.supervision, event);
@@ -150,7 +152,7 @@
 	},
 };
 
-function confirmStart(state: State, event: JobEventOf<'start-answered'>): JobOutput[] {
+function confirmStart(state: State, event: JobEventOf<'start-answered'>, context: DecisionContext): JobOutput[] {
 	const {taskId, run, clockMs} = event;
 	const endpoint = findEndpoint(state.supervision, event);
 	const placed = endpoint?.runs.get(taskId);
@@ -158,16 +160,22 @@
 		return [];
 	}
 
-	placed.confirmedClockMs = clockMs;
 	placed.phase = 'running';
-	const outputs: JobOutput[] = [passEvent({kind: 'run-confirmed', pool: endpoint.pool, taskId})];
-	if (clockMs < (placed.sentAfterClockMs ?? 0)) {
-		outputs.push(emitLog('warn', 'clock of endpoint is behind its last reading', {
-			endpoint: endpoint.id, task: taskId, run, clockMs, lastReadMs: placed.sentAfterClockMs, bornAt: endpoint.startedAt, token: endpoint.token,
-		}));
+	const confirmed = passEvent({kind: 'run-confirmed', pool: endpoint.pool, taskId} as const);
+	if (clockMs >= (placed.sentAfterClockMs ?? 0)) {
+		placed.confirmedClockMs = clockMs;
+		return [confirmed];
 	}
 
-	return outputs;
+	// Only a later process can have answered.
+	return [
+		confirmed,
+		emitLog('warn', 'clock of endpoint is behind its last reading', {
+			endpoint: endpoint.id, task: taskId, run, clockMs, lastReadMs: placed.sentAfterClockMs, bornAt: endpoint.startedAt, token: endpoint.token,
+		}),
+		...(placed.generation === endpoint.generation ? expectFencedAnswer(endpoint, context) : []),
+		...pollIfDue(state, endpoint, context),
+	];
 }
 
 function createSupervisedEndpoint({id, address}: {readonly id: string; readonly address: string}, pool: SupervisedPool, context: DecisionContext): SupervisedEndpoint {
