Acknowledge the ends of an endpoint once

Callers saw a task run twice: it was done on the new process of a restarted endpoint, a poll that was meant for the former process deleted the end, and the owner, which had never read it, started the task again.

Cause: every poll repeated the number up to which ends were saved, so any late poll deleted the first ends of the next process.

A poll acknowledges only what no answered poll has acknowledged yet. What remains is a start and a new acknowledgement that are both unanswered when their endpoint restarts, and both carried out before the owner reaches the new process.

--- a/packages/jobs/src/supervision/apply-poll-answer.ts
+++ b/packages/jobs/src/supervision/apply-poll-answer.ts
@@ -45,6 +45,7 @@
 		acceptProcess(endpoint, answer.startedAt, context);
 	}
 
+	endpoint.acknowledgedEnd = Math.max(endpoint.acknowledgedEnd, endpoint.acknowledgingEnd);
 	if (endpoint.clockMs === undefined || answer.clockMs >= endpoint.clockMs) {
 		endpoint.clockMs = answer.clockMs;
 		endpoint.clockReadAt = context.now;
@@ -132,6 +133,8 @@
 
 	endpoint.hasRestarted = true;
 	endpoint.lastProcessedEnd = 0;
+	endpoint.acknowledgedEnd = 0;
+	endpoint.acknowledgingEnd = 0;
 	endpoint.unsavedEnds.clear();
 	endpoint.clockMs = undefined;
 	endpoint.leaseDeadlineMs = 0;
--- a/packages/jobs/src/supervision/poll-endpoint.ts
+++ b/packages/jobs/src/supervision/poll-endpoint.ts
@@ -46,8 +46,10 @@
 	const lastSavedEnd = isKnown ? getLastSavedEnd(endpoint) : 0;
 	endpoint.isPollPending = true;
 	endpoint.leaseDeadlineMs = Math.max(endpoint.leaseDeadlineMs, deadlineMs ?? 0);
+	// An acknowledgement that is repeated would delete ends of a later process if it arrived late.
+	endpoint.acknowledgingEnd = lastSavedEnd > endpoint.acknowledgedEnd ? lastSavedEnd : 0;
 	return [emitEffect({
-		kind: 'poll-endpoint', target: getOrderTarget(endpoint), lastSavedEnd, deadlineMs, waitMs: getWaitMs(endpoint),
+		kind: 'poll-endpoint', target: getOrderTarget(endpoint), lastSavedEnd: endpoint.acknowledgingEnd, deadlineMs, waitMs: getWaitMs(endpoint),
 	})];
 }
 
--- a/packages/jobs/src/supervision/supervision-filter.ts
+++ b/packages/jobs/src/supervision/supervision-filter.ts
@@ -199,6 +199,8 @@
 		leaseDeadlineMs: 0,
 		previousLeaseExpiresAt,
 		lastProcessedEnd: 0,
+		acknowledgedEnd: 0,
+		acknowledgingEnd: 0,
 		hasRestarted: false,
 		unsavedEnds: new Map(),
 		areEndsComplete: false,
--- a/packages/jobs/src/supervision/supervision-state.ts
+++ b/packages/jobs/src/supervision/supervision-state.ts
@@ -110,6 +110,10 @@
 	previousLeaseExpiresAt: number;
 	/** Number of the last end that was processed. */
 	lastProcessedEnd: number;
+	/** Number up to which ends were acknowledged in a poll that was answered. */
+	acknowledgedEnd: number;
+	/** Number that the pending poll acknowledges. */
+	acknowledgingEnd: number;
 	/** Whether this entry has seen the endpoint restart, so that the current process has listed its ends to no other owner. */
 	hasRestarted: boolean;
 	/** Runs whose ends are processed and not saved in the store, by number of the end. */
--- a/packages/jobs/src/testing.test-support.ts
+++ b/packages/jobs/src/testing.test-support.ts
@@ -122,6 +122,8 @@
 		leaseDeadlineMs: 0,
 		previousLeaseExpiresAt: 0,
 		lastProcessedEnd: 0,
+		acknowledgedEnd: 0,
+		acknowledgingEnd: 0,
 		hasRestarted: false,
 		unsavedEnds: new Map(),
 		areEndsComplete: true,
