Keep a late write from shortening the record of recent machine orders

The holder of the fleet's claim records the machines that it is about to order, so that the next holder leaves them alone for LeaseMs. Each write of the record was conditional on the claim only. The store may carry out an unanswered write seconds later: the order was then held back and the next write of the record applied, but the late one replaced it with the shorter list.

The record is now written on condition of the revision that this process saw last. A conflict on that revision alone tells the present one, and the write is repeated. So a late write meets a newer revision and changes nothing. A new holder's first write takes one more call.

late-writes.test.ts failed before: the record held m1 and m2 after the order for m3 had been recorded and sent.

--- a/packages/entry/src/jobs/create-job-sinks.ts
+++ b/packages/entry/src/jobs/create-job-sinks.ts
@@ -13,6 +13,7 @@
 import {
 	followEndpoints, followFleetRecords, type StopFollowing,
 } from './follow-records.js';
+import {createGuardedWriter} from './guard-writes.js';
 import {
 	createInitialProgress, createStoredJob, decodeRecord, encodeRecord, recordKeys,
 } from './job-records.js';
@@ -46,6 +47,7 @@
 		return [{key: `${recordKeys.claimPrefix}fleet`, revision: token}];
 	}
 
+	const writeGuarded = createGuardedWriter(store);
 	const countQueuedJobs = createQueuedJobCounter(store, () => performance.now());
 	const orderJournal = createOrderJournal({
 		keepMs: dependencies.state.fleet.orderLeaseMs + orderKeepMarginMs,
@@ -54,7 +56,7 @@
 			const {token = 0, inheritedOrders} = dependencies.state.fleet;
 			// A record with the token 0 is taken for incomplete.
 			const record = {token: inheritedOrders === undefined ? 0 : token, machines: [...new Set([...machines, ...inheritedOrders ?? []])]};
-			const result = await store.applyTransaction({conditions: createFleetConditions(), puts: [{key: recordKeys.recentOrdersKey, value: encodeRecord(record)}]});
+			const result = await writeGuarded(recordKeys.recentOrdersKey, {conditions: createFleetConditions(), puts: [{key: recordKeys.recentOrdersKey, value: encodeRecord(record)}]});
 			return result.kind;
 		},
 	});
