Keep a late withdrawal from deleting the next evacuation request

The request to evacuate an endpoint and its withdrawal are writes of one key, conditional on the fleet's claim only. A withdrawal without an answer could be carried out by the store after the next request for the same endpoint had been written and confirmed. It deleted that request: the owner of the pool starts tasks on the endpoint again, while the holder, who does not follow deletions, counts it as evacuated and orders its machine. Found by reading; not seen in a run.

The records that are written until the store accepts them now have the last seen revision as a condition, as the record of recent orders has.

late-writes.test.ts, case 'a second request to evacuate an endpoint', failed before: the record was gone. record-writer.test.ts passes the writer a function instead of a store; its cases are unchanged.

--- a/packages/entry/src/jobs/create-fleet-sinks.ts
+++ b/packages/entry/src/jobs/create-fleet-sinks.ts
@@ -3,6 +3,7 @@
 import {encodeWaveStatus, type StoreTransaction} from '@pistachiogauge/platform';
 import {type SinkTable} from '@pistachiogauge/pipeline';
 import {type CallRunner} from './create-order-sinks.js';
+import {type GuardedWriter} from './guard-writes.js';
 import {encodeRecord, recordKeys} from './job-records.js';
 import {type JobSinkDependencies} from './job-sink-dependencies.js';
 import {type OrderJournal} from './order-journal.js';
@@ -15,13 +16,14 @@
 type FleetSinkTools = {
 	readonly runCall: CallRunner;
 	readonly orderJournal: OrderJournal;
+	readonly writeGuarded: GuardedWriter;
 	/** Conditions under which a transaction is applied only while this entry holds the fleet claim. */
 	readonly createFleetConditions: () => StoreTransaction['conditions'];
 };
 
 /** Creates the sinks that write the records of the fleet. @internal */
-export function createFleetSinks({store, log, pushEvent}: Pick<JobSinkDependencies, 'store' | 'log' | 'pushEvent'>, {runCall, orderJournal, createFleetConditions}: FleetSinkTools): Pick<SinkTable<JobEffect>, FleetRecordEffect> {
-	const writeRecord = createRecordWriter(store, log);
+export function createFleetSinks({store, log, pushEvent}: Pick<JobSinkDependencies, 'store' | 'log' | 'pushEvent'>, {runCall, orderJournal, writeGuarded, createFleetConditions}: FleetSinkTools): Pick<SinkTable<JobEffect>, FleetRecordEffect> {
+	const writeRecord = createRecordWriter(writeGuarded, log);
 	return {
 		'request-evacuation'({request}) {
 			const key = `${recordKeys.evacuationPrefix}${request.pool}/${request.endpointId}`;
--- a/packages/entry/src/jobs/create-job-sinks.ts
+++ b/packages/entry/src/jobs/create-job-sinks.ts
@@ -292,7 +292,9 @@
 				}
 			});
 		},
-		...createFleetSinks(dependencies, {runCall, orderJournal, createFleetConditions}),
+		...createFleetSinks(dependencies, {
+			runCall, orderJournal, writeGuarded, createFleetConditions,
+		}),
 		...createOrderSinks({...dependencies, orderJournal}, runCall),
 		...createShareSinks(dependencies, runCall),
 		...createAdmissionSinks(dependencies, runCall),
--- a/packages/entry/src/jobs/late-writes.test.ts
+++ b/packages/entry/src/jobs/late-writes.test.ts
@@ -9,11 +9,21 @@
 	kind: 'order-machine', machine, order: 'move', pool: 'desk', wave: 0, token, validUntil: 0, wallValidUntil: 0,
 });
 
-// Guards against a next holder of the fleet's claim that orders a machine again, as a late write has removed it from the record.
+const createRequest = (requestId: string): JobEffect => ({
+	kind: 'request-evacuation', request: {
+		requestId, pool: 'desk', endpointId: 'e', machine: 'm', purpose: 'move', dueAt: 0,
+	},
+});
+
 const cases: ReadonlyArray<{readonly name: string; readonly effects: readonly JobEffect[]; readonly key: string; readonly expected: string}> = [
 	{
+		// Guards against a next holder of the fleet's claim that orders a machine again, as it is missing from the record.
 		name: 'machines that were ordered', effects: [createOrder('m1'), createOrder('m2'), createOrder('m3')], key: 'fleet/orders', expected: '{"token":7,"machines":["m1","m2","m3"]}',
 	},
+	{
+		// Guards against tasks that are started on an endpoint whose machine is about to be ordered, as the request to evacuate it is gone.
+		name: 'a second request to evacuate an endpoint', effects: [createRequest('7-1'), {kind: 'withdraw-evacuation', pool: 'desk', endpointId: 'e'}, createRequest('7-2')], key: 'fleet/vacate/desk/e', expected: '{"requestId":"7-2","pool":"desk","endpointId":"e","machine":"m","purpose":"move","dueAt":0}',
+	},
 ];
 
 it.each(cases)('a write that the store carries out late does not undo a later one: $name', async ({effects, key, expected}) => {
--- a/packages/entry/src/jobs/record-writer.test.ts
+++ b/packages/entry/src/jobs/record-writer.test.ts
@@ -19,11 +19,9 @@
 /** Lists the writes that reach the store. Requests are pairs of a number of retry pauses to wait and a name; the store gives its results in order, and repeats the last one. */
 async function listWrites(requests: ReadonlyArray<readonly [number, string]>, storeResults: readonly string[]): Promise<string[]> {
 	const writes: string[] = [];
-	const writeRecord = createRecordWriter({
-		async applyTransaction(transaction) {
-			writes.push(Object.keys(transactions).find(name => transactions[name] === transaction)!);
-			return results[storeResults[writes.length - 1] ?? storeResults.at(-1)!]!;
-		},
+	const writeRecord = createRecordWriter(async (_key, transaction) => {
+		writes.push(Object.keys(transactions).find(name => transactions[name] === transaction)!);
+		return results[storeResults[writes.length - 1] ?? storeResults.at(-1)!]!;
 	}, () => undefined);
 	const pendingWrites: Array<Promise<void>> = [];
 	for (const [elapsedPauses, name] of requests) {
@@ -81,14 +79,12 @@
 		},
 	])('are sent one after the other: $name', async ({elapsedMs, sent, after}) => {
 		const writes: string[] = [];
-		const writeRecord = createRecordWriter({
-			async applyTransaction(transaction) {
-				writes.push(Object.keys(transactions).find(name => transactions[name] === transaction)!);
-				await new Promise(resolve => {
-					setTimeout(resolve, 50);
-				});
-				return results.applied!;
-			},
+		const writeRecord = createRecordWriter(async (_key, transaction) => {
+			writes.push(Object.keys(transactions).find(name => transactions[name] === transaction)!);
+			await new Promise(resolve => {
+				setTimeout(resolve, 50);
+			});
+			return results.applied!;
 		}, () => undefined);
 		const pending = [writeRecord('record', transactions.request!)];
 		await vi.advanceTimersByTimeAsync(elapsedMs);
--- a/packages/entry/src/jobs/record-writer.ts
+++ b/packages/entry/src/jobs/record-writer.ts
@@ -1,4 +1,5 @@
-import {type StoreClient, type StoreTransaction, type TransactionResult} from '@pistachiogauge/platform';
+import {type StoreTransaction, type TransactionResult} from '@pistachiogauge/platform';
+import {type GuardedWriter} from './guard-writes.js';
 import {type JobSinkDependencies} from './job-sink-dependencies.js';
 
 /** Pause before a failed write is retried. @internal */
@@ -16,7 +17,7 @@
 
 @internal
 */
-export function createRecordWriter(store: Pick<StoreClient, 'applyTransaction'>, log: JobSinkDependencies['log']): RecordWriter {
+export function createRecordWriter(writeGuarded: GuardedWriter, log: JobSinkDependencies['log']): RecordWriter {
 	/** The latest transaction of each record that is being written. */
 	const latestTransactions = new Map<string, StoreTransaction>();
 	const lastAttempts = new Map<string, Promise<unknown>>();
@@ -25,7 +26,7 @@
 		const previous = lastAttempts.get(key);
 		const attempt = (async () => {
 			await previous?.catch(() => undefined);
-			return latestTransactions.get(key) === transaction ? store.applyTransaction(transaction) : undefined;
+			return latestTransactions.get(key) === transaction ? writeGuarded(key, transaction) : undefined;
 		})();
 		lastAttempts.set(key, attempt);
 		try {
