Keep a late write from showing a finished wave as running

The status of a wave was written on condition of the fleet's claim only. If the write of 'running' was not answered, a later write of 'done' could be applied first; the store then carried out the late one, and nothing wrote 'done' again. The operator saw the wave as running, hence late, and the next holder of the claim read it as not done. Found by reading; not seen in a run.

The status and the record of demand are now written on condition of the revision seen last, as the other records of the fleet are.

late-writes.test.ts, case 'the end of a wave', failed before: the status was 'running' after 'done' had been acknowledged.

--- a/packages/entry/src/jobs/create-fleet-sinks.ts
+++ b/packages/entry/src/jobs/create-fleet-sinks.ts
@@ -22,7 +22,7 @@
 };
 
 /** Creates the sinks that write the records of the fleet. @internal */
-export function createFleetSinks({store, log, pushEvent}: Pick<JobSinkDependencies, 'store' | 'log' | 'pushEvent'>, {runCall, orderJournal, writeGuarded, createFleetConditions}: FleetSinkTools): Pick<SinkTable<JobEffect>, FleetRecordEffect> {
+export function createFleetSinks({log, pushEvent}: Pick<JobSinkDependencies, 'log' | 'pushEvent'>, {runCall, orderJournal, writeGuarded, createFleetConditions}: FleetSinkTools): Pick<SinkTable<JobEffect>, FleetRecordEffect> {
 	const writeRecord = createRecordWriter(writeGuarded, log);
 	return {
 		'request-evacuation'({request}) {
@@ -51,7 +51,7 @@
 		},
 		'write-demand-history'({history}) {
 			runCall('write-demand-history', async () => {
-				const result = await store.applyTransaction({
+				const result = await writeGuarded(recordKeys.demandHistoryKey, {
 					conditions: createFleetConditions(),
 					puts: [{key: recordKeys.demandHistoryKey, value: encodeRecord({history})}],
 				});
@@ -64,9 +64,10 @@
 		},
 		'write-wave-status'({number, status, maintained}) {
 			runCall('write-wave-status', async () => {
-				const result = await store.applyTransaction({
+				const key = `${recordKeys.wavePrefix}${number}`;
+				const result = await writeGuarded(key, {
 					conditions: createFleetConditions(),
-					puts: [encodeWaveStatus(number, status), {key: `${recordKeys.wavePrefix}${number}`, value: encodeRecord({maintained, isDone: status === 'done'})}],
+					puts: [encodeWaveStatus(number, status), {key, value: encodeRecord({maintained, isDone: status === 'done'})}],
 				});
 				if (result.kind !== 'applied') {
 					await delay(retryPauseMs);
--- a/packages/entry/src/jobs/late-writes.test.ts
+++ b/packages/entry/src/jobs/late-writes.test.ts
@@ -15,6 +15,10 @@
 	},
 });
 
+const createStatus = (status: 'running' | 'done', count: number): JobEffect => ({
+	kind: 'write-wave-status', number: 3, status, maintained: ['m1', 'm2'].slice(0, count),
+});
+
 const cases: ReadonlyArray<{readonly name: string; readonly effects: readonly JobEffect[]; readonly key: string; readonly expected: string}> = [
 	{
 		// Guards against a next holder of the fleet's claim that orders a machine again, as it is missing from the record.
@@ -24,6 +28,10 @@
 		// Guards against tasks that are started on an endpoint whose machine is about to be ordered, as the request to evacuate it is gone.
 		name: 'a second request to evacuate an endpoint', effects: [createRequest('7-1'), {kind: 'withdraw-evacuation', pool: 'desk', endpointId: 'e'}, createRequest('7-2')], key: 'fleet/vacate/desk/e', expected: '{"requestId":"7-2","pool":"desk","endpointId":"e","machine":"m","purpose":"move","dueAt":0}',
 	},
+	{
+		// Guards against a wave that counts as running for good after it was done.
+		name: 'the end of a wave', effects: [createStatus('running', 0), createStatus('running', 1), createStatus('done', 2)], key: 'status/wave/3', expected: '{"Wave":3,"State":"done"}',
+	},
 ];
 
 it.each(cases)('a write that the store carries out late does not undo a later one: $name', async ({effects, key, expected}) => {
