Send a move again only while its machine has the endpoint that was evacuated

A move without an answer was sent again as long as the machine was up in its pool, whichever endpoint ran there. If the machine had crashed and come back meanwhile, its new endpoint had not been evacuated: the move ended the tasks that its pool had started there (rule AVAIL for long-running ones). Such a move could also never be given up, as only a list with the same endpoint settled it, so the machine was not ordered any more until the fleet's claim changed hands.

A machine with another endpoint makes a move pointless. It is given up once a list that was read after the last attempt can have been carried out shows the machine up in its pool.

Both new cases failed before: unanswered-moves.test.ts (one more move was sent), evacuations.test.ts (the order stayed open).

--- a/packages/jobs/src/fleet/evacuations.test.ts
+++ b/packages/jobs/src/fleet/evacuations.test.ts
@@ -150,6 +150,9 @@
 	{
 		name: 'a move without an answer, and a later list shows the machine unchanged', ageMs: 9000, isNeeded: true, traits: {isUncertain: true}, list: {ageMs: 1300}, isGivenUp: true,
 	},
+	{
+		name: 'a move without an answer, and a later list shows the machine in its pool with another endpoint', ageMs: 1500, traits: {isUncertain: true}, list: {ageMs: 1300, machine: {endpointId: 'next'}}, isGivenUp: true,
+	},
 	{
 		name: 'a move without an answer, and a later list shows the machine moving', ageMs: 9000, isNeeded: true, traits: {isUncertain: true}, list: {ageMs: 1300, machine: {state: 'moving'}}, isGivenUp: false,
 	},
--- a/packages/jobs/src/fleet/order-machines.ts
+++ b/packages/jobs/src/fleet/order-machines.ts
@@ -218,17 +218,17 @@
 	return known !== undefined && now <= known.seenAt + maxReportAgeMs && known.report.neededEndpoints.includes(endpointId);
 }
 
-/** Whether an order need not be sent again: the machine's endpoint is needed where it is, or the service has not accepted a move for too long. */
+/** Whether an order must not be sent again: the machine's endpoint is needed where it is, or the service has not accepted a move for too long, or the machine has another endpoint, which has not been evacuated. */
 function isPointless(fleet: FleetState, {machine: name, order, endpointId, firstAttemptAt}: OpenOrder, now: number): boolean {
-	const pool = fleet.machines.get(name)?.pool;
-	const isNeeded = pool !== undefined && endpointId !== undefined && isEndpointNeeded(fleet, pool, endpointId, now);
-	return isNeeded || (order === 'move' && now > firstAttemptAt + moveAttemptsMs);
+	const machine = fleet.machines.get(name);
+	const isNeeded = machine !== undefined && endpointId !== undefined && isEndpointNeeded(fleet, machine.pool, endpointId, now);
+	return isNeeded || (order === 'move' && (now > firstAttemptAt + moveAttemptsMs || machine?.endpointId !== endpointId));
 }
 
-/** Whether it is certain that an order has not been carried out and will not be: each attempt was refused, or a list that was read after the last one shows the machine unchanged. */
-function isSettled({machines, listValidAt = 0}: FleetState, {machine: name, endpointId, isUncertain, lastAttemptAt}: OpenOrder): boolean {
+/** Whether it is certain that an order has not been carried out and will not be: each attempt was refused, or a list that was read after the last one shows the machine unchanged, or in its pool with another endpoint. */
+function isSettled({machines, listValidAt = 0}: FleetState, {machine: name, order, endpointId, isUncertain, lastAttemptAt}: OpenOrder): boolean {
 	const machine = machines.get(name);
-	return !isUncertain || (listValidAt > lastAttemptAt + orderAnswerTimeoutMs && machine?.state === 'up' && machine.endpointId === endpointId);
+	return !isUncertain || (listValidAt > lastAttemptAt + orderAnswerTimeoutMs && machine?.state === 'up' && (order === 'move' || machine.endpointId === endpointId));
 }
 
 /** Gives up orders that the service does not accept, so that their machines can be used where they are. @internal */
--- a/packages/jobs/src/fleet/unanswered-moves.test.ts
+++ b/packages/jobs/src/fleet/unanswered-moves.test.ts
@@ -48,6 +48,10 @@
 	{
 		name: 'an answer was lost, but the machine list shows that the machine has arrived', result: 'unknown', listed: {pool: 'desk', endpointId: 'new'}, repeats: 0, isOrderOpen: false,
 	},
+	{
+		// Guards against a move that was prepared on one endpoint of a machine and ends the tasks of the next one.
+		name: 'an answer was lost, and the machine has crashed and is back with another endpoint', result: 'unknown', listed: {endpointId: 'next'}, repeats: 0, isOrderOpen: true,
+	},
 	{
 		name: 'the machine is unavailable for another reason', result: 'busy', listed: {state: 'maintenance'}, repeats: 0, isOrderOpen: true,
 	},
