Leave tasks alone whose endpoint was draining before a restart

The evacuation of draining endpoints went by the state in the directory, whichever process had written it. The store may carry out a write seconds after its sender is gone: the 'draining' of a process that has crashed can replace the record of the next process under the same id, for up to a heartbeat. The owner then stopped all long-running tasks of the new process at once, as a draining endpoint leaves (rule AVAIL: the worker is sound and is not draining).

A draining record now counts for the process that answers only. Starts stay with the record as it is: there, too little is started for a moment.

evacuation-filter.test.ts, case 'a serving task stays if an earlier process was draining', failed before: the task was stopped.

--- a/packages/jobs/src/evacuation/evacuation-filter.test.ts
+++ b/packages/jobs/src/evacuation/evacuation-filter.test.ts
@@ -18,11 +18,16 @@
 	readonly isSurveyed?: boolean;
 	/** Whether the other task of the step is not serving. */
 	readonly isOtherUnavailable?: boolean;
+	/** Start time of the process that the directory lists as draining, instead of a request. */
+	readonly drainingProcess?: number;
 };
 
+/** Start time of the processes that answer. */
+const startedAt = 5;
+
 /** Lists the tasks that are stopped to evacuate an endpoint for maintenance. */
 function listStops({
-	now, isLongRunning = true, isSurveyed = true, isOtherUnavailable = false,
+	now, isLongRunning = true, isSurveyed = true, isOtherUnavailable = false, drainingProcess,
 }: Input): string[] {
 	const state = createJobsState({node: 'entry-1', incarnation: 'first', orderLeaseMs: 3000});
 	const pool = createPoolLedger({pool: poolName, token: 1, now: 0});
@@ -39,8 +44,9 @@
 	for (const [index, id] of ['a', 'b'].entries()) {
 		const taskId = `job.0.0.${index}`;
 		const percent = isOtherUnavailable && id === 'b' ? 10 : 100;
-		state.directory.endpoints.set(id, createTestEndpoint(id, poolName));
+		state.directory.endpoints.set(id, createTestEndpoint(id, poolName, id === 'a' && drainingProcess !== undefined ? {state: 'draining', startedAt: drainingProcess} : {startedAt}));
 		state.supervision.endpoints.set(id, createTestSupervisedEndpoint(id, poolName, {
+			startedAt,
 			runs: new Map([[taskId, createTestRun(taskId, {
 				phase: 'running', isLongRunning, percent: isLongRunning ? percent : 10, startedAt: now - 1000, startedClockMs: now - 1000, progressedClockMs: now,
 			})]]),
@@ -48,9 +54,12 @@
 		job.steps.get('0.0')!.tasks[index]!.runs.set(1, id);
 	}
 
-	state.evacuation.requests.set('a', {
-		requestId: 'first', pool: poolName, endpointId: 'a', machine: 'machine-a', purpose: 'maintenance', dueAt: now + 5000,
-	});
+	if (drainingProcess === undefined) {
+		state.evacuation.requests.set('a', {
+			requestId: 'first', pool: poolName, endpointId: 'a', machine: 'machine-a', purpose: 'maintenance', dueAt: now + 5000,
+		});
+	}
+
 	return evacuationFilter.handlers.tick!(state, {kind: 'tick'}, {now, wallTime: now, random})
 		.flatMap(output => output.kind === 'first' && output.event.kind === 'run-stop-requested' ? [output.event.taskId] : []);
 }
@@ -68,6 +77,13 @@
 	{
 		name: 'a task that ends by itself is stopped without waiting for stops of the previous owner', now: surveyedAt + 100, isLongRunning: false, expected: ['job.0.0.0'],
 	},
+	{
+		name: 'a serving task leaves a draining endpoint', now: surveyedAt + 100, drainingProcess: startedAt, expected: ['job.0.0.0'],
+	},
+	{
+		// Guards against serving tasks that are stopped as a process before a restart was draining.
+		name: 'a serving task stays if an earlier process was draining', now: surveyedAt + 100, drainingProcess: startedAt - 1, expected: [],
+	},
 ];
 
 describe('evacuationFilter', () => {
--- a/packages/jobs/src/evacuation/evacuation-filter.ts
+++ b/packages/jobs/src/evacuation/evacuation-filter.ts
@@ -5,7 +5,7 @@
 import {type DirectoryView} from '../directory/index.js';
 import {emitLog, type JobFilter, type JobOutput} from '../filter.js';
 import {findTask, type LedgerView, type Step} from '../ledger/index.js';
-import {type EvacuationRequest} from '../model/index.js';
+import {type Endpoint, type EvacuationRequest} from '../model/index.js';
 import {
 	isInProgress, servingPercent, type Run, type SupervisedEndpoint, type SupervisionView,
 } from '../supervision/index.js';
@@ -73,7 +73,7 @@
 	for (const endpoint of state.supervision.endpoints.values()) {
 		const request = state.evacuation.requests.get(endpoint.id);
 		const listed = state.directory.endpoints.get(endpoint.id);
-		const isDraining = listed?.state === 'draining';
+		const isDraining = listed?.state === 'draining' && isOfProcess(listed, endpoint);
 		if ((request === undefined && !isDraining) || endpoint.phase !== 'answering' || getPermittedMs(state, endpoint.pool, context) === 0) {
 			continue;
 		}
@@ -92,6 +92,11 @@
 	return outputs;
 }
 
+/** Whether the directory's record of an endpoint is by the process that answers. After a restart it may be by the one before; a start time of 0 is not known. */
+function isOfProcess(listed: Endpoint, {startedAt}: Readonly<SupervisedEndpoint>): boolean {
+	return listed.startedAt === startedAt || listed.startedAt === 0 || startedAt === 0;
+}
+
 function stopRuns(state: State, endpoint: Readonly<SupervisedEndpoint>, conditions: StopConditions): {readonly stops: JobOutput[]; readonly isLongRunning: boolean} {
 	const stops: JobOutput[] = [];
 	for (const run of endpoint.runs.values()) {
