Keep an endpoint draining when an earlier record of it arrives late

An endpoint's heartbeats are writes to the store, which may carry out an unanswered one seconds later: a 'ready' from before the drain, of the same process or of the one before, replaces 'draining' until the next heartbeat. Tasks were started on the draining endpoint then (rule DRAIN once DrainMs have passed since the drain was acknowledged).

A process that drains does not get ready again, so a 'ready' record of the draining process or of an earlier one is ignored. A later process, a removal and records without a start time count as before.

--- a/packages/jobs/src/directory/directory-filter.ts
+++ b/packages/jobs/src/directory/directory-filter.ts
@@ -41,6 +41,10 @@
 
 function recordEndpoint(directory: DirectoryState, endpoint: Endpoint, context: DecisionContext): JobOutput[] {
 	const known = directory.endpoints.get(endpoint.id);
+	if (known !== undefined && isLateRecord(endpoint, known)) {
+		return [emitLog('info', 'record of draining endpoint from before its drain ignored', {endpoint: endpoint.id, bornAt: endpoint.startedAt, drainingBornAt: known.startedAt})];
+	}
+
 	directory.endpoints.set(endpoint.id, endpoint);
 	if (known?.state === endpoint.state && known.startedAt === endpoint.startedAt && known.pool === endpoint.pool && known.address === endpoint.address) {
 		return [];
@@ -54,6 +58,11 @@
 	];
 }
 
+/** Whether an endpoint wrote a record before it began to drain, as a process that drains does not get ready again. A start time of 0 is not known. */
+function isLateRecord({state, startedAt}: Endpoint, known: Endpoint): boolean {
+	return known.state === 'draining' && state === 'ready' && startedAt > 0 && startedAt <= known.startedAt;
+}
+
 function removeEndpoint(directory: DirectoryState, id: string): JobOutput[] {
 	const known = directory.endpoints.get(id);
 	directory.endpoints.delete(id);
