Set the pace of filler tasks that a previous owner may have slowed down

An endpoint keeps the pace of a filler task until it is told another one. A new owner of the pool took the runs that it found to be at full speed, so it sent nothing while its own pace was 100 %. A task that the previous owner had slowed down to 0 % stood still for good, as fillers are not checked for progress: its job never ended, and a long-running one counted as paced down.

A run that was adopted is told the pace of its endpoint once the serving tasks there are well within their objective, until it has answered. Close to the objective it keeps its pace until that is decided anew.

pacing-filter.test.ts failed before in the cases of an endpoint without and with relaxed serving tasks: no pace was sent.

--- a/packages/jobs/src/pacing/pacing-filter.ts
+++ b/packages/jobs/src/pacing/pacing-filter.ts
@@ -16,11 +16,15 @@
 };
 
 /** @public */
-export type PacingState = {readonly endpoints: Map<string, EndpointPace>};
+export type PacingState = {
+	readonly endpoints: Map<string, EndpointPace>;
+	/** Runs of a previous owner, which may have paced them, until they have taken a pace from this one. */
+	readonly adoptedRuns: WeakSet<Run>;
+};
 
 /** @public */
 export function createPacingState(): PacingState {
-	return {endpoints: new Map()};
+	return {endpoints: new Map(), adoptedRuns: new WeakSet()};
 }
 
 /** Ratio of tail latency to objective above which the pace is lowered. */
@@ -50,10 +54,19 @@
 			const supervised = state.supervision.endpoints.get(endpointId);
 			return supervised?.phase === 'answering' ? updatePace(state, supervised, context) : [];
 		},
-		'pace-answered'({supervision}, {endpointId, taskId, run: number, percent, refusal}) {
+		'run-adopted'({pacing, supervision}, {endpointId, taskId}) {
+			const run = supervision.endpoints.get(endpointId)?.runs.get(taskId);
+			if (run !== undefined) {
+				pacing.adoptedRuns.add(run);
+			}
+
+			return [];
+		},
+		'pace-answered'({pacing, supervision}, {endpointId, taskId, run: number, percent, refusal}) {
 			const run = supervision.endpoints.get(endpointId)?.runs.get(taskId);
 			if (run?.run === number && refusal === undefined) {
 				run.pacePercent = percent;
+				pacing.adoptedRuns.delete(run);
 			}
 
 			return [];
@@ -78,13 +91,14 @@
 	const tailRatio = computeTailRatio(state, supervised);
 	const before = pace.percent;
 	adjustPace(pace, tailRatio, context.now);
+	const isPaceDue = (run: Run) => run.pacePercent !== pace.percent || (tailRatio < relaxedTailRatio && state.pacing.adoptedRuns.has(run));
 	return [
 		...(before === pace.percent
 			? []
 			: [emitLog('info', 'pace of filler tasks on endpoint changed', {
 				endpoint: supervised.id, percent: pace.percent, before, strain: Math.round(tailRatio * 100) / 100, fillers: fillers.length,
 			})]),
-		...fillers.filter(run => run.pacePercent !== pace.percent).map(run => sendPace(supervised, run, pace.percent)),
+		...fillers.filter(run => isPaceDue(run)).map(run => sendPace(supervised, run, pace.percent)),
 	];
 }
 
