Keep the fleet's claim when an order under the one before it is refused

The answer to a machine order names the machine, not the claim under which the order was sent. If this entry lost the claim and made it again while an order was on its way, a refusal of the former token ended the present claim: a write of the record of orders that met the new claim's revision, or a 409 of the machine service, which had seen the new token, was taken as 'another entry holds the claim' together with the present token. The entry gave up a claim that it held, and a next holder waits for LeaseMs.

Such a refusal is now reported as an order that was not taken, which is sent again under the present claim. Refusals of the present token end the claim as before.

--- a/packages/entry/src/jobs/create-order-sinks.ts
+++ b/packages/entry/src/jobs/create-order-sinks.ts
@@ -1,5 +1,7 @@
 import {setTimeout as delay} from 'node:timers/promises';
-import {type JobEffect, type JobEvent, type OrderEffect} from '@pistachiogauge/jobs';
+import {
+	type JobEffect, type JobEvent, type JobEventOf, type OrderEffect,
+} from '@pistachiogauge/jobs';
 import {requestAdvice} from '@pistachiogauge/platform';
 import {type SinkTable} from '@pistachiogauge/pipeline';
 import {type JobSinkDependencies} from './job-sink-dependencies.js';
@@ -57,22 +59,25 @@
 			}, {kind: 'machine-list-failed'});
 		},
 		'order-machine'(effect) {
-			const {machine, order} = effect;
+			const {machine, order, token} = effect;
+			const publishAnswer = (result: JobEventOf<'machine-order-answered'>['result']) => {
+				// A refusal of an earlier claim's token says nothing about the present claim.
+				const isFormerRefusal = result === 'fenced' && dependencies.state.fleet.token !== token;
+				pushEvent({
+					kind: 'machine-order-answered', machine, order, result: isFormerRefusal ? 'limited' : result,
+				});
+			};
+
 			runCall('order-machine', async () => {
 				const recorded = await dependencies.orderJournal.recordOrder(machine);
 				// Without a record the next holder would not know of the order, so it is not sent; `limited` makes the decisions try it again.
-				if (recorded !== 'applied' || dependencies.state.fleet.token !== effect.token) {
-					pushEvent({
-						kind: 'machine-order-answered', machine, order, result: recorded === 'conflict' ? 'fenced' : 'limited',
-					});
+				if (recorded !== 'applied' || dependencies.state.fleet.token !== token) {
+					publishAnswer(recorded === 'conflict' ? 'fenced' : 'limited');
 					return;
 				}
 
-				pushEvent(dependencies.machineService === undefined
-					? {
-						kind: 'machine-order-answered', machine, order, result: 'invalid',
-					}
-					: await dependencies.machineService.orderMachine(effect));
+				const {result} = await dependencies.machineService?.orderMachine(effect) ?? {result: 'invalid'};
+				publishAnswer(result);
 			});
 		},
 	};
--- a/packages/entry/src/jobs/order-journal.test.ts
+++ b/packages/entry/src/jobs/order-journal.test.ts
@@ -60,7 +60,7 @@
 });
 
 // Guards against an order that the next holder does not know of, and orders the same machine again.
-const cases: ReadonlyArray<{readonly name: string; readonly written: TransactionResult['kind']; readonly token: number; readonly result: string; readonly isSent: boolean}> = [
+const cases: ReadonlyArray<{readonly name: string; readonly written: TransactionResult['kind']; readonly token: number; readonly answer?: 'fenced'; readonly nextToken?: number; readonly result: string; readonly isSent: boolean}> = [
 	{
 		name: 'the record has been written', written: 'applied', token: 7, result: 'accepted', isSent: true,
 	},
@@ -76,19 +76,31 @@
 	{
 		name: 'the claim was lost during the write', written: 'applied', token: 8, result: 'limited', isSent: false,
 	},
+	{
+		// Guards against a claim that is given up because an order under the one before it was refused.
+		name: 'the claim was lost and made again before the write', written: 'conflict', token: 8, result: 'limited', isSent: false,
+	},
+	{
+		name: 'the service has seen the token of another holder', written: 'applied', token: 7, answer: 'fenced', result: 'fenced', isSent: true,
+	},
+	{
+		name: 'the service has seen the token of the next claim of this entry', written: 'applied', token: 7, answer: 'fenced', result: 'limited', isSent: true, nextToken: 8,
+	},
 ];
 
 describe('a machine order', () => {
-	it.each(cases)('is sent only if it is on record: $name', async ({written, token, result, isSent}) => {
+	it.each(cases)('is sent only if it is on record: $name', async ({written, token, answer = 'accepted', nextToken = token, result, isSent}) => {
 		let sentCount = 0;
+		const fleet = {token};
 		const events: JobEvent[] = [];
 		const dependencies = {
-			state: {fleet: {token}},
+			state: {fleet},
 			machineService: {
 				async orderMachine({machine, order}: JobEffectOf<'order-machine'>) {
 					sentCount += 1;
+					fleet.token = nextToken;
 					return {
-						kind: 'machine-order-answered', machine, order, result: 'accepted',
+						kind: 'machine-order-answered', machine, order, result: answer,
 					} as const;
 				},
 			},
