Measure stalls from the confirmation of a run by its endpoint's process

When an endpoint restarts while a start is unanswered, the run is kept and its last progress is set to 0, as times of the former clock mean nothing on the new one. If the new process then confirmed the start with a clock of over 1.6 s, its next answer showed a run without progress since 0: the owner stopped the run 'stalled' milliseconds after its start and avoided the endpoint for 3 s.

A stall is measured from the confirmation if that is later. Both are readings of the clock of the process that runs the task.

observation-filter.test.ts, case 'it was confirmed just now', failed before: the run was stopped.

--- a/packages/jobs/src/observation/observation-filter.test.ts
+++ b/packages/jobs/src/observation/observation-filter.test.ts
@@ -1,10 +1,12 @@
+import {createRandomSource} from '@pistachiogauge/chain';
 import {describe, expect, it} from 'vitest';
 import {
 	type DurationModel, type JobEvent, type ReportedRun, type RunId,
 } from '../model/index.js';
 import {
-	createStepSpec, createStoredTestJob, createTestJob, createTestOwner, createTestPollAnswer,
+	createStepSpec, createStoredTestJob, createTestJob, createTestOwner, createTestPollAnswer, createTestRun, createTestSupervisedEndpoint,
 } from '../testing.test-support.js';
+import {observationFilter} from './observation-filter.js';
 import {createDurationPredictor} from './observation-state.js';
 
 /** An answer of the endpoint: when it reaches the owner, and the endpoint's clock and the percentage of each run in it. */
@@ -116,3 +118,17 @@
 		expect(Math.abs(predict(createStepSpec({estimateMs: 100}), undefined) - predicted)).toBeLessThan(predicted * 0.05);
 	});
 });
+
+// Guards against a run that counts as stalled as soon as a restarted endpoint has confirmed it, and an endpoint that is avoided for it.
+it.each([
+	{name: 'it was confirmed just now', clockMs: 3010, isStopped: false},
+	{name: 'it has made no progress since it was confirmed', clockMs: 4700, isStopped: true},
+])('a run without progress on a restarted endpoint is stopped ($isStopped) if $name', ({clockMs, isStopped}) => {
+	const job = createTestJob('job', [{}]);
+	const {state} = createTestOwner({roster: {endpointIds: []}, endpoints: [], jobs: [createStoredTestJob(job)]});
+	const run = createTestRun('job.0.0.0', {phase: 'running', progressedClockMs: 0, confirmedClockMs: 3000});
+	state.supervision.endpoints.set('e1', createTestSupervisedEndpoint('e1', 'desk', {clockMs, runs: new Map([[run.taskId, run]])}));
+	const outputs = observationFilter.handlers['poll-answered']!(state, createTestPollAnswer('e1', clockMs), {now: 5000, wallTime: 5000, random: createRandomSource(1)});
+	expect(outputs.some(output => output.kind === 'first' && output.event.kind === 'run-stop-requested')).toBe(isStopped);
+	expect(state.observation.endpoints.has('e1')).toBe(isStopped);
+});
--- a/packages/jobs/src/observation/observation-filter.ts
+++ b/packages/jobs/src/observation/observation-filter.ts
@@ -146,8 +146,10 @@
 			continue;
 		}
 
+		// A run whose endpoint restarted before it was confirmed has made no progress yet by the new process's clock.
+		const progressedClockMs = Math.max(run.progressedClockMs, run.confirmedClockMs ?? 0);
 		// At 100 percent no progress is left to report, only the end of the run.
-		if (run.percent < 100 && clockMs > run.progressedClockMs + stallTimeoutMs) {
+		if (run.percent < 100 && clockMs > progressedClockMs + stallTimeoutMs) {
 			outputs.push(...moveRun(state, supervised, run, task, 'run stalled'));
 			continue;
 		}
