Keep a late registration from replacing the next one of the entry

An entry registers itself in the store without a condition. If the store did not answer, the entry opened a second lease and registered under it; the first write, carried out late while its lease still held, put the record under the first lease. It was removed with that lease within 1.5 s, the entry found itself missing, dropped its session and with it all of its claims, and its pools stood still until they were claimed and surveyed again. The same could come from the former process of the entry.

The registration is now written on condition of the revision seen last.

--- a/packages/entry/src/jobs/session.ts
+++ b/packages/entry/src/jobs/session.ts
@@ -1,6 +1,7 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {type PeerServer} from '@pistachiogauge/jobs';
 import {type StoreClient} from '@pistachiogauge/platform';
+import {createGuardedWriter} from './guard-writes.js';
 import {encodeRecord, recordKeys} from './job-records.js';
 import {readClocks} from './read-clocks.js';
 
@@ -40,15 +41,17 @@
 /** @internal */
 export function createSession(options: SessionOptions): Session {
 	const {store, node, incarnation} = options;
+	const writeGuarded = createGuardedWriter(store);
 	let lease: number | undefined;
 	const stopping = new AbortController();
 
 	async function openLease(): Promise<void> {
 		const requestedAt = readClocks();
 		const granted = await store.createLease(Math.max(leaseTtlMs, options.leaseMinMs));
-		const result = await store.applyTransaction({
+		const key = `${recordKeys.entryPrefix}${node}`;
+		const result = await writeGuarded(key, {
 			conditions: [],
-			puts: [{key: `${recordKeys.entryPrefix}${node}`, value: encodeRecord({incarnation, weight: options.weight, peerServer: options.peerServer}), lease: granted.lease}],
+			puts: [{key, value: encodeRecord({incarnation, weight: options.weight, peerServer: options.peerServer}), lease: granted.lease}],
 		});
 		if (result.kind !== 'applied' || stopping.signal.aborted) {
 			throw new Error(`registering the entry failed: ${result.kind}`);
