Publish nothing of a pool's load that ends after the pool was lost

The load of a pool's records goes on after the claim was lost, and its events carry no token but for 'pool-read'. If the pool had been claimed again meanwhile, jobs and withdrawn evacuations as the former load had read them were applied under the next claim; a withdrawal of an evacuation that stands lets tasks start on an endpoint whose machine is about to be ordered. Found by reading; not seen in a run.

Stopping to follow a pool ends its load as a newer load does.

repeated-load.test.ts, case 'during the load of a pool that is lost meanwhile', failed before: the load was published.

--- a/packages/entry/src/jobs/follow-pool.ts
+++ b/packages/entry/src/jobs/follow-pool.ts
@@ -199,6 +199,8 @@
 		handleError: createFailureLogger(context.log, evacuationPrefix),
 	});
 	return () => {
+		// A load that is under way publishes nothing: the pool may be owned under another claim by then.
+		loadCount += 1;
 		stopInbox();
 		stopEvacuations();
 	};
--- a/packages/entry/src/jobs/repeated-load.test.ts
+++ b/packages/entry/src/jobs/repeated-load.test.ts
@@ -41,11 +41,13 @@
 	readonly historyLostAfterMs: number;
 	/** Time in ms that the reads of the pool's state take. */
 	readonly stateReadMs: number;
+	/** Time in ms after which the pool is lost. */
+	readonly lostAfterMs?: number;
 	readonly expected: readonly string[];
 };
 
 /** Lists the loads of a pool and the jobs that are published as new after it. */
-async function listEvents({progress: value, historyLostAfterMs, stateReadMs}: Case): Promise<string[]> {
+async function listEvents({progress: value, historyLostAfterMs, stateReadMs, lostAfterMs = 250}: Case): Promise<string[]> {
 	const events: string[] = [];
 	let watchCount = 0;
 	const store = {
@@ -81,8 +83,9 @@
 		incarnation: 'first',
 		handleRegistrationLost() {/* Not needed. */},
 	}, 'desk', 7);
-	await delay(250);
+	await delay(lostAfterMs);
 	stop();
+	await delay(250 - lostAfterMs);
 	return events;
 }
 
@@ -94,6 +97,10 @@
 		// Guards against tasks that run again, as a job that was left out of the load for its progress is taken as new.
 		name: 'after the load of a job whose progress cannot be decoded', progress: '{', historyLostAfterMs: 60, stateReadMs: 0, expected: ['loaded with 0 jobs'],
 	},
+	{
+		// Guards against records from under one claim on a pool that change what is known under the next one.
+		name: 'during the load of a pool that is lost meanwhile', progress, historyLostAfterMs: 250, stateReadMs: 60, lostAfterMs: 20, expected: [],
+	},
 ];
 
 describe('a pool whose watch loses its history', () => {
