Leave the rest of a previous owner's run out of measured durations

A new owner of a pool counted the time from the adoption of a run to its end as the duration of its task, and its progress over all of its work as made since then. Tasks of hours that were nearly done counted as tasks of a second, for the step and for the queue, after each takeover; predictions of waits and of jobs that are too late follow from them.

When an adopted run began is not known, so it is left out of the durations and of the speed of its endpoint. Stalls are noticed as before.

observation-filter.test.ts, case 'the previous owner has started', failed before: the step had a duration after the first answer.

--- a/packages/jobs/src/observation/observation-filter.test.ts
+++ b/packages/jobs/src/observation/observation-filter.test.ts
@@ -132,3 +132,27 @@
 	expect(outputs.some(output => output.kind === 'first' && output.event.kind === 'run-stop-requested')).toBe(isStopped);
 	expect(state.observation.endpoints.has('e1')).toBe(isStopped);
 });
+
+// Guards against durations that a new owner takes for short, as it has seen only the rest of the runs of the previous one.
+it.each([
+	{name: 'the previous owner has started', isAdopted: true, count: undefined},
+	{name: 'it has started itself', isAdopted: false, count: 1},
+])('an owner takes note of the duration of a run that $name: $count', ({isAdopted, count}) => {
+	const {state, apply} = createTestOwner({roster: {endpointIds: ['e1']}, endpoints: ['e1'], jobs: [createStoredTestJob(createTestJob('job', [{}]))]});
+	const step = state.ledger.pools.get('desk')!.jobs.get('job')!.steps.get('0.0')!;
+	const report = {
+		taskId: 'job.0.0.0', run: 9, checkpoint: '', load: 0,
+	};
+	apply({kind: 'tick'}, 25);
+	apply({...createTestPollAnswer('e1', 1050), running: isAdopted ? [{...report, percent: 80}] : []}, 50);
+	const start = apply({kind: 'tick'}, 75).find(effect => effect.kind === 'start-task');
+	const run = start?.run ?? report.run;
+	apply({...createTestPollAnswer('e1', 2050), running: [{...report, run, percent: 90}]}, 1050);
+	expect(state.observation.stepDurations.has(step)).toBe(!isAdopted);
+	apply({
+		...createTestPollAnswer('e1', 2575), ended: [{
+			...report, run, number: 1, outcome: 'done',
+		}],
+	}, 1575);
+	expect(state.observation.durationModels.get('prints')?.count).toBe(count);
+});
--- a/packages/jobs/src/observation/observation-filter.ts
+++ b/packages/jobs/src/observation/observation-filter.ts
@@ -54,6 +54,14 @@
 
 			return [];
 		},
+		'run-adopted'({observation, ledger}, {pool, taskId, run}) {
+			const task = findTask(ledger.pools.get(pool), taskId);
+			if (task !== undefined) {
+				observation.adoptedRuns.set(task, run);
+			}
+
+			return [];
+		},
 		'run-ended': recordRunEnd,
 		'poll-answered'(state, {endpointId}, context) {
 			const supervised = state.supervision.endpoints.get(endpointId);
@@ -86,7 +94,7 @@
 
 	observation.lastFailedEndpoints.delete(end.taskId);
 	health.failuresInRow = 0;
-	if (step === undefined || !wasExpected || step.spec.isLongRunning) {
+	if (task === undefined || step === undefined || !wasExpected || step.spec.isLongRunning || observation.adoptedRuns.get(task) === end.run) {
 		return [];
 	}
 
@@ -154,7 +162,7 @@
 			continue;
 		}
 
-		const durationMs = estimateDurationMs(run, task, clockMs);
+		const durationMs = state.observation.adoptedRuns.get(task) === run.run ? undefined : estimateDurationMs(run, task, clockMs);
 		if (durationMs === undefined) {
 			continue;
 		}
--- a/packages/jobs/src/observation/observation-state.ts
+++ b/packages/jobs/src/observation/observation-state.ts
@@ -29,6 +29,8 @@
 	readonly earlyEnds: WeakMap<Task, {readonly count: number; readonly retryAt: number}>;
 	/** Runs of long-running tasks that have been seen at work. */
 	readonly servingRuns: WeakSet<Run>;
+	/** Number of the run of a task that a previous owner has started. When it began is not known. */
+	readonly adoptedRuns: WeakMap<Task, number>;
 };
 
 /** Read-only view of the observations for other filters. @public */
@@ -46,7 +48,7 @@
 /** @public */
 export function createObservationState(): ObservationState {
 	return {
-		endpoints: new Map(), durationModels: new Map(), stepDurations: new WeakMap(), jobEstimates: new WeakMap(), lastFailedEndpoints: new Map(), earlyEnds: new WeakMap(), servingRuns: new WeakSet(),
+		endpoints: new Map(), durationModels: new Map(), stepDurations: new WeakMap(), jobEstimates: new WeakMap(), lastFailedEndpoints: new Map(), earlyEnds: new WeakMap(), servingRuns: new WeakSet(), adoptedRuns: new WeakMap(),
 	};
 }
 
