Confirm evacuations under the claim on the pool

The record that confirms an evacuation is conditional on the revision of the claim on the pool. It was taken from the endpoint's fencing token, which is the same number today.

Preparation, no fault on the present code: the new case of evacuation-filter.test.ts failed before with an endpoint whose token is higher than the claim's.

--- a/packages/jobs/src/evacuation/evacuation-filter.test.ts
+++ b/packages/jobs/src/evacuation/evacuation-filter.test.ts
@@ -91,3 +91,17 @@
 		expect(listStops(input)).toEqual(expected);
 	});
 });
+
+it('an evacuation is confirmed under the claim on the pool, whatever token the orders to its endpoint carry', () => {
+	const state = createJobsState({node: 'entry-1', incarnation: 'first', orderLeaseMs: 3000});
+	holdTestClaim(state, poolName, surveyedAt);
+	state.supervision.pools.set(poolName, {
+		pool: poolName, token: 1, acquiredAt: 0, unsurveyedIds: new Set(), evacuatedIds: new Set(), surveyedAt,
+	});
+	state.supervision.endpoints.set('a', createTestSupervisedEndpoint('a', poolName, {token: 2}));
+	state.evacuation.requests.set('a', {
+		requestId: 'first', pool: poolName, endpointId: 'a', machine: 'machine-a', purpose: 'move', dueAt: 0,
+	});
+	const outputs = evacuationFilter.handlers.tick!(state, {kind: 'tick'}, {now: surveyedAt, wallTime: surveyedAt, random});
+	expect(outputs.flatMap(output => output.kind === 'sink' && output.effect.kind === 'confirm-evacuation' ? [output.effect.token] : [])).toEqual([1]);
+});
--- a/packages/jobs/src/evacuation/evacuation-filter.ts
+++ b/packages/jobs/src/evacuation/evacuation-filter.ts
@@ -117,8 +117,8 @@
 
 function confirmEvacuated(state: State, endpoint: Readonly<SupervisedEndpoint>): JobOutput[] {
 	const request = state.evacuation.requests.get(endpoint.id);
-	const isSurveyed = state.supervision.pools.get(endpoint.pool)?.surveyedAt !== undefined;
-	if (request === undefined || endpoint.runs.size > 0 || endpoint.unsavedEnds.size > 0 || !isSurveyed || state.evacuation.confirmedEndpointIds.has(endpoint.id)) {
+	const pool = state.supervision.pools.get(endpoint.pool);
+	if (request === undefined || endpoint.runs.size > 0 || endpoint.unsavedEnds.size > 0 || pool?.surveyedAt === undefined || state.evacuation.confirmedEndpointIds.has(endpoint.id)) {
 		return [];
 	}
 
@@ -126,7 +126,7 @@
 	return [
 		emitLog('info', 'evacuation of endpoint completed', {endpoint: endpoint.id, pool: endpoint.pool, purpose: request.purpose}),
 		restartEvent({kind: 'evacuation-completed', pool: endpoint.pool, endpointId: endpoint.id}),
-		emitEffect({kind: 'confirm-evacuation', token: endpoint.token, evacuated: {requestId: request.requestId, pool: endpoint.pool, endpointId: endpoint.id}}),
+		emitEffect({kind: 'confirm-evacuation', token: pool.token, evacuated: {requestId: request.requestId, pool: endpoint.pool, endpointId: endpoint.id}}),
 	];
 }
 
