--- a/packages/jobs/src/directory/directory-filter.ts
+++ b/packages/jobs/src/directory/directory-filter.ts
@@ -60,6 +60,10 @@
 
 function recordEndpoint(directory: DirectoryState, endpoint: Endpoint, context: DecisionContext): JobOutput[] {
 	const known = directory.endpoints.get(endpoint.id);
+	if (known !== undefined && isLateRecord(endpoint, known)) {
+		return [emitLog('info', 'record of draining endpoint from before its drain ignored', {endpoint: endpoint.id, bornAt: endpoint.startedAt, drainingBornAt: known.startedAt})];
+	}
+
 	directory.endpoints.set(endpoint.id, endpoint);
 	recordProcess(directory, endpoint, context);
 	if (known?.state === endpoint.state && known.startedAt === endpoint.startedAt && known.pool === endpoint.pool && known.address === endpoint.address) {
@@ -74,6 +78,11 @@
 	];
 }
 
+/** Whether an endpoint wrote a record before it began to drain, as a process that drains does not get ready again. A start time of 0 is not known. */
+function isLateRecord({state, startedAt}: Endpoint, known: Endpoint): boolean {
+	return known.state === 'draining' && state === 'ready' && startedAt > 0 && startedAt <= known.startedAt;
+}
+
 /** Records which process of an endpoint is listed. */
 function recordProcess({processes}: DirectoryState, {id, startedAt}: Endpoint, {now}: DecisionContext): void {
 	const known = processes.get(id);
@@ -84,6 +93,11 @@
 function removeEndpoint(directory: DirectoryState, id: string, {now}: DecisionContext): JobOutput[] {
 	const known = directory.endpoints.get(id);
 	directory.endpoints.delete(id);
+	const process = directory.processes.get(id);
+	if (process !== undefined) {
+		directory.processes.set(id, {...process, changedAt: now});
+	}
+
 	forgetProcesses(directory, now);
 	return known === undefined ? [] : [emitLog('info', 'endpoint record removed', {endpoint: id, pool: known.pool, state: known.state})];
 }
--- a/packages/jobs/src/observation/observation-filter.test.ts
+++ b/packages/jobs/src/observation/observation-filter.test.ts
@@ -1,10 +1,12 @@
+import {createRandomSource} from '@pistachiogauge/chain';
 import {describe, expect, it} from 'vitest';
 import {
 	type DurationModel, type JobEvent, type ReportedRun, type RunId,
 } from '../model/index.js';
 import {
-	createStepSpec, createStoredTestJob, createTestJob, createTestOwner, createTestPollAnswer,
+	createStepSpec, createStoredTestJob, createTestJob, createTestOwner, createTestPollAnswer, createTestRun, createTestSupervisedEndpoint,
 } from '../testing.test-support.js';
+import {observationFilter} from './observation-filter.js';
 import {createDurationPredictor} from './observation-state.js';
 
 /** An answer of the endpoint: when it reaches the owner, and the endpoint's clock and the percentage of each run in it. */
@@ -116,3 +118,41 @@
 		expect(Math.abs(predict(createStepSpec({estimateMs: 100}), undefined) - predicted)).toBeLessThan(predicted * 0.05);
 	});
 });
+
+// Guards against a run that counts as stalled as soon as a restarted endpoint has confirmed it, and an endpoint that is avoided for it.
+it.each([
+	{name: 'it was confirmed just now', clockMs: 3010, isStopped: false},
+	{name: 'it has made no progress since it was confirmed', clockMs: 4700, isStopped: true},
+])('a run without progress on a restarted endpoint is stopped ($isStopped) if $name', ({clockMs, isStopped}) => {
+	const job = createTestJob('job', [{}]);
+	const {state} = createTestOwner({roster: {endpointIds: []}, endpoints: [], jobs: [createStoredTestJob(job)]});
+	const run = createTestRun('job.0.0.0', {phase: 'running', progressedClockMs: 0, confirmedClockMs: 3000});
+	state.supervision.endpoints.set('e1', createTestSupervisedEndpoint('e1', 'desk', {clockMs, runs: new Map([[run.taskId, run]])}));
+	const outputs = observationFilter.handlers['poll-answered']!(state, createTestPollAnswer('e1', clockMs), {now: 5000, wallTime: 5000, random: createRandomSource(1)});
+	expect(outputs.some(output => output.kind === 'first' && output.event.kind === 'run-stop-requested')).toBe(isStopped);
+	expect(state.observation.endpoints.has('e1')).toBe(isStopped);
+});
+
+// Guards against durations that a new owner takes for short, as it has seen only the rest of the runs of the previous one.
+it.each([
+	{name: 'the previous owner has started', isAdopted: true, count: undefined},
+	{name: 'it has started itself', isAdopted: false, count: 1},
+])('an owner takes note of the duration of a run that $name: $count', ({isAdopted, count}) => {
+	const {state, apply} = createTestOwner({roster: {endpointIds: ['e1']}, endpoints: ['e1'], jobs: [createStoredTestJob(createTestJob('job', [{}]))]});
+	const step = state.ledger.pools.get('desk')!.jobs.get('job')!.steps.get('0.0')!;
+	const report = {
+		taskId: 'job.0.0.0', run: 9, checkpoint: '', load: 0,
+	};
+	apply({kind: 'tick'}, 25);
+	apply({...createTestPollAnswer('e1', 1050), running: isAdopted ? [{...report, percent: 80}] : []}, 50);
+	const start = apply({kind: 'tick'}, 75).find(effect => effect.kind === 'start-task');
+	const run = start?.run ?? report.run;
+	apply({...createTestPollAnswer('e1', 2050), running: [{...report, run, percent: 90}]}, 1050);
+	expect(state.observation.stepDurations.has(step)).toBe(!isAdopted);
+	apply({
+		...createTestPollAnswer('e1', 2575), ended: [{
+			...report, run, number: 1, outcome: 'done',
+		}],
+	}, 1575);
+	expect(state.observation.durationModels.get('prints')?.count).toBe(count);
+});
