Ignore refusals of orders of an earlier generation

A refusal of an order that was sent before the generation rose was applied to the endpoint as it is now: an answer of another endpoint at the former address dropped the runs of the process that runs at the new one, and a refusal by the owner's own later poll ended its claim.

Also sets the start of a run that is kept over a restart by the clock of the process that lists it, so that it counts as slow or nearly done like any other.

--- a/packages/jobs/src/supervision/apply-poll-answer.ts
+++ b/packages/jobs/src/supervision/apply-poll-answer.ts
@@ -139,6 +139,7 @@
 	endpoint.clockMs = undefined;
 	endpoint.leaseDeadlineMs = 0;
 	for (const run of endpoint.runs.values()) {
+		run.startedClockMs = undefined;
 		run.confirmedClockMs = undefined;
 		run.progressedClockMs = 0;
 	}
@@ -301,6 +302,7 @@
 	run.percent = report.percent;
 	run.load = report.load;
 	run.checkpoint = report.checkpoint;
+	run.startedClockMs ??= endpoint.clockMs;
 	run.confirmedClockMs ??= endpoint.clockMs;
 	run.listedByProcess = endpoint.startedAt;
 	run.isSuspected = false;
--- a/packages/jobs/src/supervision/handle-refusals.ts
+++ b/packages/jobs/src/supervision/handle-refusals.ts
@@ -65,9 +65,9 @@
 /** The refusal of an order, and the order's generation. @internal */
 export type RefusedOrder = {readonly refusal: OrderRefusal; readonly generation: number};
 
-type RefusalHandler = (endpoint: SupervisedEndpoint, order: RefusedOrder, context: DecisionContext) => JobOutput[];
+type RefusalHandler = (endpoint: SupervisedEndpoint, context: DecisionContext) => JobOutput[];
 
-const markSilent: RefusalHandler = (endpoint, _order, context) => {
+const markSilent: RefusalHandler = (endpoint, context) => {
 	if (endpoint.phase === 'answering') {
 		endpoint.phase = 'silent';
 		endpoint.silentSince = context.now;
@@ -83,13 +83,10 @@
 
 /** Handlers of refusals that say something about the endpoint itself, whatever the order was. */
 const refusalHandlers: Readonly<Partial<Record<OrderRefusal, RefusalHandler>>> = {
-	// An order of an earlier generation was shut out by this entry itself.
-	fenced: (endpoint, {generation}) => generation < endpoint.generation
-		? []
-		: [{
-			kind: 'first',
-			event: {kind: 'claim-superseded', name: `${poolClaimPrefix}${endpoint.pool}`, token: endpoint.token},
-		}],
+	fenced: endpoint => [{
+		kind: 'first',
+		event: {kind: 'claim-superseded', name: `${poolClaimPrefix}${endpoint.pool}`, token: endpoint.token},
+	}],
 	'other-incarnation': endpoint => [
 		emitLog('warn', 'another endpoint answers at the address', {endpoint: endpoint.id, address: endpoint.address}),
 		...dropRuns(endpoint, 'endpoint-restarted'),
@@ -97,12 +94,16 @@
 };
 
 /** Handles what the refusal of an order, whatever the order was, says about its endpoint: it becomes silent if it did not answer or is unhealthy, its runs are dropped if another incarnation answered, and the claim on its pool counts as superseded if it has seen the token of a later one. @internal */
-export function handleRefusal(endpoint: SupervisedEndpoint, order: RefusedOrder, context: DecisionContext): JobOutput[] {
-	const {refusal} = order;
+export function handleRefusal(endpoint: SupervisedEndpoint, {refusal, generation}: RefusedOrder, context: DecisionContext): JobOutput[] {
+	if (generation < endpoint.generation) {
+		// This entry may have shut it out itself, or its endpoint may have left the address since.
+		return [];
+	}
+
 	const handler = refusalHandlers[refusal];
 	if (handler !== undefined) {
-		return handler(endpoint, order, context);
+		return handler(endpoint, context);
 	}
 
-	return refusal === 'no-answer' || refusal === 'not-sent' || refusal === 'unhealthy' ? markSilent(endpoint, order, context) : [];
+	return refusal === 'no-answer' || refusal === 'not-sent' || refusal === 'unhealthy' ? markSilent(endpoint, context) : [];
 }
--- a/packages/jobs/src/supervision/supervision-state.ts
+++ b/packages/jobs/src/supervision/supervision-state.ts
@@ -27,8 +27,8 @@
 	isSuspected: boolean;
 	/** Monotonic ms. */
 	readonly startedAt: number;
-	/** The endpoint's clock when the start was sent, as estimated, or when the run was adopted; undefined for a suspected run. */
-	readonly startedClockMs: number | undefined;
+	/** The endpoint's clock when the start was sent, as estimated, or when the process that runs it first listed it; undefined if neither is known. */
+	startedClockMs: number | undefined;
 	/** Process of the endpoint that the start was meant for, by the Unix ms at which it started; undefined if this entry has not sent the start. */
 	readonly sentToProcess: number | undefined;
 	/** Last reading of the endpoint's clock before the start was sent. The process that was read answers with the same or a later time. */
