--- a/packages/entry/src/jobs/guard-writes.ts
+++ b/packages/entry/src/jobs/guard-writes.ts
@@ -4,7 +4,7 @@
 export type GuardedWriter = (key: string, transaction: StoreTransaction) => Promise<TransactionResult>;
 
 /**
-Creates a writer for records that only this process changes while the other conditions of its transactions hold.
+Creates a writer for records that only this process writes while the other conditions of its transactions hold; others may delete them.
 
 The store may carry out an unanswered write seconds later. Once a later write has been applied, the earlier one no longer meets its condition.
 
