Record which process of an endpoint last answered its owner

Cause: an entry follows the directory only while it owns a pool, so the next owner had not seen the former process and took the new one for the first.

The roster names the process of each endpoint that last answered the owner, or that was listed first. The memory of processes in the directory is not needed then. Rosters without processes, of earlier versions, are read as before.

--- a/packages/entry/src/jobs/record-schemas.ts
+++ b/packages/entry/src/jobs/record-schemas.ts
@@ -74,7 +74,7 @@
 		lastRun: count,
 		endedAt: z.number().optional(),
 	}),
-	roster: z.object({endpointIds: z.array(z.string()), silentRuns: createTableSchema(z.array(runId)).optional()}),
+	roster: z.object({endpointIds: z.array(z.string()), silentRuns: createTableSchema(z.array(runId)).optional(), processes: createTableSchema(z.number()).optional()}),
 	report: z.object({
 		pool: z.string(),
 		confirmedAt: z.number().default(0),
--- a/packages/jobs/src/directory/directory-filter.ts
+++ b/packages/jobs/src/directory/directory-filter.ts
@@ -2,40 +2,21 @@
 import {emitLog, type JobFilter, type JobOutput} from '../filter.js';
 import {type Endpoint} from '../model/index.js';
 
-/** How long the last process of an endpoint is remembered that is no longer listed; longer than an order on its way can take effect. */
-const processMemoryMs = 60_000;
-
 /** Registered endpoints. @public */
 export type DirectoryState = {
 	readonly endpoints: Map<string, Endpoint>;
 	/** When the whole list was last read, in monotonic ms; undefined before the first time. */
 	listedAt: number | undefined;
-	/** The last listed process of each endpoint, also of one that is no longer listed. */
-	readonly processes: Map<string, ListedProcess>;
-};
-
-/** A process of an endpoint as the directory lists it. @public */
-export type ListedProcess = {
-	/** Unix ms at which it started. */
-	readonly startedAt: number;
-	/** When this entry learned that it has replaced another process under the same id, in monotonic ms; undefined if it has not. */
-	readonly replacedAt: number | undefined;
-	/** When the endpoint was last recorded or removed, in monotonic ms. */
-	readonly changedAt: number;
 };
 
 /** Read-only view of the directory for other filters. @public */
 export type DirectoryView = {
-	readonly directory: {
-		readonly endpoints: ReadonlyMap<string, Endpoint>;
-		readonly listedAt: number | undefined;
-		readonly processes: ReadonlyMap<string, ListedProcess>;
-	};
+	readonly directory: {readonly endpoints: ReadonlyMap<string, Endpoint>; readonly listedAt: number | undefined};
 };
 
 /** @public */
 export function createDirectoryState(): DirectoryState {
-	return {endpoints: new Map(), listedAt: undefined, processes: new Map()};
+	return {endpoints: new Map(), listedAt: undefined};
 }
 
 /** Keeps the list of registered endpoints up to date. @public */
@@ -48,13 +29,13 @@
 				...endpoints.flatMap(endpoint => recordEndpoint(directory, endpoint, context)),
 				...[...directory.endpoints.keys()]
 					.filter(id => !listed.has(id))
-					.flatMap(id => removeEndpoint(directory, id, context)),
+					.flatMap(id => removeEndpoint(directory, id)),
 			];
 			directory.listedAt = context.now;
 			return outputs;
 		},
 		'endpoint-changed': ({directory}, {endpoint}, context) => recordEndpoint(directory, endpoint, context),
-		'endpoint-removed': ({directory}, {endpointId}, context) => removeEndpoint(directory, endpointId, context),
+		'endpoint-removed': ({directory}, {endpointId}) => removeEndpoint(directory, endpointId),
 	},
 };
 
@@ -65,7 +46,6 @@
 	}
 
 	directory.endpoints.set(endpoint.id, endpoint);
-	recordProcess(directory, endpoint, context);
 	if (known?.state === endpoint.state && known.startedAt === endpoint.startedAt && known.pool === endpoint.pool && known.address === endpoint.address) {
 		return [];
 	}
@@ -83,30 +63,8 @@
 	return known.state === 'draining' && state === 'ready' && startedAt > 0 && startedAt <= known.startedAt;
 }
 
-/** Records which process of an endpoint is listed. */
-function recordProcess({processes}: DirectoryState, {id, startedAt}: Endpoint, {now}: DecisionContext): void {
-	const known = processes.get(id);
-	const isLater = known !== undefined && startedAt > known.startedAt;
-	processes.set(id, {startedAt: Math.max(startedAt, known?.startedAt ?? 0), replacedAt: isLater ? now : known?.replacedAt, changedAt: now});
-}
-
-function removeEndpoint(directory: DirectoryState, id: string, {now}: DecisionContext): JobOutput[] {
+function removeEndpoint(directory: DirectoryState, id: string): JobOutput[] {
 	const known = directory.endpoints.get(id);
 	directory.endpoints.delete(id);
-	const process = directory.processes.get(id);
-	if (process !== undefined) {
-		directory.processes.set(id, {...process, changedAt: now});
-	}
-
-	forgetProcesses(directory, now);
 	return known === undefined ? [] : [emitLog('info', 'endpoint record removed', {endpoint: id, pool: known.pool, state: known.state})];
 }
-
-/** Forgets processes of endpoints that have not been listed for so long that no order to an earlier one can take effect. */
-function forgetProcesses({endpoints, processes}: DirectoryState, now: number): void {
-	for (const [id, {changedAt}] of processes) {
-		if (!endpoints.has(id) && now > changedAt + processMemoryMs) {
-			processes.delete(id);
-		}
-	}
-}
--- a/packages/jobs/src/ledger/create-roster.ts
+++ b/packages/jobs/src/ledger/create-roster.ts
@@ -19,8 +19,14 @@
 	}
 
 	const silent = [...pool.silentRuns].filter(([, runs]) => runs.length > 0).sort(([left], [right]) => left < right ? -1 : 1);
+	const endpointIds = [...ids].filter(id => !pool.evacuatedEndpointIds.has(id) && !pool.silentRuns.has(id)).sort();
 	return {
-		endpointIds: [...ids].filter(id => !pool.evacuatedEndpointIds.has(id) && !pool.silentRuns.has(id)).sort(),
+		endpointIds,
 		...(silent.length > 0 && {silentRuns: Object.fromEntries(silent)}),
+		processes: Object.fromEntries([...endpointIds, ...silent.map(([id]) => id)].flatMap(id => {
+			// Until a process has answered, the one that was listed first counts.
+			const startedAt = pool.endpointProcesses.get(id) ?? pool.savedRoster.processes?.[id] ?? directory.endpoints.get(id)?.startedAt;
+			return startedAt === undefined ? [] : [[id, startedAt]];
+		})),
 	};
 }
--- a/packages/jobs/src/ledger/ledger-filter.ts
+++ b/packages/jobs/src/ledger/ledger-filter.ts
@@ -99,6 +99,11 @@
 		'endpoint-forgotten'({ledger}, {pool, endpointId}) {
 			ledger.pools.get(pool)?.forgottenEndpointIds.add(endpointId);
 			ledger.pools.get(pool)?.silentRuns.delete(endpointId);
+			ledger.pools.get(pool)?.endpointProcesses.delete(endpointId);
+			return [];
+		},
+		'endpoint-process-accepted'({ledger}, {pool, endpointId, startedAt}) {
+			ledger.pools.get(pool)?.endpointProcesses.set(endpointId, startedAt);
 			return [];
 		},
 		'endpoint-silent'({ledger}, {pool, endpointId, runs}) {
--- a/packages/jobs/src/ledger/ledger-state.ts
+++ b/packages/jobs/src/ledger/ledger-state.ts
@@ -91,6 +91,8 @@
 	isRosterSaveUnknown: boolean;
 	/** Endpoints that do not answer, and the runs that may be running there. */
 	readonly silentRuns: Map<string, readonly RunId[]>;
+	/** The process of each endpoint that last answered this owner, by the Unix ms at which it started. */
+	readonly endpointProcesses: Map<string, number>;
 	/** Endpoints on the saved roster. No task is started on any other. */
 	rosterEndpointIds: ReadonlySet<string>;
 	/** Cancelled jobs whose own record has not arrived: the records of a listing come in no particular order. */
@@ -131,6 +133,7 @@
 		savedRoster: {endpointIds: []},
 		isRosterSaveUnknown: false,
 		silentRuns: new Map(),
+		endpointProcesses: new Map(),
 		rosterEndpointIds: new Set(),
 		earlyCancellations: new Set(),
 		evacuatedEndpointIds: new Set(),
--- a/packages/jobs/src/model/coordination.ts
+++ b/packages/jobs/src/model/coordination.ts
@@ -108,6 +108,8 @@
 	Runs that may still be running on unresponsive endpoints, or whose ends there are not saved, by endpoint. No task is started there, so the next owner need not wait for these endpoints before it starts other tasks.
 	*/
 	readonly silentRuns?: Readonly<Record<string, readonly RunId[]>>;
+	/** The process of each of these endpoints that last answered the owner, by the Unix ms at which it started. Orders that were sent to an earlier one may be carried out by a later one. */
+	readonly processes?: Readonly<Record<string, number>>;
 };
 
 /** Identifies one run of a task. @public */
--- a/packages/jobs/src/model/events.ts
+++ b/packages/jobs/src/model/events.ts
@@ -236,6 +236,8 @@
 	| {readonly kind: 'endpoint-silent'; readonly pool: string; readonly endpointId: string; readonly runs: readonly RunId[]}
 	/** A silent endpoint answers again. */
 	| {readonly kind: 'endpoint-recovered'; readonly pool: string; readonly endpointId: string}
+	/** A process of an endpoint has answered, and only orders to it take effect there. */
+	| {readonly kind: 'endpoint-process-accepted'; readonly pool: string; readonly endpointId: string; readonly startedAt: number}
 	/** A run that may be running on an endpoint that did not answer the previous owner. */
 	| {readonly kind: 'run-suspected'; readonly pool: string; readonly endpointId: string; readonly taskId: string; readonly run: number}
 	/** An endpoint that has left the directory and on which nothing can run any more. */
--- a/packages/jobs/src/supervision/apply-poll-answer.ts
+++ b/packages/jobs/src/supervision/apply-poll-answer.ts
@@ -42,7 +42,7 @@
 
 	endpoint.fencedGeneration = answer.generation;
 	if (endpoint.startedAt === undefined || isOtherProcess || endpoint.isRestarted) {
-		acceptProcess(endpoint, answer.startedAt, context);
+		outputs.push(acceptProcess(endpoint, answer.startedAt, context));
 	}
 
 	endpoint.acknowledgedEnd = Math.max(endpoint.acknowledgedEnd, endpoint.acknowledgingEnd);
@@ -114,21 +114,24 @@
 }
 
 /** Begins with a process of an endpoint, once no earlier order takes effect there any more. It may have been granted a lease by such an order until now. */
-function acceptProcess(endpoint: SupervisedEndpoint, startedAt: number, {now}: DecisionContext): void {
+function acceptProcess(endpoint: SupervisedEndpoint, startedAt: number, {now}: DecisionContext): JobOutput {
 	const isFirst = endpoint.startedAt === undefined;
+	const former = endpoint.startedAt ?? endpoint.recordedProcess;
 	if (!isFirst || now < endpoint.previousLeaseExpiresAt) {
 		// The previous owner may not have noticed a restart.
 		endpoint.previousLeaseExpiresAt = getRestartedLeaseExpiry(now);
 	}
 
-	const mayHaveRestarted = !isFirst || now < endpoint.lateStartsUntil;
-	const hasRestarted = !isFirst && endpoint.startedAt !== startedAt;
-	endpoint.startableSince = mayHaveRestarted ? getRestartedStartTime(now) : now;
+	const hasRestarted = former !== undefined && former !== startedAt;
+	endpoint.startableSince = hasRestarted || !isFirst ? getRestartedStartTime(now) : now;
 	endpoint.startedAt = startedAt;
 	endpoint.isRestarted = false;
 	endpoint.lateStartsUntil = 0;
-	if (!hasRestarted) {
-		return;
+	const accepted = passEvent({
+		kind: 'endpoint-process-accepted', pool: endpoint.pool, endpointId: endpoint.id, startedAt,
+	} as const);
+	if (isFirst || !hasRestarted) {
+		return accepted;
 	}
 
 	endpoint.hasRestarted = true;
@@ -143,6 +146,8 @@
 		run.confirmedClockMs = undefined;
 		run.progressedClockMs = 0;
 	}
+
+	return accepted;
 }
 
 /** Drops a run once it is certain that it is not running. @internal */
--- a/packages/jobs/src/supervision/supervision-filter.ts
+++ b/packages/jobs/src/supervision/supervision-filter.ts
@@ -3,7 +3,7 @@
 import {type DirectoryView} from '../directory/index.js';
 import {emitLog, type JobFilter, type JobOutput} from '../filter.js';
 import {type LedgerView} from '../ledger/index.js';
-import {maxOrderGeneration, type JobEventOf} from '../model/index.js';
+import {maxOrderGeneration, type Endpoint, type JobEventOf} from '../model/index.js';
 import {pollEndpoint, pollIfDue, scheduleNextPoll} from './poll-endpoint.js';
 import {checkEndpoint} from './check-endpoint.js';
 import {checkSurvey} from './check-survey.js';
@@ -40,12 +40,14 @@
 			};
 			supervision.pools.set(pool, supervisedPool);
 			for (const id of roster.endpointIds) {
-				supervision.endpoints.set(id, createSupervisedEndpoint({id, address: ''}, supervisedPool, context));
+				supervision.endpoints.set(id, {...createSupervisedEndpoint({id, address: ''}, supervisedPool, context), recordedProcess: roster.processes?.[id]});
 			}
 
 			const outputs: JobOutput[] = [];
 			for (const [endpointId, runs] of Object.entries(roster.silentRuns ?? {})) {
-				supervision.endpoints.set(endpointId, {...createSupervisedEndpoint({id: endpointId, address: ''}, supervisedPool, context), areRunsKnown: true, reportedRunCount: runs.length});
+				supervision.endpoints.set(endpointId, {
+					...createSupervisedEndpoint({id: endpointId, address: ''}, supervisedPool, context), recordedProcess: roster.processes?.[endpointId], areRunsKnown: true, reportedRunCount: runs.length,
+				});
 				// At most one run of a task can still be running there; an earlier one has an unsaved end.
 				const lastRuns = new Map([...runs].sort((left, right) => left.run - right.run).map(run => [run.taskId, run]));
 				outputs.push(...[...lastRuns.values()].map(run => restartEvent({
@@ -192,7 +194,8 @@
 		generation: getNextGeneration(pool, id),
 		fencedGeneration: -1,
 		isRestarted: false,
-		restartListedAt: undefined,
+		recordedProcess: undefined,
+		listedProcess: undefined,
 		lateStartsUntil: 0,
 		clockMs: undefined,
 		clockReadAt: 0,
@@ -259,28 +262,21 @@
 		}
 
 		endpoint.address = listed.address;
-	}
-
-	for (const endpoint of supervision.endpoints.values()) {
-		handleListedRestart(directory, endpoint, context);
+		handleListedRestart(endpoint, listed, context);
 	}
 
 	return outputs;
 }
 
 /** Expects orders for a former process to be carried out by the one that the directory lists, until that answers. */
-function handleListedRestart(directory: State['directory'], endpoint: SupervisedEndpoint, {now}: DecisionContext): void {
-	const listed = directory.processes.get(endpoint.id);
-	if (listed?.replacedAt === undefined || listed.replacedAt === endpoint.restartListedAt) {
-		return;
-	}
-
-	endpoint.restartListedAt = listed.replacedAt;
-	if (listed.startedAt <= (endpoint.startedAt ?? 0)) {
+function handleListedRestart(endpoint: SupervisedEndpoint, {startedAt}: Endpoint, {now}: DecisionContext): void {
+	const former = endpoint.startedAt ?? endpoint.recordedProcess;
+	if (former === undefined || startedAt <= former || startedAt === endpoint.listedProcess) {
 		return;
 	}
 
-	endpoint.lateStartsUntil = getLateOrderExpiry(listed.replacedAt);
+	endpoint.listedProcess = startedAt;
+	endpoint.lateStartsUntil = getLateOrderExpiry(now);
 	if (endpoint.startedAt === undefined) {
 		// Which starts the previous owner had sent is not known.
 		endpoint.previousLeaseExpiresAt = Math.max(endpoint.previousLeaseExpiresAt, endpoint.lateStartsUntil);
--- a/packages/jobs/src/supervision/supervision-state.ts
+++ b/packages/jobs/src/supervision/supervision-state.ts
@@ -96,8 +96,10 @@
 	fencedGeneration: number;
 	/** Whether another process than `startedAt` is known to run and no poll of the current generation has been answered since. */
 	isRestarted: boolean;
-	/** When the directory listed the last process whose start has been dealt with, in monotonic ms. */
-	restartListedAt: number | undefined;
+	/** The process that last answered the previous owner, as that owner recorded it. */
+	readonly recordedProcess: number | undefined;
+	/** The last listed process that replaced another one and has been dealt with. */
+	listedProcess: number | undefined;
 	/** Monotonic ms until which starts without an answer may be carried out by a later process and run there; 0 if none is known. */
 	lateStartsUntil: number;
 	/** The endpoint's clock as last read, at `clockReadAt`. */
