Send no acknowledgement beside a start that is not answered

Cause: ends are numbered anew by each process, so an acknowledgement means other ends there. Nothing that a later owner hears tells them apart.

An acknowledgement is sent alone: not while a start awaits its answer, and no start is sent until it is answered. It asks the endpoint not to wait, so this takes a round trip, and the long poll follows. One that starts hold back for 150 ms stops further starts. What a late acknowledgement deletes then is the end of no start that was under way with it.

--- a/packages/jobs/src/placement/endpoint-use.ts
+++ b/packages/jobs/src/placement/endpoint-use.ts
@@ -3,7 +3,7 @@
 import {type EvacuationView} from '../evacuation/index.js';
 import {type PoolLedger} from '../ledger/index.js';
 import {type ObservationView} from '../observation/index.js';
-import {isFenced, type SupervisedEndpoint, type SupervisionView} from '../supervision/index.js';
+import {canTakeStarts, type SupervisedEndpoint, type SupervisionView} from '../supervision/index.js';
 import {type EndpointUse, type PlacementState} from './placement-state.js';
 
 type State = {readonly placement: PlacementState} & SupervisionView & DirectoryView & EvacuationView & ObservationView;
@@ -13,7 +13,7 @@
 /** The first exclusion that holds counts. */
 const exclusionChecks: Readonly<Record<Exclusion, ExclusionCheck>> = {
 	silent: (_state, {phase}) => phase !== 'answering',
-	'unanswered-order': (_state, endpoint) => !isFenced(endpoint),
+	'unanswered-order': (_state, endpoint, _pool, {now}) => !canTakeStarts(endpoint, now),
 	'not-ready': ({directory}, {id}) => directory.endpoints.get(id)?.state !== 'ready',
 	'evacuated-for-move': ({evacuation}, {id}) => evacuation.requests.get(id)?.purpose === 'move',
 	'evacuated-for-maintenance': ({evacuation}, {id}) => evacuation.requests.get(id)?.purpose === 'maintenance',
--- a/packages/jobs/src/supervision/apply-poll-answer.ts
+++ b/packages/jobs/src/supervision/apply-poll-answer.ts
@@ -46,6 +46,7 @@
 	}
 
 	endpoint.acknowledgedEnd = Math.max(endpoint.acknowledgedEnd, endpoint.acknowledgingEnd);
+	endpoint.acknowledgingEnd = 0;
 	if (endpoint.clockMs === undefined || answer.clockMs >= endpoint.clockMs) {
 		endpoint.clockMs = answer.clockMs;
 		endpoint.clockReadAt = context.now;
@@ -138,6 +139,7 @@
 	endpoint.lastProcessedEnd = 0;
 	endpoint.acknowledgedEnd = 0;
 	endpoint.acknowledgingEnd = 0;
+	endpoint.acknowledgementHeldSince = undefined;
 	endpoint.unsavedEnds.clear();
 	endpoint.clockMs = undefined;
 	endpoint.leaseDeadlineMs = 0;
--- a/packages/jobs/src/supervision/poll-endpoint.ts
+++ b/packages/jobs/src/supervision/poll-endpoint.ts
@@ -43,16 +43,56 @@
 	const isKnown = endpoint.phase === 'answering' && isFenced(endpoint);
 	// The lease of an endpoint that does not answer is not extended: otherwise its tasks could not be started elsewhere for as long as it is polled. No lease lasts longer than this entry's permission, as the next owner waits that long.
 	const deadlineMs = clock === undefined || !isKnown || permittedMs === 0 ? undefined : clock + Math.min(leaseMs, permittedMs);
-	const lastSavedEnd = isKnown ? getLastSavedEnd(endpoint) : 0;
 	endpoint.isPollPending = true;
 	endpoint.leaseDeadlineMs = Math.max(endpoint.leaseDeadlineMs, deadlineMs ?? 0);
-	// An acknowledgement that is repeated would delete ends of a later process if it arrived late.
-	endpoint.acknowledgingEnd = lastSavedEnd > endpoint.acknowledgedEnd ? lastSavedEnd : 0;
+	endpoint.acknowledgingEnd = isKnown ? chooseAcknowledgement(endpoint, context.now) : 0;
 	return [emitEffect({
 		kind: 'poll-endpoint', target: getOrderTarget(endpoint), lastSavedEnd: endpoint.acknowledgingEnd, deadlineMs, waitMs: getWaitMs(endpoint),
 	})];
 }
 
+/** Polls an endpoint of which all listed ends are saved, unless a start without an answer holds back their acknowledgement: the endpoint would list them again at once. @internal */
+export function pollAfterSave(state: AuthorityView, endpoint: SupervisedEndpoint, context: DecisionContext): JobOutput[] {
+	if (isAcknowledgementDue(endpoint) && hasUnansweredStart(endpoint)) {
+		endpoint.acknowledgementHeldSince ??= context.now;
+		return [];
+	}
+
+	return pollEndpoint(state, endpoint, context);
+}
+
+/** Polls an endpoint once no start holds back an acknowledgement any more. @internal */
+export function pollIfAcknowledgementIsDue(state: AuthorityView, endpoint: SupervisedEndpoint, context: DecisionContext): JobOutput[] {
+	const isDue = endpoint.phase === 'answering' && endpoint.unsavedEnds.size === 0 && isAcknowledgementDue(endpoint);
+	return isDue && !hasUnansweredStart(endpoint) ? pollEndpoint(state, endpoint, context) : [];
+}
+
+/** Whether ends are saved that the endpoint still holds. */
+function isAcknowledgementDue(endpoint: Readonly<SupervisedEndpoint>): boolean {
+	return getLastSavedEnd(endpoint) > endpoint.acknowledgedEnd;
+}
+
+/** Whether the answer to a start is awaited. */
+function hasUnansweredStart({runs}: Readonly<SupervisedEndpoint>): boolean {
+	return [...runs.values()].some(({phase, isSuspected}) => phase !== 'running' && !isSuspected);
+}
+
+/** Returns the number up to which a poll acknowledges ends, 0 for none. One that is repeated, or sent beside a start without an answer, could delete ends of a later process that nobody has read. */
+function chooseAcknowledgement(endpoint: SupervisedEndpoint, now: number): number {
+	if (!isAcknowledgementDue(endpoint)) {
+		endpoint.acknowledgementHeldSince = undefined;
+		return 0;
+	}
+
+	if (hasUnansweredStart(endpoint)) {
+		endpoint.acknowledgementHeldSince ??= now;
+		return 0;
+	}
+
+	endpoint.acknowledgementHeldSince = undefined;
+	return getLastSavedEnd(endpoint);
+}
+
 /** Polls an endpoint if it is time and none is pending. @internal */
 export function pollIfDue(state: AuthorityView, endpoint: SupervisedEndpoint, context: DecisionContext): JobOutput[] {
 	return context.now >= endpoint.nextPollAt && endpoint.address !== '' ? pollEndpoint(state, endpoint, context) : [];
@@ -61,11 +101,21 @@
 /** Schedules the next poll of an endpoint that has answered. @internal */
 export function scheduleNextPoll(endpoint: SupervisedEndpoint, now: number): void {
 	// An endpoint answers at once while it has ends that are not acknowledged, even if it has listed them before.
-	endpoint.nextPollAt = endpoint.unsavedEnds.size > 0 ? now + unsavedPollDelayMs : now;
+	if (endpoint.unsavedEnds.size > 0) {
+		endpoint.nextPollAt = now + unsavedPollDelayMs;
+		return;
+	}
+
+	if (!isAcknowledgementDue(endpoint)) {
+		endpoint.nextPollAt = now;
+	} else if (endpoint.nextPollAt < now) {
+		endpoint.nextPollAt = now + unsavedPollDelayMs;
+	}
 }
 
 function getWaitMs(endpoint: SupervisedEndpoint): number {
-	if (endpoint.phase !== 'answering' || !isFenced(endpoint) || endpoint.unsavedEnds.size > 0) {
+	// An endpoint answers at once while it holds ends, and starts wait for the answer to an acknowledgement.
+	if (endpoint.phase !== 'answering' || !isFenced(endpoint) || endpoint.unsavedEnds.size > 0 || isAcknowledgementDue(endpoint)) {
 		return 0;
 	}
 
--- a/packages/jobs/src/supervision/start-task.ts
+++ b/packages/jobs/src/supervision/start-task.ts
@@ -5,7 +5,7 @@
 import {getOrderTarget} from './poll-endpoint.js';
 import {estimateClock, startValidityMs} from './lease-clock.js';
 import {
-	addRun, createRun, isFenced, type SupervisionState,
+	addRun, canTakeStarts, createRun, type SupervisionState,
 } from './supervision-state.js';
 import {listUnsupervisedRuns} from './unsupervised-runs.js';
 
@@ -17,7 +17,7 @@
 	const endpoint = state.supervision.endpoints.get(endpointId);
 	const task = findTask(state.ledger.pools.get(event.pool), taskId);
 	const clock = endpoint === undefined ? undefined : estimateClock(endpoint, context.now);
-	if (endpoint === undefined || task === undefined || clock === undefined || !isFenced(endpoint)) {
+	if (endpoint === undefined || task === undefined || clock === undefined || !canTakeStarts(endpoint, context.now)) {
 		return [{
 			kind: 'next', event: {
 				kind: 'run-dropped', pool: event.pool, taskId, run, endpointId, reason: 'not-started', checkpoint,
--- a/packages/jobs/src/supervision/supervision-filter.ts
+++ b/packages/jobs/src/supervision/supervision-filter.ts
@@ -4,7 +4,9 @@
 import {emitLog, type JobFilter, type JobOutput} from '../filter.js';
 import {type LedgerView} from '../ledger/index.js';
 import {maxOrderGeneration, type Endpoint, type JobEventOf} from '../model/index.js';
-import {pollEndpoint, pollIfDue, scheduleNextPoll} from './poll-endpoint.js';
+import {
+	pollAfterSave, pollIfAcknowledgementIsDue, pollIfDue, scheduleNextPoll,
+} from './poll-endpoint.js';
 import {checkEndpoint} from './check-endpoint.js';
 import {checkSurvey} from './check-survey.js';
 import {getLateOrderExpiry, getPreviousLeaseExpiry} from './lease-clock.js';
@@ -97,7 +99,7 @@
 			scheduleNextPoll(endpoint, context.now);
 			return [
 				...outputs,
-				...(endpoint.unsavedEnds.size === 0 ? pollEndpoint(state, endpoint, context) : []),
+				...(endpoint.unsavedEnds.size === 0 ? pollAfterSave(state, endpoint, context) : []),
 				passEvent({kind: 'placement-due', pool: endpoint.pool}),
 			];
 		},
@@ -119,7 +121,7 @@
 				return [];
 			}
 
-			return pollEndpoint(state, endpoint, context);
+			return pollAfterSave(state, endpoint, context);
 		},
 		'task-placed': startTask,
 		'run-suspected': addSuspectedRun,
@@ -127,7 +129,7 @@
 		'start-refused'(state, event, context) {
 			const outputs = handleStartRefusal(state.supervision, event, context);
 			const endpoint = findEndpoint(state.supervision, event);
-			return endpoint === undefined ? outputs : [...outputs, ...pollIfDue(state, endpoint, context)];
+			return endpoint === undefined ? outputs : [...outputs, ...pollIfDue(state, endpoint, context), ...pollIfAcknowledgementIsDue(state, endpoint, context)];
 		},
 		'run-stop-requested'({supervision}, {pool, taskId, reason}, context) {
 			const outputs: JobOutput[] = [];
@@ -166,7 +168,7 @@
 	const confirmed = passEvent({kind: 'run-confirmed', pool: endpoint.pool, taskId} as const);
 	if (clockMs >= (placed.sentAfterClockMs ?? 0)) {
 		placed.confirmedClockMs = clockMs;
-		return [confirmed];
+		return [confirmed, ...pollIfAcknowledgementIsDue(state, endpoint, context)];
 	}
 
 	// Only a later process can have answered.
@@ -204,6 +206,7 @@
 		lastProcessedEnd: 0,
 		acknowledgedEnd: 0,
 		acknowledgingEnd: 0,
+		acknowledgementHeldSince: undefined,
 		hasRestarted: false,
 		unsavedEnds: new Map(),
 		areEndsComplete: false,
--- a/packages/jobs/src/supervision/supervision-state.ts
+++ b/packages/jobs/src/supervision/supervision-state.ts
@@ -114,8 +114,10 @@
 	lastProcessedEnd: number;
 	/** Number up to which ends were acknowledged in a poll that was answered. */
 	acknowledgedEnd: number;
-	/** Number that the pending poll acknowledges. */
+	/** Number that the pending poll acknowledges; 0 if it acknowledges nothing. No start is sent meanwhile. */
 	acknowledgingEnd: number;
+	/** Since when starts without an answer have held back an acknowledgement, in monotonic ms; undefined if none has. */
+	acknowledgementHeldSince: number | undefined;
 	/** Whether this entry has seen the endpoint restart, so that the current process has listed its ends to no other owner. */
 	hasRestarted: boolean;
 	/** Runs whose ends are processed and not saved in the store, by number of the end. */
@@ -259,14 +261,30 @@
 	};
 }
 
-/** Whether the current process of the endpoint has answered a poll of the current generation, so that only orders of this generation can take effect there. @public */
+/** Whether the current process of the endpoint has answered a poll of the current generation, so that only orders of this generation can take effect there. @internal */
 export function isFenced({generation, fencedGeneration}: Readonly<SupervisedEndpoint>): boolean {
 	return fencedGeneration === generation && generation < maxOrderGeneration;
 }
 
+/** Time for which an acknowledgement waits for answers to starts before no more are sent. */
+const maxAcknowledgementHoldMs = 150;
+
+/**
+Whether starts may be sent to the endpoint: not while it may be another process than the one that is known, and not beside an acknowledgement.
+
+If a start and an acknowledgement were both carried out by a later process, the acknowledgement could delete the end of that start before this entry has read it.
+
+@public
+*/
+export function canTakeStarts(endpoint: Readonly<SupervisedEndpoint>, now: number): boolean {
+	const isAcknowledging = endpoint.acknowledgingEnd > 0 || now > (endpoint.acknowledgementHeldSince ?? Number.POSITIVE_INFINITY) + maxAcknowledgementHoldMs;
+	return isFenced(endpoint) && !isAcknowledging;
+}
+
 /** Raises the generation of an endpoint's orders and polls it at once: once it answers, no earlier order takes effect there. The answer to a pending poll is ignored. @internal */
 export function raiseGeneration(endpoint: SupervisedEndpoint, now: number): void {
 	endpoint.generation = Math.min(endpoint.generation + 1, maxOrderGeneration);
 	endpoint.isPollPending = false;
+	endpoint.acknowledgingEnd = 0;
 	endpoint.nextPollAt = now;
 }
--- a/packages/jobs/src/testing.test-support.ts
+++ b/packages/jobs/src/testing.test-support.ts
@@ -125,6 +125,7 @@
 		lastProcessedEnd: 0,
 		acknowledgedEnd: 0,
 		acknowledgingEnd: 0,
+		acknowledgementHeldSince: undefined,
 		hasRestarted: false,
 		unsavedEnds: new Map(),
 		areEndsComplete: true,
