Add the fault endpoints-recut to the soak of jobs

Several endpoints of a pool lose answers for 0.5 to 1.4 s, crash without refusing connections, are back after 0.6 s, and are cut off 0.15 to 2 s later for about 9 s. In half of the draws the owner of the pool is killed around the return. The log names each order that is carried out late.

--- a/packages/bench/src/jobs/create-order-sinks.ts
+++ b/packages/bench/src/jobs/create-order-sinks.ts
@@ -23,6 +23,7 @@
 	/** By endpoint id. */
 	readonly orderDisturbances: ReadonlyMap<string, OrderDisturbance>;
 	readonly routeOrder: OrderRouter;
+	readonly logFault: (text: string) => void;
 };
 
 type Order = {
@@ -44,7 +45,7 @@
 
 /** Creates the sinks for orders to endpoints. */
 export function createOrderSinks({
-	queue, random, network, endpoints, delivery, chooseDelayMs, describeSender, getLateOrderShare, orderDisturbances, routeOrder,
+	queue, random, network, endpoints, delivery, chooseDelayMs, describeSender, getLateOrderShare, orderDisturbances, routeOrder, logFault,
 }: OrderSinkTools): Pick<VirtualSinks, 'poll-endpoint' | 'start-task' | 'stop-task'> {
 	/** Carries an order out in the process that runs under the endpoint's id after the delay, or in the next one. */
 	function carryOutLater(endpointId: string, delayMs: number, run: (endpoint: VirtualTaskEndpoint) => void, lostAt = queue.now + delayMs + processWaitMs): void {
@@ -95,7 +96,11 @@
 					run(endpoint, createAnswer(0));
 				},
 				late() {
+					const arrivedAt = queue.now;
 					carryOutLater(endpointId, delayMs, process => {
+						const task = 'taskId' in effect ? ` of ${effect.taskId} run ${effect.run}` : '';
+						const isOther = process === endpoint ? '' : ' by a later process';
+						logFault(`${effect.kind}${task} for ${endpointId} is carried out ${Math.round(queue.now - arrivedAt)} ms late${isOther}`);
 						run(process, () => undefined);
 					});
 				},
--- a/packages/bench/src/jobs/inject-fault.ts
+++ b/packages/bench/src/jobs/inject-fault.ts
@@ -1,7 +1,10 @@
+import {poolClaimPrefix} from '@pistachiogauge/jobs';
 import {type JobsSimulation} from './jobs-simulation.js';
+import {chooseBetween, type OrderDisturbance} from './order-routes.js';
 import {virtualMoveOutcomes} from './virtual-machine-service.js';
 import {type VirtualJobsEntry} from './virtual-jobs-entry.js';
 import {type CutDirection} from './virtual-network.js';
+import {type VirtualTaskEndpoint} from './virtual-task-endpoint.js';
 import {muteWatches} from './virtual-watches.js';
 
 type FaultInjector = (simulation: JobsSimulation) => void;
@@ -53,6 +56,72 @@
 	});
 }
 
+/** Times of a recut. */
+const recutMs = {
+	loss: {min: 500, max: 1400},
+	dark: 600,
+	cutAfterReturn: {min: 150, max: 2000},
+	cut: {min: 8500, max: 9500},
+	killAfterReturn: {min: -500, max: 2500},
+} as const;
+
+/** Draws some of the endpoints of a pool that are up and not part of a recut. */
+function chooseRecutEndpoints(simulation: JobsSimulation): VirtualTaskEndpoint[] {
+	const free = [...simulation.endpoints.values()].filter(({isUp, registration}) => isUp && !simulation.orderDisturbances.has(registration.id));
+	const pool = chooseItem(simulation, free)?.registration.pool;
+	const inPool = free.filter(({registration}) => registration.pool === pool);
+	const chosen = inPool.filter(() => simulation.random.getInteger(3) > 0);
+	return chosen.length > 0 ? chosen : inPool.slice(0, 1);
+}
+
+/** Lets endpoints lose answers, restart under their ids and be cut off soon afterwards; in some draws the owner of their pool is killed around their return. */
+function startRecut(simulation: JobsSimulation, endpoints: readonly VirtualTaskEndpoint[]): void {
+	const {queue, random, orderDisturbances} = simulation;
+	const ids = endpoints.map(({registration}) => registration.id);
+	const setDisturbance = (disturbance: OrderDisturbance) => {
+		for (const id of ids) {
+			orderDisturbances.set(id, disturbance);
+		}
+	};
+
+	const lossMs = chooseBetween(random, recutMs.loss);
+	const returnMs = lossMs + recutMs.dark;
+	const cutMs = returnMs + chooseBetween(random, recutMs.cutAfterReturn);
+	const endMs = cutMs + chooseBetween(random, recutMs.cut);
+	simulation.logFault(`recut of ${ids.join(', ')}: crash in ${lossMs.toFixed(0)} ms, return in ${returnMs.toFixed(0)} ms, cut in ${cutMs.toFixed(0)} ms until ${endMs.toFixed(0)} ms`);
+	setDisturbance('answers-lost');
+	queue.add(lossMs, () => {
+		setDisturbance('answers-slow');
+		for (const endpoint of endpoints.filter(({isUp}) => isUp)) {
+			endpoint.isDark = true;
+			simulation.restartEndpoint(endpoint, recutMs.dark);
+		}
+	});
+	const cut = {nodes: new Set(ids), direction: chooseItem(simulation, cutDirections)!};
+	queue.add(cutMs, () => {
+		simulation.network.startCut(cut);
+	});
+	queue.add(endMs, () => {
+		simulation.network.endCut(cut);
+		for (const id of ids) {
+			orderDisturbances.delete(id);
+		}
+	});
+	if (random.getInteger(2) === 0) {
+		queue.add(returnMs + chooseBetween(random, recutMs.killAfterReturn), () => {
+			killOwner(simulation, endpoints[0]!.registration.pool);
+		});
+	}
+}
+
+function killOwner(simulation: JobsSimulation, pool: string): void {
+	const owner = simulation.entries.find(({isUp, node}) => isUp && node === simulation.store.claims.get(`${poolClaimPrefix}${pool}`)?.node);
+	if (owner !== undefined) {
+		simulation.logFault(`owner ${owner.node} of ${pool} killed`);
+		simulation.killEntry(owner, chooseDurationMs(simulation));
+	}
+}
+
 const faultInjectors: Readonly<Record<string, FaultInjector>> = {
 	'entry-killed'(simulation) {
 		const entry = chooseItem(simulation, listRunningEntries(simulation));
@@ -156,6 +225,12 @@
 		simulation.machineService.outcome = chooseItem(simulation, virtualMoveOutcomes)!;
 		simulation.logFault(`moves of machines are ${simulation.machineService.outcome}`);
 	},
+	'endpoints-recut'(simulation) {
+		const endpoints = chooseRecutEndpoints(simulation);
+		if (endpoints.length > 0) {
+			startRecut(simulation, endpoints);
+		}
+	},
 	'endpoint-reborn'(simulation) {
 		const endpoint = chooseItem(simulation, [...simulation.endpoints.values()].filter(each => each.isUp));
 		if (endpoint !== undefined) {
@@ -174,6 +249,9 @@
 /** Names of the faults that the command line accepts. */
 export const jobFaults: readonly string[] = Object.keys(faultInjectors);
 
+/** Faults that are played unless told otherwise. */
+export const defaultJobFaults: readonly string[] = jobFaults.filter(name => name !== 'endpoints-recut');
+
 /** Injects the fault with a given name; an unknown name has no effect. */
 export function injectFault(simulation: JobsSimulation, fault: string): void {
 	faultInjectors[fault]?.(simulation);
--- a/packages/bench/src/jobs/jobs-simulation.ts
+++ b/packages/bench/src/jobs/jobs-simulation.ts
@@ -201,6 +201,7 @@
 		getLateOrderShare: () => simulation.lateOrderShare,
 		orderDisturbances,
 		routeOrder: order => simulation.orderRouter?.(order),
+		logFault,
 		listEndpoints: registry.listEndpoints,
 		advice,
 		relay: createVirtualRelay({
--- a/packages/bench/src/jobs/run-jobs-soak.ts
+++ b/packages/bench/src/jobs/run-jobs-soak.ts
@@ -5,7 +5,9 @@
 	createLeakWatch, findIdleJobs, findIdleTasks, type LeakWatch,
 } from './find-lost-work.js';
 import {type JobInvariantViolation} from './job-invariant-checker.js';
-import {submitLoad, submitWideJob, type SoakJob} from './job-loads.js';
+import {
+	submitFaultLoad, submitLoad, submitWideJob, type SoakJob,
+} from './job-loads.js';
 import {createAccountsPlay} from './play-accounts.js';
 import {virtualMoveOutcomes} from './virtual-machine-service.js';
 
@@ -169,6 +171,9 @@
 		const fault = chooseItem(simulation, faults) ?? '';
 		simulation.logFault(fault);
 		injectFault(simulation, fault);
+		for (const each of pools.flatMap(pool => submitFaultLoad(simulation, fault, pool))) {
+			jobs.set(each.jobId, each);
+		}
 	}
 
 	const entry = chooseItem(simulation, listRunningEntries(simulation));
