--- a/packages/bench/src/jobs-soak-main.ts
+++ b/packages/bench/src/jobs-soak-main.ts
@@ -1,6 +1,6 @@
 import {cac} from 'cac';
 import {compareShares, computeFall, isShareKept} from './jobs/compare-shares.js';
-import {defaultJobFaults, jobFaults} from './jobs/inject-fault.js';
+import {jobFaults} from './jobs/inject-fault.js';
 import {jobLoads} from './jobs/job-loads.js';
 import {runJobsSoak} from './jobs/run-jobs-soak.js';
 
@@ -34,14 +34,14 @@
 	readonly onLine: ((line: string) => void) | undefined;
 };
 
-/** Parses a list of names; `all` means all that are known, `default` those that are played unless told otherwise, `none` none. Returns undefined if a name is not known. */
-function parseNames(text: string, known: readonly string[], defaults = known): readonly string[] | undefined {
-	const names = {all: known, default: defaults, none: []}[text] ?? text.split(',');
+/** Parses a list of names; `all` means all that are known, `none` none. Returns undefined if a name is not known. */
+function parseNames(text: string, known: readonly string[]): readonly string[] | undefined {
+	const names = {all: known, none: []}[text] ?? text.split(',');
 	return names.every(name => known.includes(name)) ? names : undefined;
 }
 
-function formatNames(option: string, names: readonly string[], defaults: readonly string[]): string {
-	return names === defaults ? '' : ` --${option} ${names.join(',') || 'none'}`;
+function formatNames(option: string, names: readonly string[], known: readonly string[]): string {
+	return names === known ? '' : ` --${option} ${names.join(',') || 'none'}`;
 }
 
 /** Runs one seed and reports what failed. @returns Whether all promises were kept. */
@@ -56,7 +56,7 @@
 	if (violation !== undefined || unfinishedJobIds.length > 0) {
 		const failure = violation === undefined ? `not ended: ${unfinishedJobIds.join(', ')}` : `${violation.invariant} at ${violation.at.toFixed(1)} ms: ${violation.message}`;
 		process.stdout.write(`seed ${seed}: ${failure}\n`);
-		process.stdout.write(`repeat: npm run jobs-soak -- --seeds ${seed} --steps ${steps}${formatNames('faults', faults, defaultJobFaults)}${formatNames('loads', loads, jobLoads)} --accounts ${hasAccounts ? 'all' : 'none'}\n`);
+		process.stdout.write(`repeat: npm run jobs-soak -- --seeds ${seed} --steps ${steps}${formatNames('faults', faults, jobFaults)}${formatNames('loads', loads, jobLoads)} --accounts ${hasAccounts ? 'all' : 'none'}\n`);
 		return false;
 	}
 
@@ -110,7 +110,7 @@
 	.command('', 'Runs jobs with random faults in virtual time and checks the invariants')
 	.option('--seeds <A..B>', 'seeds to run', {default: '1..20'})
 	.option('--steps <N>', 'steps of each run', {default: 300})
-	.option('--faults <LIST>', `faults, joined by commas: ${jobFaults.join(', ')}, or all`, {default: 'default'})
+	.option('--faults <LIST>', `faults, joined by commas: ${jobFaults.join(', ')}`, {default: 'all'})
 	.option('--loads <LIST>', `shapes of load beside ordinary jobs: ${jobLoads.join(', ')}`, {default: 'all'})
 	.option('--accounts [SEEDS]', 'seeds with client accounts that the operator changes: all, none or drawn (a quarter)', {default: 'drawn'})
 	.option('--compare-shares <SECONDS>', 'compares the jobs on time of other accounts with and without a hot one, in an overload of this length')
@@ -119,7 +119,7 @@
 	.action((options: {readonly print?: string; readonly accounts: string | boolean; readonly compareShares?: unknown; readonly keepGoing?: boolean; readonly seeds: unknown; readonly steps: unknown; readonly faults: string; readonly loads: string}) => {
 		const range = parseRange(options.seeds);
 		const steps = Number(options.steps);
-		const faults = parseNames(options.faults, jobFaults, defaultJobFaults);
+		const faults = parseNames(options.faults, jobFaults);
 		const loads = parseNames(options.loads, jobLoads);
 		const mayHaveAccounts = accountChoices[options.accounts === true ? 'all' : String(options.accounts)];
 		if (mayHaveAccounts === undefined || range === undefined || !Number.isInteger(steps) || steps < 1 || faults === undefined || loads === undefined) {
--- a/packages/bench/src/jobs/inject-fault.ts
+++ b/packages/bench/src/jobs/inject-fault.ts
@@ -249,9 +249,6 @@
 /** Names of the faults that the command line accepts. */
 export const jobFaults: readonly string[] = Object.keys(faultInjectors);
 
-/** Faults that are played unless told otherwise. */
-export const defaultJobFaults: readonly string[] = jobFaults.filter(name => name !== 'endpoints-recut');
-
 /** Injects the fault with a given name; an unknown name has no effect. */
 export function injectFault(simulation: JobsSimulation, fault: string): void {
 	faultInjectors[fault]?.(simulation);
