Move a task that is slow once only

Cause: an endpoint most of whose runs are slow is avoided and its runs are moved, whatever became of them on other endpoints. Where most running tasks take longer than predicted, all endpoints were avoided in turn and all of their runs were stopped again and again.

A task that was moved as slow is not moved for that reason again, and says nothing about the endpoint that it is slow on.

slow-tasks.test.ts, the case of tasks that take twelve times as long, failed before: jobs were not done after 30 s. The 28 tests of observation pass.

--- a/packages/jobs/src/observation/observation-filter.ts
+++ b/packages/jobs/src/observation/observation-filter.ts
@@ -167,8 +167,13 @@
 			continue;
 		}
 
+		const isSlow = durationMs > minSlowdown * predictUnmeasuredMs(state, task.step.job.record.queue, task.step.spec);
+		if (isSlow && state.observation.movedSlowTasks.has(task)) {
+			continue;
+		}
+
 		measuredCount += 1;
-		if (durationMs > minSlowdown * predictUnmeasuredMs(state, task.step.job.record.queue, task.step.spec)) {
+		if (isSlow) {
 			slowRuns.push(run);
 			slowSteps.add(task.step);
 		} else if (run.percent >= minMeasuredPercent) {
@@ -188,7 +193,12 @@
 		...avoidEndpoint(state, supervised.id, 'most of its runs are slow', context),
 		...slowRuns.flatMap(run => {
 			const task = findTask(pool, run.taskId);
-			return task !== undefined && run.percent < 50 ? moveRun(state, supervised, run, task, 'run is slow') : [];
+			if (task === undefined || run.percent >= 50) {
+				return [];
+			}
+
+			state.observation.movedSlowTasks.add(task);
+			return moveRun(state, supervised, run, task, 'run is slow');
 		}),
 	];
 }
--- a/packages/jobs/src/observation/observation-state.ts
+++ b/packages/jobs/src/observation/observation-state.ts
@@ -29,6 +29,8 @@
 	readonly earlyEnds: WeakMap<Task, {readonly count: number; readonly retryAt: number}>;
 	/** Runs of long-running tasks that have been seen at work. */
 	readonly servingRuns: WeakSet<Run>;
+	/** Tasks that were moved because their runs were slow. If they are slow again, it is not the endpoint. */
+	readonly movedSlowTasks: WeakSet<Task>;
 	/** Number of the run of a task that a previous owner has started. When it began is not known. */
 	readonly adoptedRuns: WeakMap<Task, number>;
 };
@@ -48,7 +50,7 @@
 /** @public */
 export function createObservationState(): ObservationState {
 	return {
-		endpoints: new Map(), durationModels: new Map(), stepDurations: new WeakMap(), jobEstimates: new WeakMap(), lastFailedEndpoints: new Map(), earlyEnds: new WeakMap(), servingRuns: new WeakSet(), adoptedRuns: new WeakMap(),
+		endpoints: new Map(), durationModels: new Map(), stepDurations: new WeakMap(), jobEstimates: new WeakMap(), lastFailedEndpoints: new Map(), earlyEnds: new WeakMap(), servingRuns: new WeakSet(), movedSlowTasks: new WeakSet(), adoptedRuns: new WeakMap(),
 	};
 }
 
