--- a/packages/jobs/src/evacuation/evacuation-filter.test.ts
+++ b/packages/jobs/src/evacuation/evacuation-filter.test.ts
@@ -39,7 +39,7 @@
 	state.ledger.pools.set(poolName, pool);
 	holdTestClaim(state, poolName, now);
 	state.supervision.pools.set(poolName, {
-		pool: poolName, token: 1, acquiredAt: surveyedAt - 100, unsurveyedIds: new Set(), evacuatedIds: new Set(), formerGenerations: new Map(), surveyedAt: isSurveyed ? surveyedAt : undefined,
+		pool: poolName, token: 1, acquiredAt: surveyedAt - 100, unsurveyedIds: new Set(), evacuatedIds: new Set(), formerEndpoints: new Map(), surveyedAt: isSurveyed ? surveyedAt : undefined,
 	});
 	for (const [index, id] of ['a', 'b'].entries()) {
 		const taskId = `job.0.0.${index}`;
@@ -96,7 +96,7 @@
 	const state = createJobsState({node: 'entry-1', incarnation: 'first', orderLeaseMs: 3000});
 	holdTestClaim(state, poolName, surveyedAt);
 	state.supervision.pools.set(poolName, {
-		pool: poolName, token: 1, acquiredAt: 0, unsurveyedIds: new Set(), evacuatedIds: new Set(), formerGenerations: new Map(), surveyedAt,
+		pool: poolName, token: 1, acquiredAt: 0, unsurveyedIds: new Set(), evacuatedIds: new Set(), formerEndpoints: new Map(), surveyedAt,
 	});
 	state.supervision.endpoints.set('a', createTestSupervisedEndpoint('a', poolName, {token: 2}));
 	state.evacuation.requests.set('a', {
--- a/packages/jobs/src/supervision/apply-poll-answer.ts
+++ b/packages/jobs/src/supervision/apply-poll-answer.ts
@@ -10,7 +10,7 @@
 import {getLateOrderExpiry, getRestartedLeaseExpiry, getRestartedStartTime} from './lease-clock.js';
 import {getOrderTarget} from './poll-endpoint.js';
 import {
-	addRun, createRun, raiseGeneration, removeRun, type Run, type SupervisedEndpoint, type SupervisedPool, type SupervisionState,
+	addRun, createRun, advanceGeneration, removeRun, type Run, type SupervisedEndpoint, type SupervisedPool, type SupervisionState,
 } from './supervision-state.js';
 import {listUnsupervisedRuns} from './unsupervised-runs.js';
 
@@ -31,17 +31,17 @@
 	const pool = state.supervision.pools.get(endpoint.pool)!;
 	const outputs: JobOutput[] = [];
 	const isOtherProcess = endpoint.startedAt !== undefined && endpoint.startedAt !== answer.startedAt;
-	if (isOtherProcess && !endpoint.isRestarted) {
+	if (isOtherProcess && !endpoint.isProcessReplaced) {
 		outputs.push(...recordRestart(endpoint, answer, context));
 	}
 
-	if (isOtherProcess && endpoint.fencedGeneration === answer.generation) {
+	if (isOtherProcess && endpoint.answeredGeneration === answer.generation) {
 		// Orders of this generation were sent to the former process as well.
-		return [...outputs, ...expectFencedAnswer(endpoint, context)];
+		return [...outputs, ...handleReplacedProcess(endpoint, context)];
 	}
 
-	endpoint.fencedGeneration = answer.generation;
-	if (endpoint.startedAt === undefined || isOtherProcess || endpoint.isRestarted) {
+	endpoint.answeredGeneration = answer.generation;
+	if (endpoint.startedAt === undefined || isOtherProcess || endpoint.isProcessReplaced) {
 		outputs.push(acceptProcess(endpoint, answer.startedAt, context));
 	}
 
@@ -95,9 +95,9 @@
 }
 
 /** Handles the certain knowledge that a process of an endpoint has been replaced, before an answer has shut out the orders that were meant for it. @internal */
-export function expectFencedAnswer(endpoint: SupervisedEndpoint, {now}: DecisionContext): JobOutput[] {
-	raiseGeneration(endpoint, now);
-	endpoint.isRestarted = true;
+export function handleReplacedProcess(endpoint: SupervisedEndpoint, {now}: DecisionContext): JobOutput[] {
+	advanceGeneration(endpoint, now);
+	endpoint.isProcessReplaced = true;
 	endpoint.phase = 'silent';
 	endpoint.silentSince ??= now;
 	endpoint.startableSince = Number.POSITIVE_INFINITY;
@@ -118,15 +118,15 @@
 function acceptProcess(endpoint: SupervisedEndpoint, startedAt: number, {now}: DecisionContext): JobOutput {
 	const isFirst = endpoint.startedAt === undefined;
 	const former = endpoint.startedAt ?? endpoint.recordedProcess;
-	if (!isFirst || now < endpoint.previousLeaseExpiresAt) {
+	const hasRestarted = former !== undefined && former !== startedAt;
+	if (hasRestarted || !isFirst || now < endpoint.previousLeaseExpiresAt) {
 		// The previous owner may not have noticed a restart.
 		endpoint.previousLeaseExpiresAt = getRestartedLeaseExpiry(now);
 	}
 
-	const hasRestarted = former !== undefined && former !== startedAt;
 	endpoint.startableSince = hasRestarted || !isFirst ? getRestartedStartTime(now) : now;
 	endpoint.startedAt = startedAt;
-	endpoint.isRestarted = false;
+	endpoint.isProcessReplaced = false;
 	endpoint.lateStartsUntil = 0;
 	const accepted = passEvent({
 		kind: 'endpoint-process-accepted', pool: endpoint.pool, endpointId: endpoint.id, startedAt,
@@ -135,7 +135,7 @@
 		return accepted;
 	}
 
-	endpoint.hasRestarted = true;
+	endpoint.hasSeenRestart = true;
 	endpoint.lastProcessedEnd = 0;
 	endpoint.acknowledgedEnd = 0;
 	endpoint.acknowledgingEnd = 0;
@@ -182,7 +182,7 @@
 			continue;
 		}
 
-		const isFirstSeen = endpoint.lastProcessedEnd === 0 && !endpoint.hasRestarted;
+		const isFirstSeen = endpoint.lastProcessedEnd === 0 && !endpoint.hasSeenRestart;
 		if (end.number > endpoint.lastProcessedEnd + 1 && !isFirstSeen) {
 			outputs.push(
 				emitLog('warn', 'ends of endpoint are missing', {
--- a/packages/jobs/src/supervision/check-endpoint.ts
+++ b/packages/jobs/src/supervision/check-endpoint.ts
@@ -2,7 +2,7 @@
 import {getConfirmedAt, type AuthorityView} from '../authority/index.js';
 import {emitLog, type JobOutput} from '../filter.js';
 import {dropRun, dropRuns} from './apply-poll-answer.js';
-import {recordFormerGeneration} from './former-generations.js';
+import {recordFormerEndpoint} from './former-endpoints.js';
 import {hasLeaseExpired} from './lease-clock.js';
 import {pollIfDue} from './poll-endpoint.js';
 import {type SupervisedEndpoint, type SupervisionState} from './supervision-state.js';
@@ -17,7 +17,7 @@
 	const {supervision} = state;
 	const outputs: JobOutput[] = [];
 	if (!endpoint.isListed && endpoint.phase === 'silent' && endpoint.runs.size === 0 && endpoint.unsupervisedRuns.length === 0 && endpoint.unsavedEnds.size === 0) {
-		// It has answered under the current token, so that only runs that this entry has started or seen can be running there.
+		// It has answered under this claim, so that only runs that this entry has started or seen can be running there.
 		return removeEndpoint(supervision, endpoint, context);
 	}
 
@@ -80,7 +80,7 @@
 
 function removeEndpoint(supervision: SupervisionState, endpoint: SupervisedEndpoint, {now}: DecisionContext): JobOutput[] {
 	supervision.endpoints.delete(endpoint.id);
-	recordFormerGeneration(supervision.pools.get(endpoint.pool)!, endpoint, now);
+	recordFormerEndpoint(supervision.pools.get(endpoint.pool)!, endpoint, now);
 	return [
 		emitLog('info', 'supervision of endpoint ended', {endpoint: endpoint.id, pool: endpoint.pool, phase: endpoint.phase}),
 		passEvent({kind: 'endpoint-forgotten', pool: endpoint.pool, endpointId: endpoint.id}),
--- a/packages/jobs/src/supervision/handle-refusals.ts
+++ b/packages/jobs/src/supervision/handle-refusals.ts
@@ -3,7 +3,7 @@
 import {poolClaimPrefix, type JobEventOf, type OrderRefusal} from '../model/index.js';
 import {dropRun, dropRuns} from './apply-poll-answer.js';
 import {
-	findEndpoint, raiseGeneration, type SupervisedEndpoint, type SupervisionState,
+	findEndpoint, advanceGeneration, type SupervisedEndpoint, type SupervisionState,
 } from './supervision-state.js';
 
 /** How long starts are paused on an endpoint that had fewer free resources than computed. */
@@ -47,7 +47,7 @@
 
 		if (placed.generation === endpoint.generation) {
 			// The answer to the next poll tells what became of the start, and shuts it out if it is still on its way.
-			raiseGeneration(endpoint, context.now);
+			advanceGeneration(endpoint, context.now);
 		}
 
 		// If the endpoint has answered since, only this order or its answer was lost, so that other starts need not wait.
@@ -72,7 +72,7 @@
 		endpoint.phase = 'silent';
 		endpoint.silentSince = context.now;
 		const {nextPollAt} = endpoint;
-		raiseGeneration(endpoint, nextPollAt);
+		advanceGeneration(endpoint, nextPollAt);
 		return [emitLog('warn', 'endpoint stopped answering', {
 			endpoint: endpoint.id, pool: endpoint.pool, runs: endpoint.runs.size, lastAnswerAgeMs: Math.round(context.now - endpoint.clockReadAt),
 		})];
--- a/packages/jobs/src/supervision/poll-endpoint.ts
+++ b/packages/jobs/src/supervision/poll-endpoint.ts
@@ -3,7 +3,7 @@
 import {type JobOutput} from '../filter.js';
 import {type OrderTarget} from '../model/index.js';
 import {estimateClock, leaseMs} from './lease-clock.js';
-import {isFenced, servingPercent, type SupervisedEndpoint} from './supervision-state.js';
+import {hasShutOutEarlierOrders, servingPercent, type SupervisedEndpoint} from './supervision-state.js';
 
 /** Long-poll timeout for an endpoint with runs: a sixth of the lease, so that one lost answer does not let the lease expire. */
 const busyWaitMs = 1000;
@@ -39,8 +39,8 @@
 
 	const clock = estimateClock(endpoint, context.now);
 	const permittedMs = getPermittedMs(state, endpoint.pool, context);
-	// An endpoint that is not fenced may have restarted, and its clock and the numbers of its ends would begin anew.
-	const isKnown = endpoint.phase === 'answering' && isFenced(endpoint);
+	// An endpoint that has not shut out earlier orders may have restarted, and its clock and the numbers of its ends would begin anew.
+	const isKnown = endpoint.phase === 'answering' && hasShutOutEarlierOrders(endpoint);
 	// The lease of an endpoint that does not answer is not extended: otherwise its tasks could not be started elsewhere for as long as it is polled. No lease lasts longer than this entry's permission, as the next owner waits that long.
 	const deadlineMs = clock === undefined || !isKnown || permittedMs === 0 ? undefined : clock + Math.min(leaseMs, permittedMs);
 	endpoint.isPollPending = true;
@@ -72,9 +72,9 @@
 	return getLastSavedEnd(endpoint) > endpoint.acknowledgedEnd;
 }
 
-/** Whether the answer to a start is awaited. */
-function hasUnansweredStart({runs}: Readonly<SupervisedEndpoint>): boolean {
-	return [...runs.values()].some(({phase, isSuspected}) => phase !== 'running' && !isSuspected);
+/** Whether a start may still be carried out whose answer is awaited. */
+function hasUnansweredStart({runs, answeredGeneration}: Readonly<SupervisedEndpoint>): boolean {
+	return [...runs.values()].some(({phase, generation}) => phase !== 'running' && generation >= answeredGeneration);
 }
 
 /** Returns the number up to which a poll acknowledges ends, 0 for none. One that is repeated, or sent beside a start without an answer, could delete ends of a later process that nobody has read. */
@@ -115,7 +115,7 @@
 
 function getWaitMs(endpoint: SupervisedEndpoint): number {
 	// An endpoint answers at once while it holds ends, and starts wait for the answer to an acknowledgement.
-	if (endpoint.phase !== 'answering' || !isFenced(endpoint) || endpoint.unsavedEnds.size > 0 || isAcknowledgementDue(endpoint)) {
+	if (endpoint.phase !== 'answering' || !hasShutOutEarlierOrders(endpoint) || endpoint.unsavedEnds.size > 0 || isAcknowledgementDue(endpoint)) {
 		return 0;
 	}
 
--- a/packages/jobs/src/supervision/supervision-filter.ts
+++ b/packages/jobs/src/supervision/supervision-filter.ts
@@ -11,13 +11,13 @@
 import {checkSurvey} from './check-survey.js';
 import {getLateOrderExpiry, getPreviousLeaseExpiry} from './lease-clock.js';
 import {
-	applyPollAnswer, dropRuns, expectFencedAnswer, stopRun,
+	applyPollAnswer, dropRuns, handleReplacedProcess, stopRun,
 } from './apply-poll-answer.js';
-import {getNextGeneration, recordFormerGeneration} from './former-generations.js';
+import {recordFormerEndpoint} from './former-endpoints.js';
 import {handleRefusal, handleStartRefusal} from './handle-refusals.js';
 import {addSuspectedRun, startTask} from './start-task.js';
 import {
-	findEndpoint, isFenced, noUsage, raiseGeneration, type SupervisedEndpoint, type SupervisedPool, type SupervisionState,
+	findEndpoint, hasShutOutEarlierOrders, noUsage, advanceGeneration, type SupervisedEndpoint, type SupervisedPool, type SupervisionState,
 } from './supervision-state.js';
 
 /** Delay before the next poll of an endpoint that did not answer or refused the last one. */
@@ -38,7 +38,7 @@
 		}, context) {
 			removePool(supervision, pool);
 			const supervisedPool: SupervisedPool = {
-				pool, token, acquiredAt: context.now, unsurveyedIds: new Set(roster.endpointIds), evacuatedIds: new Set(evacuatedEndpointIds), formerGenerations: new Map(), surveyedAt: undefined,
+				pool, token, acquiredAt: context.now, unsurveyedIds: new Set(roster.endpointIds), evacuatedIds: new Set(evacuatedEndpointIds), formerEndpoints: new Map(), surveyedAt: undefined,
 			};
 			supervision.pools.set(pool, supervisedPool);
 			for (const id of roster.endpointIds) {
@@ -77,7 +77,7 @@
 			endpoint.isPollPending = false;
 			const phaseBefore = endpoint.phase;
 			const outputs = applyPollAnswer(state, endpoint, event, context);
-			if (!isFenced(endpoint)) {
+			if (!hasShutOutEarlierOrders(endpoint)) {
 				endpoint.nextPollAt = context.now + (endpoint.generation === maxOrderGeneration ? silentPollDelayMs : 0);
 				return [...outputs, ...pollIfDue(state, endpoint, context)];
 			}
@@ -177,13 +177,14 @@
 		emitLog('warn', 'clock of endpoint is behind its last reading', {
 			endpoint: endpoint.id, task: taskId, run, clockMs, lastReadMs: placed.sentAfterClockMs, bornAt: endpoint.startedAt, token: endpoint.token,
 		}),
-		...(placed.generation === endpoint.generation ? expectFencedAnswer(endpoint, context) : []),
+		...(placed.sentToProcess === endpoint.startedAt && !endpoint.isProcessReplaced ? handleReplacedProcess(endpoint, context) : []),
 		...pollIfDue(state, endpoint, context),
 	];
 }
 
 function createSupervisedEndpoint({id, address}: {readonly id: string; readonly address: string}, pool: SupervisedPool, context: DecisionContext): SupervisedEndpoint {
-	const previousLeaseExpiresAt = getPreviousLeaseExpiry(pool.acquiredAt);
+	const former = pool.formerEndpoints.get(id);
+	const previousLeaseExpiresAt = Math.max(getPreviousLeaseExpiry(pool.acquiredAt), former?.ordersEndAt ?? 0);
 	return {
 		id,
 		pool: pool.pool,
@@ -193,10 +194,10 @@
 		phase: context.now > previousLeaseExpiresAt ? 'expired' : 'new',
 		startedAt: undefined,
 		startableSince: Number.POSITIVE_INFINITY,
-		generation: getNextGeneration(pool, id),
-		fencedGeneration: -1,
-		isRestarted: false,
-		recordedProcess: undefined,
+		generation: Math.min((former?.generation ?? -1) + 1, maxOrderGeneration),
+		answeredGeneration: -1,
+		isProcessReplaced: false,
+		recordedProcess: former?.startedAt,
 		listedProcess: undefined,
 		lateStartsUntil: 0,
 		clockMs: undefined,
@@ -207,7 +208,7 @@
 		acknowledgedEnd: 0,
 		acknowledgingEnd: 0,
 		acknowledgementHeldSince: undefined,
-		hasRestarted: false,
+		hasSeenRestart: false,
 		unsavedEnds: new Map(),
 		areEndsComplete: false,
 		hasUnknownUsage: false,
@@ -256,7 +257,7 @@
 		if (endpoint?.pool !== listed.pool) {
 			// The pool of a process never changes, so this is another one.
 			if (endpoint !== undefined) {
-				recordFormerGeneration(supervision.pools.get(endpoint.pool)!, endpoint, context.now);
+				recordFormerEndpoint(supervision.pools.get(endpoint.pool)!, endpoint, context.now);
 				outputs.push(...dropRuns(endpoint, 'endpoint-restarted'));
 			}
 
@@ -273,18 +274,20 @@
 
 /** Expects orders for a former process to be carried out by the one that the directory lists, until that answers. */
 function handleListedRestart(endpoint: SupervisedEndpoint, {startedAt}: Endpoint, {now}: DecisionContext): void {
-	const former = endpoint.startedAt ?? endpoint.recordedProcess;
-	if (former === undefined || startedAt <= former || startedAt === endpoint.listedProcess) {
+	const former = endpoint.listedProcess ?? endpoint.recordedProcess ?? endpoint.startedAt;
+	const isKnown = former === undefined || startedAt === former || startedAt === endpoint.startedAt;
+	endpoint.listedProcess = startedAt;
+	if (isKnown) {
 		return;
 	}
 
-	endpoint.listedProcess = startedAt;
-	endpoint.lateStartsUntil = getLateOrderExpiry(now);
+	// Nothing that a further process could carry out is sent after the first restart.
+	endpoint.lateStartsUntil = endpoint.lateStartsUntil === 0 ? getLateOrderExpiry(now) : endpoint.lateStartsUntil;
 	if (endpoint.startedAt === undefined) {
 		// Which starts the previous owner had sent is not known.
 		endpoint.previousLeaseExpiresAt = Math.max(endpoint.previousLeaseExpiresAt, endpoint.lateStartsUntil);
 		return;
 	}
 
-	raiseGeneration(endpoint, now);
+	advanceGeneration(endpoint, now);
 }
--- a/packages/jobs/src/supervision/supervision-state.ts
+++ b/packages/jobs/src/supervision/supervision-state.ts
@@ -93,12 +93,12 @@
 	/** Generation of the orders that are sent to it. It rises whenever an earlier order may still be on its way. */
 	generation: number;
 	/** Generation of the last poll that was answered, -1 before that. Whatever was sent with a lower one no longer takes effect in the process that answered. */
-	fencedGeneration: number;
+	answeredGeneration: number;
 	/** Whether another process than `startedAt` is known to run and no poll of the current generation has been answered since. */
-	isRestarted: boolean;
-	/** The process that last answered the previous owner, as that owner recorded it. */
+	isProcessReplaced: boolean;
+	/** The process that last answered the previous owner, as that owner recorded it, or this one before the endpoint left. */
 	readonly recordedProcess: number | undefined;
-	/** The last listed process that replaced another one and has been dealt with. */
+	/** The process that the directory lists. */
 	listedProcess: number | undefined;
 	/** Monotonic ms until which starts without an answer may be carried out by a later process and run there; 0 if none is known. */
 	lateStartsUntil: number;
@@ -119,7 +119,7 @@
 	/** Since when starts without an answer have held back an acknowledgement, in monotonic ms; undefined if none has. */
 	acknowledgementHeldSince: number | undefined;
 	/** Whether this entry has seen the endpoint restart, so that the current process has listed its ends to no other owner. */
-	hasRestarted: boolean;
+	hasSeenRestart: boolean;
 	/** Runs whose ends are processed and not saved in the store, by number of the end. */
 	readonly unsavedEnds: Map<number, RunId>;
 	/** Whether its last answer listed all ends that it holds, and all of them were processed. */
@@ -148,11 +148,14 @@
 	readonly unknownRunsSeenAt: Map<string, number>;
 };
 
-/** Last generation of the orders to an endpoint whose supervision has ended. @public */
-export type FormerGeneration = {
+/** What is kept of an endpoint whose supervision has ended. @public */
+export type FormerEndpoint = {
+	/** Last generation of its orders. */
 	readonly generation: number;
-	/** Monotonic ms until which its last orders can take effect. */
-	readonly endsAt: number;
+	/** The process that answered last. */
+	readonly startedAt: number | undefined;
+	/** Monotonic ms until which its last orders, and leases that they grant, can last. */
+	readonly ordersEndAt: number;
 };
 
 /** @public */
@@ -164,8 +167,8 @@
 	readonly unsurveyedIds: Set<string>;
 	/** Endpoints that a previous owner has evacuated. One that does not answer is gone with its machine, and is not waited for. */
 	readonly evacuatedIds: ReadonlySet<string>;
-	/** Last generations of the orders to endpoints that are no longer supervised and may return, by endpoint id. */
-	readonly formerGenerations: Map<string, FormerGeneration>;
+	/** Endpoints that are no longer supervised and may return, by id. */
+	readonly formerEndpoints: Map<string, FormerEndpoint>;
 	/** When the last endpoint that is waited for reported, in monotonic ms. From then on no order of a previous owner is carried out. */
 	surveyedAt: number | undefined;
 };
@@ -262,8 +265,8 @@
 }
 
 /** Whether the current process of the endpoint has answered a poll of the current generation, so that only orders of this generation can take effect there. @internal */
-export function isFenced({generation, fencedGeneration}: Readonly<SupervisedEndpoint>): boolean {
-	return fencedGeneration === generation && generation < maxOrderGeneration;
+export function hasShutOutEarlierOrders({generation, answeredGeneration}: Readonly<SupervisedEndpoint>): boolean {
+	return answeredGeneration === generation && generation < maxOrderGeneration;
 }
 
 /** Time for which an acknowledgement waits for answers to starts before no more are sent. */
@@ -278,11 +281,11 @@
 */
 export function canTakeStarts(endpoint: Readonly<SupervisedEndpoint>, now: number): boolean {
 	const isAcknowledging = endpoint.acknowledgingEnd > 0 || now > (endpoint.acknowledgementHeldSince ?? Number.POSITIVE_INFINITY) + maxAcknowledgementHoldMs;
-	return isFenced(endpoint) && !isAcknowledging;
+	return hasShutOutEarlierOrders(endpoint) && !isAcknowledging;
 }
 
 /** Raises the generation of an endpoint's orders and polls it at once: once it answers, no earlier order takes effect there. The answer to a pending poll is ignored. @internal */
-export function raiseGeneration(endpoint: SupervisedEndpoint, now: number): void {
+export function advanceGeneration(endpoint: SupervisedEndpoint, now: number): void {
 	endpoint.generation = Math.min(endpoint.generation + 1, maxOrderGeneration);
 	endpoint.isPollPending = false;
 	endpoint.acknowledgingEnd = 0;
