Move what a restart changes into a file of its own

What is known of a replaced process, and the dropping of runs, are files of their own; the token of an order has a name of the project's.

--- a/packages/bench/src/jobs/virtual-task-endpoint.ts
+++ b/packages/bench/src/jobs/virtual-task-endpoint.ts
@@ -1,5 +1,5 @@
 import {
-	getFencingToken, type RunOutcome, type Endpoint, type JobEffectOf, type JobEvent, type OrderRefusal, type OrderTarget, type ReportedEnd, type Resources,
+	computeOrderToken, type RunOutcome, type Endpoint, type JobEffectOf, type JobEvent, type OrderRefusal, type OrderTarget, type ReportedEnd, type Resources,
 } from '@pistachiogauge/jobs';
 import {type EventQueue} from '../virtual/event-queue.js';
 import {type VirtualAdviceService} from './virtual-advice-service.js';
@@ -157,7 +157,7 @@
 			return 'other-incarnation';
 		}
 
-		const fencingToken = getFencingToken(target);
+		const fencingToken = computeOrderToken(target);
 		if (fencingToken < highestToken) {
 			return 'fenced';
 		}
--- a/packages/jobs/src/model/index.ts
+++ b/packages/jobs/src/model/index.ts
@@ -11,4 +11,4 @@
 export type * from './relay.js';
 export type * from './events.js';
 export type * from './effects.js';
-export * from './fencing-token.js';
+export * from './order-token.js';
--- a/packages/jobs/src/model/fencing-token.test.ts
+++ b/packages/jobs/src/model/order-token.test.ts
@@ -1,5 +1,5 @@
 import {describe, expect, it} from 'vitest';
-import {getClaimToken, getFencingToken, maxOrderGeneration} from './fencing-token.js';
+import {getClaimToken, computeOrderToken, maxOrderGeneration} from './order-token.js';
 
 // Guards against an order of a former owner, or of an earlier generation, that an endpoint takes after a later one.
 const cases = [
@@ -11,7 +11,7 @@
 
 describe('the fencing token of an order', () => {
 	it.each(cases)('$name is higher and tells its claim', ({earlier, later}) => {
-		expect(getFencingToken(later)).toBeGreaterThan(getFencingToken(earlier));
-		expect([earlier, later].map(each => getClaimToken(getFencingToken(each)))).toEqual([earlier.token, later.token]);
+		expect(computeOrderToken(later)).toBeGreaterThan(computeOrderToken(earlier));
+		expect([earlier, later].map(each => getClaimToken(computeOrderToken(each)))).toEqual([earlier.token, later.token]);
 	});
 });
--- a/packages/jobs/src/model/fencing-token.ts
+++ b/packages/jobs/src/model/order-token.ts
@@ -6,7 +6,7 @@
 export const maxOrderGeneration = generationCount - 1;
 
 /** Returns the fencing token of an order: that of a later claim is higher, and under one claim that of a later generation. @public */
-export function getFencingToken({token, generation}: Pick<OrderTarget, 'token' | 'generation'>): number {
+export function computeOrderToken({token, generation}: Pick<OrderTarget, 'token' | 'generation'>): number {
 	return (token * generationCount) + generation;
 }
 
--- a/packages/jobs/src/supervision/apply-poll-answer.ts
+++ b/packages/jobs/src/supervision/apply-poll-answer.ts
@@ -5,12 +5,13 @@
 	findTask, isActive, type LedgerView, type Task,
 } from '../ledger/index.js';
 import {
-	type JobEventOf, type ReportedEnd, type ReportedRun, type RunDropReason,
+	type JobEventOf, type ReportedEnd, type ReportedRun,
 } from '../model/index.js';
-import {getLateOrderExpiry, getRestartedLeaseExpiry, getRestartedStartTime} from './lease-clock.js';
+import {dropRun} from './drop-runs.js';
 import {getOrderTarget} from './poll-endpoint.js';
+import {acceptProcess, handleReplacedProcess, recordRestart} from './replaced-process.js';
 import {
-	addRun, createRun, advanceGeneration, removeRun, type Run, type SupervisedEndpoint, type SupervisedPool, type SupervisionState,
+	addRun, createRun, removeRun, type Run, type SupervisedEndpoint, type SupervisedPool, type SupervisionState,
 } from './supervision-state.js';
 import {listUnsupervisedRuns} from './unsupervised-runs.js';
 
@@ -72,100 +73,6 @@
 	return outputs;
 }
 
-/** Drops all runs of an endpoint once it is certain that none of them is running. @internal */
-export function dropRuns(endpoint: SupervisedEndpoint, reason: RunDropReason): JobOutput[] {
-	endpoint.unsupervisedRuns = [];
-	return [...endpoint.runs.values()].flatMap(run => dropRun(endpoint, run, reason));
-}
-
-/** Counts the runs of an endpoint by what is known of them, for the log. */
-function summarizeRuns({runs, unsavedEnds}: SupervisedEndpoint): {readonly runs: number; readonly unansweredStarts: number; readonly unsavedEnds: number} {
-	return {runs: runs.size, unansweredStarts: [...runs.values()].filter(({phase}) => phase !== 'running').length, unsavedEnds: unsavedEnds.size};
-}
-
-/** Drops the runs of an endpoint's former process. Starts that it has not listed are kept, as a later process may carry them out. */
-function recordRestart(endpoint: SupervisedEndpoint, answer: PollAnswer, context: DecisionContext): JobOutput[] {
-	return [
-		emitLog('warn', 'endpoint restarted', {
-			endpoint: endpoint.id, bornAt: answer.startedAt, before: endpoint.startedAt, clockMs: answer.clockMs, lastReadMs: endpoint.clockMs, lastAnswerAgeMs: Math.round(context.now - endpoint.clockReadAt), ...summarizeRuns(endpoint),
-		}),
-		emitCount('endpoint_restarts_total'),
-		...dropListedRuns(endpoint),
-	];
-}
-
-/** Handles the certain knowledge that a process of an endpoint has been replaced, before an answer has shut out the orders that were meant for it. @internal */
-export function handleReplacedProcess(endpoint: SupervisedEndpoint, {now}: DecisionContext): JobOutput[] {
-	advanceGeneration(endpoint, now);
-	endpoint.isProcessReplaced = true;
-	endpoint.phase = 'silent';
-	endpoint.silentSince ??= now;
-	endpoint.startableSince = Number.POSITIVE_INFINITY;
-	// Its deadlines are times on the former clock.
-	endpoint.clockMs = undefined;
-	endpoint.leaseDeadlineMs = 0;
-	endpoint.previousLeaseExpiresAt = Math.max(endpoint.previousLeaseExpiresAt, getLateOrderExpiry(now));
-	return dropListedRuns(endpoint);
-}
-
-function dropListedRuns(endpoint: SupervisedEndpoint): JobOutput[] {
-	return [...endpoint.runs.values()]
-		.filter(({listedByProcess}) => listedByProcess !== undefined && listedByProcess === endpoint.startedAt)
-		.flatMap(run => dropRun(endpoint, run, 'endpoint-restarted'));
-}
-
-/** Begins with a process of an endpoint, once no earlier order takes effect there any more. It may have been granted a lease by such an order until now. */
-function acceptProcess(endpoint: SupervisedEndpoint, startedAt: number, {now}: DecisionContext): JobOutput {
-	const isFirst = endpoint.startedAt === undefined;
-	const former = endpoint.startedAt ?? endpoint.recordedProcess;
-	const hasRestarted = former !== undefined && former !== startedAt;
-	if (hasRestarted || !isFirst || now < endpoint.previousLeaseExpiresAt) {
-		// The previous owner may not have noticed a restart.
-		endpoint.previousLeaseExpiresAt = getRestartedLeaseExpiry(now);
-	}
-
-	endpoint.startableSince = hasRestarted || !isFirst ? getRestartedStartTime(now) : now;
-	endpoint.startedAt = startedAt;
-	endpoint.isProcessReplaced = false;
-	endpoint.lateStartsUntil = 0;
-	const accepted = passEvent({
-		kind: 'endpoint-process-accepted', pool: endpoint.pool, endpointId: endpoint.id, startedAt,
-	} as const);
-	if (isFirst || !hasRestarted) {
-		return accepted;
-	}
-
-	endpoint.hasSeenRestart = true;
-	endpoint.lastProcessedEnd = 0;
-	endpoint.acknowledgedEnd = 0;
-	endpoint.acknowledgingEnd = 0;
-	endpoint.acknowledgementHeldSince = undefined;
-	endpoint.unsavedEnds.clear();
-	endpoint.clockMs = undefined;
-	endpoint.leaseDeadlineMs = 0;
-	for (const run of endpoint.runs.values()) {
-		run.startedClockMs = undefined;
-		run.confirmedClockMs = undefined;
-		run.progressedClockMs = 0;
-	}
-
-	return accepted;
-}
-
-/** Drops a run once it is certain that it is not running. @internal */
-export function dropRun(endpoint: SupervisedEndpoint, run: Run, reason: RunDropReason): JobOutput[] {
-	removeRun(endpoint, run.taskId);
-	return [
-		// A start that was refused has a line of its own.
-		emitLog(reason === 'not-started' && run.phase === 'starting' ? 'debug' : 'info', 'run confirmed not running', {
-			task: run.taskId, run: run.run, endpoint: endpoint.id, reason, phase: run.phase, isStopRequested: run.stopRequestedAt !== undefined, percent: run.percent, token: endpoint.token, sentTo: run.sentToProcess, bornAt: endpoint.startedAt, clockMs: endpoint.clockMs,
-		}),
-		passEvent({
-			kind: 'run-dropped', pool: endpoint.pool, taskId: run.taskId, run: run.run, endpointId: endpoint.id, reason, checkpoint: run.checkpoint,
-		}),
-	];
-}
-
 /** Tells an endpoint to stop a run. @internal */
 export function stopRun(endpoint: SupervisedEndpoint, run: Run, now: number): JobOutput[] {
 	run.stopRequestedAt = now;
--- a/packages/jobs/src/supervision/check-endpoint.ts
+++ b/packages/jobs/src/supervision/check-endpoint.ts
@@ -1,7 +1,7 @@
 import {passEvent, restartEvent, type DecisionContext} from '@pistachiogauge/chain';
 import {getConfirmedAt, type AuthorityView} from '../authority/index.js';
 import {emitLog, type JobOutput} from '../filter.js';
-import {dropRun, dropRuns} from './apply-poll-answer.js';
+import {dropRun, dropRuns} from './drop-runs.js';
 import {recordFormerEndpoint} from './former-endpoints.js';
 import {hasLeaseExpired} from './lease-clock.js';
 import {pollIfDue} from './poll-endpoint.js';
--- a/packages/jobs/src/supervision/exhausted-generations.test.ts
+++ b/packages/jobs/src/supervision/exhausted-generations.test.ts
@@ -1,6 +1,6 @@
 import {describe, expect, it} from 'vitest';
 import {
-	getClaimToken, getFencingToken, maxOrderGeneration, type JobEvent,
+	getClaimToken, computeOrderToken, maxOrderGeneration, type JobEvent,
 } from '../model/index.js';
 import {
 	createStoredTestJob, createTestEndpoint, createTestJob, createTestOwner, createTestPollAnswer, lastGeneration,
@@ -15,7 +15,7 @@
 		for (const effect of owner.apply(event, now)) {
 			startCount += effect.kind === 'start-task' ? 1 : 0;
 			if (effect.kind === 'poll-endpoint') {
-				claimTokens.add(getClaimToken(getFencingToken(effect.target)));
+				claimTokens.add(getClaimToken(computeOrderToken(effect.target)));
 			}
 		}
 	};
--- a/packages/jobs/src/supervision/handle-refusals.ts
+++ b/packages/jobs/src/supervision/handle-refusals.ts
@@ -1,7 +1,7 @@
 import {type DecisionContext} from '@pistachiogauge/chain';
 import {emitCount, emitLog, type JobOutput} from '../filter.js';
 import {poolClaimPrefix, type JobEventOf, type OrderRefusal} from '../model/index.js';
-import {dropRun, dropRuns} from './apply-poll-answer.js';
+import {dropRun, dropRuns} from './drop-runs.js';
 import {
 	findEndpoint, advanceGeneration, type SupervisedEndpoint, type SupervisionState,
 } from './supervision-state.js';
--- a/packages/jobs/src/supervision/supervision-filter.ts
+++ b/packages/jobs/src/supervision/supervision-filter.ts
@@ -10,9 +10,9 @@
 import {checkEndpoint} from './check-endpoint.js';
 import {checkSurvey} from './check-survey.js';
 import {getLateOrderExpiry, getPreviousLeaseExpiry} from './lease-clock.js';
-import {
-	applyPollAnswer, dropRuns, handleReplacedProcess, stopRun,
-} from './apply-poll-answer.js';
+import {applyPollAnswer, stopRun} from './apply-poll-answer.js';
+import {dropRuns} from './drop-runs.js';
+import {handleReplacedProcess} from './replaced-process.js';
 import {recordFormerEndpoint} from './former-endpoints.js';
 import {handleRefusal, handleStartRefusal} from './handle-refusals.js';
 import {addSuspectedRun, startTask} from './start-task.js';
--- a/packages/jobs/src/supervision/test-endpoint.test-support.ts
+++ b/packages/jobs/src/supervision/test-endpoint.test-support.ts
@@ -1,5 +1,5 @@
 import {
-	getFencingToken, type JobEffectOf, type JobEvent, type OrderRefusal, type ReportedEnd, type RunId, type RunOutcome,
+	computeOrderToken, type JobEffectOf, type JobEvent, type OrderRefusal, type ReportedEnd, type RunId, type RunOutcome,
 } from '../model/index.js';
 
 /** An order that an endpoint carries out. @internal */
@@ -210,7 +210,7 @@
 			}
 		},
 		carryOut(order, now) {
-			const fencingToken = getFencingToken(order.target);
+			const fencingToken = computeOrderToken(order.target);
 			if (fencingToken < highestToken) {
 				return createTestRefusal(order, 'fenced');
 			}
