Show that a job runs twice once its route comes back with another service

Cause: submissions and queries look for a job only under the pool that its route has in the present manifest.

--- /dev/null
+++ b/review/lib-2/worker.js
@@ -0,0 +1,230 @@
+import {startJsonServer} from './json-server.js';
+
+const heartbeatMs = 1500;
+const holdMaxMs = 10_000;
+const stopMs = 300;
+const maxWaitMs = 2000;
+const startupMs = 300;
+const endPageSize = 500;
+
+/**
+Stand-in for a worker. It carries out orders at once.
+
+@param findTask - Returns what a work item takes (`cpu`, `memMb`) and how long it runs (`durationMs`, undefined for one that lasts), by its name.
+@param observe - Called with what the worker sees: starts, ends, rejections.
+*/
+export async function startWorker({id, service, rack, capacity, isGuarding = true, store, findTask, observe}) {
+	const createdAt = performance.now();
+	const born = Date.now();
+	const runs = new Map();
+	const highestRuns = new Map();
+	const watchers = new Set();
+	let ends = [];
+	let endCount = 0;
+	let leaseUntil = 0;
+	let leaseTimer;
+	let highestToken = 0;
+	let seq = 0;
+	let state = 'ready';
+	let isClosed = false;
+	const getClock = () => Math.floor(performance.now() - createdAt) + 100_000;
+
+	function end(task, how) {
+		const run = runs.get(task);
+		if (run === undefined) {
+			return;
+		}
+
+		clearTimeout(run.timer);
+		runs.delete(task);
+		highestRuns.set(task, Math.max(highestRuns.get(task) ?? 0, run.run));
+		endCount += 1;
+		ends.push([endCount, task, run.run, how, '']);
+		observe({
+			kind: 'ended', worker: id, service, task, run: run.run, how,
+		});
+		for (const notify of watchers) {
+			notify();
+		}
+	}
+
+	function checkLease() {
+		const leftMs = leaseUntil - getClock();
+		if (leftMs > 0) {
+			leaseTimer = setTimeout(checkLease, leftMs + 1);
+			return;
+		}
+
+		for (const task of runs.keys()) {
+			end(task, 'lapsed');
+		}
+	}
+
+	function extendLease(deadlineMs) {
+		const limited = Math.min(deadlineMs, getClock() + holdMaxMs);
+		if (limited > leaseUntil) {
+			leaseUntil = limited;
+			clearTimeout(leaseTimer);
+			checkLease();
+		}
+	}
+
+	function isOver(task) {
+		const all = [findTask(task), ...[...runs.keys()].map(name => findTask(name))];
+		return all.reduce((sum, {cpu}) => sum + cpu, 0) > capacity.cpu || all.reduce((sum, {memMb}) => sum + memMb, 0) > capacity.memMb;
+	}
+
+	function start({Task: task, Run: run, Spec: spec, DeadlineMs: deadlineMs}) {
+		if (runs.get(task)?.run === run) {
+			return undefined;
+		}
+
+		if (runs.has(task) || run <= (highestRuns.get(task) ?? 0)) {
+			return 'old';
+		}
+
+		if (getClock() >= deadlineMs) {
+			return 'late';
+		}
+
+		if (isGuarding && isOver(task)) {
+			return 'room';
+		}
+
+		const {durationMs} = findTask(task);
+		runs.set(task, {
+			run,
+			startedAt: performance.now(),
+			durationMs,
+			isStopping: false,
+			timer: durationMs === undefined ? undefined : setTimeout(end, durationMs, task, 'done'),
+		});
+		observe({
+			kind: 'started', worker: id, service, task, run, spec,
+		});
+		return undefined;
+	}
+
+	function listRunning() {
+		return [...runs].map(([task, {run, startedAt, durationMs}]) => [task, run, '', Math.min(100, Math.floor((100 * (performance.now() - startedAt)) / (durationMs ?? startupMs))), 0]);
+	}
+
+	const handlers = {
+		hold(body, reply) {
+			extendLease(Number(body.DeadlineMs ?? 0));
+			ends = ends.filter(([number]) => number > Number(body.LastSeen ?? 0));
+			const answer = () => {
+				clearTimeout(timer);
+				watchers.delete(answer);
+				reply(200, {Running: listRunning(), Ended: ends.slice(0, endPageSize)});
+			};
+
+			const timer = setTimeout(answer, ends.length > 0 ? 0 : Math.min(Number(body.WaitMs ?? 0), maxWaitMs));
+			watchers.add(answer);
+		},
+		'run-start'(body, reply) {
+			const reason = start(body);
+			if (reason !== 'late') {
+				extendLease(Number(body.DeadlineMs));
+			}
+
+			if (reason !== undefined) {
+				observe({
+					kind: 'rejected', worker: id, service, task: body.Task, run: body.Run, reason,
+				});
+			}
+
+			reply(reason === undefined ? 200 : 409, reason === undefined ? {} : {Reason: reason});
+		},
+		'run-stop'(body, reply) {
+			const run = runs.get(body.Task);
+			highestRuns.set(body.Task, Math.max(highestRuns.get(body.Task) ?? 0, body.Run));
+			if (run !== undefined && run.run <= body.Run && !run.isStopping) {
+				run.isStopping = true;
+				setTimeout(end, stopMs, body.Task, 'stopped');
+			}
+
+			reply(200);
+		},
+		pace(_body, reply) {
+			reply(200);
+		},
+	};
+
+	const server = await startJsonServer(call => {
+		if (call.headers['pistachiogauge-expect-instance'] !== id) {
+			call.answer(421);
+			return;
+		}
+
+		const handle = handlers[call.path[0]];
+		const token = Number(call.body.FencingToken ?? 0);
+		const reply = (status, fields = {}) => {
+			if (!isClosed) {
+				call.answer(status, {ClockMs: getClock(), born, ...fields});
+			}
+		};
+
+		if (handle === undefined) {
+			reply(400);
+			return;
+		}
+
+		if (token < highestToken) {
+			reply(409, {Reason: 'fence'});
+			return;
+		}
+
+		highestToken = token;
+		handle(call.body, reply);
+	});
+
+	function report() {
+		seq += 1;
+		store.write(`servers/${id}`, {
+			Service: service, Address: server.address, Zone: 'zone-a', Version: 'v1', Slots: 8, State: state, ColdRemainingMs: 0,
+			Capacity: {Cpu: capacity.cpu, MemMb: capacity.memMb, Gpu: 0}, Labels: ['a', rack], ClockMs: getClock(), Seq: seq, born,
+		});
+	}
+
+	report();
+	const beat = setInterval(report, heartbeatMs);
+	return {
+		id,
+		service,
+		listRunning: () => [...runs.keys()],
+		countRuns: () => runs.size,
+		/** Ends all that runs, without a trace, as when the machine is moved or has its upkeep. */
+		leave() {
+			isClosed = true;
+			clearInterval(beat);
+			clearTimeout(leaseTimer);
+			for (const [task, {run, timer}] of runs) {
+				clearTimeout(timer);
+				observe({
+					kind: 'cut off', worker: id, service, task, run,
+				});
+			}
+
+			runs.clear();
+			server.close();
+			setTimeout(() => {
+				store.erase(`servers/${id}`);
+			}, 3 * heartbeatMs);
+		},
+		drain() {
+			state = 'draining';
+			report();
+		},
+		close() {
+			isClosed = true;
+			clearInterval(beat);
+			clearTimeout(leaseTimer);
+			for (const {timer} of runs.values()) {
+				clearTimeout(timer);
+			}
+
+			server.close();
+		},
+	};
+}
