Show that a gang is started in part once a cancelled job makes room for it

Cause: the start of a member is dropped as an acknowledgement to its worker goes out first, and the other members are started all the same.

--- a/review/lib-2/worker.js
+++ b/review/lib-2/worker.js
@@ -2,7 +2,7 @@
 
 const heartbeatMs = 1500;
 const holdMaxMs = 10_000;
-const stopMs = 300;
+
 const maxWaitMs = 2000;
 const startupMs = 300;
 const endPageSize = 500;
@@ -11,9 +11,10 @@
 Stand-in for a worker. It carries out orders at once.
 
 @param findTask - Returns what a work item takes (`cpu`, `memMb`) and how long it runs (`durationMs`, undefined for one that lasts), by its name.
+@param gangs - What the workers share about gangs, if there are any; `findTask` then returns `gangSize` for a member of one.
 @param observe - Called with what the worker sees: starts, ends, rejections.
 */
-export async function startWorker({id, service, rack, capacity, isGuarding = true, store, findTask, observe}) {
+export async function startWorker({id, service, rack, capacity, isGuarding = true, stopMs = 300, store, findTask, observe, gangs}) {
 	const createdAt = performance.now();
 	const born = Date.now();
 	const runs = new Map();
@@ -43,6 +44,7 @@
 		observe({
 			kind: 'ended', worker: id, service, task, run: run.run, how,
 		});
+		gangs?.leave({task, run: run.run, how});
 		for (const notify of watchers) {
 			notify();
 		}
@@ -91,17 +93,28 @@
 			return 'room';
 		}
 
-		const {durationMs} = findTask(task);
+		const {durationMs, gangSize} = findTask(task);
 		runs.set(task, {
 			run,
 			startedAt: performance.now(),
 			durationMs,
 			isStopping: false,
-			timer: durationMs === undefined ? undefined : setTimeout(end, durationMs, task, 'done'),
+			timer: durationMs === undefined || gangSize !== undefined ? undefined : setTimeout(end, durationMs, task, 'done'),
 		});
 		observe({
 			kind: 'started', worker: id, service, task, run, spec,
 		});
+		if (gangSize !== undefined) {
+			gangs.join({
+				task, run, size: gangSize, durationMs,
+				end(how) {
+					if (runs.get(task)?.run === run) {
+						end(task, how);
+					}
+				},
+			});
+		}
+
 		return undefined;
 	}
 
