--- a/review/lib-2/cloud.js
+++ b/review/lib-2/cloud.js
@@ -6,7 +6,7 @@
 @param machines - Rows of `machine`, `pool` and `endpointId`, which is undefined for a machine that is off.
 @param onLeft - Called with the id of the worker that ends when its machine is moved or has its upkeep.
 @param onJoined - Called with the machine and its pool when it is up again; returns the id of its new worker, or undefined in the spare pool.
-@param chooseFault - Called for each order; returns `undefined` for one that is carried out and answered at once, or `{lateMs}` for one that is not answered and carried out after that time.
+@param chooseFault - Called for each order; returns `undefined` for one that is carried out and answered at once, `{status}` for one that is refused, or `{lateMs}` for one that is not answered and carried out after that time.
 */
 export async function startCloud({machines: rows, pools, capacity, store, isFencing = false, moveMs = 1500, upkeepMs = 2000, onLeft = () => undefined, onJoined = async () => undefined, observe = () => undefined, chooseFault = () => undefined}) {
 	const machines = new Map(rows.map(({machine, pool, endpointId}) => [machine, {
@@ -116,6 +116,14 @@
 			return;
 		}
 
+		if (fault.status !== undefined) {
+			observe({
+				kind: 'refused', order: call.path[0], machine: call.body.Machine, status: fault.status,
+			});
+			call.answer(fault.status);
+			return;
+		}
+
 		observe({
 			kind: 'order without an answer', order: call.path[0], machine: call.body.Machine, lateMs: fault.lateMs,
 		});
