Show that a late start is carried out by the next process of its worker

Cause: a start without an answer counts as never run once its own process has answered a later look; the next process knows no fence number.

--- a/review/lib-2/worker.js
+++ b/review/lib-2/worker.js
@@ -6,6 +6,8 @@
 const maxWaitMs = 2000;
 const startupMs = 300;
 const endPageSize = 500;
+/** Clock of a worker that has been up for some minutes when the case begins. */
+const longRunningClockMs = 480_000;
 
 /**
 Stand-in for a worker. It carries out orders at once.
@@ -13,13 +15,14 @@
 @param findTask - Returns what a work item takes (`cpu`, `memMb`) and how long it runs (`durationMs`, undefined for one that lasts), by its name.
 @param gangs - What the workers share about gangs, if there are any; `findTask` then returns `gangSize` for a member of one.
 @param observe - Called with what the worker sees: starts, ends, rejections.
+@param chooseFault - Called for each order; returns `undefined` for one that is carried out and answered at once, or `{lateMs}` for one that is not answered and carried out after that time.
 */
-export async function startWorker({id, service, rack, capacity, isGuarding = true, stopMs = 300, store, findTask, observe, gangs}) {
-	const createdAt = performance.now();
-	const born = Date.now();
+export async function startWorker({id, service, rack, capacity, isGuarding = true, stopMs = 300, store, findTask, observe, gangs, chooseFault = () => undefined}) {
 	const runs = new Map();
 	const highestRuns = new Map();
 	const watchers = new Set();
+	let createdAt = performance.now();
+	let born = Date.now();
 	let ends = [];
 	let endCount = 0;
 	let leaseUntil = 0;
@@ -28,7 +31,11 @@
 	let seq = 0;
 	let state = 'ready';
 	let isClosed = false;
-	const getClock = () => Math.floor(performance.now() - createdAt) + 100_000;
+	let isDown = false;
+	let lookedAt = 0;
+	let isCut = false;
+	let firstClockMs = longRunningClockMs;
+	const getClock = () => Math.floor(performance.now() - createdAt) + firstClockMs;
 
 	function end(task, how) {
 		const run = runs.get(task);
@@ -129,6 +136,7 @@
 			const answer = () => {
 				clearTimeout(timer);
 				watchers.delete(answer);
+				lookedAt = performance.now();
 				reply(200, {Running: listRunning(), Ended: ends.slice(0, endPageSize)});
 			};
 
@@ -164,20 +172,21 @@
 		},
 	};
 
-	const server = await startJsonServer(call => {
-		if (call.headers['pistachiogauge-expect-instance'] !== id) {
-			call.answer(421);
+	/** Carries an order out at the process that is there now. */
+	function carryOut(call, isAnswered) {
+		if (isDown) {
 			return;
 		}
 
-		const handle = handlers[call.path[0]];
+		const process = born;
 		const token = Number(call.body.FencingToken ?? 0);
 		const reply = (status, fields = {}) => {
-			if (!isClosed) {
+			if (isAnswered && !isClosed && !isDown && !isCut && process === born) {
 				call.answer(status, {ClockMs: getClock(), born, ...fields});
 			}
 		};
 
+		const handle = handlers[call.path[0]];
 		if (handle === undefined) {
 			reply(400);
 			return;
@@ -190,9 +199,35 @@
 
 		highestToken = token;
 		handle(call.body, reply);
+	}
+
+	const server = await startJsonServer(call => {
+		if (isCut || isDown) {
+			return;
+		}
+
+		if (call.headers['pistachiogauge-expect-instance'] !== id) {
+			call.answer(421);
+			return;
+		}
+
+		const fault = chooseFault(call.path[0], call.body);
+		if (fault === undefined) {
+			carryOut(call, true);
+			return;
+		}
+
+		observe({
+			kind: `order ${call.path[0]} without an answer, to be carried out after ${fault.lateMs} ms:`, worker: id, service, task: call.body.Task, run: call.body.Run,
+		});
+		setTimeout(carryOut, fault.lateMs, call, false);
 	});
 
 	function report() {
+		if (isCut || isDown) {
+			return;
+		}
+
 		seq += 1;
 		store.write(`servers/${id}`, {
 			Service: service, Address: server.address, Zone: 'zone-a', Version: 'v1', Slots: 8, State: state, ColdRemainingMs: 0,
@@ -225,6 +260,43 @@
 				store.erase(`servers/${id}`);
 			}, 3 * heartbeatMs);
 		},
+		/** When it answered the last look, in monotonic ms. */
+		getLookedAt: () => lookedAt,
+		/** Neither hears nor says anything, and runs on. */
+		cut() {
+			isCut = true;
+		},
+		heal() {
+			isCut = false;
+			report();
+		},
+		crash() {
+			isDown = true;
+			clearTimeout(leaseTimer);
+			for (const [task, {run, timer}] of runs) {
+				clearTimeout(timer);
+				observe({
+					kind: 'lost with its worker', worker: id, service, task, run,
+				});
+			}
+
+			runs.clear();
+		},
+		/** Starts again under its id; it knows nothing of before, and its counts and its clock start anew. */
+		restart() {
+			createdAt = performance.now();
+			firstClockMs = 0;
+			born = Math.max(Date.now(), born + 1);
+			highestRuns.clear();
+			watchers.clear();
+			ends = [];
+			endCount = 0;
+			leaseUntil = 0;
+			highestToken = 0;
+			seq = 0;
+			isDown = false;
+			report();
+		},
 		drain() {
 			state = 'draining';
 			report();
