--- /dev/null
+++ b/packages/jobs/src/intake/admit-job.ts
@@ -0,0 +1,150 @@
+import {emitEffect, type DecisionContext} from '@pistachiogauge/chain';
+import {
+	chooseRetryMs, createLiftedRecord, decideAdmission, isReportStale, type AdmissionReason,
+} from '../admission/index.js';
+import {
+	emitCount, emitLog, type JobFilter, type JobOutput,
+} from '../filter.js';
+import {
+	type CallerAnswer, type JobRecord, type StoredAdmission,
+} from '../model/index.js';
+import {
+	answerPendingRequest, answerStoreCall, findSubmission, storeRetryAfterMs, storeSilentAnswer, writeCauses,
+} from './answer-request.js';
+import {type Admission, type State} from './intake-state.js';
+
+/** Number of changes of the admission record during one submission after which it is left undecided; the owner changes it twice a second. */
+const maxAdmissionConflicts = 4;
+
+/** Handles the store's answers to the submission of a job. @internal */
+export const submissionHandlers: JobFilter<State>['handlers'] = {
+	'job-stored': (state, {requestId, result}, context) => result === 'superseded'
+		? repeatAdmission(state, requestId, context.now)
+		: answerStoreCall(state, requestId, context.now, {
+			// The record exists already: the same job was submitted again.
+			conflict: {kind: 'accepted'},
+			applied: {kind: 'accepted'},
+			refused: {kind: 'refused', reason: 'the store did not take the job', retryAfterMs: storeRetryAfterMs},
+			unknown: storeSilentAnswer,
+		}[result] as CallerAnswer, writeCauses[result]),
+	'admission-read'(state, {requestId, found}, context) {
+		const admission = state.intake.admissions.get(requestId);
+		if (admission === undefined) {
+			return [];
+		}
+
+		if (found === undefined) {
+			return answerStoreCall(state, requestId, context.now, storeSilentAnswer, 'no-answer');
+		}
+
+		return found.isJobStored
+			? answerPendingRequest(state, requestId, context.now, {kind: 'accepted'})
+			: confirmAdmission(state, requestId, admission, found.admission, context);
+	},
+	'admission-written'(state, {requestId, result, admission: written}, context) {
+		const admission = requestId === undefined ? undefined : state.intake.admissions.get(requestId);
+		if (requestId === undefined || admission === undefined) {
+			return [];
+		}
+
+		if (result === 'conflict') {
+			return repeatAdmission(state, requestId, context.now);
+		}
+
+		return written === undefined
+			? answerStoreCall(state, requestId, context.now, storeSilentAnswer, 'no-answer')
+			: [emitEffect({
+				kind: 'store-job', requestId, job: admission.job, admissionRevision: written.revision,
+			})];
+	},
+};
+
+/** Stores a job, or prepares its refusal where its pool's admission record says that it would be too late. */
+export function admitJob(state: State, requestId: string, job: JobRecord): JobOutput[] {
+	const known = state.admission.records.get(job.pool);
+	if (known === undefined && state.configuration.current?.accounts === undefined) {
+		return [emitEffect({kind: 'store-job', requestId, job})];
+	}
+
+	const stored = {revision: known?.revision ?? 0, record: known?.record};
+	const configurationVersion = state.configuration.current?.version ?? 0;
+	const decision = decideJobAdmission(job, stored, configurationVersion);
+	state.intake.admissions.set(requestId, {
+		job, configurationVersion, reason: decision.reason, conflictCount: 0,
+	});
+	return [decision.kind === 'accept'
+		? emitEffect({
+			kind: 'store-job', requestId, job, admissionRevision: stored.revision,
+		})
+		: emitEffect({
+			kind: 'read-admission', requestId, pool: job.pool, jobId: job.id,
+		})];
+}
+
+function decideJobAdmission(job: JobRecord, stored: Omit<StoredAdmission, 'pool'>, configurationVersion: number) {
+	const {spec, account, queue: name, priority, stretch, latencyTargetMs} = job;
+	return decideAdmission(stored, configurationVersion, {
+		spec, account, queue: {
+			name, priority, stretch, latencyTargetMs,
+		},
+	});
+}
+
+/**
+Decides on a submission by the admission record that was read after it arrived, before the read that shows that the job is not stored.
+
+Earlier attempts to store the job can come into effect no more: they were made under earlier revisions, as no entry stores the job under this one. Where this entry would store a job that others refuse, it lifts the record first, so that the job is stored under a revision by which nobody refuses.
+*/
+function confirmAdmission(state: State, requestId: string, admission: Admission, stored: StoredAdmission, context: DecisionContext): JobOutput[] {
+	const {job} = admission;
+	const decision = decideJobAdmission(job, stored, admission.configurationVersion);
+	admission.reason = decision.reason;
+	if (decision.kind === 'accept') {
+		return [emitEffect({
+			kind: 'store-job', requestId, job, admissionRevision: stored.revision,
+		})];
+	}
+
+	const doubt = decision.kind === 'unsure' ? decision.reason : findDoubt(state, requestId, job, stored, context);
+	if (decision.kind === 'unsure' || doubt !== undefined) {
+		admission.reason = doubt ?? decision.reason;
+		return [emitCount('admission_reports_lifted_total'), emitEffect({
+			kind: 'write-admission', pool: job.pool, token: undefined, requestId, revision: stored.revision, record: createLiftedRecord(context.wallTime, state.configuration.current?.version ?? 0),
+		})];
+	}
+
+	const {waitMs, finishMs, limitMs} = decision;
+	const retryAfterMs = chooseRetryMs(decision, context.random);
+	return [
+		emitLog('warn', 'submission refused, as the job would be too late', {
+			request: requestId, job: job.id, queue: job.queue, pool: job.pool, account: job.account, waitMs: Math.round(waitMs), finishMs: Math.round(finishMs), limitMs: Math.round(limitMs), retryAfterMs, revision: stored.revision, reportAgeMs: Math.round(context.wallTime - (stored.record?.publishedAt ?? 0)),
+		}),
+		// A peer that was asked meanwhile may have stored the job.
+		...answerStoreCall(state, requestId, context.now, {kind: 'refused', reason: 'the job would be too late to be of use', retryAfterMs}, 'store-refused'),
+	];
+}
+
+/** Finds out why a submission is not to be refused, although the record says so. */
+function findDoubt(state: State, requestId: string, job: JobRecord, stored: StoredAdmission, {now, wallTime}: DecisionContext): AdmissionReason | undefined {
+	if (findSubmission(state, job.id, job.pool, now, requestId) !== undefined) {
+		return 'known-submission';
+	}
+
+	const seenAt = state.admission.records.get(job.pool)?.seenAt ?? now;
+	return stored.record === undefined || isReportStale(stored.record, now - seenAt, wallTime) ? 'stale-report' : undefined;
+}
+
+/** Decides anew on a submission after the admission record has changed. */
+function repeatAdmission(state: State, requestId: string, now: number): JobOutput[] {
+	const admission = state.intake.admissions.get(requestId);
+	if (admission === undefined) {
+		return [];
+	}
+
+	admission.conflictCount += 1;
+	return admission.conflictCount >= maxAdmissionConflicts
+		? answerStoreCall(state, requestId, now, {kind: 'undecided', reason: 'the load report has changed too often'}, 'no-answer')
+		: [emitEffect({
+			kind: 'read-admission', requestId, pool: admission.job.pool, jobId: admission.job.id,
+		})];
+}
--- a/packages/jobs/src/intake/index.ts
+++ b/packages/jobs/src/intake/index.ts
@@ -1,3 +1,5 @@
+export {intakeFilter} from './intake-filter.js';
 export {
-	checkCallerRequest, createIntakeState, intakeFilter, type CallerRequestSummary, type IntakeState, type PendingRequest, type RelayableRequest,
-} from './intake-filter.js';
+	createIntakeState, type IntakeState, type PendingRequest, type RelayableRequest,
+} from './intake-state.js';
+export {checkCallerRequest, type CallerRequestSummary} from './reject-request.js';
