Keep a job one job when its queue changes its pool

What callers saw: a job was accepted and ran; its route was removed and came back with another service.

Cause: every record of a job has its queue's pool in the key, and requests built the keys from the pool of the entry's own configuration. The condition that a job is created once held for each pool by itself. The job ran on, so the owner had not dropped it; the store held two sets of records.

Change: a record for each job id, jobs/ID, names the pool and the queue. A job is created on condition that it is absent, so the store decides whatever versions the entries have, also for a write that is carried out late. A request that does not find the job in its queue's pool reads the record. Waiting jobs are counted in the reports of all pools. The record is deleted with the job's others; as a transaction takes 32 entries, 10 jobs go into one, and several of them are sent at a time.

A submission takes one store call as before, a request for an unknown job one read more.

--- a/packages/bench/src/jobs/create-admission-sinks.ts
+++ b/packages/bench/src/jobs/create-admission-sinks.ts
@@ -31,9 +31,9 @@
 				onAnswer(admission) {
 					callStore(entry, {
 						isWrite: false,
-						run: () => store.getProgress(jobId) !== undefined,
-						onAnswer(isJobStored) {
-							deliverResult({admission, isJobStored});
+						run: () => store.getLocation(jobId),
+						onAnswer(location) {
+							deliverResult({admission, isJobStored: location !== undefined, location});
 						},
 						onFailure() {
 							deliverResult(undefined);
--- a/packages/bench/src/jobs/create-virtual-sinks.ts
+++ b/packages/bench/src/jobs/create-virtual-sinks.ts
@@ -109,23 +109,26 @@
 				createFailure: () => ({kind: 'pool-load-failed', pool, token}),
 			});
 		},
-		'store-job'(entry, {requestId, job, admissionRevision}) {
+		'store-job'(entry, {
+			requestId, job, location, admissionRevision,
+		}) {
 			callStore(entry, {
 				isWrite: true,
-				run(): JobEventOf<'job-stored'>['result'] {
-					if (store.getProgress(job.id) !== undefined) {
-						return 'conflict';
+				run(): Pick<JobEventOf<'job-stored'>, 'result' | 'location'> {
+					const stored = store.getLocation(job.id);
+					if (stored !== undefined) {
+						return {result: 'conflict', location: stored};
 					}
 
 					if (admissionRevision !== undefined && admissionRecords.getRecord(job.pool).revision !== admissionRevision) {
-						return 'superseded';
+						return {result: 'superseded'};
 					}
 
-					store.storeJob(job);
-					return 'applied';
+					store.storeJob(job, location);
+					return {result: 'applied'};
 				},
-				onAnswer(result) {
-					delivery.deliver(entry, {kind: 'job-stored', requestId, result});
+				onAnswer(answer) {
+					delivery.deliver(entry, {kind: 'job-stored', requestId, ...answer});
 				},
 				onFailure(failure) {
 					if (failure === 'refused') {
@@ -135,17 +138,19 @@
 
 					callAndDeliver(entry, {
 						isWrite: false,
-						run: () => store.getProgress(job.id) !== undefined,
-						createEvents: isStored => [{kind: 'job-stored', requestId, result: isStored ? 'applied' : 'unknown'}],
+						run: () => store.getLocation(job.id),
+						createEvents: stored => [{
+							kind: 'job-stored', requestId, result: stored === undefined ? 'unknown' : 'conflict', location: stored,
+						}],
 						createFailure: () => ({kind: 'job-stored', requestId, result: 'unknown'}),
 					});
 				},
 			});
 		},
-		'read-progress'(entry, {requestId, jobId}) {
+		'read-progress'(entry, {requestId, pool, jobId}) {
 			callAndDeliver(entry, {
 				isWrite: false,
-				run: () => store.getProgress(jobId),
+				run: () => store.getProgressInPool(pool, jobId),
 				createEvents: progress => [{
 					kind: 'progress-read', requestId, result: progress === undefined ? 'absent' : 'found', progress,
 				}],
@@ -154,6 +159,18 @@
 				}),
 			});
 		},
+		'read-job-location'(entry, {requestId, jobId}) {
+			callAndDeliver(entry, {
+				isWrite: false,
+				run: () => store.getLocation(jobId),
+				createEvents: location => [{
+					kind: 'job-location-read', requestId, result: location === undefined ? 'absent' : 'found', location,
+				}],
+				createFailure: () => ({
+					kind: 'job-location-read', requestId, result: 'failed', location: undefined,
+				}),
+			});
+		},
 		'store-cancel'(entry, {requestId, pool, jobId}) {
 			callAndDeliver(entry, {
 				isWrite: true,
--- a/packages/bench/src/jobs/virtual-job-store.ts
+++ b/packages/bench/src/jobs/virtual-job-store.ts
@@ -1,5 +1,5 @@
 import {
-	poolClaimPrefix, rosterRecordKey, type Claim, type JobEffectOf, type JobEvent, type JobEventOf, type JobRecord, type Member, type ProgressRecord, type Roster, type StoredJob,
+	poolClaimPrefix, rosterRecordKey, type Claim, type JobEffectOf, type JobEvent, type JobEventOf, type JobLocation, type JobRecord, type Member, type ProgressRecord, type Roster, type StoredJob,
 } from '@pistachiogauge/jobs';
 
 /** Records of jobs in the simulated store of the platform. */
@@ -20,12 +20,15 @@
 	/** Registers a member under a lease; returns false if that has ended. */
 	register(member: Member, lease: number): boolean;
 	claim(effect: JobEffectOf<'claim'>, member: Member, lease: number): JobEventOf<'claim-answered'>;
-	/** Returns whether the job was not stored before. */
-	storeJob(job: JobRecord): boolean;
+	/** Stores a job whose id has no location yet. */
+	storeJob(job: JobRecord, location: JobLocation): void;
+	getLocation(jobId: string): JobLocation | undefined;
 	storeCancel(pool: string, jobId: string): void;
 	/** Returns whether the claim under which a pool's report is published still holds. */
 	publishReport(pool: string, token: number): boolean;
 	getProgress(jobId: string): ProgressRecord | undefined;
+	/** The progress of a job if its records are in the given pool. */
+	getProgressInPool(pool: string, jobId: string): ProgressRecord | undefined;
 	getStoredJob(jobId: string): StoredJob | undefined;
 	saveProgress(effect: JobEffectOf<'save-progress'>): JobEventOf<'progress-saved'>;
 	loadPool(pool: string, token: number, evacuatedEndpointIds: readonly string[]): JobEvent;
@@ -43,6 +46,7 @@
 	const leases = new Map<number, number>();
 	const claimLeases = new Map<string, number>();
 	const memberLeases = new Map<string, number>();
+	const locations = new Map<string, JobLocation>();
 	const jobs = new Map<string, Versioned<JobRecord>>();
 	const progress = new Map<string, Versioned<ProgressRecord>>();
 	const rosters = new Map<string, Versioned<Roster>>();
@@ -135,12 +139,9 @@
 				kind: 'claim-answered', name, result: 'applied', token: revision,
 			};
 		},
-		storeJob(job) {
-			if (progress.has(job.id)) {
-				return false;
-			}
-
+		storeJob(job, location) {
 			revision += 1;
+			locations.set(job.id, location);
 			jobs.set(job.id, {record: job, revision});
 			progress.set(job.id, {
 				record: {
@@ -148,14 +149,15 @@
 				}, revision,
 			});
 			publish([{kind: 'job-recorded', stored: {...createStoredJob(job.id), isCancelled: false}}]);
-			return true;
 		},
+		getLocation: jobId => locations.get(jobId),
 		storeCancel(pool, jobId) {
 			cancels.set(jobId, pool);
 			publish([{kind: 'job-cancelled', pool, jobId}]);
 		},
 		publishReport: (pool, token) => claims.get(`${poolClaimPrefix}${pool}`)?.token === token,
 		getProgress: jobId => progress.get(jobId)?.record,
+		getProgressInPool: (pool, jobId) => locations.get(jobId)?.pool === pool ? progress.get(jobId)?.record : undefined,
 		getStoredJob: jobId => jobs.has(jobId) ? createStoredJob(jobId) : undefined,
 		saveProgress({
 			pool, token, saveId, records, roster,
--- a/packages/entry/src/jobs/create-admission-sinks.ts
+++ b/packages/entry/src/jobs/create-admission-sinks.ts
@@ -2,6 +2,7 @@
 import {type SinkTable} from '@pistachiogauge/pipeline';
 import {type CallRunner} from './create-order-sinks.js';
 import {decodeAdmission, encodeRecord, recordKeys} from './job-records.js';
+import {readJobLocation} from './store-job.js';
 import {type JobSinkDependencies} from './job-sink-dependencies.js';
 import {writeResults} from './write-results.js';
 
@@ -10,9 +11,9 @@
 	async function readAdmission({requestId, pool, jobId}: JobEffectOf<'read-admission'>): Promise<void> {
 		const key = recordKeys.getAdmissionKey(pool);
 		const admission = decodeAdmission(await store.readItem(key) ?? {key, value: undefined, revision: 0});
-		// This read comes second: a job that was stored before the first one, under an earlier revision, is found.
-		const progress = await store.readItem(recordKeys.getProgressKey(pool, jobId));
-		pushEvent({kind: 'admission-read', requestId, found: {admission, isJobStored: progress !== undefined}});
+		// These reads come second: a job that was stored before the first one, under an earlier revision, is found.
+		const [progress, location] = await Promise.all([store.readItem(recordKeys.getProgressKey(pool, jobId)), readJobLocation(store, jobId)]);
+		pushEvent({kind: 'admission-read', requestId, found: {admission, isJobStored: progress !== undefined, location}});
 	}
 
 	async function writeAdmission({
--- a/packages/entry/src/jobs/create-job-sinks.ts
+++ b/packages/entry/src/jobs/create-job-sinks.ts
@@ -15,11 +15,12 @@
 } from './follow-records.js';
 import {createGuardedWriter} from './guard-writes.js';
 import {
-	createInitialProgress, createStoredJob, decodeRecord, encodeRecord, recordKeys,
+	decodeRecord, encodeRecord, recordKeys,
 } from './job-records.js';
 import {type JobSinkDependencies} from './job-sink-dependencies.js';
 import {readClocks} from './read-clocks.js';
 import {sendRelay} from './send-relay.js';
+import {readJobLocation, storeJob} from './store-job.js';
 import {writeResults} from './write-results.js';
 
 /** Time in ms for which a machine order stays on record beyond the minimum time between orders of two holders: the time until the next holder reads it counts as well. */
@@ -75,31 +76,6 @@
 		}
 	}
 
-	async function storeJob({requestId, job, admissionRevision}: JobEffectOf<'store-job'>): Promise<void> {
-		const progressKey = recordKeys.getProgressKey(job.pool, job.id);
-		const result = await store.applyTransaction({
-			conditions: [{key: progressKey, revision: 0}, ...(admissionRevision === undefined ? [] : [{key: recordKeys.getAdmissionKey(job.pool), revision: admissionRevision}])],
-			puts: [
-				{key: recordKeys.getJobKey(job.pool, job.id), value: encodeRecord(job)},
-				{key: progressKey, value: encodeRecord(createInitialProgress(job))},
-			],
-		});
-		if (result.kind === 'applied') {
-			// The pool's owner learns of the job from its watch; if this entry is the owner, it learns of it at once.
-			pushEvent({kind: 'job-recorded', stored: createStoredJob(job, result.revision)});
-		}
-
-		if (result.kind === 'unknown') {
-			const item = await store.readItem(progressKey);
-			pushEvent({kind: 'job-stored', requestId, result: item === undefined ? 'unknown' : 'applied'});
-			return;
-		}
-
-		// The progress record was the only other condition.
-		const isSuperseded = result.kind === 'conflict' && admissionRevision !== undefined && (result.revisions.get(progressKey) ?? 0) === 0;
-		pushEvent({kind: 'job-stored', requestId, result: isSuperseded ? 'superseded' : writeResults[result.kind]});
-	}
-
 	async function saveProgress({
 		pool, token, saveId, records, roster,
 	}: JobEffectOf<'save-progress'>): Promise<void> {
@@ -208,7 +184,11 @@
 			stopFollowingFleet = isFollowing ? followFleetRecords(dependencies.followContext) : undefined;
 		},
 		'store-job'(effect) {
-			runCall('store-job', async () => storeJob(effect), {kind: 'job-stored', requestId: effect.requestId, result: 'unknown'});
+			runCall('store-job', async () => {
+				for (const event of await storeJob(store, effect)) {
+					pushEvent(event);
+				}
+			}, {kind: 'job-stored', requestId: effect.requestId, result: 'unknown'});
 		},
 		'read-progress'({requestId, pool, jobId}) {
 			runCall('read-progress', async () => {
@@ -226,6 +206,16 @@
 				kind: 'progress-read', requestId, result: 'failed', progress: undefined,
 			});
 		},
+		'read-job-location'({requestId, jobId}) {
+			runCall('read-job-location', async () => {
+				const location = await readJobLocation(store, jobId);
+				pushEvent({
+					kind: 'job-location-read', requestId, result: location === undefined ? 'absent' : 'found', location,
+				});
+			}, {
+				kind: 'job-location-read', requestId, result: 'failed', location: undefined,
+			});
+		},
 		'store-cancel'({requestId, pool, jobId}) {
 			runCall('store-cancel', async () => {
 				const key = recordKeys.getCancelKey(pool, jobId);
@@ -237,22 +227,22 @@
 				pushEvent({kind: 'cancel-stored', requestId, result: writeResults[result.kind]});
 			}, {kind: 'cancel-stored', requestId, result: 'unknown'});
 		},
-		'read-report'({requestId, pool}) {
-			runCall('read-report', async () => {
-				const item = await store.readItem(`${recordKeys.reportPrefix}${pool}`);
-				const report = item === undefined ? undefined : decodeRecord('report', item);
+		'read-reports'({requestId}) {
+			runCall('read-reports', async () => {
+				const {items} = await store.listItems(recordKeys.reportPrefix);
+				const reports = items.map(item => decodeRecord('report', item)).filter(report => report !== undefined);
 				pushEvent({
-					kind: 'report-read', requestId, result: report === undefined ? 'absent' : 'found', report,
+					kind: 'reports-read', requestId, result: 'found', reports,
 				});
 			}, {
-				kind: 'report-read', requestId, result: 'failed', report: undefined,
+				kind: 'reports-read', requestId, result: 'failed', reports: [],
 			});
 		},
-		'count-queued-jobs'({requestId, pool, queue}) {
+		'count-queued-jobs'({requestId, pools, queue}) {
 			runCall('count-queued-jobs', async () => {
-				const countsByQueue = await countQueuedJobs(pool);
+				const counts = await Promise.all(pools.map(async pool => countQueuedJobs(pool)));
 				pushEvent({
-					kind: 'queued-jobs-counted', requestId, result: 'found', count: countsByQueue.get(queue) ?? 0,
+					kind: 'queued-jobs-counted', requestId, result: 'found', count: counts.reduce((sum, countsByQueue) => sum + (countsByQueue.get(queue) ?? 0), 0),
 				});
 			}, {
 				kind: 'queued-jobs-counted', requestId, result: 'failed', count: 0,
@@ -268,7 +258,7 @@
 				await store.applyTransaction({
 					conditions: [{key: `${recordKeys.claimPrefix}pool/${pool}`, revision: token}],
 					puts: [],
-					deletes: jobIds.flatMap(jobId => [recordKeys.getProgressKey(pool, jobId), recordKeys.getCancelKey(pool, jobId)]),
+					deletes: jobIds.flatMap(jobId => [recordKeys.getProgressKey(pool, jobId), recordKeys.getCancelKey(pool, jobId), recordKeys.getJobLocationKey(jobId)]),
 				});
 			});
 		},
--- a/packages/entry/src/jobs/create-share-sinks.test.ts
+++ b/packages/entry/src/jobs/create-share-sinks.test.ts
@@ -60,8 +60,8 @@
 	// Guards against a former owner that writes, and against a result that the decisions take for another one.
 	it.each([
 		{name: 'is applied', reply: {kind: 'applied', revision: 12}, expected: {result: 'applied', revision: 12, isClaimLost: false}},
-		{name: 'conflicts with another owner', reply: {kind: 'conflict', revisions: new Map([[key, 6], ['shared/claim/pool/desk', 7]])}, expected: {result: 'conflict', presentRevisions: new Map([[account, 6]]), isClaimLost: false}},
-		{name: 'is that of a former owner', reply: {kind: 'conflict', revisions: new Map([[key, 4], ['shared/claim/pool/desk', 8]])}, expected: {result: 'conflict', isClaimLost: true}},
+		{name: 'conflicts with another owner', reply: {kind: 'conflict', revisions: new Map([[key, 6], ['shared/claim/pool/desk', 7]]), values: new Map()}, expected: {result: 'conflict', presentRevisions: new Map([[account, 6]]), isClaimLost: false}},
+		{name: 'is that of a former owner', reply: {kind: 'conflict', revisions: new Map([[key, 4], ['shared/claim/pool/desk', 8]]), values: new Map()}, expected: {result: 'conflict', isClaimLost: true}},
 		{name: 'is refused', reply: {kind: 'refused'}, expected: {result: 'refused', isClaimLost: false}},
 		{name: 'is not answered', reply: {kind: 'unknown'}, expected: {result: 'unknown', isClaimLost: false}},
 		{name: 'fails', reply: 'thrown', expected: {result: 'unknown', isClaimLost: false}},
--- a/packages/entry/src/jobs/job-records.ts
+++ b/packages/entry/src/jobs/job-records.ts
@@ -1,5 +1,5 @@
 import {
-	type AdmissionRecord, type Claim, type JobRecord, type Member, type PoolDemandHistory, type PoolReport, type ProgressRecord, type Roster, type ShareRecord, type StoredAdmission, type StoredJob, type StoredShares, type EvacuatedEndpoint, type EvacuationRequest,
+	type AdmissionRecord, type Claim, type JobLocation, type JobRecord, type Member, type PoolDemandHistory, type PoolReport, type ProgressRecord, type Roster, type ShareRecord, type StoredAdmission, type StoredJob, type StoredShares, type EvacuatedEndpoint, type EvacuationRequest,
 } from '@pistachiogauge/jobs';
 import {decodeValue, parseJson, type StoreItem} from '@pistachiogauge/platform';
 import {recordSchemas} from './record-schemas.js';
@@ -15,6 +15,8 @@
 	/** Waits in overloaded pools. Such a record is never deleted, as writes of jobs depend on its revision. */
 	admissionPrefix: 'shared/admission/',
 	getAdmissionKey: (pool: string) => `shared/admission/${pool}`,
+	/** Where a job's records are: one key for each job, so that a job is created once whichever pool its queue belongs to. */
+	getJobLocationKey: (jobId: string) => `jobs/${jobId}`,
 	/** Requests to a pool's owner. */
 	getInboxPrefix: (pool: string) => `inbox/${pool}/`,
 	getJobKey: (pool: string, jobId: string) => `inbox/${pool}/job/${jobId}`,
@@ -49,7 +51,7 @@
 export type RecentOrdersRecord = {readonly token: number; readonly machines: readonly string[]};
 
 /** @internal */
-export function encodeRecord(record: AdmissionRecord | ShareRecord | DemandHistoryRecord | RecentOrdersRecord | JobRecord | ProgressRecord | Roster | PoolReport | EvacuationRequest | Pick<EvacuatedEndpoint, 'requestId'> | WaveRecord | Omit<Member, 'node'> | {readonly node: string; readonly incarnation: string} | Record<string, never>): string {
+export function encodeRecord(record: AdmissionRecord | ShareRecord | DemandHistoryRecord | RecentOrdersRecord | JobLocation | JobRecord | ProgressRecord | Roster | PoolReport | EvacuationRequest | Pick<EvacuatedEndpoint, 'requestId'> | WaveRecord | Omit<Member, 'node'> | {readonly node: string; readonly incarnation: string} | Record<string, never>): string {
 	return JSON.stringify(record);
 }
 
@@ -59,6 +61,7 @@
 	readonly member: Omit<Member, 'node'>;
 	readonly holder: {readonly node: string; readonly incarnation: string};
 	readonly job: JobRecord;
+	readonly jobLocation: JobLocation;
 	readonly progress: ProgressRecord;
 	readonly roster: Roster;
 	readonly report: PoolReport;
--- a/packages/entry/src/jobs/late-writes.test.ts
+++ b/packages/entry/src/jobs/late-writes.test.ts
@@ -41,7 +41,7 @@
 	const carryOut = ({conditions, puts, deletes = []}: StoreTransaction): TransactionResult => {
 		const revisions = new Map(conditions.map(each => [each.key, items.get(each.key)?.revision ?? 0]));
 		if (conditions.some(each => revisions.get(each.key) !== each.revision)) {
-			return {kind: 'conflict', revisions};
+			return {kind: 'conflict', revisions, values: new Map()};
 		}
 
 		for (const put of puts) {
--- a/packages/entry/src/jobs/odd-records.test.ts
+++ b/packages/entry/src/jobs/odd-records.test.ts
@@ -16,6 +16,7 @@
 	member: ['weight'],
 	holder: ['node'],
 	job: ['spec', 'advice'],
+	jobLocation: ['queue'],
 	progress: ['steps', 'failedRuns'],
 	roster: ['endpointIds', 'silentRuns'],
 	report: ['usableEndpoints', 'idleEndpoints', 'waiting', 'durationModels'],
--- a/packages/entry/src/jobs/record-schemas.ts
+++ b/packages/entry/src/jobs/record-schemas.ts
@@ -65,6 +65,9 @@
 		account: z.string().optional(),
 		acceptedAt: z.number(),
 	}),
+	jobLocation: z.object({
+		pool: z.string(), queue: z.string(), host: z.string(), prefix: z.string(), account: z.string().optional(),
+	}),
 	progress: z.object({
 		queue: z.string(),
 		account: z.string().optional(),
--- a/packages/entry/src/jobs/record-writer.test.ts
+++ b/packages/entry/src/jobs/record-writer.test.ts
@@ -11,7 +11,7 @@
 
 const results: Readonly<Record<string, TransactionResult>> = {
 	applied: {kind: 'applied', revision: 7},
-	conflict: {kind: 'conflict', revisions: new Map()},
+	conflict: {kind: 'conflict', revisions: new Map(), values: new Map()},
 	refused: {kind: 'refused'},
 	unknown: {kind: 'unknown'},
 };
--- a/packages/entry/src/jobs/session.test.ts
+++ b/packages/entry/src/jobs/session.test.ts
@@ -9,7 +9,7 @@
 	const carryOut = ({conditions, puts}: StoreTransaction): TransactionResult => {
 		const revision = registered?.revision ?? 0;
 		if (conditions.some(each => each.revision !== revision)) {
-			return {kind: 'conflict', revisions: new Map(conditions.map(({key}) => [key, revision]))};
+			return {kind: 'conflict', revisions: new Map(conditions.map(({key}) => [key, revision])), values: new Map()};
 		}
 
 		registered = {lease: puts[0]!.lease, revision: sent.length};
--- a/packages/jobs/src/intake/account-requests.test.ts
+++ b/packages/jobs/src/intake/account-requests.test.ts
@@ -4,7 +4,7 @@
 import {labelAccount} from '../accounts/index.js';
 import {createJobsState} from '../jobs-state.js';
 import {
-	type CallerAction, type CallerAnswer, type ClientAccount, type JobEffect, type JobEvent, type JobRecord,
+	type CallerAction, type CallerAnswer, type ClientAccount, type JobEffect, type JobEvent, type JobLocation, type JobRecord,
 } from '../model/index.js';
 import {createTestJob} from '../testing.test-support.js';
 
@@ -35,6 +35,7 @@
 	});
 	const random = createRandomSource(1);
 	const jobs = new Map<string, JobRecord>();
+	const locations = new Map<string, JobLocation>();
 	const answers: Array<CallerAnswer['kind']> = [];
 	const effects: JobEffect[] = [];
 	let version = 0;
@@ -49,9 +50,12 @@
 				const stored = jobs.has(effect.job.id) && result === 'applied' ? 'conflict' : result;
 				if (stored === 'applied') {
 					jobs.set(effect.job.id, effect.job);
+					locations.set(effect.job.id, effect.location);
 				}
 
-				apply({kind: 'job-stored', requestId: effect.requestId, result: stored}, now);
+				apply({
+					kind: 'job-stored', requestId: effect.requestId, result: stored, location: stored === 'conflict' ? locations.get(effect.job.id) : undefined,
+				}, now);
 			}
 
 			if (effect.kind === 'read-progress') {
@@ -63,6 +67,12 @@
 				}, now);
 			}
 
+			if (effect.kind === 'read-job-location') {
+				apply({
+					kind: 'job-location-read', requestId: effect.requestId, result: 'absent', location: undefined,
+				}, now);
+			}
+
 			if (effect.kind === 'store-cancel') {
 				apply({kind: 'cancel-stored', requestId: effect.requestId, result: 'applied'}, now);
 			}
@@ -129,6 +139,8 @@
 	['a public job with a key', [{set: open}, {confirm: 0}, ['submit', 'museum', 1], ['get', undefined, 2]], ['accepted', 'status']],
 	['jobs with a key that two accounts have', [{set: {isPublic: false, accounts: {museum: ['second'], library: ['second', 'library']}}}, {confirm: 0}, ['submit', 'second', 1], ['get', 'library', 2]], ['accepted', 'unknown-job'], 'museum'],
 	['nothing after it lost all keys', [...submitted, {set: {isPublic: false, accounts: {museum: [], library: ['library']}}}, ['get', 'museum', 2]], ['accepted', 'unauthorized'], 'museum'],
+	['no id of a job of another account', [...submitted, ['submit', 'library', 2], ['submit', 'museum', 3]], ['accepted', 'invalid', 'accepted'], 'museum'],
+	['the id of its job of a queue that has become public', [...submitted, {set: open}, ['submit', 'museum', 2], ['submit', 'museum', 9000]], ['accepted', 'accepted', 'undecided'], 'museum'],
 	['all jobs where there are no accounts', [{set: none}, ['submit', 'second', 1], ['get', undefined, 90_000], ['cancel', 'museum', 90_001]], ['accepted', 'status', 'cancelled']],
 ];
 
--- a/packages/jobs/src/intake/admission.test.ts
+++ b/packages/jobs/src/intake/admission.test.ts
@@ -73,7 +73,7 @@
 
 			return {kind: 'job-stored', requestId, result: storeJob(admissionRevision)};
 		},
-		'read-admission': ({requestId}) => ({kind: 'admission-read', requestId, found: {admission: {pool: 'desk', revision: record.revision, record: record.value}, isJobStored: isStored}}),
+		'read-admission': ({requestId}) => ({kind: 'admission-read', requestId, found: {admission: {pool: 'desk', revision: record.revision, record: record.value}, isJobStored: isStored, location: undefined}}),
 		'write-admission'({requestId, pool, revision, record: value}) {
 			const admission = revision === record.revision ? changeRecord(value) : undefined;
 			return {
--- a/packages/jobs/src/intake/admit-job.ts
+++ b/packages/jobs/src/intake/admit-job.ts
@@ -6,27 +6,36 @@
 	emitCount, emitLog, type JobFilter, type JobOutput,
 } from '../filter.js';
 import {
-	type CallerAnswer, type JobRecord, type StoredAdmission,
+	type CallerAnswer, type JobLocation, type JobRecord, type StoredAdmission,
 } from '../model/index.js';
 import {
-	answerPendingRequest, answerStoreCall, findSubmission, storeRetryAfterMs, storeSilentAnswer, writeCauses,
+	answerPendingRequest, answerStoreCall, findSubmission, storeRetryAfterMs, storeSilentAnswer, takenIdAnswer, writeCauses,
 } from './answer-request.js';
 import {type Admission, type State} from './intake-state.js';
+import {isQueueOfJob, mayAccessJob} from './job-locations.js';
 
 /** Number of changes of the admission record during one submission after which it is left undecided; the owner changes it twice a second. */
 const maxAdmissionConflicts = 4;
 
 /** Handles the store's answers to the submission of a job. @internal */
 export const submissionHandlers: JobFilter<State>['handlers'] = {
-	'job-stored': (state, {requestId, result}, context) => result === 'superseded'
-		? repeatAdmission(state, requestId, context.now)
-		: answerStoreCall(state, requestId, context.now, {
+	'job-stored'(state, {requestId, result, location}, context) {
+		if (result === 'superseded') {
+			return repeatAdmission(state, requestId, context.now);
+		}
+
+		if (location !== undefined) {
+			return answerExistingJob(state, requestId, location, context.now);
+		}
+
+		return answerStoreCall(state, requestId, context.now, {
 			// The record exists already: the same job was submitted again.
 			conflict: {kind: 'accepted'},
 			applied: {kind: 'accepted'},
 			refused: {kind: 'refused', reason: 'the store did not take the job', retryAfterMs: storeRetryAfterMs},
 			unknown: storeSilentAnswer,
-		}[result] as CallerAnswer, writeCauses[result]),
+		}[result] as CallerAnswer, writeCauses[result]);
+	},
 	'admission-read'(state, {requestId, found}, context) {
 		const admission = state.intake.admissions.get(requestId);
 		if (admission === undefined) {
@@ -37,6 +46,10 @@
 			return answerStoreCall(state, requestId, context.now, storeSilentAnswer, 'no-answer');
 		}
 
+		if (found.location !== undefined) {
+			return answerExistingJob(state, requestId, found.location, context.now);
+		}
+
 		return found.isJobStored
 			? answerPendingRequest(state, requestId, context.now, {kind: 'accepted'})
 			: confirmAdmission(state, requestId, admission, found.admission, context);
@@ -54,27 +67,29 @@
 		return written === undefined
 			? answerStoreCall(state, requestId, context.now, storeSilentAnswer, 'no-answer')
 			: [emitEffect({
-				kind: 'store-job', requestId, job: admission.job, admissionRevision: written.revision,
+				kind: 'store-job', requestId, job: admission.job, location: admission.location, admissionRevision: written.revision,
 			})];
 	},
 };
 
 /** Stores a job, or prepares its refusal where its pool's admission record says that it would be too late. */
-export function admitJob(state: State, requestId: string, job: JobRecord): JobOutput[] {
+export function admitJob(state: State, requestId: string, job: JobRecord, location: JobLocation): JobOutput[] {
 	const known = state.admission.records.get(job.pool);
 	if (known === undefined && state.configuration.current?.accounts === undefined) {
-		return [emitEffect({kind: 'store-job', requestId, job})];
+		return [emitEffect({
+			kind: 'store-job', requestId, job, location,
+		})];
 	}
 
 	const stored = {revision: known?.revision ?? 0, record: known?.record};
 	const configurationVersion = state.configuration.current?.version ?? 0;
 	const decision = decideJobAdmission(job, stored, configurationVersion);
 	state.intake.admissions.set(requestId, {
-		job, configurationVersion, reason: decision.reason, conflictCount: 0,
+		job, location, configurationVersion, reason: decision.reason, conflictCount: 0,
 	});
 	return [decision.kind === 'accept'
 		? emitEffect({
-			kind: 'store-job', requestId, job, admissionRevision: stored.revision,
+			kind: 'store-job', requestId, job, location, admissionRevision: stored.revision,
 		})
 		: emitEffect({
 			kind: 'read-admission', requestId, pool: job.pool, jobId: job.id,
@@ -96,12 +111,12 @@
 Earlier attempts to store the job can come into effect no more: they were made under earlier revisions, as no entry stores the job under this one. Where this entry would store a job that others refuse, it lifts the record first, so that the job is stored under a revision by which nobody refuses.
 */
 function confirmAdmission(state: State, requestId: string, admission: Admission, stored: StoredAdmission, context: DecisionContext): JobOutput[] {
-	const {job} = admission;
+	const {job, location} = admission;
 	const decision = decideJobAdmission(job, stored, admission.configurationVersion);
 	admission.reason = decision.reason;
 	if (decision.kind === 'accept') {
 		return [emitEffect({
-			kind: 'store-job', requestId, job, admissionRevision: stored.revision,
+			kind: 'store-job', requestId, job, location, admissionRevision: stored.revision,
 		})];
 	}
 
@@ -126,7 +141,7 @@
 
 /** Finds out why a submission is not to be refused, although the record says so. */
 function findDoubt(state: State, requestId: string, job: JobRecord, stored: StoredAdmission, {now, wallTime}: DecisionContext): AdmissionReason | undefined {
-	if (findSubmission(state, job.id, job.pool, now, requestId) !== undefined) {
+	if (findSubmission(state, job.id, now, requestId) !== undefined) {
 		return 'known-submission';
 	}
 
@@ -148,3 +163,13 @@
 			kind: 'read-admission', requestId, pool: admission.job.pool, jobId: admission.job.id,
 		})];
 }
+
+/** Answers a submission whose job id has a location already: the same job was submitted before, or another one. */
+function answerExistingJob(state: State, requestId: string, location: JobLocation, now: number): JobOutput[] {
+	const request = state.intake.pendingRequests.get(requestId);
+	if (request === undefined || (isQueueOfJob(request.queue, location) && mayAccessJob(location, request.account))) {
+		return answerPendingRequest(state, requestId, now, {kind: 'accepted'});
+	}
+
+	return answerPendingRequest(state, requestId, now, request.isKeyUnchecked ? {kind: 'undecided', reason: 'the configuration has not been confirmed recently'} : takenIdAnswer);
+}
--- a/packages/jobs/src/intake/answer-request.ts
+++ b/packages/jobs/src/intake/answer-request.ts
@@ -18,6 +18,12 @@
 
 export const storeSilentAnswer: CallerAnswer = {kind: 'undecided', reason: 'the store has not answered'};
 
+/** Answer to a request for a job of an account, whose key could not be looked up. */
+export const keyUncheckedAnswer: CallerAnswer = {kind: 'refused', reason: 'the configuration has not been confirmed recently', retryAfterMs: storeRetryAfterMs};
+
+/** Answer to the submission of a job whose id another job has. */
+export const takenIdAnswer: CallerAnswer = {kind: 'invalid', message: 'another job has this id'};
+
 export const readFailedAnswer: CallerAnswer = {kind: 'refused', reason: 'the store cannot be read', retryAfterMs: storeRetryAfterMs};
 
 /** Why a write has no decision of the store, by its result. */
@@ -52,7 +58,7 @@
 	state.intake.pendingRequests.delete(requestId);
 	const admission = state.intake.admissions.get(requestId);
 	state.intake.admissions.delete(requestId);
-	const known = request.action === 'submit' && storeAnswer.kind === 'refused' ? findSubmission(state, request.jobId, request.queue.pool, now) : undefined;
+	const known = request.action === 'submit' && storeAnswer.kind === 'refused' ? findSubmission(state, request.jobId, now) : undefined;
 	const answer = known === undefined ? storeAnswer : knownSubmissionAnswers[known];
 	if (request.action === 'submit' && (answer.kind === 'accepted' || answer.kind === 'undecided')) {
 		recordSubmission(state.intake, request.jobId, {answer: answer.kind, at: now});
@@ -78,10 +84,11 @@
 }
 
 /** Finds out from memory what became of earlier submissions of a job, other than one request. @returns Undefined when this entry knows of none. */
-export function findSubmission({intake, ledger}: State, jobId: string, pool: string, now: number, exceptRequestId?: string): Submission['answer'] | undefined {
-	const owned = ledger.pools.get(pool);
-	if (owned?.jobs.has(jobId) === true || owned?.endedJobs.has(jobId) === true) {
-		return 'accepted';
+export function findSubmission({intake, ledger}: State, jobId: string, now: number, exceptRequestId?: string): Submission['answer'] | undefined {
+	for (const {jobs, endedJobs} of ledger.pools.values()) {
+		if (jobs.has(jobId) || endedJobs.has(jobId)) {
+			return 'accepted';
+		}
 	}
 
 	const submission = intake.recentSubmissions.get(jobId);
--- a/packages/jobs/src/intake/intake-filter.ts
+++ b/packages/jobs/src/intake/intake-filter.ts
@@ -11,8 +11,9 @@
 	answerPendingRequest, countForAccount, createAnswer, findSubmission, isRelayable, knownSubmissionAnswers, storeLostAnswer, storeRetryAfterMs,
 } from './answer-request.js';
 import {waitingCountHandlers} from './count-waiting-jobs.js';
-import {jobRequestHandlers, mayAccessJob} from './find-job.js';
+import {jobRequestHandlers} from './find-job.js';
 import {type State} from './intake-state.js';
+import {createJobLocation, mayAccessJob} from './job-locations.js';
 import {createRejection, reportRejection} from './reject-request.js';
 
 type ActionHandler = (state: State, request: JobEventOf<'caller-requested'>, queue: Queue, account: string | undefined, wallTime: number) => JobOutput[];
@@ -36,13 +37,15 @@
 			account: queue.isPublic ? undefined : account,
 			acceptedAt: wallTime,
 		};
-		return admitJob(state, requestId, job);
+		return admitJob(state, requestId, job, createJobLocation(queue, job.account));
 	},
 	get(state, {requestId, jobId}, queue, account) {
-		const ended = state.ledger.pools.get(queue.pool)?.endedJobs.get(jobId);
-		if (ended?.queue === queue.name && mayAccessJob(ended, account)) {
-			// A saved end is final, whichever entry owns the pool now.
-			return [createAnswer(requestId, 'get', {kind: 'status', status: ended.status})];
+		for (const {endedJobs} of state.ledger.pools.values()) {
+			const ended = endedJobs.get(jobId);
+			if (ended?.queue === queue.name && mayAccessJob(ended, account)) {
+				// A saved end is final, whichever entry owns the pool now.
+				return [createAnswer(requestId, 'get', {kind: 'status', status: ended.status})];
+			}
 		}
 
 		return [emitEffect({
@@ -52,7 +55,7 @@
 	cancel: (_state, {requestId, jobId}, queue) => [emitEffect({
 		kind: 'read-progress', requestId, pool: queue.pool, jobId,
 	})],
-	count: (_state, {requestId}, queue) => [emitEffect({kind: 'read-report', requestId, pool: queue.pool})],
+	count: (_state, {requestId}) => [emitEffect({kind: 'read-reports', requestId})],
 };
 
 /**
@@ -91,7 +94,7 @@
 
 			const account = check?.account?.name;
 			if (!state.intake.isStoreReached) {
-				const known = action === 'submit' ? findSubmission(state, jobId, queue.pool, context.now) : undefined;
+				const known = action === 'submit' ? findSubmission(state, jobId, context.now) : undefined;
 				if (known === 'accepted' || (known !== undefined && !isRelayable(event))) {
 					return [
 						createAnswer(requestId, action, knownSubmissionAnswers[known]),
--- a/packages/jobs/src/intake/intake-state.ts
+++ b/packages/jobs/src/intake/intake-state.ts
@@ -3,7 +3,7 @@
 import {type ConfigurationView} from '../configuration/index.js';
 import {type LedgerView} from '../ledger/ledger-state.js';
 import {
-	type CallerAction, type CallerOrigin, type JobEventOf, type JobRecord, type Queue,
+	type CallerAction, type CallerOrigin, type JobEventOf, type JobLocation, type JobRecord, type Queue,
 } from '../model/index.js';
 
 /** A caller's request that may be relayed. @public */
@@ -20,6 +20,10 @@
 	readonly isKeyUnchecked: boolean;
 	readonly configurationVersion: number;
 	readonly receivedAt: number;
+	/** Where the records of the job are, once they were not found in the queue's pool. */
+	location?: JobLocation | undefined;
+	/** Number of waiting jobs by the reports of pools, until those in the other pools have been counted. */
+	reportedWaiting?: number | undefined;
 	/** The request itself, if it may be relayed. */
 	readonly relayable?: RelayableRequest | undefined;
 };
@@ -30,6 +34,7 @@
 /** A submission in a deployment with client accounts, until it is answered. */
 export type Admission = {
 	readonly job: JobRecord;
+	readonly location: JobLocation;
 	/** Version of the configuration that the job's record is based on. */
 	readonly configurationVersion: number;
 	/** Why the submission is accepted or refused, as decided last. */
--- a/packages/jobs/src/intake/reject-request.ts
+++ b/packages/jobs/src/intake/reject-request.ts
@@ -20,16 +20,15 @@
 }
 
 /** Creates the rejection of a request. A submission that may have been accepted before is not refused as not accepted. */
-export function createRejection(state: State, {action, queue, jobId}: CallerRequestSummary, {reason, account, answer}: Extract<CallerCheck, {kind: 'rejected'}>, now: number): CallerRejection {
-	const pool = state.configuration.current?.queues.find(({name}) => name === queue)?.pool ?? '';
-	const isRepeated = answer.kind === 'refused' && action === 'submit' && (isSubmissionPending(state, jobId, pool) || findSubmission(state, jobId, pool, now) !== undefined);
+export function createRejection(state: State, {action, jobId}: CallerRequestSummary, {reason, account, answer}: Extract<CallerCheck, {kind: 'rejected'}>, now: number): CallerRejection {
+	const isRepeated = answer.kind === 'refused' && action === 'submit' && (isSubmissionPending(state, jobId) || findSubmission(state, jobId, now) !== undefined);
 	return {reason, account: account?.name, answer: isRepeated ? {kind: 'undecided', reason: answer.reason} : answer};
 }
 
 /** Whether a submission of the job is waiting for the store. */
-function isSubmissionPending({intake}: State, jobId: string, pool: string): boolean {
+function isSubmissionPending({intake}: State, jobId: string): boolean {
 	for (const request of intake.pendingRequests.values()) {
-		if (request.action === 'submit' && request.jobId === jobId && request.queue.pool === pool) {
+		if (request.action === 'submit' && request.jobId === jobId) {
 			return true;
 		}
 	}
--- a/packages/jobs/src/intake/waiting-count.test.ts
+++ b/packages/jobs/src/intake/waiting-count.test.ts
@@ -42,9 +42,9 @@
 	const report: PoolReport | undefined = reportAgeMs === undefined ? undefined : createTestReport('desk', {waiting: {prints: 2}, confirmedAt: wallTime - reportAgeMs});
 	const apply = (event: JobEvent) => {
 		for (const effect of applyJobEvent(state, event, {now: 0, wallTime, random})) {
-			if (effect.kind === 'read-report') {
+			if (effect.kind === 'read-reports') {
 				apply({
-					kind: 'report-read', requestId: effect.requestId, result: report === undefined ? 'absent' : 'found', report,
+					kind: 'reports-read', requestId: effect.requestId, result: 'found', reports: report === undefined ? [] : [report],
 				});
 			}
 
--- a/packages/jobs/src/ledger/ledger-filter.ts
+++ b/packages/jobs/src/ledger/ledger-filter.ts
@@ -22,8 +22,10 @@
 const retentionMs = 150_000;
 /** Interval between searches for ended jobs that can be deleted. */
 const purgeIntervalMs = 5000;
-/** Maximum number of jobs deleted in one transaction, with two records each. */
-const purgeBatchSize = 15;
+/** Maximum number of jobs deleted in one transaction, which takes 32 entries: three records of each, and the condition on the claim. */
+const purgeBatchSize = 10;
+/** Maximum number of these transactions at a time; more jobs than a busy pool ends in the interval. */
+const maxPurgeBatches = 16;
 /** How many run numbers are skipped after an endpoint refused a run number as outdated. */
 const outdatedRunSkip = 16;
 
@@ -288,14 +290,18 @@
 	const expiredIds = [...pool.endedJobs]
 		.filter(([, {endedAt}]) => context.wallTime > endedAt + retentionMs)
 		.map(([jobId]) => jobId)
-		.slice(0, purgeBatchSize);
-	for (const jobId of expiredIds) {
-		pool.endedJobs.delete(jobId);
+		.slice(0, purgeBatchSize * maxPurgeBatches);
+	const outputs: JobOutput[] = [];
+	for (let start = 0; start < expiredIds.length; start += purgeBatchSize) {
+		const jobIds = expiredIds.slice(start, start + purgeBatchSize);
+		for (const jobId of jobIds) {
+			pool.endedJobs.delete(jobId);
+		}
+
+		outputs.push(emitEffect({
+			kind: 'delete-ended-jobs', pool: pool.pool, token: pool.token, jobIds,
+		}));
 	}
 
-	return expiredIds.length === 0
-		? []
-		: [emitEffect({
-			kind: 'delete-ended-jobs', pool: pool.pool, token: pool.token, jobIds: expiredIds,
-		})];
+	return outputs;
 }
--- a/packages/jobs/src/model/effects.ts
+++ b/packages/jobs/src/model/effects.ts
@@ -5,7 +5,7 @@
 	type OwnedPool, type PoolDemandHistory, type PoolReport, type Roster, type EvacuationRequest, type EvacuatedEndpoint, type ShareRecord,
 } from './coordination.js';
 import {type MachineOrder} from './events.js';
-import {type JobRecord, type ProgressRecord} from './job.js';
+import {type JobLocation, type JobRecord, type ProgressRecord} from './job.js';
 import {type WaveStatus} from './machine.js';
 import {type CallerAction, type RelayedRequest} from './relay.js';
 
@@ -32,6 +32,8 @@
 		readonly kind: 'store-job';
 		readonly requestId: string;
 		readonly job: JobRecord;
+		/** Stored with the job, on condition that its id has none. */
+		readonly location: JobLocation;
 		/** Revision that the pool's admission record must have, 0 for none; undefined where no job is refused by it. */
 		readonly admissionRevision?: number | undefined;
 	}
@@ -48,9 +50,12 @@
 		readonly record: AdmissionRecord;
 	}
 	| {readonly kind: 'read-progress'; readonly requestId: string; readonly pool: string; readonly jobId: string}
+	| {readonly kind: 'read-job-location'; readonly requestId: string; readonly jobId: string}
 	| {readonly kind: 'store-cancel'; readonly requestId: string; readonly pool: string; readonly jobId: string}
-	| {readonly kind: 'read-report'; readonly requestId: string; readonly pool: string}
-	| {readonly kind: 'count-queued-jobs'; readonly requestId: string; readonly pool: string; readonly queue: string}
+	/** Reads the reports of all pools. */
+	| {readonly kind: 'read-reports'; readonly requestId: string}
+	/** Counts the jobs of a queue by the records of these pools. */
+	| {readonly kind: 'count-queued-jobs'; readonly requestId: string; readonly pools: readonly string[]; readonly queue: string}
 	| {
 		readonly kind: 'save-progress';
 		readonly pool: string;
--- a/packages/jobs/src/model/events.ts
+++ b/packages/jobs/src/model/events.ts
@@ -7,7 +7,7 @@
 } from './coordination.js';
 import {type Endpoint, type ReportedEnd, type ReportedRun} from './endpoint.js';
 import {
-	type JobRecord, type JobSpec, type JobStatus, type ProgressRecord,
+	type JobLocation, type JobRecord, type JobSpec, type JobStatus, type ProgressRecord,
 } from './job.js';
 import {type Machine, type Wave} from './machine.js';
 import {type CallerAction, type CallerOrigin, type RelayResult} from './relay.js';
@@ -159,12 +159,19 @@
 		readonly queue: string;
 		readonly jobId: string;
 	} & CallerRejection
-	/** `superseded`: the job was not stored, as the pool's admission record has another revision. */
-	| {readonly kind: 'job-stored'; readonly requestId: string; readonly result: WriteResult | 'superseded'}
+	| {
+		readonly kind: 'job-stored';
+		readonly requestId: string;
+		/** `superseded`: the job was not stored, as the pool's admission record has another revision. */
+		readonly result: WriteResult | 'superseded';
+		/** After a conflict, the location that the store has for the job's id; undefined for a job that an entry of an earlier version has stored. */
+		readonly location?: JobLocation | undefined;
+	}
 	| {readonly kind: 'progress-read'; readonly requestId: string; readonly result: 'found' | 'absent' | 'failed'; readonly progress: ProgressRecord | undefined}
+	| {readonly kind: 'job-location-read'; readonly requestId: string; readonly result: 'found' | 'absent' | 'failed'; readonly location: JobLocation | undefined}
 	| {readonly kind: 'cancel-stored'; readonly requestId: string; readonly result: WriteResult}
-	| {readonly kind: 'report-read'; readonly requestId: string; readonly result: 'found' | 'absent' | 'failed'; readonly report: PoolReport | undefined}
-	/** Number of jobs of a queue whose stored record shows no started task. */
+	| {readonly kind: 'reports-read'; readonly requestId: string; readonly result: 'found' | 'failed'; readonly reports: readonly PoolReport[]}
+	/** Number of jobs of a queue in the given pools whose stored record shows no started task. */
 	| {readonly kind: 'queued-jobs-counted'; readonly requestId: string; readonly result: 'found' | 'failed'; readonly count: number}
 	/** This entry cannot give a caller the store's decision; `answer` is what it can say by itself. */
 	| {readonly kind: 'request-unanswered'; readonly requestId: string; readonly cause: UnansweredCause; readonly answer: CallerAnswer}
@@ -274,7 +281,13 @@
 		readonly kind: 'admission-read';
 		readonly requestId: string;
 		/** Undefined if the store did not answer. */
-		readonly found: {readonly admission: StoredAdmission; readonly isJobStored: boolean} | undefined;
+		readonly found: {
+			readonly admission: StoredAdmission;
+			/** Whether there is a job with this id in the queue's pool. */
+			readonly isJobStored: boolean;
+			/** Location of the job with this id, in whichever pool; undefined for a job that an entry of an earlier version has stored. */
+			readonly location: JobLocation | undefined;
+		} | undefined;
 	}
 	| {
 		readonly kind: 'admission-written';
--- a/packages/jobs/src/model/job.ts
+++ b/packages/jobs/src/model/job.ts
@@ -56,6 +56,20 @@
 	readonly validMs: number;
 };
 
+/**
+Where the records of a job are, and the queue that it was submitted to. There is one for each job id, whichever pool its queue belongs to by then.
+
+@public
+*/
+export type JobLocation = {
+	readonly pool: string;
+	readonly queue: string;
+	/** Host and path prefix of the queue when the job was submitted. */
+	readonly host: string;
+	readonly prefix: string;
+	readonly account?: string | undefined;
+};
+
 /** An accepted job, with its queue's settings at that time. Immutable. @public */
 export type JobRecord = {
 	readonly id: string;
