Count the other machines of a wave that may be down before each maintenance order

Cause: runWave took any open order of a machine for a maintenance order that counts already. A move that waits for its next attempt is an open order too, so its machine passed the limit, and maintenance took the move's place. The orders that break the limit leave in one turn, under one claim, all for machines whose move was answered with 'limited'.

Change: a machine counts as down if it is listed so or if a maintenance order of it may have been carried out, whichever wave it was for; an order is sent only if fewer than the limit of the other machines count. That also holds for orders that are sent again after the limit was lowered. An order replaces another one only once that cannot be carried out any more. An entry that starts again counts what its former process may just have ordered.

--- a/packages/jobs/src/fleet/order-machines.ts
+++ b/packages/jobs/src/fleet/order-machines.ts
@@ -30,7 +30,12 @@
 	return now < ordersAllowedFrom && inheritedOrders?.has(machine) !== false;
 }
 
-/** Sends an order, unless one for the same machine is open. @internal */
+/** Whether the previous holder, which may be an earlier process of this entry, may have ordered a machine so recently that the machine list does not show it yet. @internal */
+export function mayBeInherited({inheritedUntil, inheritedOrders}: FleetState, machine: string, now: number): boolean {
+	return now < inheritedUntil && inheritedOrders?.has(machine) !== false;
+}
+
+/** Sends an order, unless one for the same machine is open that has not been refused, or another one that may still be carried out. @internal */
 export function orderMachine(
 	state: {readonly fleet: FleetState} & AuthorityView,
 	machine: Machine,
@@ -47,13 +52,18 @@
 		return [];
 	}
 
+	const repeated = openOrder?.order === order.order && openOrder.wave === order.wave ? openOrder : undefined;
+	if (openOrder !== undefined && repeated === undefined && !isSettled(fleet, openOrder)) {
+		return [];
+	}
+
 	const sent: OpenOrder = {
 		...order,
 		machine: machine.name,
 		sentAt: context.now,
-		firstAttemptAt: openOrder?.firstAttemptAt ?? context.now,
+		firstAttemptAt: repeated?.firstAttemptAt ?? context.now,
 		lastAttemptAt: context.now,
-		isUncertain: openOrder?.isUncertain ?? false,
+		isUncertain: repeated?.isUncertain ?? false,
 		endpointId: machine.endpointId,
 		phase: 'sent',
 		wasSeenUnavailable: false,
@@ -89,6 +99,12 @@
 	return outputs;
 }
 
+/** Whether a maintenance order of a machine may have been carried out, or may still be. A move does not take the machine down for maintenance. @internal */
+export function mayBeMaintained(fleet: FleetState, machine: string): boolean {
+	const openOrder = fleet.orders.get(machine);
+	return openOrder?.order === 'maintain' && (openOrder.phase !== 'retry' || !isSettled(fleet, openOrder));
+}
+
 /** Whether a machine is unavailable because of an order, or may be. @internal */
 export function hasOpenOrder(fleet: FleetState, machine: string): boolean {
 	return fleet.orders.has(machine);
--- a/packages/jobs/src/fleet/run-waves.test.ts
+++ b/packages/jobs/src/fleet/run-waves.test.ts
@@ -26,14 +26,18 @@
 	readonly hasShortage?: boolean;
 	/** Endpoints that are being evacuated for a move to another pool. */
 	readonly leaving?: readonly string[];
-	/** Phases of maintenance orders that have been sent 2 s before, by machine. */
-	readonly ordered?: ReadonlyMap<string, OpenOrder['phase']>;
+	/** Orders that have been sent 2 s before, by machine: by default maintenance for this wave that may have been carried out. */
+	readonly ordered?: ReadonlyMap<string, Partial<OpenOrder> & Pick<OpenOrder, 'phase'>>;
+	/** Machines that this entry may have ordered before it started again 1 s ago. */
+	readonly inherited?: readonly string[];
+	/** When the last list of machines was requested. */
+	readonly listValidAt?: number;
 	readonly downLimit?: number;
 };
 
 /** Lists the decisions of a wave over all machines as text: `maintain machine` and `evacuate endpoint`. */
 function listDecisions({
-	machines, report, atMs, hasShortage = false, leaving = [], ordered = new Map(), downLimit = 4,
+	machines, report, atMs, hasShortage = false, leaving = [], ordered = new Map(), inherited = [], listValidAt, downLimit = 4,
 }: Input): string[] {
 	const fleet = createFleetState(3000);
 	fleet.token = 7;
@@ -51,12 +55,16 @@
 		});
 	}
 
-	for (const [machine, phase] of ordered) {
+	for (const [machine, order] of ordered) {
 		fleet.orders.set(machine, {
-			order: 'maintain', machine, pool: 'off', wave: 1, sentAt: atMs - 2000, firstAttemptAt: atMs - 2000, lastAttemptAt: atMs - 2000, isUncertain: true, endpointId: undefined, phase, wasSeenUnavailable: false,
+			order: 'maintain', machine, pool: 'off', wave: 1, sentAt: atMs - 2000, firstAttemptAt: atMs - 2000, lastAttemptAt: atMs - 2000, isUncertain: true, endpointId: undefined, wasSeenUnavailable: false, ...order,
 		});
 	}
 
+	fleet.inheritedOrders = new Set(inherited);
+	fleet.inheritedUntil = inherited.length > 0 ? atMs + 2000 : 0;
+	fleet.listValidAt = listValidAt;
+
 	fleet.reports.set('desk', {report, seenAt: atMs});
 	fleet.waves.set(1, {
 		wave: {
@@ -82,6 +90,9 @@
 const ids = desk.map(({endpointId}) => endpointId!);
 const busy = createTestReport('desk', {usedMillis: 30_000, usableEndpoints: ids, releasableEndpoints: ids});
 
+const move = {order: 'move', pool: 'desk', wave: 0} as const;
+const refusedMoves = off.map(({name}) => [name, {...move, phase: 'retry', isUncertain: false}] as const);
+
 // Load pattern: a wave starts while demand alternates between pools.
 const cases: ReadonlyArray<{readonly name: string; readonly expected: readonly string[]} & Input> = [
 	{
@@ -115,13 +126,42 @@
 	},
 	{
 		// Guards against a wave that never ends: a machine whose order was refused or not answered counted against its own order.
-		name: 'an order that was not carried out is sent again at the limit', machines: off, report: busy, atMs: 3000, downLimit: 1, ordered: new Map([['off-1', 'retry']]), expected: ['maintain off-1'],
+		name: 'an order that was not carried out is sent again at the limit', machines: off, report: busy, atMs: 3000, downLimit: 1, ordered: new Map([['off-1', {phase: 'retry'}]]), expected: ['maintain off-1'],
+	},
+	{
+		name: 'a machine whose order is sent again counts against the other orders', machines: off, report: busy, atMs: 3000, downLimit: 1, ordered: new Map([['off-2', {phase: 'retry'}]]), expected: ['maintain off-2'],
+	},
+	{
+		name: 'no other machine is ordered while an order at the limit awaits its answer', machines: off, report: busy, atMs: 3000, downLimit: 1, ordered: new Map([['off-1', {phase: 'sent'}]]), expected: [],
+	},
+	{
+		// Guards against more machines down for maintenance than the limit allows, as any open order passed it (review/10).
+		name: 'machines whose moves the service did not take are maintained up to the limit', machines: off, report: busy, atMs: 3000, downLimit: 1, ordered: new Map(refusedMoves), expected: ['maintain off-1'],
+	},
+	{
+		name: 'a machine whose move may have been carried out is left alone', machines: off, report: busy, atMs: 3000, downLimit: 1, ordered: new Map([['off-1', {...move, phase: 'retry', isUncertain: true}]]), expected: ['maintain off-2'],
+	},
+	{
+		name: 'a machine whose move was not answered is maintained once it is listed where it was', machines: off, report: busy, atMs: 3000, listValidAt: 2900, downLimit: 1, ordered: new Map([['off-1', {...move, phase: 'retry', isUncertain: true}]]), expected: ['maintain off-1'],
+	},
+	{
+		name: 'a machine on its way to another pool does not count as down', machines: off, report: busy, atMs: 3000, downLimit: 1, ordered: new Map([['off-1', {...move, phase: 'accepted'}]]), expected: ['maintain off-2'],
+	},
+	{
+		name: 'maintenance for another wave that may have been carried out counts', machines: off, report: busy, atMs: 3000, downLimit: 1, ordered: new Map([['off-1', {wave: 2, phase: 'retry'}]]), expected: [],
+	},
+	{
+		name: 'maintenance for another wave that the service did not take is replaced', machines: off, report: busy, atMs: 3000, downLimit: 1, ordered: new Map([['off-2', {wave: 2, phase: 'retry', isUncertain: false}]]), expected: ['maintain off-1'],
+	},
+	{
+		name: 'orders that may have been carried out are not sent again beyond a limit that was lowered', machines: off, report: busy, atMs: 3000, downLimit: 1, ordered: new Map([['off-1', {phase: 'retry'}], ['off-2', {phase: 'retry'}]]), expected: [],
 	},
 	{
-		name: 'a machine whose order is sent again counts against the other orders', machines: off, report: busy, atMs: 3000, downLimit: 1, ordered: new Map([['off-2', 'retry']]), expected: ['maintain off-2'],
+		name: 'orders that were not carried out are sent again up to a limit that was lowered', machines: off, report: busy, atMs: 3000, listValidAt: 2900, downLimit: 1, ordered: new Map([['off-1', {phase: 'retry'}], ['off-2', {phase: 'retry'}]]), expected: ['maintain off-1'],
 	},
 	{
-		name: 'no other machine is ordered while an order at the limit awaits its answer', machines: off, report: busy, atMs: 3000, downLimit: 1, ordered: new Map([['off-1', 'sent']]), expected: [],
+		// Guards against maintenance beside that which an earlier process of this entry has ordered and the machine list does not show yet.
+		name: 'a machine that an earlier process of this entry may have ordered counts', machines: off, report: busy, atMs: 3000, downLimit: 1, inherited: ['off-2'], expected: ['maintain off-2'],
 	},
 	{
 		// Guards against evacuations for moves that used up the limit on evacuations for maintenance.
--- a/packages/jobs/src/fleet/run-waves.ts
+++ b/packages/jobs/src/fleet/run-waves.ts
@@ -5,7 +5,7 @@
 import {type Machine, type PoolReport} from '../model/index.js';
 import {type FleetState, type WaveProgress} from './fleet-state.js';
 import {
-	canOrderMachines, canPrepareOrder, hasOpenOrder, mayBeOrderedElsewhere, orderMachine,
+	canOrderMachines, canPrepareOrder, mayBeInherited, mayBeMaintained, orderMachine,
 } from './order-machines.js';
 import {requestEvacuation, taskGraceMs} from './evacuations.js';
 
@@ -64,8 +64,7 @@
 		}));
 	}
 
-	// A machine that the previous holder has ordered may go down after the list was read.
-	let downCount = wave.machines.filter(name => hasOpenOrder(fleet, name) || mayBeOrderedElsewhere(fleet, name, context.now) || (fleet.machines.get(name)?.state ?? 'up') === 'maintenance').length;
+	const down = new Set(wave.machines.filter(name => mayBeDown(fleet, name, context.now)));
 	// While a pool is short of machines, a wave that has time left leaves those that are switched off to it.
 	const canWait = fleet.hasShortage && !isDeadlineNear(state, progress, remaining, idleRoundMs, context);
 	for (const machine of remaining) {
@@ -73,11 +72,14 @@
 			continue;
 		}
 
-		// An order that is sent again because it may not have been carried out counts already.
-		const isCounted = hasOpenOrder(fleet, machine.name);
-		if ((isCounted || downCount < wave.downLimit) && canOrderMachines(state, context) && isReadyForMaintenance(state, machine)) {
+		// A machine whose order is sent again, as it may not have been carried out, does not count against itself.
+		const otherCount = down.size - (down.has(machine.name) ? 1 : 0);
+		if (otherCount < wave.downLimit && canOrderMachines(state, context) && isReadyForMaintenance(state, machine)) {
 			const ordered = orderMachine(state, machine, {order: 'maintain', pool: machine.pool, wave: wave.number}, context);
-			downCount += ordered.length > 0 && !isCounted ? 1 : 0;
+			if (ordered.length > 0) {
+				down.add(machine.name);
+			}
+
 			outputs.push(...ordered);
 		}
 	}
@@ -85,6 +87,11 @@
 	return [...outputs, ...evacuateNext(state, progress, sortByUrgency(fleet, remaining), context)];
 }
 
+/** Whether a machine is down for maintenance, or may be or go down by an order that was sent; for which wave does not matter. */
+function mayBeDown(fleet: FleetState, name: string, now: number): boolean {
+	return fleet.machines.get(name)?.state === 'maintenance' || mayBeMaintained(fleet, name) || mayBeInherited(fleet, name, now);
+}
+
 /** Sorts machines by when their evacuation should begin: dispensable ones (see `isDispensable`) first, and of these the ones with long-running tasks, which are moved one after the other; machines of pools whose work waits for machines last. */
 function sortByUrgency(fleet: FleetState, machines: readonly Machine[]): Machine[] {
 	const rank = ({pool, endpointId}: Machine) => {
