Take an order for complete only by a machine list that was requested after it

A machine that has just been ordered into maintenance counted as back if a list that was requested before shows it with another endpoint than the one the order names, as after a restart, or as unavailable; the next one of its wave then went down beside it.

--- a/packages/jobs/src/fleet/order-machines.ts
+++ b/packages/jobs/src/fleet/order-machines.ts
@@ -131,7 +131,7 @@
 
 const answerHandlers: Readonly<Record<JobEventOf<'machine-order-answered'>['result'], AnswerHandler>> = {
 	accepted(fleet, openOrder, context) {
-		acceptOrder(fleet, openOrder, context);
+		acceptOrder(fleet, openOrder, context.now);
 		return [];
 	},
 	fenced(fleet, openOrder) {
@@ -179,11 +179,13 @@
 			continue;
 		}
 
+		const listValidAt = fleet.listValidAt ?? context.now;
 		if (openOrder.phase !== 'accepted' && isShownAsCarriedOut(openOrder, machine)) {
-			acceptOrder(fleet, openOrder, context);
+			acceptOrder(fleet, openOrder, listValidAt);
 		}
 
-		if (openOrder.phase !== 'accepted') {
+		// A list that was requested earlier may show the machine as it was before the order.
+		if (openOrder.phase !== 'accepted' || listValidAt < openOrder.sentAt) {
 			continue;
 		}
 
@@ -207,10 +209,11 @@
 	return order === 'move' ? machine.pool === pool : machine.state === 'maintenance';
 }
 
-function acceptOrder(fleet: FleetState, openOrder: OpenOrder, context: DecisionContext): void {
+/** @param at - When the order had certainly been carried out, in monotonic ms. */
+function acceptOrder(fleet: FleetState, openOrder: OpenOrder, at: number): void {
 	fleet.pausedMachines.delete(openOrder.machine);
 	openOrder.phase = 'accepted';
-	openOrder.sentAt = context.now;
+	openOrder.sentAt = at;
 	const wave = fleet.waves.get(openOrder.wave);
 	if (openOrder.order === 'maintain' && wave !== undefined) {
 		wave.maintained.add(openOrder.machine);
