Record the cancellation of a job that is not stored before acknowledging it

What callers saw: a submission was not answered in time, as its entry stood still; the job was cancelled at another entry, which answered 410. The first entry woke up and stored the job.

Cause: a cancellation of an unknown job left nothing in the store, so the creation of the job had nothing to depend on. That the entry handles a request whose time is over is true as well, but a write that the store carries out late does the same without it.

Change: the cancellation is recorded on condition that the job has no location, and a job is created on condition that no such record exists, so the store orders the two. A submission after the cancellation is accepted as cancelled.

--- a/packages/bench/src/jobs/create-virtual-sinks.ts
+++ b/packages/bench/src/jobs/create-virtual-sinks.ts
@@ -120,6 +120,10 @@
 						return {result: 'conflict', location: stored};
 					}
 
+					if (store.isCancelledEarly(job.id, location)) {
+						return {result: 'cancelled'};
+					}
+
 					if (admissionRevision !== undefined && admissionRecords.getRecord(job.pool).revision !== admissionRevision) {
 						return {result: 'superseded'};
 					}
@@ -171,6 +175,22 @@
 				}),
 			});
 		},
+		'store-early-cancellation'(entry, {requestId, jobId, address}) {
+			callAndDeliver(entry, {
+				isWrite: true,
+				run: () => store.storeEarlyCancellation(jobId, address),
+				createEvents: isStored => [{kind: 'early-cancellation-stored', requestId, result: isStored ? 'applied' : 'conflict'}],
+				createFailure: result => ({kind: 'early-cancellation-stored', requestId, result}),
+			});
+		},
+		'store-cancelled-job'(entry, {requestId, jobId, location}) {
+			callAndDeliver(entry, {
+				isWrite: true,
+				run: () => store.storeCancelledJob(jobId, location),
+				createEvents: isStored => [{kind: 'cancelled-job-stored', requestId, result: isStored ? 'applied' : 'conflict'}],
+				createFailure: result => ({kind: 'cancelled-job-stored', requestId, result}),
+			});
+		},
 		'store-cancel'(entry, {requestId, pool, jobId}) {
 			callAndDeliver(entry, {
 				isWrite: true,
--- a/packages/bench/src/jobs/virtual-job-store.ts
+++ b/packages/bench/src/jobs/virtual-job-store.ts
@@ -1,5 +1,5 @@
 import {
-	poolClaimPrefix, rosterRecordKey, type Claim, type JobEffectOf, type JobEvent, type JobEventOf, type JobLocation, type JobRecord, type Member, type ProgressRecord, type Roster, type StoredJob,
+	poolClaimPrefix, rosterRecordKey, type Claim, type JobEffectOf, type JobEvent, type JobAddress, type JobEventOf, type JobLocation, type JobRecord, type Member, type ProgressRecord, type Roster, type StoredJob,
 } from '@pistachiogauge/jobs';
 
 /** Records of jobs in the simulated store of the platform. */
@@ -23,6 +23,11 @@
 	/** Stores a job whose id has no location yet. */
 	storeJob(job: JobRecord, location: JobLocation): void;
 	getLocation(jobId: string): JobLocation | undefined;
+	/** Stores that a job is cancelled whose id has no location. Returns false if it has one. */
+	storeEarlyCancellation(jobId: string, address: JobAddress): boolean;
+	isCancelledEarly(jobId: string, address: JobAddress): boolean;
+	/** Stores the location of a job that was cancelled before it was submitted. Returns false if there is one. */
+	storeCancelledJob(jobId: string, location: JobLocation): boolean;
 	storeCancel(pool: string, jobId: string): void;
 	/** Returns whether the claim under which a pool's report is published still holds. */
 	publishReport(pool: string, token: number): boolean;
@@ -47,6 +52,7 @@
 	const claimLeases = new Map<string, number>();
 	const memberLeases = new Map<string, number>();
 	const locations = new Map<string, JobLocation>();
+	const earlyCancellations = new Set<string>();
 	const jobs = new Map<string, Versioned<JobRecord>>();
 	const progress = new Map<string, Versioned<ProgressRecord>>();
 	const rosters = new Map<string, Versioned<Roster>>();
@@ -151,6 +157,23 @@
 			publish([{kind: 'job-recorded', stored: {...createStoredJob(job.id), isCancelled: false}}]);
 		},
 		getLocation: jobId => locations.get(jobId),
+		storeEarlyCancellation(jobId, address) {
+			if (locations.has(jobId)) {
+				return false;
+			}
+
+			earlyCancellations.add(formatAddress(jobId, address));
+			return true;
+		},
+		isCancelledEarly: (jobId, address) => earlyCancellations.has(formatAddress(jobId, address)),
+		storeCancelledJob(jobId, location) {
+			if (locations.has(jobId)) {
+				return false;
+			}
+
+			locations.set(jobId, location);
+			return true;
+		},
 		storeCancel(pool, jobId) {
 			cancels.set(jobId, pool);
 			publish([{kind: 'job-cancelled', pool, jobId}]);
@@ -214,3 +237,7 @@
 		},
 	};
 }
+
+function formatAddress(jobId: string, {host, prefix, account}: JobAddress): string {
+	return JSON.stringify([jobId, host, prefix, account]);
+}
--- a/packages/entry/src/jobs/create-job-sinks.ts
+++ b/packages/entry/src/jobs/create-job-sinks.ts
@@ -21,6 +21,7 @@
 import {readClocks} from './read-clocks.js';
 import {sendRelay} from './send-relay.js';
 import {readJobLocation, storeJob} from './store-job.js';
+import {createTemporaryWriter} from './temporary-writer.js';
 import {writeResults} from './write-results.js';
 
 /** Time in ms for which a machine order stays on record beyond the minimum time between orders of two holders: the time until the next holder reads it counts as well. */
@@ -49,6 +50,7 @@
 	}
 
 	const writeGuarded = createGuardedWriter(store);
+	const writeTemporarily = createTemporaryWriter(store, () => performance.now());
 	const countQueuedJobs = createQueuedJobCounter(store, () => performance.now());
 	const orderJournal = createOrderJournal({
 		keepMs: dependencies.state.fleet.orderLeaseMs + orderKeepMarginMs,
@@ -216,6 +218,19 @@
 				kind: 'job-location-read', requestId, result: 'failed', location: undefined,
 			});
 		},
+		'store-early-cancellation'({requestId, jobId, address}) {
+			runCall('store-early-cancellation', async () => {
+				const result = await writeTemporarily({key: recordKeys.getJobLocationKey(jobId), revision: 0}, {key: recordKeys.getEarlyCancellationKey(jobId, address), value: encodeRecord({})});
+				pushEvent({kind: 'early-cancellation-stored', requestId, result: writeResults[result.kind]});
+			}, {kind: 'early-cancellation-stored', requestId, result: 'unknown'});
+		},
+		'store-cancelled-job'({requestId, jobId, location}) {
+			runCall('store-cancelled-job', async () => {
+				const key = recordKeys.getJobLocationKey(jobId);
+				const result = await writeTemporarily({key, revision: 0}, {key, value: encodeRecord(location)});
+				pushEvent({kind: 'cancelled-job-stored', requestId, result: writeResults[result.kind]});
+			}, {kind: 'cancelled-job-stored', requestId, result: 'unknown'});
+		},
 		'store-cancel'({requestId, pool, jobId}) {
 			runCall('store-cancel', async () => {
 				const key = recordKeys.getCancelKey(pool, jobId);
--- a/packages/entry/src/jobs/job-records.ts
+++ b/packages/entry/src/jobs/job-records.ts
@@ -1,5 +1,6 @@
+import {createHash} from 'node:crypto';
 import {
-	type AdmissionRecord, type Claim, type JobLocation, type JobRecord, type Member, type PoolDemandHistory, type PoolReport, type ProgressRecord, type Roster, type ShareRecord, type StoredAdmission, type StoredJob, type StoredShares, type EvacuatedEndpoint, type EvacuationRequest,
+	type AdmissionRecord, type Claim, type JobAddress, type JobLocation, type JobRecord, type Member, type PoolDemandHistory, type PoolReport, type ProgressRecord, type Roster, type ShareRecord, type StoredAdmission, type StoredJob, type StoredShares, type EvacuatedEndpoint, type EvacuationRequest,
 } from '@pistachiogauge/jobs';
 import {decodeValue, parseJson, type StoreItem} from '@pistachiogauge/platform';
 import {recordSchemas} from './record-schemas.js';
@@ -17,6 +18,8 @@
 	getAdmissionKey: (pool: string) => `shared/admission/${pool}`,
 	/** Where a job's records are: one key for each job, so that a job is created once whichever pool its queue belongs to. */
 	getJobLocationKey: (jobId: string) => `jobs/${jobId}`,
+	/** A cancellation of a job that was not stored; it lies under a lease. The queue and account are hashed, as keys are limited to 200 bytes. */
+	getEarlyCancellationKey: (jobId: string, {host, prefix, account}: JobAddress) => `cancelled/${jobId}/${createHash('sha256').update(JSON.stringify([host, prefix, account])).digest('hex').slice(0, 32)}`,
 	/** Requests to a pool's owner. */
 	getInboxPrefix: (pool: string) => `inbox/${pool}/`,
 	getJobKey: (pool: string, jobId: string) => `inbox/${pool}/job/${jobId}`,
--- a/packages/entry/src/jobs/record-schemas.ts
+++ b/packages/entry/src/jobs/record-schemas.ts
@@ -66,7 +66,7 @@
 		acceptedAt: z.number(),
 	}),
 	jobLocation: z.object({
-		pool: z.string(), queue: z.string(), host: z.string(), prefix: z.string(), account: z.string().optional(),
+		pool: z.string(), queue: z.string(), host: z.string(), prefix: z.string(), account: z.string().optional(), isCancelled: z.boolean().optional(),
 	}),
 	progress: z.object({
 		queue: z.string(),
--- a/packages/entry/src/jobs/store-job.ts
+++ b/packages/entry/src/jobs/store-job.ts
@@ -19,12 +19,14 @@
 export async function storeJob(store: JobStore, {requestId, job, location, admissionRevision}: JobEffectOf<'store-job'>): Promise<readonly JobEvent[]> {
 	const progressKey = recordKeys.getProgressKey(job.pool, job.id);
 	const locationKey = recordKeys.getJobLocationKey(job.id);
+	const cancellationKey = recordKeys.getEarlyCancellationKey(job.id, location);
 	const createResult = (result: JobEventOf<'job-stored'>['result'], stored?: JobLocation): JobEvent => ({
 		kind: 'job-stored', requestId, result, location: stored,
 	});
 	const result = await store.applyTransaction({
 		conditions: [
 			{key: locationKey, revision: 0},
+			{key: cancellationKey, revision: 0},
 			// An entry of an earlier version writes no location.
 			{key: progressKey, revision: 0},
 			...(admissionRevision === undefined ? [] : [{key: recordKeys.getAdmissionKey(job.pool), revision: admissionRevision}]),
@@ -49,8 +51,12 @@
 		return [createResult(writeResults[result.kind])];
 	}
 
-	const isIdFree = [locationKey, progressKey].every(key => (result.revisions.get(key) ?? 0) === 0);
-	return [isIdFree ? createResult('superseded') : createResult('conflict', decodeLocation(locationKey, result))];
+	const isPresent = (key: string) => (result.revisions.get(key) ?? 0) !== 0;
+	if (isPresent(locationKey) || isPresent(progressKey)) {
+		return [createResult('conflict', decodeLocation(locationKey, result))];
+	}
+
+	return [createResult(isPresent(cancellationKey) ? 'cancelled' : 'superseded')];
 }
 
 /** @returns Undefined if no job has the id, or one that an entry of an earlier version has stored. @throws If the record cannot be read. @internal */
--- a/packages/jobs/src/intake/account-requests.test.ts
+++ b/packages/jobs/src/intake/account-requests.test.ts
@@ -73,6 +73,10 @@
 				}, now);
 			}
 
+			if (effect.kind === 'store-early-cancellation') {
+				apply({kind: 'early-cancellation-stored', requestId: effect.requestId, result: 'applied'}, now);
+			}
+
 			if (effect.kind === 'store-cancel') {
 				apply({kind: 'cancel-stored', requestId: effect.requestId, result: 'applied'}, now);
 			}
@@ -167,6 +171,7 @@
 	['reading, counting and cancelling', [...submitted, ['get', 'museum', 4000], ['count', 'museum', 4000], ['cancel', 'museum', 4000]], ['accepted', 'refused', 'refused', 'refused']],
 	['a key that may have been added since', [{set: both}, {confirm: 0}, ['get', 'second', 4000]], ['refused']],
 	['a request without a key', [{set: both}, {confirm: 0}, ['submit', undefined, 4000]], ['unauthorized']],
+	['a cancellation of an unknown job of a public queue', [{set: open}, ['cancel', 'museum', 4000], ['cancel', undefined, 4001]], ['refused', 'unknown-job']],
 	['a public queue', [{set: open}, ['submit', undefined, 4000], ['submit', 'museum', 4001]], ['accepted', 'accepted']],
 ];
 
--- a/packages/jobs/src/intake/admit-job.ts
+++ b/packages/jobs/src/intake/admit-job.ts
@@ -9,10 +9,10 @@
 	type CallerAnswer, type JobLocation, type JobRecord, type StoredAdmission,
 } from '../model/index.js';
 import {
-	answerPendingRequest, answerStoreCall, findSubmission, storeRetryAfterMs, storeSilentAnswer, takenIdAnswer, writeCauses,
+	answerPendingRequest, answerStoreCall, findSubmission, storeRefusedAnswer, storeSilentAnswer, takenIdAnswer, writeCauses,
 } from './answer-request.js';
 import {type Admission, type State} from './intake-state.js';
-import {isQueueOfJob, mayAccessJob} from './job-locations.js';
+import {createJobLocation, isQueueOfJob, mayAccessJob} from './job-locations.js';
 
 /** Number of changes of the admission record during one submission after which it is left undecided; the owner changes it twice a second. */
 const maxAdmissionConflicts = 4;
@@ -24,6 +24,10 @@
 			return repeatAdmission(state, requestId, context.now);
 		}
 
+		if (result === 'cancelled') {
+			return recordCancelledJob(state, requestId);
+		}
+
 		if (location !== undefined) {
 			return answerExistingJob(state, requestId, location, context.now);
 		}
@@ -32,10 +36,17 @@
 			// The record exists already: the same job was submitted again.
 			conflict: {kind: 'accepted'},
 			applied: {kind: 'accepted'},
-			refused: {kind: 'refused', reason: 'the store did not take the job', retryAfterMs: storeRetryAfterMs},
+			refused: storeRefusedAnswer,
 			unknown: storeSilentAnswer,
 		}[result] as CallerAnswer, writeCauses[result]);
 	},
+	'cancelled-job-stored': (state, {requestId, result}, context) => answerStoreCall(state, requestId, context.now, {
+		// The job was submitted once more at the same time.
+		conflict: {kind: 'accepted'},
+		applied: {kind: 'accepted'},
+		refused: storeRefusedAnswer,
+		unknown: storeSilentAnswer,
+	}[result] as CallerAnswer, writeCauses[result]),
 	'admission-read'(state, {requestId, found}, context) {
 		const admission = state.intake.admissions.get(requestId);
 		if (admission === undefined) {
@@ -164,6 +175,24 @@
 		})];
 }
 
+/** Accepts a job that was cancelled before it was submitted: its state is `cancelled`, and it never runs. */
+function recordCancelledJob({intake}: State, requestId: string): JobOutput[] {
+	const request = intake.pendingRequests.get(requestId);
+	if (request === undefined) {
+		return [];
+	}
+
+	const {jobId, queue, account} = request;
+	return [
+		emitLog('info', 'job submitted after its cancellation', {
+			request: requestId, job: jobId, queue: queue.name, account,
+		}),
+		emitEffect({
+			kind: 'store-cancelled-job', requestId, jobId, location: {...createJobLocation(queue, queue.isPublic ? undefined : account), isCancelled: true},
+		}),
+	];
+}
+
 /** Answers a submission whose job id has a location already: the same job was submitted before, or another one. */
 function answerExistingJob(state: State, requestId: string, location: JobLocation, now: number): JobOutput[] {
 	const request = state.intake.pendingRequests.get(requestId);
--- a/packages/jobs/src/intake/answer-request.ts
+++ b/packages/jobs/src/intake/answer-request.ts
@@ -16,6 +16,8 @@
 
 export const storeLostAnswer: CallerAnswer = {kind: 'refused', reason: 'the store is out of reach', retryAfterMs: storeRetryAfterMs};
 
+export const storeRefusedAnswer: CallerAnswer = {kind: 'refused', reason: 'the store did not take the job', retryAfterMs: storeRetryAfterMs};
+
 export const storeSilentAnswer: CallerAnswer = {kind: 'undecided', reason: 'the store has not answered'};
 
 /** Answer to a request for a job of an account, whose key could not be looked up. */
--- a/packages/jobs/src/intake/intake-state.ts
+++ b/packages/jobs/src/intake/intake-state.ts
@@ -5,6 +5,7 @@
 import {
 	type CallerAction, type CallerOrigin, type JobEventOf, type JobLocation, type JobRecord, type Queue,
 } from '../model/index.js';
+import {createEarlyCancellations} from './early-cancellations.js';
 
 /** A caller's request that may be relayed. @public */
 export type RelayableRequest = JobEventOf<'caller-requested'> & {readonly origin: CallerOrigin};
@@ -43,6 +44,9 @@
 	conflictCount: number;
 };
 
+/** Number of cancellations of jobs that were not stored, in the present interval. */
+export type EarlyCancellations = {startedAt: number; count: number; readonly countsByAccount: Map<string, number>};
+
 /** Lines about rejected requests in the present interval: callers without a valid key may send any number of requests. */
 type RejectionLines = {startedAt: number; lineCount: number; unreportedCount: number};
 
@@ -55,6 +59,7 @@
 	readonly admissions: Map<string, Admission>;
 	isStoreReached: boolean;
 	readonly rejectionLines: RejectionLines;
+	readonly earlyCancellations: EarlyCancellations;
 };
 
 export type State = {readonly intake: IntakeState} & AccountsView & AdmissionView & ConfigurationView & LedgerView;
@@ -62,6 +67,6 @@
 /** @public */
 export function createIntakeState(): IntakeState {
 	return {
-		pendingRequests: new Map(), recentSubmissions: new Map(), admissions: new Map(), isStoreReached: false, rejectionLines: {startedAt: 0, lineCount: 0, unreportedCount: 0},
+		pendingRequests: new Map(), recentSubmissions: new Map(), admissions: new Map(), isStoreReached: false, rejectionLines: {startedAt: 0, lineCount: 0, unreportedCount: 0}, earlyCancellations: createEarlyCancellations(),
 	};
 }
--- a/packages/jobs/src/model/effects.ts
+++ b/packages/jobs/src/model/effects.ts
@@ -5,7 +5,9 @@
 	type OwnedPool, type PoolDemandHistory, type PoolReport, type Roster, type EvacuationRequest, type EvacuatedEndpoint, type ShareRecord,
 } from './coordination.js';
 import {type MachineOrder} from './events.js';
-import {type JobLocation, type JobRecord, type ProgressRecord} from './job.js';
+import {
+	type JobAddress, type JobLocation, type JobRecord, type ProgressRecord,
+} from './job.js';
 import {type WaveStatus} from './machine.js';
 import {type CallerAction, type RelayedRequest} from './relay.js';
 
@@ -32,7 +34,7 @@
 		readonly kind: 'store-job';
 		readonly requestId: string;
 		readonly job: JobRecord;
-		/** Stored with the job, on condition that its id has none. */
+		/** Stored with the job, on condition that its id has none and that no early cancellation for it is stored. */
 		readonly location: JobLocation;
 		/** Revision that the pool's admission record must have, 0 for none; undefined where no job is refused by it. */
 		readonly admissionRevision?: number | undefined;
@@ -51,6 +53,10 @@
 	}
 	| {readonly kind: 'read-progress'; readonly requestId: string; readonly pool: string; readonly jobId: string}
 	| {readonly kind: 'read-job-location'; readonly requestId: string; readonly jobId: string}
+	/** Stores for some minutes that a job is cancelled whose id has no location. */
+	| {readonly kind: 'store-early-cancellation'; readonly requestId: string; readonly jobId: string; readonly address: JobAddress}
+	/** Stores for some minutes that a job was submitted after it had been cancelled. */
+	| {readonly kind: 'store-cancelled-job'; readonly requestId: string; readonly jobId: string; readonly location: JobLocation}
 	| {readonly kind: 'store-cancel'; readonly requestId: string; readonly pool: string; readonly jobId: string}
 	/** Reads the reports of all pools. */
 	| {readonly kind: 'read-reports'; readonly requestId: string}
--- a/packages/jobs/src/model/events.ts
+++ b/packages/jobs/src/model/events.ts
@@ -162,13 +162,16 @@
 	| {
 		readonly kind: 'job-stored';
 		readonly requestId: string;
-		/** `superseded`: the job was not stored, as the pool's admission record has another revision. */
-		readonly result: WriteResult | 'superseded';
+		/** `superseded`: the job was not stored, as the pool's admission record has another revision. `cancelled`: it was not stored, as it had been cancelled. */
+		readonly result: WriteResult | 'superseded' | 'cancelled';
 		/** After a conflict, the location that the store has for the job's id; undefined for a job that an entry of an earlier version has stored. */
 		readonly location?: JobLocation | undefined;
 	}
 	| {readonly kind: 'progress-read'; readonly requestId: string; readonly result: 'found' | 'absent' | 'failed'; readonly progress: ProgressRecord | undefined}
 	| {readonly kind: 'job-location-read'; readonly requestId: string; readonly result: 'found' | 'absent' | 'failed'; readonly location: JobLocation | undefined}
+	/** `conflict`: the job is stored. */
+	| {readonly kind: 'early-cancellation-stored'; readonly requestId: string; readonly result: WriteResult}
+	| {readonly kind: 'cancelled-job-stored'; readonly requestId: string; readonly result: WriteResult}
 	| {readonly kind: 'cancel-stored'; readonly requestId: string; readonly result: WriteResult}
 	| {readonly kind: 'reports-read'; readonly requestId: string; readonly result: 'found' | 'failed'; readonly reports: readonly PoolReport[]}
 	/** Number of jobs of a queue in the given pools whose stored record shows no started task. */
--- a/packages/jobs/src/model/job.ts
+++ b/packages/jobs/src/model/job.ts
@@ -68,8 +68,13 @@
 	readonly host: string;
 	readonly prefix: string;
 	readonly account?: string | undefined;
+	/** The job was cancelled before it was submitted; it has no other records. */
+	readonly isCancelled?: boolean | undefined;
 };
 
+/** The queue and account of a job that is cancelled before it is stored. @public */
+export type JobAddress = Pick<JobLocation, 'host' | 'prefix' | 'account'>;
+
 /** An accepted job, with its queue's settings at that time. Immutable. @public */
 export type JobRecord = {
 	readonly id: string;
