--- a/packages/bench/src/jobs/create-configuration.ts
+++ b/packages/bench/src/jobs/create-configuration.ts
@@ -8,6 +8,8 @@
 	/** With accounts, the queues `jobs-POOL` need a key, and there is a public queue `open-POOL` for each pool. */
 	readonly accounts?: readonly ClientAccount[] | undefined;
 	readonly version?: number;
+	/** Pools of queues that do not belong to the one in their name, by queue; undefined for a queue that is removed. */
+	readonly changedPools?: ReadonlyMap<string, string | undefined>;
 };
 
 const commonQueue = {
@@ -15,22 +17,26 @@
 } as const;
 
 /** Creates a configuration with a queue `jobs-POOL` for each pool, and one `advised-POOL` that requires advice. */
-export function createConfiguration(pools: readonly string[], {hasSparePool = false, accounts, version = 1}: ConfigurationOptions = {}): Configuration {
+export function createConfiguration(pools: readonly string[], {hasSparePool = false, accounts, version = 1, changedPools = new Map()}: ConfigurationOptions = {}): Configuration {
+	const queues = pools.flatMap(pool => [
+		{
+			...commonQueue, name: `jobs-${pool}`, prefix: `/${pool}/`, pool, advice: undefined, isPublic: accounts === undefined,
+		},
+		{
+			...commonQueue, name: `advised-${pool}`, prefix: `/advised/${pool}/`, pool, advice: virtualAdvicePolicy, isPublic: true,
+		},
+		...(accounts === undefined
+			? []
+			: [{
+				...commonQueue, name: `open-${pool}`, prefix: `/open/${pool}/`, pool, advice: undefined, isPublic: true,
+			}]),
+	]);
 	return {
 		version,
-		queues: pools.flatMap(pool => [
-			{
-				...commonQueue, name: `jobs-${pool}`, prefix: `/${pool}/`, pool, advice: undefined, isPublic: accounts === undefined,
-			},
-			{
-				...commonQueue, name: `advised-${pool}`, prefix: `/advised/${pool}/`, pool, advice: virtualAdvicePolicy, isPublic: true,
-			},
-			...(accounts === undefined
-				? []
-				: [{
-					...commonQueue, name: `open-${pool}`, prefix: `/open/${pool}/`, pool, advice: undefined, isPublic: true,
-				}]),
-		]),
+		queues: queues.flatMap(queue => {
+			const pool = changedPools.has(queue.name) ? changedPools.get(queue.name) : queue.pool;
+			return pool === undefined ? [] : [{...queue, pool}];
+		}),
 		pools: [...pools.map(name => ({name, isSpare: false})), ...(hasSparePool ? [{name: sparePool, isSpare: true}] : [])],
 		accounts,
 		limits: {
--- a/packages/bench/src/jobs/virtual-configuration.ts
+++ b/packages/bench/src/jobs/virtual-configuration.ts
@@ -15,6 +15,8 @@
 	readonly hasAccounts: boolean;
 	/** Writes a version with other accounts, or without any. */
 	writeAccounts(accounts: readonly AccountPlan[] | undefined): void;
+	/** Writes a version in which a queue belongs to another pool, or is removed. */
+	writeQueue(name: string, pool: string | undefined): void;
 	/** Delivers the configuration to an entry that has just started. With accounts, the entry reads it from the store, and again every second to confirm it. */
 	start(entry: VirtualJobsEntry): void;
 };
@@ -36,7 +38,17 @@
 	queue, pools, hasSparePool, accounts: firstAccounts, delivery, callStore, publish,
 }: VirtualConfigurationOptions): VirtualConfiguration {
 	const hasAccounts = firstAccounts !== undefined;
-	let current = createConfiguration(pools, {hasSparePool, accounts: firstAccounts?.map(account => createClientAccount(account))});
+	const changedPools = new Map<string, string | undefined>();
+	let accountPlans = firstAccounts;
+	const createVersion = (version: number) => createConfiguration(pools, {
+		hasSparePool, accounts: accountPlans?.map(account => createClientAccount(account)), version, changedPools,
+	});
+	let current = createVersion(1);
+
+	function writeVersion(): void {
+		current = createVersion(current.version + 1);
+		publish([{kind: 'configuration-changed', configuration: current}]);
+	}
 
 	function confirmConfiguration(entry: VirtualJobsEntry, incarnation: string): void {
 		const requestedAt = {now: queue.now, wallTime: startWallTime + queue.now};
@@ -62,8 +74,12 @@
 		},
 		hasAccounts,
 		writeAccounts(accounts) {
-			current = createConfiguration(pools, {hasSparePool, accounts: accounts?.map(account => createClientAccount(account)), version: current.version + 1});
-			publish([{kind: 'configuration-changed', configuration: current}]);
+			accountPlans = accounts;
+			writeVersion();
+		},
+		writeQueue(name, pool) {
+			changedPools.set(name, pool);
+			writeVersion();
 		},
 		start(entry) {
 			if (hasAccounts) {
--- a/packages/bench/src/jobs/virtual-fleet-records.ts
+++ b/packages/bench/src/jobs/virtual-fleet-records.ts
@@ -1,8 +1,10 @@
 import {
-	poolClaimPrefix, type EvacuatedEndpoint, type EvacuationRequest, type JobEvent, type PoolReport,
+	poolClaimPrefix, type EvacuatedEndpoint, type EvacuationRequest, type JobEvent, type JobEventOf, type PoolReport,
 } from '@pistachiogauge/jobs';
 import {type VirtualJobStore} from './virtual-job-store.js';
 
+type WaveProgress = Pick<JobEventOf<'wave-progress-read'>, 'number' | 'maintained' | 'isDone'>;
+
 /** The records that the holder of the fleet claim and the owners of pools exchange. */
 export type VirtualFleetRecords = {
 	/** Each write is done only while its claim holds. @returns Whether it was. */
@@ -10,6 +12,8 @@
 	withdrawEvacuation(pool: string, endpointId: string, fleetToken: number): boolean;
 	confirmEvacuation(evacuated: EvacuatedEndpoint, poolToken: number): boolean;
 	recordReport(report: PoolReport): void;
+	/** @returns Whether the claim holds. */
+	recordWaveProgress(progress: WaveProgress, fleetToken: number): boolean;
 	/** Lists the events of a full listing for the holder of the fleet. */
 	listForFleet(): readonly JobEvent[];
 	/** The same for the owner of a pool, with what it knows of requests. */
@@ -23,6 +27,7 @@
 	const requests = new Map<string, EvacuationRequest>();
 	const confirmations = new Map<string, EvacuatedEndpoint>();
 	const reports = new Map<string, PoolReport>();
+	const waves = new Map<number, WaveProgress>();
 	const holdsFleet = (token: number) => store.claims.get('fleet')?.token === token;
 	return {
 		requestEvacuation(request, fleetToken) {
@@ -57,8 +62,17 @@
 			reports.set(report.pool, report);
 			publish([{kind: 'report-changed', report}]);
 		},
+		recordWaveProgress(progress, fleetToken) {
+			if (!holdsFleet(fleetToken)) {
+				return false;
+			}
+
+			waves.set(progress.number, progress);
+			return true;
+		},
 		listForFleet: () => [
 			...[...reports.values()].map(report => ({kind: 'report-changed', report} as const)),
+			...[...waves.values()].map(progress => ({kind: 'wave-progress-read', ...progress} as const)),
 			...[...requests.values()].map(request => ({kind: 'evacuation-requested', request} as const)),
 			...[...confirmations.values()].map(evacuated => ({kind: 'endpoint-evacuated', evacuated} as const)),
 		],
