--- a/packages/bench/src/jobs-processes/installation.ts
+++ b/packages/bench/src/jobs-processes/installation.ts
@@ -43,6 +43,8 @@
 	startEntry(entry: string): void;
 	/** Writes a configuration with other client accounts. */
 	writeAccounts(accounts: readonly AccountPlan[]): void;
+	/** Writes a configuration in which a queue belongs to another pool, or is removed. */
+	writeQueue(queue: string, service: string | undefined): void;
 	/** The entry that gave the newest orders to a pool's endpoints. */
 	findOwner(service: string): string | undefined;
 	/** @throws Error if the entries do not become ready. */
@@ -88,18 +90,30 @@
 	const links = createLinks();
 	const store = createStoreStandin({links, observe, getLateMs: () => drawBetween(random, lateWriteMs.min, lateWriteMs.max)});
 	const accountKeys = createAccountKeys(plan, random);
+	const changedServices = new Map<string, string | undefined>();
+	const services = plan.queues.map(({service}) => service);
+	let currentAccounts = plan.accounts?.initial;
 	let version = 0;
-	function writeConfiguration(accounts: readonly AccountPlan[] | undefined): void {
+	function writeVersion(): void {
 		version += 1;
-		const {key, value} = encodeConfiguration(plan.queues, plan.isGuarding, plan.moves?.sparePool, {accounts, version});
+		const queues = plan.queues.flatMap(queue => {
+			const service = changedServices.has(queue.queue) ? changedServices.get(queue.queue) : queue.service;
+			return service === undefined ? [] : [{...queue, service}];
+		});
+		const {key, value} = encodeConfiguration(queues, plan.isGuarding, plan.moves?.sparePool, {accounts: currentAccounts, version, services});
 		store.write(key, value);
+	}
+
+	function writeAccounts(accounts: readonly AccountPlan[] | undefined): void {
+		currentAccounts = accounts;
+		writeVersion();
 		if (accounts !== undefined) {
 			accountKeys.update(accounts);
 			observe({kind: 'accounts-written', version, accounts});
 		}
 	}
 
-	writeConfiguration(plan.accounts?.initial);
+	writeAccounts(plan.accounts?.initial);
 	const jobs = new Map(plan.jobs.map(({job}) => [job.jobId, job]));
 	const advisedQueues = new Set(plan.queues.filter(({advice}) => advice !== undefined).map(({queue}) => queue));
 	const advice = createAdviceStandin({...adviceTimes, mayRun: mayRunAdvised, isLost: callNumber => callNumber % callsPerLostAnswer === 0});
@@ -178,7 +192,12 @@
 	}
 
 	return {
-		plan, random, links, store, endpoints, callers, processes, observations, logFolder, observe, getNowMs, startEntry, accountKeys, writeAccounts: writeConfiguration,
+		plan, random, links, store, endpoints, callers, processes, observations, logFolder, observe, getNowMs, startEntry, accountKeys, writeAccounts,
+		writeQueue(queue, service) {
+			changedServices.set(queue, service);
+			writeVersion();
+			observe({kind: 'queue-written', queue, service});
+		},
 		findOwner(service) {
 			const tokens = endpoints.filter(endpoint => endpoint.service === service).map(endpoint => endpoint.getHighestToken());
 			return store.findWriter(getClaimToken(Math.max(0, ...tokens)));
--- a/packages/bench/src/jobs-processes/load.ts
+++ b/packages/bench/src/jobs-processes/load.ts
@@ -89,8 +89,31 @@
 	});
 }
 
+/** Submits a job to one entry and cancels it at others after a time, whether the submission has been answered or not. */
+async function playOvertaking(installation: Installation, {job, overtaking: {entry, cancelAfterMs}}: JobPlan & Pick<Required<JobPlan>, 'overtaking'>): Promise<void> {
+	const submit = async (): Promise<void> => {
+		const sentAt = installation.getNowMs();
+		const {status} = await installation.callers.get(entry)!.submit(job);
+		installation.observe({
+			kind: 'submit-answered', job, isRepeat: false, entry, sentAt, status, key: job.apiKey,
+		});
+	};
+
+	const cancel = async (): Promise<void> => {
+		await delay(cancelAfterMs);
+		await cancelJob(installation, job);
+	};
+
+	await Promise.all([submit(), cancel()]);
+}
+
 async function playJob(installation: Installation, jobPlan: JobPlan, onAccepted: (job: JobRequest) => void): Promise<void> {
-	const {job, cancelAfterMs, repeatAfterMs} = jobPlan;
+	const {job, cancelAfterMs, repeatAfterMs, overtaking} = jobPlan;
+	if (overtaking !== undefined) {
+		await playOvertaking(installation, {...jobPlan, overtaking});
+		return;
+	}
+
 	const {status} = await submitJob(installation, jobPlan, false);
 	if (status !== 200) {
 		return;
--- a/packages/bench/src/jobs-processes/run-plan.ts
+++ b/packages/bench/src/jobs-processes/run-plan.ts
@@ -14,6 +14,8 @@
 	readonly repeatAfterMs: number | undefined;
 	/** Whether the client tries again after a rejection. */
 	readonly retriesRejection: boolean;
+	/** The client submits the job to this entry and cancels it at another one that long after, whatever the answer. */
+	readonly overtaking?: {readonly entry: string; readonly cancelAfterMs: number};
 	/** Account that the job's API key belongs to or once did. */
 	readonly account?: string | undefined;
 };
@@ -34,6 +36,9 @@
 	readonly spareMachines: readonly string[];
 };
 
+/** A queue belongs to another pool from a time on; without a service, it is removed. */
+export type QueueChange = {readonly atMs: number; readonly queue: string; readonly service: string | undefined};
+
 /** Everything that a run draws from its seed. */
 export type RunPlan = {
 	readonly seed: number;
@@ -49,6 +54,8 @@
 	/** Undefined for a deployment without client accounts. */
 	readonly accounts?: AccountsPlan;
 	readonly jobs: readonly JobPlan[];
+	/** Undefined if all queues stay in their pools. */
+	readonly queueChanges?: readonly QueueChange[];
 	readonly faults: readonly FaultPlan[];
 };
 
--- a/packages/bench/src/jobs/virtual-machine-service.ts
+++ b/packages/bench/src/jobs/virtual-machine-service.ts
@@ -25,7 +25,7 @@
 	/** Requests that all machines are maintained. */
 	startWave(downLimit: number, durationMs: number): void;
 	endWaves(): void;
-	/** Lists the events of a full listing of the waves. */
+	/** Lists the events of a full listing of the waves; an entry notices from it which ones are missing. */
 	listWaves(): readonly JobEvent[];
 };
 
@@ -54,6 +54,7 @@
 	const idleMachines = new Map<string, {readonly pool: string; readonly state: 'up' | 'moving' | 'maintenance'}>(Array.from({length: spareCount}, (_unused, index) => [`spare-${index + 1}`, {pool: sparePool, state: 'up'}]));
 	const machineNames = new Map<string, string>();
 	const waves = new Map<number, VirtualWave>();
+	const endedWaves: number[] = [];
 	let waveCount = 0;
 	const getMachineName = (endpointId: string) => machineNames.get(endpointId) ?? `machine-of-${endpointId}`;
 
@@ -184,10 +185,14 @@
 		},
 		endWaves() {
 			const numbers = [...waves.keys()];
+			endedWaves.push(...numbers);
 			waves.clear();
 			publish(numbers.map(number => ({kind: 'wave-removed', number})));
 		},
-		listWaves: () => [...waves.values()].map(({wave, seenAt}) => ({kind: 'wave-changed', wave, seenAt})),
+		listWaves: () => [
+			...[...waves.values()].map(({wave, seenAt}) => ({kind: 'wave-changed', wave, seenAt} as const)),
+			...endedWaves.map(number => ({kind: 'wave-removed', number} as const)),
+		],
 	};
 	return service;
 }
--- a/packages/entry/src/jobs/follow-records.ts
+++ b/packages/entry/src/jobs/follow-records.ts
@@ -78,13 +78,24 @@
 			},
 		},
 	];
+	/** Keys of the waves that are known to exist. */
+	const waveKeys = new Set<string>();
 	const publishChange = (item: StoreItem) => {
+		if (item.value === undefined) {
+			waveKeys.delete(item.key);
+		} else if (item.key.startsWith(wavePrefix)) {
+			waveKeys.add(item.key);
+		}
+
 		publishItem(decoders, item, context);
 	};
 
 	return followPrefix(context.store, {prefix: 'op/', pauseMs: noPauseMs}, {
 		handleItems(items) {
-			for (const item of items) {
+			// A wave that was removed during a gap in the watch is noticed only because it is missing from the new list.
+			const listed = new Set(items.map(({key}) => key));
+			const removed = [...waveKeys].filter(key => !listed.has(key));
+			for (const item of [...removed.map(key => ({key, value: undefined, revision: 0})), ...items]) {
 				publishChange(item);
 			}
 		},
