--- a/packages/bench/src/jobs/jobs-simulation.ts
+++ b/packages/bench/src/jobs/jobs-simulation.ts
@@ -118,6 +118,8 @@
 	const network = createVirtualNetwork();
 	const endpoints = new Map<string, VirtualTaskEndpoint>();
 	const behaviours = new Map<string, Partial<TaskBehaviour>>();
+	/** Key of the submission of each job. A repetition carries it as well. */
+	const submissionKeys = new Map<string, string | undefined>();
 	const answers = new Map<string, CallerAnswer>();
 	const orderDisturbances = new Map<string, OrderDisturbance>();
 	let requestCount = 0;
@@ -226,6 +228,10 @@
 		const {requestId, action, jobId} = request;
 		const isPublic = !configuration.hasAccounts || configuration.current.queues.some(({name, isPublic}) => name === request.queue && isPublic);
 		const key = isPublic ? undefined : givenKey ?? (action === 'submit' ? simulation.keyChooser?.chooseKey() : simulation.keyChooser?.chooseKeyForJob(jobId));
+		if (action === 'submit') {
+			submissionKeys.set(jobId, key);
+		}
+
 		if (!isPublic) {
 			checker.accounts.recordRequest(requestId, {
 				action, jobId, key, node: entry.node,
@@ -354,7 +360,7 @@
 			requestCount += 1;
 			sendRequest(entry, {
 				requestId: `repeat-${jobId}-${requestCount}`, action: 'submit', queue: queueName, jobId, spec: checker.getSpec(jobId),
-			});
+			}, submissionKeys.get(jobId));
 		},
 		changeAccounts(changed) {
 			if (!simulation.isStoreUp) {
