--- a/packages/entry/src/jobs/moved-queue.test.ts
+++ b/packages/entry/src/jobs/moved-queue.test.ts
@@ -156,6 +156,44 @@
 	expect(await entry.request('count', 'prints')).toEqual({kind: 'waiting', waiting: expected});
 });
 
+const callCases: ReadonlyArray<{readonly name: string; readonly isMoved?: boolean; readonly action: CallerAction; readonly id: string; readonly expected: number}> = [
+	{
+		name: 'a submission', action: 'submit', id: 'ffffffffffffffff', expected: 1,
+	},
+	{
+		name: 'the state of a job', action: 'get', id: jobId, expected: 1,
+	},
+	{
+		name: 'a cancellation', action: 'cancel', id: jobId, expected: 2,
+	},
+	{
+		name: 'the state of a job in another pool', isMoved: true, action: 'get', id: jobId, expected: 3,
+	},
+	{
+		name: 'the state of an unknown job', action: 'get', id: 'ffffffffffffffff', expected: 2,
+	},
+	{
+		name: 'the first cancellation of an unknown job', action: 'cancel', id: 'ffffffffffffffff', expected: 4,
+	},
+];
+
+// Guards against requests that cost more calls to the store, which are limited for all entries together, than the design page says.
+it.each(callCases)('$name takes $expected store calls', async ({
+	isMoved = false, action, id, expected,
+}) => {
+	const store = createTestStore();
+	const entry = createTestEntry('entry-1', store);
+	entry.configure(1, [atDesk]);
+	await entry.request('submit', 'prints', jobId);
+	if (isMoved) {
+		entry.configure(2, [atOffice]);
+	}
+
+	const countBefore = store.getCallCount();
+	await entry.request(action, 'prints', id);
+	expect(store.getCallCount() - countBefore).toBe(expected);
+});
+
 // Guards against records that stay in the store for good: it refuses a transaction of more than 32 entries.
 it('the locations of ended jobs are deleted with their other records', async () => {
 	const store = createTestStore();
