Send keys in the emulator once a deployment gets accounts during a run

The emulator asked whether the first configuration had accounts, and these runs add theirs later, so their submissions carried no key and were refused for that. It asks the configuration in force now.

--- a/packages/bench/src/jobs/jobs-simulation.ts
+++ b/packages/bench/src/jobs/jobs-simulation.ts
@@ -226,7 +226,7 @@
 	/** Sends a caller's request to an entry; with client accounts, it carries the given or a chosen key unless its queue is public. */
 	function sendRequest(entry: VirtualJobsEntry, request: Omit<JobEventOf<'caller-requested'>, 'kind' | 'keyHash' | 'origin'>, givenKey?: string): void {
 		const {requestId, action, jobId} = request;
-		const isPublic = !configuration.hasAccounts || configuration.current.queues.some(({name, isPublic}) => name === request.queue && isPublic);
+		const isPublic = configuration.current.accounts === undefined || configuration.current.queues.some(({name, isPublic}) => name === request.queue && isPublic);
 		const key = isPublic ? undefined : givenKey ?? (action === 'submit' ? simulation.keyChooser?.chooseKey() : simulation.keyChooser?.chooseKeyForJob(jobId));
 		if (action === 'submit') {
 			submissionKeys.set(jobId, key);
