Cancel with a key that counts for the job's account at the end of the soak

Its account had got a key of another account ('key in two accounts'), which counts for the first of the two, and the soak cancelled with it; the product rightly answers 'no such job'. The planner now chooses a key that counts for the account.

--- a/packages/bench/src/accounts/account-planner.ts
+++ b/packages/bench/src/accounts/account-planner.ts
@@ -18,7 +18,7 @@
 	chooseKeyOf(names: readonly string[]): string | undefined;
 	/** Finds the account that has a key, or had it last. */
 	findOwner(key: string | undefined): string | undefined;
-	/** Chooses a valid key of an account, if it has one. */
+	/** Chooses a valid key that counts for an account, if it has one: a key of two accounts counts for the first. */
 	chooseValidKeyOf(name: string): string | undefined;
 };
 
@@ -127,7 +127,8 @@
 
 	const listActive = () => accounts.filter(({apiKeys}) => apiKeys.length > 0);
 	replaceAccounts(Array.from({length: initialAccountCount}, createAccount));
-	const chooseValidKey = (names: readonly string[]) => choose(random, accounts.filter(({name}) => names.includes(name)).flatMap(({apiKeys}) => apiKeys));
+	const listValidKeys = (names: readonly string[]) => accounts.filter(({name}) => names.includes(name)).flatMap(({apiKeys}) => apiKeys);
+	const findOwner = (key: string | undefined) => key === undefined ? undefined : accounts.find(({apiKeys}) => apiKeys.includes(key))?.name ?? [...formerKeys].find(([, keys]) => keys.has(key))?.[0];
 	return {
 		get accounts() {
 			return accounts;
@@ -163,9 +164,9 @@
 		},
 		chooseKeyOf(names) {
 			const removed = random.getInteger(6) === 0 ? choose(random, listRemovedKeys(names)) : undefined;
-			return removed ?? chooseValidKey(names) ?? choose(random, listRemovedKeys(names));
+			return removed ?? choose(random, listValidKeys(names)) ?? choose(random, listRemovedKeys(names));
 		},
-		findOwner: key => key === undefined ? undefined : accounts.find(({apiKeys}) => apiKeys.includes(key))?.name ?? [...formerKeys].find(([, keys]) => keys.has(key))?.[0],
-		chooseValidKeyOf: name => chooseValidKey([name]),
+		findOwner,
+		chooseValidKeyOf: name => choose(random, listValidKeys([name]).filter(key => findOwner(key) === name)),
 	};
 }
