Leave out a machine list that was requested before the one that is known

A read of the machine list of several pages can take longer than the 1.5 s after which it is requested again, and then arrive after the second one. Requests and answers carry the time of the request now, the fleet leaves out a list that was requested before the one it knows, and listValidAt is exact.

--- a/packages/bench/src/jobs/create-fleet-sinks.ts
+++ b/packages/bench/src/jobs/create-fleet-sinks.ts
@@ -97,9 +97,9 @@
 				});
 			}
 		},
-		'list-machines'(entry) {
+		'list-machines'(entry, {requestedAt}) {
 			queue.add(chooseDelayMs(), () => {
-				delivery.deliverLater(entry, {kind: 'machines-listed', machines: machineService.listMachines()});
+				delivery.deliverLater(entry, {kind: 'machines-listed', requestedAt, machines: machineService.listMachines()});
 			});
 		},
 		'order-machine'(entry, {
--- a/packages/entry/src/jobs/create-order-sinks.ts
+++ b/packages/entry/src/jobs/create-order-sinks.ts
@@ -47,7 +47,7 @@
 					: await requestAdvice(dependencies.http, adviceAddress, effect));
 			});
 		},
-		'list-machines'() {
+		'list-machines'({requestedAt}) {
 			runCall('list-machines', async () => {
 				const machines = await dependencies.machineService?.listMachines();
 				if (machines === undefined) {
@@ -55,8 +55,8 @@
 					await delay(retryPauseMs);
 				}
 
-				pushEvent(machines === undefined ? {kind: 'machine-list-failed'} : {kind: 'machines-listed', machines});
-			}, {kind: 'machine-list-failed'});
+				pushEvent(machines === undefined ? {kind: 'machine-list-failed', requestedAt} : {kind: 'machines-listed', requestedAt, machines});
+			}, {kind: 'machine-list-failed', requestedAt});
 		},
 		'order-machine'(effect) {
 			const {machine, order, token} = effect;
--- a/packages/jobs/src/authority/paused-process.test.ts
+++ b/packages/jobs/src/authority/paused-process.test.ts
@@ -76,7 +76,7 @@
 		{kind: 'tick'},
 		createTestPollAnswer('e1', 1000),
 		{kind: 'tick'},
-		{kind: 'machines-listed', machines: [createTestMachine('m1', pool, {endpointId: 'e1'}), createTestMachine('m2', 'off', {endpointId: undefined})]},
+		{kind: 'machines-listed', requestedAt: before.now, machines: [createTestMachine('m1', pool, {endpointId: 'e1'}), createTestMachine('m2', 'off', {endpointId: undefined})]},
 	], before);
 	isPaused = true;
 	applyAll([
--- a/packages/jobs/src/fleet/fleet-filter.ts
+++ b/packages/jobs/src/fleet/fleet-filter.ts
@@ -43,14 +43,14 @@
 			clearFleet(fleet);
 			return [emitEffect({kind: 'follow-fleet', isFollowing: false})];
 		},
-		'machines-listed'({fleet}, {machines}, context) {
-			fleet.listRequestedAt = undefined;
-			fleet.listValidAt = fleet.firstListRequestAt ?? fleet.listValidAt;
-			fleet.firstListRequestAt = undefined;
-			if (fleet.token === undefined) {
+		'machines-listed'({fleet}, {machines, requestedAt}, context) {
+			closeListRequest(fleet, requestedAt);
+			// An unanswered request is repeated, so an earlier list can arrive after a later one.
+			if (fleet.token === undefined || requestedAt < (fleet.listValidAt ?? Number.NEGATIVE_INFINITY)) {
 				return [];
 			}
 
+			fleet.listValidAt = requestedAt;
 			updateFromMachineList(fleet, machines, context);
 			fleet.machines.clear();
 			for (const machine of machines) {
@@ -60,8 +60,8 @@
 			fleet.listedAt = context.now;
 			return [];
 		},
-		'machine-list-failed'({fleet}) {
-			fleet.listRequestedAt = undefined;
+		'machine-list-failed'({fleet}, {requestedAt}) {
+			closeListRequest(fleet, requestedAt);
 			return [];
 		},
 		'machine-order-answered': ({fleet}, event, context) => handleOrderAnswer(fleet, event, context),
@@ -187,8 +187,14 @@
 	}
 
 	fleet.listRequestedAt = context.now;
-	fleet.firstListRequestAt ??= context.now;
-	return [emitEffect({kind: 'list-machines'})];
+	return [emitEffect({kind: 'list-machines', requestedAt: context.now})];
+}
+
+/** Allows the next request once the last one has been answered or has failed. */
+function closeListRequest(fleet: FleetState, requestedAt: number): void {
+	if (fleet.listRequestedAt === requestedAt) {
+		fleet.listRequestedAt = undefined;
+	}
 }
 
 /** Discards what is left of an earlier term as holder; waves belong to the operator and stay. */
@@ -208,7 +214,6 @@
 	fleet.hasUnwrittenHistory = false;
 	fleet.listedAt = undefined;
 	fleet.listRequestedAt = undefined;
-	fleet.firstListRequestAt = undefined;
 	fleet.listValidAt = undefined;
 	fleet.pausedMachines.clear();
 	fleet.poolsAwaitingMachines.clear();
--- a/packages/jobs/src/fleet/fleet-state.ts
+++ b/packages/jobs/src/fleet/fleet-state.ts
@@ -63,11 +63,9 @@
 	readonly machines: Map<string, Machine>;
 	/** When the machine list was last read, in monotonic ms. */
 	listedAt: number | undefined;
-	/** When the machine list was requested, in monotonic ms, while the answer is outstanding. */
+	/** When the machine list was last requested, in monotonic ms, while the answer is outstanding. */
 	listRequestedAt: number | undefined;
-	/** When the first of the requests was sent that have not been answered, in monotonic ms. */
-	firstListRequestAt: number | undefined;
-	/** Monotonic ms from which the last list may date: it shows all that was done before. */
+	/** When the known list was requested, in monotonic ms: it shows all that was done before. */
 	listValidAt: number | undefined;
 	readonly waves: Map<number, WaveProgress>;
 	readonly evacuations: Map<string, OpenEvacuation>;
@@ -113,7 +111,6 @@
 		machines: new Map(),
 		listedAt: undefined,
 		listRequestedAt: undefined,
-		firstListRequestAt: undefined,
 		listValidAt: undefined,
 		waves: new Map(),
 		evacuations: new Map(),
--- a/packages/jobs/src/fleet/withheld-endpoints.test.ts
+++ b/packages/jobs/src/fleet/withheld-endpoints.test.ts
@@ -52,7 +52,7 @@
 		'confirm-evacuation': ({evacuated}) => store(`confirmation ${evacuated.endpointId}`, {kind: 'endpoint-evacuated', evacuated}),
 		'follow-fleet': ({isFollowing}) => isFollowing ? [...records.values()] : [],
 		'publish-report': ({report}) => [{kind: 'report-changed', report}],
-		'list-machines': () => [{kind: 'machines-listed', machines}],
+		'list-machines': ({requestedAt}) => [{kind: 'machines-listed', requestedAt, machines}],
 		'order-machine': ({machine, order}) => result === undefined
 			? []
 			: [{
--- a/packages/jobs/src/model/effects.ts
+++ b/packages/jobs/src/model/effects.ts
@@ -131,7 +131,8 @@
 	/** Limits the CPU use of a filler run. */
 	| {readonly kind: 'pace-task'; readonly target: OrderTarget; readonly taskId: string; readonly run: number; readonly percent: number}
 	| {readonly kind: 'ask-advice'; readonly pool: string; readonly stepId: string; readonly endpointIds: readonly string[]}
-	| {readonly kind: 'list-machines'}
+	/** Reads the list of machines; the answer names the time in monotonic ms at which it was requested. */
+	| {readonly kind: 'list-machines'; readonly requestedAt: number}
 	| {
 		readonly kind: 'order-machine';
 		readonly order: MachineOrder;
--- a/packages/jobs/src/model/events.ts
+++ b/packages/jobs/src/model/events.ts
@@ -340,9 +340,10 @@
 
 /** Machines, maintenance waves and evacuations of endpoints. @public */
 export type FleetEvent =
-	| {readonly kind: 'machines-listed'; readonly machines: readonly Machine[]}
+	/** The list of machines was read. `requestedAt`: when it was requested, in monotonic ms. */
+	| {readonly kind: 'machines-listed'; readonly requestedAt: number; readonly machines: readonly Machine[]}
 	/** The list of machines could not be read. */
-	| {readonly kind: 'machine-list-failed'}
+	| {readonly kind: 'machine-list-failed'; readonly requestedAt: number}
 	| {readonly kind: 'wave-changed'; readonly wave: Wave; readonly seenAt: number}
 	| {readonly kind: 'wave-removed'; readonly number: number}
 	/** Machines that a previous holder of the fleet's claim has had maintained. */
