Keep objects only for tasks that have been started and are not done

Cause: the ledger created an object with a Map and a Set for each task when a job was created or loaded, so memory followed what had been submitted, and the limit of 20,000 tasks holds for one job only. Ruled out: the records (100 bytes a job) and queries (none in the case). A step now has a table of its tasks: objects for those that have been started and are not done, a cursor for those that wait, a byte for each one that is done. Memory follows what runs.

--- a/packages/bench/src/measure/list-schedule.ts
+++ b/packages/bench/src/measure/list-schedule.ts
@@ -1,6 +1,6 @@
 import {createRandomSource} from '@pistachiogauge/chain';
 import {
-	computeJobValue, createJobsState, createPoolLedger, lateFactor, orderWaitingJobs, restoreJob, type ClientAccount, type DisplacementPolicy, type Job, type JobsState, type Step, type Task,
+	completeTask, computeJobValue, createJobsState, createPoolLedger, hasPendingTask, isStepDone, keepTask, lateFactor, listPendingTasks, orderWaitingJobs, restoreJob, type ClientAccount, type DisplacementPolicy, type Job, type JobsState, type Step, type Task,
 } from '@pistachiogauge/jobs';
 
 /** A job of a load; its tasks are independent and take one core each. */
@@ -77,6 +77,7 @@
 		}
 
 		for (const task of orderPendingTasks(state, {ledger, cores, now}, cores - running.length)) {
+			keepTask(task);
 			task.runs.set(1, 'machine');
 			task.step.job.version += 1;
 			running.push({task, endsAt: now + task.step.spec.estimateMs});
@@ -101,7 +102,7 @@
 }
 
 function orderPendingTasks(state: JobsState, {ledger, cores, now}: {readonly ledger: ReturnType<typeof createPoolLedger>; readonly cores: number; readonly now: number}, count: number): Task[] {
-	const waiting = [...ledger.activeJobs].filter(job => hasPendingTask(job));
+	const waiting = [...ledger.activeJobs].filter(job => hasPendingTask(getStep(job)));
 	if (waiting.length === 0 || count <= 0) {
 		return [];
 	}
@@ -117,22 +118,14 @@
 			break;
 		}
 
-		tasks.push(...listPendingTasks(job));
+		for (const task of listPendingTasks(getStep(job))) {
+			tasks.push(task);
+		}
 	}
 
 	return tasks.slice(0, count);
 }
 
-/** Tasks are started in their order, so the last one tells. */
-function hasPendingTask(job: Job): boolean {
-	const last = getStep(job).tasks.at(-1)!;
-	return !last.isDone && last.runs.size === 0;
-}
-
-function listPendingTasks(job: Job): Task[] {
-	return getStep(job).tasks.filter(task => !task.isDone && task.runs.size === 0);
-}
-
 function getStep(job: Job): Step {
 	return job.steps.get('0.0')!;
 }
@@ -140,11 +133,10 @@
 /** Ends a task. @returns Whether its job has ended with it. */
 function endTask(task: Task, now: number): boolean {
 	const {step} = task;
-	task.isDone = true;
 	task.runs.clear();
-	step.doneCount += 1;
+	completeTask(task);
 	step.job.version += 1;
-	if (step.doneCount < step.tasks.length) {
+	if (!isStepDone(step)) {
 		return false;
 	}
 
--- a/packages/jobs/src/evacuation/evacuation-filter.test.ts
+++ b/packages/jobs/src/evacuation/evacuation-filter.test.ts
@@ -1,7 +1,7 @@
 import {createRandomSource} from '@pistachiogauge/chain';
 import {describe, expect, it} from 'vitest';
 import {createJobsState} from '../jobs-state.js';
-import {createPoolLedger} from '../ledger/ledger-state.js';
+import {createPoolLedger, findTask} from '../ledger/ledger-state.js';
 import {
 	createTestEndpoint, createTestJob, createTestRun, createTestSupervisedEndpoint, holdTestClaim,
 } from '../testing.test-support.js';
@@ -51,7 +51,7 @@
 				phase: 'running', isLongRunning, percent: isLongRunning ? percent : 10, startedAt: now - 1000, startedClockMs: now - 1000, progressedClockMs: now,
 			})]]),
 		}));
-		job.steps.get('0.0')!.tasks[index]!.runs.set(1, id);
+		findTask({jobs: new Map([['job', job]])}, taskId)!.runs.set(1, id);
 	}
 
 	if (drainingProcess === undefined) {
--- a/packages/jobs/src/evacuation/evacuation-filter.ts
+++ b/packages/jobs/src/evacuation/evacuation-filter.ts
@@ -160,19 +160,15 @@
 
 /** Counts the tasks of a step, other than the given one, that are not serving. @internal */
 export function countUnavailable({supervision}: SupervisionView, step: Step, exceptTaskId: string): number {
-	let count = 0;
-	for (const task of step.tasks) {
-		if (task.id === exceptTaskId) {
-			continue;
-		}
-
-		const isServing = [...task.runs].some(([number, endpointId]) => {
+	let servingCount = 0;
+	for (const task of step.tasks.started.values()) {
+		const isServing = task.id !== exceptTaskId && [...task.runs].some(([number, endpointId]) => {
 			const endpoint = supervision.endpoints.get(endpointId);
 			const run = endpoint?.runs.get(task.id);
 			return endpoint?.phase === 'answering' && run?.run === number && isInProgress(run) && run.percent >= servingPercent;
 		});
-		count += isServing ? 0 : 1;
+		servingCount += isServing ? 1 : 0;
 	}
 
-	return count;
+	return step.tasks.size - 1 - servingCount;
 }
--- a/packages/jobs/src/index.ts
+++ b/packages/jobs/src/index.ts
@@ -13,7 +13,7 @@
 export {checkCallerRequest, type CallerRequestSummary} from './intake/index.js';
 export {findQueue, type QueueMatch} from './configuration/index.js';
 export {
-	createPoolLedger, isStepReady, restoreJob, rosterRecordKey, type Job, type Step, type Task,
+	completeTask, createPoolLedger, hasPendingTask, isStepDone, isStepReady, keepTask, listPendingTasks, restoreJob, rosterRecordKey, type Job, type Step, type Task,
 } from './ledger/index.js';
 export {
 	explainPlacement, orderWaitingJobs, type DisplacementPolicy, type OrderInput, type PlacementExplanation, type PlacementQuestion,
--- a/packages/jobs/src/ledger/apply-end.test.ts
+++ b/packages/jobs/src/ledger/apply-end.test.ts
@@ -6,6 +6,7 @@
 import {createPoolLedger, type Job} from './ledger-state.js';
 import {restoreJob} from './restore-job.js';
 import {formatProgress} from './save-progress.js';
+import {getTask} from './task-table.js';
 
 const context = {now: 0, wallTime: 0, random: createRandomSource(1)};
 
@@ -14,7 +15,7 @@
 	const pool = createPoolLedger({pool: 'desk', token: 1, now: 0});
 	pool.jobs.set(job.record.id, job);
 	pool.activeJobs.add(job);
-	const task = job.steps.get('0.0')!.tasks[0]!;
+	const task = getTask(job.steps.get('0.0')!, 0)!;
 	for (const [index, text] of ends.entries()) {
 		const [run, outcome] = text.split(' ');
 		const end: ReportedEnd = {
--- a/packages/jobs/src/ledger/apply-end.ts
+++ b/packages/jobs/src/ledger/apply-end.ts
@@ -2,9 +2,12 @@
 import {emitCount, emitLog, type JobOutput} from '../filter.js';
 import {type ReportedEnd, type RunOutcome} from '../model/index.js';
 import {
-	isActive, type Job, type PoolLedger, type Task,
+	isActive, type Job, type PoolLedger, type Step, type Task,
 } from './ledger-state.js';
 import {getOccurrenceCount} from './restore-job.js';
+import {
+	completeTask, getTask, isStepDone, isTaskDone,
+} from './task-table.js';
 
 type EndHandler = (pool: PoolLedger, task: Task, end: ReportedEnd, context: DecisionContext) => JobOutput[];
 
@@ -12,7 +15,7 @@
 const allowRerun: EndHandler = () => [];
 
 const endHandlers: Readonly<Record<RunOutcome, EndHandler>> = {
-	done: completeTask,
+	done: handleCompletion,
 	failed: recordFailure,
 	stopped: allowRerun,
 	lapsed: allowRerun,
@@ -26,6 +29,7 @@
 	if (task.runs.get(end.run) === endpointId) {
 		// Checked by endpoint, as a previous owner may have used the same run number on another one.
 		task.runs.delete(end.run);
+		pool.releasableSteps.add(task.step);
 	}
 
 	task.idleSince = context.now;
@@ -48,7 +52,7 @@
 	markUnsaved(pool, job, context.now);
 	pool.isSaveUrgent = true;
 	pool.activeJobs.delete(job);
-	const stops = [...job.steps.values()].flatMap(step => step.tasks.filter(task => task.runs.size > 0).map(task => restartEvent({
+	const stops = [...job.steps.values()].flatMap(step => [...step.tasks.started.values()].filter(task => task.runs.size > 0).map(task => restartEvent({
 		kind: 'run-stop-requested', pool: pool.pool, taskId: task.id, reason: `job is ${status}`,
 	} as const)));
 	return [
@@ -67,18 +71,17 @@
 	pool.unsavedSince ??= now;
 }
 
-function completeTask(pool: PoolLedger, task: Task, end: ReportedEnd, context: DecisionContext): JobOutput[] {
+function handleCompletion(pool: PoolLedger, task: Task, end: ReportedEnd, context: DecisionContext): JobOutput[] {
 	const {step} = task;
 	if (step.spec.isLongRunning) {
 		return [];
 	}
 
 	// The end of one member completes the whole gang.
-	const finishedTasks = step.spec.isGang ? step.tasks.filter(member => !member.isDone) : [task];
+	const finishedTasks = step.spec.isGang ? listOpenTasks(step) : [task];
 	const outputs: JobOutput[] = [];
 	for (const member of finishedTasks) {
-		member.isDone = true;
-		step.doneCount += 1;
+		completeTask(member);
 		for (const run of member.runs.keys()) {
 			if (!step.spec.isGang || run !== end.run) {
 				outputs.push(restartEvent({
@@ -89,10 +92,22 @@
 		}
 	}
 
+	pool.releasableSteps.add(step);
 	markUnsaved(pool, step.job, context.now);
 	return [...outputs, ...endCompleteJob(pool, step.job, context)];
 }
 
+function listOpenTasks(step: Step): Task[] {
+	const tasks: Task[] = [];
+	for (let index = 0; index < step.tasks.size; index++) {
+		if (!isTaskDone(step.tasks, index)) {
+			tasks.push(getTask(step, index)!);
+		}
+	}
+
+	return tasks;
+}
+
 /** Ends a job if all its tasks are done. @internal */
 export function endCompleteJob(pool: PoolLedger, job: Job, context: DecisionContext): JobOutput[] {
 	return isComplete(job) ? endJob(pool, job, 'done', context) : [];
@@ -105,7 +120,7 @@
 		return [];
 	}
 
-	const countedTask = step.spec.isGang ? step.tasks[0]! : task;
+	const countedTask = step.spec.isGang ? getTask(step, 0)! : task;
 	if (countedTask.failedRuns.has(end.run)) {
 		return [];
 	}
@@ -125,7 +140,7 @@
 	}
 
 	for (const step of job.steps.values()) {
-		if (step.doneCount < step.tasks.length) {
+		if (!isStepDone(step)) {
 			return false;
 		}
 	}
--- a/packages/jobs/src/ledger/ledger-filter.ts
+++ b/packages/jobs/src/ledger/ledger-filter.ts
@@ -17,6 +17,7 @@
 } from './restore-job.js';
 import {createRoster} from './create-roster.js';
 import {handleSaveResult, saveProgress} from './save-progress.js';
+import {keepTask, releaseDoneTasks} from './task-table.js';
 
 /** How long an ended job is kept: callers may query it for 120 s, plus 30 s for clock differences and late retries. */
 const retentionMs = 150_000;
@@ -75,11 +76,13 @@
 		'run-dropped'({ledger}, {
 			pool: name, taskId, run, endpointId, checkpoint,
 		}, context) {
-			const task = findTask(ledger.pools.get(name), taskId);
+			const pool = ledger.pools.get(name);
+			const task = findTask(pool, taskId);
 			if (task?.runs.get(run) === endpointId) {
 				task.runs.delete(run);
 				task.idleSince = context.now;
 				task.checkpoint = checkpoint === '' ? task.checkpoint : checkpoint;
+				pool?.releasableSteps.add(task.step);
 			}
 
 			return [passEvent({kind: 'placement-due', pool: name})];
@@ -130,6 +133,7 @@
 		},
 		tick: (state, _event, context) => [...state.ledger.pools.values()].flatMap(pool => [
 			...createDueOccurrences(pool, context),
+			...releaseTasks(pool),
 			...saveProgress(pool, createRoster(state.directory, pool), context),
 			...purgeEndedJobs(pool, context),
 		]),
@@ -218,6 +222,7 @@
 		return [];
 	}
 
+	keepTask(task);
 	task.runs.set(run, endpointId);
 	task.step.job.lastRun = Math.max(task.step.job.lastRun, run);
 	return [];
@@ -269,6 +274,16 @@
 	return pool.isSaveUrgent ? saveProgress(pool, undefined, context) : [];
 }
 
+/** Releases the objects of tasks that are done. Filters that handle an end after this one still look its task up. */
+function releaseTasks({releasableSteps}: PoolLedger): JobOutput[] {
+	for (const step of releasableSteps) {
+		releaseDoneTasks(step);
+	}
+
+	releasableSteps.clear();
+	return [];
+}
+
 function createDueOccurrences(pool: PoolLedger, context: DecisionContext): JobOutput[] {
 	const outputs: JobOutput[] = [];
 	for (const job of pool.activeJobs) {
--- a/packages/jobs/src/ledger/ledger-state.ts
+++ b/packages/jobs/src/ledger/ledger-state.ts
@@ -1,10 +1,12 @@
 import {
 	type EndedJob, type JobRecord, type JobStatus, type ProgressRecord, type Roster, type RunId, type StepSpec,
 } from '../model/index.js';
+import {getTask, isStepDone, type TaskTable} from './task-table.js';
 
 /** One task of a step. @public */
 export type Task = {
 	readonly id: string;
+	readonly index: number;
 	readonly step: Step;
 	isDone: boolean;
 	/** Numbers of the runs that failed; those of a gang are kept with its first task. */
@@ -24,7 +26,7 @@
 	readonly occurrence: number;
 	readonly index: number;
 	readonly spec: StepSpec;
-	readonly tasks: readonly Task[];
+	readonly tasks: TaskTable;
 	doneCount: number;
 };
 
@@ -101,6 +103,8 @@
 	readonly evacuatedEndpointIds: Set<string>;
 	/** Endpoints that have left the list for good since the roster was saved, and on which nothing can be running. */
 	readonly forgottenEndpointIds: Set<string>;
+	/** Steps with tasks that are done and still have objects. */
+	readonly releasableSteps: Set<Step>;
 	nextPurgeAt: number;
 };
 
@@ -138,6 +142,7 @@
 		earlyCancellations: new Set(),
 		evacuatedEndpointIds: new Set(),
 		forgottenEndpointIds: new Set(),
+		releasableSteps: new Set(),
 		nextPurgeAt: now,
 	};
 }
@@ -151,12 +156,13 @@
 export function isStepReady(step: Step): boolean {
 	return step.occurrence < step.job.createdOccurrences && step.spec.after.every(index => {
 		const before = step.job.steps.get(`${step.occurrence}.${index}`);
-		return before !== undefined && before.doneCount === before.tasks.length;
+		return before !== undefined && isStepDone(before);
 	});
 }
 
 /** Finds a task of a pool's jobs by its id. @public */
 export function findTask(pool: {readonly jobs: ReadonlyMap<string, Job>} | undefined, taskId: string): Task | undefined {
 	const [jobId = '', occurrence, step, index] = taskId.split('.');
-	return pool?.jobs.get(jobId)?.steps.get(`${occurrence}.${step}`)?.tasks[Number(index)];
+	const found = pool?.jobs.get(jobId)?.steps.get(`${occurrence}.${step}`);
+	return found === undefined ? undefined : getTask(found, Number(index));
 }
--- a/packages/jobs/src/ledger/restore-job.test.ts
+++ b/packages/jobs/src/ledger/restore-job.test.ts
@@ -1,6 +1,7 @@
 import {describe, expect, it} from 'vitest';
 import {createTestJob} from '../testing.test-support.js';
 import {createOccurrences, createReportedOccurrence, restoreJob} from './restore-job.js';
+import {completeTask, listPendingTasks} from './task-table.js';
 
 const wallTime = 1_000_000_000_000;
 
@@ -30,11 +31,10 @@
 			}, revision: 1, isCancelled: false,
 		}, {now: 0, wallTime});
 		expect(job.createdOccurrences).toBe(expected);
-		for (const task of job.steps.get('0.0')!.tasks) {
-			task.isDone = true;
+		for (const task of listPendingTasks(job.steps.get('0.0')!)) {
+			completeTask(task);
 		}
 
-		job.steps.get('0.0')!.doneCount = tasks;
 		expect(createOccurrences(job, {now: 0, wallTime})).toBe(expected < repeatCount);
 	});
 });
--- a/packages/jobs/src/ledger/restore-job.ts
+++ b/packages/jobs/src/ledger/restore-job.ts
@@ -1,7 +1,8 @@
-import {formatTaskId, type StoredJob} from '../model/index.js';
+import {type StoredJob} from '../model/index.js';
 import {
 	findTask, isActive, type Job, type PoolLedger, type Step, type Task,
 } from './ledger-state.js';
+import {countDoneTasks, createTaskTable, isStepDone} from './task-table.js';
 
 /**
 Number of run numbers that a new owner skips. A previous owner may have used some that are not saved: one per task for each start since the last save, and a task seldom has more starts than its attempts.
@@ -58,19 +59,22 @@
 
 /** Maximum number of open tasks of a job up to which further occurrences are created; others that are due wait. A recurring job whose start lies far in the past has them all due at once. */
 const maxOpenTasks = 20_000;
+/** The same for open steps, as each takes memory whether its tasks run or not. */
+const maxOpenSteps = 2000;
 
 /** Creates the steps of occurrences that have become due. @returns Whether there were any. @internal */
 export function createOccurrences(job: Job, {now, wallTime}: {readonly now: number; readonly wallTime: number}): boolean {
 	const countBefore = job.createdOccurrences;
 	const isDue = () => isActive(job) && job.createdOccurrences < getOccurrenceCount(job) && wallTime >= getDueAt(job, job.createdOccurrences);
-	let openTaskCount = isDue() ? countOpenTasks(job) : 0;
-	while (isDue() && openTaskCount < maxOpenTasks) {
+	const open = isDue() ? countOpen(job) : {tasks: 0, steps: 0};
+	while (isDue() && open.tasks < maxOpenTasks && open.steps < maxOpenSteps) {
 		if (!job.steps.has(`${job.createdOccurrences}.0`)) {
 			createOccurrence(job, job.createdOccurrences, now);
 		}
 
 		job.createdOccurrences += 1;
-		openTaskCount += job.record.spec.steps.reduce((sum, step) => sum + step.count, 0);
+		open.tasks += job.record.spec.steps.reduce((sum, step) => sum + step.count, 0);
+		open.steps += job.record.spec.steps.length;
 	}
 
 	return job.createdOccurrences > countBefore;
@@ -99,13 +103,14 @@
 	return findTask(pool, taskId);
 }
 
-function countOpenTasks(job: Job): number {
-	let count = 0;
+function countOpen(job: Job): {tasks: number; steps: number} {
+	const open = {tasks: 0, steps: 0};
 	for (const step of job.steps.values()) {
-		count += step.tasks.length - step.doneCount;
+		open.tasks += step.tasks.size - step.doneCount;
+		open.steps += isStepDone(step) ? 0 : 1;
 	}
 
-	return count;
+	return open;
 }
 
 /** Returns how many times the steps of a job run in total. @internal */
@@ -118,29 +123,19 @@
 }
 
 function createOccurrence(job: Job, occurrence: number, now: number): void {
+	const {steps: saved, failedRuns = {}} = job.restoredProgress;
 	for (const [index, spec] of job.record.spec.steps.entries()) {
 		const key = `${occurrence}.${index}`;
-		const saved = job.restoredProgress.steps[key] ?? '';
-		const tasks: Task[] = [];
-		const step: Step = {
-			key, job, occurrence, index, spec, tasks, doneCount: 0,
-		};
-		for (let number = 0; number < spec.count; number++) {
-			const mark = saved[number] ?? '.';
-			tasks.push({
-				id: formatTaskId({
-					jobId: job.record.id, occurrence, step: index, index: number,
-				}),
-				step,
-				isDone: mark === 'd',
-				failedRuns: new Set(job.restoredProgress.failedRuns?.[`${key}.${number}`]),
-				runs: new Map(),
-				checkpoint: '',
-				idleSince: now,
-			});
-		}
+		const tasks = createTaskTable(spec, saved[key] ?? '', now);
+		job.steps.set(key, {
+			key, job, occurrence, index, spec, tasks, doneCount: countDoneTasks(tasks),
+		});
+	}
 
-		step.doneCount = tasks.filter(task => task.isDone).length;
-		job.steps.set(key, step);
+	for (const [taskKey, runs] of Object.entries(failedRuns)) {
+		const task = taskKey.startsWith(`${occurrence}.`) ? findTask({jobs: new Map([[job.record.id, job]])}, `${job.record.id}.${taskKey}`) : undefined;
+		for (const run of task === undefined ? [] : runs) {
+			task?.failedRuns.add(run);
+		}
 	}
 }
--- a/packages/jobs/src/ledger/save-progress.ts
+++ b/packages/jobs/src/ledger/save-progress.ts
@@ -8,6 +8,7 @@
 import {
 	isActive, type Job, type PendingSave, type PoolLedger,
 } from './ledger-state.js';
+import {formatMarks} from './task-table.js';
 
 /**
 Maximum number of records in one save. A transaction takes 32 entries: the condition on the claim, two for the roster, and for each record a condition, a put and the removal of the job's record once it has ended.
@@ -201,10 +202,10 @@
 	const failedRuns: Record<string, readonly number[]> = {};
 	for (const step of isActive(job) ? job.steps.values() : []) {
 		if (step.doneCount > 0) {
-			steps[step.key] = step.tasks.map(task => task.isDone ? 'd' : '.').join('');
+			steps[step.key] = formatMarks(step.tasks);
 		}
 
-		for (const [index, task] of step.tasks.entries()) {
+		for (const [index, task] of step.tasks.started) {
 			if (task.failedRuns.size > 0) {
 				failedRuns[`${step.key}.${index}`] = [...task.failedRuns];
 			}
--- a/packages/jobs/src/observation/estimate-job.ts
+++ b/packages/jobs/src/observation/estimate-job.ts
@@ -1,4 +1,6 @@
-import {type Job, type Step} from '../ledger/index.js';
+import {
+	countRunningTasks, isStepDone, type Job, type Step,
+} from '../ledger/index.js';
 import {type StepSpec} from '../model/index.js';
 import {createDurationPredictor, type ObservationView} from './observation-state.js';
 
@@ -42,7 +44,7 @@
 export function estimateJob(job: Job, predict: DurationPredictor): JobEstimate {
 	return {
 		criticalPathMs: computeCriticalPathMs(job, predict, () => false),
-		remainingCriticalPathMs: computeCriticalPathMs(job, predict, step => step.doneCount === step.tasks.length),
+		remainingCriticalPathMs: computeCriticalPathMs(job, predict, step => isStepDone(step)),
 		remainingWork: computeRemainingWork(job, predict),
 		totalWork: computeTotalWork(job, predict),
 	};
@@ -55,12 +57,9 @@
 function computeRemainingWork(job: Job, predict: DurationPredictor): number {
 	let work = 0;
 	for (const step of job.steps.values()) {
-		const taskWork = step.spec.room.cpuMillis * predict(step.spec, step);
-		for (const task of step.tasks) {
-			if (!task.isDone) {
-				work += taskWork * (task.runs.size > 0 ? runningWorkShare : 1);
-			}
-		}
+		const runningCount = countRunningTasks(step);
+		const waitingCount = step.tasks.size - step.doneCount - runningCount;
+		work += step.spec.room.cpuMillis * predict(step.spec, step) * (waitingCount + (runningCount * runningWorkShare));
 	}
 
 	return work;
--- a/packages/jobs/src/observation/observation-filter.ts
+++ b/packages/jobs/src/observation/observation-filter.ts
@@ -83,7 +83,10 @@
 	const step = task?.step;
 	if (end.outcome === 'failed') {
 		const isEvidence = task === undefined || !task.step.spec.isLongRunning || recordFailure(observation, task, {tookMs, percent}, context);
-		observation.lastFailedEndpoints.set(end.taskId, endpointId);
+		if (task !== undefined) {
+			observation.lastFailedEndpoints.set(task, endpointId);
+		}
+
 		health.failuresInRow += isEvidence ? 1 : 0;
 		return !isEvidence || health.failuresInRow < failureLimit ? [] : avoidEndpoint(state, endpointId, 'consecutive runs failed', context);
 	}
@@ -92,7 +95,6 @@
 		return [];
 	}
 
-	observation.lastFailedEndpoints.delete(end.taskId);
 	health.failuresInRow = 0;
 	if (task === undefined || step === undefined || !wasExpected || step.spec.isLongRunning || observation.adoptedRuns.get(task) === end.run) {
 		return [];
@@ -211,7 +213,7 @@
 }
 
 function moveRun({observation}: State, supervised: Readonly<SupervisedEndpoint>, run: Readonly<Run>, task: Task, reason: string): JobOutput[] {
-	observation.lastFailedEndpoints.set(task.id, supervised.id);
+	observation.lastFailedEndpoints.set(task, supervised.id);
 	return [
 		emitCount('runs_moved_total'),
 		restartEvent({
--- a/packages/jobs/src/observation/observation-state.ts
+++ b/packages/jobs/src/observation/observation-state.ts
@@ -23,8 +23,8 @@
 	readonly stepDurations: WeakMap<Step, number>;
 	/** Cache of `getJobEstimate`. */
 	readonly jobEstimates: WeakMap<Job, CachedEstimate>;
-	/** Endpoint on which each task last failed, stalled or was slow, by task. */
-	readonly lastFailedEndpoints: Map<string, string>;
+	/** Endpoint on which each task last failed, stalled or was slow. */
+	readonly lastFailedEndpoints: WeakMap<Task, string>;
 	/** For long-running tasks that have failed before they were at work: number of such runs in a row, and in monotonic ms when the next one may start. */
 	readonly earlyEnds: WeakMap<Task, {readonly count: number; readonly retryAt: number}>;
 	/** Runs of long-running tasks that have been seen at work. */
@@ -42,7 +42,7 @@
 		readonly durationModels: ReadonlyMap<string, Readonly<DurationModel>>;
 		readonly stepDurations: Pick<WeakMap<Step, number>, 'get'>;
 		readonly jobEstimates: WeakMap<Job, CachedEstimate>;
-		readonly lastFailedEndpoints: ReadonlyMap<string, string>;
+		readonly lastFailedEndpoints: Pick<WeakMap<Task, string>, 'get'>;
 		readonly earlyEnds: Pick<WeakMap<Task, {readonly retryAt: number}>, 'get'>;
 	};
 };
@@ -50,7 +50,7 @@
 /** @public */
 export function createObservationState(): ObservationState {
 	return {
-		endpoints: new Map(), durationModels: new Map(), stepDurations: new WeakMap(), jobEstimates: new WeakMap(), lastFailedEndpoints: new Map(), earlyEnds: new WeakMap(), servingRuns: new WeakSet(), movedSlowTasks: new WeakSet(), adoptedRuns: new WeakMap(),
+		endpoints: new Map(), durationModels: new Map(), stepDurations: new WeakMap(), jobEstimates: new WeakMap(), lastFailedEndpoints: new WeakMap(), earlyEnds: new WeakMap(), servingRuns: new WeakSet(), movedSlowTasks: new WeakSet(), adoptedRuns: new WeakMap(),
 	};
 }
 
--- a/packages/jobs/src/placement/account-budgets.ts
+++ b/packages/jobs/src/placement/account-budgets.ts
@@ -2,7 +2,7 @@
 import {type DirectoryView} from '../directory/index.js';
 import {type JobOutput} from '../filter.js';
 import {
-	type Job, type LedgerView, type PoolLedger, type Step,
+	countPendingTasks, hasPendingTask, listIdleTimes, listPendingTasks, type Job, type LedgerView, type PoolLedger, type Step,
 } from '../ledger/index.js';
 import {
 	addResources, computeResources, hasCapacityFor, hasComponent, noResources, subtractResources, sumResources, type AccountDemand, type Resources,
@@ -16,7 +16,7 @@
 	addCount, chooseEndpoint, countFittingTasks, countRunsByEndpoint, reserveCandidate, type Candidate,
 } from './choose-endpoint.js';
 import {listReadySteps, type RankedJob} from './order-jobs.js';
-import {isPending, type PlacementState} from './placement-state.js';
+import {type PlacementState} from './placement-state.js';
 
 /** What a search may still start of one account. */
 type AccountBudget = {
@@ -148,8 +148,8 @@
 		const {room} = step.spec;
 		const counts = countRunsByEndpoint(step);
 		let stepCount = 0;
-		for (const task of step.tasks) {
-			if (!isPending(task) || isRetryDelayed(state, task, now)) {
+		for (const task of listPendingTasks(step)) {
+			if (isRetryDelayed(state, task, now)) {
 				continue;
 			}
 
@@ -191,11 +191,11 @@
 	const held: Job[] = [];
 	let {remaining} = budget;
 	for (const {job} of orderAccountJobs(jobs, budget.allowanceMillis)) {
-		const pendingSteps = listReadySteps(job).filter(({tasks}) => tasks.some(task => isPending(task)));
+		const pendingSteps = listReadySteps(job).filter(step => hasPendingTask(step));
 		let isStartable = pendingSteps.length === 0;
 		for (const step of pendingSteps) {
 			const resources = multiplyResources(step.spec.room, countTogether(step));
-			const pendingCount = step.tasks.filter(task => isPending(task)).length;
+			const pendingCount = countPendingTasks(step);
 			const fittingCount = countFittingTasks(candidates, step, pendingCount);
 			if (!budget.isReserved && hasBudgetFor(remaining, resources)) {
 				isStartable = true;
@@ -218,7 +218,7 @@
 
 /** Returns how many tasks of a step start together. */
 function countTogether({spec, tasks}: Step): number {
-	return spec.isGang ? tasks.length : 1;
+	return spec.isGang ? tasks.size : 1;
 }
 
 function holdStep(budget: AccountBudget, step: Step, resources: Resources, now: number): void {
@@ -228,11 +228,11 @@
 	}
 
 	budget.heldSteps.add(step);
-	budget.isReserved ||= !step.spec.isGang || step.tasks.some(task => now > task.idleSince + gangReservationDelayMs);
+	budget.isReserved ||= !step.spec.isGang || [...listIdleTimes(step)].some(idleSince => now > idleSince + gangReservationDelayMs);
 }
 
 function sumPendingTasks(job: Job): Resources {
-	return sumResources(listReadySteps(job).map(({spec, tasks}) => multiplyResources(spec.room, tasks.filter(task => isPending(task)).length)));
+	return sumResources(listReadySteps(job).map(step => multiplyResources(step.spec.room, countPendingTasks(step))));
 }
 
 /** Whether a budget covers resources; what takes nothing of a component needs none of it. */
--- a/packages/jobs/src/placement/choose-endpoint.ts
+++ b/packages/jobs/src/placement/choose-endpoint.ts
@@ -116,7 +116,7 @@
 	if (isLongRunning) {
 		// On two endpoints or more, so that losing one does not stop all tasks; on few, so that the others can be released.
 		const ownCount = counts.get(endpoint.id) ?? 0;
-		const isCrowded = ownCount > 0 && ownCount >= step.tasks.length / 2;
+		const isCrowded = ownCount > 0 && ownCount >= step.tasks.size / 2;
 		return rackCost + slowCost + freeShare + (isCrowded ? 2 : 0) - (servingCount > 0 ? 1 : 0) + (interferenceWeight * fillerCount);
 	}
 
@@ -126,7 +126,7 @@
 /** Counts the runs of a step by endpoint. @internal */
 export function countRunsByEndpoint(step: Step): Map<string, number> {
 	const counts = new Map<string, number>();
-	for (const task of step.tasks) {
+	for (const task of step.tasks.started.values()) {
 		for (const endpointId of task.runs.values()) {
 			addCount(counts, endpointId);
 		}
--- a/packages/jobs/src/placement/copy-for-search.ts
+++ b/packages/jobs/src/placement/copy-for-search.ts
@@ -25,16 +25,23 @@
 	const copies = new Map<Job, Job>();
 	const stepDurations = new WeakMap<Step, number>();
 	const earlyEnds = new WeakMap<Task, {readonly retryAt: number}>();
+	const lastFailedEndpoints = new WeakMap<Task, string>();
 	const copyMeasures = (step: Step, copy: Step) => {
 		const duration = state.observation.stepDurations.get(step);
 		if (duration !== undefined) {
 			stepDurations.set(copy, duration);
 		}
 
-		for (const [index, task] of step.tasks.entries()) {
+		for (const [index, task] of step.tasks.started) {
+			const taskCopy = copy.tasks.started.get(index)!;
 			const end = state.observation.earlyEnds.get(task);
 			if (end !== undefined) {
-				earlyEnds.set(copy.tasks[index]!, end);
+				earlyEnds.set(taskCopy, end);
+			}
+
+			const failedEndpoint = state.observation.lastFailedEndpoints.get(task);
+			if (failedEndpoint !== undefined) {
+				lastFailedEndpoints.set(taskCopy, failedEndpoint);
 			}
 		}
 	};
@@ -50,6 +57,7 @@
 		jobEstimates: new WeakMap(),
 		stepDurations: {get: step => stepDurations.get(step) ?? state.observation.stepDurations.get(step)},
 		earlyEnds: {get: task => earlyEnds.get(task) ?? state.observation.earlyEnds.get(task)},
+		lastFailedEndpoints: {get: task => lastFailedEndpoints.get(task) ?? state.observation.lastFailedEndpoints.get(task)},
 	};
 	const poolCopy = {...pool, activeJobs: new Set([...pool.activeJobs].map(job => copies.get(job) ?? job))};
 	return {
@@ -63,10 +71,10 @@
 function copyJob(job: Job, copyMeasures: (step: Step, copy: Step) => void): Job {
 	const copy: Job = {...job, steps: new Map()};
 	for (const [key, step] of job.steps) {
-		const tasks: Task[] = [];
-		const stepCopy: Step = {...step, job: copy, tasks};
-		for (const task of step.tasks) {
-			tasks.push({...task, step: stepCopy, runs: new Map(task.runs)});
+		const started = new Map<number, Task>();
+		const stepCopy: Step = {...step, job: copy, tasks: {...step.tasks, started}};
+		for (const [index, task] of step.tasks.started) {
+			started.set(index, {...task, step: stepCopy, runs: new Map(task.runs)});
 		}
 
 		copyMeasures(step, stepCopy);
--- a/packages/jobs/src/placement/displacement-policies.ts
+++ b/packages/jobs/src/placement/displacement-policies.ts
@@ -1,7 +1,7 @@
 import {type DecisionContext} from '@pistachiogauge/chain';
 import {type ConfigurationView} from '../configuration/index.js';
 import {type JobOutput} from '../filter.js';
-import {type Job, type PoolLedger} from '../ledger/index.js';
+import {type Job, type PoolLedger, type TaskTable} from '../ledger/index.js';
 import {type StepSpec} from '../model/index.js';
 import {getJobEstimate, type ObservationView} from '../observation/index.js';
 import {type SupervisionView} from '../supervision/index.js';
@@ -106,12 +106,21 @@
 	};
 }
 
+function countTasksWithRuns({started}: TaskTable): number {
+	let count = 0;
+	for (const {runs} of started.values()) {
+		count += runs.size > 0 ? 1 : 0;
+	}
+
+	return count;
+}
+
 /** Sums what the running tasks of some steps take; fillers take only what others leave. */
 function sumRunningMillis(job: Job, isCounted: (spec: StepSpec) => boolean): number {
 	let millis = 0;
 	for (const {spec, tasks} of job.steps.values()) {
 		if (!spec.isFiller && isCounted(spec)) {
-			millis += spec.room.cpuMillis * tasks.filter(task => task.runs.size > 0).length;
+			millis += spec.room.cpuMillis * countTasksWithRuns(tasks);
 		}
 	}
 
--- a/packages/jobs/src/placement/index.ts
+++ b/packages/jobs/src/placement/index.ts
@@ -9,7 +9,7 @@
 } from './displacement-state.js';
 export {type ObjectiveStatus, type RankedJob} from './order-jobs.js';
 export {
-	createPlacementState, isPending, type PlacementOptions, type PlacementState, type PreemptionCosts,
+	createPlacementState, type PlacementOptions, type PlacementState, type PreemptionCosts,
 } from './placement-state.js';
 export {
 	explainPlacement, type AccountExplanation, type EndpointExplanation, type LimitedResources, type PlacementExplanation, type PlacementQuestion, type StepExplanation,
--- a/packages/jobs/src/placement/order-jobs.ts
+++ b/packages/jobs/src/placement/order-jobs.ts
@@ -1,4 +1,6 @@
-import {isStepReady, type Job, type Step} from '../ledger/index.js';
+import {
+	isStepDone, isStepReady, listIdleTimes, type Job, type Step,
+} from '../ledger/index.js';
 import {type JobEstimate} from '../observation/index.js';
 import {lateFactor} from '../value/index.js';
 
@@ -117,10 +119,8 @@
 function findLatestDue(job: Job): number {
 	let latest = job.firstSeenAt;
 	for (const step of job.steps.values()) {
-		for (const task of step.tasks) {
-			if (!task.isDone) {
-				latest = Math.max(latest, task.idleSince);
-			}
+		for (const idleSince of listIdleTimes(step)) {
+			latest = Math.max(latest, idleSince);
 		}
 	}
 
@@ -129,5 +129,5 @@
 
 /** Lists the unfinished steps of a job whose dependencies are done. @internal */
 export function listReadySteps(job: Job): Step[] {
-	return [...job.steps.values()].filter(step => step.doneCount < step.tasks.length && isStepReady(step));
+	return [...job.steps.values()].filter(step => !isStepDone(step) && isStepReady(step));
 }
--- a/packages/jobs/src/placement/place-step.ts
+++ b/packages/jobs/src/placement/place-step.ts
@@ -1,7 +1,9 @@
 import {restartEvent, type DecisionContext} from '@pistachiogauge/chain';
 import {getPermittedMs, type AuthorityView} from '../authority/index.js';
 import {emitLog, type JobOutput} from '../filter.js';
-import {type Step, type Task} from '../ledger/index.js';
+import {
+	countPendingTasks, keepTask, listPendingTasks, type Step, type Task,
+} from '../ledger/index.js';
 import {isRetryDelayed, type ObservationView} from '../observation/index.js';
 import {type SupervisionView} from '../supervision/index.js';
 import {
@@ -9,7 +11,7 @@
 } from './choose-endpoint.js';
 import {takeFromBudget} from './account-budgets.js';
 import {recordUnplacedStep, type PlacementSearch} from './placement-search.js';
-import {isPending, type PlacementState, type WaitReason} from './placement-state.js';
+import {type PlacementState, type WaitReason} from './placement-state.js';
 import {
 	canRequestAdvice, getTicket, listAllowedCandidates, listTicketedCandidates, requestAdvice,
 } from './step-advice.js';
@@ -29,12 +31,12 @@
 	const ticketed = listTicketedCandidates(state, step, candidates, context);
 	const run = step.job.lastRun + 1;
 	const counts = countRunsByEndpoint(step);
-	for (const task of step.tasks) {
-		if (!isPending(task) || isRetryDelayed(state, task, context.now)) {
+	for (const task of listPendingTasks(step)) {
+		if (isRetryDelayed(state, task, context.now)) {
 			continue;
 		}
 
-		const chosen = chooseEndpoint(ticketed, task, counts, state.observation.lastFailedEndpoints.get(task.id));
+		const chosen = chooseEndpoint(ticketed, task, counts, state.observation.lastFailedEndpoints.get(task));
 		if (chosen === undefined) {
 			return {
 				outputs: [...placed, ...requestStepAdvice(state, step, candidates, context)],
@@ -59,14 +61,13 @@
 	}
 
 	const runnable = listRunnableCandidates(candidates, step);
-	const pendingCount = step.tasks.filter(task => isPending(task)).length;
-	return requestAdvice(state, step, {renewable: listAllowedCandidates(state, step, runnable).slice(0, Math.max(minRenewedTickets, pendingCount)), others: runnable}, context);
+	return requestAdvice(state, step, {renewable: listAllowedCandidates(state, step, runnable).slice(0, Math.max(minRenewedTickets, countPendingTasks(step))), others: runnable}, context);
 }
 
 /** Places either all tasks of a gang or none, as they cannot progress without each other. @internal */
 export function placeGang(state: State, step: Step, search: PlacementSearch, context: DecisionContext): PlacementResult {
 	const {candidates} = search;
-	if (!step.tasks.every(task => isPending(task) && !isRetryDelayed(state, task, context.now))) {
+	if (countPendingTasks(step) < step.tasks.size || [...step.tasks.started.values()].some(task => isRetryDelayed(state, task, context.now))) {
 		return {outputs: [], waitReason: undefined};
 	}
 
@@ -78,14 +79,15 @@
 		};
 	}
 
-	if (!takeFromBudget(search.budgets, step, step.tasks.length, context.now)) {
+	if (!takeFromBudget(search.budgets, step, step.tasks.size, context.now)) {
 		return {outputs: [], waitReason: 'account-cap'};
 	}
 
 	const run = step.job.lastRun + 1;
 	// All members resume from the same checkpoint; that of any member is valid for the whole gang.
-	const checkpoint = step.tasks.map(task => task.checkpoint).sort().at(-1) ?? '';
-	const outputs = step.tasks.flatMap((task, index) => placeTask(state, {
+	const members = [...listPendingTasks(step)];
+	const checkpoint = members.map(task => task.checkpoint).sort().at(-1) ?? '';
+	const outputs = members.flatMap((task, index) => placeTask(state, {
 		task, run, chosen: places[index]!, checkpoint,
 	}, context));
 	return {outputs, waitReason: undefined};
@@ -107,7 +109,7 @@
 		const copies = group.map(candidate => ({...candidate}));
 		const counts = countRunsByEndpoint(step);
 		const places: Candidate[] = [];
-		for (const task of step.tasks) {
+		for (const task of listPendingTasks(step)) {
 			const chosen = chooseEndpoint(copies, task, counts, undefined);
 			if (chosen === undefined) {
 				break;
@@ -118,7 +120,7 @@
 			places.push(group[copies.indexOf(chosen)]!);
 		}
 
-		if (places.length === step.tasks.length) {
+		if (places.length === step.tasks.size) {
 			return places;
 		}
 	}
@@ -150,6 +152,7 @@
 	const {placement, authority, supervision} = state;
 	reserveCandidate(chosen, task.step);
 	// Lets the rest of this search count the run; the ledger records it when the event arrives there.
+	keepTask(task);
 	task.runs.set(run, chosen.endpoint.id);
 	const reserved = placement.reservedSteps.get(chosen.endpoint.id) ?? new Map<string, Step>();
 	placement.reservedSteps.set(chosen.endpoint.id, reserved.set(task.id, task.step));
--- a/packages/jobs/src/placement/placement-filter.ts
+++ b/packages/jobs/src/placement/placement-filter.ts
@@ -4,7 +4,7 @@
 import {type EvacuationView} from '../evacuation/index.js';
 import {emitCount, type JobFilter, type JobOutput} from '../filter.js';
 import {
-	findTask, isStepReady, type Job, type LedgerView, type PoolLedger, type Step,
+	findTask, hasPendingTask, isStepDone, isStepReady, type Job, type LedgerView, type PoolLedger, type Step,
 } from '../ledger/index.js';
 import {getJobEstimate, type ObservationView} from '../observation/index.js';
 import {type QuotaView} from '../quota/index.js';
@@ -24,7 +24,7 @@
 import {
 	createPlacementSearch, getKnownWaitReason, isAttainable, recordWaitingJob, reportWaitingJobs, type PlacementSearch,
 } from './placement-search.js';
-import {isPending, type PlacementState} from './placement-state.js';
+import {type PlacementState} from './placement-state.js';
 import {
 	expireTicket, isBarredEverywhere, recordAdvice, removeUnusedAdvice,
 } from './step-advice.js';
@@ -199,7 +199,7 @@
 function hasAttainableStep(state: State, search: PlacementSearch, job: Job): boolean {
 	let hasReadyStep = false;
 	for (const step of job.steps.values()) {
-		if (step.doneCount === step.tasks.length || !isStepReady(step)) {
+		if (isStepDone(step) || !isStepReady(step)) {
 			continue;
 		}
 
@@ -220,7 +220,7 @@
 
 /** Places the pending tasks of a step, unless it is known that none can start. @internal */
 export function placeWaitingStep(state: State, search: PlacementSearch, step: Step, context: DecisionContext): PlacementResult {
-	if (!step.tasks.some(task => isPending(task))) {
+	if (!hasPendingTask(step)) {
 		return {outputs: [], waitReason: undefined};
 	}
 
@@ -244,7 +244,7 @@
 /** Whether a task of any of the steps waits for a start. @internal */
 export function hasPendingTasks(steps: Iterable<Step>): boolean {
 	for (const step of steps) {
-		if (step.doneCount < step.tasks.length && step.tasks.some(task => isPending(task))) {
+		if (hasPendingTask(step)) {
 			return true;
 		}
 	}
--- a/packages/jobs/src/placement/placement-state.ts
+++ b/packages/jobs/src/placement/placement-state.ts
@@ -1,4 +1,4 @@
-import {type Step, type Task} from '../ledger/index.js';
+import {type Step} from '../ledger/index.js';
 import {type DisplacementPolicy, type PoolDisplacement} from './displacement-state.js';
 
 /** Ticket for starting the tasks of a step on an endpoint. @public */
@@ -105,8 +105,3 @@
 		options, preemptionCosts: options.preemptionCosts ?? defaultPreemptionCosts, displacements: new Map(), accountLabels: new Set(), reservedSteps: new Map(), searchedAt: new Map(), searchSizes: new Map(), duePools: new Set(), advice: new Map(), blockedSteps: new WeakMap(), waitLoggedAt: new Map(), endpointUses: new Map(),
 	};
 }
-
-/** Whether a task waits for a start. @internal */
-export function isPending(task: Task): boolean {
-	return !task.isDone && task.runs.size === 0;
-}
--- a/packages/jobs/src/placement/preempt-runs.ts
+++ b/packages/jobs/src/placement/preempt-runs.ts
@@ -1,7 +1,7 @@
 import {restartEvent, type DecisionContext} from '@pistachiogauge/chain';
 import {emitCount, emitLog, type JobOutput} from '../filter.js';
 import {
-	findTask, type Job, type PoolLedger, type Step, type Task,
+	findTask, listPendingTasks, type Job, type PoolLedger, type Step, type Task,
 } from '../ledger/index.js';
 import {
 	addResources, hasCapacityFor, subtractResources, type Resources,
@@ -17,7 +17,7 @@
 	listReadySteps, rankJob, type ObjectiveStatus, type RankedJob,
 } from './order-jobs.js';
 import {type PlacementSearch} from './placement-search.js';
-import {isPending, type PlacementState, type PreemptionCosts} from './placement-state.js';
+import {type PlacementState, type PreemptionCosts} from './placement-state.js';
 import {getAccount} from './classify-jobs.js';
 import {getAccountLabel} from './report-displaced.js';
 
@@ -87,7 +87,7 @@
 		}
 
 		for (const step of listReadySteps(ranked.job).filter(({spec}) => !spec.isGang && !spec.isLongRunning)) {
-			for (const task of step.tasks.filter(other => isPending(other))) {
+			for (const task of listPendingTasks(step)) {
 				predictedCount += 1;
 				if (predictedCount > maxPredictedTasks || victimSearchCount >= maxVictimSearches) {
 					return outputs;
--- a/packages/jobs/src/placement/step-advice.ts
+++ b/packages/jobs/src/placement/step-advice.ts
@@ -1,6 +1,8 @@
 import {emitEffect, type DecisionContext} from '@pistachiogauge/chain';
 import {emitCount, emitLog, type JobOutput} from '../filter.js';
-import {isActive, type LedgerView, type Step} from '../ledger/index.js';
+import {
+	isActive, isStepDone, type LedgerView, type Step,
+} from '../ledger/index.js';
 import {type JobEventOf} from '../model/index.js';
 import {type Candidate} from './choose-endpoint.js';
 import {type PlacementState, type StepAdvice, type Ticket} from './placement-state.js';
@@ -141,7 +143,7 @@
 export function removeUnusedAdvice({placement, ledger}: State & LedgerView): void {
 	for (const [stepId, {step}] of placement.advice) {
 		const {job} = step;
-		const isOpen = isActive(job) && step.doneCount < step.tasks.length;
+		const isOpen = isActive(job) && !isStepDone(step);
 		if (!isOpen || ledger.pools.get(job.record.pool)?.jobs.get(job.record.id) !== job) {
 			placement.advice.delete(stepId);
 		}
--- a/packages/jobs/src/quota/account-usage.ts
+++ b/packages/jobs/src/quota/account-usage.ts
@@ -1,6 +1,6 @@
 import {type DirectoryView} from '../directory/index.js';
 import {
-	type Job, type LedgerView, type PoolLedger, type Step,
+	countPendingTasks, type Job, type LedgerView, type PoolLedger, type Step,
 } from '../ledger/index.js';
 import {
 	addResources, computeResources, noResources, subtractResources, sumResources, type Resources,
@@ -75,7 +75,7 @@
 
 /** Sums the tasks of a loaded job that a previous owner may have started: also those of later steps, as it may not have saved that the steps before are done. */
 function sumUnstartedTasks({steps}: Job): Resources {
-	return sumResources([...steps.values()].map(({spec, tasks}) => multiplyResources(spec.room, tasks.filter(task => !task.isDone && task.runs.size === 0).length)));
+	return sumResources([...steps.values()].map(step => multiplyResources(step.spec.room, countPendingTasks(step))));
 }
 
 function addEndpoint(usage: Map<string, AccountUsage>, endpoint: Readonly<SupervisedEndpoint>, {directory}: DirectoryView): void {
--- a/packages/jobs/src/reporting/list-needed-endpoints.test.ts
+++ b/packages/jobs/src/reporting/list-needed-endpoints.test.ts
@@ -1,6 +1,7 @@
 import {expect, it} from 'vitest';
 import {createJobsState} from '../jobs-state.js';
-import {createPoolLedger} from '../ledger/ledger-state.js';
+import {createPoolLedger, findTask} from '../ledger/ledger-state.js';
+import {keepTask, listPendingTasks} from '../ledger/task-table.js';
 import {type StepSpec} from '../model/index.js';
 import {
 	createTestEndpoint, createTestJob, createTestRun, createTestSupervisedEndpoint,
@@ -66,7 +67,8 @@
 	const pool = createPoolLedger({pool: 'desk', token: 1, now: 0});
 	const job = createTestJob('job', [step]);
 	pool.activeJobs.add(job);
-	for (const task of job.steps.get('0.0')!.tasks) {
+	for (const task of listPendingTasks(job.steps.get('0.0')!)) {
+		keepTask(task);
 		task.idleSince = now - waitedMs;
 		if (isRetryDelayed) {
 			state.observation.earlyEnds.set(task, {count: 1, retryAt: now + 1});
@@ -74,7 +76,7 @@
 	}
 
 	for (const [index, id] of running.entries()) {
-		job.steps.get('0.0')!.tasks[index]!.runs.set(1, id);
+		findTask({jobs: new Map([['job', job]])}, `job.0.0.${index}`)!.runs.set(1, id);
 	}
 
 	for (const id of endpointIds) {
--- a/packages/jobs/src/reporting/list-needed-endpoints.ts
+++ b/packages/jobs/src/reporting/list-needed-endpoints.ts
@@ -1,12 +1,12 @@
 import {type DirectoryView} from '../directory/index.js';
 import {type EvacuationView} from '../evacuation/index.js';
 import {
-	isStepReady, type Job, type LedgerView, type PoolLedger, type Step,
+	isStepDone, isStepReady, listPendingTasks, type Job, type LedgerView, type PoolLedger, type Step,
 } from '../ledger/index.js';
 import {hasCapacityFor, subtractResources} from '../model/index.js';
 import {isRetryDelayed, type ObservationView} from '../observation/index.js';
 import {
-	addCount, chooseEndpoint, countRunsByEndpoint, isPending, reserveCandidate, type Candidate,
+	addCount, chooseEndpoint, countRunsByEndpoint, reserveCandidate, type Candidate,
 } from '../placement/index.js';
 import {getAllowance, measurePoolUsage, type QuotaView} from '../quota/index.js';
 import {type SupervisionView} from '../supervision/index.js';
@@ -34,12 +34,12 @@
 		}
 
 		const counts = countRunsByEndpoint(step);
-		for (const task of step.tasks) {
+		for (const task of listPendingTasks(step)) {
 			if (needed.size === candidates.length || taskCount >= maxTasks) {
 				return listIds(needed);
 			}
 
-			if (!isPending(task) || now < task.idleSince + minWaitMs || isRetryDelayed(state, task, now)) {
+			if (now < task.idleSince + minWaitMs || isRetryDelayed(state, task, now)) {
 				continue;
 			}
 
@@ -81,9 +81,9 @@
 /** Lists the ready steps of long-running tasks, and those of jobs of which nothing runs. */
 function * listStandingSteps(jobs: Iterable<Job>): Generator<Step> {
 	for (const job of jobs) {
-		const isRunning = [...job.steps.values()].some(({tasks}) => tasks.some(({runs}) => runs.size > 0));
+		const isRunning = [...job.steps.values()].some(({tasks}) => [...tasks.started.values()].some(({runs}) => runs.size > 0));
 		for (const step of job.isAwaitingSurvey ? [] : job.steps.values()) {
-			if (step.doneCount < step.tasks.length && (step.spec.isLongRunning || !isRunning) && isStepReady(step)) {
+			if (!isStepDone(step) && (step.spec.isLongRunning || !isRunning) && isStepReady(step)) {
 				yield step;
 			}
 		}
--- a/packages/jobs/src/reporting/measure-load.ts
+++ b/packages/jobs/src/reporting/measure-load.ts
@@ -1,4 +1,4 @@
-import {isStepReady, type Job} from '../ledger/index.js';
+import {countPendingTasks, isStepReady, type Job} from '../ledger/index.js';
 
 /** An amount of CPU and memory; memory may be what a pool runs short of first. @internal */
 export type Load = {readonly cpuMillis: number; readonly memoryMb: number};
@@ -44,22 +44,19 @@
 		const {spec, tasks} = step;
 		hasWork ||= !spec.isLongRunning;
 		let runCount = 0;
-		let waitingCount = 0;
-		for (const task of tasks) {
+		for (const task of tasks.started.values()) {
 			for (const endpointId of task.runs.values()) {
 				busy.add(endpointId);
 				runCount += 1;
 			}
-
-			waitingCount += isReady && !task.isDone && task.runs.size === 0 ? 1 : 0;
 		}
 
 		const load = spec.isFiller ? noLoad : spec.room;
 		used = addLoad(used, load, runCount);
-		backlog = addLoad(backlog, load, waitingCount);
+		backlog = addLoad(backlog, load, isReady ? countPendingTasks(step) : 0);
 		if (spec.isLongRunning) {
-			serving = addLoad(serving, load, tasks.length);
-			endpointMinimum = Math.max(endpointMinimum, Math.ceil(tasks.length / (spec.endpointLimit ?? tasks.length)));
+			serving = addLoad(serving, load, tasks.size);
+			endpointMinimum = Math.max(endpointMinimum, Math.ceil(tasks.size / (spec.endpointLimit ?? tasks.size)));
 		}
 	}
 
