Limit the starts on their way, and append lists of work without the call stack

Cause: a search passed the outputs for 80,000 placed tasks as arguments of one push, which throws above about 120,000. The chain drops the outputs of a handler that fails, but the runs were in the ledger already, so the tasks counted as running. Evidence: `event handler failed` of the filter placement with a RangeError, no start of these jobs, and no process that ended; memory and starts that time out are ruled out. Lists that grow with the work are appended item by item now, with a lint rule. Placement limits what is on its way (64 starts an endpoint, 1,000 a search, 20,000 runs an entry) with a reserve for the first task of each job, as that many starts would otherwise wait for connections until they are not valid any more.

--- a/packages/chain/src/index.ts
+++ b/packages/chain/src/index.ts
@@ -3,5 +3,6 @@
 
 @packageDocumentation
 */
+export * from './append-items.js';
 export * from './chain.js';
 export * from './context.js';
--- a/packages/decisions/src/audit/audit-call.ts
+++ b/packages/decisions/src/audit/audit-call.ts
@@ -1,3 +1,4 @@
+import {appendItems} from '@pistachiogauge/chain';
 import {storeKeys, type EventOf} from '@pistachiogauge/model';
 import {emitEffect, restartEvent, type Output} from '../chain.js';
 import {type EntryState} from '../entry-state.js';
@@ -54,7 +55,7 @@
 	for (const {key, value} of [...entries].sort((left, right) => left.key < right.key ? -1 : 1)) {
 		const segment = segmentSchema.safeParse(parseJson(value));
 		if (segment.success) {
-			records.push(...segment.data);
+			appendItems(records, segment.data);
 		} else {
 			unreadable.push(`segment ${key.slice(storeKeys.auditPrefix.length)} cannot be read`);
 		}
--- a/packages/decisions/src/dispatch/attempts.ts
+++ b/packages/decisions/src/dispatch/attempts.ts
@@ -1,3 +1,4 @@
+import {appendItems} from '@pistachiogauge/chain';
 import {
 	type AttemptResult, type AttemptFailure, type ListedInstance, type PoolName, type PoolWork,
 } from '@pistachiogauge/model';
@@ -58,7 +59,7 @@
 		}
 
 		const next = removeNextRunnable(state, flow, context);
-		outputs.push(...next.outputs);
+		appendItems(outputs, next.outputs);
 		if (next.work !== undefined) {
 			// `freeSlots` is positive, so an instance has a free slot.
 			const instance = chooseInstance(state, instances, next.work, context)!;
--- a/packages/decisions/src/dispatch/dispatch-filter.ts
+++ b/packages/decisions/src/dispatch/dispatch-filter.ts
@@ -1,3 +1,4 @@
+import {appendItems} from '@pistachiogauge/chain';
 import {type Filter, type Output} from '../chain.js';
 import {endAttempt, releaseHeldSlots, startAttempts} from './attempts.js';
 import {dropIdleFlows, recordOfferedLoad} from './flows.js';
@@ -42,7 +43,8 @@
 			releaseHeldSlots(state, context);
 			const outputs: Output[] = [];
 			for (const [pool, queue] of state.dispatch.queues) {
-				outputs.push(...expireWaitingRequests(state, queue, context), ...startAttempts(state, pool, context));
+				appendItems(outputs, expireWaitingRequests(state, queue, context));
+				appendItems(outputs, startAttempts(state, pool, context));
 				dropIdleFlows(queue, context);
 			}
 
--- a/packages/decisions/src/fleet/advance-pool.ts
+++ b/packages/decisions/src/fleet/advance-pool.ts
@@ -1,3 +1,4 @@
+import {appendItems} from '@pistachiogauge/chain';
 import {type PoolName, type PoolRecord} from '@pistachiogauge/model';
 import {type Output} from '../chain.js';
 import {type DecisionContext} from '../context.js';
@@ -36,7 +37,7 @@
 		const step = advanceStop({
 			state, owned, pool, id, permit, context,
 		});
-		outputs.push(...step.outputs);
+		appendItems(outputs, step.outputs);
 		if (step.permit === permit) {
 			continue;
 		}
--- a/packages/decisions/src/fleet/fleet-filter.ts
+++ b/packages/decisions/src/fleet/fleet-filter.ts
@@ -1,3 +1,4 @@
+import {appendItems} from '@pistachiogauge/chain';
 import {type EventOf, type PoolName} from '@pistachiogauge/model';
 import {type Filter, type Output} from '../chain.js';
 import {type DecisionContext} from '../context.js';
@@ -79,7 +80,7 @@
 		tick(state, _event, context) {
 			const outputs: Output[] = [];
 			for (const [pool, owned] of state.fleet.owned) {
-				outputs.push(...(owned.isFenced ? runPool(state, pool, context) : retryTakeover(state, pool, context)));
+				appendItems(outputs, owned.isFenced ? runPool(state, pool, context) : retryTakeover(state, pool, context));
 			}
 
 			return outputs;
--- a/packages/decisions/src/fleet/pool-calls.ts
+++ b/packages/decisions/src/fleet/pool-calls.ts
@@ -1,3 +1,4 @@
+import {appendItems} from '@pistachiogauge/chain';
 import {
 	type InstanceId, type OperatorCommand, type OperatorCommandName, type PoolName, type PoolRecord,
 } from '@pistachiogauge/model';
@@ -106,7 +107,7 @@
 			break;
 		}
 
-		outputs.push(...runCall(state, pool, call, context));
+		appendItems(outputs, runCall(state, pool, call, context));
 	}
 
 	return outputs;
--- a/packages/decisions/src/fleet/pool-write.ts
+++ b/packages/decisions/src/fleet/pool-write.ts
@@ -1,3 +1,4 @@
+import {appendItems} from '@pistachiogauge/chain';
 import {
 	poolRecordSchema, storeKeys, type EventOf, type PoolName, type PoolRecord,
 } from '@pistachiogauge/model';
@@ -180,14 +181,14 @@
 	const write = owned.pendingWrite;
 	if (write !== undefined && !write.hasAnsweredCalls && context.now - write.startedAt > callTimeoutMs) {
 		write.hasAnsweredCalls = true;
-		outputs.push(...listUndecidedCalls(write).map(({call}) => restartEvent({
+		appendItems(outputs, listUndecidedCalls(write).map(({call}) => restartEvent({
 			kind: 'operator-answered', callId: call.callId, status: 504, body: {outcome: 'unknown', message: 'the store does not answer; see the status of the pool later'},
 		})));
 	}
 
 	const expiredCalls = owned.calls.filter(call => context.now - call.receivedAt > callTimeoutMs);
 	owned.calls = owned.calls.filter(call => !expiredCalls.includes(call));
-	outputs.push(...expiredCalls.flatMap(call => rejectCall(call, 503, 'an earlier change of the pool waits for the store; nothing was done')));
+	appendItems(outputs, expiredCalls.flatMap(call => rejectCall(call, 503, 'an earlier change of the pool waits for the store; nothing was done')));
 	return outputs;
 }
 
--- a/packages/decisions/src/health/health-filter.ts
+++ b/packages/decisions/src/health/health-filter.ts
@@ -1,3 +1,4 @@
+import {appendItems} from '@pistachiogauge/chain';
 import {type EventOf, type InstanceId} from '@pistachiogauge/model';
 import {getServiceTimes} from '../admission/index.js';
 import {emitEffect, type Filter, type Output} from '../chain.js';
@@ -60,7 +61,7 @@
 				}
 
 				if (health.stage === 'distrusted' && context.now >= health.backoffUntil) {
-					outputs.push(...probeInstance(state, id, health, context));
+					appendItems(outputs, probeInstance(state, id, health, context));
 				}
 			}
 
@@ -115,7 +116,7 @@
 	health.unattributedTimeouts = 0;
 	const outputs: Output[] = [];
 	for (let count = 0; count < failures; count += 1) {
-		outputs.push(...recordFailure(state, instanceId, health, context));
+		appendItems(outputs, recordFailure(state, instanceId, health, context));
 	}
 
 	return outputs;
--- a/packages/decisions/src/idempotency/pool-roles.ts
+++ b/packages/decisions/src/idempotency/pool-roles.ts
@@ -1,3 +1,4 @@
+import {appendItems} from '@pistachiogauge/chain';
 import {type EventOf, type PoolAssignment, type PoolName} from '@pistachiogauge/model';
 import {emitEffect, type Output} from '../chain.js';
 import {type DecisionContext} from '../context.js';
@@ -119,7 +120,7 @@
 	const requestsToReturn: KeyWaiter[] = [];
 	for (const record of poolKeys.keys.values()) {
 		if (isUnsent(record, running)) {
-			requestsToReturn.push(...record.waiters);
+			appendItems(requestsToReturn, record.waiters);
 			removeKey(state, record);
 		}
 	}
@@ -140,10 +141,8 @@
 	const outputs: Output[] = [];
 	for (const [pool, {handoverUntil}] of state.idempotency.pools) {
 		if (handoverUntil !== undefined && context.now >= handoverUntil) {
-			outputs.push(
-				emitEffect({kind: 'count', metric: 'key_handovers_missed_total', by: 1}),
-				...resumeWaitingRequests(state, pool, context),
-			);
+			outputs.push(emitEffect({kind: 'count', metric: 'key_handovers_missed_total', by: 1}));
+			appendItems(outputs, resumeWaitingRequests(state, pool, context));
 		}
 	}
 
--- a/packages/decisions/src/idempotency/reserve-key.ts
+++ b/packages/decisions/src/idempotency/reserve-key.ts
@@ -1,3 +1,4 @@
+import {appendItems} from '@pistachiogauge/chain';
 import {type EventOf} from '@pistachiogauge/model';
 import {
 	emitEffect, passEvent, restartEvent, type Output,
@@ -61,7 +62,7 @@
 		}
 
 		if (context.now - record.reservationSentAt >= reservationRetryIntervalMs) {
-			outputs.push(...sendReservation(state, record, context));
+			appendItems(outputs, sendReservation(state, record, context));
 		}
 	}
 
--- a/packages/decisions/src/idempotency/send-keys.ts
+++ b/packages/decisions/src/idempotency/send-keys.ts
@@ -1,3 +1,4 @@
+import {appendItems} from '@pistachiogauge/chain';
 import {
 	type CopiedKey, type EntryId, type EventOf, type PoolName,
 } from '@pistachiogauge/model';
@@ -77,7 +78,7 @@
 		const hasTimedOut = context.now - transfer.startedAt > (transfer.isHandover ? handoverTimeoutMs : copyTimeoutMs);
 		const isOutdated = transfer.epoch !== state.membership.record?.epoch || !state.membership.links.has(transfer.to);
 		if (hasTimedOut || isOutdated) {
-			outputs.push(...endTransfer(state, transfer, false));
+			appendItems(outputs, endTransfer(state, transfer, false));
 		} else if (context.now - transfer.sentAt >= chunkRetryIntervalMs) {
 			outputs.push(sendChunk(state, transfer, context));
 		}
@@ -98,7 +99,7 @@
 
 		const isRunning = [...idempotency.transfers].some(transfer => transfer.pool === pool && transfer.to === standby);
 		if (!isRunning) {
-			outputs.push(...startTransfer(state, pool, standby, undefined, context));
+			appendItems(outputs, startTransfer(state, pool, standby, undefined, context));
 		}
 	}
 
--- a/packages/decisions/src/idempotency/settle-key.ts
+++ b/packages/decisions/src/idempotency/settle-key.ts
@@ -1,3 +1,4 @@
+import {appendItems} from '@pistachiogauge/chain';
 import {type EntryId, type EventOf, type RequestResult} from '@pistachiogauge/model';
 import {emitEffect, restartEvent, type Output} from '../chain.js';
 import {type DecisionContext} from '../context.js';
@@ -98,7 +99,7 @@
 		if (!state.membership.links.has(record.runningEntryId)) {
 			record.runningEntryId = undefined;
 			state.idempotency.awaitingPeer.delete(record);
-			outputs.push(...answerWaiters(state, record, createUnknownResult('connection-lost')));
+			appendItems(outputs, answerWaiters(state, record, createUnknownResult('connection-lost')));
 			continue;
 		}
 
--- a/packages/decisions/src/invariants/invariants-filter.ts
+++ b/packages/decisions/src/invariants/invariants-filter.ts
@@ -1,3 +1,4 @@
+import {appendItems} from '@pistachiogauge/chain';
 import {type EntryEvent, type EntryEventKind} from '@pistachiogauge/model';
 import {
 	emitEffect, type Filter, type HandlerTable, type Output,
@@ -40,7 +41,7 @@
 		for (const {name, check} of checks) {
 			const detail = check(state, event, context);
 			if (detail !== undefined) {
-				outputs.push(...reportViolation(name, detail));
+				appendItems(outputs, reportViolation(name, detail));
 			}
 		}
 
--- a/packages/decisions/src/routing/routing-filter.ts
+++ b/packages/decisions/src/routing/routing-filter.ts
@@ -1,3 +1,4 @@
+import {appendItems} from '@pistachiogauge/chain';
 import {
 	type EntryId, type EventOf, type PoolName, type RequestResult, type ServiceRequest,
 } from '@pistachiogauge/model';
@@ -79,7 +80,7 @@
 			for (const routed of state.routing.requests.values()) {
 				if (routed.heldBy === event.entryId) {
 					markHolderLost(routed);
-					outputs.push(...routeRequest(state, routed, context));
+					appendItems(outputs, routeRequest(state, routed, context));
 				}
 			}
 
@@ -91,12 +92,12 @@
 			const outputs: Output[] = [];
 			for (const [requestId, routed] of state.routing.requests) {
 				if (context.now >= routed.deadlineAt + (routed.heldBy === undefined ? 0 : answerGraceMs)) {
-					outputs.push(...finishRequest(state, requestId, createDeadlineResult(routed)));
+					appendItems(outputs, finishRequest(state, requestId, createDeadlineResult(routed)));
 					continue;
 				}
 
 				if (routed.heldBy === undefined) {
-					outputs.push(...routeRequest(state, routed, context));
+					appendItems(outputs, routeRequest(state, routed, context));
 				}
 			}
 
@@ -196,7 +197,7 @@
 			markHolderLost(routed);
 		}
 
-		outputs.push(...routeRequest(state, routed, context));
+		appendItems(outputs, routeRequest(state, routed, context));
 	}
 
 	return outputs;
--- a/packages/decisions/src/tasks/task-schedule.ts
+++ b/packages/decisions/src/tasks/task-schedule.ts
@@ -1,3 +1,4 @@
+import {appendItems} from '@pistachiogauge/chain';
 import {
 	type PoolName, type RequestClass, type ServiceRequest, type TaskRecord,
 } from '@pistachiogauge/model';
@@ -49,7 +50,7 @@
 		}
 
 		freeSlots -= 1;
-		outputs.push(...startTask(state, pool, poolTasks, task, context));
+		appendItems(outputs, startTask(state, pool, poolTasks, task, context));
 	}
 
 	return outputs;
--- a/packages/decisions/src/tasks/tasks-filter.ts
+++ b/packages/decisions/src/tasks/tasks-filter.ts
@@ -1,3 +1,4 @@
+import {appendItems} from '@pistachiogauge/chain';
 import {
 	type EventOf, type OutcomeReason, type RequestResult, type TaskRecord,
 } from '@pistachiogauge/model';
@@ -83,10 +84,11 @@
 			const outputs: Output[] = [];
 			for (const [pool, poolTasks] of state.tasks.pools) {
 				if (!poolTasks.isLoaded && context.now >= poolTasks.nextLoadAt) {
-					outputs.push(...loadPages(state, pool, poolTasks, context));
+					appendItems(outputs, loadPages(state, pool, poolTasks, context));
 				}
 
-				outputs.push(...startTasks(state, pool, poolTasks, context), ...writePages(state, pool, poolTasks, context));
+				appendItems(outputs, startTasks(state, pool, poolTasks, context));
+				appendItems(outputs, writePages(state, pool, poolTasks, context));
 			}
 
 			return outputs;
--- a/packages/jobs/src/authority/request-claims.ts
+++ b/packages/jobs/src/authority/request-claims.ts
@@ -1,4 +1,4 @@
-import {emitEffect, type DecisionContext} from '@pistachiogauge/chain';
+import {appendItems, emitEffect, type DecisionContext} from '@pistachiogauge/chain';
 import {type JobOutput} from '../filter.js';
 import {fleetClaim} from '../model/index.js';
 import {assignClaims} from './assign-claims.js';
@@ -24,7 +24,7 @@
 	for (const claim of claims.values()) {
 		// The claim record names this entry, but nobody acts on it: it was made by an earlier process of this entry, or by this process, which has since dropped the claim (for example on `claim-superseded`) while the record stayed.
 		if (claim.node === node && (claim.incarnation !== incarnation || !authority.heldClaims.has(claim.name))) {
-			outputs.push(...requestClaim(authority, claim.name, claim.token, context));
+			appendItems(outputs, requestClaim(authority, claim.name, claim.token, context));
 		}
 	}
 
@@ -41,7 +41,7 @@
 		const since = authority.vacantSince.get(name) ?? context.now;
 		authority.vacantSince.set(name, since);
 		if (position !== -1 && context.now >= since + (position * claimStaggerMs)) {
-			outputs.push(...requestClaim(authority, name, 0, context));
+			appendItems(outputs, requestClaim(authority, name, 0, context));
 		}
 	}
 
--- a/packages/jobs/src/evacuation/evacuation-filter.ts
+++ b/packages/jobs/src/evacuation/evacuation-filter.ts
@@ -1,5 +1,5 @@
 import {
-	emitEffect, passEvent, restartEvent, type DecisionContext,
+	appendItems, emitEffect, passEvent, restartEvent, type DecisionContext,
 } from '@pistachiogauge/chain';
 import {getPermittedMs, type AuthorityView} from '../authority/index.js';
 import {type DirectoryView} from '../directory/index.js';
@@ -82,7 +82,8 @@
 			request, remainingMs: isDraining ? listed.remainingMs : undefined, now: context.now, wallTime: context.wallTime,
 		};
 		const {stops, isLongRunning} = stopRuns(state, endpoint, conditions);
-		outputs.push(...stops, ...confirmEvacuated(state, endpoint));
+		appendItems(outputs, stops);
+		appendItems(outputs, confirmEvacuated(state, endpoint));
 		if (isLongRunning) {
 			// One long-running task at a time: the next one is checked on the next tick, when this one counts as unavailable.
 			break;
--- a/packages/jobs/src/fleet/balance-pools.ts
+++ b/packages/jobs/src/fleet/balance-pools.ts
@@ -1,4 +1,4 @@
-import {type DecisionContext} from '@pistachiogauge/chain';
+import {appendItems, type DecisionContext} from '@pistachiogauge/chain';
 import {type AuthorityView} from '../authority/index.js';
 import {type ConfigurationView} from '../configuration/index.js';
 import {emitLog, type JobOutput} from '../filter.js';
@@ -69,14 +69,13 @@
 	for (const {balance, missing} of shortages) {
 		const wantedCount = Math.min(missing, computeLimit(fleet, shortageLimit));
 		const fetched = removeMachinesFor(balance.pool, wantedCount, availableMachines);
-		outputs.push(
-			...fetched.flatMap(machine => orderMachine(state, machine, {order: 'move', pool: balance.pool, wave: 0}, context)),
-			...requestSurplusMachines(state, sortByReserve(fleet, balances.filter(other => other !== balance), context.wallTime), wantedCount - fetched.length, 0, context),
-		);
+		appendItems(outputs, fetched.flatMap(machine => orderMachine(state, machine, {order: 'move', pool: balance.pool, wave: 0}, context)));
+		appendItems(outputs, requestSurplusMachines(state, sortByReserve(fleet, balances.filter(other => other !== balance), context.wallTime), wantedCount - fetched.length, 0, context));
 	}
 
 	if (shortages.length === 0) {
-		outputs.push(...restoreReserves(state, balances, availableMachines, context), ...turnOffSurplus(state, balances, availableMachines, context));
+		appendItems(outputs, restoreReserves(state, balances, availableMachines, context));
+		appendItems(outputs, turnOffSurplus(state, balances, availableMachines, context));
 	}
 
 	return outputs;
@@ -101,7 +100,7 @@
 	for (const {pool, machines, arrivingCount} of balances) {
 		const missing = getReserve(state.fleet, pool, context.wallTime) - machines.length - arrivingCount;
 		for (const machine of removeMachinesFor(pool, missing, availableMachines)) {
-			outputs.push(...orderMachine(state, machine, {order: 'move', pool, wave: 0}, context));
+			appendItems(outputs, orderMachine(state, machine, {order: 'move', pool, wave: 0}, context));
 		}
 	}
 
@@ -202,7 +201,7 @@
 			if (machine !== undefined && canPrepareOrder(fleet, machine.name, context.now) && context.now > (fleet.joinedPoolAt.get(machine.name) ?? 0) + minStayMs) {
 				remainingCount -= 1;
 				spareCount -= 1;
-				outputs.push(...requestEvacuation(fleet, {
+				appendItems(outputs, requestEvacuation(fleet, {
 					machine, endpointId, purpose: 'move', dueAt: Number.MAX_SAFE_INTEGER,
 				}, context));
 			}
--- a/packages/jobs/src/fleet/evacuations.ts
+++ b/packages/jobs/src/fleet/evacuations.ts
@@ -1,4 +1,4 @@
-import {emitEffect, type DecisionContext} from '@pistachiogauge/chain';
+import {appendItems, emitEffect, type DecisionContext} from '@pistachiogauge/chain';
 import {emitLog, type JobOutput} from '../filter.js';
 import {type Machine} from '../model/index.js';
 import {type FleetState, type OpenEvacuation} from './fleet-state.js';
@@ -62,13 +62,13 @@
 				pauseOrders(fleet, request.machine, now);
 			}
 
-			outputs.push(...withdrawEvacuation(fleet, endpointId, context));
+			appendItems(outputs, withdrawEvacuation(fleet, endpointId, context));
 			continue;
 		}
 
 		if (isInWave && !fleet.evacuatedIds.has(endpointId) && now > requestedAt + evacuationRenewalMs) {
 			const dueAt = request.purpose === 'maintenance' ? request.dueAt : context.wallTime + taskGraceMs;
-			outputs.push(...requestEvacuation(fleet, {
+			appendItems(outputs, requestEvacuation(fleet, {
 				machine, endpointId, purpose: 'maintenance', dueAt,
 			}, context));
 		}
--- a/packages/jobs/src/fleet/order-machines.ts
+++ b/packages/jobs/src/fleet/order-machines.ts
@@ -1,4 +1,4 @@
-import {emitEffect, type DecisionContext} from '@pistachiogauge/chain';
+import {appendItems, emitEffect, type DecisionContext} from '@pistachiogauge/chain';
 import {type AuthorityView} from '../authority/index.js';
 import {emitCount, emitLog, type JobOutput} from '../filter.js';
 import {type JobEventOf, type Machine, type MachineOrder} from '../model/index.js';
@@ -92,7 +92,7 @@
 		const machine = fleet.machines.get(openOrder.machine);
 		const {order, phase, pool} = openOrder;
 		if (order === 'move' && phase === 'retry' && machine?.state === 'up' && !isPointless(fleet, openOrder, context.now)) {
-			outputs.push(...orderMachine(state, machine, {order, pool, wave: 0}, context));
+			appendItems(outputs, orderMachine(state, machine, {order, pool, wave: 0}, context));
 		}
 	}
 
--- a/packages/jobs/src/fleet/run-waves.ts
+++ b/packages/jobs/src/fleet/run-waves.ts
@@ -1,4 +1,4 @@
-import {emitEffect, type DecisionContext} from '@pistachiogauge/chain';
+import {appendItems, emitEffect, type DecisionContext} from '@pistachiogauge/chain';
 import {type AuthorityView} from '../authority/index.js';
 import {type ConfigurationView} from '../configuration/index.js';
 import {emitLog, type JobOutput} from '../filter.js';
@@ -80,7 +80,7 @@
 				down.add(machine.name);
 			}
 
-			outputs.push(...ordered);
+			appendItems(outputs, ordered);
 		}
 	}
 
@@ -154,7 +154,7 @@
 
 		countsByPool.set(pool, (countsByPool.get(pool) ?? 0) + 1);
 		pendingEvacuationCount += 1;
-		outputs.push(...requestEvacuation(fleet, {
+		appendItems(outputs, requestEvacuation(fleet, {
 			machine, endpointId, purpose: 'maintenance', dueAt: Math.min(context.wallTime + taskGraceMs, seenAt + wave.durationMs),
 		}, context));
 	}
--- a/packages/jobs/src/ledger/ledger-filter.ts
+++ b/packages/jobs/src/ledger/ledger-filter.ts
@@ -1,5 +1,5 @@
 import {
-	emitEffect, passEvent, restartEvent, type DecisionContext,
+	appendItems, emitEffect, passEvent, restartEvent, type DecisionContext,
 } from '@pistachiogauge/chain';
 import {type DirectoryView} from '../directory/index.js';
 import {emitLog, type JobFilter, type JobOutput} from '../filter.js';
@@ -289,7 +289,8 @@
 	for (const job of pool.activeJobs) {
 		if (createOccurrences(job, context)) {
 			// A previous owner whose clock was ahead may have completed the last one.
-			outputs.push(...endCompleteJob(pool, job, context), passEvent({kind: 'placement-due', pool: pool.pool}));
+			appendItems(outputs, endCompleteJob(pool, job, context));
+			outputs.push(passEvent({kind: 'placement-due', pool: pool.pool}));
 		}
 	}
 
--- a/packages/jobs/src/ledger/save-progress.ts
+++ b/packages/jobs/src/ledger/save-progress.ts
@@ -1,5 +1,5 @@
 import {
-	emitEffect, passEvent, restartEvent, type DecisionContext,
+	appendItems, emitEffect, passEvent, restartEvent, type DecisionContext,
 } from '@pistachiogauge/chain';
 import {emitCount, emitLog, type JobOutput} from '../filter.js';
 import {
@@ -136,7 +136,7 @@
 
 		const savedEnds = job.unsavedEnds.filter(end => end.version <= version);
 		job.unsavedEnds = job.unsavedEnds.filter(end => end.version > version);
-		outputs.push(...savedEnds.map(({endpointId, endpointStartedAt, number}) => restartEvent({
+		appendItems(outputs, savedEnds.map(({endpointId, endpointStartedAt, number}) => restartEvent({
 			kind: 'end-saved', endpointId, endpointStartedAt, number,
 		} as const)));
 	}
--- a/packages/jobs/src/observation/observation-filter.ts
+++ b/packages/jobs/src/observation/observation-filter.ts
@@ -1,4 +1,4 @@
-import {restartEvent, type DecisionContext} from '@pistachiogauge/chain';
+import {appendItems, restartEvent, type DecisionContext} from '@pistachiogauge/chain';
 import {
 	emitCount, emitLog, type JobFilter, type JobOutput,
 } from '../filter.js';
@@ -160,7 +160,7 @@
 		const progressedClockMs = Math.max(run.progressedClockMs, run.confirmedClockMs ?? 0);
 		// At 100 percent no progress is left to report, only the end of the run.
 		if (run.percent < 100 && clockMs > progressedClockMs + stallTimeoutMs) {
-			outputs.push(...moveRun(state, supervised, run, task, 'run stalled'));
+			appendItems(outputs, moveRun(state, supervised, run, task, 'run stalled'));
 			continue;
 		}
 
--- a/packages/jobs/src/placement/choose-endpoint.ts
+++ b/packages/jobs/src/placement/choose-endpoint.ts
@@ -11,6 +11,8 @@
 	fillerCount: number;
 	/** Number of serving runs: long-running ones that are not fillers. */
 	servingCount: number;
+	/** Number of starts that may be sent there before others are answered; negative beyond that. */
+	startsLeft: number;
 	/** Ratio of measured to expected durations. */
 	readonly slowness: number;
 };
@@ -88,6 +90,7 @@
 	candidate.free = subtractResources(candidate.free, getTakenResources(step));
 	candidate.fillerCount += step.spec.isFiller ? 1 : 0;
 	candidate.servingCount += step.spec.tailTargetMs === undefined ? 0 : 1;
+	candidate.startsLeft -= 1;
 }
 
 function canRun({endpoint, free}: Candidate, step: Step, taken: Resources, counts: ReadonlyMap<string, number>): boolean {
--- a/packages/jobs/src/placement/explain-placement.ts
+++ b/packages/jobs/src/placement/explain-placement.ts
@@ -17,6 +17,7 @@
 import {chooseDisplacementPolicy} from './displacement-policies.js';
 import {type DisplacementPolicy} from './displacement-state.js';
 import {countEndpointUses, type EndpointUseSummary} from './endpoint-use.js';
+import {countSearchStarts} from './limit-starts.js';
 import {listCandidates} from './list-candidates.js';
 import {listReadySteps, type ObjectiveStatus, type RankedJob} from './order-jobs.js';
 import {
@@ -241,7 +242,7 @@
 		return explainUnranked({state, job}, 'no-endpoint', [], context);
 	}
 
-	const search = createPlacementSearch(usable, createAccountBudgets(state, pool, context));
+	const search = createPlacementSearch(usable, createAccountBudgets(state, pool, context), countSearchStarts(state));
 	const waiting = [...pool.activeJobs].filter(each => each === job || (each.firstSeenAt <= confirmedAt && hasPendingTasks(each.steps.values())));
 	const {ordered} = orderStartableJobs(state, pool, search, waiting, context);
 	const index = ordered.findIndex(ranked => ranked.job === job);
--- a/packages/jobs/src/placement/list-candidates.ts
+++ b/packages/jobs/src/placement/list-candidates.ts
@@ -7,6 +7,7 @@
 import {type SupervisionView} from '../supervision/index.js';
 import {reserveCandidate, type Candidate} from './choose-endpoint.js';
 import {updateEndpointUse} from './endpoint-use.js';
+import {countStartsLeft} from './limit-starts.js';
 import {type PlacementState} from './placement-state.js';
 
 type State = {readonly placement: PlacementState} & SupervisionView & DirectoryView & EvacuationView & ObservationView;
@@ -27,6 +28,7 @@
 			free: subtractResources(endpoint.capacity, resources),
 			fillerCount,
 			servingCount,
+			startsLeft: countStartsLeft(supervised),
 			slowness: observation.endpoints.get(supervised.id)?.slowness ?? 1,
 		};
 		for (const step of placement.reservedSteps.get(supervised.id)?.values() ?? []) {
--- a/packages/jobs/src/placement/place-step.ts
+++ b/packages/jobs/src/placement/place-step.ts
@@ -1,4 +1,4 @@
-import {restartEvent, type DecisionContext} from '@pistachiogauge/chain';
+import {appendItems, restartEvent, type DecisionContext} from '@pistachiogauge/chain';
 import {getPermittedMs, type AuthorityView} from '../authority/index.js';
 import {emitLog, type JobOutput} from '../filter.js';
 import {
@@ -10,6 +10,7 @@
 	addCount, chooseEndpoint, countRunsByEndpoint, listRunnableCandidates, reserveCandidate, type Candidate,
 } from './choose-endpoint.js';
 import {takeFromBudget} from './account-budgets.js';
+import {listReservedCandidates, mayStart} from './limit-starts.js';
 import {recordUnplacedStep, type PlacementSearch} from './placement-search.js';
 import {type PlacementState, type WaitReason} from './placement-state.js';
 import {
@@ -31,12 +32,20 @@
 	const ticketed = listTicketedCandidates(state, step, candidates, context);
 	const run = step.job.lastRun + 1;
 	const counts = countRunsByEndpoint(step);
+	let startable = ticketed.filter(candidate => mayStart(search, candidate));
 	for (const task of listPendingTasks(step)) {
 		if (isRetryDelayed(state, task, context.now)) {
 			continue;
 		}
 
-		const chosen = chooseEndpoint(ticketed, task, counts, state.observation.lastFailedEndpoints.get(task));
+		const failedEndpoint = state.observation.lastFailedEndpoints.get(task);
+		const choose = (from: readonly Candidate[]) => chooseEndpoint(from, task, counts, failedEndpoint);
+		const isLimited = startable.length < ticketed.length;
+		const chosen = choose(startable) ?? (isLimited ? choose(listReservedCandidates(search, step.job, ticketed)) : undefined);
+		if (chosen === undefined && isLimited && choose(ticketed) !== undefined) {
+			return {outputs: placed, waitReason: 'unanswered-starts'};
+		}
+
 		if (chosen === undefined) {
 			return {
 				outputs: [...placed, ...requestStepAdvice(state, step, candidates, context)],
@@ -49,7 +58,11 @@
 		}
 
 		addCount(counts, chosen.endpoint.id);
-		placed.push(...placeTask(state, {task, run, chosen}, context));
+		appendItems(placed, placeTask(state, {task, run, chosen}, context));
+		search.startsLeft -= 1;
+		if (!mayStart(search, chosen)) {
+			startable = startable.filter(candidate => mayStart(search, candidate));
+		}
 	}
 
 	return {outputs: placed, waitReason: undefined};
@@ -71,7 +84,14 @@
 		return {outputs: [], waitReason: undefined};
 	}
 
-	const places = chooseGangEndpoints(listTicketedCandidates(state, step, candidates, context), step);
+	const ticketed = listTicketedCandidates(state, step, candidates, context);
+	const startable = ticketed.filter(candidate => mayStart(search, candidate));
+	const isLimited = startable.length < ticketed.length;
+	const places = chooseGangEndpoints(startable, step) ?? (isLimited ? chooseGangEndpoints(listReservedCandidates(search, step.job, ticketed), step) : undefined);
+	if (places === undefined && isLimited && chooseGangEndpoints(ticketed, step) !== undefined) {
+		return {outputs: [], waitReason: 'unanswered-starts'};
+	}
+
 	if (places === undefined) {
 		return {
 			outputs: requestGangAdvice(state, step, candidates, context),
@@ -83,6 +103,7 @@
 		return {outputs: [], waitReason: 'account-cap'};
 	}
 
+	search.startsLeft -= places.length;
 	const run = step.job.lastRun + 1;
 	// All members resume from the same checkpoint; that of any member is valid for the whole gang.
 	const members = [...listPendingTasks(step)];
--- a/packages/jobs/src/placement/placement-filter.ts
+++ b/packages/jobs/src/placement/placement-filter.ts
@@ -1,4 +1,4 @@
-import {restartEvent, type DecisionContext} from '@pistachiogauge/chain';
+import {appendItems, restartEvent, type DecisionContext} from '@pistachiogauge/chain';
 import {getConfirmedAt, getPermittedMs, type AuthorityView} from '../authority/index.js';
 import {type DirectoryView} from '../directory/index.js';
 import {type EvacuationView} from '../evacuation/index.js';
@@ -13,6 +13,8 @@
 import {createAccountBudgets, reportAccountDemand, selectWithinBudgets} from './account-budgets.js';
 import {type Candidate} from './choose-endpoint.js';
 import {orderWaitingJobs, preemptForWaitingJobs, rankJobs} from './displacement-policies.js';
+import {dropLostPlacements} from './drop-lost-placements.js';
+import {countSearchStarts} from './limit-starts.js';
 import {listCandidates} from './list-candidates.js';
 import {measureDiscardedWork, recordPreemptedEnd} from './measure-discarded.js';
 import {
@@ -103,10 +105,14 @@
 		},
 		tick(state, _event, context) {
 			removeUnusedAdvice(state);
+			const outputs = dropLostPlacements(state);
 			const {duePools, searchedAt} = state.placement;
-			return [...state.ledger.pools.keys()]
-				.filter(pool => duePools.has(pool) || context.now >= (searchedAt.get(pool) ?? 0) + maxSearchIntervalMs)
-				.flatMap(pool => placeTasks(state, pool, context));
+			return [
+				...outputs,
+				...[...state.ledger.pools.keys()]
+					.filter(pool => duePools.has(pool) || context.now >= (searchedAt.get(pool) ?? 0) + maxSearchIntervalMs)
+					.flatMap(pool => placeTasks(state, pool, context)),
+			];
 		},
 	},
 };
@@ -137,9 +143,10 @@
 		outputs.push(restartEvent({kind: 'claim-confirmation-due', pool: poolName}));
 	}
 
-	const search = createPlacementSearch(usable, createAccountBudgets(state, pool, context));
+	const search = createPlacementSearch(usable, createAccountBudgets(state, pool, context), countSearchStarts(state));
 	if (usable.length > 0) {
-		outputs.push(emitCount('placement_searches_total'), ...placeJobs(state, pool, search, confirmed, context));
+		outputs.push(emitCount('placement_searches_total'));
+		appendItems(outputs, placeJobs(state, pool, search, confirmed, context));
 	}
 
 	for (const job of waiting) {
@@ -185,7 +192,7 @@
 
 		for (const step of listReadySteps(job)) {
 			const {outputs: placed, waitReason} = placeWaitingStep(state, search, step, context);
-			outputs.push(...placed);
+			appendItems(outputs, placed);
 			if (waitReason !== undefined) {
 				recordWaitingJob(search, job, waitReason);
 			}
--- a/packages/jobs/src/placement/placement-search.ts
+++ b/packages/jobs/src/placement/placement-search.ts
@@ -21,6 +21,8 @@
 	/** Number of steps that were tried in vain for another reason than their demand. */
 	blockedStepCount: number;
 	readonly waitingJobs: Map<WaitReason, Job[]>;
+	/** Number of starts that the search may still request; negative beyond that. */
+	startsLeft: number;
 };
 
 /** Maximum number of demands that a search remembers as fitting nowhere; a step with another one is only tried in vain. */
@@ -37,9 +39,9 @@
 const maxLoggedJobs = 5;
 
 /** @internal */
-export function createPlacementSearch(candidates: readonly Candidate[], budgets: AccountBudgets): PlacementSearch {
+export function createPlacementSearch(candidates: readonly Candidate[], budgets: AccountBudgets, startsLeft: number): PlacementSearch {
 	return {
-		candidates, budgets, unplacedDemands: [], attainableDemands: new Map(), blockedStepCount: 0, waitingJobs: new Map(),
+		candidates, budgets, unplacedDemands: [], attainableDemands: new Map(), blockedStepCount: 0, waitingJobs: new Map(), startsLeft,
 	};
 }
 
--- a/packages/jobs/src/placement/placement-state.ts
+++ b/packages/jobs/src/placement/placement-state.ts
@@ -37,7 +37,7 @@
 
 @public
 */
-export type WaitReason = 'claim' | 'survey' | 'no-endpoint' | 'no-room' | 'endpoint-limit' | 'gang' | 'advice' | 'account-cap';
+export type WaitReason = 'claim' | 'survey' | 'no-endpoint' | 'no-room' | 'endpoint-limit' | 'unanswered-starts' | 'gang' | 'advice' | 'account-cap';
 
 /**
 Whether tasks are started on an endpoint, or why not.
--- a/packages/jobs/src/placement/preempt-runs.ts
+++ b/packages/jobs/src/placement/preempt-runs.ts
@@ -1,4 +1,4 @@
-import {restartEvent, type DecisionContext} from '@pistachiogauge/chain';
+import {appendItems, restartEvent, type DecisionContext} from '@pistachiogauge/chain';
 import {emitCount, emitLog, type JobOutput} from '../filter.js';
 import {
 	findTask, listPendingTasks, type Job, type PoolLedger, type Step, type Task,
@@ -112,7 +112,7 @@
 				room?.forecast.releases.unshift({inMs: room.inMs, resources: getTakenResources(step)});
 				found.forecast.free = subtractResources(addResources(found.forecast.free, getReleased(found.victim.run)), getTakenResources(step));
 				stopped.add(found.victim.run);
-				outputs.push(...preemptRun(state, {
+				appendItems(outputs, preemptRun(state, {
 					pool, displacement, ranked, task, waitMs, victim: found.victim,
 				}));
 			}
--- a/packages/jobs/src/quota/quota-filter.ts
+++ b/packages/jobs/src/quota/quota-filter.ts
@@ -1,5 +1,5 @@
 import {
-	emitEffect, restartEvent, type DecisionContext,
+	appendItems, emitEffect, restartEvent, type DecisionContext,
 } from '@pistachiogauge/chain';
 import {type ConfigurationView} from '../configuration/index.js';
 import {type DirectoryView} from '../directory/index.js';
@@ -126,7 +126,7 @@
 	const outputs: JobOutput[] = [];
 	const caps = new Map((configuration.accounts ?? []).map(({name, cap}) => [name, cap]));
 	for (const [account, cap] of caps) {
-		outputs.push(...applyCap(quota, account, cap, context));
+		appendItems(outputs, applyCap(quota, account, cap, context));
 	}
 
 	for (const [account, cap] of quota.caps) {
@@ -192,7 +192,7 @@
 	const outputs: JobOutput[] = [];
 	const names = new Set(listed.map(({account}) => account));
 	for (const shares of listed) {
-		outputs.push(...(applyShares(quota, shares, context) ? warnOfLoss(shares) : []));
+		appendItems(outputs, applyShares(quota, shares, context) ? warnOfLoss(shares) : []);
 	}
 
 	for (const [account, shares] of quota.accounts) {
--- a/packages/jobs/src/quota/review-shares.ts
+++ b/packages/jobs/src/quota/review-shares.ts
@@ -1,4 +1,4 @@
-import {emitEffect, type DecisionContext} from '@pistachiogauge/chain';
+import {appendItems, emitEffect, type DecisionContext} from '@pistachiogauge/chain';
 import {emitCount, type JobOutput} from '../filter.js';
 import {type DirectoryView} from '../directory/index.js';
 import {type LedgerView} from '../ledger/index.js';
@@ -47,7 +47,7 @@
 	}
 
 	for (const pool of quota.ownedPools.values()) {
-		outputs.push(...reviewPool(state, pool, context));
+		appendItems(outputs, reviewPool(state, pool, context));
 	}
 
 	return outputs;
--- a/packages/jobs/src/relay/relay-filter.ts
+++ b/packages/jobs/src/relay/relay-filter.ts
@@ -1,4 +1,6 @@
-import {emitEffect, restartEvent, type DecisionContext} from '@pistachiogauge/chain';
+import {
+	appendItems, emitEffect, restartEvent, type DecisionContext,
+} from '@pistachiogauge/chain';
 import {
 	emitCount, emitLog, type JobFilter, type JobOutput,
 } from '../filter.js';
@@ -85,7 +87,7 @@
 		}
 
 		if (context.now >= receivedAt + Math.min(storeWaitMs, (answerBy - receivedAt) * storeWaitShare)) {
-			outputs.push(...startRelay(state, requestId, undefined, context));
+			appendItems(outputs, startRelay(state, requestId, undefined, context));
 		}
 	}
 
@@ -106,7 +108,7 @@
 		}
 
 		if (context.now >= answerBy - answerReserveMs) {
-			outputs.push(...endRelay(state, requestId, relay, chooseAnswer(state, requestId, relay), context));
+			appendItems(outputs, endRelay(state, requestId, relay, chooseAnswer(state, requestId, relay), context));
 		}
 	}
 
--- a/packages/jobs/src/reporting/list-needed-endpoints.ts
+++ b/packages/jobs/src/reporting/list-needed-endpoints.ts
@@ -70,7 +70,7 @@
 		if (pool === poolName && endpoint?.state === 'ready' && supervised?.phase === 'answering' && !supervised.hasUnknownUsage) {
 			const {resources, fillerCount, servingCount} = supervised.usage;
 			candidates.push({
-				endpoint, free: subtractResources(endpoint.capacity, resources), fillerCount, servingCount, slowness: 1,
+				endpoint, free: subtractResources(endpoint.capacity, resources), fillerCount, servingCount, startsLeft: Number.POSITIVE_INFINITY, slowness: 1,
 			});
 		}
 	}
--- a/packages/jobs/src/supervision/apply-poll-answer.ts
+++ b/packages/jobs/src/supervision/apply-poll-answer.ts
@@ -1,4 +1,6 @@
-import {emitEffect, passEvent, type DecisionContext} from '@pistachiogauge/chain';
+import {
+	appendItems, emitEffect, passEvent, type DecisionContext,
+} from '@pistachiogauge/chain';
 import {type DirectoryView} from '../directory/index.js';
 import {emitCount, emitLog, type JobOutput} from '../filter.js';
 import {
@@ -33,7 +35,7 @@
 	const outputs: JobOutput[] = [];
 	const isOtherProcess = endpoint.startedAt !== undefined && endpoint.startedAt !== answer.startedAt;
 	if (isOtherProcess && !endpoint.isProcessReplaced) {
-		outputs.push(...recordRestart(endpoint, answer, context));
+		appendItems(outputs, recordRestart(endpoint, answer, context));
 	}
 
 	if (isOtherProcess && endpoint.answeredGeneration === answer.generation) {
@@ -53,11 +55,11 @@
 		endpoint.clockReadAt = context.now;
 	}
 
-	outputs.push(...acceptEnds(state, pool, endpoint, answer.ended, context));
+	appendItems(outputs, acceptEnds(state, pool, endpoint, answer.ended, context));
 	const reported = new Set<string>();
 	for (const report of answer.running) {
 		reported.add(report.taskId);
-		outputs.push(...applyReportedRun(state, pool, endpoint, report, context));
+		appendItems(outputs, applyReportedRun(state, pool, endpoint, report, context));
 	}
 
 	const unknownTaskIds = answer.running.filter(({taskId}) => !endpoint.runs.has(taskId)).map(({taskId}) => taskId);
@@ -67,7 +69,7 @@
 	// A run that is missing from the list may have an end that is not processed yet.
 	endpoint.areEndsComplete = answer.ended.length < maxEndsPerAnswer && answer.ended.every(({number}) => number <= endpoint.lastProcessedEnd);
 	if (endpoint.areEndsComplete) {
-		outputs.push(...dropMissingRuns(endpoint, reported, answer));
+		appendItems(outputs, dropMissingRuns(endpoint, reported, answer));
 	}
 
 	return outputs;
--- a/packages/jobs/src/supervision/check-endpoint.ts
+++ b/packages/jobs/src/supervision/check-endpoint.ts
@@ -1,4 +1,6 @@
-import {passEvent, restartEvent, type DecisionContext} from '@pistachiogauge/chain';
+import {
+	appendItems, passEvent, restartEvent, type DecisionContext,
+} from '@pistachiogauge/chain';
 import {getConfirmedAt, type AuthorityView} from '../authority/index.js';
 import {emitLog, type JobOutput} from '../filter.js';
 import {dropRun, dropRuns} from './drop-runs.js';
@@ -28,7 +30,7 @@
 	}
 
 	if (endpoint.phase !== 'answering' && hasLeaseExpired(endpoint, confirmedAt)) {
-		outputs.push(...dropExpiredRuns(endpoint, confirmedAt));
+		appendItems(outputs, dropExpiredRuns(endpoint, confirmedAt));
 		if (!endpoint.isListed && !endpoint.isPollPending && endpoint.runs.size === 0) {
 			return [...outputs, ...removeEndpoint(supervision, endpoint, context)];
 		}
@@ -40,7 +42,7 @@
 	}
 
 	if (endpoint.phase !== 'answering' && endpoint.areRunsKnown) {
-		outputs.push(...recordSilence(endpoint, context));
+		appendItems(outputs, recordSilence(endpoint, context));
 	}
 
 	return [...outputs, ...pollIfDue(state, endpoint, context)];
--- a/packages/jobs/src/supervision/supervision-filter.ts
+++ b/packages/jobs/src/supervision/supervision-filter.ts
@@ -1,4 +1,6 @@
-import {passEvent, restartEvent, type DecisionContext} from '@pistachiogauge/chain';
+import {
+	appendItems, passEvent, restartEvent, type DecisionContext,
+} from '@pistachiogauge/chain';
 import {type AuthorityView} from '../authority/index.js';
 import {type DirectoryView} from '../directory/index.js';
 import {emitLog, type JobFilter, type JobOutput} from '../filter.js';
@@ -52,7 +54,7 @@
 				});
 				// At most one run of a task can still be running there; an earlier one has an unsaved end.
 				const lastRuns = new Map([...runs].sort((left, right) => left.run - right.run).map(run => [run.taskId, run]));
-				outputs.push(...[...lastRuns.values()].map(run => restartEvent({
+				appendItems(outputs, [...lastRuns.values()].map(run => restartEvent({
 					kind: 'run-suspected', pool, endpointId, ...run,
 				})));
 			}
@@ -136,12 +138,10 @@
 			for (const endpoint of supervision.endpoints.values()) {
 				const run = endpoint.pool === pool ? endpoint.runs.get(taskId) : undefined;
 				if (run !== undefined && run.stopRequestedAt === undefined) {
-					outputs.push(
-						emitLog('info', 'stop of run requested', {
-							task: taskId, run: run.run, endpoint: endpoint.id, reason, percent: run.percent, token: endpoint.token,
-						}),
-						...stopRun(endpoint, run, context.now),
-					);
+					outputs.push(emitLog('info', 'stop of run requested', {
+						task: taskId, run: run.run, endpoint: endpoint.id, reason, percent: run.percent, token: endpoint.token,
+					}));
+					appendItems(outputs, stopRun(endpoint, run, context.now));
 				}
 			}
 
@@ -258,7 +258,7 @@
 			// The pool of a process never changes, so this is another one.
 			if (endpoint !== undefined) {
 				recordFormerEndpoint(supervision.pools.get(endpoint.pool)!, endpoint, context.now);
-				outputs.push(...dropRuns(endpoint, 'endpoint-restarted'));
+				appendItems(outputs, dropRuns(endpoint, 'endpoint-restarted'));
 			}
 
 			supervision.endpoints.set(listed.id, createSupervisedEndpoint(listed, pool, context));
--- a/xo.config.js
+++ b/xo.config.js
@@ -16,6 +16,16 @@
 			'max-params': ['error', 5],
 		},
 	},
+	{
+		files: ['packages/{chain,decisions,entry,jobs}/src/**/!(*.test|*.test-support).ts', 'platform/src/**/!(*.test|*.test-support).ts'],
+		rules: {
+			// Arguments lie on the call stack, so a list that grows with the work overflows it.
+			'no-restricted-syntax': ['error', {
+				selector: 'CallExpression[callee.property.name=/^(push|unshift)$/] > SpreadElement',
+				message: 'Append the items with appendItems or a loop.',
+			}],
+		},
+	},
 	{
 		// Vitest and fast-check are development dependencies of the workspace.
 		files: ['**/*.test.ts', '**/*.test-support.ts'],
