Keep an account's budget only for tasks that could start with a larger one

Cause: the budget was kept for a gang as soon as one member fitted, while the demand that makes the account's share grow counts a gang only if all members fit. So the share never grew and the budget was kept for good. Evidence: the log has a demand and an allowance of 0 while jobs wait for share. One function now says what of a step could start, for both: tasks that wait and are not delayed, on endpoints on which they may be started, and all members of a gang or none.

--- a/packages/jobs/src/placement/account-budgets.ts
+++ b/packages/jobs/src/placement/account-budgets.ts
@@ -13,10 +13,14 @@
 } from '../quota/index.js';
 import {type SupervisionView} from '../supervision/index.js';
 import {
-	addCount, chooseEndpoint, countFittingTasks, countRunsByEndpoint, reserveCandidate, type Candidate,
+	addCount, chooseEndpoint, countRunsByEndpoint, reserveCandidate, type Candidate,
 } from './choose-endpoint.js';
+import {
+	countStartableTasks, countTogether, mayBecomeStartable,
+} from './count-startable.js';
 import {listReadySteps, type RankedJob} from './order-jobs.js';
 import {type PlacementState} from './placement-state.js';
+import {listUnbarredCandidates} from './step-advice.js';
 
 /** What a search may still start of one account. */
 type AccountBudget = {
@@ -100,12 +104,12 @@
 }
 
 /**
-Selects the jobs that their accounts' budgets allow to start a task. The others are held back before the jobs are ranked, as they would displace jobs that can start. Nothing is kept for tasks that no candidate has room for: the demand that makes shares grow does not count them, so the account's other jobs would wait for good.
+Selects the jobs that their accounts' budgets allow to start a task. The others are held back before the jobs are ranked, as they would displace jobs that can start. Nothing is kept for tasks that could not start with a larger budget either: the demand that makes shares grow does not count them, so the account's other jobs would wait for good.
 
 @param orderAccountJobs - Orders the jobs of one account, given the thousandths of a core that it may have running.
 @internal
 */
-export function selectWithinBudgets({budgets, candidates}: {readonly budgets: AccountBudgets; readonly candidates: readonly Candidate[]}, jobs: readonly Job[], orderAccountJobs: AccountOrder, now: number): {readonly selected: readonly Job[]; readonly held: readonly Job[]} {
+export function selectWithinBudgets(state: State & ObservationView, {budgets, candidates}: {readonly budgets: AccountBudgets; readonly candidates: readonly Candidate[]}, jobs: readonly Job[], orderAccountJobs: AccountOrder, context: DecisionContext): {readonly selected: readonly Job[]; readonly held: readonly Job[]} {
 	const jobsByAccount = new Map<string, Job[]>();
 	for (const job of jobs) {
 		const {account} = job.record;
@@ -116,7 +120,7 @@
 
 	const held = new Set<Job>();
 	for (const [account, own] of jobsByAccount) {
-		for (const job of holdBackJobs({budget: budgets.getBudget(account)!, candidates}, own, orderAccountJobs, now)) {
+		for (const job of holdBackJobs(state, {budget: budgets.getBudget(account)!, candidates}, orderAccountJobs(own, budgets.getBudget(account)!.allowanceMillis), context)) {
 			held.add(job);
 		}
 	}
@@ -139,7 +143,7 @@
 	return [passEvent({kind: 'account-demand-measured', pool, demands})];
 }
 
-function measureDemand(state: ObservationView, {heldSteps, cap}: AccountBudget, {candidates, maxTasks}: {readonly candidates: readonly Candidate[]; readonly maxTasks: number}, now: number): AccountDemand {
+function measureDemand(state: State & ObservationView, {heldSteps, cap}: AccountBudget, {candidates, maxTasks}: {readonly candidates: readonly Candidate[]; readonly maxTasks: number}, now: number): AccountDemand {
 	let resources = noResources;
 	let unit: AccountDemand['unit'];
 	let isFirst = true;
@@ -147,13 +151,16 @@
 	for (const step of heldSteps) {
 		const {room} = step.spec;
 		const counts = countRunsByEndpoint(step);
+		const unbarred = listUnbarredCandidates(state, step, candidates);
+		// Members of a gang count only together, so the first step is measured whole.
+		const limit = isFirst ? Math.max(maxTasks, countTogether(step)) : maxTasks;
 		let stepCount = 0;
 		for (const task of listPendingTasks(step)) {
 			if (isRetryDelayed(state, task, now)) {
 				continue;
 			}
 
-			const chosen = taskCount < maxTasks ? chooseEndpoint(candidates, task, counts, undefined) : undefined;
+			const chosen = taskCount < limit ? chooseEndpoint(unbarred, task, counts, undefined) : undefined;
 			if (chosen === undefined) {
 				break;
 			}
@@ -182,27 +189,28 @@
 }
 
 /** Finds the jobs of an account of which the budget allows no task to start. */
-function holdBackJobs({budget, candidates}: {readonly budget: AccountBudget; readonly candidates: readonly Candidate[]}, jobs: readonly Job[], orderAccountJobs: AccountOrder, now: number): Job[] {
-	const total = sumResources(jobs.map(job => sumPendingTasks(job)));
+function holdBackJobs(state: State & ObservationView, {budget, candidates}: {readonly budget: AccountBudget; readonly candidates: readonly Candidate[]}, ranked: readonly RankedJob[], context: DecisionContext): Job[] {
+	const total = sumResources(ranked.map(({job}) => sumPendingTasks(job)));
 	if (hasBudgetFor(budget.remaining, total)) {
 		return [];
 	}
 
 	const held: Job[] = [];
 	let {remaining} = budget;
-	for (const {job} of orderAccountJobs(jobs, budget.allowanceMillis)) {
+	for (const {job} of ranked) {
 		const pendingSteps = listReadySteps(job).filter(step => hasPendingTask(step));
 		let isStartable = pendingSteps.length === 0;
 		for (const step of pendingSteps) {
 			const resources = multiplyResources(step.spec.room, countTogether(step));
-			const pendingCount = countPendingTasks(step);
-			const fittingCount = countFittingTasks(candidates, step, pendingCount);
+			const startableCount = countStartableTasks(state, step, candidates, context);
 			if (!budget.isReserved && hasBudgetFor(remaining, resources)) {
 				isStartable = true;
-				const all = subtractResources(remaining, multiplyResources(step.spec.room, fittingCount));
+				const all = subtractResources(remaining, multiplyResources(step.spec.room, startableCount));
 				remaining = computeResources(name => Math.max(0, all[name]));
-			} else if (fittingCount > 0) {
-				holdStep(budget, step, resources, now);
+			} else if (startableCount > 0) {
+				holdStep(budget, step, resources, context.now);
+			} else if (mayBecomeStartable(state, step, candidates, context.now)) {
+				addHeldStep(budget, step, resources);
 			}
 		}
 
@@ -216,19 +224,21 @@
 	return held;
 }
 
-/** Returns how many tasks of a step start together. */
-function countTogether({spec, tasks}: Step): number {
-	return spec.isGang ? tasks.size : 1;
+/** Holds back a step that could start if its account's budget were larger, and keeps what is left of the budget for it. */
+function holdStep(budget: AccountBudget, step: Step, resources: Resources, now: number): void {
+	if (addHeldStep(budget, step, resources)) {
+		budget.isReserved ||= !step.spec.isGang || [...listIdleTimes(step)].some(idleSince => now > idleSince + gangReservationDelayMs);
+	}
 }
 
-function holdStep(budget: AccountBudget, step: Step, resources: Resources, now: number): void {
+/** Counts a step in the demand for a larger budget. @returns False if the cap never allows it. */
+function addHeldStep(budget: AccountBudget, step: Step, resources: Resources): boolean {
 	if (hasComponent(name => budget.cap[name] > 0 && resources[name] > budget.cap[name])) {
-		// The cap never allows it, so nothing is kept for it.
-		return;
+		return false;
 	}
 
 	budget.heldSteps.add(step);
-	budget.isReserved ||= !step.spec.isGang || [...listIdleTimes(step)].some(idleSince => now > idleSince + gangReservationDelayMs);
+	return true;
 }
 
 function sumPendingTasks(job: Job): Resources {
--- a/packages/jobs/src/placement/place-step.ts
+++ b/packages/jobs/src/placement/place-step.ts
@@ -10,6 +10,7 @@
 	addCount, chooseEndpoint, countRunsByEndpoint, listRunnableCandidates, reserveCandidate, type Candidate,
 } from './choose-endpoint.js';
 import {takeFromBudget} from './account-budgets.js';
+import {countWaitingTasks} from './count-startable.js';
 import {listReservedCandidates, mayStart} from './limit-starts.js';
 import {recordUnplacedStep, type PlacementSearch} from './placement-search.js';
 import {type PlacementState, type WaitReason} from './placement-state.js';
@@ -80,7 +81,7 @@
 /** Places either all tasks of a gang or none, as they cannot progress without each other. @internal */
 export function placeGang(state: State, step: Step, search: PlacementSearch, context: DecisionContext): PlacementResult {
 	const {candidates} = search;
-	if (countPendingTasks(step) < step.tasks.size || [...step.tasks.started.values()].some(task => isRetryDelayed(state, task, context.now))) {
+	if (countWaitingTasks(state, step, context.now) === 0) {
 		return {outputs: [], waitReason: undefined};
 	}
 
--- a/packages/jobs/src/placement/placement-filter.ts
+++ b/packages/jobs/src/placement/placement-filter.ts
@@ -173,7 +173,7 @@
 	const capacityMillis = sumCapacityMillis(search.candidates);
 	// The jobs of one account compete for what it may have running.
 	const orderAccountJobs = (jobs: readonly Job[], allowanceMillis: number) => orderByLargestFirst(rankJobs(state, jobs, context.now), Math.min(capacityMillis, allowanceMillis));
-	const {selected, held} = selectWithinBudgets(search, attainable, orderAccountJobs, context.now);
+	const {selected, held} = selectWithinBudgets(state, search, attainable, orderAccountJobs, context);
 	for (const job of held) {
 		recordWaitingJob(search, job, 'account-cap');
 	}
--- a/packages/jobs/src/placement/step-advice.ts
+++ b/packages/jobs/src/placement/step-advice.ts
@@ -48,6 +48,12 @@
 	return advice === undefined ? [] : candidates.filter(candidate => findTicket(advice, candidate) !== undefined);
 }
 
+/** Lists the candidates of which it is not known that they may not run a step. @internal */
+export function listUnbarredCandidates({placement}: State, step: Step, candidates: readonly Candidate[]): readonly Candidate[] {
+	const advice = step.job.record.advice === undefined ? undefined : placement.advice.get(getStepId(step));
+	return advice === undefined ? candidates : candidates.filter(candidate => !isBarred(advice, candidate));
+}
+
 /** Whether advice on a step may be requested now: its queue requires it, no call about the step is open, and few calls are. @internal */
 export function canRequestAdvice({placement}: State, step: Step, {now}: DecisionContext): boolean {
 	const advice = placement.advice.get(getStepId(step));
