Compare hosts in one form on both sides of a request

Cause: the ingress turned the host of a request into lower case, and the configuration's decoder kept that of the route as written. With the host in lower case the same case holds, so neither the version nor the prefix is at fault.

--- a/packages/entry/src/jobs/placement-messages.ts
+++ b/packages/entry/src/jobs/placement-messages.ts
@@ -1,6 +1,6 @@
 import {type JobSpec, type PlacementQuestion} from '@pistachiogauge/jobs';
 import {
-	decodeJob, decodeValue, describeFault, describeJobFault, parseJson, type FieldFault,
+	decodeJob, decodeValue, describeFault, describeJobFault, normalizeHost, parseJson, type FieldFault,
 } from '@pistachiogauge/platform';
 import {z} from 'zod';
 import {recordSchemas} from './record-schemas.js';
@@ -73,5 +73,5 @@
 }
 
 function getTarget({queue, host = '', path = ''}: Question): PlacementQuestion['target'] {
-	return queue === undefined ? {host, path} : {queue};
+	return queue === undefined ? {host: normalizeHost(host), path} : {queue};
 }
--- a/packages/jobs/src/configuration/find-queue.ts
+++ b/packages/jobs/src/configuration/find-queue.ts
@@ -10,7 +10,7 @@
 /**
 Finds the queue with the longest matching prefix for a host and path.
 
-@param host - Host as given by the caller, without the port.
+@param host - Host as given by the caller, in the form in which the hosts of queues are compared: lower case, without port and final dot.
 @public
 */
 export function findQueue(configuration: Configuration, host: string, path: string): QueueMatch | undefined {
--- a/packages/jobs/src/model/configuration.ts
+++ b/packages/jobs/src/model/configuration.ts
@@ -4,6 +4,7 @@
 /** A queue that clients submit jobs to. A request selects it by host and longest matching path prefix. @public */
 export type Queue = {
 	readonly name: string;
+	/** In lower case, without port and final dot. */
 	readonly host: string;
 	readonly prefix: string;
 	/** Pool whose endpoints run the queue's tasks. */
