Refuse submissions to a pool whose owner has no memory for more jobs

An owner now estimates the heap that the jobs of its pools take, and reports in the pool's admission record when it is above 15% of its heap limit. Each write of a job carries the condition on the record's revision, also without accounts, so that no earlier attempt comes into effect after a refusal.

--- a/packages/entry/src/jobs/jobs-process.ts
+++ b/packages/entry/src/jobs/jobs-process.ts
@@ -1,4 +1,5 @@
 import {randomBytes, randomInt, randomUUID} from 'node:crypto';
+import {getHeapStatistics} from 'node:v8';
 import {createRandomSource, type DecisionContext} from '@pistachiogauge/chain';
 import {
 	applyJobEvent, canCheckKeys, checkCallerRequest, createJobsState, explainPlacement, findQueue, summarizeAccounts, type CallerAnswer, type CallerOrigin, type JobEffect, type JobEvent, type RelayedRequest,
@@ -48,6 +49,9 @@
 /** The advice service handles only one request of an entry at a time. */
 const adviceConnectionLimit = 2;
 
+/** Part of the heap that jobs may take, so that there is room for those of another entry's pools after a takeover, and for all else. */
+const maxJobHeapShare = 0.15;
+
 const relaySecretBytes = 32;
 
 const defaultLimits = {
@@ -74,7 +78,7 @@
 	const strictRevokeMs = settings.isRevocationStrict ? settings.revokeMs : undefined;
 	const {stopMs, checkpointMs, restoreMs} = settings;
 	const state = createJobsState({
-		node, incarnation, orderLeaseMs: settings.orderLeaseMs, strictRevokeMs, placement: {preemptionCosts: {stopMs, checkpointMs, restoreMs}},
+		node, incarnation, orderLeaseMs: settings.orderLeaseMs, strictRevokeMs, placement: {preemptionCosts: {stopMs, checkpointMs, restoreMs}}, maxJobBytes: maxJobHeapShare * getHeapStatistics().heap_size_limit,
 	});
 	const random = createRandomSource(randomInt(2 ** 31));
 	const measurePause = createPauseMeter(readClocks());
--- a/packages/entry/src/jobs/record-schemas.ts
+++ b/packages/entry/src/jobs/record-schemas.ts
@@ -106,6 +106,7 @@
 		queues: createTableSchema(z.object({
 			meanWork: z.number().positive(), durations: durationModel.optional(), waits: createTableSchema(z.object({timely: waits, total: waits})),
 		})),
+		fullMs: z.number().nonnegative().optional(),
 	}),
 	recentOrders: z.object({token: count, machines: z.array(z.string())}),
 	shares: z.object({
--- a/packages/jobs/src/admission/admission-filter.ts
+++ b/packages/jobs/src/admission/admission-filter.ts
@@ -14,6 +14,7 @@
 import {createLiftedRecord, type AdmissionState} from './admission-state.js';
 import {isOverloadReported} from './decide-admission.js';
 import {estimateWaits} from './estimate-waits.js';
+import {measureFullMs} from './measure-job-bytes.js';
 
 type State = {readonly admission: AdmissionState; readonly placement: PlacementState} & ConfigurationView & DirectoryView & LedgerView & ObservationView;
 
@@ -83,7 +84,8 @@
 	const {records, publications} = state.admission;
 	const known = records.get(pool);
 	const queues = measureQueues(state, pool, now);
-	const isOverloaded = Object.keys(queues).length > 0;
+	const fullMs = measureFullMs(state, pool, now);
+	const isOverloaded = Object.keys(queues).length > 0 || fullMs > 0;
 	if (!isOverloaded && (known === undefined || known.revision === 0 || (known.record !== undefined && !isOverloadReported(known.record)))) {
 		return [];
 	}
@@ -91,7 +93,11 @@
 	const publication = publications.get(pool) ?? {checkedAt: Number.NEGATIVE_INFINITY, isWriting: false};
 	publications.set(pool, publication);
 	const configurationVersion = state.configuration.current?.version ?? 0;
-	const record = isOverloaded ? {publishedAt: wallTime, configurationVersion, queues} : createLiftedRecord(wallTime, configurationVersion);
+	const record = isOverloaded
+		? {
+			publishedAt: wallTime, configurationVersion, queues, fullMs,
+		}
+		: createLiftedRecord(wallTime, configurationVersion);
 	if (publication.isWriting || now < publication.checkedAt + minPublicationIntervalMs || !isPublicationDue(known?.record, record)) {
 		return [];
 	}
@@ -164,7 +170,8 @@
 	});
 }
 
-/** Lists the waits of a record by queue, account and ratio. */
-function listWaits({queues}: AdmissionRecord): Map<string, number> {
-	return new Map(Object.entries(queues).flatMap(([queue, {waits}]) => Object.entries(waits).flatMap(([account, {timely, total}]) => [...timely, ...total].map((wait, index) => [JSON.stringify([queue, account, index]), wait] as const))));
+/** Lists the waits of a record by queue, account and ratio, and that for memory. */
+function listWaits({queues, fullMs = 0}: AdmissionRecord): Map<string, number> {
+	const waits = Object.entries(queues).flatMap(([queue, {waits: waitsByAccount}]) => Object.entries(waitsByAccount).flatMap(([account, {timely, total}]) => [...timely, ...total].map((wait, index) => [JSON.stringify([queue, account, index]), wait] as const)));
+	return new Map(fullMs === 0 ? waits : [...waits, ['full', fullMs]]);
 }
--- a/packages/jobs/src/admission/decide-admission.test.ts
+++ b/packages/jobs/src/admission/decide-admission.test.ts
@@ -52,6 +52,14 @@
 	{
 		name: 'the job recurs', record: createRecord(40_000), spec: createSpec({}, 3), expected: ['accept', 'unlimited'],
 	},
+	{name: 'the owner has no memory', record: {...createRecord(0), fullMs: 3000}, expected: ['refuse', 'full']},
+	{
+		name: 'the owner has no memory and the job is long-running', record: {...createRecord(0), fullMs: 3000}, spec: createSpec({isLongRunning: true}), expected: ['refuse', 'full'],
+	},
+	{
+		name: 'the owner has no memory and another configuration', record: {...createRecord(0), fullMs: 3000}, version: 4, expected: ['refuse', 'full'],
+	},
+	{name: 'the owner has memory again', record: {...createRecord(0), queues: {}, fullMs: 0}, expected: ['accept', 'no-overload']},
 	{
 		name: 'the owner has another configuration', record: createRecord(40_000), version: 4, expected: ['unsure', 'configuration-version'],
 	},
--- a/packages/jobs/src/admission/decide-admission.ts
+++ b/packages/jobs/src/admission/decide-admission.ts
@@ -12,7 +12,7 @@
 type DoubtReason = 'unreadable-report' | 'configuration-version' | 'stale-report' | 'known-submission';
 
 /** @internal */
-export type AdmissionReason = AcceptReason | DoubtReason | 'too-late';
+export type AdmissionReason = AcceptReason | DoubtReason | 'too-late' | 'full';
 
 /** What a refusal is based on; all times in ms. @internal */
 export type LateFinish = {
@@ -38,7 +38,9 @@
 export type AdmissionDecision =
 	| {readonly kind: 'accept'; readonly reason: AcceptReason}
 	| {readonly kind: 'unsure'; readonly reason: DoubtReason}
-	| ({readonly kind: 'refuse'; readonly reason: 'too-late'} & LateFinish);
+	| ({readonly kind: 'refuse'; readonly reason: 'too-late'} & LateFinish)
+	/** The owner has no memory for the job, whatever it is worth. */
+	| {readonly kind: 'refuse'; readonly reason: 'full'; readonly waitMs: number; readonly value: number};
 
 /** @internal */
 export type Submission = {
@@ -66,7 +68,7 @@
 const maxRetryFactor = 2;
 
 /**
-Decides whether a submission can finish while it is worth something.
+Decides whether a submission can finish while it is worth something, and whether the pool's owner has memory for it.
 
 It depends on nothing but its arguments: neither on clocks nor on what the entry remembers. Entries with the same revision and configuration version decide alike.
 
@@ -86,6 +88,12 @@
 		return {kind: 'accept', reason: 'no-overload'};
 	}
 
+	if (isFullReported(record)) {
+		return {
+			kind: 'refuse', reason: 'full', waitMs: record.fullMs ?? 0, value: 1,
+		};
+	}
+
 	if (spec.repeatCount > 0 || spec.steps.some(step => step.isLongRunning)) {
 		return {kind: 'accept', reason: 'unlimited'};
 	}
@@ -123,7 +131,11 @@
 
 /** Whether a record reports an overload. @internal */
 export function isOverloadReported(record: AdmissionRecord | undefined): boolean {
-	return record !== undefined && Object.keys(record.queues).length > 0;
+	return record !== undefined && (Object.keys(record.queues).length > 0 || isFullReported(record));
+}
+
+function isFullReported({fullMs = 0}: AdmissionRecord): boolean {
+	return fullMs > 0;
 }
 
 /** Whether a record is too old to refuse by it. A suspended process finds only its wall clock advanced. @param ageMs - Time since this entry first saw the record. @internal */
--- a/packages/jobs/src/intake/admission.test.ts
+++ b/packages/jobs/src/intake/admission.test.ts
@@ -21,6 +21,9 @@
 	},
 };
 const wait = [60_000, 60_000, 60_000];
+const createFullReport = (publishedAt: number): AdmissionRecord => ({
+	publishedAt, configurationVersion: 1, queues: {}, fullMs: 4000,
+});
 const createReport = (publishedAt: number): AdmissionRecord => ({
 	publishedAt, configurationVersion: 1, queues: {prints: {meanWork: 1_000_000, durations: undefined, waits: Object.fromEntries([['', {timely: wait, total: wait}]])}},
 });
@@ -30,11 +33,11 @@
 
 /** What happens in a case, at one time after the other. */
 type Action =
-	| {readonly kind: 'publish'; readonly ageMs?: number; readonly isSeen?: boolean}
+	| {readonly kind: 'publish'; readonly ageMs?: number; readonly isSeen?: boolean; readonly isFull?: boolean}
 	| {readonly kind: 'submit'; readonly entry: 0 | 1; readonly writes?: WriteMode};
 
 /** Plays a case with two entries and one store. @returns The kinds of the answers, and whether the job is stored once all late writes have been tried. */
-function play(actions: readonly Action[]): {readonly answers: Array<CallerAnswer['kind']>; readonly isStored: boolean} {
+function play(actions: readonly Action[], hasAccounts: boolean): {readonly answers: Array<CallerAnswer['kind']>; readonly isStored: boolean} {
 	const states = [0, 1].map(index => createJobsState({node: `entry-${index}`, incarnation: 'first', orderLeaseMs: 3000}));
 	const answers: Array<CallerAnswer['kind']> = [];
 	const lateWrites: Array<() => void> = [];
@@ -92,14 +95,15 @@
 	};
 
 	for (const state of states) {
-		apply(state, {kind: 'configuration-changed', configuration});
+		apply(state, {kind: 'configuration-changed', configuration: hasAccounts ? configuration : {...configuration, accounts: undefined}});
 		apply(state, {kind: 'store-reached'});
 	}
 
 	for (const [index, action] of actions.entries()) {
 		now += 500;
 		if (action.kind === 'publish') {
-			const admission = changeRecord(createReport(now - (action.ageMs ?? 0)));
+			const createRecord = action.isFull === true ? createFullReport : createReport;
+			const admission = changeRecord(createRecord(now - (action.ageMs ?? 0)));
 			for (const state of action.isSeen === false ? [] : states) {
 				apply(state, {kind: 'admission-changed', admission});
 			}
@@ -161,9 +165,34 @@
 	},
 ];
 
+const publishFull: Action = {kind: 'publish', isFull: true};
+
+const fullCases: typeof cases = [
+	{
+		name: 'the owner has no memory for more jobs', actions: [publishFull, submit], answers: ['refused'], isStored: false,
+	},
+	{
+		name: 'the owner had no memory for more jobs and was lost', actions: [{kind: 'publish', isFull: true, ageMs: 2500}, submit], answers: ['accepted'], isStored: true,
+	},
+	{
+		name: 'the entry has not seen that the owner has no memory', actions: [{kind: 'publish', isFull: true, isSeen: false}, submit], answers: ['refused'], isStored: false,
+	},
+	{
+		name: 'the job was accepted before the owner was full', actions: [submit, publishFull, submitElsewhere], answers: ['accepted', 'accepted'], isStored: true,
+	},
+	{
+		name: 'an attempt from before the owner was full comes into effect late', actions: [submitLate, publishFull, submitElsewhere], answers: ['undecided', 'refused'], isStored: false,
+	},
+];
+
 describe('admission of a submission', () => {
 	// Guards against telling a caller that its job never runs although a write of an earlier attempt stores it seconds later.
 	it.each(cases)('$name: $answers', ({actions, answers, isStored}) => {
-		expect(play(actions)).toEqual({answers, isStored});
+		expect(play(actions, true)).toEqual({answers, isStored});
+	});
+
+	// Guards against owners that end for lack of memory because of jobs that are accepted although others wait already.
+	it.each([true, false].flatMap(hasAccounts => fullCases.map(each => ({...each, hasAccounts}))))('with accounts $hasAccounts, $name: $answers', ({hasAccounts, actions, answers, isStored}) => {
+		expect(play(actions, hasAccounts)).toEqual({answers, isStored});
 	});
 });
--- a/packages/jobs/src/intake/admit-job.ts
+++ b/packages/jobs/src/intake/admit-job.ts
@@ -1,6 +1,6 @@
 import {emitEffect, type DecisionContext} from '@pistachiogauge/chain';
 import {
-	chooseRetryMs, createLiftedRecord, decideAdmission, isReportStale, type AdmissionReason,
+	chooseRetryMs, createLiftedRecord, decideAdmission, isReportStale, type AdmissionDecision, type AdmissionReason,
 } from '../admission/index.js';
 import {
 	emitCount, emitLog, type JobFilter, type JobOutput,
@@ -17,6 +17,24 @@
 /** Number of changes of the admission record during one submission after which it is left undecided; the owner changes it twice a second. */
 const maxAdmissionConflicts = 4;
 
+type Refusal = Extract<AdmissionDecision, {readonly kind: 'refuse'}>;
+type LogFields = Readonly<Record<string, number | undefined>>;
+type RefusalText = {readonly message: string; readonly reason: string; readonly describe: (refusal: Refusal) => LogFields};
+
+/** What a refusal tells the log and the caller, by its reason. */
+const refusalTexts: Readonly<Record<Refusal['reason'], RefusalText>> = {
+	'too-late': {
+		message: 'submission refused, as the job would be too late',
+		reason: 'the job would be too late to be of use',
+		describe: refusal => refusal.reason === 'too-late' ? {finishMs: Math.round(refusal.finishMs), limitMs: Math.round(refusal.limitMs)} : {},
+	},
+	full: {
+		message: 'submission refused, as the owner has no memory for more jobs',
+		reason: 'too many jobs are waiting',
+		describe: () => ({}),
+	},
+};
+
 /** Handles the store's answers to the submission of a job. @internal */
 export const submissionHandlers: JobFilter<State>['handlers'] = {
 	'job-stored'(state, {requestId, result, location}, context) {
@@ -83,15 +101,9 @@
 	},
 };
 
-/** Stores a job, or prepares its refusal where its pool's admission record says that it would be too late. */
+/** Stores a job, or prepares its refusal where its pool's admission record says that it would be too late, or that the owner has no memory for it. */
 export function admitJob(state: State, requestId: string, job: JobRecord, location: JobLocation): JobOutput[] {
 	const known = state.admission.records.get(job.pool);
-	if (known === undefined && state.configuration.current?.accounts === undefined) {
-		return [emitEffect({
-			kind: 'store-job', requestId, job, location,
-		})];
-	}
-
 	const stored = {revision: known?.revision ?? 0, record: known?.record};
 	const configurationVersion = state.configuration.current?.version ?? 0;
 	const decision = decideJobAdmission(job, stored, configurationVersion);
@@ -139,14 +151,14 @@
 		})];
 	}
 
-	const {waitMs, finishMs, limitMs} = decision;
 	const retryAfterMs = chooseRetryMs(decision, context.random);
+	const {message, reason, describe} = refusalTexts[decision.reason];
 	return [
-		emitLog('warn', 'submission refused, as the job would be too late', {
-			request: requestId, job: job.id, queue: job.queue, pool: job.pool, account: job.account, waitMs: Math.round(waitMs), finishMs: Math.round(finishMs), limitMs: Math.round(limitMs), retryAfterMs, revision: stored.revision, reportAgeMs: Math.round(context.wallTime - (stored.record?.publishedAt ?? 0)),
+		emitLog('warn', message, {
+			request: requestId, job: job.id, queue: job.queue, pool: job.pool, account: job.account, waitMs: Math.round(decision.waitMs), ...describe(decision), retryAfterMs, revision: stored.revision, reportAgeMs: Math.round(context.wallTime - (stored.record?.publishedAt ?? 0)),
 		}),
 		// A peer that was asked meanwhile may have stored the job.
-		...answerStoreCall(state, requestId, context.now, {kind: 'refused', reason: 'the job would be too late to be of use', retryAfterMs}, 'store-refused'),
+		...answerStoreCall(state, requestId, context.now, {kind: 'refused', reason, retryAfterMs}, 'store-refused'),
 	];
 }
 
--- a/packages/jobs/src/intake/answer-request.ts
+++ b/packages/jobs/src/intake/answer-request.ts
@@ -70,7 +70,7 @@
 	return [
 		createAnswer(requestId, request.action, answer),
 		emitCount(`requests_total{action="${request.action}",answer="${answer.kind}"}`),
-		...countForAccount(state, request.account, answer.kind, admission?.reason === 'too-late' ? 'admission' : 'store'),
+		...countForAccount(state, request.account, answer.kind, admission?.reason === 'too-late' || admission?.reason === 'full' ? 'admission' : 'store'),
 		...(admission === undefined ? [] : [emitCount(`admissions_total{decision="${answer.kind}",reason="${admission.reason}"}`)]),
 		emitEffect({kind: 'record-value', metric: `request_duration_ms{action="${request.action}"}`, value: tookMs}),
 		emitLog(answer.kind === 'refused' || answer.kind === 'undecided' ? 'warn' : 'info', 'request answered', {
--- a/packages/jobs/src/intake/intake-state.ts
+++ b/packages/jobs/src/intake/intake-state.ts
@@ -32,7 +32,7 @@
 /** What this entry has answered to the submission of a job. */
 export type Submission = {readonly answer: 'accepted' | 'undecided'; readonly at: number};
 
-/** A submission in a deployment with client accounts, until it is answered. */
+/** A submission until it is answered. */
 export type Admission = {
 	readonly job: JobRecord;
 	readonly location: JobLocation;
--- a/packages/jobs/src/jobs-state.ts
+++ b/packages/jobs/src/jobs-state.ts
@@ -46,18 +46,20 @@
 	/** Time in ms after which no entry may accept an API key that was removed from the configuration; undefined where revocation is not strict. */
 	readonly strictRevokeMs?: number | undefined;
 	readonly placement?: PlacementOptions;
+	/** Bytes of heap that the jobs of this entry's pools may take before it accepts no more. */
+	readonly maxJobBytes?: number | undefined;
 };
 
 /** @public */
 export function createJobsState({
-	node, incarnation, orderLeaseMs, strictRevokeMs, placement,
+	node, incarnation, orderLeaseMs, strictRevokeMs, placement, maxJobBytes,
 }: JobsOptions): JobsState {
 	return {
 		authority: createAuthorityState(node, incarnation),
 		configuration: createConfigurationState(),
 		accounts: createAccountsState(strictRevokeMs),
 		directory: createDirectoryState(),
-		admission: createAdmissionState(),
+		admission: createAdmissionState(maxJobBytes),
 		intake: createIntakeState(),
 		relay: createRelayState(),
 		supervision: createSupervisionState(),
--- a/packages/jobs/src/model/admission.ts
+++ b/packages/jobs/src/model/admission.ts
@@ -41,6 +41,8 @@
 	readonly configurationVersion: number;
 	/** Empty when the pool is not overloaded. */
 	readonly queues: Readonly<Record<string, QueueAdmission>>;
+	/** Time in ms after which callers whose jobs are refused should come back, as the owner has no memory for more jobs; undefined or 0 while it has. */
+	readonly fullMs?: number | undefined;
 };
 
 /** The record of a pool as read from the store. @public */
