Keep no occurrences of recurring jobs that are done

The steps of occurrences that are done, from the first one on, are removed, and the progress record has their number.

--- a/packages/entry/src/jobs/record-schemas.ts
+++ b/packages/entry/src/jobs/record-schemas.ts
@@ -73,6 +73,7 @@
 		account: z.string().optional(),
 		status: z.enum(['queued', 'running', 'done', 'failed', 'cancelled']),
 		steps: createTableSchema(z.string()),
+		doneOccurrences: count.optional(),
 		failedRuns: createTableSchema(z.array(count)).optional(),
 		lastRun: count,
 		endedAt: z.number().optional(),
--- a/packages/jobs/src/ledger/ledger-filter.ts
+++ b/packages/jobs/src/ledger/ledger-filter.ts
@@ -13,7 +13,7 @@
 	createPoolLedger, findTask, isActive, type LedgerState, type PoolLedger,
 } from './ledger-state.js';
 import {
-	createOccurrences, findReportedTask, markTakenOver, restoreJob,
+	createOccurrences, findReportedTask, markTakenOver, removeDoneOccurrences, restoreJob,
 } from './restore-job.js';
 import {createRoster} from './create-roster.js';
 import {handleSaveResult, saveProgress} from './save-progress.js';
@@ -287,6 +287,7 @@
 function createDueOccurrences(pool: PoolLedger, context: DecisionContext): JobOutput[] {
 	const outputs: JobOutput[] = [];
 	for (const job of pool.activeJobs) {
+		removeDoneOccurrences(job);
 		if (createOccurrences(job, context)) {
 			// A previous owner whose clock was ahead may have completed the last one.
 			appendItems(outputs, endCompleteJob(pool, job, context));
--- a/packages/jobs/src/ledger/ledger-state.ts
+++ b/packages/jobs/src/ledger/ledger-state.ts
@@ -46,6 +46,8 @@
 	steps: Map<string, Step>;
 	/** Number of occurrences that have become due by this entry's clock. Steps of others are created only if a previous owner has started them. */
 	createdOccurrences: number;
+	/** Number of occurrences, from the first one on, that are done and not kept. */
+	doneOccurrences: number;
 	lastRun: number;
 	/** Progress as read from the store, from which steps are restored. */
 	readonly restoredProgress: ProgressRecord;
--- a/packages/jobs/src/ledger/restore-job.ts
+++ b/packages/jobs/src/ledger/restore-job.ts
@@ -11,6 +11,7 @@
 
 /** Creates a job from its stored records. @public */
 export function restoreJob({job: record, progress, revision, isCancelled}: StoredJob, times: {readonly now: number; readonly wallTime: number}): Job {
+	const doneOccurrences = Math.min(progress.doneOccurrences ?? 0, Math.max(1, record.spec.repeatCount) - 1);
 	const job: Job = {
 		record,
 		status: progress.status,
@@ -18,7 +19,8 @@
 		savedVersion: 0,
 		revision,
 		steps: new Map(),
-		createdOccurrences: 0,
+		createdOccurrences: doneOccurrences,
+		doneOccurrences,
 		lastRun: progress.lastRun,
 		restoredProgress: progress,
 		unsavedEnds: [],
@@ -80,13 +82,35 @@
 	return job.createdOccurrences > countBefore;
 }
 
+/** Removes the steps of occurrences that are done, and of which nothing runs, up to the first other one. The latest occurrence is kept, as durations are estimated by it. @internal */
+export function removeDoneOccurrences(job: Job): void {
+	while (job.doneOccurrences < job.createdOccurrences - 1 && isOccurrenceDone(job, job.doneOccurrences)) {
+		for (const index of job.record.spec.steps.keys()) {
+			job.steps.delete(`${job.doneOccurrences}.${index}`);
+		}
+
+		job.doneOccurrences += 1;
+	}
+}
+
+function isOccurrenceDone({record, steps}: Job, occurrence: number): boolean {
+	for (const index of record.spec.steps.keys()) {
+		const step = steps.get(`${occurrence}.${index}`);
+		if (step === undefined || !isStepDone(step) || step.tasks.started.size > 0) {
+			return false;
+		}
+	}
+
+	return true;
+}
+
 /**
 Creates the steps of an occurrence that a previous owner has started and that is not due yet by this entry's clock. Its tasks are not started before it is due.
 
 @internal
 */
 export function createReportedOccurrence(job: Job, occurrence: number, {now}: {readonly now: number}): void {
-	const isValid = Number.isSafeInteger(occurrence) && occurrence >= 0 && occurrence < getOccurrenceCount(job);
+	const isValid = Number.isSafeInteger(occurrence) && occurrence >= job.doneOccurrences && occurrence < getOccurrenceCount(job);
 	if (isValid && isActive(job) && !job.steps.has(`${occurrence}.0`)) {
 		createOccurrence(job, occurrence, now);
 	}
--- a/packages/jobs/src/ledger/save-progress.ts
+++ b/packages/jobs/src/ledger/save-progress.ts
@@ -217,6 +217,7 @@
 		account: job.record.account,
 		status: job.status,
 		steps,
+		...(job.doneOccurrences > 0 && {doneOccurrences: job.doneOccurrences}),
 		...(Object.keys(failedRuns).length > 0 && {failedRuns}),
 		lastRun: job.lastRun,
 		...(job.endedAt !== undefined && {endedAt: job.endedAt}),
--- a/packages/jobs/src/model/job.ts
+++ b/packages/jobs/src/model/job.ts
@@ -106,6 +106,8 @@
 	readonly status: JobStatus;
 	/** State of the tasks by `occurrence.step`, one character per task: `d` for done. A step without an entry has not been started. */
 	readonly steps: Readonly<Record<string, string>>;
+	/** Number of occurrences, from the first one on, that are done and left out of `steps`; 0 if undefined. */
+	readonly doneOccurrences?: number | undefined;
 	/**
 	Numbers of the failed runs, by `occurrence.step.index`. A plain count would not do: an end that the previous owner had saved but not acknowledged to the endpoint is reported again to the next owner.
 	*/
