--- a/packages/jobs/src/configuration/index.ts
+++ b/packages/jobs/src/configuration/index.ts
@@ -1,4 +1,4 @@
 export {
 	configurationFilter, createConfigurationState, type ConfigurationState, type ConfigurationView,
 } from './configuration-filter.js';
-export {findQueue, type QueueMatch} from './find-queue.js';
+export {findQueue, listHiddenQueues, type QueueMatch} from './find-queue.js';
--- a/packages/jobs/src/index.ts
+++ b/packages/jobs/src/index.ts
@@ -11,7 +11,7 @@
 	canCheckKeys, checkCaller, findAccount, isConfigurationTooOld, labelAccount, type CallerCheck, type CheckBasis,
 } from './accounts/index.js';
 export {checkCallerRequest, type CallerRequestSummary} from './intake/index.js';
-export {findQueue, type QueueMatch} from './configuration/index.js';
+export {findQueue, listHiddenQueues, type QueueMatch} from './configuration/index.js';
 export {
 	completeTask, createPoolLedger, hasPendingTask, isStepDone, isStepReady, keepTask, listPendingTasks, restoreJob, rosterRecordKey, type Job, type Step, type Task,
 } from './ledger/index.js';
