--- a/packages/bench/src/jobs/find-lost-work.ts
+++ b/packages/bench/src/jobs/find-lost-work.ts
@@ -17,6 +17,7 @@
 		const {steps} = stored.job.spec;
 		return steps.some((step, index) => isTurnOf(simulation, jobId, steps, index) && simulation.checker.accounts.hasCapFor(jobId, step.room) && endpoints.some(endpoint => endpoint.registration.pool === stored.job.pool
 			&& hasRoomTwice(endpoint, step)
+			&& (!step.isGang || countGangRoom(endpoints.filter(({registration}) => registration.pool === stored.job.pool), step) >= 2 * step.count)
 			&& (stored.job.advice === undefined || simulation.advice.mayRun(`${jobId}.0.${index}`, endpoint.registration.id))));
 	});
 }
@@ -58,7 +59,24 @@
 	return (requiredLabel === undefined || registration.labels.includes(requiredLabel)) && hasCapacityFor(subtractResources(free, room), room);
 }
 
-/** Watches for runs that the owner of a pool counts on an endpoint that answers it and does not have them. */
+/** Counts the members of a gang that endpoints have room for. */
+function countGangRoom(endpoints: readonly VirtualTaskEndpoint[], {room}: StepSpec): number {
+	let count = 0;
+	for (const {registration, runs} of endpoints) {
+		let usedMillis = 0;
+		let usedMb = 0;
+		for (const {resources} of runs.values()) {
+			usedMillis += resources.cpuMillis;
+			usedMb += resources.memoryMb;
+		}
+
+		count += Math.max(0, Math.min(Math.floor((registration.capacity.cpuMillis - usedMillis) / room.cpuMillis), Math.floor((registration.capacity.memoryMb - usedMb) / room.memoryMb)));
+	}
+
+	return count;
+}
+
+/** Watches for runs that the owner of a pool counts on an endpoint that answers it and does not have them, or that its ledger counts and its supervision does not. */
 export type LeakWatch = {
 	/** Lists the runs that have been counted in vain at each look for the time that an owner may need to notice. */
 	look(): string[];
@@ -72,7 +90,7 @@
 	return {
 		look() {
 			const {now} = simulation.queue;
-			firstSeenAt = new Map(listMissingRuns(simulation).map(run => [run, firstSeenAt.get(run) ?? now]));
+			firstSeenAt = new Map([...listMissingRuns(simulation), ...listUnsupervisedRuns(simulation)].map(run => [run, firstSeenAt.get(run) ?? now]));
 			return [...firstSeenAt].filter(([, at]) => now > at + leakMs).map(([run]) => run);
 		},
 	};
@@ -91,3 +109,23 @@
 
 	return missing;
 }
+
+/** Lists the runs of tasks that an owner's ledger counts on an endpoint that it supervises without them. */
+function listUnsupervisedRuns({entries, store}: JobsSimulation): string[] {
+	const unsupervised: string[] = [];
+	for (const {node, isUp, state} of entries) {
+		for (const pool of isUp ? state.ledger.pools.values() : []) {
+			const isOwner = store.claims.get(`${poolClaimPrefix}${pool.pool}`)?.node === node;
+			const steps = isOwner ? [...pool.activeJobs].flatMap(job => [...job.steps.values()]) : [];
+			for (const task of steps.flatMap(({tasks}) => [...tasks.started.values()])) {
+				for (const [run, endpointId] of task.runs) {
+					if (state.supervision.endpoints.get(endpointId)?.runs.has(task.id) !== true) {
+						unsupervised.push(`run ${run} of ${task.id} on ${endpointId} in the ledger of ${node}`);
+					}
+				}
+			}
+		}
+	}
+
+	return unsupervised;
+}
--- a/packages/bench/src/jobs/play-changes.ts
+++ b/packages/bench/src/jobs/play-changes.ts
@@ -1,4 +1,5 @@
 import {createRandomSource, type RandomSource} from '@pistachiogauge/chain';
+import {type StepSpec} from '@pistachiogauge/jobs';
 import {listRunningEntries} from './inject-fault.js';
 import {createPlainSpec, type SoakJob} from './job-loads.js';
 import {type JobsSimulation} from './jobs-simulation.js';
@@ -125,8 +126,56 @@
 	return [];
 }
 
+/** On average, one step in this many submits a job of very many tasks. */
+const stepsPerLargeJob = 30;
+const largeJobTasks = {min: 300, max: 3000} as const;
+const largeTaskMs = {min: 100, max: 600} as const;
+const stepsPerGang = 10;
+const gangMembers = {min: 2, max: 3} as const;
+/** Two of the largest members fit on an endpoint. */
+const gangMillis = {min: 500, max: 10_000} as const;
+const gangMs = {min: 300, max: 3000} as const;
+/** One gang in this many needs more than the pool has. */
+const gangsPerWideGang = 4;
+const wideGang: Partial<StepSpec> = {count: 8, room: {cpuMillis: 20_000, memoryMb: 400, gpus: 0}, isGang: true};
+
+/** Submits a job of one step to any entry, unless none runs. */
+function submitStep(simulation: JobsSimulation, random: RandomSource, step: Partial<StepSpec>, durationMs: number, isEndless = false): SoakJob[] {
+	const entry = chooseFrom(random, listRunningEntries(simulation));
+	const queueName = `jobs-${chooseFrom(random, simulation.homePools)!}`;
+	return entry === undefined ? [] : [{jobId: simulation.submitJob(entry, queueName, createPlainSpec({...step, estimateMs: durationMs}), {durationMs}), queueName, isEndless}];
+}
+
+function drawBetween(random: RandomSource, bounds: {readonly min: number; readonly max: number}): number {
+	return Math.round(chooseBetween(random, bounds));
+}
+
+function playLargeJobs(simulation: JobsSimulation, _jobs: ReadonlyMap<string, SoakJob>, random: RandomSource): SoakJob[] {
+	if (random.getInteger(stepsPerLargeJob) > 0) {
+		return [];
+	}
+
+	return submitStep(simulation, random, {count: drawBetween(random, largeJobTasks), room: {cpuMillis: 2, memoryMb: 1, gpus: 0}}, drawBetween(random, largeTaskMs));
+}
+
+function playGangs(simulation: JobsSimulation, _jobs: ReadonlyMap<string, SoakJob>, random: RandomSource): SoakJob[] {
+	if (random.getInteger(stepsPerGang) > 0) {
+		return [];
+	}
+
+	if (random.getInteger(gangsPerWideGang) === 0) {
+		return submitStep(simulation, random, wideGang, drawBetween(random, gangMs), true);
+	}
+
+	return submitStep(simulation, random, {
+		count: drawBetween(random, gangMembers), room: {cpuMillis: drawBetween(random, gangMillis), memoryMb: 400, gpus: 0}, isGang: true, isSameRack: random.getInteger(2) === 0,
+	}, drawBetween(random, gangMs));
+}
+
 const changePlayers: Readonly<Record<string, ChangePlayer>> = {
 	'queues-moved': {playStep: playQueueChanges, finish: restoreQueues},
+	'large-jobs': {playStep: playLargeJobs, finish: () => undefined},
+	gangs: {playStep: playGangs, finish: () => undefined},
 	'submissions-overtaken': {playStep: playOvertaking, finish: () => undefined},
 	'waves-limited': {
 		playStep: playWaves,
