--- a/packages/bench/src/jobs-processes/plan-changes.ts
+++ b/packages/bench/src/jobs-processes/plan-changes.ts
@@ -5,7 +5,7 @@
 } from './run-plan.js';
 
 /** What the operator and clients change beside ordinary jobs, if it is asked for. @public */
-export const changeKinds = ['queues-moved', 'submissions-overtaken'] as const;
+export const changeKinds = ['queues-moved', 'submissions-overtaken', 'large-jobs'] as const;
 
 /** @public */
 export type ChangeKind = typeof changeKinds[number];
@@ -19,6 +19,9 @@
 const pauseMs = {min: 300, max: 5000} as const;
 const cancelAfterMs = {min: 100, max: 4500} as const;
 const taskMs = 4000;
+const meanLargeJobIntervalMs = 3000;
+const largeJobTasks = {min: 2000, max: 4000} as const;
+const largeTaskMs = 200;
 
 type PlanChanger = (plan: RunPlan, random: RandomSource) => RunPlan;
 
@@ -28,6 +31,7 @@
 		const {jobs, faults} = drawOvertakings(plan, random);
 		return {...plan, jobs: [...plan.jobs, ...jobs], faults: [...plan.faults, ...faults]};
 	},
+	'large-jobs': (plan, random) => ({...plan, jobs: [...plan.jobs, ...drawLargeJobs(plan, random)]}),
 };
 
 /** Adds changes to a plan, which stays the same otherwise. */
@@ -79,3 +83,25 @@
 
 	return {jobs, faults};
 }
+
+/** Draws jobs of thousands of small tasks, in the first half of the run so that there is time for them. */
+function drawLargeJobs({queues, jobs: plannedJobs, durationMs}: RunPlan, random: RandomSource): JobPlan[] {
+	const jobs: JobPlan[] = [];
+	for (let atMs = 0; atMs < durationMs / 2; atMs += drawBetween(random, 0, 2 * meanLargeJobIntervalMs)) {
+		const number = plannedJobs.length + jobs.length + 1;
+		const step = {
+			taskCount: drawBetween(random, largeJobTasks.min, largeJobTasks.max), cpuMillis: 1, memoryMb: 1, estimateMs: largeTaskMs, after: [], isLongRunning: false, mayDuplicate: false,
+		};
+		jobs.push({
+			atMs,
+			job: {
+				jobId: number.toString(16).padStart(16, '0'), queue: drawItem(random, queues).queue, payload: `ms=${largeTaskMs} job=${number}`, steps: [step],
+			},
+			cancelAfterMs: undefined,
+			repeatAfterMs: undefined,
+			retriesRejection: true,
+		});
+	}
+
+	return jobs;
+}
