--- a/packages/jobs/src/placement/account-budgets.ts
+++ b/packages/jobs/src/placement/account-budgets.ts
@@ -210,6 +210,7 @@
 			} else if (startableCount > 0) {
 				holdStep(budget, step, resources, context.now);
 			} else if (mayBecomeStartable(state, step, candidates, context.now)) {
+				// It needs advice, which is requested once the budget allows the step to be tried; others may use the budget until then.
 				addHeldStep(budget, step, resources);
 			}
 		}
