Correct figures and comments after reading the diff once more

- The comment of the default memory limit said a sixth where 15% is meant; marks of tasks, the last occurrence and the reserve of starts are explained.
- The soak's listUnsupervisedRuns had the name of something else in the product.
No behaviour changes.

--- a/packages/bench/src/jobs/find-lost-work.ts
+++ b/packages/bench/src/jobs/find-lost-work.ts
@@ -92,7 +92,7 @@
 	return {
 		look() {
 			const {now} = simulation.queue;
-			firstSeenAt = new Map([...listMissingRuns(simulation), ...listUnsupervisedRuns(simulation)].map(run => [run, firstSeenAt.get(run) ?? now]));
+			firstSeenAt = new Map([...listMissingRuns(simulation), ...listLedgerOnlyRuns(simulation)].map(run => [run, firstSeenAt.get(run) ?? now]));
 			return [...firstSeenAt].filter(([, at]) => now > at + leakMs).map(([run]) => run);
 		},
 	};
@@ -113,8 +113,8 @@
 }
 
 /** Lists the runs of tasks that an owner's ledger counts on an endpoint that it supervises without them. */
-function listUnsupervisedRuns({entries, store}: JobsSimulation): string[] {
-	const unsupervised: string[] = [];
+function listLedgerOnlyRuns({entries, store}: JobsSimulation): string[] {
+	const ledgerOnly: string[] = [];
 	for (const {node, isUp, state} of entries) {
 		for (const pool of isUp ? state.ledger.pools.values() : []) {
 			const isOwner = store.claims.get(`${poolClaimPrefix}${pool.pool}`)?.node === node;
@@ -122,12 +122,12 @@
 			for (const task of steps.flatMap(({tasks}) => [...tasks.started.values()])) {
 				for (const [run, endpointId] of task.runs) {
 					if (state.supervision.endpoints.get(endpointId)?.runs.has(task.id) !== true) {
-						unsupervised.push(`run ${run} of ${task.id} on ${endpointId} in the ledger of ${node}`);
+						ledgerOnly.push(`run ${run} of ${task.id} on ${endpointId} in the ledger of ${node}`);
 					}
 				}
 			}
 		}
 	}
 
-	return unsupervised;
+	return ledgerOnly;
 }
--- a/packages/jobs/src/admission/admission-state.ts
+++ b/packages/jobs/src/admission/admission-state.ts
@@ -16,7 +16,7 @@
 	readonly fullSince: Map<string, number>;
 };
 
-/** A sixth of the heap of the smallest entry of the deploy file, so that one that takes over the pools of another has room for both. */
+/** 15% of the heap limit of the smallest entry of the deploy file, so that one that takes over the pools of another has room for both. */
 const defaultMaxJobBytes = 40_000_000;
 
 /** @public */
--- a/packages/jobs/src/ledger/restore-job.ts
+++ b/packages/jobs/src/ledger/restore-job.ts
@@ -11,6 +11,7 @@
 
 /** Creates a job from its stored records. @public */
 export function restoreJob({job: record, progress, revision, isCancelled}: StoredJob, times: {readonly now: number; readonly wallTime: number}): Job {
+	// The last occurrence is always created, as the job ends with it.
 	const doneOccurrences = Math.min(progress.doneOccurrences ?? 0, Math.max(1, record.spec.repeatCount) - 1);
 	const job: Job = {
 		record,
--- a/packages/jobs/src/ledger/task-table.ts
+++ b/packages/jobs/src/ledger/task-table.ts
@@ -21,6 +21,7 @@
 	firstUnstarted: number;
 };
 
+/** ASCII codes of `d` and `.`, the marks in a progress record. */
 const doneMark = 100;
 const openMark = 46;
 
--- a/packages/jobs/src/placement/limit-starts.ts
+++ b/packages/jobs/src/placement/limit-starts.ts
@@ -38,7 +38,7 @@
 	return search.startsLeft > 0 && candidate.startsLeft > 0;
 }
 
-/** Lists the candidates that may be sent the first start of a job beyond the limits. There are none if something of the job runs or room is short: without room to spare, the reserve would change which jobs come first. @internal */
+/** Lists the candidates that may be sent the first start of a job beyond the limits, from the reserve of `reservedStarts`; other reservations of placement are for starts that are on their way. There are none if something of the job runs or room is short: without room to spare, the reserve would change which jobs come first. @internal */
 export function listReservedCandidates({candidates}: PlacementSearch, job: Job, allowed: readonly Candidate[]): readonly Candidate[] {
 	return hasRuns(job) || !isHalfFree(candidates) ? [] : allowed.filter(({startsLeft}) => startsLeft > -reservedStarts);
 }
